--- /dev/null
+++ b/src/main/java/mallowstall/Constants.java
@@ -0,0 +1,201 @@
+package mallowstall;
+
+/** Every constant of the service, with its unit and the reason for its value. */
+public final class Constants {
+  private Constants() {}
+
+  // ---- clocks -------------------------------------------------------------------------------
+  /** Fraction. Steady clocks of two machines drift apart by at most this much (protocol). */
+  public static final double DRIFT = 0.0005;
+
+  /** ms. Core tick: short against the half second between a worker's reports. */
+  public static final long TICK_MS = 100;
+
+  // ---- state service ------------------------------------------------------------------------
+  /** ms. Session lease: long enough for a few lost renewals, short enough to be missed soon. */
+  public static final long SESSION_TTL_MS = 5_000;
+
+  /** ms. Renewal period: four tries fit into a lease. */
+  public static final long RENEW_EVERY_MS = 1_200;
+
+  /** ms. A holder stops starting this long before its lease can end. */
+  public static final long SESSION_MARGIN_MS = 500;
+
+  /** ms. How long a watch waits: also bounds how old the mirror's freshness can be. */
+  public static final long WATCH_HOLD_MS = 2_000;
+
+  /** ms. Pause between watches, so that a burst of changes doesn't spend the request budget. */
+  public static final long WATCH_PAUSE_MS = 60;
+
+  /** ms. A request to the state service without an answer by then has an unknown outcome. */
+  public static final long STATE_TIMEOUT_MS = 1_500;
+
+  /** ms. Wait after a failure of the state service before the next try of a standing duty. */
+  public static final long STATE_RETRY_MS = 400;
+
+  /** Count. Most operations waiting for the state service's budget; beyond it callers are refused. */
+  public static final int STATE_BACKLOG = 200;
+
+  /** Count. Connections to the state service besides the watch; requests are not pipelined. */
+  public static final int STATE_CONNECTIONS = 6;
+
+  /** Fraction of the shared limits that all controllers together plan to spend. */
+  public static final double BUDGET_SHARE = 0.9;
+
+  /** Count. Items asked for in one listing (protocol maximum is 1,000). */
+  public static final int LIST_PAGE = 500;
+
+  /** Count. Tasks whose done bits stand in one value: 2 KiB raw, below any value limit seen. */
+  public static final int BITS_PER_CHUNK = 16_384;
+
+  /** ms. Least time between two writes of one job's entry: finishes in between are one batch. */
+  public static final long JOB_WRITE_GAP_MS = 150;
+
+  /** ms. Least time between two grant transactions of one team. */
+  public static final long GRANT_GAP_MS = 60;
+
+  /** ms. A grant no task uses is given back after this time. */
+  public static final long GRANT_IDLE_MS = 1_500;
+
+  /** ms. Free-room digests (design page: every 5 seconds). */
+  public static final long DIGEST_EVERY_MS = 5_000;
+
+  /** ms. Between scans for jobs whose holder is gone. */
+  public static final long ADOPT_EVERY_MS = 300;
+
+  /** Count. Jobs taken over in one scan, to spread a dead holder's jobs over the survivors. */
+  public static final int ADOPT_BATCH = 4;
+
+  // ---- peers --------------------------------------------------------------------------------
+  /** ms. Heartbeat of a controller's roster to its peers. */
+  public static final long ROSTER_EVERY_MS = 1_000;
+
+  /** ms. Least time between two rosters: joins what happens within one burst of reports. */
+  public static final long ROSTER_GAP_MS = 120;
+
+  /** ms. A peer's roster older than this is not used for placing; its digest is. */
+  public static final long ROSTER_STALE_MS = 4_000;
+
+  /** Bytes. Largest message between controllers. */
+  public static final int PEER_FRAME_MAX = 4 << 20;
+
+  /** ms. Between attempts to connect to a peer. */
+  public static final long PEER_RETRY_MS = 700;
+
+  /** Bytes. Unsent data to a peer above which rosters are skipped (the next one says it all). */
+  public static final int PEER_BACKLOG_MAX = 512 << 10;
+
+  // ---- workers ------------------------------------------------------------------------------
+  /** ms. Added to a worker's lease and drift before its tasks are written off. */
+  public static final long WRITE_OFF_MARGIN_MS = 700;
+
+  /** ms. Added to the cancellation arithmetic when the state service isn't heard. */
+  public static final long CANCEL_MARGIN_MS = 5_000;
+
+  /** ms. A machine silent this long gets no new tasks. */
+  public static final long SILENT_MS = 3_500;
+
+  /** Count. Errors in a row, no success between, that set a machine aside. */
+  public static final int FAULTY_ERRORS = 2;
+
+  /** Count. Errors in a row after which a machine is replaced. */
+  public static final int BROKEN_ERRORS = 3;
+
+  /** ms. How long a machine with too many errors gets no task, then it is tried again. */
+  public static final long QUARANTINE_MS = 25_000;
+
+  /** ms. Quarantine of a machine for one job after an error there. */
+  public static final long JOB_AVOIDS_MS = 15_000;
+
+  /** Count. Machines on which a job may fail before it is taken for the job's own fault. */
+  public static final int JOB_FAULT_MACHINES = 4;
+
+  /** ms. A job that fails everywhere is tried this seldom. */
+  public static final long JOB_FAULT_WAIT_MS = 10_000;
+
+  /** Count. Commands in one response, so that a line stays far below 64 KiB. */
+  public static final int COMMANDS_MAX = 200;
+
+  // ---- placement ----------------------------------------------------------------------------
+  /** ms. First wait of a policy that failed (design page). */
+  public static final long BACKOFF_FIRST_MS = 1_000;
+
+  /** ms. Longest wait of a policy that failed (design page). */
+  public static final long BACKOFF_MAX_MS = 10_000;
+
+  /** ms. A start an owner hasn't passed on by then is dropped, whatever its holder's lease. */
+  public static final long START_LIFE_MS = 8_000;
+
+  /** Count. Starts sent in one placement round, bounding the work of a tick. */
+  public static final int STARTS_PER_ROUND = 120;
+
+  /** ms. A waiting task may look at machines of scarcer types after this time. */
+  public static final long SCARCE_AFTER_MS = 12_000;
+
+  /** ms. A waiting job of higher priority may stop lower work after this time. */
+  public static final long PREEMPT_AFTER_MS = 2_500;
+
+  /** ms. Between two preemption rounds of one job. */
+  public static final long PREEMPT_GAP_MS = 3_000;
+
+  // ---- fleet --------------------------------------------------------------------------------
+  /** ms. Between fleet plans of the controller with the cloud duty. */
+  public static final long FLEET_EVERY_MS = 1_500;
+
+  /** ms. Between machine lists. */
+  public static final long LIST_EVERY_MS = 8_000;
+
+  /** ms. After a capacity refusal that type, zone and kind is not asked for again for so long. */
+  public static final long REFUSED_WAIT_MS = 15_000;
+
+  /** Count. Most machines per rental (protocol). */
+  public static final int RENT_MAX = 50;
+
+  /** Count. Most names per return (protocol). */
+  public static final int RETURN_MAX = 100;
+
+  /** ms. Request to the cloud without an answer by then has failed. */
+  public static final long CLOUD_TIMEOUT_MS = 5_000;
+
+  /** ms. An idle machine not needed by the plan is returned after this. */
+  public static final long IDLE_RETURN_MS = 40_000;
+
+  /** Factor on the usual boot time after which a machine is taken for one that never boots. */
+  public static final double BOOT_GIVE_UP = 4.0;
+
+  /** ms. Added to a worker's lease: a machine silent for longer is returned. */
+  public static final long SILENT_RETURN_MS = 12_000;
+
+  /** ms. A drain request is forgotten after this if the machine wasn't returned. */
+  public static final long DRAIN_LIFE_MS = 20_000;
+
+  /** ms. Time constant of the average of used processors that keeps a warm floor of machines. */
+  public static final double USAGE_TAU_MS = 90_000;
+
+  // ---- users --------------------------------------------------------------------------------
+  /** Bytes. Largest request body (protocol). */
+  public static final int BODY_MAX = 64 << 10;
+
+  /** Count. Most tasks of one job (protocol). */
+  public static final int TASKS_MAX = 100_000;
+
+  /** s. Shortest and longest Retry-After told to a user. */
+  public static final int RETRY_MIN_S = 1;
+
+  public static final int RETRY_MAX_S = 20;
+
+  /** Count. Final jobs kept in memory to answer polls without a read. */
+  public static final int FINAL_CACHE = 4_000;
+
+  /** s. A connection without a request for so long is closed. */
+  public static final int IDLE_CONNECTION_S = 60;
+
+  /** s. A request that has begun to arrive must be complete within this. */
+  public static final int SLOW_REQUEST_S = 10;
+
+  /** Fraction of the sockets that users and workers may use. */
+  public static final double SOCKET_SHARE = 0.7;
+
+  /** Bits of an attempt number below the epoch: a new holder's attempts exceed all earlier ones. */
+  public static final int ATTEMPT_BITS = 24;
+}
--- /dev/null
+++ b/src/main/java/mallowstall/Meters.java
@@ -0,0 +1,41 @@
+package mallowstall;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.util.Map;
+import java.util.TreeMap;
+import mallowstall.core.Core;
+import org.HdrHistogram.Histogram;
+
+/** Counters through Micrometer, latencies in HdrHistograms; few names, so bounded in size. */
+final class Meters implements Core.Metrics {
+  private static final long MAX_US = 60_000_000;
+  private final SimpleMeterRegistry registry = new SimpleMeterRegistry();
+  private final Map<String, Counter> counters = new TreeMap<>();
+  private final Map<String, Histogram> times = new TreeMap<>();
+
+  @Override
+  public void count(String what) {
+    counters.computeIfAbsent(what, registry::counter).increment();
+  }
+
+  void time(String what, long nanos) {
+    times.computeIfAbsent(what, k -> new Histogram(MAX_US, 2)).recordValue(Math.min(MAX_US, Math.max(0, nanos / 1_000)));
+  }
+
+  String text() {
+    StringBuilder b = new StringBuilder();
+    for (Map.Entry<String, Counter> e : counters.entrySet()) {
+      b.append("mallowstall_").append(e.getKey()).append("_total ").append((long) e.getValue().count()).append('\n');
+    }
+    for (Map.Entry<String, Histogram> e : times.entrySet()) {
+      Histogram h = e.getValue();
+      String n = "mallowstall_" + e.getKey() + "_seconds";
+      for (double q : new double[] {0.5, 0.95, 0.99}) {
+        b.append(n).append("{quantile=\"").append(q).append("\"} ").append(h.getValueAtPercentile(q * 100) / 1e6).append('\n');
+      }
+      b.append(n).append("_count ").append(h.getTotalCount()).append('\n');
+    }
+    return b.toString();
+  }
+}
--- /dev/null
+++ b/src/main/java/mallowstall/Service.java
@@ -0,0 +1,287 @@
+package mallowstall;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import mallowstall.cloud.CloudAdapter;
+import mallowstall.config.Settings;
+import mallowstall.core.Core;
+import mallowstall.core.Effects;
+import mallowstall.core.Model.*;
+import mallowstall.core.Policy;
+import mallowstall.net.Duty;
+import mallowstall.net.HttpClient;
+import mallowstall.net.HttpServer;
+import mallowstall.net.HttpServer.Request;
+import mallowstall.net.HttpServer.Responder;
+import mallowstall.peers.PeersAdapter;
+import mallowstall.state.StateAdapter;
+import mallowstall.users.UsersAdapter;
+import mallowstall.workers.WorkersAdapter;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One controller: the core with its adapters, on one event loop. */
+public final class Service {
+  private static final Logger LOG = LoggerFactory.getLogger("mallowstall.service");
+
+  private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+  private final EventLoop loop = group.next();
+  private final Core core;
+  private final StateAdapter state;
+  private final CloudAdapter cloud;
+  private final PeersAdapter peers;
+  private final UsersAdapter users;
+  private final WorkersAdapter workers;
+  private final Meters meters = new Meters();
+  private final HttpServer server;
+  private final Settings settings;
+  private Duty ticks;
+  private ScheduledFuture<?> wake;
+  private long wakeAt = Long.MAX_VALUE;
+
+  public Service(Settings s, ObjectMapper json, Policy.Book policies) {
+    this.settings = s;
+    Consumer<Runnable> events = this::event;
+    HttpClient stateCalls =
+        new HttpClient(loop, Settings.address(s.endpoints().state()), Constants.STATE_CONNECTIONS);
+    HttpClient watches = new HttpClient(loop, Settings.address(s.endpoints().state()), 2);
+    HttpClient cloudCalls = new HttpClient(loop, Settings.address(s.endpoints().cloud()), 2);
+    this.state = new StateAdapter(json, stateCalls, watches, events);
+    this.cloud = new CloudAdapter(json, cloudCalls, events);
+    this.core = new Core(coreSettings(s), new World(), policies, meters, s.node().hashCode() * 31L + 7);
+    int sockets =
+        s.facts().limits() == null || s.facts().limits().maxConnections() == null
+            ? 500
+            : s.facts().limits().maxConnections();
+    this.peers = new PeersAdapter(loop, core, events, 16);
+    this.users = new UsersAdapter(json, core);
+    this.workers = new WorkersAdapter(json, core);
+    this.server = new HttpServer(this::handle, (int) (sockets * Constants.SOCKET_SHARE));
+  }
+
+  static CoreSettings coreSettings(Settings s) {
+    List<String> others = new ArrayList<>();
+    Map<String, String> zones = new HashMap<>();
+    zones.put(s.node(), s.zone() == null ? "" : s.zone());
+    if (s.peers() != null) {
+      for (Settings.Peer p : s.peers()) {
+        others.add(p.node());
+        zones.put(p.node(), p.zone() == null ? "" : p.zone());
+      }
+    }
+    Map<String, Team> teams = new HashMap<>();
+    for (Settings.Team t : s.facts().teams()) {
+      teams.put(t.name(), new Team(t.name(), t.cpus(), t.cpusMax(), t.gpus(), t.gpusMax()));
+    }
+    Map<String, Double> waits = new HashMap<>();
+    if (s.facts().objectives() != null) {
+      for (Settings.Objective o : s.facts().objectives()) {
+        if ("wait".equals(o.kind()) && o.jobClass() != null && o.withinS() != null) {
+          waits.merge(o.jobClass(), o.withinS(), Math::min);
+        }
+      }
+    }
+    Settings.Facts f = s.facts();
+    return new CoreSettings(
+        s.node(),
+        others,
+        zones,
+        teams,
+        (long) (f.workers().reportS() * 1000),
+        (long) (f.workers().leaseS() * 1000),
+        (long) (f.workers().cancelS() * 1000),
+        (long) Math.ceil(f.skewMs()),
+        f.state().rps(),
+        f.state().writeRps(),
+        f.state().txnOps(),
+        f.cloud().rps(),
+        (long) (f.cloud().listLagS() * 1000),
+        waits);
+  }
+
+  public void start() throws InterruptedException {
+    server.listen(group, Settings.address(settings.listen()));
+    peers.listen(group, Settings.address(settings.peerListen()));
+    loop.execute(
+        () -> {
+          if (settings.peers() != null) {
+            for (Settings.Peer p : settings.peers()) peers.connect(p.node(), Settings.address(p.addr()));
+          }
+          ticks = new Duty("tick", loop, Constants.TICK_MS, () -> event(core::tick));
+        });
+    LOG.info("{} serves on {}", settings.node(), settings.listen());
+  }
+
+  /** Ends duties, then connections, then the loop. */
+  public void stop() {
+    loop.execute(
+        () -> {
+          if (ticks != null) ticks.cancel();
+          if (wake != null) wake.cancel(false);
+          server.close();
+          peers.close();
+        });
+    group.shutdownGracefully(50, 500, TimeUnit.MILLISECONDS);
+  }
+
+  /** Runs one event of the core with the time set, then whatever became due. */
+  private void event(Runnable r) {
+    core.time(System.nanoTime() / 1_000_000, System.currentTimeMillis());
+    try {
+      r.run();
+      core.settle();
+    } catch (RuntimeException e) {
+      LOG.error("an event failed", e);
+    }
+    long next = core.nextTimer();
+    if (next < wakeAt) {
+      if (wake != null) wake.cancel(false);
+      wakeAt = next;
+      wake =
+          loop.schedule(
+              () -> {
+                wakeAt = Long.MAX_VALUE;
+                event(() -> {});
+              },
+              Math.max(1, next - System.nanoTime() / 1_000_000),
+              TimeUnit.MILLISECONDS);
+    }
+  }
+
+  // ---- routes -------------------------------------------------------------------------------
+  private void handle(Request q, Responder r) {
+    event(() -> route(q, r));
+  }
+
+  private void route(Request q, Responder r) {
+    String path = q.path();
+    int query = path.indexOf('?');
+    if (query >= 0) path = path.substring(0, query);
+    try {
+      if (path.equals("/hello")) {
+        if (method(q, r, "POST")) {
+          try {
+            workers.report(q, r);
+          } catch (IOException e) {
+            error(r, 400, "not a valid report");
+          }
+        }
+      } else if (path.equals("/ready")) {
+        if (method(q, r, "GET")) {
+          if (core.ready()) r.answer(200, "{\"ready\":true}".getBytes(StandardCharsets.UTF_8), 0);
+          else r.answer(503, "{\"ready\":false}".getBytes(StandardCharsets.UTF_8), 1);
+        }
+      } else if (path.equals("/metrics")) {
+        if (method(q, r, "GET")) r.answer(200, meters.text().getBytes(StandardCharsets.UTF_8), 0);
+      } else if (path.equals("/submissions")) {
+        if (method(q, r, "POST")) {
+          long t0 = System.nanoTime();
+          users.submit(
+              q,
+              (status, json, retry) -> {
+                meters.time("submit", System.nanoTime() - t0);
+                r.answer(status, json, retry);
+              });
+        }
+      } else if (path.startsWith("/submissions/")) {
+        String rest = path.substring("/submissions/".length());
+        if (rest.endsWith("/cancel") && rest.indexOf('/') == rest.length() - 7) {
+          if (method(q, r, "POST")) users.cancel(rest.substring(0, rest.length() - 7), r);
+        } else if (rest.indexOf('/') < 0) {
+          if (method(q, r, "GET")) users.query(rest, r);
+        } else {
+          error(r, 404, "no such path");
+        }
+      } else {
+        error(r, 404, "no such path");
+      }
+    } catch (RuntimeException e) {
+      LOG.error("a request failed: {} {}", q.method(), path, e);
+      error(r, 500, "internal error");
+    }
+  }
+
+  private static boolean method(Request q, Responder r, String wanted) {
+    if (q.method().equals(wanted)) return true;
+    error(r, 405, "the method must be " + wanted);
+    return false;
+  }
+
+  private static void error(Responder r, int status, String message) {
+    r.answer(status, ("{\"error\":\"" + message + "\"}").getBytes(StandardCharsets.UTF_8), 0);
+  }
+
+  /** The core's effects, each through its adapter. */
+  private final class World implements Effects {
+    @Override
+    public void transact(Txn txn, Consumer<TxnReply> then) {
+      long t0 = System.nanoTime();
+      state.transact(
+          txn,
+          r -> {
+            meters.time("state_write", System.nanoTime() - t0);
+            then.accept(r);
+          });
+    }
+
+    @Override
+    public void get(String key, Consumer<GetReply> then) {
+      state.get(key, then);
+    }
+
+    @Override
+    public void list(String after, Consumer<ListReply> then) {
+      state.list(after, then);
+    }
+
+    @Override
+    public void watch(long after, long holdMs, Consumer<WatchReply> then) {
+      state.watch(after, holdMs, then);
+    }
+
+    @Override
+    public void grantLease(long ttlMs, Consumer<LeaseReply> then) {
+      state.grantLease(ttlMs, then);
+    }
+
+    @Override
+    public void renewLease(long lease, Consumer<LeaseReply> then) {
+      state.renewLease(lease, then);
+    }
+
+    @Override
+    public void send(String node, PeerMessage message) {
+      peers.send(node, message);
+    }
+
+    @Override
+    public void types(Consumer<List<MachineType>> then) {
+      cloud.types(then);
+    }
+
+    @Override
+    public void rent(RentRequest request, Consumer<RentReply> then) {
+      cloud.rent(request, then);
+    }
+
+    @Override
+    public void giveBack(List<String> machines, Consumer<Boolean> then) {
+      cloud.giveBack(machines, then);
+    }
+
+    @Override
+    public void listMachines(String after, Consumer<ListedReply> then) {
+      cloud.listMachines(after, then);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/mallowstall/cloud/CloudAdapter.java
@@ -0,0 +1,149 @@
+package mallowstall.cloud;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import mallowstall.Constants;
+import mallowstall.core.Effects.*;
+import mallowstall.core.Model.*;
+import mallowstall.net.HttpClient;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The cloud's HTTP interface. */
+public final class CloudAdapter {
+  private static final Logger LOG = LoggerFactory.getLogger("mallowstall.cloud");
+
+  record TypeWire(
+      @JsonProperty("label") String name,
+      @JsonProperty("vcpus") double cpus,
+      @JsonProperty("gpus") double gpus,
+      @JsonProperty("mem_gb") double memoryGb,
+      @JsonProperty("local_gb") double cacheGb,
+      @JsonProperty("fetch_gb_per_s") double fetchGbPerS,
+      @JsonProperty("rate") double price,
+      @JsonProperty("market_price") double spotPrice,
+      @JsonProperty("ready_s") double bootS,
+      @JsonProperty("patios") List<String> zones) {}
+
+  record TypesWire(@JsonProperty("calibres") List<TypeWire> types) {}
+
+  record RentWire(
+      @JsonProperty("alquiler") String request,
+      @JsonProperty("calibre") String type,
+      @JsonProperty("patio") String zone,
+      @JsonProperty("prestados") boolean spot,
+      @JsonProperty("how_many") int count) {}
+
+  record NamesWire(@JsonProperty("sierras") List<String> machines) {}
+
+  record MachineWire(
+      @JsonProperty("ref") String id,
+      @JsonProperty("calibre") String type,
+      @JsonProperty("patio") String zone,
+      @JsonProperty("prestados") boolean spot,
+      @JsonProperty("estado") String state,
+      @JsonProperty("held_s") double ageS) {}
+
+  record MachinesWire(
+      @JsonProperty("sierras") List<MachineWire> machines, @JsonProperty("has_next") boolean more) {}
+
+  private static final int PAGE = 500;
+
+  private final ObjectMapper json;
+  private final HttpClient http;
+  private final Consumer<Runnable> events;
+
+  public CloudAdapter(ObjectMapper json, HttpClient http, Consumer<Runnable> events) {
+    this.json = json;
+    this.http = http;
+    this.events = events;
+  }
+
+  private <T> void call(HttpMethod m, String path, Object body, Class<T> type, java.util.function.BiConsumer<Integer, T> then) {
+    byte[] b;
+    try {
+      b = body == null ? null : json.writeValueAsBytes(body);
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+    http.call(
+        m,
+        path,
+        b,
+        Constants.CLOUD_TIMEOUT_MS,
+        r ->
+            events.accept(
+                () -> {
+                  T t = null;
+                  if (r.status() == 200 && type != null) {
+                    try {
+                      t = json.readValue(r.body(), type);
+                    } catch (IOException e) {
+                      LOG.error("unreadable answer of the cloud: {}", e.getMessage());
+                    }
+                  }
+                  then.accept(r.status(), t);
+                }));
+  }
+
+  public void types(Consumer<List<MachineType>> then) {
+    call(
+        HttpMethod.GET,
+        "/flavors",
+        null,
+        TypesWire.class,
+        (status, w) -> {
+          if (w == null || w.types() == null) {
+            then.accept(null);
+            return;
+          }
+          List<MachineType> out = new ArrayList<>();
+          for (TypeWire t : w.types()) {
+            out.add(
+                new MachineType(
+                    t.name, t.cpus, t.gpus, t.memoryGb, t.cacheGb, t.fetchGbPerS, t.price, t.spotPrice, t.bootS,
+                    t.zones == null ? List.of() : t.zones));
+          }
+          then.accept(out);
+        });
+  }
+
+  public void rent(RentRequest q, Consumer<RentReply> then) {
+    call(
+        HttpMethod.POST,
+        "/machines",
+        new RentWire(q.name(), q.type(), q.zone(), q.spot(), q.count()),
+        NamesWire.class,
+        (status, w) ->
+            then.accept(
+                new RentReply(w == null && status == 200 ? 0 : status, w == null || w.machines() == null ? List.of() : w.machines())));
+  }
+
+  public void giveBack(List<String> machines, Consumer<Boolean> then) {
+    call(HttpMethod.POST, "/machines/return", new NamesWire(machines), null, (status, w) -> then.accept(status == 200));
+  }
+
+  public void listMachines(String after, Consumer<ListedReply> then) {
+    call(
+        HttpMethod.GET,
+        "/machines?" + (after == null ? "" : "after=" + after + "&") + "page=" + PAGE,
+        null,
+        MachinesWire.class,
+        (status, w) -> {
+          if (w == null || w.machines() == null) {
+            then.accept(new ListedReply(false, List.of(), false));
+            return;
+          }
+          List<Listed> out = new ArrayList<>();
+          for (MachineWire m : w.machines()) {
+            out.add(new Listed(m.id, m.type, m.zone, m.spot, m.state == null ? "" : m.state, m.ageS));
+          }
+          then.accept(new ListedReply(true, out, w.more()));
+        });
+  }
+}
--- /dev/null
+++ b/src/main/java/mallowstall/config/Settings.java
@@ -0,0 +1,163 @@
+package mallowstall.config;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonMappingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+/** The platform's settings file, checked. Unknown fields are ignored. */
+public record Settings(
+    @JsonProperty("node") String node,
+    @JsonProperty("location") String zone,
+    @JsonProperty("listen") String listen,
+    @JsonProperty("peer_bind") String peerListen,
+    @JsonProperty("known") List<Peer> peers,
+    @JsonProperty("endpoints") Endpoints endpoints,
+    @JsonProperty("facts") Facts facts) {
+
+  public record Peer(
+      @JsonProperty("node") String node, @JsonProperty("location") String zone, @JsonProperty("addr") String addr) {}
+
+  public record Endpoints(@JsonProperty("cloud") String cloud, @JsonProperty("state") String state) {}
+
+  public record Team(
+      @JsonProperty("name") String name,
+      @JsonProperty("cpus") double cpus,
+      @JsonProperty("cpus_max") double cpusMax,
+      @JsonProperty("gpus") double gpus,
+      @JsonProperty("gpus_max") double gpusMax) {}
+
+  public record Objective(
+      @JsonProperty("kind") String kind,
+      @JsonProperty("class") String jobClass,
+      @JsonProperty("within_s") Double withinS) {}
+
+  public record Workers(
+      @JsonProperty("report_s") Double reportS,
+      @JsonProperty("lease_s") Double leaseS,
+      @JsonProperty("cancel_s") Double cancelS) {}
+
+  public record State(
+      @JsonProperty("rps") Double rps,
+      @JsonProperty("write_rps") Double writeRps,
+      @JsonProperty("value_kb") Double valueKb,
+      @JsonProperty("txn_ops") Integer txnOps) {}
+
+  public record Cloud(@JsonProperty("rps") Double rps, @JsonProperty("list_lag_s") Double listLagS) {}
+
+  public record Limits(@JsonProperty("fd_limit") Integer maxConnections) {}
+
+  public record Facts(
+      @JsonProperty("teams") List<Team> teams,
+      @JsonProperty("objectives") List<Objective> objectives,
+      @JsonProperty("workers") Workers workers,
+      @JsonProperty("state") State state,
+      @JsonProperty("cloud") Cloud cloud,
+      @JsonProperty("machine_limits") Limits limits,
+      @JsonProperty("skew_ms") Double skewMs) {}
+
+  /** Settings that can't be used; the message names the field and what was expected. */
+  public static final class Invalid extends Exception {
+    private static final long serialVersionUID = 1;
+
+    public Invalid(String m) {
+      super(m);
+    }
+  }
+
+  public static Settings load(Path file, ObjectMapper json) throws Invalid {
+    byte[] b;
+    try {
+      b = Files.readAllBytes(file);
+    } catch (IOException e) {
+      throw new Invalid(file + " can't be read");
+    }
+    return parse(b, json);
+  }
+
+  static Settings parse(byte[] b, ObjectMapper json) throws Invalid {
+    Settings s;
+    try {
+      s = json.readValue(b, Settings.class);
+    } catch (JsonMappingException e) {
+      StringBuilder path = new StringBuilder();
+      for (JsonMappingException.Reference r : e.getPath()) {
+        if (r.getFieldName() != null) path.append(path.length() > 0 ? "." : "").append(r.getFieldName());
+        else path.append('[').append(r.getIndex()).append(']');
+      }
+      throw new Invalid((path.length() == 0 ? "the file" : path) + " has the wrong type");
+    } catch (JsonProcessingException e) {
+      throw new Invalid("not JSON (line " + e.getLocation().getLineNr() + ", column " + e.getLocation().getColumnNr() + ")");
+    } catch (IOException e) {
+      throw new Invalid("can't be read");
+    }
+    if (s == null) throw new Invalid("the file holds no object");
+    s.check();
+    return s;
+  }
+
+  private void check() throws Invalid {
+    text("node", node);
+    address("listen", listen);
+    address("peer_bind", peerListen);
+    if (peers != null) {
+      for (int i = 0; i < peers.size(); i++) {
+        text("known[" + i + "].node", peers.get(i).node);
+        address("known[" + i + "].addr", peers.get(i).addr);
+      }
+    }
+    if (endpoints == null) throw new Invalid("endpoints is missing: expected an object with cloud and state");
+    address("endpoints.cloud", endpoints.cloud);
+    address("endpoints.state", endpoints.state);
+    if (facts == null) throw new Invalid("facts is missing: expected an object");
+    if (facts.teams == null) throw new Invalid("facts.teams is missing: expected a list");
+    for (int i = 0; i < facts.teams.size(); i++) text("facts.teams[" + i + "].name", facts.teams.get(i).name);
+    if (facts.workers == null) throw new Invalid("facts.workers is missing: expected an object");
+    positive("facts.workers.report_s", facts.workers.reportS);
+    positive("facts.workers.lease_s", facts.workers.leaseS);
+    positive("facts.workers.cancel_s", facts.workers.cancelS);
+    if (facts.state == null) throw new Invalid("facts.state is missing: expected an object");
+    positive("facts.state.rps", facts.state.rps);
+    positive("facts.state.write_rps", facts.state.writeRps);
+    positive("facts.state.value_kb", facts.state.valueKb);
+    if (facts.state.txnOps == null || facts.state.txnOps < 2) throw new Invalid("facts.state.txn_ops must be a whole number above 1");
+    if (facts.cloud == null) throw new Invalid("facts.cloud is missing: expected an object");
+    positive("facts.cloud.rps", facts.cloud.rps);
+    positive("facts.cloud.list_lag_s", facts.cloud.listLagS);
+    if (facts.limits != null && facts.limits.maxConnections != null && facts.limits.maxConnections < 50) {
+      throw new Invalid("facts.machine_limits.fd_limit must be 50 or more");
+    }
+    if (facts.skewMs == null || facts.skewMs < 0) throw new Invalid("facts.skew_ms must be a number of 0 or more");
+  }
+
+  private static void text(String path, String v) throws Invalid {
+    if (v == null || v.isEmpty()) throw new Invalid(path + " is missing: expected text");
+  }
+
+  private static void positive(String path, Double v) throws Invalid {
+    if (v == null || !(v > 0) || v.isInfinite()) throw new Invalid(path + " must be a number above 0");
+  }
+
+  private static void address(String path, String v) throws Invalid {
+    text(path, v);
+    try {
+      address(v);
+    } catch (IllegalArgumentException e) {
+      throw new Invalid(path + " must be an address like 10.0.0.1:8080");
+    }
+  }
+
+  /** An IP number with a port; names are never looked up. */
+  public static InetSocketAddress address(String v) {
+    int colon = v.lastIndexOf(':');
+    if (colon < 7 || !v.substring(0, colon).matches("[0-9]{1,3}(\\.[0-9]{1,3}){3}")) {
+      throw new IllegalArgumentException("not an IP number and port");
+    }
+    return new InetSocketAddress(v.substring(0, colon), Integer.parseInt(v.substring(colon + 1)));
+  }
+}
--- /dev/null
+++ b/src/main/java/mallowstall/core/Budget.java
@@ -0,0 +1,33 @@
+package mallowstall.core;
+
+/** A token bucket: one share of a limit that all controllers spend together. */
+final class Budget {
+  private final double perMs;
+  private final double burst;
+  private double tokens;
+  private long last;
+
+  Budget(double perSecond, double burst) {
+    this.perMs = perSecond / 1000.0;
+    this.burst = Math.max(1.0, burst);
+    this.tokens = this.burst;
+  }
+
+  private void refill(long now) {
+    if (now > last) {
+      tokens = Math.min(burst, tokens + (now - last) * perMs);
+      last = now;
+    }
+  }
+
+  /** Whether {@code n} may be spent while {@code reserve} stays for more urgent work. */
+  boolean has(long now, double n, double reserve) {
+    refill(now);
+    return tokens >= Math.min(burst, n + reserve);
+  }
+
+  void spend(long now, double n) {
+    refill(now);
+    tokens -= n;
+  }
+}
--- /dev/null
+++ b/src/main/java/mallowstall/core/Core.java
@@ -0,0 +1,408 @@
+package mallowstall.core;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import mallowstall.Constants;
+import mallowstall.core.Model.*;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * One controller without its sockets: events and time come in, effects go out. Not thread-safe; the
+ * caller sets the time before each event and gives events one at a time.
+ */
+public final class Core {
+  private static final Logger LOG = LoggerFactory.getLogger("mallowstall.core");
+
+  private record Timer(long at, long order, Runnable run) {}
+
+  /** Where counts of notable events go. */
+  public interface Metrics {
+    void count(String what);
+  }
+
+  private final CoreSettings settings;
+  private final Effects fx;
+  private final Policy.Book policies;
+  private final Metrics metrics;
+  private final Store store;
+  private final View view;
+  private final Owner owner;
+  private final Holder holder;
+  private final Placement placement;
+  private final Fleet fleet;
+  private final Users users;
+  private final PriorityQueue<Timer> timers =
+      new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
+  private final Map<String, MachineType> types = new LinkedHashMap<>();
+  private final Map<String, Double> images = new HashMap<>();
+  private long now;
+  private long wall;
+  private long timerOrder;
+  private boolean awake;
+  private long nextTypes;
+  private boolean askingTypes;
+  private long nextDigest;
+  private boolean reclaimed;
+  private long roomNews = 1;
+  private long cancelTold = Long.MIN_VALUE / 4;
+
+  public Core(CoreSettings settings, Effects fx, Policy.Book policies, Metrics metrics, long seed) {
+    this.settings = settings;
+    this.fx = fx;
+    this.policies = policies;
+    this.metrics = metrics;
+    this.store = new Store(this, fx, new Changes(), settings);
+    this.view = new View(this);
+    this.owner = new Owner(this, store);
+    this.holder = new Holder(this, store);
+    this.placement = new Placement(this, store, holder, new SplittableRandom(seed));
+    this.fleet = new Fleet(this, store, settings);
+    this.users = new Users(this, store);
+  }
+
+  // ---- time ---------------------------------------------------------------------------------
+  /** Sets the steady time and the time of day, both in ms, for the event that follows. */
+  public void time(long steadyMs, long wallMs) {
+    now = Math.max(now, steadyMs);
+    wall = wallMs;
+  }
+
+  long now() {
+    return now;
+  }
+
+  long wall() {
+    return wall;
+  }
+
+  void after(long ms, Runnable r) {
+    timers.add(new Timer(now + ms, timerOrder++, r));
+  }
+
+  /** Runs what is due; the caller calls again after every event and at least every tick. */
+  public void settle() {
+    for (int i = 0; i < 10_000 && !timers.isEmpty() && timers.peek().at <= now; i++) timers.poll().run.run();
+    if (awake) {
+      awake = false;
+      placement.round();
+    }
+  }
+
+  /** When the next timer is due, for callers that sleep; {@code Long.MAX_VALUE}: none. */
+  public long nextTimer() {
+    return timers.isEmpty() ? Long.MAX_VALUE : timers.peek().at;
+  }
+
+  /** The regular duties; to be called every {@link Constants#TICK_MS}. */
+  public void tick() {
+    store.tick();
+    if (now >= nextTypes && !askingTypes) askTypes();
+    if (store.synced() && !types.isEmpty() && store.sessionGood() && !reclaimed) {
+      reclaimed = true;
+      owner.reclaim();
+    }
+    owner.tick();
+    holder.tick();
+    fleet.tick();
+    digest();
+    awake = true;
+    settle();
+  }
+
+  void wake() {
+    awake = true;
+  }
+
+  private void askTypes() {
+    askingTypes = true;
+    fx.types(
+        list -> {
+          askingTypes = false;
+          nextTypes = now + (list == null || list.isEmpty() ? 1_000 : 60_000);
+          if (list == null) return;
+          for (MachineType t : list) types.put(t.name(), t);
+        });
+  }
+
+  private void digest() {
+    if (now < nextDigest || !store.synced() || !store.sessionGood()) return;
+    nextDigest = now + Constants.DIGEST_EVERY_MS;
+    double pending = 0;
+    for (Holder.Held h : holder.jobs()) if (!h.over()) pending += h.pending() * h.spec.cpus();
+    store.transact(
+        Store.Urgency.BACKGROUND,
+        new Effects.Txn(
+            List.of(),
+            List.of(
+                new Effects.Put(
+                    Store.DIGESTS + node(),
+                    new DigestRec(store.incarnation(), owner.rooms(), pending),
+                    store.leaseId())),
+            List.of()),
+        r -> {});
+  }
+
+  // ---- events -------------------------------------------------------------------------------
+  public void report(Report r, Consumer<ReportAnswer> reply) {
+    owner.report(r, reply);
+    settle();
+  }
+
+  public void submit(JobSpec j, Consumer<UserAnswer> reply) {
+    users.submit(j, reply);
+    settle();
+  }
+
+  public void query(String id, Consumer<UserAnswer> reply) {
+    users.query(id, reply);
+    settle();
+  }
+
+  public void cancel(String id, Consumer<UserAnswer> reply) {
+    users.cancel(id, reply);
+    settle();
+  }
+
+  public boolean ready() {
+    return users.ready();
+  }
+
+  /** A new connection to a peer stands; numbers only grow within a process. */
+  public void connected(String node, long connection) {
+    View.Peer p = view.peer(node);
+    p.connection = connection;
+    // says which connection counts from now on, so that starts lost with the last one are resolved
+    fx.send(node, new Starts(node(), store.incarnation(), connection, p.nextSeq++, List.of()));
+  }
+
+  public void message(PeerMessage m) {
+    if (m instanceof Roster r) rosterFrom(r);
+    else if (m instanceof Starts s) startsFrom(s);
+    else if (m instanceof Stops s) owner.stops(s);
+    settle();
+  }
+
+  void rosterFrom(Roster r) {
+    if (!view.roster(r)) return;
+    roomNews++;
+    holder.roster(r);
+    awake = true;
+  }
+
+  private void startsFrom(Starts s) {
+    View.Peer p = view.peer(s.node());
+    if (s.incarnation() < p.gotIncarnation) return;
+    if (s.incarnation() > p.gotIncarnation) {
+      p.gotIncarnation = s.incarnation();
+      p.gotConnection = 0;
+      p.gotSeq = 0;
+    }
+    // what an older connection still delivers was already answered as never arrived
+    if (s.connection() < p.gotConnection) return;
+    if (s.connection() == p.gotConnection && s.seq() <= p.gotSeq) return;
+    p.gotConnection = s.connection();
+    p.gotSeq = s.seq();
+    owner.starts(s);
+  }
+
+  // ---- between the parts --------------------------------------------------------------------
+  void sendStarts(String node, Starts s) {
+    if (node.equals(node())) startsFrom(s);
+    else fx.send(node, s);
+  }
+
+  void stop(String node, StopOrder o) {
+    stops(node, new Stops(node(), store.incarnation(), List.of(o), List.of()));
+  }
+
+  void drain(String node, List<String> machines) {
+    LOG.info("drain {} through {}", machines, node);
+    stops(node, new Stops(node(), store.incarnation(), List.of(), machines));
+  }
+
+  private void stops(String node, Stops s) {
+    if (node.equals(node())) owner.stops(s);
+    else fx.send(node, s);
+  }
+
+  CoreSettings settings() {
+    return settings;
+  }
+
+  Effects effects() {
+    return fx;
+  }
+
+  Policy.Book policies() {
+    return policies;
+  }
+
+  Metrics metrics() {
+    return metrics;
+  }
+
+  View view() {
+    return view;
+  }
+
+  Fleet fleet() {
+    return fleet;
+  }
+
+  String node() {
+    return settings.node();
+  }
+
+  Map<String, MachineType> types() {
+    return types;
+  }
+
+  /** A user is being told that a job is cancelled. */
+  void tellsCancelled() {
+    cancelTold = now;
+  }
+
+  long cancelTold() {
+    return cancelTold;
+  }
+
+  long roomNews() {
+    return roomNews;
+  }
+
+  double imageGb(String image) {
+    return images.getOrDefault(image, 1.0);
+  }
+
+  boolean fits(JobSpec j, MachineType t) {
+    return (j.types() == null || j.types().contains(t.name()))
+        && j.cpus() <= t.cpus() + 1e-9
+        && j.gpus() <= t.gpus() + 1e-9
+        && j.memoryGb() <= t.memoryGb() + 1e-9;
+  }
+
+  boolean jobAtFault(String id) {
+    Holder.Held h = holder.job(id);
+    return h != null && h.errorsOn.size() >= Constants.JOB_FAULT_MACHINES;
+  }
+
+  /** Whether the task's done bit stands in the state service. */
+  boolean recordedDone(JobRec j, int task) {
+    if (task < Constants.BITS_PER_CHUNK) return bit(j.done(), task);
+    Store.Held b =
+        store.held(Holder.bitsKey(j.spec().id(), task / Constants.BITS_PER_CHUNK));
+    return b != null && bit(((BitsRec) b.value()).done(), task % Constants.BITS_PER_CHUNK);
+  }
+
+  private static boolean bit(byte[] bits, int i) {
+    return i / 8 < bits.length && (bits[i / 8] >> (i % 8) & 1) != 0;
+  }
+
+  /** Controllers with a session, sorted; this one is among them once its own stands. */
+  List<String> liveNodes() {
+    List<String> out = new ArrayList<>();
+    for (String k : store.under(Store.SESSIONS).keySet()) out.add(k.substring(Store.SESSIONS.length()));
+    return out;
+  }
+
+  /** The controller a new machine should report to: by hash among live ones, its own zone first. */
+  String preferredOwner(String machine, String zone) {
+    List<String> near = new ArrayList<>();
+    List<String> all = liveNodes();
+    for (String n : all) if (zone.equals(settings.nodeZones().get(n))) near.add(n);
+    List<String> from = near.size() * 2 >= all.size() ? near : all;
+    if (from.isEmpty()) return node();
+    String best = node();
+    int top = Integer.MIN_VALUE;
+    for (String n : from) {
+      int h = (machine + "|" + n).hashCode() * 0x9E3779B1;
+      h ^= h >>> 15;
+      h *= 0x85EBCA6B;
+      if (h >= top) {
+        top = h;
+        best = n;
+      }
+    }
+    return best;
+  }
+
+  /**
+   * Whether machines may be kept alive: a controller that can't be sure of hearing of cancellations
+   * lets their leases run out in time.
+   */
+  boolean mayKeepAlive() {
+    long limit = settings.cancelMs() - settings.leaseMs() - Constants.CANCEL_MARGIN_MS;
+    long fresh = store.freshAt();
+    if (now - fresh < limit) return true;
+    // nobody has told a cancellation since: there is none to miss
+    for (String p : settings.peers()) {
+      View.Peer peer = view.peer(p);
+      if (now - peer.rosterAt > Constants.ROSTER_STALE_MS || peer.cancelAt > fresh) return false;
+    }
+    return true;
+  }
+
+  /** True if the state service serves a peer but not this controller. */
+  boolean cutOffAlone() {
+    if (now - store.contactAt() < 3_500) return false;
+    for (String p : settings.peers()) {
+      View.Peer peer = view.peer(p);
+      if (now - peer.rosterAt < Constants.ROSTER_STALE_MS && now - peer.mirrorFreshAt < 3_500) return true;
+    }
+    return false;
+  }
+
+  /** Tasks of the job that rosters show as running. */
+  int running(String id) {
+    Holder.Held h = holder.job(id);
+    if (h != null) return h.running();
+    int n = 0;
+    for (View.Seen s : view.machines.values()) {
+      if (s.m == null) continue;
+      for (RosterTask t : s.m.tasks()) {
+        if (t.state() == TaskState.RUNNING && t.job().equals(id)) n++;
+      }
+    }
+    return n;
+  }
+
+  private final class Changes implements Store.Listener {
+    @Override
+    public void changed(String key, Entry before, Entry after) {
+      if (key == null) {
+        owner.touch();
+        return;
+      }
+      if (key.startsWith(Store.JOBS)) {
+        JobRec rec = (JobRec) after;
+        if (rec == null) return;
+        images.put(rec.spec().image(), rec.spec().imageGb());
+        String id = rec.spec().id();
+        users.jobChanged(id, rec);
+        holder.jobChanged(id, rec);
+      } else if (key.startsWith(Store.MACHINES)) {
+        String id = key.substring(Store.MACHINES.length());
+        owner.machineChanged(id, (MachineRec) after);
+        if (after == null) {
+          view.gone(id);
+          holder.machineGone(id);
+        }
+      }
+    }
+
+    @Override
+    public void synced() {
+      LOG.info("mirror complete at revision {}", store.revision());
+      awake = true;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/mallowstall/core/Effects.java
@@ -0,0 +1,66 @@
+package mallowstall.core;
+
+import java.util.List;
+import java.util.function.Consumer;
+import mallowstall.core.Model.*;
+
+/** What the core asks of the world. Every call returns at once; answers come back as events. */
+public interface Effects {
+  enum Code {
+    OK,
+    CONFLICT,
+    NO_LEASE,
+    GONE,
+    /** Surely not executed. */
+    REFUSED,
+    /** Perhaps executed, perhaps later. */
+    UNKNOWN
+  }
+
+  record Cond(String key, long version) {}
+
+  record Put(String key, Entry value, long lease) {}
+
+  /** One atomic change; {@code drops} are deleted keys. */
+  record Txn(List<Cond> when, List<Put> puts, List<String> drops) {}
+
+  record TxnReply(Code code, long revision) {}
+
+  /** {@code value} null with code OK: the key doesn't exist. */
+  record Item(String key, Entry value, long version) {}
+
+  record GetReply(Code code, Item item) {}
+
+  record ListReply(Code code, List<Item> items, boolean more, long revision) {}
+
+  /** Events in order; an item with a null value was deleted. */
+  record WatchReply(Code code, List<Item> events, long revision) {}
+
+  record LeaseReply(Code code, long lease) {}
+
+  record RentReply(int status, List<String> machines) {}
+
+  record ListedReply(boolean ok, List<Listed> machines, boolean more) {}
+
+  void transact(Txn txn, Consumer<TxnReply> then);
+
+  void get(String key, Consumer<GetReply> then);
+
+  void list(String after, Consumer<ListReply> then);
+
+  void watch(long after, long holdMs, Consumer<WatchReply> then);
+
+  void grantLease(long ttlMs, Consumer<LeaseReply> then);
+
+  void renewLease(long lease, Consumer<LeaseReply> then);
+
+  void send(String node, PeerMessage message);
+
+  void types(Consumer<List<MachineType>> then);
+
+  void rent(RentRequest request, Consumer<RentReply> then);
+
+  void giveBack(List<String> machines, Consumer<Boolean> then);
+
+  void listMachines(String after, Consumer<ListedReply> then);
+}
--- /dev/null
+++ b/src/main/java/mallowstall/core/Fleet.java
@@ -0,0 +1,370 @@
+package mallowstall.core;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import mallowstall.Constants;
+import mallowstall.core.Effects.*;
+import mallowstall.core.Model.*;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Rents and returns machines while this controller has the cloud duty; decides by class of machine
+ * type, not by task. Every controller keeps the demand, which placement asks for scarce types.
+ */
+final class Fleet {
+  private static final Logger LOG = LoggerFactory.getLogger("mallowstall.fleet");
+
+  private record Rented(String type, String zone, boolean spot, long at) {}
+
+  /** Demand for one machine type. Mutable. */
+  private static final class Demand {
+    double machines;
+    double waiting;
+    boolean spotOnly = true;
+    double average;
+  }
+
+  private final Core core;
+  private final Store store;
+  private final Budget calls;
+  private final Map<String, Demand> demands = new HashMap<>();
+  private final Map<String, String> minimal = new HashMap<>();
+  private final Map<String, Rented> coming = new LinkedHashMap<>();
+  private final Map<String, Long> refusedUntil = new HashMap<>();
+  private final Map<String, Long> unaccountedSince = new HashMap<>();
+  private final Set<String> returning = new HashSet<>();
+  private final Set<String> toDrop = new HashSet<>();
+  private final Set<String> needed = new HashSet<>();
+  private Map<String, Listed> listed = new HashMap<>();
+  private long listedAt = Long.MIN_VALUE / 2;
+  private boolean listing;
+  private boolean renting;
+  private boolean claiming;
+  private long nextPlan;
+  private long nextList;
+  private long nextDemand;
+  private long lastDemand;
+  private int counter;
+
+  Fleet(Core core, Store store, CoreSettings s) {
+    this.core = core;
+    this.store = store;
+    this.calls = new Budget(s.cloudRps() * Constants.BUDGET_SHARE, s.cloudRps() * 2 * Constants.BUDGET_SHARE);
+  }
+
+  boolean onDuty() {
+    Store.Held h = store.held(Store.DUTY);
+    if (h == null || !store.sessionGood()) return false;
+    DutyRec d = (DutyRec) h.value();
+    return d.node().equals(core.node()) && d.incarnation() == store.incarnation();
+  }
+
+  /** Whether a machine of this type is larger than the job needs while others need that type. */
+  boolean scarce(JobSpec j, String type) {
+    String min = minimalType(j);
+    return min != null && !min.equals(type) && needed.contains(type);
+  }
+
+  String minimalType(JobSpec j) {
+    String key = j.cpus() + "/" + j.gpus() + "/" + j.memoryGb() + "/" + j.types();
+    return minimal.computeIfAbsent(
+        key,
+        k -> {
+          if (minimal.size() > 2_000) return smallest(j);
+          return smallest(j);
+        });
+  }
+
+  private String smallest(JobSpec j) {
+    MachineType best = null;
+    for (MachineType t : core.types().values()) {
+      if (!core.fits(j, t)) continue;
+      if (best == null || t.cpus() < best.cpus() || (t.cpus() == best.cpus() && t.price() < best.price())) best = t;
+    }
+    return best == null ? null : best.name();
+  }
+
+  void tick() {
+    long now = core.now();
+    if (!store.synced() || core.types().isEmpty()) return;
+    if (now >= nextDemand) {
+      nextDemand = now + Constants.FLEET_EVERY_MS / 2;
+      demand(now);
+    }
+    if (!store.sessionGood()) return;
+    if (store.held(Store.DUTY) == null && !claiming) claim();
+    if (!onDuty()) return;
+    if (now >= nextList && !listing && calls.has(now, 1, 0)) list();
+    if (now >= nextPlan) {
+      nextPlan = now + Constants.FLEET_EVERY_MS;
+      plan(now);
+    }
+    if (!toDrop.isEmpty()) dropRecords();
+  }
+
+  private void claim() {
+    claiming = true;
+    boolean asked =
+        store.transact(
+            Store.Urgency.BACKGROUND,
+            new Txn(
+                List.of(new Cond(Store.DUTY, 0)),
+                List.of(new Put(Store.DUTY, new DutyRec(core.node(), store.incarnation()), store.leaseId())),
+                List.of()),
+            r -> {
+              claiming = false;
+              if (r.code() == Code.OK) LOG.info("cloud duty taken");
+            });
+    if (!asked) claiming = false;
+  }
+
+  // ---- demand -------------------------------------------------------------------------------
+  private void demand(long now) {
+    needed.clear();
+    for (Demand d : demands.values()) {
+      d.machines = 0;
+      d.waiting = 0;
+    }
+    Map<String, Double> teamLeft = new HashMap<>();
+    for (Team t : core.settings().teams().values()) {
+      teamLeft.put(t.name(), t.cpusMax() > 0 ? t.cpusMax() : Double.MAX_VALUE);
+    }
+    for (Store.Held e : store.under(Store.JOBS).values()) {
+      JobRec rec = (JobRec) e.value();
+      if (rec.fin() != Final.NONE) continue;
+      JobSpec j = rec.spec();
+      String name = minimalType(j);
+      if (name == null) continue;
+      MachineType t = core.types().get(name);
+      double tasks = j.tasks() - rec.doneCount();
+      double left = teamLeft.getOrDefault(j.team(), Double.MAX_VALUE);
+      if (j.cpus() > 0) tasks = Math.min(tasks, Math.floor(left / j.cpus()));
+      if (tasks <= 0) continue;
+      teamLeft.put(j.team(), left - tasks * j.cpus());
+      needed.add(name);
+      double per = Math.min(
+          j.cpus() > 0 ? Math.floor(t.cpus() / j.cpus()) : 1e9,
+          Math.min(j.memoryGb() > 0 ? Math.floor(t.memoryGb() / j.memoryGb()) : 1e9,
+              j.gpus() > 0 ? Math.floor(t.gpus() / j.gpus()) : 1e9));
+      if (per < 1) continue;
+      double life = j.estimateS() + j.imageGb() / Math.max(1e-3, t.fetchGbPerS());
+      double share = Math.min(1, life / Math.max(20, 0.8 * t.bootS()));
+      Demand d = demands.computeIfAbsent(name, k -> new Demand());
+      d.machines += tasks / per * share;
+      d.spotOnly &= j.spot();
+    }
+    double w = lastDemand == 0 ? 1 : 1 - Math.exp(-(now - lastDemand) / Constants.USAGE_TAU_MS);
+    lastDemand = now;
+    for (Demand d : demands.values()) d.average += (d.machines - d.average) * w;
+  }
+
+  // ---- plan ---------------------------------------------------------------------------------
+  private void plan(long now) {
+    Map<String, Integer> have = new HashMap<>();
+    Set<String> known = new HashSet<>();
+    List<View.Seen> up = new ArrayList<>();
+    List<String> back = new ArrayList<>();
+    long lease = core.settings().leaseMs();
+    for (Map.Entry<String, Store.Held> e : store.under(Store.MACHINES).entrySet()) {
+      MachineRec rec = (MachineRec) e.getValue().value();
+      String id = e.getKey().substring(Store.MACHINES.length());
+      known.add(id);
+      coming.remove(id);
+      View.Seen s = core.view().machines.get(id);
+      boolean accounted = core.view().accounted(id, rec, 0);
+      boolean ownerLive = store.live(rec.node(), rec.incarnation());
+      if (accounted && now - s.at < 2 * Constants.ROSTER_STALE_MS) {
+        unaccountedSince.remove(id);
+        if (s.m.silent()) {
+          if (s.m.idleMs() > lease + Constants.SILENT_RETURN_MS) back.add(id);
+          continue;
+        }
+        if (s.m.replace()) {
+          back.add(id);
+          continue;
+        }
+        if (s.m.noticeS() < 0) {
+          have.merge(rec.type(), 1, Integer::sum);
+          up.add(s);
+        }
+      } else if (ownerLive && !rec.node().equals(core.node()) && now - core.view().peer(rec.node()).rosterAt > Constants.ROSTER_STALE_MS) {
+        // its owner lives and only isn't heard here: its digest speaks for its machines
+        if (inDigest(rec.node(), id)) have.merge(rec.type(), 1, Integer::sum);
+      } else {
+        long since = unaccountedSince.computeIfAbsent(id, k -> now);
+        if (now - since > lease + 2 * Constants.SILENT_RETURN_MS) back.add(id);
+        else have.merge(rec.type(), 1, Integer::sum);
+      }
+    }
+    unaccountedSince.keySet().retainAll(known);
+    for (Listed l : listed.values()) {
+      if (known.contains(l.id()) || returning.contains(l.id())) continue;
+      MachineType t = core.types().get(l.type());
+      double age = l.ageS() + (now - listedAt) / 1000.0;
+      if (l.state().equals("failed")) back.add(l.id());
+      else if (t != null && age > Math.max(60, Constants.BOOT_GIVE_UP * t.bootS())) back.add(l.id());
+      else if (!coming.containsKey(l.id())) coming.put(l.id(), new Rented(l.type(), l.zone(), l.spot(), now - (long) (age * 1000)));
+    }
+    for (Map.Entry<String, Rented> e : new ArrayList<>(coming.entrySet())) {
+      Rented r = e.getValue();
+      MachineType t = core.types().get(r.type);
+      double limit = t == null ? 120 : Math.max(60, Constants.BOOT_GIVE_UP * t.bootS());
+      boolean vanished = now - r.at > 4 * core.settings().listLagMs() && listedAt > r.at + 3 * core.settings().listLagMs() && !listed.containsKey(e.getKey());
+      if (now - r.at > limit * 1000 || vanished) {
+        coming.remove(e.getKey());
+        back.add(e.getKey());
+      } else {
+        have.merge(r.type, 1, Integer::sum);
+      }
+    }
+    for (String t : core.types().keySet()) planType(t, have.getOrDefault(t, 0), up, now);
+    back.removeAll(returning);
+    if (!back.isEmpty()) giveBack(back.subList(0, Math.min(back.size(), Constants.RETURN_MAX)), "lost, failed or faulty");
+  }
+
+  private boolean inDigest(String node, String machine) {
+    Store.Held h = store.held(Store.DIGESTS + node);
+    if (h == null) return false;
+    for (Room r : ((DigestRec) h.value()).rooms()) if (r.machine().equals(machine)) return true;
+    return false;
+  }
+
+  private void planType(String type, int have, List<View.Seen> up, long now) {
+    Demand d = demands.get(type);
+    double need = d == null ? 0 : d.machines;
+    double floor = d == null ? 0 : d.average;
+    int want = (int) Math.ceil(Math.max(need * 1.1, floor) - 0.05);
+    if (want > have) {
+      if (!renting && calls.has(now, 1, 0)) rent(type, want - have, have, want, d.spotOnly, now);
+      return;
+    }
+    int keep = (int) Math.ceil(Math.max(need * 1.2, floor * 1.15));
+    if (have <= keep) return;
+    List<View.Seen> idle = new ArrayList<>();
+    List<String> ready = new ArrayList<>();
+    for (View.Seen s : up) {
+      if (!s.m.type().equals(type) || !s.m.tasks().isEmpty() || returning.contains(s.id)) continue;
+      if (s.m.draining()) ready.add(s.id);
+      else if (s.m.idleMs() > Constants.IDLE_RETURN_MS) idle.add(s);
+    }
+    if (!ready.isEmpty()) {
+      giveBack(ready, "idle");
+      return;
+    }
+    // the dear ones first, then those that have waited longest
+    idle.sort(Comparator.comparing((View.Seen s) -> s.m.spot()).thenComparing(s -> -s.m.idleMs()));
+    int n = Math.min(have - keep, Math.max(1, have / 6));
+    Map<String, List<String>> drains = new HashMap<>();
+    for (View.Seen s : idle.subList(0, Math.min(n, idle.size()))) {
+      drains.computeIfAbsent(s.owner, k -> new ArrayList<>()).add(s.id);
+    }
+    drains.forEach((owner, ids) -> core.drain(owner, ids));
+  }
+
+  private void rent(String type, int missing, int have, int want, boolean spotAllowed, long now) {
+    MachineType t = core.types().get(type);
+    Map<String, Integer> perZone = new HashMap<>();
+    for (View.Seen s : core.view().machines.values()) {
+      if (s.m != null && s.m.type().equals(type)) perZone.merge(s.m.zone(), 1, Integer::sum);
+    }
+    for (Rented r : coming.values()) if (r.type.equals(type)) perZone.merge(r.zone, 1, Integer::sum);
+    List<String> zones = new ArrayList<>(t.zones());
+    zones.sort(Comparator.comparingInt(z -> perZone.getOrDefault(z, 0)));
+    for (int kind = spotAllowed ? 0 : 1; kind < 2; kind++) {
+      boolean spot = kind == 0;
+      if (!spot && spotAllowed && missing < 0.15 * want) continue;
+      for (String z : zones) {
+        String key = type + "/" + z + "/" + spot;
+        if (refusedUntil.getOrDefault(key, 0L) > now) continue;
+        int half = zones.size() > 1 ? (missing + 1) / 2 : missing;
+        ask(new RentRequest("r-" + store.incarnation() + "-" + ++counter, type, z, spot, Math.min(Constants.RENT_MAX, half)), key);
+        return;
+      }
+    }
+  }
+
+  private void ask(RentRequest q, String key) {
+    renting = true;
+    calls.spend(core.now(), 1);
+    LOG.info("rent {} {} in {}{} as {}", q.count(), q.type(), q.zone(), q.spot() ? ", spot" : "", q.name());
+    core.effects().rent(q, r -> {
+      renting = false;
+      long now = core.now();
+      if (r.status() == 200) {
+        for (String m : r.machines()) coming.put(m, new Rented(q.type(), q.zone(), q.spot(), now));
+        LOG.info("rented {} of {} asked as {}", r.machines().size(), q.count(), q.name());
+        if (r.machines().size() < q.count()) refusedUntil.put(key, now + Constants.REFUSED_WAIT_MS);
+      } else if (r.status() == 503) {
+        refusedUntil.put(key, now + Constants.REFUSED_WAIT_MS);
+        LOG.info("refused {}", q.name());
+      }
+      nextPlan = Math.min(nextPlan, now + 300);
+    });
+  }
+
+  private void giveBack(List<String> ids, String why) {
+    if (!calls.has(core.now(), 1, 0)) return;
+    calls.spend(core.now(), 1);
+    List<String> names = List.copyOf(ids);
+    returning.addAll(names);
+    LOG.info("return {}: {}", names, why);
+    core.effects().giveBack(names, ok -> {
+      returning.removeAll(names);
+      if (!ok) return;
+      for (String id : names) {
+        coming.remove(id);
+        listed.remove(id);
+        if (store.machine(id) != null) toDrop.add(id);
+      }
+      dropRecords();
+    });
+  }
+
+  /** The cloud has confirmed that these are gone; the deleted records tell every holder so. */
+  private void dropRecords() {
+    toDrop.removeIf(id -> store.machine(id) == null);
+    if (toDrop.isEmpty()) return;
+    List<String> keys = new ArrayList<>();
+    for (String id : toDrop) {
+      if (keys.size() >= core.settings().txnOps()) break;
+      keys.add(Store.MACHINES + id);
+    }
+    store.transact(Store.Urgency.MACHINE, new Txn(List.of(), List.of(), keys), r -> {});
+    toDrop.removeIf(id -> keys.contains(Store.MACHINES + id));
+  }
+
+  private void list() {
+    listing = true;
+    nextList = core.now() + Constants.LIST_EVERY_MS;
+    page(null, new HashMap<>());
+  }
+
+  private void page(String after, Map<String, Listed> sofar) {
+    calls.spend(core.now(), 1);
+    core.effects().listMachines(after, r -> {
+      if (!r.ok()) {
+        listing = false;
+        return;
+      }
+      String last = after;
+      for (Listed l : r.machines()) {
+        sofar.put(l.id(), l);
+        last = l.id();
+      }
+      if (r.more() && last != null) {
+        page(last, sofar);
+        return;
+      }
+      listing = false;
+      listed = sofar;
+      listedAt = core.now();
+    });
+  }
+}
--- /dev/null
+++ b/src/main/java/mallowstall/core/Holder.java
@@ -0,0 +1,550 @@
+package mallowstall.core;
+
+import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
+import it.unimi.dsi.fastutil.ints.IntArrayFIFOQueue;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import mallowstall.Constants;
+import mallowstall.core.Effects.*;
+import mallowstall.core.Model.*;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The jobs this controller holds: where their tasks may be, their done bits, their grants. */
+final class Holder {
+  private static final Logger LOG = LoggerFactory.getLogger("mallowstall.holder");
+
+  /** A task that is or may be on a machine. Mutable. */
+  static final class Active {
+    final Held job;
+    final int task;
+    final long attempt;
+    final String machine;
+    final String zone;
+    final String type;
+    final String owner;
+    final long ownerIncarnation;
+    final long connection;
+    final long seq;
+    /** Seen in a roster; false while only sent. */
+    boolean seen;
+
+    TaskState state;
+    long mark;
+    long since;
+    boolean stopping;
+
+    Active(Held job, int task, long attempt, String machine, String zone, String type, String owner,
+        long ownerIncarnation, long connection, long seq) {
+      this.job = job;
+      this.task = task;
+      this.attempt = attempt;
+      this.machine = machine;
+      this.zone = zone;
+      this.type = type;
+      this.owner = owner;
+      this.ownerIncarnation = ownerIncarnation;
+      this.connection = connection;
+      this.seq = seq;
+    }
+  }
+
+  /** A job held here. Mutable. */
+  static final class Held {
+    final String id;
+    final JobSpec spec;
+    final BitSet done = new BitSet();
+    final Int2ObjectOpenHashMap<Active> active = new Int2ObjectOpenHashMap<>();
+    final IntArrayFIFOQueue again = new IntArrayFIFOQueue();
+    final Set<Integer> dirtyChunks = new TreeSet<>();
+    JobRec rec;
+    long version;
+    int next;
+    int doneCount;
+    boolean latched;
+    long claimRevision;
+    boolean writing;
+    long lastWrite = Long.MIN_VALUE / 2;
+    int counter;
+    long grantIdleSince;
+    long heldSince;
+    long lastPreempt;
+    int wantsGrant;
+    boolean granting;
+    /** A write has an unknown outcome and may still be applied: nothing is started on its grant. */
+    boolean uncertain;
+    final Map<String, Long> avoid = new HashMap<>();
+    final Set<String> errorsOn = new HashSet<>();
+    long notBefore;
+    int preemptedFor;
+
+    Held(String id, JobSpec spec) {
+      this.id = id;
+      this.spec = spec;
+    }
+
+    int pending() {
+      return spec.tasks() - doneCount - active.size();
+    }
+
+    boolean over() {
+      return rec.fin() != Final.NONE;
+    }
+
+    int running() {
+      int n = 0;
+      for (Active a : active.values()) if (a.seen && a.state == TaskState.RUNNING) n++;
+      return n;
+    }
+
+    /** The next task that is neither done nor possibly on a machine; -1: none. */
+    int take() {
+      while (!again.isEmpty()) {
+        int t = again.dequeueInt();
+        if (!done.get(t) && !active.containsKey(t)) return t;
+      }
+      while (next < spec.tasks()) {
+        int t = next++;
+        if (!done.get(t) && !active.containsKey(t)) return t;
+      }
+      return -1;
+    }
+
+    void putBack(int t) {
+      again.enqueue(t);
+    }
+  }
+
+  private final Core core;
+  private final Store store;
+  private final Map<String, Held> jobs = new LinkedHashMap<>();
+  private final Map<String, Set<Active>> byMachine = new HashMap<>();
+  private final Map<String, Long> teamNext = new HashMap<>();
+  private final Set<String> teamBusy = new HashSet<>();
+  private final Map<String, Long> claiming = new HashMap<>();
+  private final Map<String, Long> orphanSince = new HashMap<>();
+  private long mark;
+  private long nextAdopt;
+
+  Holder(Core core, Store store) {
+    this.core = core;
+    this.store = store;
+  }
+
+  Collection<Held> jobs() {
+    return jobs.values();
+  }
+
+  Held job(String id) {
+    return jobs.get(id);
+  }
+
+  boolean limited(JobSpec s) {
+    Team t = core.settings().teams().get(s.team());
+    return t != null && t.limited();
+  }
+
+  // ---- entries ------------------------------------------------------------------------------
+  void jobChanged(String id, JobRec rec) {
+    Held h = jobs.get(id);
+    boolean mine =
+        rec.holder().equals(core.node()) && rec.incarnation() == store.incarnation() && rec.open();
+    if (!mine) {
+      if (h != null) drop(h);
+      return;
+    }
+    long version = store.version(Store.JOBS + id);
+    if (h == null || h.rec.epoch() != rec.epoch()) {
+      if (h != null) drop(h);
+      h = new Held(id, rec.spec());
+      h.heldSince = core.now();
+      h.claimRevision = version;
+      // the first epoch of this very process: nobody can have started anything before
+      h.latched = rec.epoch() == 1;
+      load(h, rec);
+      jobs.put(id, h);
+    }
+    if (version > h.version) h.uncertain = false;
+    h.rec = rec;
+    h.version = version;
+    core.wake();
+  }
+
+  private void load(Held h, JobRec rec) {
+    h.done.or(BitSet.valueOf(rec.done()));
+    for (int c = 1; c * Constants.BITS_PER_CHUNK < rec.spec().tasks(); c++) {
+      Store.Held b = store.held(bitsKey(h.id, c));
+      if (b == null) continue;
+      BitSet bits = BitSet.valueOf(((BitsRec) b.value()).done());
+      for (int i = bits.nextSetBit(0); i >= 0; i = bits.nextSetBit(i + 1)) {
+        h.done.set(c * Constants.BITS_PER_CHUNK + i);
+      }
+    }
+    h.doneCount = h.done.cardinality();
+  }
+
+  static String bitsKey(String id, int chunk) {
+    return Store.BITS + id + "/" + chunk;
+  }
+
+  private void drop(Held h) {
+    jobs.remove(h.id);
+    for (Active a : h.active.values()) unlink(a);
+  }
+
+  private void unlink(Active a) {
+    Set<Active> s = byMachine.get(a.machine);
+    if (s == null) return;
+    s.remove(a);
+    if (s.isEmpty()) byMachine.remove(a.machine);
+  }
+
+  void place(Active a) {
+    a.job.active.put(a.task, a);
+    a.since = core.now();
+    byMachine.computeIfAbsent(a.machine, k -> new HashSet<>()).add(a);
+  }
+
+  private void free(Active a, boolean retry) {
+    if (a.job.active.get(a.task) == a) a.job.active.remove(a.task);
+    unlink(a);
+    if (a.job.active.isEmpty() || a.job.grantIdleSince == 0) a.job.grantIdleSince = core.now();
+    if (retry && !a.job.done.get(a.task)) a.job.putBack(a.task);
+    core.wake();
+  }
+
+  // ---- rosters ------------------------------------------------------------------------------
+  void roster(Roster r) {
+    mark++;
+    View.Peer p = core.view().peer(r.node());
+    for (Refusal f : r.refusals()) refused(f);
+    for (RosterMachine m : r.machines()) {
+      View.Seen seen = core.view().machines.get(m.machine());
+      if (seen == null || seen.m != m) continue; // a larger term is known
+      for (RosterTask t : m.tasks()) task(r, m, t);
+      Set<Active> here = byMachine.get(m.machine());
+      if (here == null || !m.confirmed()) continue;
+      for (Active a : new ArrayList<>(here)) {
+        if (a.mark == mark) continue;
+        if (a.seen || resolved(a, r, p)) {
+          LOG.info("task {}/{} attempt {} is no longer on {}", a.job.id, a.task, a.attempt, a.machine);
+          free(a, true);
+        }
+      }
+    }
+  }
+
+  /** Whether this roster already tells the outcome of a start that was only sent. */
+  private boolean resolved(Active a, Roster r, View.Peer p) {
+    if (!a.owner.equals(r.node()) || a.ownerIncarnation != r.incarnation()) return true;
+    return p.ackedConnection > a.connection
+        || (p.ackedConnection == a.connection && p.ackedSeq >= a.seq);
+  }
+
+  private void refused(Refusal f) {
+    Held h = jobs.get(f.job());
+    if (h == null) return;
+    Active a = h.active.get(f.task());
+    if (a == null || a.attempt != f.attempt() || a.seen) return;
+    h.avoid.put(f.machine(), core.now() + 1_000);
+    free(a, true);
+  }
+
+  private void task(Roster r, RosterMachine m, RosterTask t) {
+    Held h = jobs.get(t.job());
+    if (h == null || t.task() >= h.spec.tasks()) return;
+    Active a = h.active.get(t.task());
+    boolean same = a != null && a.attempt == t.attempt() && a.machine.equals(m.machine());
+    if (same) a.mark = mark;
+    if (t.state() == TaskState.EXITED) {
+      if (t.why() == Why.DONE) {
+        if (!h.done.get(t.task())) {
+          h.done.set(t.task());
+          h.doneCount++;
+          h.dirtyChunks.add(t.task() / Constants.BITS_PER_CHUNK);
+          h.errorsOn.clear();
+        }
+        if (same) free(a, false);
+      } else if (same) {
+        if (t.why() == Why.ERROR) error(h, m.machine());
+        else if (t.why() == Why.NO_ROOM) h.avoid.put(m.machine(), core.now() + 3_000);
+        LOG.info("task {}/{} attempt {} ended on {}: {}", h.id, t.task(), t.attempt(), m.machine(), t.why());
+        free(a, true);
+      }
+      return;
+    }
+    if (same) {
+      if (!a.seen && t.state() != null) {
+        a.seen = true;
+        // from now on only its owner's list says where it is
+      }
+      a.state = t.state() == null ? a.state : t.state();
+      return;
+    }
+    if (h.done.get(t.task())) return; // its owner stops it once the bit is recorded
+    if (a == null) {
+      Active found =
+          new Active(h, t.task(), t.attempt(), m.machine(), m.zone(), m.type(), r.node(), r.incarnation(), 0, 0);
+      found.seen = true;
+      found.state = t.state();
+      found.mark = mark;
+      place(found);
+      LOG.info("task {}/{} attempt {} found on {}", h.id, t.task(), t.attempt(), m.machine());
+    } else if (t.attempt() < a.attempt) {
+      LOG.error("task {}/{} attempt {} is on {} beside attempt {} on {}", h.id, t.task(), t.attempt(),
+          m.machine(), a.attempt, a.machine);
+      core.stop(r.node(), new StopOrder(m.machine(), h.id, t.task(), t.attempt(), 0));
+    }
+  }
+
+  private void error(Held h, String machine) {
+    long now = core.now();
+    h.errorsOn.add(machine);
+    h.avoid.put(machine, now + Constants.JOB_AVOIDS_MS);
+    if (h.errorsOn.size() >= Constants.JOB_FAULT_MACHINES) {
+      h.notBefore = now + Constants.JOB_FAULT_WAIT_MS;
+      LOG.info("job {} fails on every machine, next try in {} ms", h.id, Constants.JOB_FAULT_WAIT_MS);
+    }
+  }
+
+  /** The machine is proven gone: so are its tasks. */
+  void machineGone(String id) {
+    Set<Active> here = byMachine.get(id);
+    if (here == null) return;
+    for (Active a : new ArrayList<>(here)) {
+      LOG.info("task {}/{} attempt {} is gone with {}", a.job.id, a.task, a.attempt, id);
+      free(a, true);
+    }
+  }
+
+  // ---- duties -------------------------------------------------------------------------------
+  void tick() {
+    if (!store.synced()) return;
+    latch();
+    adopt();
+    for (Held h : new ArrayList<>(jobs.values())) write(h);
+    grants();
+  }
+
+  /** A job taken over is placed again only once every machine that could have got it is accounted for. */
+  private void latch() {
+    boolean any = false;
+    for (Held h : jobs.values()) any |= !h.latched;
+    if (!any) return;
+    long upTo = Long.MAX_VALUE;
+    String worst = null;
+    for (Map.Entry<String, Store.Held> e : store.under(Store.MACHINES).entrySet()) {
+      MachineRec rec = (MachineRec) e.getValue().value();
+      String id = e.getKey().substring(Store.MACHINES.length());
+      View.Seen s = core.view().machines.get(id);
+      long rev = core.view().accounted(id, rec, 0) ? s.rosterRevision : -1;
+      if (rev < upTo) {
+        upTo = rev;
+        worst = id;
+      }
+    }
+    for (Held h : jobs.values()) {
+      if (h.latched || h.claimRevision > store.revision()) continue;
+      if (upTo >= h.claimRevision) {
+        h.latched = true;
+        LOG.info("job {} epoch {} rebuilt: {} tasks on machines", h.id, h.rec.epoch(), h.active.size());
+        core.wake();
+      } else {
+        LOG.debug("job {} waits for machine {}", h.id, worst);
+      }
+    }
+  }
+
+  private void adopt() {
+    long now = core.now();
+    if (now < nextAdopt || !store.sessionGood()) return;
+    nextAdopt = now + Constants.ADOPT_EVERY_MS;
+    List<String> live = core.liveNodes();
+    int n = 0;
+    for (Map.Entry<String, Store.Held> e : store.under(Store.JOBS).entrySet()) {
+      JobRec rec = (JobRec) e.getValue().value();
+      String id = rec.spec().id();
+      if (!rec.open() || store.live(rec.holder(), rec.incarnation())) {
+        orphanSince.remove(id);
+        continue;
+      }
+      long since = orphanSince.computeIfAbsent(id, k -> now);
+      String first = live.isEmpty() ? core.node() : live.get(Math.floorMod(id.hashCode(), live.size()));
+      if (!first.equals(core.node()) && now - since < 2_000) continue;
+      Long c = claiming.get(id);
+      if (c != null && now - c < 2 * Constants.STATE_TIMEOUT_MS) continue;
+      if (++n > Constants.ADOPT_BATCH) break;
+      claiming.put(id, now);
+      String key = e.getKey();
+      JobRec mine = rec.withHolder(core.node(), store.incarnation());
+      boolean asked =
+          store.transact(
+              Store.Urgency.JOB,
+              new Txn(List.of(new Cond(key, e.getValue().version())), List.of(new Put(key, mine, 0)), List.of()),
+              r -> {
+                claiming.remove(id);
+                if (r.code() == Code.OK) LOG.info("job {} taken over from {}, epoch {}", id, rec.holder(), mine.epoch());
+              });
+      if (!asked) claiming.remove(id);
+    }
+  }
+
+  private void write(Held h) {
+    long now = core.now();
+    boolean all = h.doneCount == h.spec.tasks() && h.rec.fin() == Final.NONE;
+    if (h.dirtyChunks.isEmpty() && !all && !h.uncertain) return;
+    if (h.writing || h.granting || (!all && now - h.lastWrite < Constants.JOB_WRITE_GAP_MS)) return;
+    if (h.over() && h.rec.fin() == Final.CANCELLED) {
+      h.dirtyChunks.clear();
+      if (!h.uncertain) return;
+    }
+    List<Put> puts = new ArrayList<>();
+    JobRec old = h.rec;
+    int first = Math.min(h.spec.tasks(), Constants.BITS_PER_CHUNK);
+    JobRec rec =
+        new JobRec(old.spec(), old.submittedMs(), old.holder(), old.incarnation(), old.epoch(),
+            h.done.get(0, first).toByteArray(), h.doneCount,
+            old.grant(), all ? Final.DONE : old.fin());
+    String key = Store.JOBS + h.id;
+    puts.add(new Put(key, rec, 0));
+    List<Integer> chunks = new ArrayList<>();
+    int room = core.settings().txnOps() - 1;
+    for (int c : h.dirtyChunks) {
+      if (c == 0) {
+        chunks.add(c);
+        continue;
+      }
+      if (room-- <= 0) break;
+      chunks.add(c);
+      int from = c * Constants.BITS_PER_CHUNK;
+      puts.add(new Put(bitsKey(h.id, c), new BitsRec(h.done.get(from, from + Constants.BITS_PER_CHUNK).toByteArray()), 0));
+    }
+    if (chunks.size() < h.dirtyChunks.size()) {
+      rec = rec.withFinal(old.fin());
+      puts.set(0, new Put(key, rec, 0));
+    }
+    h.writing = true;
+    h.lastWrite = now;
+    h.dirtyChunks.removeAll(chunks);
+    boolean asked =
+        store.transact(
+            Store.Urgency.JOB,
+            new Txn(List.of(new Cond(key, h.version)), puts, List.of()),
+            r -> {
+              h.writing = false;
+              if (r.code() == Code.OK) return;
+              // not known to be recorded: the next write says all of it again
+              h.dirtyChunks.addAll(chunks);
+              if (r.code() == Code.UNKNOWN) h.uncertain = true;
+              if (r.code() == Code.CONFLICT) reread(h);
+              else h.lastWrite = core.now() + Constants.STATE_RETRY_MS;
+            });
+    if (!asked) {
+      h.writing = false;
+      h.dirtyChunks.addAll(chunks);
+    }
+  }
+
+  /** After a failed comparison the mirror may lag: learn the entry before the next try. */
+  private void reread(Held h) {
+    h.writing = true;
+    boolean asked =
+        store.read(Store.Urgency.JOB, Store.JOBS + h.id, g -> {
+          h.writing = false;
+          h.lastWrite = core.now();
+        });
+    if (!asked) h.writing = false;
+  }
+
+  /** One transaction per team raises and lowers the grants of all its jobs held here, and the sum. */
+  private void grants() {
+    long now = core.now();
+    Map<String, List<Held>> byTeam = new LinkedHashMap<>();
+    for (Held h : jobs.values()) {
+      if (!limited(h.spec) || h.writing || h.granting || h.uncertain) continue;
+      if (delta(h, now) != 0) byTeam.computeIfAbsent(h.spec.team(), k -> new ArrayList<>()).add(h);
+    }
+    for (Map.Entry<String, List<Held>> e : byTeam.entrySet()) {
+      String team = e.getKey();
+      if (teamBusy.contains(team) || now < teamNext.getOrDefault(team, 0L)) continue;
+      List<Held> hs = e.getValue();
+      hs.sort((a, b) -> Placement.order(a, b, now));
+      Team t = core.settings().teams().get(team);
+      Store.Held sum = store.held(Store.TEAMS + team);
+      TeamRec old = sum == null ? new TeamRec(0, 0) : (TeamRec) sum.value();
+      double cpus = old.cpus();
+      double gpus = old.gpus();
+      List<Cond> when = new ArrayList<>();
+      List<Put> puts = new ArrayList<>();
+      List<Held> in = new ArrayList<>();
+      int room = Math.min(core.settings().txnOps() - 1, 10);
+      for (int pass = 0; pass < 2; pass++) {
+        for (Held h : hs) {
+          int d = delta(h, now);
+          if ((pass == 0) != (d < 0) || in.size() >= room) continue;
+          if (d > 0) {
+            if (t.cpusMax() > 0 && h.spec.cpus() > 0) d = Math.min(d, (int) Math.floor((t.cpusMax() - cpus) / h.spec.cpus() + 1e-9));
+            if (t.gpusMax() > 0 && h.spec.gpus() > 0) d = Math.min(d, (int) Math.floor((t.gpusMax() - gpus) / h.spec.gpus() + 1e-9));
+            if (d <= 0) continue;
+          }
+          cpus += d * h.spec.cpus();
+          gpus += d * h.spec.gpus();
+          String key = Store.JOBS + h.id;
+          when.add(new Cond(key, h.version));
+          puts.add(new Put(key, h.rec.withGrant(h.rec.grant() + d), 0));
+          in.add(h);
+        }
+      }
+      if (in.isEmpty()) continue;
+      when.add(new Cond(Store.TEAMS + team, sum == null ? 0 : sum.version()));
+      puts.add(new Put(Store.TEAMS + team, new TeamRec(Math.max(0, cpus), Math.max(0, gpus)), 0));
+      for (Held h : in) h.granting = true;
+      teamBusy.add(team);
+      teamNext.put(team, now + Constants.GRANT_GAP_MS);
+      boolean asked =
+          store.transact(
+              Store.Urgency.JOB,
+              new Txn(when, puts, List.of()),
+              r -> {
+                teamBusy.remove(team);
+                for (Held h : in) {
+                  h.granting = false;
+                  if (r.code() == Code.OK) h.wantsGrant = 0;
+                  else if (r.code() == Code.UNKNOWN) h.uncertain = true;
+                  else if (r.code() == Code.CONFLICT && r.revision() > store.revision()) reread(h);
+                }
+                if (r.code() == Code.CONFLICT) {
+                  teamBusy.add(team);
+                  if (!store.read(Store.Urgency.JOB, Store.TEAMS + team, g -> teamBusy.remove(team))) teamBusy.remove(team);
+                } else if (r.code() != Code.OK) {
+                  teamNext.put(team, core.now() + Constants.STATE_RETRY_MS);
+                }
+                core.wake();
+              });
+      if (!asked) {
+        teamBusy.remove(team);
+        for (Held h : in) h.granting = false;
+      }
+    }
+  }
+
+  /** By how much the job's grant should change; never below what may be on machines. */
+  private int delta(Held h, long now) {
+    int spare = h.rec.grant() - h.active.size();
+    if (!h.latched) return 0;
+    if (h.over()) return -Math.max(0, spare);
+    int pending = h.pending();
+    if (spare > pending) return -(spare - pending);
+    if (h.wantsGrant > 0) return Math.min(h.wantsGrant, Math.max(0, pending - spare));
+    if (spare > 0 && h.grantIdleSince > 0 && now - h.grantIdleSince > Constants.GRANT_IDLE_MS) return -spare;
+    return 0;
+  }
+}
--- /dev/null
+++ b/src/main/java/mallowstall/core/Model.java
@@ -0,0 +1,273 @@
+package mallowstall.core;
+
+import java.util.List;
+import java.util.Map;
+
+/** The values the core works with. All are immutable unless said otherwise. */
+public final class Model {
+  private Model() {}
+
+  /** Priorities, lowest first. */
+  public enum Priority {
+    LOW,
+    NORMAL,
+    HIGH,
+    PRODUCTION
+  }
+
+  /** Final state of a job; {@code NONE} while it is open. */
+  public enum Final {
+    NONE,
+    DONE,
+    CANCELLED
+  }
+
+  /** What a worker says of a task. */
+  public enum TaskState {
+    FETCHING,
+    RUNNING,
+    SAVING,
+    EXITED
+  }
+
+  /** Why a task exited. */
+  public enum Why {
+    DONE,
+    STOPPED,
+    ERROR,
+    NO_ROOM,
+    BUSY,
+    UNKNOWN
+  }
+
+  public record JobSpec(
+      String id,
+      String jobClass,
+      String team,
+      Priority priority,
+      int tasks,
+      double cpus,
+      double gpus,
+      double memoryGb,
+      String image,
+      double imageGb,
+      List<String> types,
+      String zone,
+      boolean oneZone,
+      boolean spread,
+      boolean spot,
+      double estimateS,
+      double checkpointS,
+      double saveS,
+      Double deadlineS) {}
+
+  // ---- entries in the state service ---------------------------------------------------------
+  /** Anything kept under a key of the state service. */
+  public sealed interface Entry permits SessionRec, JobRec, BitsRec, MachineRec, TeamRec, DigestRec, DutyRec, CounterRec {}
+
+  public record SessionRec(String node, long incarnation) implements Entry {}
+
+  /** A job's entry. {@code done} holds the first chunk of the bitmap; the rest are {@link BitsRec}. */
+  public record JobRec(
+      JobSpec spec,
+      long submittedMs,
+      String holder,
+      long incarnation,
+      long epoch,
+      byte[] done,
+      int doneCount,
+      int grant,
+      Final fin)
+      implements Entry {
+    JobRec withFinal(Final f) {
+      return new JobRec(spec, submittedMs, holder, incarnation, epoch, done, doneCount, grant, f);
+    }
+
+    JobRec withHolder(String node, long inc) {
+      return new JobRec(spec, submittedMs, node, inc, epoch + 1, done, doneCount, grant, fin);
+    }
+
+    JobRec withGrant(int g) {
+      return new JobRec(spec, submittedMs, holder, incarnation, epoch, done, doneCount, g, fin);
+    }
+
+    /** True while somebody must still look after the job. */
+    boolean open() {
+      return fin == Final.NONE || grant > 0;
+    }
+  }
+
+  /** A further chunk of a large job's bitmap. */
+  public record BitsRec(byte[] done) implements Entry {}
+
+  public record MachineRec(
+      String node, long incarnation, long token, String type, String zone, boolean spot) implements Entry {}
+
+  /** What all running grants of a team add up to. */
+  public record TeamRec(double cpus, double gpus) implements Entry {}
+
+  public record DigestRec(long incarnation, List<Room> rooms, double pendingCpus) implements Entry {}
+
+  /** Free room of one machine, as a digest tells it. */
+  public record Room(String machine, double cpus, double gpus, double memoryGb) {}
+
+  public record DutyRec(String node, long incarnation) implements Entry {}
+
+  public record CounterRec(long value) implements Entry {}
+
+  // ---- workers ------------------------------------------------------------------------------
+  public record TaskReport(String job, int task, long attempt, TaskState state, Why why, boolean saved) {}
+
+  public record Report(
+      String machine,
+      String addr,
+      String type,
+      String zone,
+      boolean spot,
+      long session,
+      long seq,
+      long token,
+      Double noticeS,
+      List<TaskReport> tasks) {}
+
+  public enum CommandKind {
+    START,
+    STOP,
+    FORGET
+  }
+
+  public record Command(CommandKind kind, String job, int task, long attempt, double graceS) {}
+
+  /** Answer to a report. */
+  public record ReportAnswer(int status, long token, List<Command> commands, String reportTo) {
+    public static ReportAnswer ok(long token, List<Command> c) {
+      return new ReportAnswer(200, token, c, null);
+    }
+
+    public static ReportAnswer elsewhere(String node) {
+      return new ReportAnswer(421, 0, List.of(), node);
+    }
+
+    public static ReportAnswer unable() {
+      return new ReportAnswer(503, 0, List.of(), null);
+    }
+  }
+
+  // ---- cloud --------------------------------------------------------------------------------
+  public record MachineType(
+      String name,
+      double cpus,
+      double gpus,
+      double memoryGb,
+      double cacheGb,
+      double fetchGbPerS,
+      double price,
+      double spotPrice,
+      double bootS,
+      List<String> zones) {}
+
+  public record Listed(
+      String id, String type, String zone, boolean spot, String state, double ageS) {}
+
+  public record RentRequest(String name, String type, String zone, boolean spot, int count) {}
+
+  // ---- users --------------------------------------------------------------------------------
+  /** Answer to a user: a status and either a state or a message. */
+  public record UserAnswer(
+      int status, String id, String state, int done, int running, String message, int retryAfterS) {
+    static UserAnswer state(int status, String id, String state, int done, int running) {
+      return new UserAnswer(status, id, state, done, running, null, 0);
+    }
+
+    static UserAnswer error(int status, String message) {
+      return new UserAnswer(status, null, null, 0, 0, message, 0);
+    }
+
+    static UserAnswer later(String message, int retryAfterS) {
+      return new UserAnswer(503, null, null, 0, 0, message, retryAfterS);
+    }
+  }
+
+  // ---- between controllers ------------------------------------------------------------------
+  /** Messages between controllers. */
+  public sealed interface PeerMessage permits Roster, Starts, Stops {}
+
+  /** One task as its owner knows it; {@code state} null: accepted, not yet seen on the machine. */
+  public record RosterTask(String job, int task, long attempt, TaskState state, Why why) {}
+
+  /** The answer "not possible": this start was never passed on and never will be. */
+  public record Refusal(String machine, String job, int task, long attempt, String reason) {}
+
+  /** One machine as its owner knows it. */
+  public record RosterMachine(
+      String machine,
+      long token,
+      boolean confirmed,
+      boolean usable,
+      boolean draining,
+      boolean replace,
+      boolean silent,
+      String type,
+      String zone,
+      boolean spot,
+      double noticeS,
+      double freeCpus,
+      double freeGpus,
+      double freeMemoryGb,
+      long idleMs,
+      List<String> images,
+      List<RosterTask> tasks) {}
+
+  /**
+   * All that an owner knows of its machines. {@code mirrorRevision} tells up to which revision of the
+   * state service it has followed, {@code acked*} which of the receiver's messages are in it.
+   */
+  public record Roster(
+      String node,
+      long incarnation,
+      long serial,
+      long mirrorRevision,
+      long ackedConnection,
+      long ackedSeq,
+      long sinceMirrorMs,
+      long sinceCancelMs,
+      List<RosterMachine> machines,
+      List<Refusal> refusals)
+      implements PeerMessage {}
+
+  public record StartOrder(
+      String machine, String job, int task, long attempt, long epoch, long expiryWallMs) {}
+
+  /** Starts from a holder to an owner. */
+  public record Starts(String node, long incarnation, long connection, long seq, List<StartOrder> starts)
+      implements PeerMessage {}
+
+  public record StopOrder(String machine, String job, int task, long attempt, double graceS) {}
+
+  /** Stops and drains from a holder, or from whoever has the cloud duty, to an owner. */
+  public record Stops(String node, long incarnation, List<StopOrder> stops, List<String> drains)
+      implements PeerMessage {}
+
+  // ---- settings the core needs --------------------------------------------------------------
+  public record Team(String name, double cpus, double cpusMax, double gpus, double gpusMax) {
+    boolean limited() {
+      return cpusMax > 0 || gpusMax > 0;
+    }
+  }
+
+  public record CoreSettings(
+      String node,
+      List<String> peers,
+      Map<String, String> nodeZones,
+      Map<String, Team> teams,
+      long reportMs,
+      long leaseMs,
+      long cancelMs,
+      long skewMs,
+      double stateRps,
+      double stateWriteRps,
+      int txnOps,
+      double cloudRps,
+      long listLagMs,
+      Map<String, Double> waitAims) {}
+}
--- /dev/null
+++ b/src/main/java/mallowstall/core/Owner.java
@@ -0,0 +1,571 @@
+package mallowstall.core;
+
+import it.unimi.dsi.fastutil.objects.Object2LongOpenHashMap;
+import it.unimi.dsi.fastutil.objects.Object2ObjectLinkedOpenHashMap;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import mallowstall.Constants;
+import mallowstall.core.Effects.*;
+import mallowstall.core.Model.*;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * The machines that report to this controller. Vets every start against booked free room, passes it
+ * on under its own token, and tells everybody in rosters what is on its machines.
+ */
+final class Owner {
+  private static final Logger LOG = LoggerFactory.getLogger("mallowstall.owner");
+
+  record Key(String job, int task) {}
+
+  /** A start accepted and not yet seen in a report. */
+  private static final class Booked {
+    final StartOrder order;
+    final JobSpec spec;
+    boolean sent;
+
+    Booked(StartOrder order, JobSpec spec) {
+      this.order = order;
+      this.spec = spec;
+    }
+  }
+
+  /** One machine of this controller. Mutable. */
+  static final class Owned {
+    final String id;
+    final MachineType type;
+    final String zone;
+    final boolean spot;
+    final long token;
+    final long version;
+    long session;
+    long seq;
+    /** When the last 200 left; the machine's lease can't run on longer than from here. */
+    long lastOk;
+
+    long heardAt;
+    boolean confirmed;
+    boolean lost;
+    boolean checking;
+    long noticeUntil = Long.MAX_VALUE;
+    long drainUntil;
+    long quarantineUntil;
+    int errorsInRow;
+    boolean replace;
+    long idleSince;
+    final Map<Key, TaskReport> tasks = new LinkedHashMap<>();
+    final Map<Key, Booked> booked = new Object2ObjectLinkedOpenHashMap<>();
+    final Map<Key, StopOrder> stops = new HashMap<>();
+    /** Ends other than done that a roster has told. */
+    final Object2LongOpenHashMap<Key> told = new Object2LongOpenHashMap<>();
+
+    final LinkedHashSet<String> images = new LinkedHashSet<>();
+
+    Owned(String id, MachineType type, String zone, boolean spot, long token, long version) {
+      this.id = id;
+      this.type = type;
+      this.zone = zone;
+      this.spot = spot;
+      this.token = token;
+      this.version = version;
+    }
+  }
+
+  private final Core core;
+  private final Store store;
+  private final Map<String, Owned> owned = new LinkedHashMap<>();
+  private final Map<String, Long> adopting = new HashMap<>();
+  private final Map<String, Long> redirected = new HashMap<>();
+  private final List<Refusal> refusals = new ArrayList<>();
+  private boolean dirty;
+  private long lastRoster;
+  private long serial;
+
+  Owner(Core core, Store store) {
+    this.core = core;
+    this.store = store;
+  }
+
+  int count() {
+    return owned.size();
+  }
+
+  boolean owns(String machine) {
+    return owned.containsKey(machine);
+  }
+
+  void touch() {
+    dirty = true;
+  }
+
+  // ---- reports ------------------------------------------------------------------------------
+  void report(Report r, Consumer<ReportAnswer> reply) {
+    long now = core.now();
+    if (!store.synced() || store.incarnation() == 0 || core.types().isEmpty() || !core.mayKeepAlive()) {
+      reply.accept(ReportAnswer.unable());
+      return;
+    }
+    Owned o = owned.get(r.machine());
+    if (o != null && r.token() <= o.token) {
+      if (r.session() < o.session || (r.session() == o.session && r.seq() <= o.seq)) {
+        reply.accept(ReportAnswer.unable()); // a late copy of an older report says nothing new
+        return;
+      }
+      take(o, r);
+      reply.accept(answer(o));
+      return;
+    }
+    adopt(r, reply);
+  }
+
+  /** Makes this controller the recorded owner, under a larger token, before the first 200. */
+  private void adopt(Report r, Consumer<ReportAnswer> reply) {
+    long now = core.now();
+    MachineType type = core.types().get(r.type());
+    if (type == null) {
+      reply.accept(ReportAnswer.unable());
+      return;
+    }
+    if (r.token() == 0) {
+      String better = core.preferredOwner(r.machine(), r.zone());
+      Long before = redirected.get(r.machine());
+      if (!better.equals(core.node()) && (before == null || now - before > 20_000)) {
+        redirected.put(r.machine(), now);
+        if (redirected.size() > 2_000) redirected.clear();
+        reply.accept(ReportAnswer.elsewhere(better));
+        return;
+      }
+    }
+    Long since = adopting.get(r.machine());
+    if (since != null && now - since < 3 * Constants.STATE_TIMEOUT_MS) {
+      reply.accept(ReportAnswer.unable());
+      return;
+    }
+    if (!store.sessionGood()) {
+      reply.accept(ReportAnswer.unable());
+      return;
+    }
+    adopting.put(r.machine(), now);
+    String key = Store.MACHINES + r.machine();
+    MachineRec old = store.machine(r.machine());
+    long token = Math.max(r.token(), old == null ? 0 : old.token()) + 1;
+    MachineRec rec =
+        new MachineRec(core.node(), store.incarnation(), token, r.type(), r.zone(), r.spot());
+    boolean asked =
+        store.transact(
+            Store.Urgency.MACHINE,
+            new Txn(List.of(new Cond(key, store.version(key))), List.of(new Put(key, rec, 0)), List.of()),
+            res -> {
+              adopting.remove(r.machine());
+              if (res.code() != Code.OK) {
+                reply.accept(ReportAnswer.unable());
+                return;
+              }
+              Owned o = new Owned(r.machine(), type, r.zone(), r.spot(), token, res.revision());
+              Owned before = owned.put(r.machine(), o);
+              if (before != null) o.images.addAll(before.images);
+              o.idleSince = core.now();
+              LOG.info("machine {} adopted under term {} (reported {})", o.id, token, r.token());
+              take(o, r);
+              reply.accept(answer(o));
+            });
+    if (!asked) {
+      adopting.remove(r.machine());
+      reply.accept(ReportAnswer.unable());
+    }
+  }
+
+  private void take(Owned o, Report r) {
+    long now = core.now();
+    if (r.session() > o.session) o.told.clear();
+    o.session = r.session();
+    o.seq = r.seq();
+    o.heardAt = now;
+    o.lost = false;
+    if (r.token() >= o.token) o.confirmed = true;
+    o.noticeUntil = r.noticeS() == null ? Long.MAX_VALUE : now + (long) (r.noticeS() * 1000);
+    Map<Key, TaskReport> before = new HashMap<>(o.tasks);
+    o.tasks.clear();
+    for (TaskReport t : r.tasks()) {
+      Key k = new Key(t.job(), t.task());
+      o.tasks.put(k, t);
+      TaskReport b = before.get(k);
+      boolean changed = b == null || b.state() != t.state() || b.attempt() != t.attempt();
+      if (!changed) continue;
+      JobRec j = store.job(t.job());
+      if (j != null && (t.state() == TaskState.RUNNING || t.why() == Why.DONE)) image(o, j.spec());
+      if (t.state() == TaskState.EXITED) ended(o, t);
+    }
+    Iterator<Booked> it = o.booked.values().iterator();
+    while (it.hasNext()) {
+      Booked b = it.next();
+      Key k = new Key(b.order.job(), b.order.task());
+      TaskReport t = o.tasks.get(k);
+      if (t != null && t.attempt() >= b.order.attempt()) {
+        it.remove();
+      } else if (core.wall() > b.order.expiryWallMs()) {
+        // sent or not: a response is never executed once a later report was sent, and this is one
+        it.remove();
+      }
+    }
+    if (o.tasks.isEmpty() && o.booked.isEmpty()) {
+      if (o.idleSince == 0) o.idleSince = now;
+    } else {
+      o.idleSince = 0;
+    }
+    dirty = true;
+  }
+
+  private void image(Owned o, JobSpec j) {
+    if (j.image() == null) return;
+    o.images.remove(j.image());
+    o.images.add(j.image());
+    double sum = 0;
+    List<String> newestFirst = new ArrayList<>(o.images);
+    java.util.Collections.reverse(newestFirst);
+    for (String i : newestFirst) {
+      sum += core.imageGb(i);
+      if (sum > o.type.cacheGb() && !i.equals(j.image())) o.images.remove(i);
+    }
+  }
+
+  private void ended(Owned o, TaskReport t) {
+    if (t.why() == Why.DONE) {
+      o.errorsInRow = 0;
+    } else if (t.why() == Why.ERROR && !core.jobAtFault(t.job())) {
+      o.errorsInRow++;
+      LOG.info("task {}/{} failed on {}, {} in a row", t.job(), t.task(), o.id, o.errorsInRow);
+      if (o.errorsInRow >= Constants.FAULTY_ERRORS) {
+        o.quarantineUntil = core.now() + Constants.QUARANTINE_MS;
+        if (o.errorsInRow >= Constants.BROKEN_ERRORS) o.replace = true;
+      }
+    }
+  }
+
+  private ReportAnswer answer(Owned o) {
+    long now = core.now();
+    List<Command> stops = new ArrayList<>();
+    List<Command> forgets = new ArrayList<>();
+    for (TaskReport t : o.tasks.values()) {
+      Key k = new Key(t.job(), t.task());
+      JobRec j = store.job(t.job());
+      boolean done = j != null && core.recordedDone(j, t.task());
+      if (t.state() == TaskState.EXITED) {
+        boolean forget =
+            j != null
+                && (j.fin() != Final.NONE || done || (t.why() != Why.DONE && o.told.getLong(k) == t.attempt()));
+        if (forget) forgets.add(new Command(CommandKind.FORGET, t.job(), t.task(), t.attempt(), 0));
+        o.stops.remove(k);
+      } else if (j != null && (j.fin() != Final.NONE || done)) {
+        stops.add(new Command(CommandKind.STOP, t.job(), t.task(), t.attempt(), 0));
+      } else {
+        StopOrder s = o.stops.get(k);
+        if (s != null && s.attempt() == t.attempt()) {
+          if (t.state() != TaskState.SAVING) {
+            stops.add(new Command(CommandKind.STOP, t.job(), t.task(), t.attempt(), s.graceS()));
+          }
+        } else if (j != null && o.noticeUntil != Long.MAX_VALUE && t.state() == TaskState.RUNNING
+            && j.spec().checkpointS() > 0
+            && o.noticeUntil - now < (j.spec().saveS() + 4) * 1000) {
+          stops.add(new Command(CommandKind.STOP, t.job(), t.task(), t.attempt(), j.spec().saveS() + 1));
+        }
+      }
+    }
+    o.stops.keySet().removeIf(k -> !o.tasks.containsKey(k) && !o.booked.containsKey(k));
+    List<Command> all = new ArrayList<>(forgets);
+    all.addAll(stops);
+    Iterator<Booked> it = o.booked.values().iterator();
+    while (it.hasNext() && all.size() < Constants.COMMANDS_MAX) {
+      Booked b = it.next();
+      JobRec j = store.job(b.order.job());
+      Key k = new Key(b.order.job(), b.order.task());
+      boolean unwanted = j != null && (j.fin() != Final.NONE || core.recordedDone(j, b.order.task()));
+      if (unwanted || o.stops.containsKey(k) || core.wall() > b.order.expiryWallMs()) {
+        // every earlier response is dead by now (this answers a later report), so it never runs
+        it.remove();
+        refuse(b.order, unwanted ? "not wanted any more" : "too late");
+        continue;
+      }
+      b.sent = true;
+      all.add(new Command(CommandKind.START, b.order.job(), b.order.task(), b.order.attempt(), 0));
+    }
+    o.lastOk = now;
+    return ReportAnswer.ok(o.token, all);
+  }
+
+  // ---- orders from holders ------------------------------------------------------------------
+  /** Starts from a holder; each is booked or refused. */
+  void starts(Starts s) {
+    for (StartOrder o : s.starts()) {
+      String no = vet(s, o);
+      if (no == null) {
+        Owned m = owned.get(o.machine());
+        m.booked.put(new Key(o.job(), o.task()), new Booked(o, store.job(o.job()).spec()));
+        m.idleSince = 0;
+        LOG.debug("start {}/{} attempt {} booked on {}", o.job(), o.task(), o.attempt(), o.machine());
+      } else {
+        refuse(o, no);
+      }
+    }
+    dirty = true;
+  }
+
+  private void refuse(StartOrder o, String why) {
+    LOG.debug("not possible: {}/{} attempt {} on {}: {}", o.job(), o.task(), o.attempt(), o.machine(), why);
+    core.metrics().count("refusals");
+    refusals.add(new Refusal(o.machine(), o.job(), o.task(), o.attempt(), why));
+    dirty = true;
+  }
+
+  private String vet(Starts s, StartOrder o) {
+    Owned m = owned.get(o.machine());
+    if (m == null || m.version > store.revision()) return "not the owner";
+    if (!core.mayKeepAlive()) return "cut off";
+    JobRec j = store.job(o.job());
+    if (j == null) return "job not known here yet";
+    if (j.fin() != Final.NONE) return "job is over";
+    if (o.epoch() < j.epoch()) return "older epoch";
+    if (!store.live(s.node(), s.incarnation())) return "holder's session is gone";
+    if (core.wall() > o.expiryWallMs()) return "expired";
+    JobSpec spec = j.spec();
+    if (core.recordedDone(j, o.task())) return "done already";
+    if (!allowed(spec, m.type.name(), m.zone, m.spot)) return "machine not allowed";
+    if (!usable(m) || m.drainUntil > core.now()) return "machine set aside";
+    Key k = new Key(o.job(), o.task());
+    if (m.tasks.containsKey(k) || m.booked.containsKey(k)) return "task is here already";
+    double[] free = free(m);
+    if (spec.cpus() > free[0] + 1e-6 || spec.gpus() > free[1] + 1e-6 || spec.memoryGb() > free[2] + 1e-6) {
+      return "no room";
+    }
+    return null;
+  }
+
+  static boolean allowed(JobSpec j, String type, String zone, boolean spot) {
+    return (j.types() == null || j.types().contains(type))
+        && (j.zone() == null || j.zone().equals(zone))
+        && (!spot || j.spot());
+  }
+
+  private boolean usable(Owned m) {
+    long now = core.now();
+    return !m.lost
+        && !m.replace
+        && m.noticeUntil == Long.MAX_VALUE
+        && m.quarantineUntil <= now
+        && !silent(m);
+  }
+
+  private boolean silent(Owned m) {
+    return core.now() - m.heardAt > Math.max(Constants.SILENT_MS, core.settings().reportMs() * 2);
+  }
+
+  private double[] free(Owned m) {
+    double[] f = {m.type.cpus(), m.type.gpus(), m.type.memoryGb()};
+    for (TaskReport t : m.tasks.values()) {
+      if (t.state() == TaskState.EXITED) continue;
+      JobRec j = store.job(t.job());
+      if (j != null) minus(f, j.spec());
+    }
+    for (Booked b : m.booked.values()) minus(f, b.spec);
+    return f;
+  }
+
+  private static void minus(double[] f, JobSpec s) {
+    f[0] -= s.cpus();
+    f[1] -= s.gpus();
+    f[2] -= s.memoryGb();
+  }
+
+  void stops(Stops s) {
+    for (StopOrder o : s.stops()) {
+      Owned m = owned.get(o.machine());
+      if (m == null) continue;
+      Key k = new Key(o.job(), o.task());
+      TaskReport t = m.tasks.get(k);
+      Booked b = m.booked.get(k);
+      if ((t != null && t.attempt() == o.attempt()) || (b != null && b.order.attempt() == o.attempt())) {
+        LOG.info("stop {}/{} attempt {} on {} asked by {}", o.job(), o.task(), o.attempt(), o.machine(), s.node());
+        m.stops.put(k, o);
+      }
+    }
+    for (String d : s.drains()) {
+      Owned m = owned.get(d);
+      if (m != null) {
+        m.drainUntil = core.now() + Constants.DRAIN_LIFE_MS;
+        dirty = true;
+      }
+    }
+  }
+
+  // ---- mirror -------------------------------------------------------------------------------
+  void machineChanged(String id, MachineRec rec) {
+    Owned o = owned.get(id);
+    if (o == null) return;
+    if (rec == null) {
+      owned.remove(id);
+      dirty = true;
+    } else if (rec.token() > o.token) {
+      LOG.info("machine {} is now owned by {} under term {}", id, rec.node(), rec.token());
+      owned.remove(id);
+      dirty = true;
+    }
+  }
+
+  /**
+   * Records that name a former process of this controller: that process is dead, so nobody answers
+   * those machines unless they have gone to another controller, and then the comparison fails.
+   */
+  void reclaim() {
+    for (Map.Entry<String, Store.Held> e : new ArrayList<>(store.under(Store.MACHINES).entrySet())) {
+      MachineRec rec = (MachineRec) e.getValue().value();
+      if (!rec.node().equals(core.node()) || rec.incarnation() == store.incarnation()) continue;
+      String id = e.getKey().substring(Store.MACHINES.length());
+      MachineType type = core.types().get(rec.type());
+      if (type == null || owned.containsKey(id) || adopting.containsKey(id)) continue;
+      adopting.put(id, core.now());
+      MachineRec mine =
+          new MachineRec(core.node(), store.incarnation(), rec.token() + 1, rec.type(), rec.zone(), rec.spot());
+      boolean asked =
+          store.transact(
+              Store.Urgency.MACHINE,
+              new Txn(
+                  List.of(new Cond(e.getKey(), e.getValue().version())),
+                  List.of(new Put(e.getKey(), mine, 0)),
+                  List.of()),
+              r -> {
+                adopting.remove(id);
+                if (r.code() != Code.OK) return;
+                Owned o = new Owned(id, type, rec.zone(), rec.spot(), mine.token(), r.revision());
+                // the former process may have answered until just before this one began
+                o.lastOk = core.now();
+                o.heardAt = core.now() - Constants.SILENT_MS;
+                o.idleSince = core.now();
+                if (!owned.containsKey(id)) owned.put(id, o);
+                LOG.info("machine {} kept from the former process, term {}", id, mine.token());
+                dirty = true;
+              });
+      if (!asked) adopting.remove(id);
+    }
+  }
+
+  // ---- duties -------------------------------------------------------------------------------
+  void tick() {
+    long now = core.now();
+    long writeOff = (long) (core.settings().leaseMs() * (1 + 2 * Constants.DRIFT)) + Constants.WRITE_OFF_MARGIN_MS;
+    for (Owned o : owned.values()) {
+      if (o.lost || o.checking || now - o.lastOk <= writeOff) continue;
+      // unconfirmed: a former owner may still be answering it, unless it was our own former process
+      if (!o.confirmed && o.session != 0) continue;
+      o.checking = true;
+      boolean asked =
+          store.read(
+              Store.Urgency.MACHINE,
+              Store.MACHINES + o.id,
+              g -> {
+                o.checking = false;
+                if (g.code() != Code.OK || owned.get(o.id) != o) return;
+                if (g.item().value() == null || g.item().version() != o.version) return;
+                if (core.now() - o.lastOk <= writeOff) return;
+                LOG.info("machine {} written off with {} tasks: silent beyond its lease", o.id, o.tasks.size());
+                o.lost = true;
+                o.confirmed = true;
+                o.tasks.clear();
+                o.booked.clear();
+                o.stops.clear();
+                o.idleSince = core.now();
+                dirty = true;
+              });
+      if (!asked) o.checking = false;
+    }
+    long since = now - lastRoster;
+    if ((dirty && since >= Constants.ROSTER_GAP_MS) || since >= Constants.ROSTER_EVERY_MS) sendRosters();
+  }
+
+  private void sendRosters() {
+    if (store.incarnation() == 0 || !store.synced()) return;
+    dirty = false;
+    lastRoster = core.now();
+    serial++;
+    List<RosterMachine> ms = machines();
+    List<Refusal> no = new ArrayList<>(refusals);
+    refusals.clear();
+    long now = core.now();
+    for (String p : core.settings().peers()) {
+      View.Peer peer = core.view().peer(p);
+      core.effects()
+          .send(
+              p,
+              new Roster(
+                  core.node(),
+                  store.incarnation(),
+                  serial,
+                  store.revision(),
+                  peer.gotConnection,
+                  peer.gotSeq,
+                  now - store.freshAt(),
+                  now - core.cancelTold(),
+                  ms,
+                  no));
+    }
+    View.Peer me = core.view().peer(core.node());
+    core.rosterFrom(
+        new Roster(
+            core.node(), store.incarnation(), serial, store.revision(), me.gotConnection, me.gotSeq, 0, 0, ms, no));
+  }
+
+  private List<RosterMachine> machines() {
+    long now = core.now();
+    List<RosterMachine> out = new ArrayList<>(owned.size());
+    for (Owned o : owned.values()) {
+      List<RosterTask> ts = new ArrayList<>(o.tasks.size() + o.booked.size());
+      for (TaskReport t : o.tasks.values()) {
+        ts.add(new RosterTask(t.job(), t.task(), t.attempt(), t.state(), t.why()));
+        if (t.state() == TaskState.EXITED && t.why() != Why.DONE) {
+          o.told.put(new Key(t.job(), t.task()), t.attempt());
+        }
+      }
+      for (Booked b : o.booked.values()) {
+        ts.add(new RosterTask(b.order.job(), b.order.task(), b.order.attempt(), null, null));
+      }
+      double[] f = free(o);
+      boolean idle = o.tasks.isEmpty() && o.booked.isEmpty();
+      out.add(
+          new RosterMachine(
+              o.id,
+              o.token,
+              o.confirmed,
+              usable(o),
+              o.drainUntil > now,
+              o.replace,
+              silent(o),
+              o.type.name(),
+              o.zone,
+              o.spot,
+              o.noticeUntil == Long.MAX_VALUE ? -1 : (o.noticeUntil - now) / 1000.0,
+              f[0],
+              f[1],
+              f[2],
+              o.lost || silent(o) ? now - o.heardAt : idle && o.idleSince > 0 ? now - o.idleSince : 0,
+              List.copyOf(o.images),
+              ts));
+    }
+    return out;
+  }
+
+  List<Room> rooms() {
+    List<Room> out = new ArrayList<>();
+    for (Owned o : owned.values()) {
+      if (!usable(o)) continue;
+      double[] f = free(o);
+      out.add(new Room(o.id, f[0], f[1], f[2]));
+    }
+    return out;
+  }
+}
--- /dev/null
+++ b/src/main/java/mallowstall/core/Placement.java
@@ -0,0 +1,298 @@
+package mallowstall.core;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import mallowstall.Constants;
+import mallowstall.core.Holder.Active;
+import mallowstall.core.Holder.Held;
+import mallowstall.core.Model.*;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Places the pending tasks of the jobs held here on any allowed machine of the view. The tasks of one
+ * job are alike and are decided together: cost follows jobs and machines, not tasks.
+ */
+final class Placement {
+  private static final Logger LOG = LoggerFactory.getLogger("mallowstall.placement");
+
+  /** How long a policy that failed still waits. */
+  private static final class BackOff {
+    long until;
+    long wait = Constants.BACKOFF_FIRST_MS;
+    long roomSeen;
+  }
+
+  private final Core core;
+  private final Store store;
+  private final Holder holder;
+  private final SplittableRandom random;
+  private final Map<String, BackOff> backOffs = new HashMap<>();
+  private final Policy.Facts facts = new Policy.Facts();
+  private final Map<String, List<StartOrder>> out = new LinkedHashMap<>();
+
+  Placement(Core core, Store store, Holder holder, SplittableRandom random) {
+    this.core = core;
+    this.store = store;
+    this.holder = holder;
+    this.random = random;
+  }
+
+  /** Priority before deadline before age. */
+  static int order(Held a, Held b, long now) {
+    int c = Integer.compare(b.spec.priority().ordinal(), a.spec.priority().ordinal());
+    if (c != 0) return c;
+    c = Double.compare(due(a), due(b));
+    return c != 0 ? c : Long.compare(a.rec.submittedMs(), b.rec.submittedMs());
+  }
+
+  private static double due(Held h) {
+    return h.spec.deadlineS() == null
+        ? Double.MAX_VALUE
+        : h.rec.submittedMs() + h.spec.deadlineS() * 1000;
+  }
+
+  void round() {
+    if (!store.sessionGood() || !store.synced() || core.types().isEmpty()) return;
+    long now = core.now();
+    List<Held> wait = new ArrayList<>();
+    for (Held h : holder.jobs()) {
+      if (h.latched && !h.over() && h.pending() > 0 && now >= h.notBefore) wait.add(h);
+    }
+    if (wait.isEmpty()) return;
+    wait.sort((a, b) -> order(a, b, now));
+    List<View.Seen> machines = new ArrayList<>();
+    for (View.Seen s : core.view().machines.values()) {
+      if (s.takes() && now - s.at < Constants.ROSTER_STALE_MS && s.freeCpus() > 0.01) machines.add(s);
+    }
+    countSent(machines);
+    int budget = Constants.STARTS_PER_ROUND;
+    for (Held h : wait) {
+      if (budget <= 0) break;
+      Policy p = core.policies().of(h.spec.jobClass());
+      BackOff b = backOffs.computeIfAbsent(p.name(), k -> new BackOff());
+      if (now < b.until && core.roomNews() <= b.roomSeen) continue;
+      int placed = placeJob(h, p, machines, budget, now);
+      if (placed > 0) {
+        budget -= placed;
+        b.wait = Constants.BACKOFF_FIRST_MS;
+        b.until = 0;
+      } else if (placed == 0) {
+        // exhausted every block: wait, unless a roster tells of new room before
+        b.until = now + b.wait;
+        b.wait = Math.min(Constants.BACKOFF_MAX_MS, b.wait * 2);
+        b.roomSeen = core.roomNews();
+        preempt(h, now);
+      }
+    }
+    send();
+  }
+
+  private void countSent(List<View.Seen> machines) {
+    for (View.Seen s : core.view().machines.values()) s.sentCpus = s.sentGpus = s.sentMemory = 0;
+    for (Held h : holder.jobs()) {
+      for (Active a : h.active.values()) {
+        if (a.seen || a.mark != 0) continue;
+        View.Seen s = core.view().machines.get(a.machine);
+        if (s != null) book(s, h.spec, 1);
+      }
+    }
+  }
+
+  private static void book(View.Seen s, JobSpec j, int n) {
+    s.sentCpus += n * j.cpus();
+    s.sentGpus += n * j.gpus();
+    s.sentMemory += n * j.memoryGb();
+  }
+
+  /** Number placed; 0: no allowed machine has room; -1: waits only for its team's grant. */
+  private int placeJob(Held h, Policy p, List<View.Seen> machines, int budget, long now) {
+    JobSpec j = h.spec;
+    int want = Math.min(h.pending(), budget);
+    boolean limited = holder.limited(j);
+    int spare = limited ? h.rec.grant() - h.active.size() : Integer.MAX_VALUE;
+    // a change of the grant is under way or in doubt: what it will be isn't known
+    if (limited && (h.granting || h.uncertain)) spare = 0;
+    int placed = 0;
+    int possible = 0;
+    String oneZone = null;
+    Map<String, Integer> perZone = new HashMap<>();
+    for (Active a : h.active.values()) {
+      oneZone = a.zone;
+      perZone.merge(a.zone, 1, Integer::sum);
+    }
+    if (j.oneZone() && oneZone == null) oneZone = roomiestZone(j, machines);
+    int zoneMax = j.spread() ? (j.tasks() + 1) / 2 : Integer.MAX_VALUE;
+    record Choice(View.Seen s, double score) {}
+    for (Policy.Block b : p.blocks()) {
+      List<Choice> choices = new ArrayList<>();
+      for (View.Seen s : machines) {
+        if (!Owner.allowed(j, s.m.type(), s.m.zone(), s.m.spot())) continue;
+        if (j.oneZone() && !s.m.zone().equals(oneZone)) continue;
+        if (fits(s, j) <= 0) continue;
+        Long avoid = h.avoid.get(s.id);
+        if (avoid != null && avoid > now) continue;
+        fill(s, h, now);
+        if (!b.workers(facts) || b.invalidate(facts)) continue;
+        double score =
+            switch (b.strategy()) {
+              case LOWEST -> b.score(facts);
+              case HIGHEST -> -b.score(facts);
+              case RANDOM -> 0;
+            };
+        choices.add(new Choice(s, score + random.nextDouble() * 0.5));
+      }
+      choices.sort(Comparator.comparingDouble(Choice::score));
+      for (Choice c : choices) {
+        int n = Math.min(want - placed - possible, fits(c.s, j));
+        n = Math.min(n, zoneMax - perZone.getOrDefault(c.s.m.zone(), 0));
+        if (n <= 0) continue;
+        int go = Math.min(n, spare);
+        for (int i = 0; i < go; i++) {
+          int task = h.take();
+          if (task < 0) return placed;
+          start(h, task, c.s);
+          placed++;
+          spare--;
+        }
+        possible += n - go;
+        book(c.s, j, n - go);
+        perZone.merge(c.s.m.zone(), n, Integer::sum);
+        if (placed + possible >= want) break;
+      }
+      if (placed + possible >= want) break;
+    }
+    if (possible > 0 && limited) {
+      h.wantsGrant = Math.max(h.wantsGrant, possible);
+      if (placed == 0) return -1;
+    }
+    if (placed > 0) h.grantIdleSince = 0;
+    return placed;
+  }
+
+  private String roomiestZone(JobSpec j, List<View.Seen> machines) {
+    Map<String, Integer> room = new HashMap<>();
+    for (View.Seen s : machines) {
+      if (Owner.allowed(j, s.m.type(), s.m.zone(), s.m.spot())) room.merge(s.m.zone(), fits(s, j), Integer::sum);
+    }
+    String best = null;
+    for (Map.Entry<String, Integer> e : room.entrySet()) {
+      if (best == null || e.getValue() > room.get(best)) best = e.getKey();
+    }
+    return best;
+  }
+
+  static int fits(View.Seen s, JobSpec j) {
+    double n = 1000;
+    if (j.cpus() > 0) n = Math.min(n, s.freeCpus() / j.cpus());
+    if (j.gpus() > 0) n = Math.min(n, s.freeGpus() / j.gpus());
+    if (j.memoryGb() > 0) n = Math.min(n, s.freeMemory() / j.memoryGb());
+    return (int) Math.floor(n + 1e-9);
+  }
+
+  private void fill(View.Seen s, Held h, long now) {
+    JobSpec j = h.spec;
+    MachineType t = core.types().get(s.m.type());
+    Policy.Facts f = facts;
+    f.zone = s.m.zone();
+    f.type = s.m.type();
+    f.image = j.image();
+    f.spot = s.m.spot();
+    f.own = core.node().equals(s.owner);
+    f.freeCpus = s.freeCpus();
+    f.freeGpus = s.freeGpus();
+    f.freeMemory = s.freeMemory();
+    f.used = t == null || t.cpus() <= 0 ? 0 : 1 - s.freeCpus() / t.cpus();
+    f.imagePresent = s.m.images().contains(j.image());
+    int fetching = 0;
+    boolean same = false;
+    for (RosterTask x : s.m.tasks()) {
+      if (x.state() != null && x.state() != TaskState.FETCHING) continue;
+      JobRec other = store.job(x.job());
+      if (other == null) continue;
+      if (other.spec().image().equals(j.image())) same = true;
+      else if (!s.m.images().contains(other.spec().image())) fetching++;
+    }
+    f.fetches = fetching;
+    double rate = t == null ? 1 : Math.max(1e-3, t.fetchGbPerS());
+    f.fetchS = f.imagePresent ? 0 : j.imageGb() / rate * (same ? 0.6 : 1 + fetching);
+    f.scarce = core.fleet().scarce(j, s.m.type());
+    f.taskCpus = j.cpus();
+    f.taskGpus = j.gpus();
+    f.taskMemory = j.memoryGb();
+    f.waitedS = (now - h.heldSince) / 1000.0;
+    f.estimateS = j.estimateS();
+    f.priority = j.priority().ordinal();
+    f.pending = h.pending();
+    f.price = t == null ? 0 : s.m.spot() ? t.spotPrice() : t.price();
+  }
+
+  private void start(Held h, int task, View.Seen s) {
+    View.Peer p = core.view().peer(s.owner);
+    long attempt = (h.rec.epoch() << Constants.ATTEMPT_BITS) + ++h.counter;
+    long life = Math.min(Constants.START_LIFE_MS, store.sessionLeft());
+    long expiry = core.wall() + life - 2 * core.settings().skewMs();
+    holder.place(
+        new Active(h, task, attempt, s.id, s.m.zone(), s.m.type(), s.owner, s.ownerIncarnation, p.connection, p.nextSeq));
+    book(s, h.spec, 1);
+    out.computeIfAbsent(s.owner, k -> new ArrayList<>())
+        .add(new StartOrder(s.id, h.id, task, attempt, h.rec.epoch(), expiry));
+    LOG.debug("start {}/{} attempt {} on {} through {}", h.id, task, attempt, s.id, s.owner);
+  }
+
+  private void send() {
+    for (Map.Entry<String, List<StartOrder>> e : out.entrySet()) {
+      View.Peer p = core.view().peer(e.getKey());
+      core.sendStarts(e.getKey(), new Starts(core.node(), store.incarnation(), p.connection, p.nextSeq++, e.getValue()));
+    }
+    out.clear();
+  }
+
+  /** Stops lower work where that makes room for a job of higher priority that has waited. */
+  private void preempt(Held h, long now) {
+    JobSpec j = h.spec;
+    if (j.priority().ordinal() < Priority.HIGH.ordinal()) return;
+    if (now - h.heldSince < Constants.PREEMPT_AFTER_MS || now - h.lastPreempt < Constants.PREEMPT_GAP_MS) return;
+    h.lastPreempt = now;
+    int need = Math.min(h.pending(), 16);
+    record Victim(View.Seen s, List<RosterTask> tasks, int gain, double cost) {}
+    List<Victim> victims = new ArrayList<>();
+    for (View.Seen s : core.view().machines.values()) {
+      if (!s.takes() || !Owner.allowed(j, s.m.type(), s.m.zone(), s.m.spot())) continue;
+      if (core.fleet().scarce(j, s.m.type())) continue;
+      List<RosterTask> lower = new ArrayList<>();
+      for (RosterTask t : s.m.tasks()) {
+        JobRec o = store.job(t.job());
+        if (t.state() == TaskState.EXITED || t.state() == null || t.state() == TaskState.SAVING || o == null) continue;
+        if (o.spec().priority().ordinal() < j.priority().ordinal()) lower.add(t);
+      }
+      if (lower.isEmpty()) continue;
+      // least lost first: what is still fetching
+      lower.sort(Comparator.comparing(t -> t.state() == TaskState.FETCHING ? 0 : 1));
+      RosterTask t = lower.get(0);
+      JobSpec o = store.job(t.job()).spec();
+      double c = s.freeCpus() + o.cpus();
+      double m = s.freeMemory() + o.memoryGb();
+      int gain = (int) Math.min(j.cpus() > 0 ? c / j.cpus() : 99, j.memoryGb() > 0 ? m / j.memoryGb() : 99);
+      if (gain <= 0) continue;
+      double fetch = s.m.images().contains(j.image()) ? 0 : 1;
+      victims.add(new Victim(s, List.of(t), gain, (t.state() == TaskState.FETCHING ? 0 : 2) + fetch));
+    }
+    victims.sort(Comparator.comparingDouble(Victim::cost));
+    for (Victim v : victims) {
+      if (need <= 0) break;
+      for (RosterTask t : v.tasks) {
+        JobSpec o = store.job(t.job()).spec();
+        LOG.info("job {} preempts {}/{} on {}", h.id, t.job(), t.task(), v.s.id);
+        core.metrics().count("preemptions");
+        core.stop(v.s.owner, new StopOrder(v.s.id, t.job(), t.task(), t.attempt(), o.checkpointS() > 0 ? o.saveS() : 0));
+      }
+      need -= v.gain;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/mallowstall/core/Policy.java
@@ -0,0 +1,61 @@
+package mallowstall.core;
+
+import java.util.List;
+
+/** What a class of jobs may use and prefers: blocks tried in order (paper, section 2.2). */
+public interface Policy {
+  /** Facts on one pair of a machine and a group of like tasks. Mutable, reused between calls. */
+  final class Facts {
+    public String zone;
+    public String type;
+    public String image;
+    public boolean spot;
+    public boolean own;
+    public boolean imagePresent;
+    public boolean scarce;
+    public double freeCpus;
+    public double freeGpus;
+    public double freeMemory;
+    /** Fraction of the machine's processors in use. */
+    public double used;
+
+    /** Seconds until the image would be there. */
+    public double fetchS;
+
+    public double fetches;
+    public double taskCpus;
+    public double taskGpus;
+    public double taskMemory;
+    public double waitedS;
+    public double estimateS;
+    public double priority;
+    public double pending;
+    public double price;
+  }
+
+  enum Strategy {
+    LOWEST,
+    HIGHEST,
+    RANDOM
+  }
+
+  interface Block {
+    boolean workers(Facts f);
+
+    boolean invalidate(Facts f);
+
+    Strategy strategy();
+
+    double score(Facts f);
+  }
+
+  List<Block> blocks();
+
+  /** Name under which the back-off is kept. */
+  String name();
+
+  /** Policies by class of jobs. */
+  interface Book {
+    Policy of(String jobClass);
+  }
+}
--- /dev/null
+++ b/src/main/java/mallowstall/core/Store.java
@@ -0,0 +1,447 @@
+package mallowstall.core;
+
+import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import mallowstall.Constants;
+import mallowstall.core.Effects.*;
+import mallowstall.core.Model.*;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * This controller's view of the state service: a mirror of all keys kept by one watch, the session
+ * kept alive by one lease, and the budget that every request is paid from.
+ *
+ * <p>All keys stand under one prefix, so that one revision says how far the whole mirror is.
+ */
+final class Store {
+  private static final Logger LOG = LoggerFactory.getLogger("mallowstall.state");
+
+  static final String PREFIX = "c/";
+  static final String JOBS = "c/j/";
+  static final String MACHINES = "c/m/";
+  static final String SESSIONS = "c/n/";
+  static final String TEAMS = "c/t/";
+  static final String DIGESTS = "c/d/";
+  static final String BITS = "c/b/";
+  static final String DUTY = "c/cloud";
+  static final String COUNTER = "c/incarnations";
+
+  /** Urgency of requests; the first is served first when the budget is short. */
+  enum Urgency {
+    SESSION,
+    USER,
+    MACHINE,
+    JOB,
+    BACKGROUND
+  }
+
+  record Held(Entry value, long version) {}
+
+  interface Listener {
+    /** A key changed; {@code now} null when deleted. */
+    void changed(String key, Entry before, Entry now);
+
+    /** The mirror is complete again after a listing. */
+    void synced();
+  }
+
+  private record Waiting(double reads, double writes, Runnable go) {}
+
+  private final Core core;
+  private final Effects fx;
+  private final Listener listener;
+  private final TreeMap<String, Held> mirror = new TreeMap<>();
+  /** Revision of deletions, so that an older event or listing can't bring a key back. */
+  private final Object2ObjectOpenHashMap<String, Long> dropped = new Object2ObjectOpenHashMap<>();
+  private final Budget requests;
+  private final Budget writes;
+  private final List<ArrayDeque<Waiting>> queues = new ArrayList<>();
+
+  private long revision;
+  private boolean synced;
+  private boolean syncing;
+  private long freshAt = Long.MIN_VALUE / 2;
+  private long contactAt = Long.MIN_VALUE / 2;
+
+  private long incarnation;
+  private boolean sessionPut;
+  private long lease;
+  private long leaseGoodUntil = Long.MIN_VALUE / 2;
+  private boolean renewing;
+  private long nextSessionTry;
+  private long lastRenew;
+
+  Store(Core core, Effects fx, Listener listener, CoreSettings s) {
+    this.core = core;
+    this.fx = fx;
+    this.listener = listener;
+    int n = s.peers().size() + 1;
+    double r = s.stateRps() * Constants.BUDGET_SHARE / n;
+    double w = s.stateWriteRps() * Constants.BUDGET_SHARE / n;
+    this.requests = new Budget(r, r);
+    this.writes = new Budget(w, w);
+    for (int i = 0; i < Urgency.values().length; i++) queues.add(new ArrayDeque<>());
+  }
+
+  // ---- reading the mirror -------------------------------------------------------------------
+  long revision() {
+    return synced ? revision : 0;
+  }
+
+  boolean synced() {
+    return synced;
+  }
+
+  /** Steady time up to which the mirror surely holds every change. */
+  long freshAt() {
+    return freshAt;
+  }
+
+  long contactAt() {
+    return contactAt;
+  }
+
+  Held held(String key) {
+    return mirror.get(key);
+  }
+
+  JobRec job(String id) {
+    Held h = mirror.get(JOBS + id);
+    return h == null ? null : (JobRec) h.value();
+  }
+
+  MachineRec machine(String id) {
+    Held h = mirror.get(MACHINES + id);
+    return h == null ? null : (MachineRec) h.value();
+  }
+
+  long version(String key) {
+    Held h = mirror.get(key);
+    return h == null ? 0 : h.version();
+  }
+
+  java.util.SortedMap<String, Held> under(String prefix) {
+    return mirror.subMap(prefix, prefix + Character.MAX_VALUE);
+  }
+
+  boolean live(String node, long inc) {
+    Held h = mirror.get(SESSIONS + node);
+    return h != null && ((SessionRec) h.value()).incarnation() == inc;
+  }
+
+  boolean live(String node) {
+    return mirror.containsKey(SESSIONS + node);
+  }
+
+  long incarnation() {
+    return incarnation;
+  }
+
+  long leaseId() {
+    return lease;
+  }
+
+  /** Milliseconds for which this controller's session surely lasts; not positive: none. */
+  long sessionLeft() {
+    return sessionPut ? leaseGoodUntil - core.now() : -1;
+  }
+
+  boolean sessionGood() {
+    return sessionLeft() > 0;
+  }
+
+  // ---- budget -------------------------------------------------------------------------------
+  /** Requests waiting, for the Retry-After of refusals. */
+  int backlog() {
+    int n = 0;
+    for (ArrayDeque<Waiting> q : queues) n += q.size();
+    return n;
+  }
+
+  int retryAfterS() {
+    int s = Constants.RETRY_MIN_S + backlog() / 20;
+    return Math.min(Constants.RETRY_MAX_S, s);
+  }
+
+  private boolean admit(Urgency u, double reads, double puts, Runnable go) {
+    if (u != Urgency.SESSION && backlog() >= Constants.STATE_BACKLOG) return false;
+    queues.get(u.ordinal()).add(new Waiting(reads, puts, go));
+    pump();
+    return true;
+  }
+
+  void pump() {
+    long now = core.now();
+    for (Urgency u : Urgency.values()) {
+      ArrayDeque<Waiting> q = queues.get(u.ordinal());
+      double reserve = u == Urgency.SESSION ? -100 : u == Urgency.BACKGROUND ? 4 : 0;
+      while (!q.isEmpty()) {
+        Waiting w = q.peek();
+        if (!requests.has(now, w.reads, reserve)) return;
+        if (w.writes > 0 && !writes.has(now, w.writes, u == Urgency.BACKGROUND ? 3 : 0)) break;
+        q.poll();
+        requests.spend(now, w.reads);
+        if (w.writes > 0) writes.spend(now, w.writes);
+        w.go.run();
+      }
+    }
+  }
+
+  /** A transaction whose success is taken into the mirror at once. */
+  boolean transact(Urgency u, Txn txn, Consumer<TxnReply> then) {
+    double n = txn.puts().size() + txn.drops().size();
+    return admit(
+        u,
+        1,
+        n,
+        () -> {
+          long sent = core.now();
+          fx.transact(
+              txn,
+              r -> {
+                contact(r.code(), sent);
+                if (r.code() == Code.OK) {
+                  for (Put p : txn.puts()) apply(new Item(p.key(), p.value(), r.revision()));
+                  for (String k : txn.drops()) apply(new Item(k, null, r.revision()));
+                }
+                then.accept(r);
+              });
+        });
+  }
+
+  /** A read made after this call; the mirror learns from it. */
+  boolean read(Urgency u, String key, Consumer<GetReply> then) {
+    return admit(
+        u,
+        1,
+        0,
+        () ->
+            fx.get(
+                key,
+                r -> {
+                  contact(r.code(), core.now());
+                  if (r.code() == Code.OK && r.item().value() != null) apply(r.item());
+                  then.accept(r);
+                }));
+  }
+
+  private void contact(Code c, long at) {
+    if (c == Code.OK || c == Code.CONFLICT || c == Code.NO_LEASE || c == Code.GONE) contactAt = at;
+  }
+
+  // ---- mirror -------------------------------------------------------------------------------
+  private void apply(Item e) {
+    Held old = mirror.get(e.key());
+    if (old != null && old.version() >= e.version()) return;
+    Long gone = dropped.get(e.key());
+    if (gone != null && gone >= e.version()) return;
+    if (e.value() == null) {
+      dropped.put(e.key(), (Long) e.version());
+      if (dropped.size() > 20_000) dropped.clear();
+      if (old != null) {
+        mirror.remove(e.key());
+        listener.changed(e.key(), old.value(), null);
+      }
+      return;
+    }
+    mirror.put(e.key(), new Held(e.value(), e.version()));
+    listener.changed(e.key(), old == null ? null : old.value(), e.value());
+  }
+
+  private void sync() {
+    if (syncing) return;
+    syncing = true;
+    listFrom(null, 0, new java.util.HashSet<>(), core.now());
+  }
+
+  private void listFrom(String after, long firstRevision, java.util.HashSet<String> seen, long began) {
+    requests.spend(core.now(), 1);
+    fx.list(
+        after,
+        r -> {
+          contact(r.code(), core.now());
+          if (r.code() != Code.OK) {
+            core.after(Constants.STATE_RETRY_MS, () -> listFrom(after, firstRevision, seen, began));
+            return;
+          }
+          long first = after == null ? r.revision() : firstRevision;
+          String last = after;
+          for (Item i : r.items()) {
+            apply(i);
+            seen.add(i.key());
+            last = i.key();
+          }
+          if (r.more() && last != null) {
+            listFrom(last, first, seen, began);
+            return;
+          }
+          // what was deleted while no watch ran
+          for (String k : new ArrayList<>(mirror.keySet())) {
+            if (!seen.contains(k) && mirror.get(k).version() <= first) apply(new Item(k, null, first));
+          }
+          revision = first;
+          freshAt = began;
+          syncing = false;
+          synced = true;
+          listener.synced();
+          watchOn();
+        });
+  }
+
+  private void watchOn() {
+    long sent = core.now();
+    requests.spend(sent, 1);
+    fx.watch(
+        revision,
+        Constants.WATCH_HOLD_MS,
+        r -> {
+          contact(r.code(), sent);
+          if (r.code() == Code.GONE) {
+            synced = false;
+            sync();
+            return;
+          }
+          if (r.code() != Code.OK) {
+            core.after(Constants.STATE_RETRY_MS, this::watchOn);
+            return;
+          }
+          for (Item i : r.events()) apply(i);
+          revision = Math.max(revision, r.revision());
+          freshAt = Math.max(freshAt, sent);
+          listener.changed(null, null, null);
+          core.after(Constants.WATCH_PAUSE_MS, this::watchOn);
+        });
+  }
+
+  // ---- session ------------------------------------------------------------------------------
+  void tick() {
+    long now = core.now();
+    if (incarnation == 0) {
+      if (!renewing && now >= nextSessionTry) obtainIncarnation();
+    } else if (lease == 0) {
+      if (!renewing && now >= nextSessionTry) obtainLease();
+    } else if (!sessionPut) {
+      if (!renewing && now >= nextSessionTry) putSession();
+    } else if (!renewing && now - lastRenew >= Constants.RENEW_EVERY_MS && now >= nextSessionTry) {
+      renew();
+    }
+    pump();
+  }
+
+  private void failed() {
+    renewing = false;
+    nextSessionTry = core.now() + Constants.STATE_RETRY_MS;
+  }
+
+  /** Incarnations come from a counter that is never set back, so no process shares one. */
+  private void obtainIncarnation() {
+    renewing = true;
+    read(
+        Urgency.SESSION,
+        COUNTER,
+        g -> {
+          if (g.code() != Code.OK) {
+            failed();
+            return;
+          }
+          long next = g.item().value() == null ? 1 : ((CounterRec) g.item().value()).value() + 1;
+          transact(
+              Urgency.SESSION,
+              new Txn(
+                  List.of(new Cond(COUNTER, g.item().version())),
+                  List.of(new Put(COUNTER, new CounterRec(next), 0)),
+                  List.of()),
+              r -> {
+                if (r.code() != Code.OK) {
+                  failed();
+                  return;
+                }
+                incarnation = next;
+                renewing = false;
+                tick();
+              });
+        });
+  }
+
+  private void obtainLease() {
+    renewing = true;
+    long sent = core.now();
+    requests.spend(sent, 1);
+    fx.grantLease(
+        Constants.SESSION_TTL_MS,
+        r -> {
+          contact(r.code(), sent);
+          if (r.code() != Code.OK) {
+            failed();
+            return;
+          }
+          lease = r.lease();
+          lastRenew = sent;
+          good(sent);
+          renewing = false;
+          tick();
+        });
+  }
+
+  private void good(long sent) {
+    // counted from when the request was sent, less drift: the service can't have ended it earlier
+    leaseGoodUntil =
+        Math.max(
+            leaseGoodUntil,
+            sent
+                + (long) (Constants.SESSION_TTL_MS * (1 - 2 * Constants.DRIFT))
+                - Constants.SESSION_MARGIN_MS);
+  }
+
+  private void putSession() {
+    renewing = true;
+    transact(
+        Urgency.SESSION,
+        new Txn(
+            List.of(),
+            List.of(new Put(SESSIONS + core.node(), new SessionRec(core.node(), incarnation), lease)),
+            List.of()),
+        r -> {
+          if (r.code() == Code.NO_LEASE) {
+            lease = 0;
+            failed();
+            return;
+          }
+          if (r.code() != Code.OK) {
+            failed();
+            return;
+          }
+          renewing = false;
+          sessionPut = true;
+          LOG.info("session up, incarnation {}", incarnation);
+          if (!synced) sync();
+        });
+  }
+
+  private void renew() {
+    renewing = true;
+    long sent = core.now();
+    requests.spend(sent, 1);
+    fx.renewLease(
+        lease,
+        r -> {
+          contact(r.code(), sent);
+          renewing = false;
+          if (r.code() == Code.OK) {
+            lastRenew = sent;
+            good(sent);
+          } else if (r.code() == Code.GONE) {
+            LOG.info("session lost, incarnation {}", incarnation);
+            lease = 0;
+            sessionPut = false;
+          } else {
+            failed();
+          }
+        });
+  }
+}
--- /dev/null
+++ b/src/main/java/mallowstall/core/Users.java
@@ -0,0 +1,181 @@
+package mallowstall.core;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import mallowstall.Constants;
+import mallowstall.core.Effects.*;
+import mallowstall.core.Model.*;
+
+/** What users ask for: accepted, cancelled and done are recorded before they are told. */
+final class Users {
+  private final Core core;
+  private final Store store;
+  private final Map<String, List<Consumer<GetReply>>> reads = new HashMap<>();
+  private final Map<String, JobRec> finals =
+      new LinkedHashMap<>(64, 0.75f, true) {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, JobRec> e) {
+          return size() > Constants.FINAL_CACHE;
+        }
+      };
+
+  Users(Core core, Store store) {
+    this.core = core;
+    this.store = store;
+  }
+
+  void jobChanged(String id, JobRec rec) {
+    if (rec.fin() != Final.NONE) finals.put(id, rec);
+  }
+
+  boolean ready() {
+    return store.synced() && store.incarnation() != 0 && !core.types().isEmpty() && !core.cutOffAlone();
+  }
+
+  private UserAnswer later(String why) {
+    return UserAnswer.later(why, store.retryAfterS());
+  }
+
+  void submit(JobSpec j, Consumer<UserAnswer> reply) {
+    JobRec known = store.job(j.id());
+    if (known != null) {
+      query(j.id(), reply);
+      return;
+    }
+    if (core.types().isEmpty()) {
+      reply.accept(later("the machine types are not known yet"));
+      return;
+    }
+    String never = neverRuns(j);
+    if (never != null) {
+      // a repeated submission of an accepted job must not be told that it is wrong
+      reply.accept(UserAnswer.error(422, never));
+      return;
+    }
+    if (!store.synced() || !store.sessionGood()) {
+      reply.accept(later("no contact with the state service"));
+      return;
+    }
+    String key = Store.JOBS + j.id();
+    JobRec rec =
+        new JobRec(j, core.wall(), core.node(), store.incarnation(), 1, new byte[0], 0, 0, Final.NONE);
+    boolean asked =
+        store.transact(
+            Store.Urgency.USER,
+            new Txn(List.of(new Cond(key, 0)), List.of(new Put(key, rec, 0)), List.of()),
+            r -> {
+              switch (r.code()) {
+                case OK -> reply.accept(UserAnswer.state(201, j.id(), "pending", 0, 0));
+                case CONFLICT -> query(j.id(), reply);
+                default -> reply.accept(later("the job could not be recorded"));
+              }
+            });
+    if (!asked) reply.accept(later("too many requests are waiting"));
+  }
+
+  private String neverRuns(JobSpec j) {
+    Team t = core.settings().teams().get(j.team());
+    if (t == null) return "unknown team " + j.team();
+    boolean any = false;
+    for (MachineType m : core.types().values()) {
+      any |= core.fits(j, m) && (j.zone() == null || m.zones().contains(j.zone()));
+    }
+    if (!any) return "a task fits no allowed machine type";
+    if (t.cpusMax() > 0 && j.cpus() > t.cpusMax()) return "a task needs more cpus than the team's limit";
+    if (t.gpusMax() > 0 && j.gpus() > t.gpusMax()) return "a task needs more gpus than the team's limit";
+    return null;
+  }
+
+  /** Answered from a read made after the question came, or from a final state, which never changes. */
+  void query(String id, Consumer<UserAnswer> reply) {
+    JobRec fin = finals.get(id);
+    if (fin != null) {
+      reply.accept(answer(fin));
+      return;
+    }
+    fresh(
+        id,
+        g -> {
+          if (g.code() != Code.OK) reply.accept(later("no contact with the state service"));
+          else if (g.item().value() == null) reply.accept(UserAnswer.error(404, "no such job"));
+          else reply.accept(answer((JobRec) g.item().value()));
+        });
+  }
+
+  /** Joins questions about one job that come before its read is sent. */
+  private void fresh(String id, Consumer<GetReply> then) {
+    List<Consumer<GetReply>> waiting = reads.get(id);
+    if (waiting != null) {
+      waiting.add(then);
+      return;
+    }
+    List<Consumer<GetReply>> all = new ArrayList<>();
+    all.add(then);
+    reads.put(id, all);
+    core.after(
+        0,
+        () -> {
+          reads.remove(id);
+          boolean asked =
+              store.read(Store.Urgency.USER, Store.JOBS + id, g -> all.forEach(c -> c.accept(g)));
+          if (!asked) all.forEach(c -> c.accept(new GetReply(Code.REFUSED, null)));
+        });
+  }
+
+  private UserAnswer answer(JobRec rec) {
+    String id = rec.spec().id();
+    if (rec.fin() == Final.DONE) return UserAnswer.state(200, id, "done", rec.spec().tasks(), 0);
+    if (rec.fin() == Final.CANCELLED) core.tellsCancelled();
+    if (rec.fin() == Final.CANCELLED) return UserAnswer.state(200, id, "cancelled", rec.doneCount(), 0);
+    int running = core.running(id);
+    return UserAnswer.state(200, id, running > 0 ? "running" : "pending", rec.doneCount(), running);
+  }
+
+  void cancel(String id, Consumer<UserAnswer> reply) {
+    cancel(id, reply, 3);
+  }
+
+  private void cancel(String id, Consumer<UserAnswer> reply, int tries) {
+    JobRec fin = finals.get(id);
+    if (fin != null) {
+      reply.accept(answer(fin));
+      return;
+    }
+    fresh(
+        id,
+        g -> {
+          if (g.code() != Code.OK) {
+            reply.accept(later("no contact with the state service"));
+            return;
+          }
+          if (g.item().value() == null) {
+            reply.accept(UserAnswer.error(404, "no such job"));
+            return;
+          }
+          JobRec rec = (JobRec) g.item().value();
+          if (rec.fin() != Final.NONE) {
+            reply.accept(answer(rec));
+            return;
+          }
+          String key = Store.JOBS + id;
+          JobRec cancelled = rec.withFinal(Final.CANCELLED);
+          boolean asked =
+              store.transact(
+                  Store.Urgency.USER,
+                  new Txn(
+                      List.of(new Cond(key, g.item().version())),
+                      List.of(new Put(key, cancelled, 0)),
+                      List.of()),
+                  r -> {
+                    if (r.code() == Code.OK) reply.accept(answer(cancelled));
+                    else if (r.code() == Code.CONFLICT && tries > 0) cancel(id, reply, tries - 1);
+                    else reply.accept(later("the cancellation could not be recorded"));
+                  });
+          if (!asked) reply.accept(later("too many requests are waiting"));
+        });
+  }
+}
--- /dev/null
+++ b/src/main/java/mallowstall/core/View.java
@@ -0,0 +1,154 @@
+package mallowstall.core;
+
+import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import mallowstall.core.Model.*;
+
+/**
+ * What this controller knows of all machines: its own from reports, the others' from their owners'
+ * rosters. Always partial and a little old; owners vet every start.
+ */
+final class View {
+  /** One machine as seen from here. Mutable. */
+  static final class Seen {
+    final String id;
+    String owner;
+    long ownerIncarnation;
+    long rosterRevision;
+    long at;
+    RosterMachine m;
+    /** Room taken by starts sent from here and not yet in the owner's roster. */
+    double sentCpus;
+
+    double sentGpus;
+    double sentMemory;
+    long avoidUntil;
+
+    Seen(String id) {
+      this.id = id;
+    }
+
+    double freeCpus() {
+      return m.freeCpus() - sentCpus;
+    }
+
+    double freeGpus() {
+      return m.freeGpus() - sentGpus;
+    }
+
+    double freeMemory() {
+      return m.freeMemoryGb() - sentMemory;
+    }
+
+    boolean takes() {
+      return m != null && owner != null && m.usable() && !m.draining() && !m.silent() && !m.replace();
+    }
+  }
+
+  /** What is known of a controller's roster. */
+  static final class Peer {
+    final String node;
+    long incarnation;
+    long serial;
+    long connection;
+    long nextSeq = 1;
+    long ackedConnection;
+    long ackedSeq;
+    long rosterAt = Long.MIN_VALUE / 2;
+    long rosterRevision;
+    long mirrorFreshAt = Long.MIN_VALUE / 2;
+    long cancelAt = Long.MIN_VALUE / 2;
+    /** What this controller acknowledges to that one. */
+    long gotConnection;
+
+    long gotSeq;
+    long gotIncarnation;
+    Set<String> machines = new HashSet<>();
+
+    Peer(String node) {
+      this.node = node;
+    }
+  }
+
+  final Map<String, Seen> machines = new Object2ObjectOpenHashMap<>();
+  final Map<String, Peer> peers = new HashMap<>();
+  private final Core core;
+
+  View(Core core) {
+    this.core = core;
+  }
+
+  Peer peer(String node) {
+    return peers.computeIfAbsent(node, Peer::new);
+  }
+
+  /** Takes in a roster; returns false if it is older than what is known. */
+  boolean roster(Roster r) {
+    Peer p = peer(r.node());
+    if (r.incarnation() < p.incarnation) return false;
+    if (r.incarnation() > p.incarnation) {
+      p.incarnation = r.incarnation();
+      p.ackedConnection = 0;
+      p.ackedSeq = 0;
+      p.serial = 0;
+    }
+    if (r.serial() <= p.serial) return false;
+    p.serial = r.serial();
+    long now = core.now();
+    p.rosterAt = now;
+    p.rosterRevision = r.mirrorRevision();
+    p.ackedConnection = r.ackedConnection();
+    p.ackedSeq = r.ackedSeq();
+    p.mirrorFreshAt = now - r.sinceMirrorMs();
+    p.cancelAt = now - r.sinceCancelMs();
+    Set<String> names = new HashSet<>();
+    for (RosterMachine m : r.machines()) {
+      Seen s = machines.computeIfAbsent(m.machine(), Seen::new);
+      if (s.m != null && s.m.token() > m.token()) continue;
+      names.add(m.machine());
+      if (s.owner != null && !s.owner.equals(r.node())) peer(s.owner).machines.remove(m.machine());
+      s.owner = r.node();
+      s.ownerIncarnation = r.incarnation();
+      s.rosterRevision = r.mirrorRevision();
+      s.at = now;
+      s.m = m;
+    }
+    for (String id : p.machines) {
+      if (names.contains(id)) continue;
+      Seen s = machines.get(id);
+      if (s != null && r.node().equals(s.owner)) s.owner = null;
+    }
+    p.machines = names;
+    return true;
+  }
+
+  void gone(String machine) {
+    Seen s = machines.remove(machine);
+    if (s != null && s.owner != null) peer(s.owner).machines.remove(machine);
+  }
+
+  /**
+   * Whether the machine's owner has followed the state service to {@code revision} and told all that
+   * is on it: then no start of an older epoch can reach it any more.
+   */
+  boolean accounted(String machine, MachineRec rec, long revision) {
+    Seen s = machines.get(machine);
+    return s != null
+        && s.owner != null
+        && s.m != null
+        && s.owner.equals(rec.node())
+        && s.ownerIncarnation == rec.incarnation()
+        && s.m.token() == rec.token()
+        && s.m.confirmed()
+        && s.rosterRevision >= revision;
+  }
+
+  List<Seen> all() {
+    return new ArrayList<>(machines.values());
+  }
+}
--- /dev/null
+++ b/src/main/java/mallowstall/net/Duty.java
@@ -0,0 +1,35 @@
+package mallowstall.net;
+
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** A named long-lived task on the event loop, run at a fixed delay until it is cancelled. */
+public final class Duty {
+  private static final Logger LOG = LoggerFactory.getLogger("mallowstall.duty");
+  private final String name;
+  private final ScheduledFuture<?> future;
+
+  public Duty(String name, EventLoop loop, long everyMs, Runnable body) {
+    this.name = name;
+    this.future =
+        loop.scheduleWithFixedDelay(
+            () -> {
+              try {
+                body.run();
+              } catch (RuntimeException e) {
+                LOG.error("duty {} failed", name, e);
+              }
+            },
+            0,
+            everyMs,
+            TimeUnit.MILLISECONDS);
+  }
+
+  public void cancel() {
+    LOG.debug("duty {} ends", name);
+    future.cancel(false);
+  }
+}
--- /dev/null
+++ b/src/main/java/mallowstall/net/HttpClient.java
@@ -0,0 +1,206 @@
+package mallowstall.net;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.concurrent.TimeUnit;
+
+/** Requests to one server over a bounded number of persistent connections, without pipelining. */
+public final class HttpClient {
+  /** Status 0: no answer, perhaps executed. Status -1: never sent. */
+  public record Reply(int status, byte[] body) {
+    public static final Reply UNKNOWN = new Reply(0, new byte[0]);
+    public static final Reply UNSENT = new Reply(-1, new byte[0]);
+  }
+
+  /** Receives the reply on the event loop. */
+  public interface Callback {
+    void done(Reply r);
+  }
+
+  private static final int MAX_RESPONSE = 8 << 20;
+  private static final int MAX_QUEUE = 400;
+
+  private final EventLoop loop;
+  private final InetSocketAddress address;
+  private final int maxConnections;
+  private final String host;
+  private final ArrayDeque<Conn> idle = new ArrayDeque<>();
+  private final ArrayDeque<Call> queue = new ArrayDeque<>();
+  private int open;
+
+  private static final class Call {
+    final HttpMethod method;
+    final String path;
+    final byte[] body;
+    final Callback then;
+    final long deadline;
+    boolean sent;
+    boolean over;
+
+    Call(HttpMethod method, String path, byte[] body, long deadline, Callback then) {
+      this.method = method;
+      this.path = path;
+      this.body = body;
+      this.deadline = deadline;
+      this.then = then;
+    }
+
+    void finish(Reply r) {
+      if (over) return;
+      over = true;
+      then.done(r);
+    }
+  }
+
+  public HttpClient(EventLoop loop, InetSocketAddress address, int maxConnections) {
+    this.loop = loop;
+    this.address = address;
+    this.maxConnections = maxConnections;
+    this.host = address.getAddress().getHostAddress() + ":" + address.getPort();
+  }
+
+  public void call(HttpMethod method, String path, byte[] body, long timeoutMs, Callback then) {
+    Call c = new Call(method, path, body, System.nanoTime() + timeoutMs * 1_000_000, then);
+    Conn conn = idle.poll();
+    if (conn != null) {
+      conn.send(c);
+    } else if (open < maxConnections) {
+      connect(c);
+    } else if (queue.size() >= MAX_QUEUE) {
+      loop.execute(() -> c.finish(Reply.UNSENT));
+    } else {
+      queue.add(c);
+      // a call that waits too long for a connection was surely never sent
+      loop.schedule(
+          () -> {
+            if (queue.remove(c)) c.finish(Reply.UNSENT);
+          },
+          timeoutMs,
+          TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void connect(Call c) {
+    open++;
+    long left = Math.max(1, (c.deadline - System.nanoTime()) / 1_000_000);
+    Conn conn = new Conn();
+    new Bootstrap()
+        .group(loop)
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.min(left, 1_000))
+        .handler(
+            new ChannelInitializer<SocketChannel>() {
+              @Override
+              protected void initChannel(SocketChannel ch) {
+                ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_RESPONSE), conn);
+              }
+            })
+        .connect(address)
+        .addListener(
+            f -> {
+              if (f.isSuccess()) {
+                conn.send(c);
+              } else {
+                open--;
+                c.finish(Reply.UNSENT);
+                next();
+              }
+            });
+  }
+
+  private void next() {
+    while (!queue.isEmpty()) {
+      Conn conn = idle.poll();
+      if (conn != null) conn.send(queue.poll());
+      else if (open < maxConnections) connect(queue.poll());
+      else return;
+    }
+  }
+
+  /** One connection: one call at a time. */
+  private final class Conn extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private Channel channel;
+    private Call current;
+    private ScheduledFuture<?> timer;
+    private boolean closed;
+
+    void send(Call c) {
+      current = c;
+      c.sent = true;
+      ByteBuf body = c.body == null ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(c.body);
+      DefaultFullHttpRequest q = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, c.method, c.path, body);
+      q.headers().set(HttpHeaderNames.HOST, host);
+      if (c.body != null) q.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+      q.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+      long left = Math.max(1, (c.deadline - System.nanoTime()) / 1_000_000);
+      timer = loop.schedule(() -> channel.close(), left, TimeUnit.MILLISECONDS);
+      channel.writeAndFlush(q);
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+      channel = ctx.channel();
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse m) {
+      Call c = current;
+      if (c == null) {
+        ctx.close();
+        return;
+      }
+      current = null;
+      timer.cancel(false);
+      byte[] b = new byte[m.content().readableBytes()];
+      m.content().readBytes(b);
+      boolean keep = HttpUtil.isKeepAlive(m);
+      if (keep) idle.push(this);
+      else ctx.close();
+      next();
+      c.finish(new Reply(m.status().code(), b));
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+      if (closed) return;
+      closed = true;
+      open--;
+      idle.remove(this);
+      if (timer != null) timer.cancel(false);
+      if (current != null) {
+        Call c = current;
+        current = null;
+        c.finish(Reply.UNKNOWN);
+      }
+      next();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable e) {
+      ctx.close();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/mallowstall/net/HttpServer.java
@@ -0,0 +1,203 @@
+package mallowstall.net;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.TooLongFrameException;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.handler.timeout.IdleStateHandler;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import mallowstall.Constants;
+
+/** Serves HTTP to users, workers and health checks; one handler per connection, bounded in number. */
+public final class HttpServer {
+  /** One request; {@code body} is complete. */
+  public record Request(String method, String path, byte[] body) {}
+
+  /** Takes the answer, once. */
+  public interface Responder {
+    void answer(int status, byte[] json, int retryAfterS);
+  }
+
+  public interface Handler {
+    void handle(Request q, Responder r);
+  }
+
+  private final Handler handler;
+  private final int maxConnections;
+  private int open;
+  private Channel listening;
+
+  public HttpServer(Handler handler, int maxConnections) {
+    this.handler = handler;
+    this.maxConnections = maxConnections;
+  }
+
+  public void listen(EventLoopGroup group, InetSocketAddress at) throws InterruptedException {
+    listening =
+        new ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, 256)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel ch) {
+                    if (open >= maxConnections) {
+                      ch.close();
+                      return;
+                    }
+                    Conn c = new Conn();
+                    ch.pipeline()
+                        .addLast(
+                            new IdleStateHandler(Constants.SLOW_REQUEST_S, 0, 0),
+                            new Guard(c),
+                            new HttpServerCodec(4096, 8192, 8192),
+                            new Whole(),
+                            c);
+                  }
+                })
+            .bind(at)
+            .sync()
+            .channel();
+  }
+
+  public InetSocketAddress address() {
+    return (InetSocketAddress) listening.localAddress();
+  }
+
+  public void close() {
+    listening.close();
+  }
+
+  /** A body over the limit is the sender's mistake: 400, as the protocol says. */
+  private static final class Whole extends HttpObjectAggregator {
+    Whole() {
+      super(Constants.BODY_MAX);
+    }
+
+    @Override
+    protected void handleOversizedMessage(ChannelHandlerContext ctx, HttpMessage m) {
+      write(ctx, 400, "{\"error\":\"the body is larger than 64 KiB\"}".getBytes(StandardCharsets.UTF_8), 0, false);
+    }
+  }
+
+  /** Closes connections whose request arrives too slowly or never. */
+  private final class Guard extends ChannelInboundHandlerAdapter {
+    private final Conn conn;
+    private long since;
+    private int idles;
+
+    Guard(Conn conn) {
+      this.conn = conn;
+    }
+
+    @Override
+    public void channelActive(ChannelHandlerContext ctx) {
+      open++;
+      since = System.nanoTime();
+      ctx.fireChannelActive();
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+      open--;
+      ctx.fireChannelInactive();
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object m) {
+      idles = 0;
+      if (conn.complete) {
+        conn.complete = false;
+        since = System.nanoTime();
+      } else if (!conn.busy && System.nanoTime() - since > TimeUnit.SECONDS.toNanos(Constants.SLOW_REQUEST_S)) {
+        if (m instanceof ByteBuf b) b.release();
+        ctx.close();
+        return;
+      }
+      ctx.fireChannelRead(m);
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object e) {
+      if (e instanceof IdleStateEvent && !conn.busy) {
+        boolean partial = !conn.complete;
+        if (partial || ++idles * Constants.SLOW_REQUEST_S >= Constants.IDLE_CONNECTION_S) ctx.close();
+      }
+    }
+  }
+
+  private final class Conn extends SimpleChannelInboundHandler<FullHttpRequest> {
+    /** The last request has arrived whole and no further one has begun. */
+    private boolean complete;
+
+    private boolean busy;
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest q) {
+      complete = true;
+      busy = true;
+      boolean keep = HttpUtil.isKeepAlive(q);
+      if (!q.decoderResult().isSuccess()) {
+        write(ctx, 400, "{\"error\":\"not a valid HTTP request\"}".getBytes(StandardCharsets.UTF_8), 0, false);
+        return;
+      }
+      byte[] body = new byte[q.content().readableBytes()];
+      q.content().readBytes(body);
+      handler.handle(
+          new Request(q.method().name(), q.uri(), body),
+          (status, json, retry) -> {
+            if (!busy) return;
+            busy = false;
+            write(ctx, status, json, retry, keep);
+          });
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable e) {
+      if (e instanceof TooLongFrameException) {
+        write(ctx, 400, "{\"error\":\"not a valid HTTP request\"}".getBytes(StandardCharsets.UTF_8), 0, false);
+      } else {
+        ctx.close();
+      }
+    }
+  }
+
+  private static void write(ChannelHandlerContext ctx, int status, byte[] json, int retryAfterS, boolean keep) {
+    DefaultFullHttpResponse r =
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(json));
+    r.headers().set(HttpHeaderNames.CONTENT_TYPE, json.length > 0 && json[0] == '{' ? "application/json" : "text/plain");
+    r.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, json.length);
+    if (retryAfterS > 0) r.headers().setInt(HttpHeaderNames.RETRY_AFTER, retryAfterS);
+    if (!keep) r.headers().set(HttpHeaderNames.CONNECTION, "close");
+    var f = ctx.writeAndFlush(r);
+    if (!keep) f.addListener(ChannelFutureListener.CLOSE);
+  }
+}
--- /dev/null
+++ b/src/main/java/mallowstall/peers/PeersAdapter.java
@@ -0,0 +1,166 @@
+package mallowstall.peers;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import mallowstall.Constants;
+import mallowstall.core.Core;
+import mallowstall.core.Model.PeerMessage;
+import mallowstall.core.Model.Roster;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One connection to each peer for what this controller says, and one from each for what it hears. */
+public final class PeersAdapter {
+  private static final Logger LOG = LoggerFactory.getLogger("mallowstall.peers");
+
+  private final EventLoop loop;
+  private final Core core;
+  private final Consumer<Runnable> events;
+  private final Map<String, Link> links = new HashMap<>();
+  private final int maxInbound;
+  private int inbound;
+  private long connections;
+  private Channel listening;
+  private boolean closed;
+
+  public PeersAdapter(EventLoop loop, Core core, Consumer<Runnable> events, int maxInbound) {
+    this.loop = loop;
+    this.core = core;
+    this.events = events;
+    this.maxInbound = maxInbound;
+  }
+
+  public void listen(EventLoopGroup group, InetSocketAddress at) throws InterruptedException {
+    listening =
+        new ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel ch) {
+                    if (inbound >= maxInbound) {
+                      ch.close();
+                      return;
+                    }
+                    inbound++;
+                    ch.closeFuture().addListener(f -> inbound--);
+                    ch.pipeline()
+                        .addLast(new LengthFieldBasedFrameDecoder(Constants.PEER_FRAME_MAX, 0, 4, 0, 4), new Hearing());
+                  }
+                })
+            .bind(at)
+            .sync()
+            .channel();
+  }
+
+  public void connect(String node, InetSocketAddress at) {
+    Link l = new Link(node, at);
+    links.put(node, l);
+    l.connect();
+  }
+
+  public void send(String node, PeerMessage m) {
+    Link l = links.get(node);
+    if (l == null || l.channel == null || !l.channel.isActive()) return;
+    // a roster says everything anew, so one that can't leave yet is not worth keeping
+    if (m instanceof Roster && l.channel.bytesBeforeUnwritable() <= 0) return;
+    l.channel.writeAndFlush(Unpooled.wrappedBuffer(PeerCodec.encode(m)));
+  }
+
+  public void close() {
+    closed = true;
+    if (listening != null) listening.close();
+    for (Link l : links.values()) if (l.channel != null) l.channel.close();
+  }
+
+  private final class Hearing extends SimpleChannelInboundHandler<ByteBuf> {
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, ByteBuf b) throws IOException {
+      byte[] bytes = new byte[b.readableBytes()];
+      b.readBytes(bytes);
+      PeerMessage m = PeerCodec.decode(bytes);
+      events.accept(() -> core.message(m));
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable e) {
+      LOG.debug("connection from a peer ends: {}", e.toString());
+      ctx.close();
+    }
+  }
+
+  /** What this controller says to one peer. */
+  private final class Link {
+    private final String node;
+    private final InetSocketAddress at;
+    private Channel channel;
+
+    Link(String node, InetSocketAddress at) {
+      this.node = node;
+      this.at = at;
+    }
+
+    void connect() {
+      if (closed) return;
+      new Bootstrap()
+          .group(loop)
+          .channel(NioSocketChannel.class)
+          .option(ChannelOption.ALLOCATOR, UnpooledByteBufAllocator.DEFAULT)
+          .option(ChannelOption.TCP_NODELAY, true)
+          .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1_500)
+          .option(
+              ChannelOption.WRITE_BUFFER_WATER_MARK,
+              new io.netty.channel.WriteBufferWaterMark(Constants.PEER_BACKLOG_MAX / 2, Constants.PEER_BACKLOG_MAX))
+          .handler(
+              new ChannelInitializer<SocketChannel>() {
+                @Override
+                protected void initChannel(SocketChannel ch) {
+                  ch.pipeline().addLast(new LengthFieldPrepender(4));
+                }
+              })
+          .connect(at)
+          .addListener(
+              f -> {
+                if (!f.isSuccess()) {
+                  again();
+                  return;
+                }
+                channel = ((io.netty.channel.ChannelFuture) f).channel();
+                long n = ++connections;
+                LOG.info("connected to {}", node);
+                channel.closeFuture().addListener(c -> again());
+                events.accept(() -> core.connected(node, n));
+              });
+    }
+
+    private void again() {
+      channel = null;
+      if (!closed) loop.schedule(this::connect, Constants.PEER_RETRY_MS, TimeUnit.MILLISECONDS);
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/mallowstall/state/StateAdapter.java
@@ -0,0 +1,224 @@
+package mallowstall.state;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.annotation.JsonProperty;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.handler.codec.http.HttpMethod;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import mallowstall.Constants;
+import mallowstall.core.Effects.*;
+import mallowstall.core.Model.*;
+import mallowstall.net.HttpClient;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The state service's HTTP interface. Values are the core's records as JSON. */
+public final class StateAdapter {
+  private static final Logger LOG = LoggerFactory.getLogger("mallowstall.state");
+
+  // ---- wire types ---------------------------------------------------------------------------
+  record CondWire(@JsonProperty("key") String key, @JsonProperty("sello") long version) {}
+
+  @JsonInclude(JsonInclude.Include.NON_NULL)
+  record OpWire(
+      @JsonProperty("set") String put,
+      @JsonProperty("data") Entry value,
+      @JsonProperty("permiso") Long lease,
+      @JsonProperty("drop") String delete) {}
+
+  record TxnWire(@JsonProperty("when") List<CondWire> when, @JsonProperty("then") List<OpWire> then) {}
+
+  record RevisionWire(@JsonProperty("tirada") long revision) {}
+
+  record ItemWire(
+      @JsonProperty("key") String key,
+      @JsonProperty("data") JsonNode value,
+      @JsonProperty("sello") long version,
+      @JsonProperty("set") String put,
+      @JsonProperty("drop") String delete) {}
+
+  record ListWire(
+      @JsonProperty("entries") List<ItemWire> items,
+      @JsonProperty("has_next") boolean more,
+      @JsonProperty("tirada") long revision) {}
+
+  record WatchWire(@JsonProperty("tirada") long revision, @JsonProperty("events") List<ItemWire> events) {}
+
+  record TtlWire(@JsonProperty("life_ms") long ttlMs) {}
+
+  record LeaseWire(@JsonProperty("permiso") long lease) {}
+
+  private static final String PREFIX = "c/";
+
+  private final ObjectMapper json;
+  private final HttpClient calls;
+  private final HttpClient watches;
+  private final Consumer<Runnable> events;
+
+  /** {@code events} runs what it is given as one event of the core. */
+  public StateAdapter(ObjectMapper json, HttpClient calls, HttpClient watches, Consumer<Runnable> events) {
+    this.json = json;
+    this.calls = calls;
+    this.watches = watches;
+    this.events = events;
+  }
+
+  private static Code code(int status) {
+    return switch (status) {
+      case 200 -> Code.OK;
+      case 409 -> Code.CONFLICT;
+      case 404, 410 -> Code.GONE;
+      case 0 -> Code.UNKNOWN;
+      default -> Code.REFUSED;
+    };
+  }
+
+  private void call(HttpMethod m, String path, Object body, Consumer<HttpClient.Reply> then) {
+    byte[] b;
+    try {
+      b = body == null ? null : json.writeValueAsBytes(body);
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+    calls.call(m, path, b, Constants.STATE_TIMEOUT_MS, r -> events.accept(() -> then.accept(r)));
+  }
+
+  private <T> T read(byte[] b, Class<T> type) {
+    try {
+      return json.readValue(b, type);
+    } catch (IOException e) {
+      LOG.error("unreadable answer of the state service: {}", e.getMessage());
+      return null;
+    }
+  }
+
+  private Entry entry(String key, JsonNode v) {
+    if (v == null || v.isNull()) return null;
+    Class<? extends Entry> type =
+        switch (key.length() < 4 ? "" : key.substring(0, 4)) {
+          case "c/j/" -> JobRec.class;
+          case "c/m/" -> MachineRec.class;
+          case "c/n/" -> SessionRec.class;
+          case "c/t/" -> TeamRec.class;
+          case "c/d/" -> DigestRec.class;
+          case "c/b/" -> BitsRec.class;
+          default -> key.equals("c/cloud") ? DutyRec.class : key.equals("c/incarnations") ? CounterRec.class : null;
+        };
+    if (type == null) return null;
+    try {
+      return json.treeToValue(v, type);
+    } catch (IOException e) {
+      LOG.error("unreadable value of {}: {}", key, e.getMessage());
+      return null;
+    }
+  }
+
+  public void transact(Txn t, Consumer<TxnReply> then) {
+    List<CondWire> when = new ArrayList<>();
+    for (Cond c : t.when()) when.add(new CondWire(c.key(), c.version()));
+    List<OpWire> ops = new ArrayList<>();
+    for (Put p : t.puts()) ops.add(new OpWire(p.key(), p.value(), p.lease() == 0 ? null : p.lease(), null));
+    for (String k : t.drops()) ops.add(new OpWire(null, null, null, k));
+    call(
+        HttpMethod.POST,
+        "/multi",
+        new TxnWire(when, ops),
+        r -> {
+          Code c = code(r.status());
+          if (r.status() == 400) {
+            String text = new String(r.body(), java.nio.charset.StandardCharsets.UTF_8);
+            if (text.contains("no such lease")) c = Code.NO_LEASE;
+            else LOG.error("the state service calls a transaction malformed: {}", text);
+          }
+          RevisionWire w = c == Code.OK || c == Code.CONFLICT ? read(r.body(), RevisionWire.class) : null;
+          if (w == null && c == Code.OK) c = Code.UNKNOWN;
+          then.accept(new TxnReply(c, w == null ? 0 : w.revision()));
+        });
+  }
+
+  public void get(String key, Consumer<GetReply> then) {
+    call(
+        HttpMethod.GET,
+        "/keys/" + key,
+        null,
+        r -> {
+          if (r.status() == 404) {
+            then.accept(new GetReply(Code.OK, new Item(key, null, 0)));
+            return;
+          }
+          ItemWire w = r.status() == 200 ? read(r.body(), ItemWire.class) : null;
+          Entry e = w == null ? null : entry(key, w.value());
+          if (e == null) then.accept(new GetReply(r.status() == 200 ? Code.REFUSED : code(r.status()), null));
+          else then.accept(new GetReply(Code.OK, new Item(key, e, w.version())));
+        });
+  }
+
+  public void list(String after, Consumer<ListReply> then) {
+    call(
+        HttpMethod.GET,
+        "/keys?under=" + PREFIX + (after == null ? "" : "&after=" + after) + "&page=" + Constants.LIST_PAGE,
+        null,
+        r -> {
+          ListWire w = r.status() == 200 ? read(r.body(), ListWire.class) : null;
+          if (w == null) {
+            then.accept(new ListReply(Code.REFUSED, List.of(), false, 0));
+            return;
+          }
+          then.accept(new ListReply(Code.OK, items(w.items()), w.more(), w.revision()));
+        });
+  }
+
+  private List<Item> items(List<ItemWire> in) {
+    List<Item> out = new ArrayList<>();
+    if (in == null) return out;
+    for (ItemWire i : in) {
+      if (i.delete() != null) {
+        out.add(new Item(i.delete(), null, i.version()));
+        continue;
+      }
+      String key = i.put() != null ? i.put() : i.key();
+      Entry e = entry(key, i.value());
+      if (e != null) out.add(new Item(key, e, i.version()));
+    }
+    return out;
+  }
+
+  public void watch(long after, long holdMs, Consumer<WatchReply> then) {
+    watches.call(
+        HttpMethod.GET,
+        "/changes?under=" + PREFIX + "&after=" + after + "&hold_ms=" + holdMs,
+        null,
+        holdMs + Constants.STATE_TIMEOUT_MS,
+        r ->
+            events.accept(
+                () -> {
+                  WatchWire w = r.status() == 200 ? read(r.body(), WatchWire.class) : null;
+                  if (w != null) then.accept(new WatchReply(Code.OK, items(w.events()), w.revision()));
+                  else then.accept(new WatchReply(r.status() == 410 ? Code.GONE : Code.REFUSED, List.of(), 0));
+                }));
+  }
+
+  public void grantLease(long ttlMs, Consumer<LeaseReply> then) {
+    call(
+        HttpMethod.POST,
+        "/leases",
+        new TtlWire(ttlMs),
+        r -> {
+          LeaseWire w = r.status() == 200 ? read(r.body(), LeaseWire.class) : null;
+          then.accept(new LeaseReply(w == null ? Code.REFUSED : Code.OK, w == null ? 0 : w.lease()));
+        });
+  }
+
+  public void renewLease(long lease, Consumer<LeaseReply> then) {
+    call(
+        HttpMethod.POST,
+        "/leases/" + lease + "/renew",
+        null,
+        r -> then.accept(new LeaseReply(r.status() == 404 ? Code.GONE : r.status() == 200 ? Code.OK : Code.REFUSED, lease)));
+  }
+
+}
