--- a/src/main/java/mallowstall/net/HttpClient.java
+++ b/src/main/java/mallowstall/net/HttpClient.java
@@ -160,8 +160,9 @@
       channel.writeAndFlush(q);
     }
 
+    /** Not channelActive: the connect listener, which sends the first call, may run before it. */
     @Override
-    public void channelActive(ChannelHandlerContext ctx) {
+    public void handlerAdded(ChannelHandlerContext ctx) {
       channel = ctx.channel();
     }
 
