--- a/src/main/java/mallowstall/Constants.java
+++ b/src/main/java/mallowstall/Constants.java
@@ -33,7 +33,9 @@
   /** ms. Wait after a failure of the state service before the next try of a standing duty. */
   public static final long STATE_RETRY_MS = 400;
 
-  /** Count. Most operations waiting for the state service's budget; beyond it callers are refused. */
+  /**
+   * Count. Most operations waiting for the state service's budget; beyond it callers are refused.
+   */
   public static final int STATE_BACKLOG = 200;
 
   /** Count. Connections to the state service besides the watch; requests are not pipelined. */
--- a/src/main/java/mallowstall/Meters.java
+++ b/src/main/java/mallowstall/Meters.java
@@ -20,19 +20,30 @@
   }
 
   void time(String what, long nanos) {
-    times.computeIfAbsent(what, k -> new Histogram(MAX_US, 2)).recordValue(Math.min(MAX_US, Math.max(0, nanos / 1_000)));
+    times
+        .computeIfAbsent(what, k -> new Histogram(MAX_US, 2))
+        .recordValue(Math.min(MAX_US, Math.max(0, nanos / 1_000)));
   }
 
   String text() {
     StringBuilder b = new StringBuilder();
     for (Map.Entry<String, Counter> e : counters.entrySet()) {
-      b.append("mallowstall_").append(e.getKey()).append("_total ").append((long) e.getValue().count()).append('\n');
+      b.append("mallowstall_")
+          .append(e.getKey())
+          .append("_total ")
+          .append((long) e.getValue().count())
+          .append('\n');
     }
     for (Map.Entry<String, Histogram> e : times.entrySet()) {
       Histogram h = e.getValue();
       String n = "mallowstall_" + e.getKey() + "_seconds";
       for (double q : new double[] {0.5, 0.95, 0.99}) {
-        b.append(n).append("{quantile=\"").append(q).append("\"} ").append(h.getValueAtPercentile(q * 100) / 1e6).append('\n');
+        b.append(n)
+            .append("{quantile=\"")
+            .append(q)
+            .append("\"} ")
+            .append(h.getValueAtPercentile(q * 100) / 1e6)
+            .append('\n');
       }
       b.append(n).append("_count ").append(h.getTotalCount()).append('\n');
     }
--- a/src/main/java/mallowstall/Service.java
+++ b/src/main/java/mallowstall/Service.java
@@ -58,7 +58,8 @@
     HttpClient cloudCalls = new HttpClient(loop, Settings.address(s.endpoints().cloud()), 2);
     this.state = new StateAdapter(json, stateCalls, watches, events);
     this.cloud = new CloudAdapter(json, cloudCalls, events);
-    this.core = new Core(coreSettings(s), new World(), policies, meters, s.node().hashCode() * 31L + 7);
+    this.core =
+        new Core(coreSettings(s), new World(), policies, meters, s.node().hashCode() * 31L + 7);
     int sockets =
         s.facts().limits() == null || s.facts().limits().maxConnections() == null
             ? 500
@@ -115,7 +116,8 @@
     loop.execute(
         () -> {
           if (settings.peers() != null) {
-            for (Settings.Peer p : settings.peers()) peers.connect(p.node(), Settings.address(p.addr()));
+            for (Settings.Peer p : settings.peers())
+              peers.connect(p.node(), Settings.address(p.addr()));
           }
           ticks = new Duty("tick", loop, Constants.TICK_MS, () -> event(core::tick));
         });
--- a/src/main/java/mallowstall/cli/Main.java
+++ b/src/main/java/mallowstall/cli/Main.java
@@ -34,7 +34,10 @@
     }
   }
 
-  @Option(names = "--config", paramLabel = "FILE", description = "Serve with these settings (JSON).")
+  @Option(
+      names = "--config",
+      paramLabel = "FILE",
+      description = "Serve with these settings (JSON).")
   private Path config;
 
   public static void main(String[] args) {
--- a/src/main/java/mallowstall/cloud/CloudAdapter.java
+++ b/src/main/java/mallowstall/cloud/CloudAdapter.java
@@ -50,7 +50,8 @@
       @JsonProperty("held_s") double ageS) {}
 
   record MachinesWire(
-      @JsonProperty("sierras") List<MachineWire> machines, @JsonProperty("has_next") boolean more) {}
+      @JsonProperty("sierras") List<MachineWire> machines,
+      @JsonProperty("has_next") boolean more) {}
 
   private static final int PAGE = 500;
 
@@ -64,7 +65,12 @@
     this.events = events;
   }
 
-  private <T> void call(HttpMethod m, String path, Object body, Class<T> type, java.util.function.BiConsumer<Integer, T> then) {
+  private <T> void call(
+      HttpMethod m,
+      String path,
+      Object body,
+      Class<T> type,
+      java.util.function.BiConsumer<Integer, T> then) {
     byte[] b;
     try {
       b = body == null ? null : json.writeValueAsBytes(body);
@@ -106,7 +112,15 @@
           for (TypeWire t : w.types()) {
             out.add(
                 new MachineType(
-                    t.name, t.cpus, t.gpus, t.memoryGb, t.cacheGb, t.fetchGbPerS, t.price, t.spotPrice, t.bootS,
+                    t.name,
+                    t.cpus,
+                    t.gpus,
+                    t.memoryGb,
+                    t.cacheGb,
+                    t.fetchGbPerS,
+                    t.price,
+                    t.spotPrice,
+                    t.bootS,
                     t.zones == null ? List.of() : t.zones));
           }
           then.accept(out);
@@ -121,11 +135,18 @@
         NamesWire.class,
         (status, w) ->
             then.accept(
-                new RentReply(w == null && status == 200 ? 0 : status, w == null || w.machines() == null ? List.of() : w.machines())));
+                new RentReply(
+                    w == null && status == 200 ? 0 : status,
+                    w == null || w.machines() == null ? List.of() : w.machines())));
   }
 
   public void giveBack(List<String> machines, Consumer<Boolean> then) {
-    call(HttpMethod.POST, "/machines/return", new NamesWire(machines), null, (status, w) -> then.accept(status == 200));
+    call(
+        HttpMethod.POST,
+        "/machines/return",
+        new NamesWire(machines),
+        null,
+        (status, w) -> then.accept(status == 200));
   }
 
   public void listMachines(String after, Consumer<ListedReply> then) {
@@ -141,7 +162,8 @@
           }
           List<Listed> out = new ArrayList<>();
           for (MachineWire m : w.machines()) {
-            out.add(new Listed(m.id, m.type, m.zone, m.spot, m.state == null ? "" : m.state, m.ageS));
+            out.add(
+                new Listed(m.id, m.type, m.zone, m.spot, m.state == null ? "" : m.state, m.ageS));
           }
           then.accept(new ListedReply(true, out, w.more()));
         });
--- a/src/main/java/mallowstall/config/Settings.java
+++ b/src/main/java/mallowstall/config/Settings.java
@@ -21,9 +21,12 @@
     @JsonProperty("facts") Facts facts) {
 
   public record Peer(
-      @JsonProperty("node") String node, @JsonProperty("location") String zone, @JsonProperty("addr") String addr) {}
+      @JsonProperty("node") String node,
+      @JsonProperty("location") String zone,
+      @JsonProperty("addr") String addr) {}
 
-  public record Endpoints(@JsonProperty("cloud") String cloud, @JsonProperty("state") String state) {}
+  public record Endpoints(
+      @JsonProperty("cloud") String cloud, @JsonProperty("state") String state) {}
 
   public record Team(
       @JsonProperty("name") String name,
@@ -48,7 +51,8 @@
       @JsonProperty("value_kb") Double valueKb,
       @JsonProperty("txn_ops") Integer txnOps) {}
 
-  public record Cloud(@JsonProperty("rps") Double rps, @JsonProperty("list_lag_s") Double listLagS) {}
+  public record Cloud(
+      @JsonProperty("rps") Double rps, @JsonProperty("list_lag_s") Double listLagS) {}
 
   public record Limits(@JsonProperty("fd_limit") Integer maxConnections) {}
 
@@ -87,12 +91,18 @@
     } catch (JsonMappingException e) {
       StringBuilder path = new StringBuilder();
       for (JsonMappingException.Reference r : e.getPath()) {
-        if (r.getFieldName() != null) path.append(path.length() > 0 ? "." : "").append(r.getFieldName());
+        if (r.getFieldName() != null)
+          path.append(path.length() > 0 ? "." : "").append(r.getFieldName());
         else path.append('[').append(r.getIndex()).append(']');
       }
       throw new Invalid((path.length() == 0 ? "the file" : path) + " has the wrong type");
     } catch (JsonProcessingException e) {
-      throw new Invalid("not JSON (line " + e.getLocation().getLineNr() + ", column " + e.getLocation().getColumnNr() + ")");
+      throw new Invalid(
+          "not JSON (line "
+              + e.getLocation().getLineNr()
+              + ", column "
+              + e.getLocation().getColumnNr()
+              + ")");
     } catch (IOException e) {
       throw new Invalid("can't be read");
     }
@@ -111,12 +121,14 @@
         address("known[" + i + "].addr", peers.get(i).addr);
       }
     }
-    if (endpoints == null) throw new Invalid("endpoints is missing: expected an object with cloud and state");
+    if (endpoints == null)
+      throw new Invalid("endpoints is missing: expected an object with cloud and state");
     address("endpoints.cloud", endpoints.cloud);
     address("endpoints.state", endpoints.state);
     if (facts == null) throw new Invalid("facts is missing: expected an object");
     if (facts.teams == null) throw new Invalid("facts.teams is missing: expected a list");
-    for (int i = 0; i < facts.teams.size(); i++) text("facts.teams[" + i + "].name", facts.teams.get(i).name);
+    for (int i = 0; i < facts.teams.size(); i++)
+      text("facts.teams[" + i + "].name", facts.teams.get(i).name);
     if (facts.workers == null) throw new Invalid("facts.workers is missing: expected an object");
     positive("facts.workers.report_s", facts.workers.reportS);
     positive("facts.workers.lease_s", facts.workers.leaseS);
@@ -125,14 +137,18 @@
     positive("facts.state.rps", facts.state.rps);
     positive("facts.state.write_rps", facts.state.writeRps);
     positive("facts.state.value_kb", facts.state.valueKb);
-    if (facts.state.txnOps == null || facts.state.txnOps < 2) throw new Invalid("facts.state.txn_ops must be a whole number above 1");
+    if (facts.state.txnOps == null || facts.state.txnOps < 2)
+      throw new Invalid("facts.state.txn_ops must be a whole number above 1");
     if (facts.cloud == null) throw new Invalid("facts.cloud is missing: expected an object");
     positive("facts.cloud.rps", facts.cloud.rps);
     positive("facts.cloud.list_lag_s", facts.cloud.listLagS);
-    if (facts.limits != null && facts.limits.maxConnections != null && facts.limits.maxConnections < 50) {
+    if (facts.limits != null
+        && facts.limits.maxConnections != null
+        && facts.limits.maxConnections < 50) {
       throw new Invalid("facts.machine_limits.fd_limit must be 50 or more");
     }
-    if (facts.skewMs == null || facts.skewMs < 0) throw new Invalid("facts.skew_ms must be a number of 0 or more");
+    if (facts.skewMs == null || facts.skewMs < 0)
+      throw new Invalid("facts.skew_ms must be a number of 0 or more");
   }
 
   private static void text(String path, String v) throws Invalid {
@@ -140,7 +156,8 @@
   }
 
   private static void positive(String path, Double v) throws Invalid {
-    if (v == null || !(v > 0) || v.isInfinite()) throw new Invalid(path + " must be a number above 0");
+    if (v == null || !(v > 0) || v.isInfinite())
+      throw new Invalid(path + " must be a number above 0");
   }
 
   private static void address(String path, String v) throws Invalid {
--- a/src/main/java/mallowstall/core/Core.java
+++ b/src/main/java/mallowstall/core/Core.java
@@ -1,14 +1,12 @@
 package mallowstall.core;
 
 import java.util.ArrayList;
-import java.util.BitSet;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.SplittableRandom;
-import java.util.TreeMap;
 import java.util.function.Consumer;
 import mallowstall.Constants;
 import mallowstall.core.Model.*;
@@ -41,7 +39,8 @@
   private final Fleet fleet;
   private final Users users;
   private final PriorityQueue<Timer> timers =
-      new PriorityQueue<>((a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
+      new PriorityQueue<>(
+          (a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
   private final Map<String, MachineType> types = new LinkedHashMap<>();
   private final Map<String, Double> images = new HashMap<>();
   private long now;
@@ -90,7 +89,8 @@
 
   /** Runs what is due; the caller calls again after every event and at least every tick. */
   public void settle() {
-    for (int i = 0; i < 10_000 && !timers.isEmpty() && timers.peek().at <= now; i++) timers.poll().run.run();
+    for (int i = 0; i < 10_000 && !timers.isEmpty() && timers.peek().at <= now; i++)
+      timers.poll().run.run();
     if (awake) {
       awake = false;
       placement.round();
@@ -298,8 +298,7 @@
   /** Whether the task's done bit stands in the state service. */
   boolean recordedDone(JobRec j, int task) {
     if (task < Constants.BITS_PER_CHUNK) return bit(j.done(), task);
-    Store.Held b =
-        store.held(Holder.bitsKey(j.spec().id(), task / Constants.BITS_PER_CHUNK));
+    Store.Held b = store.held(Holder.bitsKey(j.spec().id(), task / Constants.BITS_PER_CHUNK));
     return b != null && bit(((BitsRec) b.value()).done(), task % Constants.BITS_PER_CHUNK);
   }
 
@@ -310,7 +309,8 @@
   /** Controllers with a session, sorted; this one is among them once its own stands. */
   List<String> liveNodes() {
     List<String> out = new ArrayList<>();
-    for (String k : store.under(Store.SESSIONS).keySet()) out.add(k.substring(Store.SESSIONS.length()));
+    for (String k : store.under(Store.SESSIONS).keySet())
+      out.add(k.substring(Store.SESSIONS.length()));
     return out;
   }
 
@@ -356,7 +356,8 @@
     if (now - store.contactAt() < 3_500) return false;
     for (String p : settings.peers()) {
       View.Peer peer = view.peer(p);
-      if (now - peer.rosterAt < Constants.ROSTER_STALE_MS && now - peer.mirrorFreshAt < 3_500) return true;
+      if (now - peer.rosterAt < Constants.ROSTER_STALE_MS && now - peer.mirrorFreshAt < 3_500)
+        return true;
     }
     return false;
   }
--- a/src/main/java/mallowstall/core/Fleet.java
+++ b/src/main/java/mallowstall/core/Fleet.java
@@ -56,7 +56,9 @@
   Fleet(Core core, Store store, CoreSettings s) {
     this.core = core;
     this.store = store;
-    this.calls = new Budget(s.cloudRps() * Constants.BUDGET_SHARE, s.cloudRps() * 2 * Constants.BUDGET_SHARE);
+    this.calls =
+        new Budget(
+            s.cloudRps() * Constants.BUDGET_SHARE, s.cloudRps() * 2 * Constants.BUDGET_SHARE);
   }
 
   boolean onDuty() {
@@ -86,7 +88,9 @@
     MachineType best = null;
     for (MachineType t : core.types().values()) {
       if (!core.fits(j, t)) continue;
-      if (best == null || t.cpus() < best.cpus() || (t.cpus() == best.cpus() && t.price() < best.price())) best = t;
+      if (best == null
+          || t.cpus() < best.cpus()
+          || (t.cpus() == best.cpus() && t.price() < best.price())) best = t;
     }
     return best == null ? null : best.name();
   }
@@ -116,7 +120,11 @@
             Store.Urgency.BACKGROUND,
             new Txn(
                 List.of(new Cond(Store.DUTY, 0)),
-                List.of(new Put(Store.DUTY, new DutyRec(core.node(), store.incarnation()), store.leaseId())),
+                List.of(
+                    new Put(
+                        Store.DUTY,
+                        new DutyRec(core.node(), store.incarnation()),
+                        store.leaseId())),
                 List.of()),
             r -> {
               claiming = false;
@@ -149,10 +157,12 @@
       if (tasks <= 0) continue;
       teamLeft.put(j.team(), left - tasks * j.cpus());
       needed.add(name);
-      double per = Math.min(
-          j.cpus() > 0 ? Math.floor(t.cpus() / j.cpus()) : 1e9,
-          Math.min(j.memoryGb() > 0 ? Math.floor(t.memoryGb() / j.memoryGb()) : 1e9,
-              j.gpus() > 0 ? Math.floor(t.gpus() / j.gpus()) : 1e9));
+      double per =
+          Math.min(
+              j.cpus() > 0 ? Math.floor(t.cpus() / j.cpus()) : 1e9,
+              Math.min(
+                  j.memoryGb() > 0 ? Math.floor(t.memoryGb() / j.memoryGb()) : 1e9,
+                  j.gpus() > 0 ? Math.floor(t.gpus() / j.gpus()) : 1e9));
       if (per < 1) continue;
       double life = j.estimateS() + j.imageGb() / Math.max(1e-3, t.fetchGbPerS());
       double share = Math.min(1, life / Math.max(20, 0.8 * t.bootS()));
@@ -194,7 +204,9 @@
           have.merge(rec.type(), 1, Integer::sum);
           up.add(s);
         }
-      } else if (ownerLive && !rec.node().equals(core.node()) && now - core.view().peer(rec.node()).rosterAt > Constants.ROSTER_STALE_MS) {
+      } else if (ownerLive
+          && !rec.node().equals(core.node())
+          && now - core.view().peer(rec.node()).rosterAt > Constants.ROSTER_STALE_MS) {
         // its owner lives and only isn't heard here: its digest speaks for its machines
         if (inDigest(rec.node(), id)) have.merge(rec.type(), 1, Integer::sum);
       } else {
@@ -209,14 +221,19 @@
       MachineType t = core.types().get(l.type());
       double age = l.ageS() + (now - listedAt) / 1000.0;
       if (l.state().equals("failed")) back.add(l.id());
-      else if (t != null && age > Math.max(60, Constants.BOOT_GIVE_UP * t.bootS())) back.add(l.id());
-      else if (!coming.containsKey(l.id())) coming.put(l.id(), new Rented(l.type(), l.zone(), l.spot(), now - (long) (age * 1000)));
+      else if (t != null && age > Math.max(60, Constants.BOOT_GIVE_UP * t.bootS()))
+        back.add(l.id());
+      else if (!coming.containsKey(l.id()))
+        coming.put(l.id(), new Rented(l.type(), l.zone(), l.spot(), now - (long) (age * 1000)));
     }
     for (Map.Entry<String, Rented> e : new ArrayList<>(coming.entrySet())) {
       Rented r = e.getValue();
       MachineType t = core.types().get(r.type);
       double limit = t == null ? 120 : Math.max(60, Constants.BOOT_GIVE_UP * t.bootS());
-      boolean vanished = now - r.at > 4 * core.settings().listLagMs() && listedAt > r.at + 3 * core.settings().listLagMs() && !listed.containsKey(e.getKey());
+      boolean vanished =
+          now - r.at > 4 * core.settings().listLagMs()
+              && listedAt > r.at + 3 * core.settings().listLagMs()
+              && !listed.containsKey(e.getKey());
       if (now - r.at > limit * 1000 || vanished) {
         coming.remove(e.getKey());
         back.add(e.getKey());
@@ -226,7 +243,9 @@
     }
     for (String t : core.types().keySet()) planType(t, have.getOrDefault(t, 0), up, now);
     back.removeAll(returning);
-    if (!back.isEmpty()) giveBack(back.subList(0, Math.min(back.size(), Constants.RETURN_MAX)), "lost, failed or faulty");
+    if (!back.isEmpty())
+      giveBack(
+          back.subList(0, Math.min(back.size(), Constants.RETURN_MAX)), "lost, failed or faulty");
   }
 
   private boolean inDigest(String node, String machine) {
@@ -274,7 +293,8 @@
     for (View.Seen s : core.view().machines.values()) {
       if (s.m != null && s.m.type().equals(type)) perZone.merge(s.m.zone(), 1, Integer::sum);
     }
-    for (Rented r : coming.values()) if (r.type.equals(type)) perZone.merge(r.zone, 1, Integer::sum);
+    for (Rented r : coming.values())
+      if (r.type.equals(type)) perZone.merge(r.zone, 1, Integer::sum);
     List<String> zones = new ArrayList<>(t.zones());
     zones.sort(Comparator.comparingInt(z -> perZone.getOrDefault(z, 0)));
     for (int kind = spotAllowed ? 0 : 1; kind < 2; kind++) {
@@ -284,7 +304,14 @@
         String key = type + "/" + z + "/" + spot;
         if (refusedUntil.getOrDefault(key, 0L) > now) continue;
         int half = zones.size() > 1 ? (missing + 1) / 2 : missing;
-        ask(new RentRequest("r-" + store.incarnation() + "-" + ++counter, type, z, spot, Math.min(Constants.RENT_MAX, half)), key);
+        ask(
+            new RentRequest(
+                "r-" + store.incarnation() + "-" + ++counter,
+                type,
+                z,
+                spot,
+                Math.min(Constants.RENT_MAX, half)),
+            key);
         return;
       }
     }
@@ -293,20 +320,31 @@
   private void ask(RentRequest q, String key) {
     renting = true;
     calls.spend(core.now(), 1);
-    LOG.info("rent {} {} in {}{} as {}", q.count(), q.type(), q.zone(), q.spot() ? ", spot" : "", q.name());
-    core.effects().rent(q, r -> {
-      renting = false;
-      long now = core.now();
-      if (r.status() == 200) {
-        for (String m : r.machines()) coming.put(m, new Rented(q.type(), q.zone(), q.spot(), now));
-        LOG.info("rented {} of {} asked as {}", r.machines().size(), q.count(), q.name());
-        if (r.machines().size() < q.count()) refusedUntil.put(key, now + Constants.REFUSED_WAIT_MS);
-      } else if (r.status() == 503) {
-        refusedUntil.put(key, now + Constants.REFUSED_WAIT_MS);
-        LOG.info("refused {}", q.name());
-      }
-      nextPlan = Math.min(nextPlan, now + 300);
-    });
+    LOG.info(
+        "rent {} {} in {}{} as {}",
+        q.count(),
+        q.type(),
+        q.zone(),
+        q.spot() ? ", spot" : "",
+        q.name());
+    core.effects()
+        .rent(
+            q,
+            r -> {
+              renting = false;
+              long now = core.now();
+              if (r.status() == 200) {
+                for (String m : r.machines())
+                  coming.put(m, new Rented(q.type(), q.zone(), q.spot(), now));
+                LOG.info("rented {} of {} asked as {}", r.machines().size(), q.count(), q.name());
+                if (r.machines().size() < q.count())
+                  refusedUntil.put(key, now + Constants.REFUSED_WAIT_MS);
+              } else if (r.status() == 503) {
+                refusedUntil.put(key, now + Constants.REFUSED_WAIT_MS);
+                LOG.info("refused {}", q.name());
+              }
+              nextPlan = Math.min(nextPlan, now + 300);
+            });
   }
 
   private void giveBack(List<String> ids, String why) {
@@ -315,16 +353,19 @@
     List<String> names = List.copyOf(ids);
     returning.addAll(names);
     LOG.info("return {}: {}", names, why);
-    core.effects().giveBack(names, ok -> {
-      returning.removeAll(names);
-      if (!ok) return;
-      for (String id : names) {
-        coming.remove(id);
-        listed.remove(id);
-        if (store.machine(id) != null) toDrop.add(id);
-      }
-      dropRecords();
-    });
+    core.effects()
+        .giveBack(
+            names,
+            ok -> {
+              returning.removeAll(names);
+              if (!ok) return;
+              for (String id : names) {
+                coming.remove(id);
+                listed.remove(id);
+                if (store.machine(id) != null) toDrop.add(id);
+              }
+              dropRecords();
+            });
   }
 
   /** The cloud has confirmed that these are gone; the deleted records tell every holder so. */
@@ -348,23 +389,26 @@
 
   private void page(String after, Map<String, Listed> sofar) {
     calls.spend(core.now(), 1);
-    core.effects().listMachines(after, r -> {
-      if (!r.ok()) {
-        listing = false;
-        return;
-      }
-      String last = after;
-      for (Listed l : r.machines()) {
-        sofar.put(l.id(), l);
-        last = l.id();
-      }
-      if (r.more() && last != null) {
-        page(last, sofar);
-        return;
-      }
-      listing = false;
-      listed = sofar;
-      listedAt = core.now();
-    });
+    core.effects()
+        .listMachines(
+            after,
+            r -> {
+              if (!r.ok()) {
+                listing = false;
+                return;
+              }
+              String last = after;
+              for (Listed l : r.machines()) {
+                sofar.put(l.id(), l);
+                last = l.id();
+              }
+              if (r.more() && last != null) {
+                page(last, sofar);
+                return;
+              }
+              listing = false;
+              listed = sofar;
+              listedAt = core.now();
+            });
   }
 }
--- a/src/main/java/mallowstall/core/Holder.java
+++ b/src/main/java/mallowstall/core/Holder.java
@@ -34,6 +34,7 @@
     final long ownerIncarnation;
     final long connection;
     final long seq;
+
     /** Seen in a roster; false while only sent. */
     boolean seen;
 
@@ -42,8 +43,17 @@
     long since;
     boolean stopping;
 
-    Active(Held job, int task, long attempt, String machine, String zone, String type, String owner,
-        long ownerIncarnation, long connection, long seq) {
+    Active(
+        Held job,
+        int task,
+        long attempt,
+        String machine,
+        String zone,
+        String type,
+        String owner,
+        long ownerIncarnation,
+        long connection,
+        long seq) {
       this.job = job;
       this.task = task;
       this.attempt = attempt;
@@ -79,8 +89,10 @@
     long lastPreempt;
     int wantsGrant;
     boolean granting;
+
     /** A write has an unknown outcome and may still be applied: nothing is started on its grant. */
     boolean uncertain;
+
     final Map<String, Long> avoid = new HashMap<>();
     final Set<String> errorsOn = new HashSet<>();
     long notBefore;
@@ -235,7 +247,8 @@
       for (Active a : new ArrayList<>(here)) {
         if (a.mark == mark) continue;
         if (a.seen || resolved(a, r, p)) {
-          LOG.info("task {}/{} attempt {} is no longer on {}", a.job.id, a.task, a.attempt, a.machine);
+          LOG.info(
+              "task {}/{} attempt {} is no longer on {}", a.job.id, a.task, a.attempt, a.machine);
           free(a, true);
         }
       }
@@ -276,7 +289,13 @@
       } else if (same) {
         if (t.why() == Why.ERROR) error(h, m.machine());
         else if (t.why() == Why.NO_ROOM) h.avoid.put(m.machine(), core.now() + 3_000);
-        LOG.info("task {}/{} attempt {} ended on {}: {}", h.id, t.task(), t.attempt(), m.machine(), t.why());
+        LOG.info(
+            "task {}/{} attempt {} ended on {}: {}",
+            h.id,
+            t.task(),
+            t.attempt(),
+            m.machine(),
+            t.why());
         free(a, true);
       }
       return;
@@ -292,15 +311,31 @@
     if (h.done.get(t.task())) return; // its owner stops it once the bit is recorded
     if (a == null) {
       Active found =
-          new Active(h, t.task(), t.attempt(), m.machine(), m.zone(), m.type(), r.node(), r.incarnation(), 0, 0);
+          new Active(
+              h,
+              t.task(),
+              t.attempt(),
+              m.machine(),
+              m.zone(),
+              m.type(),
+              r.node(),
+              r.incarnation(),
+              0,
+              0);
       found.seen = true;
       found.state = t.state();
       found.mark = mark;
       place(found);
       LOG.info("task {}/{} attempt {} found on {}", h.id, t.task(), t.attempt(), m.machine());
     } else if (t.attempt() < a.attempt) {
-      LOG.error("task {}/{} attempt {} is on {} beside attempt {} on {}", h.id, t.task(), t.attempt(),
-          m.machine(), a.attempt, a.machine);
+      LOG.error(
+          "task {}/{} attempt {} is on {} beside attempt {} on {}",
+          h.id,
+          t.task(),
+          t.attempt(),
+          m.machine(),
+          a.attempt,
+          a.machine);
       core.stop(r.node(), new StopOrder(m.machine(), h.id, t.task(), t.attempt(), 0));
     }
   }
@@ -311,7 +346,8 @@
     h.avoid.put(machine, now + Constants.JOB_AVOIDS_MS);
     if (h.errorsOn.size() >= Constants.JOB_FAULT_MACHINES) {
       h.notBefore = now + Constants.JOB_FAULT_WAIT_MS;
-      LOG.info("job {} fails on every machine, next try in {} ms", h.id, Constants.JOB_FAULT_WAIT_MS);
+      LOG.info(
+          "job {} fails on every machine, next try in {} ms", h.id, Constants.JOB_FAULT_WAIT_MS);
     }
   }
 
@@ -334,7 +370,10 @@
     grants();
   }
 
-  /** A job taken over is placed again only once every machine that could have got it is accounted for. */
+  /**
+   * A job taken over is placed again only once every machine that could have got it is accounted
+   * for.
+   */
   private void latch() {
     boolean any = false;
     for (Held h : jobs.values()) any |= !h.latched;
@@ -355,7 +394,8 @@
       if (h.latched || h.claimRevision > store.revision()) continue;
       if (upTo >= h.claimRevision) {
         h.latched = true;
-        LOG.info("job {} epoch {} rebuilt: {} tasks on machines", h.id, h.rec.epoch(), h.active.size());
+        LOG.info(
+            "job {} epoch {} rebuilt: {} tasks on machines", h.id, h.rec.epoch(), h.active.size());
         core.wake();
       } else {
         LOG.debug("job {} waits for machine {}", h.id, worst);
@@ -377,7 +417,8 @@
         continue;
       }
       long since = orphanSince.computeIfAbsent(id, k -> now);
-      String first = live.isEmpty() ? core.node() : live.get(Math.floorMod(id.hashCode(), live.size()));
+      String first =
+          live.isEmpty() ? core.node() : live.get(Math.floorMod(id.hashCode(), live.size()));
       if (!first.equals(core.node()) && now - since < 2_000) continue;
       Long c = claiming.get(id);
       if (c != null && now - c < 2 * Constants.STATE_TIMEOUT_MS) continue;
@@ -388,10 +429,14 @@
       boolean asked =
           store.transact(
               Store.Urgency.JOB,
-              new Txn(List.of(new Cond(key, e.getValue().version())), List.of(new Put(key, mine, 0)), List.of()),
+              new Txn(
+                  List.of(new Cond(key, e.getValue().version())),
+                  List.of(new Put(key, mine, 0)),
+                  List.of()),
               r -> {
                 claiming.remove(id);
-                if (r.code() == Code.OK) LOG.info("job {} taken over from {}, epoch {}", id, rec.holder(), mine.epoch());
+                if (r.code() == Code.OK)
+                  LOG.info("job {} taken over from {}, epoch {}", id, rec.holder(), mine.epoch());
               });
       if (!asked) claiming.remove(id);
     }
@@ -410,9 +455,16 @@
     JobRec old = h.rec;
     int first = Math.min(h.spec.tasks(), Constants.BITS_PER_CHUNK);
     JobRec rec =
-        new JobRec(old.spec(), old.submittedMs(), old.holder(), old.incarnation(), old.epoch(),
-            h.done.get(0, first).toByteArray(), h.doneCount,
-            old.grant(), all ? Final.DONE : old.fin());
+        new JobRec(
+            old.spec(),
+            old.submittedMs(),
+            old.holder(),
+            old.incarnation(),
+            old.epoch(),
+            h.done.get(0, first).toByteArray(),
+            h.doneCount,
+            old.grant(),
+            all ? Final.DONE : old.fin());
     String key = Store.JOBS + h.id;
     puts.add(new Put(key, rec, 0));
     List<Integer> chunks = new ArrayList<>();
@@ -425,7 +477,11 @@
       if (room-- <= 0) break;
       chunks.add(c);
       int from = c * Constants.BITS_PER_CHUNK;
-      puts.add(new Put(bitsKey(h.id, c), new BitsRec(h.done.get(from, from + Constants.BITS_PER_CHUNK).toByteArray()), 0));
+      puts.add(
+          new Put(
+              bitsKey(h.id, c),
+              new BitsRec(h.done.get(from, from + Constants.BITS_PER_CHUNK).toByteArray()),
+              0));
     }
     if (chunks.size() < h.dirtyChunks.size()) {
       rec = rec.withFinal(old.fin());
@@ -457,14 +513,19 @@
   private void reread(Held h) {
     h.writing = true;
     boolean asked =
-        store.read(Store.Urgency.JOB, Store.JOBS + h.id, g -> {
-          h.writing = false;
-          h.lastWrite = core.now();
-        });
+        store.read(
+            Store.Urgency.JOB,
+            Store.JOBS + h.id,
+            g -> {
+              h.writing = false;
+              h.lastWrite = core.now();
+            });
     if (!asked) h.writing = false;
   }
 
-  /** One transaction per team raises and lowers the grants of all its jobs held here, and the sum. */
+  /**
+   * One transaction per team raises and lowers the grants of all its jobs held here, and the sum.
+   */
   private void grants() {
     long now = core.now();
     Map<String, List<Held>> byTeam = new LinkedHashMap<>();
@@ -491,8 +552,10 @@
           int d = delta(h, now);
           if ((pass == 0) != (d < 0) || in.size() >= room) continue;
           if (d > 0) {
-            if (t.cpusMax() > 0 && h.spec.cpus() > 0) d = Math.min(d, (int) Math.floor((t.cpusMax() - cpus) / h.spec.cpus() + 1e-9));
-            if (t.gpusMax() > 0 && h.spec.gpus() > 0) d = Math.min(d, (int) Math.floor((t.gpusMax() - gpus) / h.spec.gpus() + 1e-9));
+            if (t.cpusMax() > 0 && h.spec.cpus() > 0)
+              d = Math.min(d, (int) Math.floor((t.cpusMax() - cpus) / h.spec.cpus() + 1e-9));
+            if (t.gpusMax() > 0 && h.spec.gpus() > 0)
+              d = Math.min(d, (int) Math.floor((t.gpusMax() - gpus) / h.spec.gpus() + 1e-9));
             if (d <= 0) continue;
           }
           cpus += d * h.spec.cpus();
@@ -523,7 +586,9 @@
                 }
                 if (r.code() == Code.CONFLICT) {
                   teamBusy.add(team);
-                  if (!store.read(Store.Urgency.JOB, Store.TEAMS + team, g -> teamBusy.remove(team))) teamBusy.remove(team);
+                  if (!store.read(
+                      Store.Urgency.JOB, Store.TEAMS + team, g -> teamBusy.remove(team)))
+                    teamBusy.remove(team);
                 } else if (r.code() != Code.OK) {
                   teamNext.put(team, core.now() + Constants.STATE_RETRY_MS);
                 }
@@ -544,7 +609,8 @@
     int pending = h.pending();
     if (spare > pending) return -(spare - pending);
     if (h.wantsGrant > 0) return Math.min(h.wantsGrant, Math.max(0, pending - spare));
-    if (spare > 0 && h.grantIdleSince > 0 && now - h.grantIdleSince > Constants.GRANT_IDLE_MS) return -spare;
+    if (spare > 0 && h.grantIdleSince > 0 && now - h.grantIdleSince > Constants.GRANT_IDLE_MS)
+      return -spare;
     return 0;
   }
 }
--- a/src/main/java/mallowstall/core/Model.java
+++ b/src/main/java/mallowstall/core/Model.java
@@ -63,11 +63,14 @@
 
   // ---- entries in the state service ---------------------------------------------------------
   /** Anything kept under a key of the state service. */
-  public sealed interface Entry permits SessionRec, JobRec, BitsRec, MachineRec, TeamRec, DigestRec, DutyRec, CounterRec {}
+  public sealed interface Entry
+      permits SessionRec, JobRec, BitsRec, MachineRec, TeamRec, DigestRec, DutyRec, CounterRec {}
 
   public record SessionRec(String node, long incarnation) implements Entry {}
 
-  /** A job's entry. {@code done} holds the first chunk of the bitmap; the rest are {@link BitsRec}. */
+  /**
+   * A job's entry. {@code done} holds the first chunk of the bitmap; the rest are {@link BitsRec}.
+   */
   public record JobRec(
       JobSpec spec,
       long submittedMs,
@@ -101,12 +104,14 @@
   public record BitsRec(byte[] done) implements Entry {}
 
   public record MachineRec(
-      String node, long incarnation, long token, String type, String zone, boolean spot) implements Entry {}
+      String node, long incarnation, long token, String type, String zone, boolean spot)
+      implements Entry {}
 
   /** What all running grants of a team add up to. */
   public record TeamRec(double cpus, double gpus) implements Entry {}
 
-  public record DigestRec(long incarnation, List<Room> rooms, double pendingCpus) implements Entry {}
+  public record DigestRec(long incarnation, List<Room> rooms, double pendingCpus)
+      implements Entry {}
 
   /** Free room of one machine, as a digest tells it. */
   public record Room(String machine, double cpus, double gpus, double memoryGb) {}
@@ -116,7 +121,8 @@
   public record CounterRec(long value) implements Entry {}
 
   // ---- workers ------------------------------------------------------------------------------
-  public record TaskReport(String job, int task, long attempt, TaskState state, Why why, boolean saved) {}
+  public record TaskReport(
+      String job, int task, long attempt, TaskState state, Why why, boolean saved) {}
 
   public record Report(
       String machine,
@@ -219,8 +225,8 @@
       List<RosterTask> tasks) {}
 
   /**
-   * All that an owner knows of its machines. {@code mirrorRevision} tells up to which revision of the
-   * state service it has followed, {@code acked*} which of the receiver's messages are in it.
+   * All that an owner knows of its machines. {@code mirrorRevision} tells up to which revision of
+   * the state service it has followed, {@code acked*} which of the receiver's messages are in it.
    */
   public record Roster(
       String node,
@@ -239,7 +245,8 @@
       String machine, String job, int task, long attempt, long epoch, long expiryWallMs) {}
 
   /** Starts from a holder to an owner. */
-  public record Starts(String node, long incarnation, long connection, long seq, List<StartOrder> starts)
+  public record Starts(
+      String node, long incarnation, long connection, long seq, List<StartOrder> starts)
       implements PeerMessage {}
 
   public record StopOrder(String machine, String job, int task, long attempt, double graceS) {}
--- a/src/main/java/mallowstall/core/Owner.java
+++ b/src/main/java/mallowstall/core/Owner.java
@@ -47,6 +47,7 @@
     final long version;
     long session;
     long seq;
+
     /** When the last 200 left; the machine's lease can't run on longer than from here. */
     long lastOk;
 
@@ -63,6 +64,7 @@
     final Map<Key, TaskReport> tasks = new LinkedHashMap<>();
     final Map<Key, Booked> booked = new Object2ObjectLinkedOpenHashMap<>();
     final Map<Key, StopOrder> stops = new HashMap<>();
+
     /** Ends other than done that a roster has told. */
     final Object2LongOpenHashMap<Key> told = new Object2LongOpenHashMap<>();
 
@@ -108,7 +110,10 @@
   // ---- reports ------------------------------------------------------------------------------
   void report(Report r, Consumer<ReportAnswer> reply) {
     long now = core.now();
-    if (!store.synced() || store.incarnation() == 0 || core.types().isEmpty() || !core.mayKeepAlive()) {
+    if (!store.synced()
+        || store.incarnation() == 0
+        || core.types().isEmpty()
+        || !core.mayKeepAlive()) {
       reply.accept(ReportAnswer.unable());
       return;
     }
@@ -161,7 +166,10 @@
     boolean asked =
         store.transact(
             Store.Urgency.MACHINE,
-            new Txn(List.of(new Cond(key, store.version(key))), List.of(new Put(key, rec, 0)), List.of()),
+            new Txn(
+                List.of(new Cond(key, store.version(key))),
+                List.of(new Put(key, rec, 0)),
+                List.of()),
             res -> {
               adopting.remove(r.machine());
               if (res.code() != Code.OK) {
@@ -260,7 +268,9 @@
       if (t.state() == TaskState.EXITED) {
         boolean forget =
             j != null
-                && (j.fin() != Final.NONE || done || (t.why() != Why.DONE && o.told.getLong(k) == t.attempt()));
+                && (j.fin() != Final.NONE
+                    || done
+                    || (t.why() != Why.DONE && o.told.getLong(k) == t.attempt()));
         if (forget) forgets.add(new Command(CommandKind.FORGET, t.job(), t.task(), t.attempt(), 0));
         o.stops.remove(k);
       } else if (j != null && (j.fin() != Final.NONE || done)) {
@@ -271,10 +281,13 @@
           if (t.state() != TaskState.SAVING) {
             stops.add(new Command(CommandKind.STOP, t.job(), t.task(), t.attempt(), s.graceS()));
           }
-        } else if (j != null && o.noticeUntil != Long.MAX_VALUE && t.state() == TaskState.RUNNING
+        } else if (j != null
+            && o.noticeUntil != Long.MAX_VALUE
+            && t.state() == TaskState.RUNNING
             && j.spec().checkpointS() > 0
             && o.noticeUntil - now < (j.spec().saveS() + 4) * 1000) {
-          stops.add(new Command(CommandKind.STOP, t.job(), t.task(), t.attempt(), j.spec().saveS() + 1));
+          stops.add(
+              new Command(CommandKind.STOP, t.job(), t.task(), t.attempt(), j.spec().saveS() + 1));
         }
       }
     }
@@ -286,7 +299,8 @@
       Booked b = it.next();
       JobRec j = store.job(b.order.job());
       Key k = new Key(b.order.job(), b.order.task());
-      boolean unwanted = j != null && (j.fin() != Final.NONE || core.recordedDone(j, b.order.task()));
+      boolean unwanted =
+          j != null && (j.fin() != Final.NONE || core.recordedDone(j, b.order.task()));
       if (unwanted || o.stops.containsKey(k) || core.wall() > b.order.expiryWallMs()) {
         // every earlier response is dead by now (this answers a later report), so it never runs
         it.remove();
@@ -309,7 +323,8 @@
         Owned m = owned.get(o.machine());
         m.booked.put(new Key(o.job(), o.task()), new Booked(o, store.job(o.job()).spec()));
         m.idleSince = 0;
-        LOG.debug("start {}/{} attempt {} booked on {}", o.job(), o.task(), o.attempt(), o.machine());
+        LOG.debug(
+            "start {}/{} attempt {} booked on {}", o.job(), o.task(), o.attempt(), o.machine());
       } else {
         refuse(o, no);
       }
@@ -318,7 +333,13 @@
   }
 
   private void refuse(StartOrder o, String why) {
-    LOG.debug("not possible: {}/{} attempt {} on {}: {}", o.job(), o.task(), o.attempt(), o.machine(), why);
+    LOG.debug(
+        "not possible: {}/{} attempt {} on {}: {}",
+        o.job(),
+        o.task(),
+        o.attempt(),
+        o.machine(),
+        why);
     core.metrics().count("refusals");
     refusals.add(new Refusal(o.machine(), o.job(), o.task(), o.attempt(), why));
     dirty = true;
@@ -341,7 +362,9 @@
     Key k = new Key(o.job(), o.task());
     if (m.tasks.containsKey(k) || m.booked.containsKey(k)) return "task is here already";
     double[] free = free(m);
-    if (spec.cpus() > free[0] + 1e-6 || spec.gpus() > free[1] + 1e-6 || spec.memoryGb() > free[2] + 1e-6) {
+    if (spec.cpus() > free[0] + 1e-6
+        || spec.gpus() > free[1] + 1e-6
+        || spec.memoryGb() > free[2] + 1e-6) {
       return "no room";
     }
     return null;
@@ -390,8 +413,15 @@
       Key k = new Key(o.job(), o.task());
       TaskReport t = m.tasks.get(k);
       Booked b = m.booked.get(k);
-      if ((t != null && t.attempt() == o.attempt()) || (b != null && b.order.attempt() == o.attempt())) {
-        LOG.info("stop {}/{} attempt {} on {} asked by {}", o.job(), o.task(), o.attempt(), o.machine(), s.node());
+      if ((t != null && t.attempt() == o.attempt())
+          || (b != null && b.order.attempt() == o.attempt())) {
+        LOG.info(
+            "stop {}/{} attempt {} on {} asked by {}",
+            o.job(),
+            o.task(),
+            o.attempt(),
+            o.machine(),
+            s.node());
         m.stops.put(k, o);
       }
     }
@@ -423,7 +453,8 @@
    * those machines unless they have gone to another controller, and then the comparison fails.
    */
   void reclaim() {
-    for (Map.Entry<String, Store.Held> e : new ArrayList<>(store.under(Store.MACHINES).entrySet())) {
+    for (Map.Entry<String, Store.Held> e :
+        new ArrayList<>(store.under(Store.MACHINES).entrySet())) {
       MachineRec rec = (MachineRec) e.getValue().value();
       if (!rec.node().equals(core.node()) || rec.incarnation() == store.incarnation()) continue;
       String id = e.getKey().substring(Store.MACHINES.length());
@@ -431,7 +462,13 @@
       if (type == null || owned.containsKey(id) || adopting.containsKey(id)) continue;
       adopting.put(id, core.now());
       MachineRec mine =
-          new MachineRec(core.node(), store.incarnation(), rec.token() + 1, rec.type(), rec.zone(), rec.spot());
+          new MachineRec(
+              core.node(),
+              store.incarnation(),
+              rec.token() + 1,
+              rec.type(),
+              rec.zone(),
+              rec.spot());
       boolean asked =
           store.transact(
               Store.Urgency.MACHINE,
@@ -458,7 +495,9 @@
   // ---- duties -------------------------------------------------------------------------------
   void tick() {
     long now = core.now();
-    long writeOff = (long) (core.settings().leaseMs() * (1 + 2 * Constants.DRIFT)) + Constants.WRITE_OFF_MARGIN_MS;
+    long writeOff =
+        (long) (core.settings().leaseMs() * (1 + 2 * Constants.DRIFT))
+            + Constants.WRITE_OFF_MARGIN_MS;
     for (Owned o : owned.values()) {
       if (o.lost || o.checking || now - o.lastOk <= writeOff) continue;
       // unconfirmed: a former owner may still be answering it, unless it was our own former process
@@ -473,7 +512,10 @@
                 if (g.code() != Code.OK || owned.get(o.id) != o) return;
                 if (g.item().value() == null || g.item().version() != o.version) return;
                 if (core.now() - o.lastOk <= writeOff) return;
-                LOG.info("machine {} written off with {} tasks: silent beyond its lease", o.id, o.tasks.size());
+                LOG.info(
+                    "machine {} written off with {} tasks: silent beyond its lease",
+                    o.id,
+                    o.tasks.size());
                 o.lost = true;
                 o.confirmed = true;
                 o.tasks.clear();
@@ -485,7 +527,8 @@
       if (!asked) o.checking = false;
     }
     long since = now - lastRoster;
-    if ((dirty && since >= Constants.ROSTER_GAP_MS) || since >= Constants.ROSTER_EVERY_MS) sendRosters();
+    if ((dirty && since >= Constants.ROSTER_GAP_MS) || since >= Constants.ROSTER_EVERY_MS)
+      sendRosters();
   }
 
   private void sendRosters() {
@@ -517,7 +560,16 @@
     View.Peer me = core.view().peer(core.node());
     core.rosterFrom(
         new Roster(
-            core.node(), store.incarnation(), serial, store.revision(), me.gotConnection, me.gotSeq, 0, 0, ms, no));
+            core.node(),
+            store.incarnation(),
+            serial,
+            store.revision(),
+            me.gotConnection,
+            me.gotSeq,
+            0,
+            0,
+            ms,
+            no));
   }
 
   private List<RosterMachine> machines() {
@@ -552,7 +604,9 @@
               f[0],
               f[1],
               f[2],
-              o.lost || silent(o) ? now - o.heardAt : idle && o.idleSince > 0 ? now - o.idleSince : 0,
+              o.lost || silent(o)
+                  ? now - o.heardAt
+                  : idle && o.idleSince > 0 ? now - o.idleSince : 0,
               List.copyOf(o.images),
               ts));
     }
--- a/src/main/java/mallowstall/core/Placement.java
+++ b/src/main/java/mallowstall/core/Placement.java
@@ -15,8 +15,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Places the pending tasks of the jobs held here on any allowed machine of the view. The tasks of one
- * job are alike and are decided together: cost follows jobs and machines, not tasks.
+ * Places the pending tasks of the jobs held here on any allowed machine of the view. The tasks of
+ * one job are alike and are decided together: cost follows jobs and machines, not tasks.
  */
 final class Placement {
   private static final Logger LOG = LoggerFactory.getLogger("mallowstall.placement");
@@ -68,7 +68,8 @@
     wait.sort((a, b) -> order(a, b, now));
     List<View.Seen> machines = new ArrayList<>();
     for (View.Seen s : core.view().machines.values()) {
-      if (s.takes() && now - s.at < Constants.ROSTER_STALE_MS && s.freeCpus() > 0.01) machines.add(s);
+      if (s.takes() && now - s.at < Constants.ROSTER_STALE_MS && s.freeCpus() > 0.01)
+        machines.add(s);
     }
     countSent(machines);
     int budget = Constants.STARTS_PER_ROUND;
@@ -178,7 +179,8 @@
   private String roomiestZone(JobSpec j, List<View.Seen> machines) {
     Map<String, Integer> room = new HashMap<>();
     for (View.Seen s : machines) {
-      if (Owner.allowed(j, s.m.type(), s.m.zone(), s.m.spot())) room.merge(s.m.zone(), fits(s, j), Integer::sum);
+      if (Owner.allowed(j, s.m.type(), s.m.zone(), s.m.spot()))
+        room.merge(s.m.zone(), fits(s, j), Integer::sum);
     }
     String best = null;
     for (Map.Entry<String, Integer> e : room.entrySet()) {
@@ -238,7 +240,17 @@
     long life = Math.min(Constants.START_LIFE_MS, store.sessionLeft());
     long expiry = core.wall() + life - 2 * core.settings().skewMs();
     holder.place(
-        new Active(h, task, attempt, s.id, s.m.zone(), s.m.type(), s.owner, s.ownerIncarnation, p.connection, p.nextSeq));
+        new Active(
+            h,
+            task,
+            attempt,
+            s.id,
+            s.m.zone(),
+            s.m.type(),
+            s.owner,
+            s.ownerIncarnation,
+            p.connection,
+            p.nextSeq));
     book(s, h.spec, 1);
     out.computeIfAbsent(s.owner, k -> new ArrayList<>())
         .add(new StartOrder(s.id, h.id, task, attempt, h.rec.epoch(), expiry));
@@ -248,7 +260,9 @@
   private void send() {
     for (Map.Entry<String, List<StartOrder>> e : out.entrySet()) {
       View.Peer p = core.view().peer(e.getKey());
-      core.sendStarts(e.getKey(), new Starts(core.node(), store.incarnation(), p.connection, p.nextSeq++, e.getValue()));
+      core.sendStarts(
+          e.getKey(),
+          new Starts(core.node(), store.incarnation(), p.connection, p.nextSeq++, e.getValue()));
     }
     out.clear();
   }
@@ -257,7 +271,8 @@
   private void preempt(Held h, long now) {
     JobSpec j = h.spec;
     if (j.priority().ordinal() < Priority.HIGH.ordinal()) return;
-    if (now - h.heldSince < Constants.PREEMPT_AFTER_MS || now - h.lastPreempt < Constants.PREEMPT_GAP_MS) return;
+    if (now - h.heldSince < Constants.PREEMPT_AFTER_MS
+        || now - h.lastPreempt < Constants.PREEMPT_GAP_MS) return;
     h.lastPreempt = now;
     int need = Math.min(h.pending(), 16);
     record Victim(View.Seen s, List<RosterTask> tasks, int gain, double cost) {}
@@ -268,7 +283,10 @@
       List<RosterTask> lower = new ArrayList<>();
       for (RosterTask t : s.m.tasks()) {
         JobRec o = store.job(t.job());
-        if (t.state() == TaskState.EXITED || t.state() == null || t.state() == TaskState.SAVING || o == null) continue;
+        if (t.state() == TaskState.EXITED
+            || t.state() == null
+            || t.state() == TaskState.SAVING
+            || o == null) continue;
         if (o.spec().priority().ordinal() < j.priority().ordinal()) lower.add(t);
       }
       if (lower.isEmpty()) continue;
@@ -278,10 +296,13 @@
       JobSpec o = store.job(t.job()).spec();
       double c = s.freeCpus() + o.cpus();
       double m = s.freeMemory() + o.memoryGb();
-      int gain = (int) Math.min(j.cpus() > 0 ? c / j.cpus() : 99, j.memoryGb() > 0 ? m / j.memoryGb() : 99);
+      int gain =
+          (int)
+              Math.min(j.cpus() > 0 ? c / j.cpus() : 99, j.memoryGb() > 0 ? m / j.memoryGb() : 99);
       if (gain <= 0) continue;
       double fetch = s.m.images().contains(j.image()) ? 0 : 1;
-      victims.add(new Victim(s, List.of(t), gain, (t.state() == TaskState.FETCHING ? 0 : 2) + fetch));
+      victims.add(
+          new Victim(s, List.of(t), gain, (t.state() == TaskState.FETCHING ? 0 : 2) + fetch));
     }
     victims.sort(Comparator.comparingDouble(Victim::cost));
     for (Victim v : victims) {
@@ -290,7 +311,10 @@
         JobSpec o = store.job(t.job()).spec();
         LOG.info("job {} preempts {}/{} on {}", h.id, t.job(), t.task(), v.s.id);
         core.metrics().count("preemptions");
-        core.stop(v.s.owner, new StopOrder(v.s.id, t.job(), t.task(), t.attempt(), o.checkpointS() > 0 ? o.saveS() : 0));
+        core.stop(
+            v.s.owner,
+            new StopOrder(
+                v.s.id, t.job(), t.task(), t.attempt(), o.checkpointS() > 0 ? o.saveS() : 0));
       }
       need -= v.gain;
     }
--- a/src/main/java/mallowstall/core/Policy.java
+++ b/src/main/java/mallowstall/core/Policy.java
@@ -16,6 +16,7 @@
     public double freeCpus;
     public double freeGpus;
     public double freeMemory;
+
     /** Fraction of the machine's processors in use. */
     public double used;
 
--- a/src/main/java/mallowstall/core/Store.java
+++ b/src/main/java/mallowstall/core/Store.java
@@ -56,8 +56,10 @@
   private final Effects fx;
   private final Listener listener;
   private final TreeMap<String, Held> mirror = new TreeMap<>();
+
   /** Revision of deletions, so that an older event or listing can't bring a key back. */
   private final Object2ObjectOpenHashMap<String, Long> dropped = new Object2ObjectOpenHashMap<>();
+
   private final Budget requests;
   private final Budget writes;
   private final List<ArrayDeque<Waiting>> queues = new ArrayList<>();
@@ -259,7 +261,8 @@
     listFrom(null, 0, new java.util.HashSet<>(), core.now());
   }
 
-  private void listFrom(String after, long firstRevision, java.util.HashSet<String> seen, long began) {
+  private void listFrom(
+      String after, long firstRevision, java.util.HashSet<String> seen, long began) {
     requests.spend(core.now(), 1);
     fx.list(
         after,
@@ -282,7 +285,8 @@
           }
           // what was deleted while no watch ran
           for (String k : new ArrayList<>(mirror.keySet())) {
-            if (!seen.contains(k) && mirror.get(k).version() <= first) apply(new Item(k, null, first));
+            if (!seen.contains(k) && mirror.get(k).version() <= first)
+              apply(new Item(k, null, first));
           }
           revision = first;
           freshAt = began;
@@ -404,7 +408,8 @@
         Urgency.SESSION,
         new Txn(
             List.of(),
-            List.of(new Put(SESSIONS + core.node(), new SessionRec(core.node(), incarnation), lease)),
+            List.of(
+                new Put(SESSIONS + core.node(), new SessionRec(core.node(), incarnation), lease)),
             List.of()),
         r -> {
           if (r.code() == Code.NO_LEASE) {
--- a/src/main/java/mallowstall/core/Users.java
+++ b/src/main/java/mallowstall/core/Users.java
@@ -33,7 +33,10 @@
   }
 
   boolean ready() {
-    return store.synced() && store.incarnation() != 0 && !core.types().isEmpty() && !core.cutOffAlone();
+    return store.synced()
+        && store.incarnation() != 0
+        && !core.types().isEmpty()
+        && !core.cutOffAlone();
   }
 
   private UserAnswer later(String why) {
@@ -62,7 +65,8 @@
     }
     String key = Store.JOBS + j.id();
     JobRec rec =
-        new JobRec(j, core.wall(), core.node(), store.incarnation(), 1, new byte[0], 0, 0, Final.NONE);
+        new JobRec(
+            j, core.wall(), core.node(), store.incarnation(), 1, new byte[0], 0, 0, Final.NONE);
     boolean asked =
         store.transact(
             Store.Urgency.USER,
@@ -85,12 +89,16 @@
       any |= core.fits(j, m) && (j.zone() == null || m.zones().contains(j.zone()));
     }
     if (!any) return "a task fits no allowed machine type";
-    if (t.cpusMax() > 0 && j.cpus() > t.cpusMax()) return "a task needs more cpus than the team's limit";
-    if (t.gpusMax() > 0 && j.gpus() > t.gpusMax()) return "a task needs more gpus than the team's limit";
+    if (t.cpusMax() > 0 && j.cpus() > t.cpusMax())
+      return "a task needs more cpus than the team's limit";
+    if (t.gpusMax() > 0 && j.gpus() > t.gpusMax())
+      return "a task needs more gpus than the team's limit";
     return null;
   }
 
-  /** Answered from a read made after the question came, or from a final state, which never changes. */
+  /**
+   * Answered from a read made after the question came, or from a final state, which never changes.
+   */
   void query(String id, Consumer<UserAnswer> reply) {
     JobRec fin = finals.get(id);
     if (fin != null) {
@@ -130,7 +138,8 @@
     String id = rec.spec().id();
     if (rec.fin() == Final.DONE) return UserAnswer.state(200, id, "done", rec.spec().tasks(), 0);
     if (rec.fin() == Final.CANCELLED) core.tellsCancelled();
-    if (rec.fin() == Final.CANCELLED) return UserAnswer.state(200, id, "cancelled", rec.doneCount(), 0);
+    if (rec.fin() == Final.CANCELLED)
+      return UserAnswer.state(200, id, "cancelled", rec.doneCount(), 0);
     int running = core.running(id);
     return UserAnswer.state(200, id, running > 0 ? "running" : "pending", rec.doneCount(), running);
   }
--- a/src/main/java/mallowstall/core/View.java
+++ b/src/main/java/mallowstall/core/View.java
@@ -22,6 +22,7 @@
     long rosterRevision;
     long at;
     RosterMachine m;
+
     /** Room taken by starts sent from here and not yet in the owner's roster. */
     double sentCpus;
 
@@ -46,7 +47,12 @@
     }
 
     boolean takes() {
-      return m != null && owner != null && m.usable() && !m.draining() && !m.silent() && !m.replace();
+      return m != null
+          && owner != null
+          && m.usable()
+          && !m.draining()
+          && !m.silent()
+          && !m.replace();
     }
   }
 
@@ -63,6 +69,7 @@
     long rosterRevision;
     long mirrorFreshAt = Long.MIN_VALUE / 2;
     long cancelAt = Long.MIN_VALUE / 2;
+
     /** What this controller acknowledges to that one. */
     long gotConnection;
 
@@ -133,8 +140,8 @@
   }
 
   /**
-   * Whether the machine's owner has followed the state service to {@code revision} and told all that
-   * is on it: then no start of an older epoch can reach it any more.
+   * Whether the machine's owner has followed the state service to {@code revision} and told all
+   * that is on it: then no start of an older epoch can reach it any more.
    */
   boolean accounted(String machine, MachineRec rec, long revision) {
     Seen s = machines.get(machine);
--- a/src/main/java/mallowstall/net/HttpClient.java
+++ b/src/main/java/mallowstall/net/HttpClient.java
@@ -115,7 +115,8 @@
             new ChannelInitializer<SocketChannel>() {
               @Override
               protected void initChannel(SocketChannel ch) {
-                ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_RESPONSE), conn);
+                ch.pipeline()
+                    .addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_RESPONSE), conn);
               }
             })
         .connect(address)
@@ -151,7 +152,8 @@
       current = c;
       c.sent = true;
       ByteBuf body = c.body == null ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(c.body);
-      DefaultFullHttpRequest q = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, c.method, c.path, body);
+      DefaultFullHttpRequest q =
+          new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, c.method, c.path, body);
       q.headers().set(HttpHeaderNames.HOST, host);
       if (c.body != null) q.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
       q.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
--- a/src/main/java/mallowstall/net/HttpServer.java
+++ b/src/main/java/mallowstall/net/HttpServer.java
@@ -31,7 +31,9 @@
 import java.util.concurrent.TimeUnit;
 import mallowstall.Constants;
 
-/** Serves HTTP to users, workers and health checks; one handler per connection, bounded in number. */
+/**
+ * Serves HTTP to users, workers and health checks; one handler per connection, bounded in number.
+ */
 public final class HttpServer {
   /** One request; {@code body} is complete. */
   public record Request(String method, String path, byte[] body) {}
@@ -103,7 +105,12 @@
 
     @Override
     protected void handleOversizedMessage(ChannelHandlerContext ctx, HttpMessage m) {
-      write(ctx, 400, "{\"error\":\"the body is larger than 64 KiB\"}".getBytes(StandardCharsets.UTF_8), 0, false);
+      write(
+          ctx,
+          400,
+          "{\"error\":\"the body is larger than 64 KiB\"}".getBytes(StandardCharsets.UTF_8),
+          0,
+          false);
     }
   }
 
@@ -136,7 +143,8 @@
       if (conn.complete) {
         conn.complete = false;
         since = System.nanoTime();
-      } else if (!conn.busy && System.nanoTime() - since > TimeUnit.SECONDS.toNanos(Constants.SLOW_REQUEST_S)) {
+      } else if (!conn.busy
+          && System.nanoTime() - since > TimeUnit.SECONDS.toNanos(Constants.SLOW_REQUEST_S)) {
         if (m instanceof ByteBuf b) b.release();
         ctx.close();
         return;
@@ -148,7 +156,8 @@
     public void userEventTriggered(ChannelHandlerContext ctx, Object e) {
       if (e instanceof IdleStateEvent && !conn.busy) {
         boolean partial = !conn.complete;
-        if (partial || ++idles * Constants.SLOW_REQUEST_S >= Constants.IDLE_CONNECTION_S) ctx.close();
+        if (partial || ++idles * Constants.SLOW_REQUEST_S >= Constants.IDLE_CONNECTION_S)
+          ctx.close();
       }
     }
   }
@@ -165,7 +174,12 @@
       busy = true;
       boolean keep = HttpUtil.isKeepAlive(q);
       if (!q.decoderResult().isSuccess()) {
-        write(ctx, 400, "{\"error\":\"not a valid HTTP request\"}".getBytes(StandardCharsets.UTF_8), 0, false);
+        write(
+            ctx,
+            400,
+            "{\"error\":\"not a valid HTTP request\"}".getBytes(StandardCharsets.UTF_8),
+            0,
+            false);
         return;
       }
       byte[] body = new byte[q.content().readableBytes()];
@@ -182,18 +196,27 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable e) {
       if (e instanceof TooLongFrameException) {
-        write(ctx, 400, "{\"error\":\"not a valid HTTP request\"}".getBytes(StandardCharsets.UTF_8), 0, false);
+        write(
+            ctx,
+            400,
+            "{\"error\":\"not a valid HTTP request\"}".getBytes(StandardCharsets.UTF_8),
+            0,
+            false);
       } else {
         ctx.close();
       }
     }
   }
 
-  private static void write(ChannelHandlerContext ctx, int status, byte[] json, int retryAfterS, boolean keep) {
+  private static void write(
+      ChannelHandlerContext ctx, int status, byte[] json, int retryAfterS, boolean keep) {
     DefaultFullHttpResponse r =
         new DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(json));
-    r.headers().set(HttpHeaderNames.CONTENT_TYPE, json.length > 0 && json[0] == '{' ? "application/json" : "text/plain");
+    r.headers()
+        .set(
+            HttpHeaderNames.CONTENT_TYPE,
+            json.length > 0 && json[0] == '{' ? "application/json" : "text/plain");
     r.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, json.length);
     if (retryAfterS > 0) r.headers().setInt(HttpHeaderNames.RETRY_AFTER, retryAfterS);
     if (!keep) r.headers().set(HttpHeaderNames.CONNECTION, "close");
--- a/src/main/java/mallowstall/peers/PeerCodec.java
+++ b/src/main/java/mallowstall/peers/PeerCodec.java
@@ -11,9 +11,9 @@
 import org.apache.avro.io.EncoderFactory;
 
 /**
- * Messages between controllers in Avro's binary encoding, after the schema {@code peers.avsc} (the
- * message is its closing union). Written field by field with Avro's encoder: generic records cost
- * several times the start-up time and garbage, which these machines don't have to spare.
+ * Messages between controllers in Avro's binary encoding, after the schema {@code peers.avsc} (one
+ * record around a union). Written field by field with Avro's encoder: generic records cost several
+ * times the start-up time and garbage, which these machines don't have to spare.
  */
 public final class PeerCodec {
   private interface Write<T> {
@@ -69,8 +69,14 @@
     return switch (kind) {
       case 0 -> roster(d);
       case 1 ->
-          new Starts(d.readString(), d.readLong(), d.readLong(), d.readLong(), list(d, PeerCodec::start));
-      case 2 -> new Stops(d.readString(), d.readLong(), list(d, PeerCodec::stop), list(d, BinaryDecoder::readString));
+          new Starts(
+              d.readString(), d.readLong(), d.readLong(), d.readLong(), list(d, PeerCodec::start));
+      case 2 ->
+          new Stops(
+              d.readString(),
+              d.readLong(),
+              list(d, PeerCodec::stop),
+              list(d, BinaryDecoder::readString));
       default -> throw new IOException("unknown message kind " + kind);
     };
   }
@@ -108,8 +114,16 @@
 
   private static Roster roster(BinaryDecoder d) throws IOException {
     return new Roster(
-        d.readString(), d.readLong(), d.readLong(), d.readLong(), d.readLong(), d.readLong(), d.readLong(),
-        d.readLong(), list(d, PeerCodec::machine), list(d, PeerCodec::refusal));
+        d.readString(),
+        d.readLong(),
+        d.readLong(),
+        d.readLong(),
+        d.readLong(),
+        d.readLong(),
+        d.readLong(),
+        d.readLong(),
+        list(d, PeerCodec::machine),
+        list(d, PeerCodec::refusal));
   }
 
   private static void machine(BinaryEncoder e, RosterMachine m) throws IOException {
@@ -140,9 +154,23 @@
     String type = d.readString();
     String zone = d.readString();
     return new RosterMachine(
-        id, token, (f & CONFIRMED) != 0, (f & USABLE) != 0, (f & DRAINING) != 0, (f & REPLACE) != 0,
-        (f & SILENT) != 0, type, zone, (f & SPOT) != 0, d.readDouble(), d.readDouble(), d.readDouble(),
-        d.readDouble(), d.readLong(), list(d, BinaryDecoder::readString), list(d, PeerCodec::task));
+        id,
+        token,
+        (f & CONFIRMED) != 0,
+        (f & USABLE) != 0,
+        (f & DRAINING) != 0,
+        (f & REPLACE) != 0,
+        (f & SILENT) != 0,
+        type,
+        zone,
+        (f & SPOT) != 0,
+        d.readDouble(),
+        d.readDouble(),
+        d.readDouble(),
+        d.readDouble(),
+        d.readLong(),
+        list(d, BinaryDecoder::readString),
+        list(d, PeerCodec::task));
   }
 
   private static void task(BinaryEncoder e, RosterTask t) throws IOException {
@@ -159,8 +187,10 @@
     long attempt = d.readLong();
     int s = d.readEnum();
     int w = d.readEnum();
-    if (s < 0 || s > STATES.length || w < 0 || w > WHYS.length) throw new IOException("unknown enum value");
-    return new RosterTask(job, task, attempt, s == 0 ? null : STATES[s - 1], w == 0 ? null : WHYS[w - 1]);
+    if (s < 0 || s > STATES.length || w < 0 || w > WHYS.length)
+      throw new IOException("unknown enum value");
+    return new RosterTask(
+        job, task, attempt, s == 0 ? null : STATES[s - 1], w == 0 ? null : WHYS[w - 1]);
   }
 
   private static void refusal(BinaryEncoder e, Refusal r) throws IOException {
@@ -185,7 +215,8 @@
   }
 
   private static StartOrder start(BinaryDecoder d) throws IOException {
-    return new StartOrder(d.readString(), d.readString(), d.readInt(), d.readLong(), d.readLong(), d.readLong());
+    return new StartOrder(
+        d.readString(), d.readString(), d.readInt(), d.readLong(), d.readLong(), d.readLong());
   }
 
   private static void stop(BinaryEncoder e, StopOrder o) throws IOException {
--- a/src/main/java/mallowstall/peers/PeersAdapter.java
+++ b/src/main/java/mallowstall/peers/PeersAdapter.java
@@ -30,7 +30,9 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** One connection to each peer for what this controller says, and one from each for what it hears. */
+/**
+ * One connection to each peer for what this controller says, and one from each for what it hears.
+ */
 public final class PeersAdapter {
   private static final Logger LOG = LoggerFactory.getLogger("mallowstall.peers");
 
@@ -70,7 +72,9 @@
                     inbound++;
                     ch.closeFuture().addListener(f -> inbound--);
                     ch.pipeline()
-                        .addLast(new LengthFieldBasedFrameDecoder(Constants.PEER_FRAME_MAX, 0, 4, 0, 4), new Hearing());
+                        .addLast(
+                            new LengthFieldBasedFrameDecoder(Constants.PEER_FRAME_MAX, 0, 4, 0, 4),
+                            new Hearing());
                   }
                 })
             .bind(at)
@@ -135,7 +139,8 @@
           .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1_500)
           .option(
               ChannelOption.WRITE_BUFFER_WATER_MARK,
-              new io.netty.channel.WriteBufferWaterMark(Constants.PEER_BACKLOG_MAX / 2, Constants.PEER_BACKLOG_MAX))
+              new io.netty.channel.WriteBufferWaterMark(
+                  Constants.PEER_BACKLOG_MAX / 2, Constants.PEER_BACKLOG_MAX))
           .handler(
               new ChannelInitializer<SocketChannel>() {
                 @Override
--- a/src/main/java/mallowstall/state/StateAdapter.java
+++ b/src/main/java/mallowstall/state/StateAdapter.java
@@ -30,7 +30,8 @@
       @JsonProperty("permiso") Long lease,
       @JsonProperty("drop") String delete) {}
 
-  record TxnWire(@JsonProperty("when") List<CondWire> when, @JsonProperty("then") List<OpWire> then) {}
+  record TxnWire(
+      @JsonProperty("when") List<CondWire> when, @JsonProperty("then") List<OpWire> then) {}
 
   record RevisionWire(@JsonProperty("tirada") long revision) {}
 
@@ -46,7 +47,8 @@
       @JsonProperty("has_next") boolean more,
       @JsonProperty("tirada") long revision) {}
 
-  record WatchWire(@JsonProperty("tirada") long revision, @JsonProperty("events") List<ItemWire> events) {}
+  record WatchWire(
+      @JsonProperty("tirada") long revision, @JsonProperty("events") List<ItemWire> events) {}
 
   record TtlWire(@JsonProperty("life_ms") long ttlMs) {}
 
@@ -60,7 +62,8 @@
   private final Consumer<Runnable> events;
 
   /** {@code events} runs what it is given as one event of the core. */
-  public StateAdapter(ObjectMapper json, HttpClient calls, HttpClient watches, Consumer<Runnable> events) {
+  public StateAdapter(
+      ObjectMapper json, HttpClient calls, HttpClient watches, Consumer<Runnable> events) {
     this.json = json;
     this.calls = calls;
     this.watches = watches;
@@ -106,7 +109,10 @@
           case "c/t/" -> TeamRec.class;
           case "c/d/" -> DigestRec.class;
           case "c/b/" -> BitsRec.class;
-          default -> key.equals("c/cloud") ? DutyRec.class : key.equals("c/incarnations") ? CounterRec.class : null;
+          default ->
+              key.equals("c/cloud")
+                  ? DutyRec.class
+                  : key.equals("c/incarnations") ? CounterRec.class : null;
         };
     if (type == null) return null;
     try {
@@ -121,7 +127,8 @@
     List<CondWire> when = new ArrayList<>();
     for (Cond c : t.when()) when.add(new CondWire(c.key(), c.version()));
     List<OpWire> ops = new ArrayList<>();
-    for (Put p : t.puts()) ops.add(new OpWire(p.key(), p.value(), p.lease() == 0 ? null : p.lease(), null));
+    for (Put p : t.puts())
+      ops.add(new OpWire(p.key(), p.value(), p.lease() == 0 ? null : p.lease(), null));
     for (String k : t.drops()) ops.add(new OpWire(null, null, null, k));
     call(
         HttpMethod.POST,
@@ -134,7 +141,8 @@
             if (text.contains("no such lease")) c = Code.NO_LEASE;
             else LOG.error("the state service calls a transaction malformed: {}", text);
           }
-          RevisionWire w = c == Code.OK || c == Code.CONFLICT ? read(r.body(), RevisionWire.class) : null;
+          RevisionWire w =
+              c == Code.OK || c == Code.CONFLICT ? read(r.body(), RevisionWire.class) : null;
           if (w == null && c == Code.OK) c = Code.UNKNOWN;
           then.accept(new TxnReply(c, w == null ? 0 : w.revision()));
         });
@@ -152,7 +160,8 @@
           }
           ItemWire w = r.status() == 200 ? read(r.body(), ItemWire.class) : null;
           Entry e = w == null ? null : entry(key, w.value());
-          if (e == null) then.accept(new GetReply(r.status() == 200 ? Code.REFUSED : code(r.status()), null));
+          if (e == null)
+            then.accept(new GetReply(r.status() == 200 ? Code.REFUSED : code(r.status()), null));
           else then.accept(new GetReply(Code.OK, new Item(key, e, w.version())));
         });
   }
@@ -160,7 +169,11 @@
   public void list(String after, Consumer<ListReply> then) {
     call(
         HttpMethod.GET,
-        "/keys?under=" + PREFIX + (after == null ? "" : "&after=" + after) + "&page=" + Constants.LIST_PAGE,
+        "/keys?under="
+            + PREFIX
+            + (after == null ? "" : "&after=" + after)
+            + "&page="
+            + Constants.LIST_PAGE,
         null,
         r -> {
           ListWire w = r.status() == 200 ? read(r.body(), ListWire.class) : null;
@@ -197,8 +210,11 @@
             events.accept(
                 () -> {
                   WatchWire w = r.status() == 200 ? read(r.body(), WatchWire.class) : null;
-                  if (w != null) then.accept(new WatchReply(Code.OK, items(w.events()), w.revision()));
-                  else then.accept(new WatchReply(r.status() == 410 ? Code.GONE : Code.REFUSED, List.of(), 0));
+                  if (w != null)
+                    then.accept(new WatchReply(Code.OK, items(w.events()), w.revision()));
+                  else
+                    then.accept(
+                        new WatchReply(r.status() == 410 ? Code.GONE : Code.REFUSED, List.of(), 0));
                 }));
   }
 
@@ -209,7 +225,8 @@
         new TtlWire(ttlMs),
         r -> {
           LeaseWire w = r.status() == 200 ? read(r.body(), LeaseWire.class) : null;
-          then.accept(new LeaseReply(w == null ? Code.REFUSED : Code.OK, w == null ? 0 : w.lease()));
+          then.accept(
+              new LeaseReply(w == null ? Code.REFUSED : Code.OK, w == null ? 0 : w.lease()));
         });
   }
 
@@ -218,7 +235,10 @@
         HttpMethod.POST,
         "/leases/" + lease + "/renew",
         null,
-        r -> then.accept(new LeaseReply(r.status() == 404 ? Code.GONE : r.status() == 200 ? Code.OK : Code.REFUSED, lease)));
+        r ->
+            then.accept(
+                new LeaseReply(
+                    r.status() == 404 ? Code.GONE : r.status() == 200 ? Code.OK : Code.REFUSED,
+                    lease)));
   }
-
 }
--- a/src/main/java/mallowstall/users/UsersAdapter.java
+++ b/src/main/java/mallowstall/users/UsersAdapter.java
@@ -59,7 +59,15 @@
 
   private static final Pattern ID = Pattern.compile("wk-[0-9]{1,18}");
   private static final Map<String, Priority> PRIORITIES =
-      Map.of("prod", Priority.PRODUCTION, "high", Priority.HIGH, "standard", Priority.NORMAL, "best_effort", Priority.LOW);
+      Map.of(
+          "prod",
+          Priority.PRODUCTION,
+          "high",
+          Priority.HIGH,
+          "standard",
+          Priority.NORMAL,
+          "best_effort",
+          Priority.LOW);
 
   private final ObjectMapper json;
   private final Core core;
@@ -114,7 +122,8 @@
     Priority p = PRIORITIES.get(w.priority);
     if (p == null) throw new Malformed("urgencia must be prod, high, standard or best_effort");
     if (w.tasks == null) throw new Malformed("piezas is missing");
-    if (w.tasks < 1 || w.tasks > Constants.TASKS_MAX) throw new Malformed("piezas must be 1 to " + Constants.TASKS_MAX);
+    if (w.tasks < 1 || w.tasks > Constants.TASKS_MAX)
+      throw new Malformed("piezas must be 1 to " + Constants.TASKS_MAX);
     amount("vcpus", w.cpus);
     amount("gpus", w.gpus);
     amount("mem_gb", w.memoryGb);
@@ -134,18 +143,37 @@
     amount("apilado_s", w.saveS);
     if (w.deadlineS != null) amount("despacho_s", w.deadlineS);
     return new JobSpec(
-        w.id, w.jobClass, w.team, p, w.tasks, w.cpus, w.gpus, w.memoryGb, w.image, w.imageGb, w.types, w.zone,
-        w.oneZone, w.spread, w.spot, w.estimateS, w.checkpointS, w.saveS, w.deadlineS);
+        w.id,
+        w.jobClass,
+        w.team,
+        p,
+        w.tasks,
+        w.cpus,
+        w.gpus,
+        w.memoryGb,
+        w.image,
+        w.imageGb,
+        w.types,
+        w.zone,
+        w.oneZone,
+        w.spread,
+        w.spot,
+        w.estimateS,
+        w.checkpointS,
+        w.saveS,
+        w.deadlineS);
   }
 
   private static void text(String name, String v) throws Malformed {
     if (v == null) throw new Malformed(name + " is missing");
-    if (v.isEmpty() || v.length() > 200) throw new Malformed(name + " must have 1 to 200 characters");
+    if (v.isEmpty() || v.length() > 200)
+      throw new Malformed(name + " must have 1 to 200 characters");
   }
 
   private static void amount(String name, Double v) throws Malformed {
     if (v == null) throw new Malformed(name + " is missing");
-    if (!Double.isFinite(v) || v < 0 || v > 1e9) throw new Malformed(name + " must be a number from 0 to 1e9");
+    if (!Double.isFinite(v) || v < 0 || v > 1e9)
+      throw new Malformed(name + " must be a number from 0 to 1e9");
   }
 
   private static void flag(String name, Boolean v) throws Malformed {
@@ -166,7 +194,11 @@
         r.answer(a.status(), json.writeValueAsBytes(new ErrorWire(a.message())), a.retryAfterS());
       } else {
         StateWire w =
-            new StateWire(a.id(), a.state(), brief ? null : (Integer) a.done(), brief ? null : (Integer) a.running());
+            new StateWire(
+                a.id(),
+                a.state(),
+                brief ? null : (Integer) a.done(),
+                brief ? null : (Integer) a.running());
         r.answer(a.status(), json.writeValueAsBytes(w), 0);
       }
     } catch (JsonProcessingException e) {
--- a/src/main/java/mallowstall/workers/WorkersAdapter.java
+++ b/src/main/java/mallowstall/workers/WorkersAdapter.java
@@ -39,7 +39,8 @@
       @JsonProperty("intento") long attempt,
       @JsonProperty("respiro_s") Double graceS) {}
 
-  record AnswerWire(@JsonProperty("baston") long token, @JsonProperty("ordenes") List<CommandWire> commands) {}
+  record AnswerWire(
+      @JsonProperty("baston") long token, @JsonProperty("ordenes") List<CommandWire> commands) {}
 
   @JsonInclude(JsonInclude.Include.NON_NULL)
   record ElsewhereWire(@JsonProperty("capataz") String reportTo) {}
@@ -68,11 +69,14 @@
         } catch (NumberFormatException e) {
           throw new IOException("a task has no valid name", e);
         }
-        tasks.add(new TaskReport(t.task.substring(0, slash), n, t.attempt, state(t.state), why(t), t.saved));
+        tasks.add(
+            new TaskReport(
+                t.task.substring(0, slash), n, t.attempt, state(t.state), why(t), t.saved));
       }
     }
     core.report(
-        new Report(w.machine, w.addr, w.type, w.zone, w.spot, w.session, w.seq, w.token, w.noticeS, tasks),
+        new Report(
+            w.machine, w.addr, w.type, w.zone, w.spot, w.session, w.seq, w.token, w.noticeS, tasks),
         a -> answer(a, r));
   }
 
@@ -114,7 +118,10 @@
               };
           out.add(
               new CommandWire(
-                  op, c.job() + "/" + c.task(), c.attempt(), c.kind() == CommandKind.STOP ? c.graceS() : null));
+                  op,
+                  c.job() + "/" + c.task(),
+                  c.attempt(),
+                  c.kind() == CommandKind.STOP ? c.graceS() : null));
         }
         r.answer(200, json.writeValueAsBytes(new AnswerWire(a.token(), out)), 0);
       }
--- /dev/null
+++ b/src/test/java/mallowstall/peers/PeerCodecTest.java
@@ -0,0 +1,98 @@
+package mallowstall.peers;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.util.List;
+import mallowstall.core.Model.*;
+import org.apache.avro.Schema;
+import org.apache.avro.generic.GenericDatumReader;
+import org.apache.avro.generic.GenericRecord;
+import org.apache.avro.io.DecoderFactory;
+import org.junit.jupiter.api.Test;
+
+class PeerCodecTest {
+  static final Roster ROSTER =
+      new Roster(
+          "n1",
+          3,
+          9,
+          431,
+          2,
+          17,
+          40,
+          1L << 40,
+          List.of(
+              new RosterMachine(
+                  "m-000007",
+                  5,
+                  true,
+                  true,
+                  false,
+                  true,
+                  false,
+                  "t8",
+                  "z",
+                  true,
+                  -1,
+                  4.5,
+                  0,
+                  12.25,
+                  900,
+                  List.of("img-1", "img-2"),
+                  List.of(
+                      new RosterTask("wk-000001", 3, (2L << 24) + 5, TaskState.EXITED, Why.DONE),
+                      new RosterTask("wk-000001", 4, (2L << 24) + 6, null, null)))),
+          List.of(new Refusal("m-000007", "wk-000002", 0, 8, "no room")));
+
+  @Test
+  void everyMessageSurvivesTheWire() throws IOException {
+    Starts starts =
+        new Starts(
+            "n1",
+            3,
+            2,
+            18,
+            List.of(new StartOrder("m-000007", "wk-000002", 1, 99, 4, 1_700_000_000_000L)));
+    Stops stops =
+        new Stops(
+            "n1", 3, List.of(new StopOrder("m-000007", "wk-000002", 1, 99, 4.5)), List.of("m-1"));
+    for (PeerMessage m : List.of(ROSTER, starts, stops)) {
+      assertEquals(m, PeerCodec.decode(PeerCodec.encode(m)));
+    }
+  }
+
+  /**
+   * The hand-ordered fields must stay what the published schema says: Avro's own reader decides.
+   */
+  @Test
+  void theBytesFollowTheSchema() throws IOException {
+    Schema all;
+    try (InputStream in = PeerCodec.class.getResourceAsStream("/mallowstall/peers.avsc")) {
+      all = new Schema.Parser().parse(in);
+    }
+    byte[] b = PeerCodec.encode(ROSTER);
+    GenericRecord message =
+        new GenericDatumReader<GenericRecord>(all)
+            .read(null, DecoderFactory.get().binaryDecoder(b, null));
+    GenericRecord r = (GenericRecord) message.get("body");
+    assertEquals("n1", r.get("node").toString());
+    assertEquals(1L << 40, r.get("sinceCancelMs"));
+    GenericRecord m = (GenericRecord) ((List<?>) r.get("machines")).get(0);
+    assertEquals(12.25, m.get("freeMemoryGb"));
+    GenericRecord t = (GenericRecord) ((List<?>) m.get("tasks")).get(0);
+    assertEquals("EXITED", t.get("state").toString());
+    assertEquals("DONE", t.get("why").toString());
+    assertEquals(
+        "no room", ((GenericRecord) ((List<?>) r.get("refusals")).get(0)).get("reason").toString());
+  }
+
+  @Test
+  void cutOffBytesAreRefused() {
+    byte[] b = PeerCodec.encode(ROSTER);
+    assertThrows(
+        IOException.class, () -> PeerCodec.decode(java.util.Arrays.copyOf(b, b.length / 2)));
+  }
+}
--- /dev/null
+++ b/src/test/java/mallowstall/users/SubmissionTest.java
@@ -0,0 +1,65 @@
+package mallowstall.users;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import mallowstall.cli.Main;
+import mallowstall.core.Model.JobSpec;
+import mallowstall.core.Model.Priority;
+import org.junit.jupiter.api.Test;
+
+class SubmissionTest {
+  static final String GOOD =
+      """
+      {"ref":"wk-000412","lote":"train","cuadrilla":"vision","oficio":"batch","urgencia":"high","piezas":16,
+       "vcpus":8.0,"gpus":1.0,"mem_gb":64.0,"molde":"img-07","image_gb":6.2,"calibres":["g8"],"patio":null,
+       "one_zone":true,"scatter":false,"prestados":true,"aserrado_s":240.0,"marca_s":30.0,"apilado_s":4.0,
+       "despacho_s":900.0,"later":[1]}
+      """;
+
+  private static JobSpec parse(String s) throws UsersAdapter.Malformed {
+    return new UsersAdapter(Main.json(), null).parse(s.getBytes(StandardCharsets.UTF_8));
+  }
+
+  @Test
+  void aSubmissionIsRead() throws UsersAdapter.Malformed {
+    JobSpec j = parse(GOOD);
+    assertEquals(16, j.tasks());
+    assertEquals(Priority.HIGH, j.priority());
+    assertNull(j.zone());
+    assertEquals(900.0, j.deadlineS());
+    assertNull(parse(GOOD.replace("\"calibres\":[\"g8\"],", "")).types());
+  }
+
+  @Test
+  void eachFaultIsNamed() {
+    String[][] cases = {
+      {GOOD, "[1,2]", "the body"},
+      {GOOD, "not json", "the body is not JSON"},
+      {GOOD, "null", "the body is not an object"},
+      {"wk-000412", "job-7", "ref must look like"},
+      {"\"batch\"", "\"ensemble\"", "oficio must be batch"},
+      {"\"high\"", "\"urgent\"", "urgencia must be"},
+      {"\"piezas\":16", "\"piezas\":0", "piezas must be 1 to"},
+      {"\"piezas\":16", "\"piezas\":100001", "piezas must be 1 to"},
+      {"\"piezas\":16", "\"piezas\":1.5", "piezas has the wrong type"},
+      {"\"piezas\":16", "\"piezas\":\"16\"", "piezas has the wrong type"},
+      {"\"vcpus\":8.0", "\"vcpus\":-1", "vcpus must be"},
+      {"\"mem_gb\":64.0,", "", "mem_gb is missing"},
+      {"\"one_zone\":true", "\"one_zone\":1", "one_zone has the wrong type"},
+      {"\"one_zone\":true", "\"one_zone\":null", "one_zone is missing"},
+      {"\"lote\":\"train\"", "\"lote\":5", "lote has the wrong type"},
+      {"[\"g8\"]", "[]", "calibres must be null or"},
+      {"[\"g8\"]", "[null]", "calibres is missing"},
+    };
+    for (String[] c : cases) {
+      UsersAdapter.Malformed e =
+          assertThrows(
+              UsersAdapter.Malformed.class, () -> parse(GOOD.replace(c[0], c[1])), c[0] + c[1]);
+      assertTrue(e.getMessage().startsWith(c[2]), c[1] + " -> " + e.getMessage());
+    }
+  }
+}
