--- a/src/main/java/mallowstall/Constants.java
+++ b/src/main/java/mallowstall/Constants.java
@@ -174,6 +174,12 @@
   /** ms. Time constant of the average of used processors that keeps a warm floor of machines. */
   public static final double USAGE_TAU_MS = 90_000;
 
+  /** Factor on the average urgent demand: arrivals come in bursts. */
+  public static final double RESERVE_FACTOR = 1.2;
+
+  /** Fraction of a type's machines that may be kept for urgent work. */
+  public static final double RESERVE_MOST = 0.3;
+
   // ---- users --------------------------------------------------------------------------------
   /** Bytes. Largest request body (protocol). */
   public static final int BODY_MAX = 64 << 10;
--- a/src/main/java/mallowstall/core/Fleet.java
+++ b/src/main/java/mallowstall/core/Fleet.java
@@ -29,6 +29,9 @@
     double waiting;
     boolean spotOnly = true;
     double average;
+
+    /** Average machines' worth of urgent work. */
+    double urgent;
   }
 
   private final Core core;
@@ -42,6 +45,7 @@
   private final Set<String> returning = new HashSet<>();
   private final Set<String> toDrop = new HashSet<>();
   private final Set<String> needed = new HashSet<>();
+  private final Set<String> reserved = new HashSet<>();
   private Map<String, Listed> listed = new HashMap<>();
   private long listedAt = Long.MIN_VALUE / 2;
   private boolean listing;
@@ -136,6 +140,7 @@
   // ---- demand -------------------------------------------------------------------------------
   private void demand(long now) {
     needed.clear();
+    Map<String, Double> urgent = new HashMap<>();
     for (Demand d : demands.values()) {
       d.machines = 0;
       d.waiting = 0;
@@ -164,6 +169,9 @@
                   j.memoryGb() > 0 ? Math.floor(t.memoryGb() / j.memoryGb()) : 1e9,
                   j.gpus() > 0 ? Math.floor(t.gpus() / j.gpus()) : 1e9));
       if (per < 1) continue;
+      if (j.priority().ordinal() >= Priority.HIGH.ordinal()) {
+        urgent.merge(name, tasks / per, Double::sum);
+      }
       double life = j.estimateS() + j.imageGb() / Math.max(1e-3, t.fetchGbPerS());
       double share = Math.min(1, life / Math.max(20, 0.8 * t.bootS()));
       Demand d = demands.computeIfAbsent(name, k -> new Demand());
@@ -172,7 +180,41 @@
     }
     double w = lastDemand == 0 ? 1 : 1 - Math.exp(-(now - lastDemand) / Constants.USAGE_TAU_MS);
     lastDemand = now;
-    for (Demand d : demands.values()) d.average += (d.machines - d.average) * w;
+    for (Map.Entry<String, Demand> e : demands.entrySet()) {
+      Demand d = e.getValue();
+      d.average += (d.machines - d.average) * w;
+      d.urgent += (urgent.getOrDefault(e.getKey(), 0.0) - d.urgent) * w;
+    }
+    reserve();
+  }
+
+  /**
+   * Keeps as many machines from lower work as urgent jobs use on average, so that these needn't
+   * stop anybody. The oldest ordinary ones: they are not taken back, and every controller names the
+   * same.
+   */
+  private void reserve() {
+    reserved.clear();
+    List<View.Seen> up = new ArrayList<>();
+    for (View.Seen s : core.view().machines.values()) if (s.takes()) up.add(s);
+    up.sort(Comparator.comparing((View.Seen s) -> s.m.spot()).thenComparing(s -> s.id));
+    for (Map.Entry<String, Demand> e : demands.entrySet()) {
+      long all = up.stream().filter(s -> s.m.type().equals(e.getKey())).count();
+      long n =
+          Math.min(
+              (long) Math.ceil(e.getValue().urgent * Constants.RESERVE_FACTOR),
+              (long) (all * Constants.RESERVE_MOST));
+      for (View.Seen s : up) {
+        if (n <= 0) break;
+        if (!s.m.type().equals(e.getKey())) continue;
+        reserved.add(s.id);
+        n--;
+      }
+    }
+  }
+
+  boolean reserved(String machine) {
+    return reserved.contains(machine);
   }
 
   // ---- plan ---------------------------------------------------------------------------------
@@ -216,6 +258,7 @@
       }
     }
     unaccountedSince.keySet().retainAll(known);
+    if (LOG.isDebugEnabled()) logUse(up);
     for (Listed l : listed.values()) {
       if (known.contains(l.id()) || returning.contains(l.id())) continue;
       MachineType t = core.types().get(l.type());
@@ -248,6 +291,31 @@
           back.subList(0, Math.min(back.size(), Constants.RETURN_MAX)), "lost, failed or faulty");
   }
 
+  /** Where the rented processors go: the first thing to look at when jobs wait. */
+  private void logUse(List<View.Seen> up) {
+    double running = 0;
+    double fetching = 0;
+    double booked = 0;
+    double free = 0;
+    for (View.Seen s : up) {
+      free += s.m.freeCpus();
+      for (RosterTask t : s.m.tasks()) {
+        JobRec j = store.job(t.job());
+        if (j == null || t.state() == TaskState.EXITED) continue;
+        if (t.state() == null) booked += j.spec().cpus();
+        else if (t.state() == TaskState.FETCHING) fetching += j.spec().cpus();
+        else running += j.spec().cpus();
+      }
+    }
+    LOG.debug(
+        "use: {} machines up, cpus running {}, fetching {}, booked {}, free {}",
+        up.size(),
+        running,
+        fetching,
+        booked,
+        free);
+  }
+
   private boolean inDigest(String node, String machine) {
     Store.Held h = store.held(Store.DIGESTS + node);
     if (h == null) return false;
--- a/src/main/java/mallowstall/core/Placement.java
+++ b/src/main/java/mallowstall/core/Placement.java
@@ -1,5 +1,7 @@
 package mallowstall.core;
 
+import it.unimi.dsi.fastutil.objects.Object2DoubleOpenHashMap;
+import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -35,6 +37,8 @@
   private final Map<String, BackOff> backOffs = new HashMap<>();
   private final Policy.Facts facts = new Policy.Facts();
   private final Map<String, List<StartOrder>> out = new LinkedHashMap<>();
+  private final Object2DoubleOpenHashMap<String> waiting = new Object2DoubleOpenHashMap<>();
+  private final Object2DoubleOpenHashMap<String> warm = new Object2DoubleOpenHashMap<>();
 
   Placement(Core core, Store store, Holder holder, SplittableRandom random) {
     this.core = core;
@@ -68,69 +72,77 @@
     wait.sort((a, b) -> order(a, b, now));
     List<View.Seen> machines = new ArrayList<>();
     for (View.Seen s : core.view().machines.values()) {
-      if (s.takes() && now - s.at < Constants.ROSTER_STALE_MS && s.freeCpus() > 0.01)
+      if (s.takes() && now - s.at < Constants.ROSTER_STALE_MS && s.freeCpus() > 0.01) {
         machines.add(s);
+      }
     }
-    countSent(machines);
+    countSent();
+    countImages();
     int budget = Constants.STARTS_PER_ROUND;
-    for (Held h : wait) {
-      if (budget <= 0) break;
-      Policy p = core.policies().of(h.spec.jobClass());
-      BackOff b = backOffs.computeIfAbsent(p.name(), k -> new BackOff());
-      if (now < b.until && core.roomNews() <= b.roomSeen) continue;
-      int placed = placeJob(h, p, machines, budget, now);
-      if (placed > 0) {
-        budget -= placed;
-        b.wait = Constants.BACKOFF_FIRST_MS;
-        b.until = 0;
-      } else if (placed == 0) {
-        // exhausted every block: wait, unless a roster tells of new room before
-        b.until = now + b.wait;
-        b.wait = Math.min(Constants.BACKOFF_MAX_MS, b.wait * 2);
-        b.roomSeen = core.roomNews();
-        preempt(h, now);
+    // one priority after the other; within one, every job tries its first block before any its
+    // second
+    for (int from = 0; from < wait.size() && budget > 0; ) {
+      Priority priority = wait.get(from).spec.priority();
+      List<Try> tries = new ArrayList<>();
+      int blocks = 0;
+      for (; from < wait.size() && wait.get(from).spec.priority() == priority; from++) {
+        Try t = new Try(wait.get(from), machines);
+        if (now < t.backOff.until && core.roomNews() <= t.backOff.roomSeen) continue;
+        tries.add(t);
+        blocks = Math.max(blocks, t.policy.blocks().size());
       }
+      for (int i = 0; i < blocks; i++) {
+        for (Try t : tries) {
+          if (i >= t.policy.blocks().size() || budget <= 0) continue;
+          budget -= t.block(t.policy.blocks().get(i), machines, budget, now);
+        }
+      }
+      for (Try t : tries) t.end(now);
     }
     send();
   }
 
-  private void countSent(List<View.Seen> machines) {
-    for (View.Seen s : core.view().machines.values()) s.sentCpus = s.sentGpus = s.sentMemory = 0;
-    for (Held h : holder.jobs()) {
+  /** One job's part in a placement round. Mutable. */
+  private final class Try {
+    final Held h;
+    final Policy policy;
+    final BackOff backOff;
+    final boolean limited;
+    final Map<String, Integer> perZone = new HashMap<>();
+    final int zoneMax;
+    String oneZone;
+    int want;
+    int spare;
+    int placed;
+
+    /** Tasks that would have been placed if their team's grant allowed it. */
+    int possible;
+
+    Try(Held h, List<View.Seen> machines) {
+      this.h = h;
+      JobSpec j = h.spec;
+      policy = core.policies().of(j.jobClass());
+      backOff = backOffs.computeIfAbsent(policy.name(), k -> new BackOff());
+      want = h.pending();
+      limited = holder.limited(j);
+      // a change of the grant that is under way or in doubt: what it will be isn't known
+      spare =
+          !limited
+              ? Integer.MAX_VALUE
+              : h.granting || h.uncertain ? 0 : h.rec.grant() - h.active.size();
       for (Active a : h.active.values()) {
-        if (a.seen || a.mark != 0) continue;
-        View.Seen s = core.view().machines.get(a.machine);
-        if (s != null) book(s, h.spec, 1);
+        oneZone = a.zone;
+        perZone.merge(a.zone, 1, Integer::sum);
       }
+      if (j.oneZone() && oneZone == null) oneZone = roomiestZone(j, machines);
+      zoneMax = j.spread() ? (j.tasks() + 1) / 2 : Integer.MAX_VALUE;
     }
-  }
-
-  private static void book(View.Seen s, JobSpec j, int n) {
-    s.sentCpus += n * j.cpus();
-    s.sentGpus += n * j.gpus();
-    s.sentMemory += n * j.memoryGb();
-  }
 
-  /** Number placed; 0: no allowed machine has room; -1: waits only for its team's grant. */
-  private int placeJob(Held h, Policy p, List<View.Seen> machines, int budget, long now) {
-    JobSpec j = h.spec;
-    int want = Math.min(h.pending(), budget);
-    boolean limited = holder.limited(j);
-    int spare = limited ? h.rec.grant() - h.active.size() : Integer.MAX_VALUE;
-    // a change of the grant is under way or in doubt: what it will be isn't known
-    if (limited && (h.granting || h.uncertain)) spare = 0;
-    int placed = 0;
-    int possible = 0;
-    String oneZone = null;
-    Map<String, Integer> perZone = new HashMap<>();
-    for (Active a : h.active.values()) {
-      oneZone = a.zone;
-      perZone.merge(a.zone, 1, Integer::sum);
-    }
-    if (j.oneZone() && oneZone == null) oneZone = roomiestZone(j, machines);
-    int zoneMax = j.spread() ? (j.tasks() + 1) / 2 : Integer.MAX_VALUE;
-    record Choice(View.Seen s, double score) {}
-    for (Policy.Block b : p.blocks()) {
+    /** Places what this block allows; returns the number of starts. */
+    int block(Policy.Block b, List<View.Seen> machines, int budget, long now) {
+      JobSpec j = h.spec;
+      if (want <= 0) return 0;
+      record Choice(View.Seen s, double score) {}
       List<Choice> choices = new ArrayList<>();
       for (View.Seen s : machines) {
         if (!Owner.allowed(j, s.m.type(), s.m.zone(), s.m.spot())) continue;
@@ -149,31 +161,116 @@
         choices.add(new Choice(s, score + random.nextDouble() * 0.5));
       }
       choices.sort(Comparator.comparingDouble(Choice::score));
+      int started = 0;
       for (Choice c : choices) {
-        int n = Math.min(want - placed - possible, fits(c.s, j));
+        int n = Math.min(want, fits(c.s, j));
         n = Math.min(n, zoneMax - perZone.getOrDefault(c.s.m.zone(), 0));
         if (n <= 0) continue;
-        int go = Math.min(n, spare);
+        if (!c.s.m.images().contains(j.image())) {
+          // each cold machine adds its slots to those that will serve the image's other tasks
+          fill(c.s, h, now);
+          if (b.invalidate(facts)) break;
+          warm.mergeDouble(j.image(), slots(c.s, j), Double::sum);
+        }
+        int go = Math.min(n, Math.min(spare, budget - started));
         for (int i = 0; i < go; i++) {
           int task = h.take();
-          if (task < 0) return placed;
+          if (task < 0) return started;
           start(h, task, c.s);
+          started++;
           placed++;
+          want--;
           spare--;
         }
         possible += n - go;
+        want -= n - go;
         book(c.s, j, n - go);
         perZone.merge(c.s.m.zone(), n, Integer::sum);
-        if (placed + possible >= want) break;
+        if (want <= 0 || started >= budget) break;
       }
-      if (placed + possible >= want) break;
+      return started;
     }
-    if (possible > 0 && limited) {
-      h.wantsGrant = Math.max(h.wantsGrant, possible);
-      if (placed == 0) return -1;
+
+    void end(long now) {
+      if (limited && possible > 0) h.wantsGrant = Math.max(h.wantsGrant, possible);
+      if (placed > 0) {
+        h.grantIdleSince = 0;
+        backOff.wait = Constants.BACKOFF_FIRST_MS;
+        backOff.until = 0;
+      } else if (possible == 0) {
+        // exhausted every block: wait, unless a roster tells of new room before
+        backOff.until = now + backOff.wait;
+        backOff.wait = Math.min(Constants.BACKOFF_MAX_MS, backOff.wait * 2);
+        backOff.roomSeen = core.roomNews();
+        preempt(h, now);
+      }
     }
-    if (placed > 0) h.grantIdleSince = 0;
-    return placed;
+  }
+
+  /**
+   * Per image: tasks waiting for a machine, over all holders, and slots on machines that have it.
+   */
+  private void countImages() {
+    waiting.clear();
+    warm.clear();
+    Object2IntOpenHashMap<String> placedOf = new Object2IntOpenHashMap<>();
+    Map<String, JobSpec> sample = new HashMap<>();
+    for (View.Seen s : core.view().machines.values()) {
+      if (s.m == null) continue;
+      for (RosterTask t : s.m.tasks()) {
+        if (t.state() != TaskState.EXITED) placedOf.addTo(t.job(), 1);
+      }
+    }
+    for (Store.Held e : store.under(Store.JOBS).values()) {
+      JobRec rec = (JobRec) e.value();
+      if (rec.fin() != Final.NONE) continue;
+      JobSpec j = rec.spec();
+      sample.put(j.image(), j);
+      int n = Math.max(0, j.tasks() - rec.doneCount() - placedOf.getInt(j.id()));
+      waiting.mergeDouble(j.image(), n * j.estimateS(), Double::sum);
+    }
+    for (View.Seen s : core.view().machines.values()) {
+      if (s.m == null || !s.takes()) continue;
+      java.util.Set<String> has = new java.util.HashSet<>(s.m.images());
+      for (RosterTask t : s.m.tasks()) {
+        JobRec r = t.state() == TaskState.EXITED ? null : store.job(t.job());
+        if (r != null) has.add(r.spec().image());
+      }
+      for (String image : has) {
+        JobSpec j = sample.get(image);
+        if (j != null && Owner.allowed(j, s.m.type(), s.m.zone(), s.m.spot())) {
+          warm.mergeDouble(image, slots(s, j), Double::sum);
+        }
+      }
+    }
+  }
+
+  /** How many tasks like this one an empty machine would hold. */
+  private double slots(View.Seen s, JobSpec j) {
+    MachineType t = core.types().get(s.m.type());
+    if (t == null) return 0;
+    double n = 1000;
+    if (j.cpus() > 0) n = Math.min(n, Math.floor(t.cpus() / j.cpus() + 1e-9));
+    if (j.memoryGb() > 0) n = Math.min(n, Math.floor(t.memoryGb() / j.memoryGb() + 1e-9));
+    if (j.gpus() > 0) n = Math.min(n, Math.floor(t.gpus() / j.gpus() + 1e-9));
+    return n;
+  }
+
+  private void countSent() {
+    for (View.Seen s : core.view().machines.values()) s.sentCpus = s.sentGpus = s.sentMemory = 0;
+    for (Held h : holder.jobs()) {
+      for (Active a : h.active.values()) {
+        if (a.seen || a.mark != 0) continue;
+        View.Seen s = core.view().machines.get(a.machine);
+        if (s != null) book(s, h.spec, 1);
+      }
+    }
+  }
+
+  private static void book(View.Seen s, JobSpec j, int n) {
+    s.sentCpus += n * j.cpus();
+    s.sentGpus += n * j.gpus();
+    s.sentMemory += n * j.memoryGb();
   }
 
   private String roomiestZone(JobSpec j, List<View.Seen> machines) {
@@ -223,6 +320,16 @@
     f.fetches = fetching;
     double rate = t == null ? 1 : Math.max(1e-3, t.fetchGbPerS());
     f.fetchS = f.imagePresent ? 0 : j.imageGb() / rate * (same ? 0.6 : 1 + fetching);
+    double w = warm.getDouble(j.image());
+    f.drainS = w <= 0 ? 1e9 : waiting.getDouble(j.image()) / w;
+    f.otherDrainS = 0;
+    for (String other : s.m.images()) {
+      double ow = warm.getDouble(other);
+      if (ow > 0 && !other.equals(j.image())) {
+        f.otherDrainS = Math.max(f.otherDrainS, waiting.getDouble(other) / ow);
+      }
+    }
+    f.reserved = core.fleet().reserved(s.id);
     f.scarce = core.fleet().scarce(j, s.m.type());
     f.taskCpus = j.cpus();
     f.taskGpus = j.gpus();
--- a/src/main/java/mallowstall/core/Policy.java
+++ b/src/main/java/mallowstall/core/Policy.java
@@ -23,6 +23,15 @@
     /** Seconds until the image would be there. */
     public double fetchS;
 
+    /** Seconds in which the machines that have the image could serve all tasks waiting for it. */
+    public double drainS;
+
+    /** The longest such time among the images that this machine has. */
+    public double otherDrainS;
+
+    /** The machine is kept for jobs of high priority. */
+    public boolean reserved;
+
     public double fetches;
     public double taskCpus;
     public double taskGpus;
