Starts and stops go straight to the worker's address

Guard: a command whose answer is missing counts as possibly running until the worker has shown a larger term; its attempt is not forgotten before.

--- a/src/main/java/mallowstall/Constants.java
+++ b/src/main/java/mallowstall/Constants.java
@@ -118,6 +118,12 @@
   /** Count. Commands in one response, so that a line stays far below 64 KiB. */
   public static final int COMMANDS_MAX = 200;
 
+  /** ms. Least time between two requests to one worker's own address: joins a burst of starts. */
+  public static final long ORDER_GAP_MS = 30;
+
+  /** ms. A worker that hasn't answered by then may still execute the commands. */
+  public static final long ORDER_TIMEOUT_MS = 2_000;
+
   // ---- placement ----------------------------------------------------------------------------
   /** ms. First wait of a policy that failed (design page). */
   public static final long BACKOFF_FIRST_MS = 1_000;
--- a/src/main/java/mallowstall/Service.java
+++ b/src/main/java/mallowstall/Service.java
@@ -66,7 +66,7 @@
             : s.facts().limits().maxConnections();
     this.peers = new PeersAdapter(loop, core, events, 16);
     this.users = new UsersAdapter(json, core);
-    this.workers = new WorkersAdapter(json, core);
+    this.workers = new WorkersAdapter(json, core, loop, events);
     this.server = new HttpServer(this::handle, (int) (sockets * Constants.SOCKET_SHARE));
   }
 
@@ -266,6 +266,12 @@
       peers.send(node, message);
     }
 
+    @Override
+    public void order(
+        String addr, long token, long session, List<Command> commands, Consumer<OrderReply> then) {
+      workers.order(addr, token, session, commands, then);
+    }
+
     @Override
     public void types(Consumer<List<MachineType>> then) {
       cloud.types(then);
--- a/src/main/java/mallowstall/core/Core.java
+++ b/src/main/java/mallowstall/core/Core.java
@@ -95,6 +95,7 @@
       awake = false;
       placement.round();
     }
+    owner.push();
   }
 
   /** When the next timer is due, for callers that sleep; {@code Long.MAX_VALUE}: none. */
--- a/src/main/java/mallowstall/core/Effects.java
+++ b/src/main/java/mallowstall/core/Effects.java
@@ -56,6 +56,16 @@
 
   void send(String node, PeerMessage message);
 
+  /**
+   * Commands sent straight to a worker. {@code report} is the worker's report after them, null when
+   * there is none; code OK: executed; CONFLICT: not executed; REFUSED: never sent; UNKNOWN: may be
+   * executed at any later time.
+   */
+  record OrderReply(Code code, Report report) {}
+
+  void order(
+      String addr, long token, long session, List<Command> commands, Consumer<OrderReply> then);
+
   void types(Consumer<List<MachineType>> then);
 
   void rent(RentRequest request, Consumer<RentReply> then);
--- a/src/main/java/mallowstall/core/Owner.java
+++ b/src/main/java/mallowstall/core/Owner.java
@@ -43,8 +43,9 @@
     final MachineType type;
     final String zone;
     final boolean spot;
-    final long token;
-    final long version;
+    long token;
+    long version;
+    String addr;
     long session;
     long seq;
 
@@ -68,6 +69,22 @@
     /** Ends other than done that a roster has told. */
     final Object2LongOpenHashMap<Key> told = new Object2LongOpenHashMap<>();
 
+    /**
+     * Starts sent to the worker's own address whose outcome is open. Until the answer is there, or
+     * the worker shows a larger term, they may be executed at any time: they count as possibly
+     * running, and their attempts are not forgotten, since a late copy would start them again.
+     */
+    final Map<Key, Long> ordered = new HashMap<>();
+
+    boolean ordering;
+    boolean dangling;
+    boolean raising;
+
+    /** The term was raised after the last start went astray. */
+    boolean raised;
+
+    long orderedAt;
+
     final LinkedHashSet<String> images = new LinkedHashSet<>();
 
     Owned(String id, MachineType type, String zone, boolean spot, long token, long version) {
@@ -87,6 +104,7 @@
   private final Map<String, Long> redirected = new HashMap<>();
   private final List<Refusal> refusals = new ArrayList<>();
   private boolean dirty;
+  private boolean pushing;
   private long lastRoster;
   private long serial;
 
@@ -120,7 +138,11 @@
     Owned o = owned.get(r.machine());
     if (o != null && r.token() <= o.token) {
       if (r.session() < o.session || (r.session() == o.session && r.seq() <= o.seq)) {
-        reply.accept(ReportAnswer.unable()); // a late copy of an older report says nothing new
+        // Overtaken by the answer of a direct command, or a late copy: it says nothing new.
+        // Refusing it
+        // would send a healthy worker to another controller.
+        o.lastOk = now;
+        reply.accept(ReportAnswer.ok(o.token, List.of()));
         return;
       }
       take(o, r);
@@ -192,10 +214,15 @@
 
   private void take(Owned o, Report r) {
     long now = core.now();
-    if (r.session() > o.session) o.told.clear();
+    if (r.session() > o.session) {
+      o.told.clear();
+      clearOrdered(o); // the worker refuses commands for an earlier session
+    }
+    if (o.dangling && !o.raising && r.token() >= o.token && o.raised) clearOrdered(o);
     o.session = r.session();
     o.seq = r.seq();
     o.heardAt = now;
+    o.addr = r.addr();
     o.lost = false;
     if (r.token() >= o.token) o.confirmed = true;
     o.noticeUntil = r.noticeS() == null ? Long.MAX_VALUE : now + (long) (r.noticeS() * 1000);
@@ -218,6 +245,8 @@
       TaskReport t = o.tasks.get(k);
       if (t != null && t.attempt() >= b.order.attempt()) {
         it.remove();
+      } else if (o.ordered.containsKey(k)) {
+        continue; // may still arrive at the worker
       } else if (core.wall() > b.order.expiryWallMs()) {
         // sent or not: a response is never executed once a later report was sent, and this is one
         it.remove();
@@ -271,7 +300,8 @@
                 && (j.fin() != Final.NONE
                     || done
                     || (t.why() != Why.DONE && o.told.getLong(k) == t.attempt()));
-        if (forget) forgets.add(new Command(CommandKind.FORGET, t.job(), t.task(), t.attempt(), 0));
+        if (forget && !o.ordered.containsKey(k))
+          forgets.add(new Command(CommandKind.FORGET, t.job(), t.task(), t.attempt(), 0));
         o.stops.remove(k);
       } else if (j != null && (j.fin() != Final.NONE || done)) {
         stops.add(new Command(CommandKind.STOP, t.job(), t.task(), t.attempt(), 0));
@@ -299,6 +329,7 @@
       Booked b = it.next();
       JobRec j = store.job(b.order.job());
       Key k = new Key(b.order.job(), b.order.task());
+      if (o.ordered.containsKey(k)) continue;
       boolean unwanted =
           j != null && (j.fin() != Final.NONE || core.recordedDone(j, b.order.task()));
       if (unwanted || o.stops.containsKey(k) || core.wall() > b.order.expiryWallMs()) {
@@ -314,6 +345,103 @@
     return ReportAnswer.ok(o.token, all);
   }
 
+  // ---- commands to the worker's own address --------------------------------------------------
+  /** Sends what waits for a machine's next report to its own address, one request at a time. */
+  void push() {
+    if (!pushing) return;
+    pushing = false;
+    for (Owned o : owned.values()) push(o);
+  }
+
+  private void push(Owned o) {
+    long now = core.now();
+    if (o.ordering || o.dangling || o.raising || o.addr == null || o.session == 0 || !o.confirmed)
+      return;
+    if (silent(o) || !core.mayKeepAlive() || now - o.orderedAt < Constants.ORDER_GAP_MS) return;
+    List<Command> out = new ArrayList<>();
+    List<Booked> starts = new ArrayList<>();
+    for (Map.Entry<Key, StopOrder> e : o.stops.entrySet()) {
+      TaskReport t = o.tasks.get(e.getKey());
+      if (t == null || t.state() == TaskState.EXITED || t.state() == TaskState.SAVING) continue;
+      if (t.attempt() != e.getValue().attempt()) continue;
+      out.add(new Command(CommandKind.STOP, t.job(), t.task(), t.attempt(), e.getValue().graceS()));
+    }
+    for (Booked b : o.booked.values()) {
+      Key k = new Key(b.order.job(), b.order.task());
+      JobRec j = store.job(b.order.job());
+      if (b.sent || o.stops.containsKey(k) || j == null || j.fin() != Final.NONE) continue;
+      if (core.wall() > b.order.expiryWallMs() || out.size() >= Constants.COMMANDS_MAX) continue;
+      out.add(new Command(CommandKind.START, b.order.job(), b.order.task(), b.order.attempt(), 0));
+      starts.add(b);
+    }
+    if (out.isEmpty()) return;
+    for (Booked b : starts) {
+      b.sent = true;
+      o.ordered.put(new Key(b.order.job(), b.order.task()), b.order.attempt());
+    }
+    o.ordering = true;
+    o.orderedAt = now;
+    long session = o.session;
+    core.effects()
+        .order(
+            o.addr,
+            o.token,
+            session,
+            out,
+            r -> {
+              o.ordering = false;
+              if (owned.get(o.id) != o || o.session != session) return;
+              if (r.code() == Code.UNKNOWN) {
+                if (o.ordered.isEmpty()) return;
+                LOG.info("commands to {} went astray: raising its term", o.id);
+                o.dangling = true;
+                raise(o);
+                return;
+              }
+              clearOrdered(o);
+              Report rep = r.report();
+              if (rep != null
+                  && rep.machine().equals(o.id)
+                  && (rep.session() > o.session
+                      || (rep.session() == o.session && rep.seq() > o.seq))) {
+                take(o, rep);
+              }
+              pushing = true;
+            });
+  }
+
+  private static void clearOrdered(Owned o) {
+    o.ordered.clear();
+    o.dangling = false;
+    o.raised = false;
+  }
+
+  /**
+   * Once the worker has shown a larger term, commands that went astray under the old one are dead.
+   */
+  private void raise(Owned o) {
+    if (o.raising || o.raised) return;
+    String key = Store.MACHINES + o.id;
+    MachineRec rec =
+        new MachineRec(
+            core.node(), store.incarnation(), o.token + 1, o.type.name(), o.zone, o.spot);
+    o.raising = true;
+    boolean asked =
+        store.transact(
+            Store.Urgency.MACHINE,
+            new Txn(List.of(new Cond(key, o.version)), List.of(new Put(key, rec, 0)), List.of()),
+            r -> {
+              o.raising = false;
+              if (r.code() != Code.OK || owned.get(o.id) != o) return;
+              o.token = rec.token();
+              o.version = r.revision();
+              o.confirmed = false;
+              o.raised = true;
+              dirty = true;
+            });
+    if (!asked) o.raising = false;
+  }
+
   // ---- orders from holders ------------------------------------------------------------------
   /** Starts from a holder; each is booked or refused. */
   void starts(Starts s) {
@@ -323,6 +451,7 @@
         Owned m = owned.get(o.machine());
         m.booked.put(new Key(o.job(), o.task()), new Booked(o, store.job(o.job()).spec()));
         m.idleSince = 0;
+        pushing = true;
         LOG.debug(
             "start {}/{} attempt {} booked on {}", o.job(), o.task(), o.attempt(), o.machine());
       } else {
@@ -423,6 +552,7 @@
             o.machine(),
             s.node());
         m.stops.put(k, o);
+        pushing = true;
       }
     }
     for (String d : s.drains()) {
@@ -441,6 +571,12 @@
     if (rec == null) {
       owned.remove(id);
       dirty = true;
+    } else if (rec.node().equals(core.node()) && rec.incarnation() == store.incarnation()) {
+      // this controller's own raise or adoption, seen before its answer is handled
+      if (!o.raising && rec.token() > o.token) {
+        owned.remove(id);
+        dirty = true;
+      }
     } else if (rec.token() > o.token) {
       LOG.info("machine {} is now owned by {} under term {}", id, rec.node(), rec.token());
       owned.remove(id);
@@ -499,6 +635,7 @@
         (long) (core.settings().leaseMs() * (1 + 2 * Constants.DRIFT))
             + Constants.WRITE_OFF_MARGIN_MS;
     for (Owned o : owned.values()) {
+      if (o.dangling && !o.raised) raise(o);
       if (o.lost || o.checking || now - o.lastOk <= writeOff) continue;
       // unconfirmed: a former owner may still be answering it, unless it was our own former process
       if (!o.confirmed && o.session != 0) continue;
@@ -521,11 +658,14 @@
                 o.tasks.clear();
                 o.booked.clear();
                 o.stops.clear();
+                clearOrdered(o);
                 o.idleSince = core.now();
                 dirty = true;
               });
       if (!asked) o.checking = false;
     }
+    pushing = true;
+    push();
     long since = now - lastRoster;
     if ((dirty && since >= Constants.ROSTER_GAP_MS) || since >= Constants.ROSTER_EVERY_MS)
       sendRosters();
--- a/src/main/java/mallowstall/net/HttpClient.java
+++ b/src/main/java/mallowstall/net/HttpClient.java
@@ -101,6 +101,11 @@
     }
   }
 
+  /** Closes the connections that carry no call. */
+  public void closeIdle() {
+    for (Conn c : new ArrayDeque<>(idle)) c.channel.close();
+  }
+
   private void connect(Call c) {
     open++;
     long left = Math.max(1, (c.deadline - System.nanoTime()) / 1_000_000);
--- a/src/main/java/mallowstall/workers/WorkersAdapter.java
+++ b/src/main/java/mallowstall/workers/WorkersAdapter.java
@@ -3,13 +3,25 @@
 import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.annotation.JsonProperty;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import mallowstall.Constants;
+import mallowstall.config.Settings;
 import mallowstall.core.Core;
+import mallowstall.core.Effects.Code;
+import mallowstall.core.Effects.OrderReply;
 import mallowstall.core.Model.*;
+import mallowstall.net.HttpClient;
 import mallowstall.net.HttpServer.Request;
 import mallowstall.net.HttpServer.Responder;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Reports of workers and the commands that answer them. */
 public final class WorkersAdapter {
@@ -45,16 +57,83 @@
   @JsonInclude(JsonInclude.Include.NON_NULL)
   record ElsewhereWire(@JsonProperty("capataz") String reportTo) {}
 
+  record OrdersWire(
+      @JsonProperty("baston") long token,
+      @JsonProperty("turno") long session,
+      @JsonProperty("ordenes") List<CommandWire> commands) {}
+
+  private static final Logger LOG = LoggerFactory.getLogger("mallowstall.workers");
+
+  /** Connections kept to workers' own addresses; beyond it they are opened anew. */
+  private static final int MAX_CLIENTS = 120;
+
   private final ObjectMapper json;
   private final Core core;
+  private final EventLoop loop;
+  private final Consumer<Runnable> events;
+  private final Map<String, HttpClient> clients = new HashMap<>();
 
-  public WorkersAdapter(ObjectMapper json, Core core) {
+  public WorkersAdapter(ObjectMapper json, Core core, EventLoop loop, Consumer<Runnable> events) {
     this.json = json;
     this.core = core;
+    this.loop = loop;
+    this.events = events;
   }
 
   public void report(Request q, Responder r) throws IOException {
-    ReportWire w = json.readValue(q.body(), ReportWire.class);
+    core.report(read(q.body()), a -> answer(a, r));
+  }
+
+  /** Commands to the worker's own address. */
+  public void order(
+      String addr, long token, long session, List<Command> commands, Consumer<OrderReply> then) {
+    HttpClient c = clients.get(addr);
+    if (c == null) {
+      try {
+        c = new HttpClient(loop, Settings.address(addr), 1);
+      } catch (IllegalArgumentException e) {
+        then.accept(new OrderReply(Code.REFUSED, null));
+        return;
+      }
+      if (clients.size() >= MAX_CLIENTS) {
+        clients.values().forEach(HttpClient::closeIdle);
+        clients.clear();
+      }
+      clients.put(addr, c);
+    }
+    byte[] body;
+    try {
+      body = json.writeValueAsBytes(new OrdersWire(token, session, wire(commands)));
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+    c.call(
+        HttpMethod.POST,
+        "/orders",
+        body,
+        Constants.ORDER_TIMEOUT_MS,
+        r -> events.accept(() -> then.accept(orderReply(r))));
+  }
+
+  private OrderReply orderReply(HttpClient.Reply r) {
+    Code code =
+        switch (r.status()) {
+          case 200 -> Code.OK;
+          case 409, 400 -> Code.CONFLICT;
+          case -1 -> Code.REFUSED;
+          default -> Code.UNKNOWN;
+        };
+    if (r.status() != 200 && r.status() != 409) return new OrderReply(code, null);
+    try {
+      return new OrderReply(code, read(r.body()));
+    } catch (IOException e) {
+      LOG.error("unreadable report in a worker's answer: {}", e.getMessage());
+      return new OrderReply(code, null);
+    }
+  }
+
+  private Report read(byte[] body) throws IOException {
+    ReportWire w = json.readValue(body, ReportWire.class);
     if (w == null || w.machine == null || w.type == null || w.zone == null || w.session < 1) {
       throw new IOException("a report needs its machine, type, zone and session");
     }
@@ -74,10 +153,8 @@
                 t.task.substring(0, slash), n, t.attempt, state(t.state), why(t), t.saved));
       }
     }
-    core.report(
-        new Report(
-            w.machine, w.addr, w.type, w.zone, w.spot, w.session, w.seq, w.token, w.noticeS, tasks),
-        a -> answer(a, r));
+    return new Report(
+        w.machine, w.addr, w.type, w.zone, w.spot, w.session, w.seq, w.token, w.noticeS, tasks);
   }
 
   private static TaskState state(String s) {
@@ -108,25 +185,30 @@
       } else if (a.status() != 200) {
         r.answer(a.status(), new byte[] {'{', '}'}, 1);
       } else {
-        List<CommandWire> out = new ArrayList<>();
-        for (Command c : a.commands()) {
-          String op =
-              switch (c.kind()) {
-                case START -> "run";
-                case STOP -> "kill";
-                case FORGET -> "reap";
-              };
-          out.add(
-              new CommandWire(
-                  op,
-                  c.job() + "/" + c.task(),
-                  c.attempt(),
-                  c.kind() == CommandKind.STOP ? c.graceS() : null));
-        }
+        List<CommandWire> out = wire(a.commands());
         r.answer(200, json.writeValueAsBytes(new AnswerWire(a.token(), out)), 0);
       }
     } catch (IOException e) {
       throw new IllegalStateException(e);
     }
   }
+
+  private static List<CommandWire> wire(List<Command> commands) {
+    List<CommandWire> out = new ArrayList<>();
+    for (Command c : commands) {
+      String op =
+          switch (c.kind()) {
+            case START -> "run";
+            case STOP -> "kill";
+            case FORGET -> "reap";
+          };
+      out.add(
+          new CommandWire(
+              op,
+              c.job() + "/" + c.task(),
+              c.attempt(),
+              c.kind() == CommandKind.STOP ? c.graceS() : null));
+    }
+    return out;
+  }
 }
