Acks of a former process no longer resolve starts; simulated histories against a plain model

Also: a direct command's answer no longer settles starts sent in responses, attempts are kept apart per machine, and a start is resolved only by the owner it was sent to.

--- a/src/main/java/mallowstall/Constants.java
+++ b/src/main/java/mallowstall/Constants.java
@@ -134,6 +134,9 @@
   /** ms. A start an owner hasn't passed on by then is dropped, whatever its holder's lease. */
   public static final long START_LIFE_MS = 8_000;
 
+  /** ms. After a start's life, for clocks and the owner's own delay. */
+  public static final long START_SLACK_MS = 1_000;
+
   /** Count. Starts sent in one placement round, bounding the work of a tick. */
   public static final int STARTS_PER_ROUND = 120;
 
--- a/src/main/java/mallowstall/core/Core.java
+++ b/src/main/java/mallowstall/core/Core.java
@@ -239,6 +239,10 @@
     return settings;
   }
 
+  long incarnation() {
+    return store.incarnation();
+  }
+
   Effects effects() {
     return fx;
   }
--- a/src/main/java/mallowstall/core/Holder.java
+++ b/src/main/java/mallowstall/core/Holder.java
@@ -257,7 +257,13 @@
 
   /** Whether this roster already tells the outcome of a start that was only sent. */
   private boolean resolved(Active a, Roster r, View.Peer p) {
-    if (!a.owner.equals(r.node()) || a.ownerIncarnation != r.incarnation()) return true;
+    if (!a.owner.equals(r.node())) {
+      // The machine has moved, but the start may still be on its way to the owner it was sent to,
+      // which may own the machine again by the time it arrives.
+      p = core.view().peer(a.owner);
+      if (core.now() - a.since > Constants.START_LIFE_MS + Constants.START_SLACK_MS) return true;
+    }
+    if (p.incarnation > a.ownerIncarnation) return true;
     return p.ackedConnection > a.connection
         || (p.ackedConnection == a.connection && p.ackedSeq >= a.seq);
   }
@@ -327,6 +333,10 @@
       found.mark = mark;
       place(found);
       LOG.info("task {}/{} attempt {} found on {}", h.id, t.task(), t.attempt(), m.machine());
+    } else if (t.attempt() > a.attempt) {
+      // both are on machines: the task isn't free before the later one is gone too
+      free(a, false);
+      task(r, m, t);
     } else if (t.attempt() < a.attempt) {
       LOG.error(
           "task {}/{} attempt {} is on {} beside attempt {} on {}",
--- a/src/main/java/mallowstall/core/Model.java
+++ b/src/main/java/mallowstall/core/Model.java
@@ -233,6 +233,7 @@
       long incarnation,
       long serial,
       long mirrorRevision,
+      long ackedIncarnation,
       long ackedConnection,
       long ackedSeq,
       long sinceMirrorMs,
--- a/src/main/java/mallowstall/core/Owner.java
+++ b/src/main/java/mallowstall/core/Owner.java
@@ -25,6 +25,9 @@
 
   record Key(String job, int task) {}
 
+  /** One attempt: a worker may list a refused attempt of a task beside the one it runs. */
+  record Attempt(String job, int task, long attempt) {}
+
   /** A start accepted and not yet seen in a report. */
   private static final class Booked {
     final StartOrder order;
@@ -62,7 +65,7 @@
     int errorsInRow;
     boolean replace;
     long idleSince;
-    final Map<Key, TaskReport> tasks = new LinkedHashMap<>();
+    final Map<Attempt, TaskReport> tasks = new LinkedHashMap<>();
     final Map<Key, Booked> booked = new Object2ObjectLinkedOpenHashMap<>();
     final Map<Key, StopOrder> stops = new HashMap<>();
 
@@ -145,7 +148,7 @@
         reply.accept(ReportAnswer.ok(o.token, List.of()));
         return;
       }
-      take(o, r);
+      take(o, r, true);
       reply.accept(answer(o));
       return;
     }
@@ -203,7 +206,7 @@
               if (before != null) o.images.addAll(before.images);
               o.idleSince = core.now();
               LOG.info("machine {} adopted under term {} (reported {})", o.id, token, r.token());
-              take(o, r);
+              take(o, r, true);
               reply.accept(answer(o));
             });
     if (!asked) {
@@ -212,7 +215,10 @@
     }
   }
 
-  private void take(Owned o, Report r) {
+  /**
+   * {@code byReport}: the worker sent it by itself, so earlier responses to its reports are dead.
+   */
+  private void take(Owned o, Report r, boolean byReport) {
     long now = core.now();
     if (r.session() > o.session) {
       o.told.clear();
@@ -226,13 +232,13 @@
     o.lost = false;
     if (r.token() >= o.token) o.confirmed = true;
     o.noticeUntil = r.noticeS() == null ? Long.MAX_VALUE : now + (long) (r.noticeS() * 1000);
-    Map<Key, TaskReport> before = new HashMap<>(o.tasks);
+    Map<Attempt, TaskReport> before = new HashMap<>(o.tasks);
     o.tasks.clear();
     for (TaskReport t : r.tasks()) {
-      Key k = new Key(t.job(), t.task());
+      Attempt k = new Attempt(t.job(), t.task(), t.attempt());
       o.tasks.put(k, t);
       TaskReport b = before.get(k);
-      boolean changed = b == null || b.state() != t.state() || b.attempt() != t.attempt();
+      boolean changed = b == null || b.state() != t.state();
       if (!changed) continue;
       JobRec j = store.job(t.job());
       if (j != null && (t.state() == TaskState.RUNNING || t.why() == Why.DONE)) image(o, j.spec());
@@ -242,10 +248,9 @@
     while (it.hasNext()) {
       Booked b = it.next();
       Key k = new Key(b.order.job(), b.order.task());
-      TaskReport t = o.tasks.get(k);
-      if (t != null && t.attempt() >= b.order.attempt()) {
+      if (o.tasks.containsKey(new Attempt(k.job(), k.task(), b.order.attempt()))) {
         it.remove();
-      } else if (o.ordered.containsKey(k)) {
+      } else if (!byReport || o.ordered.containsKey(k)) {
         continue; // may still arrive at the worker
       } else if (core.wall() > b.order.expiryWallMs()) {
         // sent or not: a response is never executed once a later report was sent, and this is one
@@ -321,7 +326,7 @@
         }
       }
     }
-    o.stops.keySet().removeIf(k -> !o.tasks.containsKey(k) && !o.booked.containsKey(k));
+    o.stops.keySet().removeIf(k -> !here(o, k));
     List<Command> all = new ArrayList<>(forgets);
     all.addAll(stops);
     Iterator<Booked> it = o.booked.values().iterator();
@@ -361,9 +366,9 @@
     List<Command> out = new ArrayList<>();
     List<Booked> starts = new ArrayList<>();
     for (Map.Entry<Key, StopOrder> e : o.stops.entrySet()) {
-      TaskReport t = o.tasks.get(e.getKey());
+      Key k = e.getKey();
+      TaskReport t = o.tasks.get(new Attempt(k.job(), k.task(), e.getValue().attempt()));
       if (t == null || t.state() == TaskState.EXITED || t.state() == TaskState.SAVING) continue;
-      if (t.attempt() != e.getValue().attempt()) continue;
       out.add(new Command(CommandKind.STOP, t.job(), t.task(), t.attempt(), e.getValue().graceS()));
     }
     for (Booked b : o.booked.values()) {
@@ -404,7 +409,7 @@
                   && rep.machine().equals(o.id)
                   && (rep.session() > o.session
                       || (rep.session() == o.session && rep.seq() > o.seq))) {
-                take(o, rep);
+                take(o, rep, false);
               }
               pushing = true;
             });
@@ -489,7 +494,7 @@
     if (!allowed(spec, m.type.name(), m.zone, m.spot)) return "machine not allowed";
     if (!usable(m) || m.drainUntil > core.now()) return "machine set aside";
     Key k = new Key(o.job(), o.task());
-    if (m.tasks.containsKey(k) || m.booked.containsKey(k)) return "task is here already";
+    if (here(m, k)) return "task is here already";
     double[] free = free(m);
     if (spec.cpus() > free[0] + 1e-6
         || spec.gpus() > free[1] + 1e-6
@@ -499,6 +504,14 @@
     return null;
   }
 
+  private static boolean here(Owned m, Key k) {
+    if (m.booked.containsKey(k)) return true;
+    for (Attempt a : m.tasks.keySet()) {
+      if (a.task() == k.task() && a.job().equals(k.job())) return true;
+    }
+    return false;
+  }
+
   static boolean allowed(JobSpec j, String type, String zone, boolean spot) {
     return (j.types() == null || j.types().contains(type))
         && (j.zone() == null || j.zone().equals(zone))
@@ -540,9 +553,8 @@
       Owned m = owned.get(o.machine());
       if (m == null) continue;
       Key k = new Key(o.job(), o.task());
-      TaskReport t = m.tasks.get(k);
       Booked b = m.booked.get(k);
-      if ((t != null && t.attempt() == o.attempt())
+      if (m.tasks.containsKey(new Attempt(o.job(), o.task(), o.attempt()))
           || (b != null && b.order.attempt() == o.attempt())) {
         LOG.info(
             "stop {}/{} attempt {} on {} asked by {}",
@@ -690,6 +702,7 @@
                   store.incarnation(),
                   serial,
                   store.revision(),
+                  peer.gotIncarnation,
                   peer.gotConnection,
                   peer.gotSeq,
                   now - store.freshAt(),
@@ -704,6 +717,7 @@
             store.incarnation(),
             serial,
             store.revision(),
+            me.gotIncarnation,
             me.gotConnection,
             me.gotSeq,
             0,
--- a/src/main/java/mallowstall/core/View.java
+++ b/src/main/java/mallowstall/core/View.java
@@ -109,8 +109,12 @@
     long now = core.now();
     p.rosterAt = now;
     p.rosterRevision = r.mirrorRevision();
-    p.ackedConnection = r.ackedConnection();
-    p.ackedSeq = r.ackedSeq();
+    // Connections are numbered anew by each process: what the peer acknowledges of a former one
+    // says
+    // nothing of this one's starts. Taking it for an answer once started a task twice.
+    boolean mine = r.ackedIncarnation() == core.incarnation();
+    p.ackedConnection = mine ? r.ackedConnection() : 0;
+    p.ackedSeq = mine ? r.ackedSeq() : 0;
     p.mirrorFreshAt = now - r.sinceMirrorMs();
     p.cancelAt = now - r.sinceCancelMs();
     Set<String> names = new HashSet<>();
--- a/src/main/java/mallowstall/peers/PeerCodec.java
+++ b/src/main/java/mallowstall/peers/PeerCodec.java
@@ -104,6 +104,7 @@
     e.writeLong(r.incarnation());
     e.writeLong(r.serial());
     e.writeLong(r.mirrorRevision());
+    e.writeLong(r.ackedIncarnation());
     e.writeLong(r.ackedConnection());
     e.writeLong(r.ackedSeq());
     e.writeLong(r.sinceMirrorMs());
@@ -122,6 +123,7 @@
         d.readLong(),
         d.readLong(),
         d.readLong(),
+        d.readLong(),
         list(d, PeerCodec::machine),
         list(d, PeerCodec::refusal));
   }
--- /dev/null
+++ b/src/test/java/mallowstall/core/Sim.java
@@ -0,0 +1,822 @@
+package mallowstall.core;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import mallowstall.Constants;
+import mallowstall.core.Model.*;
+
+/**
+ * Several real cores on simulated time against stand-ins for the state service, the cloud, workers
+ * and users, with losses, delays, late and repeated messages, crashes, cuts and clock drift.
+ */
+final class Sim {
+  static final List<String> NODES = List.of("n0", "n1", "n2");
+  static final long REPORT = 1_000;
+  static final long LEASE = 10_000;
+  static final long CANCEL = 35_000;
+
+  private record Ev(long at, long order, Runnable run) {}
+
+  private final PriorityQueue<Ev> queue =
+      new PriorityQueue<>(
+          (a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
+  private long order;
+  long now = 1;
+  final SplittableRandom rnd;
+  final Map<String, Team> teams =
+      Map.of("free", new Team("free", 0, 0, 0, 0), "tight", new Team("tight", 8, 24, 0, 0));
+  final Rules rules = new Rules(teams, CANCEL);
+  final StateService state = new StateService();
+  final Map<String, Node> nodes = new LinkedHashMap<>();
+  final Map<String, Worker> workers = new LinkedHashMap<>();
+  private final Map<String, List<String>> rentals = new HashMap<>();
+  private int machineNo;
+  private int capacity = 12;
+
+  /** Share of messages to the state service and to workers that go astray. */
+  double loss;
+
+  final MachineType type = new MachineType("t8", 8, 0, 32, 20, 1, 1.0, 0.3, 8, List.of("a", "b"));
+
+  Sim(long seed) {
+    rnd = new SplittableRandom(seed);
+    for (String n : NODES) nodes.put(n, new Node(n));
+    for (int i = 0; i < 4; i++) machine("t8", i % 2 == 0 ? "a" : "b", false, 0);
+    at(0, this::watchRules);
+  }
+
+  void at(long delay, Runnable r) {
+    queue.add(new Ev(now + Math.max(0, delay), order++, r));
+  }
+
+  void run(long until) {
+    while (!queue.isEmpty() && queue.peek().at <= until) {
+      Ev e = queue.poll();
+      now = Math.max(now, e.at);
+      e.run.run();
+    }
+    now = until;
+  }
+
+  private void watchRules() {
+    rules.step(now);
+    at(500, this::watchRules);
+  }
+
+  long delay() {
+    return rnd.nextInt(100) < 3 ? 100 + rnd.nextInt(300) : 1 + rnd.nextInt(8);
+  }
+
+  // ---- state service ------------------------------------------------------------------------
+  final class StateService {
+    record Val(Entry value, long version, long lease) {}
+
+    final TreeMap<String, Val> keys = new TreeMap<>();
+    final List<Effects.Item> changes = new ArrayList<>();
+    final Map<Long, Long> leases = new HashMap<>();
+    final Map<Long, Long> ttls = new HashMap<>();
+    long revision;
+    long leaseNo;
+    boolean outage;
+
+    void set(String key, Entry v, long rev, long lease) {
+      if (v == null) {
+        if (keys.remove(key) == null) return;
+      } else {
+        keys.put(key, new Val(v, rev, lease));
+      }
+      changes.add(new Effects.Item(key, v, rev));
+    }
+
+    void expire() {
+      if (outage) return;
+      for (Long l : new ArrayList<>(leases.keySet())) {
+        if (leases.get(l) <= now) end(l);
+      }
+    }
+
+    void end(long l) {
+      leases.remove(l);
+      List<String> gone = new ArrayList<>();
+      keys.forEach(
+          (k, v) -> {
+            if (v.lease == l) gone.add(k);
+          });
+      if (gone.isEmpty()) return;
+      revision++;
+      for (String k : gone) set(k, null, revision, 0);
+    }
+
+    Effects.TxnReply transact(Effects.Txn t) {
+      expire();
+      for (Effects.Put p : t.puts()) {
+        if (p.lease() != 0 && !leases.containsKey(p.lease())) {
+          return new Effects.TxnReply(Effects.Code.NO_LEASE, revision);
+        }
+      }
+      for (Effects.Cond c : t.when()) {
+        Val v = keys.get(c.key());
+        if ((v == null ? 0 : v.version) != c.version()) {
+          return new Effects.TxnReply(Effects.Code.CONFLICT, revision);
+        }
+      }
+      revision++;
+      for (Effects.Put p : t.puts()) set(p.key(), p.value(), revision, p.lease());
+      for (String k : t.drops()) set(k, null, revision, 0);
+      return new Effects.TxnReply(Effects.Code.OK, revision);
+    }
+
+    void recover() {
+      outage = false;
+      leases.replaceAll((l, end) -> now + ttls.get(l));
+    }
+  }
+
+  // ---- nodes --------------------------------------------------------------------------------
+  final class Node implements Effects {
+    final String name;
+    Core core;
+    int life;
+    boolean up;
+    boolean noState;
+    final double drift = rnd.nextDouble() * 0.0004;
+    final long skew = rnd.nextInt(40) - 20;
+    final Map<String, Long> connection = new HashMap<>();
+    final Map<String, Long> lastArrival = new HashMap<>();
+    final Map<String, Boolean> cut = new HashMap<>();
+    long connections;
+
+    Node(String name) {
+      this.name = name;
+      boot();
+    }
+
+    void boot() {
+      life++;
+      up = true;
+      connections = 0;
+      List<String> peers = new ArrayList<>(NODES);
+      peers.remove(name);
+      core =
+          new Core(
+              new CoreSettings(
+                  name,
+                  peers,
+                  Map.of("n0", "a", "n1", "b", "n2", "a"),
+                  teams,
+                  REPORT,
+                  LEASE,
+                  CANCEL,
+                  25,
+                  300,
+                  120,
+                  24,
+                  5,
+                  2_000,
+                  Map.of()),
+              this,
+              c -> new TestPolicy(c),
+              what -> {},
+              rnd.nextLong());
+      for (String p : peers) at(20, () -> connect(p));
+      int l = life;
+      at(5, () -> tick(l));
+    }
+
+    void crash(long downMs) {
+      up = false;
+      life++;
+      connection.clear();
+      at(downMs, this::boot);
+    }
+
+    void tick(int l) {
+      if (l != life) return;
+      event(core::tick);
+      at(Constants.TICK_MS, () -> tick(l));
+    }
+
+    void event(Runnable r) {
+      if (!up) return;
+      core.time((long) (now * (1 + drift)), 1_700_000_000_000L + now + skew);
+      r.run();
+      core.settle();
+      int l = life;
+      if (core.nextTimer() != Long.MAX_VALUE) {
+        at(
+            Math.max(1, core.nextTimer() - (long) (now * (1 + drift))),
+            () -> {
+              if (l == life) {
+                core.time((long) (now * (1 + drift)), 1_700_000_000_000L + now + skew);
+                core.settle();
+              }
+            });
+      }
+    }
+
+    private void back(long delay, Runnable r) {
+      int l = life;
+      at(
+          delay,
+          () -> {
+            if (l == life) event(r);
+          });
+    }
+
+    void connect(String peer) {
+      if (!up || connection.containsKey(peer)) return;
+      if (Boolean.TRUE.equals(cut.get(peer)) || !nodes.containsKey(peer) || !nodes.get(peer).up) {
+        int l = life;
+        at(
+            700,
+            () -> {
+              if (l == life) connect(peer);
+            });
+        return;
+      }
+      long n = ++connections;
+      connection.put(peer, n);
+      event(() -> core.connected(peer, n));
+    }
+
+    void drop(String peer) {
+      connection.remove(peer);
+      int l = life;
+      at(
+          700,
+          () -> {
+            if (l == life) connect(peer);
+          });
+    }
+
+    @Override
+    public void send(String node, PeerMessage m) {
+      if (!connection.containsKey(node)) return;
+      Node other = nodes.get(node);
+      int l = other.life;
+      // in order; behind a cut it is held and delivered late
+      long when = Math.max(now + delay() / 2, lastArrival.getOrDefault(node, 0L));
+      if (Boolean.TRUE.equals(cut.get(node)))
+        when = Math.max(when, now + 2_000 + rnd.nextInt(8_000));
+      lastArrival.put(node, when);
+      at(
+          when - now,
+          () -> {
+            if (other.up && other.life == l) other.event(() -> other.core.message(m));
+            else if (connection.containsKey(node)) drop(node);
+          });
+    }
+
+    private <T> void ask(
+        java.util.function.Supplier<T> exec, T refused, T unknown, Consumer<T> then) {
+      if (state.outage || noState) {
+        back(5, () -> then.accept(refused));
+        return;
+      }
+      double dice = rnd.nextDouble();
+      if (dice < loss / 3) { // never arrives
+        back(Constants.STATE_TIMEOUT_MS, () -> then.accept(unknown));
+      } else if (dice < loss * 2 / 3) { // executed, the answer is lost
+        at(delay(), exec::get);
+        back(Constants.STATE_TIMEOUT_MS, () -> then.accept(unknown));
+      } else if (dice < loss) { // executed late
+        at(500 + rnd.nextInt(4_000), exec::get);
+        back(Constants.STATE_TIMEOUT_MS, () -> then.accept(unknown));
+      } else {
+        long d = delay();
+        int l = life;
+        at(
+            d,
+            () -> {
+              T t = exec.get();
+              int still = life;
+              if (l == still) back(1, () -> then.accept(t));
+            });
+      }
+    }
+
+    @Override
+    public void transact(Txn txn, Consumer<TxnReply> then) {
+      ask(
+          () -> state.transact(txn),
+          new TxnReply(Code.REFUSED, 0),
+          new TxnReply(Code.UNKNOWN, 0),
+          then);
+    }
+
+    @Override
+    public void get(String key, Consumer<GetReply> then) {
+      ask(
+          () -> {
+            state.expire();
+            StateService.Val v = state.keys.get(key);
+            return new GetReply(
+                Code.OK, new Item(key, v == null ? null : v.value(), v == null ? 0 : v.version()));
+          },
+          new GetReply(Code.REFUSED, null),
+          new GetReply(Code.UNKNOWN, null),
+          then);
+    }
+
+    @Override
+    public void list(String after, Consumer<ListReply> then) {
+      ask(
+          () -> {
+            state.expire();
+            List<Item> out = new ArrayList<>();
+            boolean more = false;
+            for (Map.Entry<String, StateService.Val> e :
+                state.keys.tailMap(after == null ? "" : after, false).entrySet()) {
+              if (out.size() == 7) { // small pages, so that changes come between them
+                more = true;
+                break;
+              }
+              out.add(new Item(e.getKey(), e.getValue().value(), e.getValue().version()));
+            }
+            return new ListReply(Code.OK, out, more, state.revision);
+          },
+          new ListReply(Code.REFUSED, List.of(), false, 0),
+          new ListReply(Code.REFUSED, List.of(), false, 0),
+          then);
+    }
+
+    @Override
+    public void watch(long after, long holdMs, Consumer<WatchReply> then) {
+      int l = life;
+      long until = now + holdMs;
+      at(delay(), () -> look(after, until, l, then));
+    }
+
+    private void look(long after, long until, int l, Consumer<WatchReply> then) {
+      if (l != life) return;
+      if (!state.outage && !noState) {
+        state.expire();
+        List<Item> out = new ArrayList<>();
+        for (int i = state.changes.size() - 1;
+            i >= 0 && state.changes.get(i).version() > after;
+            i--) {
+          out.add(0, state.changes.get(i));
+        }
+        if (!out.isEmpty() || now >= until) {
+          long rev = state.revision;
+          back(delay(), () -> then.accept(new WatchReply(Code.OK, out, rev)));
+          return;
+        }
+      } else if (now > until + Constants.STATE_TIMEOUT_MS) {
+        back(1, () -> then.accept(new WatchReply(Code.REFUSED, List.of(), 0)));
+        return;
+      }
+      at(20, () -> look(after, until, l, then));
+    }
+
+    @Override
+    public void grantLease(long ttlMs, Consumer<LeaseReply> then) {
+      ask(
+          () -> {
+            long l = ++state.leaseNo;
+            state.leases.put(l, now + ttlMs);
+            state.ttls.put(l, ttlMs);
+            return new LeaseReply(Code.OK, l);
+          },
+          new LeaseReply(Code.REFUSED, 0),
+          new LeaseReply(Code.UNKNOWN, 0),
+          then);
+    }
+
+    @Override
+    public void renewLease(long lease, Consumer<LeaseReply> then) {
+      ask(
+          () -> {
+            state.expire();
+            if (!state.leases.containsKey(lease)) return new LeaseReply(Code.GONE, lease);
+            state.leases.put(lease, now + state.ttls.get(lease));
+            return new LeaseReply(Code.OK, lease);
+          },
+          new LeaseReply(Code.REFUSED, lease),
+          new LeaseReply(Code.UNKNOWN, lease),
+          then);
+    }
+
+    @Override
+    public void order(
+        String addr, long token, long session, List<Command> commands, Consumer<OrderReply> then) {
+      Worker w = workers.get(addr);
+      if (w == null || w.cut) {
+        if (w != null && rnd.nextBoolean()) {
+          // held by the cut, executed late
+          at(1_000 + rnd.nextInt(15_000), () -> w.orders(token, session, commands));
+          back(Constants.ORDER_TIMEOUT_MS, () -> then.accept(new OrderReply(Code.UNKNOWN, null)));
+        } else {
+          back(
+              Constants.ORDER_TIMEOUT_MS,
+              () -> then.accept(new OrderReply(w == null ? Code.REFUSED : Code.UNKNOWN, null)));
+        }
+        return;
+      }
+      double dice = rnd.nextDouble();
+      if (dice < loss) {
+        at(
+            dice < loss / 2 ? delay() : 500 + rnd.nextInt(20_000),
+            () -> w.orders(token, session, commands));
+        back(Constants.ORDER_TIMEOUT_MS, () -> then.accept(new OrderReply(Code.UNKNOWN, null)));
+        return;
+      }
+      int l = life;
+      at(
+          delay(),
+          () -> {
+            OrderReply r = w.orders(token, session, commands);
+            if (l == life) back(delay(), () -> then.accept(r));
+          });
+    }
+
+    @Override
+    public void types(Consumer<List<MachineType>> then) {
+      back(20, () -> then.accept(List.of(type)));
+    }
+
+    @Override
+    public void rent(RentRequest q, Consumer<RentReply> then) {
+      back(
+          30,
+          () -> {
+            List<String> got = rentals.get(q.name());
+            if (got == null) {
+              got = new ArrayList<>();
+              while (got.size() < q.count() && workers.size() < capacity) {
+                got.add(machine(q.type(), q.zone(), q.spot(), 2_000 + rnd.nextInt(6_000)));
+              }
+              if (!got.isEmpty()) rentals.put(q.name(), got);
+            }
+            then.accept(new RentReply(got.isEmpty() ? 503 : 200, got));
+          });
+    }
+
+    @Override
+    public void giveBack(List<String> machines, Consumer<Boolean> then) {
+      for (String m : machines) killMachine(m);
+      back(30, () -> then.accept(true));
+    }
+
+    @Override
+    public void listMachines(String after, Consumer<ListedReply> then) {
+      List<Listed> out = new ArrayList<>();
+      for (Worker w : workers.values())
+        out.add(new Listed(w.id, "t8", w.zone, w.spot, "running", (now - w.born) / 1000.0));
+      at(2_000, () -> {});
+      back(2_000, () -> then.accept(new ListedReply(true, out, false)));
+    }
+  }
+
+  // ---- workers ------------------------------------------------------------------------------
+  String machine(String t, String zone, boolean spot, long bootMs) {
+    String id = String.format("m-%06d", machineNo++);
+    Worker w = new Worker(id, zone, spot);
+    workers.put(id, w);
+    at(bootMs, w::begin);
+    return id;
+  }
+
+  void killMachine(String id) {
+    Worker w = workers.remove(id);
+    if (w == null) return;
+    w.dead = true;
+    rules.machineGone(id);
+  }
+
+  final class Worker {
+    final String id;
+    final String zone;
+    final boolean spot;
+    final long born = now;
+    long token;
+    long session = 1;
+    long seq;
+    long leaseFrom;
+    boolean dead;
+    boolean cut;
+    boolean faulty;
+    String node = NODES.get(rnd.nextInt(3));
+    long flight;
+    boolean inFlight;
+    long lastReport = -10_000;
+    boolean changed;
+    final Map<String, Long> images = new HashMap<>();
+    final Map<String, T> tasks = new LinkedHashMap<>();
+
+    final class T {
+      String job;
+      int task;
+      long attempt;
+      TaskState state;
+      Why why;
+      int step;
+    }
+
+    Worker(String id, String zone, boolean spot) {
+      this.id = id;
+      this.zone = zone;
+      this.spot = spot;
+    }
+
+    void begin() {
+      leaseFrom = now;
+      loop();
+    }
+
+    void loop() {
+      if (dead) return;
+      if (now - leaseFrom > LEASE) {
+        for (T t : tasks.values()) rules.left(id, t.job, t.task, false);
+        tasks.clear();
+        session++;
+        leaseFrom = now;
+        changed = true;
+      }
+      boolean due =
+          now - lastReport >= REPORT * 3 / 4 + rnd.nextInt((int) REPORT / 2)
+              || (changed && now - lastReport >= 500);
+      if (due && !inFlight) report();
+      at(100, this::loop);
+    }
+
+    Report snapshot() {
+      List<TaskReport> l = new ArrayList<>();
+      for (T t : tasks.values())
+        l.add(new TaskReport(t.job, t.task, t.attempt, t.state, t.why, false));
+      return new Report(id, id, "t8", zone, spot, session, ++seq, token, null, l);
+    }
+
+    void report() {
+      inFlight = true;
+      changed = false;
+      lastReport = now;
+      long mine = ++flight;
+      long sent = now;
+      Report r = snapshot();
+      Node n = nodes.get(node);
+      at(
+          4_000,
+          () -> {
+            if (flight == mine && inFlight) next();
+          });
+      if (cut) {
+        if (rnd.nextBoolean())
+          at(
+              1_000 + rnd.nextInt(20_000),
+              () -> {
+                if (n.up) n.event(() -> n.core.report(r, a -> {}));
+              });
+        return;
+      }
+      if (!n.up) {
+        at(
+            5,
+            () -> {
+              if (flight == mine) next();
+            });
+        return;
+      }
+      if (rnd.nextDouble() < loss) return; // lost, or answered to nobody
+      int l = n.life;
+      at(
+          delay(),
+          () -> {
+            if (!n.up || n.life != l) {
+              if (flight == mine) next();
+              return;
+            }
+            n.event(
+                () ->
+                    n.core.report(
+                        r,
+                        a ->
+                            at(
+                                delay(),
+                                () -> {
+                                  if (flight == mine && inFlight && !cut)
+                                    answer(a, sent, r.session());
+                                })));
+          });
+    }
+
+    private void next() {
+      inFlight = false;
+      flight++;
+      node = NODES.get((NODES.indexOf(node) + 1) % 3);
+      lastReport = now + 1_000 - REPORT * 5 / 4;
+    }
+
+    void answer(ReportAnswer a, long sent, long forSession) {
+      if (dead) return;
+      inFlight = false;
+      if (a.status() == 421 && a.reportTo() != null && !a.reportTo().equals(node)) {
+        node = a.reportTo();
+        lastReport = -10_000;
+        return;
+      }
+      if (a.status() != 200) {
+        next();
+        return;
+      }
+      if (a.token() < token || forSession != session) return;
+      if (a.token() > token) {
+        token = a.token();
+        changed = true;
+      }
+      leaseFrom = sent;
+      for (Command c : a.commands()) execute(c);
+    }
+
+    Effects.OrderReply orders(long tok, long ses, List<Command> commands) {
+      if (dead) return new Effects.OrderReply(Effects.Code.UNKNOWN, null);
+      if (tok < token || ses != session)
+        return new Effects.OrderReply(Effects.Code.CONFLICT, snapshot());
+      if (tok > token) {
+        token = tok;
+        changed = true;
+      }
+      for (Command c : commands) execute(c);
+      return new Effects.OrderReply(Effects.Code.OK, snapshot());
+    }
+
+    void execute(Command c) {
+      String key = c.job() + "/" + c.task() + "#" + c.attempt();
+      T t = tasks.get(key);
+      switch (c.kind()) {
+        case START -> {
+          if (t != null) return;
+          t = new T();
+          t.job = c.job();
+          t.task = c.task();
+          t.attempt = c.attempt();
+          tasks.put(key, t);
+          changed = true;
+          for (T o : tasks.values()) {
+            if (o != t && o.job.equals(t.job) && o.task == t.task && o.state != TaskState.EXITED) {
+              t.state = TaskState.EXITED;
+              t.why = Why.BUSY;
+              return;
+            }
+          }
+          t.state = TaskState.FETCHING;
+          T x = t;
+          int step = ++t.step;
+          at(
+              images.containsKey(c.job()) ? 1 : 500 + rnd.nextInt(2_000),
+              () -> running(x, key, step));
+        }
+        case STOP -> {
+          if (t == null || t.state == TaskState.EXITED) return;
+          exit(t, Why.STOPPED);
+        }
+        case FORGET -> {
+          if (t != null && t.state == TaskState.EXITED) tasks.remove(key);
+        }
+      }
+    }
+
+    void running(T t, String key, int step) {
+      if (dead || tasks.get(key) != t || t.step != step || t.state != TaskState.FETCHING) return;
+      images.put(t.job, now);
+      t.state = TaskState.RUNNING;
+      changed = true;
+      rules.started(now, new Rules.OnMachine(id, t.job, t.task, "t8", zone, spot));
+      at(
+          faulty ? 1 : 1_000 + rnd.nextInt(6_000),
+          () -> {
+            if (dead || tasks.get(key) != t || t.state != TaskState.RUNNING) return;
+            exit(t, faulty ? Why.ERROR : Why.DONE);
+          });
+    }
+
+    void exit(T t, Why why) {
+      boolean was = t.state == TaskState.RUNNING;
+      t.state = TaskState.EXITED;
+      t.why = why;
+      changed = true;
+      if (was) rules.left(id, t.job, t.task, why == Why.DONE);
+    }
+  }
+
+  // ---- users --------------------------------------------------------------------------------
+  final List<String> jobs = new ArrayList<>();
+
+  JobSpec job(
+      String id,
+      int tasks,
+      double cpus,
+      Priority p,
+      String team,
+      boolean oneZone,
+      boolean spread,
+      boolean spot,
+      String zone) {
+    return new JobSpec(
+        id, "c-" + p, team, p, tasks, cpus, 0, 1, id, 1, null, zone, oneZone, spread, spot, 4, 0, 0,
+        60.0);
+  }
+
+  void submit(JobSpec j) {
+    rules.submitted(j);
+    jobs.add(j.id());
+    trySubmit(j, now + 60_000);
+  }
+
+  private void trySubmit(JobSpec j, long until) {
+    if (now > until) return;
+    Node n = nodes.get(NODES.get(rnd.nextInt(3)));
+    long asked = now;
+    boolean[] answered = {false};
+    if (n.up) {
+      n.event(
+          () ->
+              n.core.submit(
+                  j,
+                  a -> {
+                    answered[0] = true;
+                    if (rnd.nextDouble() < loss) answered[0] = false; // the user doesn't get it
+                    else rules.told(now, j.id(), a.status(), a.state());
+                    if (answered[0] && a.state() != null) poll(j.id());
+                    else at(1_000, () -> trySubmit(j, until));
+                  }));
+    }
+    at(
+        5_000,
+        () -> {
+          if (!answered[0] && now - asked >= 5_000 && rules.lastTold(j.id()) == null)
+            trySubmit(j, until);
+        });
+  }
+
+  private void poll(String id) {
+    String last = rules.lastTold(id);
+    if ("done".equals(last) || "cancelled".equals(last)) {
+      if (rnd.nextInt(4) > 0) return;
+    }
+    Node n = nodes.get(NODES.get(rnd.nextInt(3)));
+    if (n.up) n.event(() -> n.core.query(id, a -> rules.told(now, id, a.status(), a.state())));
+    at(2_000 + rnd.nextInt(3_000), () -> poll(id));
+  }
+
+  void cancel(String id) {
+    rules.asksToCancel(id);
+    Node n = nodes.get(NODES.get(rnd.nextInt(3)));
+    if (!n.up) {
+      at(1_000, () -> cancel(id));
+      return;
+    }
+    n.event(
+        () ->
+            n.core.cancel(
+                id,
+                a -> {
+                  rules.told(now, id, a.status(), a.state());
+                  if (a.state() == null && a.status() != 404) at(1_000, () -> cancel(id));
+                }));
+  }
+
+  void askForNobody() {
+    Node n = nodes.get(NODES.get(rnd.nextInt(3)));
+    if (n.up)
+      n.event(
+          () ->
+              n.core.query("wk-999999", a -> rules.told(now, "wk-999999", a.status(), a.state())));
+  }
+
+  /** A small policy: any machine, the emptiest last. */
+  record TestPolicy(String name) implements Policy {
+    @Override
+    public List<Block> blocks() {
+      return List.of(
+          new Block() {
+            @Override
+            public boolean workers(Facts f) {
+              return true;
+            }
+
+            @Override
+            public boolean invalidate(Facts f) {
+              return false;
+            }
+
+            @Override
+            public Strategy strategy() {
+              return Strategy.LOWEST;
+            }
+
+            @Override
+            public double score(Facts f) {
+              return 1 - f.used;
+            }
+          });
+    }
+  }
+}
--- a/src/test/java/mallowstall/peers/PeerCodecTest.java
+++ b/src/test/java/mallowstall/peers/PeerCodecTest.java
@@ -20,6 +20,7 @@
           3,
           9,
           431,
+          6,
           2,
           17,
           40,
