--- a/src/main/java/mallowstall/core/Owner.java
+++ b/src/main/java/mallowstall/core/Owner.java
@@ -140,6 +140,11 @@
     }
     Owned o = owned.get(r.machine());
     if (o != null && r.token() <= o.token) {
+      if (o.lost && r.session() <= o.session) {
+        // sent before its lease ran out and delivered late: the tasks it lists are gone for certain
+        reply.accept(ReportAnswer.unable());
+        return;
+      }
       if (r.session() < o.session || (r.session() == o.session && r.seq() <= o.seq)) {
         // Overtaken by the answer of a direct command, or a late copy: it says nothing new.
         // Refusing it
@@ -406,6 +411,7 @@
               clearOrdered(o);
               Report rep = r.report();
               if (rep != null
+                  && !o.lost
                   && rep.machine().equals(o.id)
                   && (rep.session() > o.session
                       || (rep.session() == o.session && rep.seq() > o.seq))) {
