--- a/src/main/java/mallowstall/Constants.java
+++ b/src/main/java/mallowstall/Constants.java
@@ -140,9 +140,6 @@
   /** Count. Starts sent in one placement round, bounding the work of a tick. */
   public static final int STARTS_PER_ROUND = 120;
 
-  /** ms. A waiting task may look at machines of scarcer types after this time. */
-  public static final long SCARCE_AFTER_MS = 12_000;
-
   /** ms. A waiting job of higher priority may stop lower work after this time. */
   public static final long PREEMPT_AFTER_MS = 2_500;
 
--- a/src/main/java/mallowstall/cli/Main.java
+++ b/src/main/java/mallowstall/cli/Main.java
@@ -8,15 +8,18 @@
 import com.fasterxml.jackson.databind.cfg.CoercionInputShape;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.fasterxml.jackson.databind.type.LogicalType;
+import java.io.IOException;
 import java.nio.file.Path;
 import java.util.Locale;
 import java.util.concurrent.Callable;
 import mallowstall.Service;
 import mallowstall.config.Settings;
-import mallowstall.policy.DefaultBook;
+import mallowstall.policy.Fault;
+import mallowstall.policy.Policies;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
 
 /** The command line. */
 @Command(
@@ -24,8 +27,33 @@
     description = "A cluster scheduler with several controllers.",
     mixinStandardHelpOptions = true,
     versionProvider = Main.Version.class,
+    subcommands = Main.Check.class,
     sortOptions = false)
 public final class Main implements Callable<Integer> {
+  /** Checks a policy file. */
+  @Command(
+      name = "check",
+      description = "Check a policy file: every fault with file, line and column.",
+      mixinStandardHelpOptions = true)
+  static final class Check implements Callable<Integer> {
+    @Parameters(paramLabel = "FILE", description = "The policy file.")
+    private Path file;
+
+    @Override
+    public Integer call() {
+      Policies p;
+      try {
+        p = Policies.load(file);
+      } catch (IOException e) {
+        System.err.println("mallowstall: " + file + " can't be read");
+        return 1;
+      }
+      for (Fault f : p.faults()) System.err.println(f.at(file.toString()));
+      if (p.usable()) System.out.println(file + ": ok");
+      return p.usable() ? 0 : 1;
+    }
+  }
+
   static final class Version implements CommandLine.IVersionProvider {
     @Override
     public String[] getVersion() {
@@ -40,6 +68,12 @@
       description = "Serve with these settings (JSON).")
   private Path config;
 
+  @Option(
+      names = "--policies",
+      paramLabel = "FILE",
+      description = "Use these policies instead of the bundled ones.")
+  private Path policies;
+
   public static void main(String[] args) {
     logging();
     int code = new CommandLine(new Main()).execute(args);
@@ -96,7 +130,18 @@
       System.err.println("mallowstall: settings: " + e.getMessage());
       return 1;
     }
-    new Service(s, json, new DefaultBook()).start();
+    Policies book = Policies.bundled();
+    if (policies != null) {
+      try {
+        book = Policies.load(policies);
+      } catch (IOException e) {
+        System.err.println("mallowstall: " + policies + " can't be read");
+        return 1;
+      }
+      for (Fault f : book.faults()) System.err.println(f.at(policies.toString()));
+      if (!book.usable()) return 1;
+    }
+    new Service(s, json, book).start();
     return SERVING;
   }
 }
--- a/src/main/java/mallowstall/core/Holder.java
+++ b/src/main/java/mallowstall/core/Holder.java
@@ -337,7 +337,7 @@
       // both are on machines: the task isn't free before the later one is gone too
       free(a, false);
       task(r, m, t);
-    } else if (t.attempt() < a.attempt) {
+    } else if (t.attempt() < a.attempt && m.confirmed()) {
       LOG.error(
           "task {}/{} attempt {} is on {} beside attempt {} on {}",
           h.id,
--- a/src/main/java/mallowstall/core/Placement.java
+++ b/src/main/java/mallowstall/core/Placement.java
@@ -121,7 +121,7 @@
     Try(Held h, List<View.Seen> machines) {
       this.h = h;
       JobSpec j = h.spec;
-      policy = core.policies().of(j.jobClass());
+      policy = core.policies().forClass(j.jobClass());
       backOff = backOffs.computeIfAbsent(policy.name(), k -> new BackOff());
       want = h.pending();
       limited = holder.limited(j);
--- a/src/main/java/mallowstall/core/Policy.java
+++ b/src/main/java/mallowstall/core/Policy.java
@@ -66,6 +66,6 @@
 
   /** Policies by class of jobs. */
   interface Book {
-    Policy of(String jobClass);
+    Policy forClass(String jobClass);
   }
 }
--- a/src/test/java/mallowstall/core/Sim.java
+++ b/src/test/java/mallowstall/core/Sim.java
@@ -182,7 +182,7 @@
                   2_000,
                   Map.of()),
               this,
-              c -> new TestPolicy(c),
+              TestPolicy::new,
               what -> {},
               rnd.nextLong());
       for (String p : peers) at(20, () -> connect(p));
--- /dev/null
+++ b/src/test/java/mallowstall/policy/PoliciesTest.java
@@ -0,0 +1,89 @@
+package mallowstall.policy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import mallowstall.core.Policy;
+import org.junit.jupiter.api.Test;
+
+class PoliciesTest {
+  private static String wrap(String block) {
+    return "class default {\n block {\n  strategy: random\n  " + block + "\n }\n}\n";
+  }
+
+  @Test
+  void theBundledPoliciesAreClean() {
+    assertEquals(List.of(), Policies.bundled().faults());
+  }
+
+  @Test
+  void expressionsFollowPrecedenceAndUnits() {
+    Policies p =
+        Policies.of(
+            "class default { block { strategy: lowest 1 + 2 * 3 - -4\n"
+                + "workers: machine.fetch < 2min and not machine.spot or machine.zone == \"b\" } }");
+    assertEquals(List.of(), p.faults());
+    Policy.Block b = p.forClass("any").blocks().get(0);
+    Policy.Facts f = new Policy.Facts();
+    assertEquals(11, b.score(f));
+    f.fetchS = 119;
+    f.zone = "a";
+    assertTrue(b.workers(f));
+    f.fetchS = 120;
+    assertFalse(b.workers(f));
+    f.zone = "b";
+    assertTrue(b.workers(f));
+  }
+
+  @Test
+  void everyFaultIsReportedWithItsPlace() {
+    String[][] cases = {
+      {"workers: machine.colour == 1", "4:12: unknown name 'machine.colour'"},
+      {"workers: machine.free_cpus > 4", "4:30: '>' compares a number of cpus with a plain number"},
+      {"workers: machine.fetch < 5GB", "4:26: '<' compares a time with an amount of memory"},
+      {"workers: machine.fetch < 5h", "4:28: unknown unit 'h': expected ms, s, min, GB or cpus"},
+      {"workers: machine.used", "4:12: workers needs true or false but this is a plain number"},
+      {"workers: machine.zone < \"a\"", "4:25: '<' can't compare text"},
+      {"invalidate: 1s + 1", "4:18: '+' can't join a time and a plain number"},
+      {"workers: (true", "5:2: expected ')' but found '}'"},
+      {"workers: true workers: true", "4:17: workers stands twice in this block"},
+      {"workers: \"a", "4:12: this text has no closing quote"},
+      {"pick: 1", "4:3: expected workers, strategy, invalidate or '}' but found 'pick'"},
+    };
+    for (String[] c : cases) {
+      Policies p = Policies.of(wrap(c[0]));
+      assertFalse(p.usable(), c[0]);
+      assertEquals("f:" + c[1], p.faults().get(0).at("f"), c[0]);
+    }
+  }
+
+  @Test
+  void faultsOfSeveralClassesAreAllFound() {
+    Policies p =
+        Policies.of(
+            "class a { block { strategy: best } }\nclass a { block { workers: nope } }\nclass b { }\n");
+    List<String> all = p.faults().stream().map(f -> f.line() + " " + f.message()).toList();
+    assertTrue(
+        all.contains("1 expected lowest, highest or random but found 'best'"), all.toString());
+    assertTrue(all.contains("2 unknown name 'nope'"), all.toString());
+    assertTrue(all.contains("3 class 'b' has no block"), all.toString());
+    assertTrue(all.stream().anyMatch(s -> s.contains("no class 'default'")), all.toString());
+  }
+
+  @Test
+  void blocksThatNeverMatchAreWarnedOf() {
+    for (String s :
+        List.of(
+            "workers: 1 > 2",
+            "invalidate: true",
+            "workers: machine.zone == \"a\" and machine.zone == \"b\"")) {
+      Policies p = Policies.of(wrap(s));
+      assertTrue(p.usable(), s);
+      assertEquals(1, p.faults().size(), s);
+      assertTrue(p.faults().get(0).at("f").contains("warning: "), s);
+    }
+    assertFalse(Policies.of(wrap("workers: " + "(".repeat(500) + "true")).usable());
+  }
+}
