--- a/src/main/java/mallowstall/Service.java
+++ b/src/main/java/mallowstall/Service.java
@@ -5,6 +5,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -124,6 +125,11 @@
     LOG.info("{} serves on {}", settings.node(), settings.listen());
   }
 
+  /** Where users and workers reach this controller. */
+  public InetSocketAddress address() {
+    return server.address();
+  }
+
   /** Ends duties, then connections, then the loop. */
   public void stop() {
     loop.execute(
--- a/src/main/java/mallowstall/config/Settings.java
+++ b/src/main/java/mallowstall/config/Settings.java
@@ -84,7 +84,7 @@
     return parse(b, json);
   }
 
-  static Settings parse(byte[] b, ObjectMapper json) throws Invalid {
+  public static Settings parse(byte[] b, ObjectMapper json) throws Invalid {
     Settings s;
     try {
       s = json.readValue(b, Settings.class);
