--- a/src/main/java/mallowstall/Constants.java
+++ b/src/main/java/mallowstall/Constants.java
@@ -146,6 +146,25 @@
   /** ms. Between two preemption rounds of one job. */
   public static final long PREEMPT_GAP_MS = 3_000;
 
+  /**
+   * Fraction of the estimate that a task must still be expected to take: estimates are often high.
+   */
+  public static final double HOPE_FACTOR = 0.8;
+
+  /**
+   * Seconds of slack that a second of a job's own work weighs: of like slack the smaller goes
+   * first.
+   */
+  public static final double WORK_WEIGHT = 3;
+
+  /** ms. How long a job leaves free room to other controllers' jobs that come before it. */
+  public static final long OUTRANKED_MS = 2_500;
+
+  /**
+   * ms. Without an answer of the state service for so long, while a peer has some: cut off alone.
+   */
+  public static final long CUT_OFF_MS = 2_600;
+
   // ---- fleet --------------------------------------------------------------------------------
   /** ms. Between fleet plans of the controller with the cloud duty. */
   public static final long FLEET_EVERY_MS = 1_500;
--- a/src/main/java/mallowstall/Service.java
+++ b/src/main/java/mallowstall/Service.java
@@ -85,11 +85,11 @@
     for (Settings.Team t : s.facts().teams()) {
       teams.put(t.name(), new Team(t.name(), t.cpus(), t.cpusMax(), t.gpus(), t.gpusMax()));
     }
-    Map<String, Double> waits = new HashMap<>();
+    Map<String, Double> late = new HashMap<>();
     if (s.facts().objectives() != null) {
       for (Settings.Objective o : s.facts().objectives()) {
-        if ("wait".equals(o.kind()) && o.jobClass() != null && o.withinS() != null) {
-          waits.merge(o.jobClass(), o.withinS(), Math::min);
+        if ("deadline".equals(o.kind()) && o.jobClass() != null && o.times() != null) {
+          late.merge(o.jobClass(), o.times(), Math::max);
         }
       }
     }
@@ -108,7 +108,7 @@
         f.state().txnOps(),
         f.cloud().rps(),
         (long) (f.cloud().listLagS() * 1000),
-        waits);
+        late);
   }
 
   public void start() throws InterruptedException {
--- a/src/main/java/mallowstall/config/Settings.java
+++ b/src/main/java/mallowstall/config/Settings.java
@@ -38,7 +38,7 @@
   public record Objective(
       @JsonProperty("kind") String kind,
       @JsonProperty("class") String jobClass,
-      @JsonProperty("within_s") Double withinS) {}
+      @JsonProperty("times") Double times) {}
 
   public record Workers(
       @JsonProperty("report_s") Double reportS,
--- a/src/main/java/mallowstall/core/Core.java
+++ b/src/main/java/mallowstall/core/Core.java
@@ -259,6 +259,10 @@
     return view;
   }
 
+  Placement placement() {
+    return placement;
+  }
+
   Fleet fleet() {
     return fleet;
   }
@@ -358,11 +362,11 @@
 
   /** True if the state service serves a peer but not this controller. */
   boolean cutOffAlone() {
-    if (now - store.contactAt() < 3_500) return false;
+    if (now - store.contactAt() < Constants.CUT_OFF_MS) return false;
     for (String p : settings.peers()) {
       View.Peer peer = view.peer(p);
-      if (now - peer.rosterAt < Constants.ROSTER_STALE_MS && now - peer.mirrorFreshAt < 3_500)
-        return true;
+      if (now - peer.rosterAt < Constants.ROSTER_STALE_MS
+          && now - peer.mirrorFreshAt < Constants.CUT_OFF_MS + Constants.WATCH_HOLD_MS) return true;
     }
     return false;
   }
--- a/src/main/java/mallowstall/core/Holder.java
+++ b/src/main/java/mallowstall/core/Holder.java
@@ -87,6 +87,7 @@
     long grantIdleSince;
     long heldSince;
     long lastPreempt;
+    long outrankedSince;
     int wantsGrant;
     boolean granting;
 
@@ -547,7 +548,7 @@
       String team = e.getKey();
       if (teamBusy.contains(team) || now < teamNext.getOrDefault(team, 0L)) continue;
       List<Held> hs = e.getValue();
-      hs.sort((a, b) -> Placement.order(a, b, now));
+      hs.sort(core.placement()::order);
       Team t = core.settings().teams().get(team);
       Store.Held sum = store.held(Store.TEAMS + team);
       TeamRec old = sum == null ? new TeamRec(0, 0) : (TeamRec) sum.value();
--- a/src/main/java/mallowstall/core/Model.java
+++ b/src/main/java/mallowstall/core/Model.java
@@ -277,5 +277,5 @@
       int txnOps,
       double cloudRps,
       long listLagMs,
-      Map<String, Double> waitAims) {}
+      Map<String, Double> lateTimes) {}
 }
--- a/src/main/java/mallowstall/core/Placement.java
+++ b/src/main/java/mallowstall/core/Placement.java
@@ -37,6 +37,13 @@
   private final Map<String, BackOff> backOffs = new HashMap<>();
   private final Policy.Facts facts = new Policy.Facts();
   private final Map<String, List<StartOrder>> out = new LinkedHashMap<>();
+
+  /** Waiting work of one job, as far as it matters to others. */
+  private record Ahead(int rank, String type, String holder, double cpus) {}
+
+  private final List<Ahead> aheads = new ArrayList<>();
+  private final Object2DoubleOpenHashMap<String> roomOf = new Object2DoubleOpenHashMap<>();
+  private final Object2DoubleOpenHashMap<String> freeOf = new Object2DoubleOpenHashMap<>();
   private final Object2DoubleOpenHashMap<String> waiting = new Object2DoubleOpenHashMap<>();
   private final Object2DoubleOpenHashMap<String> warm = new Object2DoubleOpenHashMap<>();
 
@@ -47,18 +54,39 @@
     this.random = random;
   }
 
-  /** Priority before deadline before age. */
-  static int order(Held a, Held b, long now) {
+  /**
+   * Priority before deadline before age. Jobs that can't meet their deadline any more come after
+   * those that can: serving them first would only make more of them. Among the rest slack decides,
+   * and of like slack the smaller job, since each job counts once.
+   */
+  int order(Held a, Held b) {
     int c = Integer.compare(b.spec.priority().ordinal(), a.spec.priority().ordinal());
     if (c != 0) return c;
-    c = Double.compare(due(a), due(b));
+    c = Integer.compare(tier(a.rec, a.spec), tier(b.rec, b.spec));
+    if (c != 0) return c;
+    c = Double.compare(urgency(a), urgency(b));
     return c != 0 ? c : Long.compare(a.rec.submittedMs(), b.rec.submittedMs());
   }
 
-  private static double due(Held h) {
-    return h.spec.deadlineS() == null
-        ? Double.MAX_VALUE
-        : h.rec.submittedMs() + h.spec.deadlineS() * 1000;
+  /** 0: the deadline can be met; 1: only a later one that the operators count; 2: neither. */
+  private int tier(JobRec rec, JobSpec j) {
+    if (j.deadlineS() == null) return 0;
+    double end = (core.wall() - rec.submittedMs()) / 1000.0 + j.estimateS() * Constants.HOPE_FACTOR;
+    if (end <= j.deadlineS()) return 0;
+    double times = core.settings().lateTimes().getOrDefault(j.jobClass(), 1.0);
+    return end <= j.deadlineS() * times ? 1 : 2;
+  }
+
+  private double urgency(Held h) {
+    JobSpec j = h.spec;
+    double slots =
+        Math.max(1, roomOf.getDouble(core.fleet().minimalType(j)) / Math.max(0.01, j.cpus()));
+    double work = h.pending() * j.estimateS() / slots;
+    double slack =
+        j.deadlineS() == null
+            ? 600 + (h.rec.submittedMs() - core.wall()) / 1000.0
+            : j.deadlineS() - (core.wall() - h.rec.submittedMs()) / 1000.0 - j.estimateS();
+    return slack + Constants.WORK_WEIGHT * work;
   }
 
   void round() {
@@ -69,7 +97,8 @@
       if (h.latched && !h.over() && h.pending() > 0 && now >= h.notBefore) wait.add(h);
     }
     if (wait.isEmpty()) return;
-    wait.sort((a, b) -> order(a, b, now));
+    countRoom();
+    wait.sort(this::order);
     List<View.Seen> machines = new ArrayList<>();
     for (View.Seen s : core.view().machines.values()) {
       if (s.takes() && now - s.at < Constants.ROSTER_STALE_MS && s.freeCpus() > 0.01) {
@@ -88,6 +117,7 @@
       for (; from < wait.size() && wait.get(from).spec.priority() == priority; from++) {
         Try t = new Try(wait.get(from), machines);
         if (now < t.backOff.until && core.roomNews() <= t.backOff.roomSeen) continue;
+        if (outranked(t.h, now)) continue;
         tries.add(t);
         blocks = Math.max(blocks, t.policy.blocks().size());
       }
@@ -207,11 +237,49 @@
     }
   }
 
+  /** Processors of usable machines, all and free, by machine type. */
+  private void countRoom() {
+    roomOf.clear();
+    freeOf.clear();
+    for (View.Seen s : core.view().machines.values()) {
+      if (!s.takes()) continue;
+      MachineType t = core.types().get(s.m.type());
+      if (t == null) continue;
+      roomOf.addTo(t.name(), t.cpus());
+      freeOf.addTo(t.name(), Math.max(0, s.freeCpus()));
+    }
+  }
+
+  /**
+   * Whether the free room is owed to waiting tasks of other controllers' jobs that come first. It
+   * holds a job back only for a while, since those may have reasons of their own to wait.
+   */
+  private boolean outranked(Held h, long now) {
+    String type = core.fleet().minimalType(h.spec);
+    if (type == null) return false;
+    int mine = rank(h.rec, h.spec);
+    double ahead = 0;
+    for (Ahead a : aheads) {
+      if (a.rank < mine && type.equals(a.type) && !core.node().equals(a.holder)) ahead += a.cpus;
+    }
+    if (ahead <= 0 || ahead < freeOf.getDouble(type)) {
+      h.outrankedSince = 0;
+      return false;
+    }
+    if (h.outrankedSince == 0) h.outrankedSince = now;
+    return now - h.outrankedSince < Constants.OUTRANKED_MS;
+  }
+
+  private int rank(JobRec rec, JobSpec j) {
+    return (Priority.values().length - j.priority().ordinal()) * 4 + tier(rec, j);
+  }
+
   /**
    * Per image: tasks waiting for a machine, over all holders, and slots on machines that have it.
    */
   private void countImages() {
     waiting.clear();
+    aheads.clear();
     warm.clear();
     Object2IntOpenHashMap<String> placedOf = new Object2IntOpenHashMap<>();
     Map<String, JobSpec> sample = new HashMap<>();
@@ -227,6 +295,10 @@
       JobSpec j = rec.spec();
       sample.put(j.image(), j);
       int n = Math.max(0, j.tasks() - rec.doneCount() - placedOf.getInt(j.id()));
+      if (n > 0 && store.live(rec.holder(), rec.incarnation())) {
+        aheads.add(
+            new Ahead(rank(rec, j), core.fleet().minimalType(j), rec.holder(), n * j.cpus()));
+      }
       waiting.mergeDouble(j.image(), n * j.estimateS(), Double::sum);
     }
     for (View.Seen s : core.view().machines.values()) {
--- a/src/main/java/mallowstall/core/Store.java
+++ b/src/main/java/mallowstall/core/Store.java
@@ -304,7 +304,7 @@
         revision,
         Constants.WATCH_HOLD_MS,
         r -> {
-          contact(r.code(), sent);
+          contact(r.code(), core.now());
           if (r.code() == Code.GONE) {
             synced = false;
             sync();
