--- a/src/main/java/mallowstall/core/Core.java
+++ b/src/main/java/mallowstall/core/Core.java
@@ -239,6 +239,11 @@
     return settings;
   }
 
+  /** Whether the machine's record is gone, as of a revision that its owner hasn't passed. */
+  boolean returned(String machine, long ownerRevision) {
+    return store.machine(machine) == null && ownerRevision <= store.revision();
+  }
+
   long incarnation() {
     return store.incarnation();
   }
--- a/src/main/java/mallowstall/core/Fleet.java
+++ b/src/main/java/mallowstall/core/Fleet.java
@@ -26,12 +26,16 @@
   /** Demand for one machine type. Mutable. */
   private static final class Demand {
     double machines;
-    double waiting;
     boolean spotOnly = true;
     double average;
 
     /** Average machines' worth of urgent work. */
     double urgent;
+
+    /** The part that only one zone can serve, and the part that spot machines can't. */
+    final Map<String, Double> pinned = new HashMap<>();
+
+    double ordinary;
   }
 
   private final Core core;
@@ -143,7 +147,8 @@
     Map<String, Double> urgent = new HashMap<>();
     for (Demand d : demands.values()) {
       d.machines = 0;
-      d.waiting = 0;
+      d.pinned.clear();
+      d.ordinary = 0;
     }
     Map<String, Double> teamLeft = new HashMap<>();
     for (Team t : core.settings().teams().values()) {
@@ -177,6 +182,10 @@
       Demand d = demands.computeIfAbsent(name, k -> new Demand());
       d.machines += tasks / per * share;
       d.spotOnly &= j.spot();
+      if (!j.spot()) d.ordinary += tasks / per;
+      if (j.zone() != null) d.pinned.merge(j.zone(), tasks / per, Double::sum);
+      // at most half of a spread job may be in one zone: it needs another
+      if (j.spread()) for (String z : t.zones()) d.pinned.merge(z, 0.01, Double::sum);
     }
     double w = lastDemand == 0 ? 1 : 1 - Math.exp(-(now - lastDemand) / Constants.USAGE_TAU_MS);
     lastDemand = now;
@@ -328,6 +337,7 @@
     double need = d == null ? 0 : d.machines;
     double floor = d == null ? 0 : d.average;
     int want = (int) Math.ceil(Math.max(need * 1.1, floor) - 0.05);
+    if (d != null && !renting && calls.has(now, 1, 0) && constrained(type, d, up, now)) return;
     if (want > have) {
       if (!renting && calls.has(now, 1, 0)) rent(type, want - have, have, want, d.spotOnly, now);
       return;
@@ -355,6 +365,54 @@
     drains.forEach((owner, ids) -> core.drain(owner, ids));
   }
 
+  /**
+   * Rents for jobs that only one zone or only ordinary machines can serve: enough machines
+   * elsewhere are of no use to them. Counting them by type alone once left such a job waiting for
+   * good.
+   */
+  private boolean constrained(String type, Demand d, List<View.Seen> up, long now) {
+    Map<String, Integer> perZone = new HashMap<>();
+    int ordinary = 0;
+    for (View.Seen s : up) {
+      if (!s.m.type().equals(type)) continue;
+      perZone.merge(s.m.zone(), 1, Integer::sum);
+      if (!s.m.spot()) ordinary++;
+    }
+    for (Rented r : coming.values()) {
+      if (!r.type.equals(type)) continue;
+      perZone.merge(r.zone, 1, Integer::sum);
+      if (!r.spot) ordinary++;
+    }
+    for (Map.Entry<String, Double> e : d.pinned.entrySet()) {
+      int missing = (int) Math.ceil(e.getValue()) - perZone.getOrDefault(e.getKey(), 0);
+      if (missing <= 0) continue;
+      for (boolean spot :
+          d.ordinary > 0 ? new boolean[] {false, true} : new boolean[] {true, false}) {
+        if (tryZone(type, e.getKey(), spot, missing, now)) return true;
+      }
+    }
+    int missing = (int) Math.ceil(d.ordinary) - ordinary;
+    if (missing <= 0) return false;
+    for (String z : core.types().get(type).zones()) {
+      if (tryZone(type, z, false, missing, now)) return true;
+    }
+    return false;
+  }
+
+  private boolean tryZone(String type, String zone, boolean spot, int n, long now) {
+    String key = type + "/" + zone + "/" + spot;
+    if (refusedUntil.getOrDefault(key, 0L) > now) return false;
+    ask(
+        new RentRequest(
+            "r-" + store.incarnation() + "-" + ++counter,
+            type,
+            zone,
+            spot,
+            Math.min(Constants.RENT_MAX, n)),
+        key);
+    return true;
+  }
+
   private void rent(String type, int missing, int have, int want, boolean spotAllowed, long now) {
     MachineType t = core.types().get(type);
     Map<String, Integer> perZone = new HashMap<>();
@@ -369,18 +427,8 @@
       boolean spot = kind == 0;
       if (!spot && spotAllowed && missing < 0.15 * want) continue;
       for (String z : zones) {
-        String key = type + "/" + z + "/" + spot;
-        if (refusedUntil.getOrDefault(key, 0L) > now) continue;
         int half = zones.size() > 1 ? (missing + 1) / 2 : missing;
-        ask(
-            new RentRequest(
-                "r-" + store.incarnation() + "-" + ++counter,
-                type,
-                z,
-                spot,
-                Math.min(Constants.RENT_MAX, half)),
-            key);
-        return;
+        if (tryZone(type, z, spot, half, now)) return;
       }
     }
   }
--- a/src/main/java/mallowstall/core/View.java
+++ b/src/main/java/mallowstall/core/View.java
@@ -119,6 +119,8 @@
     p.cancelAt = now - r.sinceCancelMs();
     Set<String> names = new HashSet<>();
     for (RosterMachine m : r.machines()) {
+      // returned: its record is dropped, only its owner hasn't heard of it yet
+      if (core.returned(m.machine(), r.mirrorRevision())) continue;
       Seen s = machines.computeIfAbsent(m.machine(), Seen::new);
       if (s.m != null && s.m.token() > m.token()) continue;
       names.add(m.machine());
