--- a/src/main/java/mallowstall/Constants.java
+++ b/src/main/java/mallowstall/Constants.java
@@ -124,6 +124,12 @@
   /** ms. A worker that hasn't answered by then may still execute the commands. */
   public static final long ORDER_TIMEOUT_MS = 2_000;
 
+  /**
+   * ms. After its start a controller claims the machines of its former process that haven't
+   * reported to anybody: the others have come back by then, and need no second write.
+   */
+  public static final long RECLAIM_AFTER_MS = 7_000;
+
   // ---- placement ----------------------------------------------------------------------------
   /** ms. First wait of a policy that failed (design page). */
   public static final long BACKOFF_FIRST_MS = 1_000;
--- a/src/main/java/mallowstall/core/Core.java
+++ b/src/main/java/mallowstall/core/Core.java
@@ -51,6 +51,7 @@
   private boolean askingTypes;
   private long nextDigest;
   private boolean reclaimed;
+  private long startedAt;
   private long roomNews = 1;
   private long cancelTold = Long.MIN_VALUE / 4;
 
@@ -107,7 +108,9 @@
   public void tick() {
     store.tick();
     if (now >= nextTypes && !askingTypes) askTypes();
-    if (store.synced() && !types.isEmpty() && store.sessionGood() && !reclaimed) {
+    if (startedAt == 0) startedAt = now;
+    boolean late = now - startedAt > Constants.RECLAIM_AFTER_MS;
+    if (late && store.synced() && !types.isEmpty() && store.sessionGood() && !reclaimed) {
       reclaimed = true;
       owner.reclaim();
     }
@@ -244,6 +247,11 @@
     return store.machine(machine) == null && ownerRevision <= store.revision();
   }
 
+  /** When this process began: whatever answered for it before was dead by then. */
+  long startedAt() {
+    return startedAt;
+  }
+
   long incarnation() {
     return store.incarnation();
   }
--- a/src/main/java/mallowstall/core/Owner.java
+++ b/src/main/java/mallowstall/core/Owner.java
@@ -635,7 +635,7 @@
                 if (r.code() != Code.OK) return;
                 Owned o = new Owned(id, type, rec.zone(), rec.spot(), mine.token(), r.revision());
                 // the former process may have answered until just before this one began
-                o.lastOk = core.now();
+                o.lastOk = core.startedAt();
                 o.heardAt = core.now() - Constants.SILENT_MS;
                 o.idleSince = core.now();
                 if (!owned.containsKey(id)) owned.put(id, o);
--- a/src/main/java/mallowstall/peers/PeersAdapter.java
+++ b/src/main/java/mallowstall/peers/PeersAdapter.java
@@ -7,6 +7,7 @@
 import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -118,6 +119,15 @@
     }
   }
 
+  /** Nothing comes back on this connection but its end. */
+  private static final class Speaking extends ChannelInboundHandlerAdapter {
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable e) {
+      LOG.debug("connection to a peer ends: {}", e.toString());
+      ctx.close();
+    }
+  }
+
   /** What this controller says to one peer. */
   private final class Link {
     private final String node;
@@ -145,7 +155,7 @@
               new ChannelInitializer<SocketChannel>() {
                 @Override
                 protected void initChannel(SocketChannel ch) {
-                  ch.pipeline().addLast(new LengthFieldPrepender(4));
+                  ch.pipeline().addLast(new LengthFieldPrepender(4), new Speaking());
                 }
               })
           .connect(at)
