--- /dev/null
+++ b/src/test/java/mallowstall/core/SafetyCasesTest.java
@@ -0,0 +1,257 @@
+package mallowstall.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import mallowstall.core.Model.*;
+import org.junit.jupiter.api.Test;
+
+/** One case of what keeps the rules each, on simulated time. */
+class SafetyCasesTest {
+  private static JobSpec plain(Sim s, String id, int tasks, String team) {
+    return s.job(id, tasks, 2, Priority.NORMAL, team, false, false, true, null);
+  }
+
+  private static JobRec entry(Sim s, String id) {
+    return (JobRec) s.state.keys.get(Store.JOBS + id).value();
+  }
+
+  private static Sim.Node holder(Sim s, String id) {
+    return s.nodes.get(entry(s, id).holder());
+  }
+
+  private static void finished(Sim s, String id) {
+    assertEquals(List.of(), s.rules.broken);
+    assertEquals("done", s.rules.lastTold(id));
+    JobRec r = entry(s, id);
+    assertEquals(r.spec().tasks(), r.doneCount());
+  }
+
+  @Test
+  void aCommandThatArrivesLateStartsNothingTwice() {
+    Sim s = new Sim(31);
+    s.run(6_000);
+    s.strayOrders = true; // every direct command is executed up to 20 s late, its answer is lost
+    s.submit(plain(s, "wk-000001", 12, "free"));
+    s.run(25_000);
+    s.strayOrders = false;
+    s.run(120_000);
+    assertTrue(s.strayed > 0);
+    finished(s, "wk-000001");
+  }
+
+  @Test
+  void aTransactionAppliedLateUndoesNothing() {
+    Sim s = new Sim(32);
+    s.run(6_000);
+    s.submit(plain(s, "wk-000001", 6, "tight"));
+    s.run(7_000);
+    JobRec before = entry(s, "wk-000001");
+    long version = s.state.keys.get(Store.JOBS + "wk-000001").version();
+    s.run(60_000);
+    finished(s, "wk-000001");
+    Effects.TxnReply late =
+        s.state.transact(
+            new Effects.Txn(
+                List.of(new Effects.Cond(Store.JOBS + "wk-000001", version)),
+                List.of(new Effects.Put(Store.JOBS + "wk-000001", before, 0)),
+                List.of()));
+    assertEquals(Effects.Code.CONFLICT, late.code());
+    s.run(70_000);
+    finished(s, "wk-000001");
+  }
+
+  @Test
+  void aHolderThatEndsBetweenStartAndAnswerLeavesNoDoubt() {
+    for (int after = 1; after < 60; after += 7) {
+      Sim s = new Sim(33);
+      s.run(6_000);
+      s.submit(plain(s, "wk-000001", 10, "free"));
+      while (!s.state.keys.containsKey(Store.JOBS + "wk-000001")) s.run(s.now + 1);
+      s.run(s.now + after);
+      holder(s, "wk-000001").crash(after % 2 == 0 ? 100 : 20_000);
+      s.run(150_000);
+      finished(s, "wk-000001");
+    }
+  }
+
+  @Test
+  void aRestartWithinAFractionOfASecondKeepsTheRules() {
+    Sim s = new Sim(34);
+    s.run(6_000);
+    for (int i = 0; i < 8; i++)
+      s.submit(plain(s, "wk-00000" + i, 6, i % 2 == 0 ? "free" : "tight"));
+    for (int i = 0; i < 12; i++) {
+      s.run(s.now + 900);
+      s.nodes.get(Sim.NODES.get(i % 3)).crash(80);
+    }
+    s.run(200_000);
+    for (int i = 0; i < 8; i++) finished(s, "wk-00000" + i);
+  }
+
+  @Test
+  void aControllerCutOffFromTheStateServiceLosesItsJobsSafely() {
+    Sim s = new Sim(35);
+    s.run(6_000);
+    s.submit(plain(s, "wk-000001", 30, "free"));
+    s.run(8_000);
+    Sim.Node h = holder(s, "wk-000001");
+    h.noState = true;
+    s.run(20_000);
+    assertFalse(h.name.equals(entry(s, "wk-000001").holder()));
+    assertFalse(h.core.ready());
+    s.run(60_000);
+    h.noState = false;
+    s.run(150_000);
+    finished(s, "wk-000001");
+  }
+
+  @Test
+  void aControllerCutOffFromItsPeersKeepsTheRules() {
+    Sim s = new Sim(36);
+    s.run(6_000);
+    s.submit(plain(s, "wk-000001", 30, "free"));
+    s.run(8_000);
+    Sim.Node h = holder(s, "wk-000001");
+    for (Sim.Node n : s.nodes.values()) {
+      if (n == h) continue;
+      h.cut.put(n.name, true);
+      n.cut.put(h.name, true);
+    }
+    s.run(30_000);
+    for (Sim.Node n : s.nodes.values()) n.cut.clear();
+    s.run(150_000);
+    finished(s, "wk-000001");
+  }
+
+  @Test
+  void anOutageLongerThanALeaseLetsWorkGoOn() {
+    Sim s = new Sim(37);
+    s.run(6_000);
+    s.submit(plain(s, "wk-000001", 8, "free"));
+    s.run(8_000);
+    s.state.outage = true;
+    s.run(48_000);
+    long kept = s.workers.values().stream().filter(w -> w.session == 1).count();
+    assertEquals(s.workers.size(), kept, "no worker's lease may run out: no cancellation was told");
+    s.state.recover();
+    s.run(120_000);
+    finished(s, "wk-000001");
+  }
+
+  @Test
+  void allControllersEndTogether() {
+    Sim s = new Sim(38);
+    s.run(6_000);
+    s.submit(plain(s, "wk-000001", 20, "tight"));
+    s.run(9_000);
+    for (Sim.Node n : s.nodes.values()) n.crash(4_000);
+    s.run(150_000);
+    finished(s, "wk-000001");
+  }
+
+  @Test
+  void aCancellationWithAStartInFlightStopsEverything() {
+    for (int after = 0; after < 40; after += 5) {
+      Sim s = new Sim(39);
+      s.run(6_000);
+      s.submit(plain(s, "wk-000001", 12, "tight"));
+      while (!s.state.keys.containsKey(Store.JOBS + "wk-000001")) s.run(s.now + 1);
+      s.run(s.now + after);
+      s.cancel("wk-000001");
+      s.run(90_000);
+      assertEquals(List.of(), s.rules.broken);
+      assertEquals("cancelled", s.rules.lastTold("wk-000001"));
+      assertEquals(0, entry(s, "wk-000001").grant(), "the grant is given back");
+      Sim.StateService.Val sum = s.state.keys.get(Store.TEAMS + "tight");
+      assertEquals(0, sum == null ? 0 : ((TeamRec) sum.value()).cpus(), 1e-9);
+    }
+  }
+
+  @Test
+  void theQuotaHoldsAcrossControllers() {
+    Sim s = new Sim(40);
+    s.run(6_000);
+    for (int i = 0; i < 9; i++) s.submit(plain(s, "wk-00000" + i, 9, "tight"));
+    s.run(250_000);
+    for (int i = 0; i < 9; i++) finished(s, "wk-00000" + i);
+    assertEquals(0, ((TeamRec) s.state.keys.get(Store.TEAMS + "tight").value()).cpus(), 1e-9);
+  }
+
+  /**
+   * A roster that still acknowledges the former process's connections must not settle a start of
+   * the new one: this once placed a task twice on a rough day.
+   */
+  @Test
+  void acknowledgementsOfAFormerProcessCountForNothing() {
+    Sim s = new Sim(41);
+    s.run(6_000);
+    Sim.Node n = s.nodes.get("n0");
+    long mine = n.core.incarnation();
+    n.event(
+        () ->
+            n.core.message(
+                new Roster("n1", 1_000, 1, 1, mine - 1, 99, 99, 0, 0, List.of(), List.of())));
+    assertEquals(0, n.core.view().peer("n1").ackedConnection);
+    n.event(
+        () ->
+            n.core.message(
+                new Roster("n1", 1_000, 2, 1, mine, 99, 99, 0, 0, List.of(), List.of())));
+    assertEquals(99, n.core.view().peer("n1").ackedConnection);
+  }
+
+  /** A report from before the write-off, delivered after it, must not bring its tasks back. */
+  @Test
+  void aLateReportDoesNotReviveAWrittenOffSession() {
+    Sim s = new Sim(42);
+    s.run(6_000);
+    Sim.Worker w = s.workers.values().iterator().next();
+    Sim.Node owner =
+        s.nodes.get(((MachineRec) s.state.keys.get(Store.MACHINES + w.id).value()).node());
+    Report old =
+        new Report(
+            w.id,
+            w.id,
+            "t8",
+            w.zone,
+            w.spot,
+            w.session,
+            w.seq + 50,
+            w.token,
+            null,
+            List.of(new TaskReport("wk-000009", 0, 1, TaskState.RUNNING, null, false)));
+    s.killMachine(w.id);
+    s.run(s.now + 12_500);
+    List<ReportAnswer> got = new ArrayList<>();
+    owner.event(() -> owner.core.report(old, got::add));
+    assertEquals(503, got.get(0).status());
+    View.Seen seen = owner.core.view().machines.get(w.id);
+    assertNotNull(seen);
+    assertEquals(List.of(), seen.m.tasks());
+  }
+
+  /** Cost follows groups and machines: a large job is decided as one, in chunks of its bitmap. */
+  @Test
+  void aJobOfAHundredThousandTasksIsDecidedAsOne() {
+    Sim s = new Sim(43);
+    s.run(6_000);
+    s.submit(s.job("wk-000001", 100_000, 1, Priority.NORMAL, "free", false, false, true, null));
+    s.evaluations = 0;
+    long rounds = s.ticks;
+    s.run(30_000);
+    rounds = s.ticks - rounds;
+    assertTrue(
+        s.evaluations < rounds * 12 * 8, s.evaluations + " evaluations in " + rounds + " ticks");
+    JobRec r = entry(s, "wk-000001");
+    assertTrue(r.doneCount() > 50, "done " + r.doneCount());
+    holder(s, "wk-000001").crash(30_000);
+    s.run(60_000);
+    assertTrue(entry(s, "wk-000001").epoch() > 1);
+    assertTrue(entry(s, "wk-000001").doneCount() > r.doneCount());
+    assertEquals(List.of(), s.rules.broken);
+  }
+}
--- a/src/test/java/mallowstall/core/Sim.java
+++ b/src/test/java/mallowstall/core/Sim.java
@@ -43,6 +43,13 @@
   /** Share of messages to the state service and to workers that go astray. */
   double loss;
 
+  /** Every direct command is executed late and its answer is lost. */
+  boolean strayOrders;
+
+  int strayed;
+  long evaluations;
+  long ticks;
+
   final MachineType type = new MachineType("t8", 8, 0, 32, 20, 1, 1.0, 0.3, 8, List.of("a", "b"));
 
   Sim(long seed) {
@@ -182,7 +189,7 @@
                   2_000,
                   Map.of()),
               this,
-              TestPolicy::new,
+              c -> new TestPolicy(c, () -> evaluations++),
               what -> {},
               rnd.nextLong());
       for (String p : peers) at(20, () -> connect(p));
@@ -199,6 +206,7 @@
 
     void tick(int l) {
       if (l != life) return;
+      ticks++;
       event(core::tick);
       at(Constants.TICK_MS, () -> tick(l));
     }
@@ -421,9 +429,13 @@
         return;
       }
       double dice = rnd.nextDouble();
-      if (dice < loss) {
+      if (strayOrders) {
+        strayed++;
+        dice = 0;
+      }
+      if (dice < loss || strayOrders) {
         at(
-            dice < loss / 2 ? delay() : 500 + rnd.nextInt(20_000),
+            !strayOrders && dice < loss / 2 ? delay() : 500 + rnd.nextInt(20_000),
             () -> w.orders(token, session, commands));
         back(Constants.ORDER_TIMEOUT_MS, () -> then.accept(new OrderReply(Code.UNKNOWN, null)));
         return;
@@ -792,13 +804,14 @@
   }
 
   /** A small policy: any machine, the emptiest last. */
-  record TestPolicy(String name) implements Policy {
+  record TestPolicy(String name, Runnable seen) implements Policy {
     @Override
     public List<Block> blocks() {
       return List.of(
           new Block() {
             @Override
             public boolean workers(Facts f) {
+              seen.run();
               return true;
             }
 
