--- a/src/main/java/mallowstall/Constants.java
+++ b/src/main/java/mallowstall/Constants.java
@@ -206,10 +206,10 @@
   public static final double USAGE_TAU_MS = 90_000;
 
   /** Factor on the average urgent demand: arrivals come in bursts. */
-  public static final double RESERVE_FACTOR = 1.2;
+  public static final double RESERVE_FACTOR = 2.0;
 
   /** Fraction of a type's machines that may be kept for urgent work. */
-  public static final double RESERVE_MOST = 0.3;
+  public static final double RESERVE_MOST = 0.35;
 
   // ---- users --------------------------------------------------------------------------------
   /** Bytes. Largest request body (protocol). */
