--- a/src/main/java/mallowstall/Constants.java
+++ b/src/main/java/mallowstall/Constants.java
@@ -171,6 +171,12 @@
    */
   public static final long CUT_OFF_MS = 2_600;
 
+  /** ms. A machine that refused a start isn't tried again for that job for so long. */
+  public static final long REFUSED_RETRY_MS = 1_000;
+
+  /** ms. The same when its owner only hadn't heard of the job: the length of a watch's round. */
+  public static final long LAG_RETRY_MS = 150;
+
   // ---- fleet --------------------------------------------------------------------------------
   /** ms. Between fleet plans of the controller with the cloud duty. */
   public static final long FLEET_EVERY_MS = 1_500;
@@ -211,6 +217,11 @@
   /** Fraction of a type's machines that may be kept for urgent work. */
   public static final double RESERVE_MOST = 0.35;
 
+  /**
+   * ms. A returned machine may stay in lists for twice their lag; nothing more is asked about it.
+   */
+  public static final long RETURNED_MS = 60_000;
+
   // ---- users --------------------------------------------------------------------------------
   /** Bytes. Largest request body (protocol). */
   public static final int BODY_MAX = 64 << 10;
--- a/src/main/java/mallowstall/core/Core.java
+++ b/src/main/java/mallowstall/core/Core.java
@@ -375,13 +375,19 @@
 
   /** True if the state service serves a peer but not this controller. */
   boolean cutOffAlone() {
-    if (now - store.contactAt() < Constants.CUT_OFF_MS) return false;
+    return now - store.contactAt() >= Constants.CUT_OFF_MS && servedPeer() != null;
+  }
+
+  /** A peer that the state service serves; null if none is known. */
+  String servedPeer() {
     for (String p : settings.peers()) {
       View.Peer peer = view.peer(p);
       if (now - peer.rosterAt < Constants.ROSTER_STALE_MS
-          && now - peer.mirrorFreshAt < Constants.CUT_OFF_MS + Constants.WATCH_HOLD_MS) return true;
+          && now - peer.mirrorFreshAt < Constants.CUT_OFF_MS + Constants.WATCH_HOLD_MS) {
+        return p;
+      }
     }
-    return false;
+    return null;
   }
 
   /** Tasks of the job that rosters show as running. */
--- a/src/main/java/mallowstall/core/Fleet.java
+++ b/src/main/java/mallowstall/core/Fleet.java
@@ -48,6 +48,7 @@
   private final Map<String, Long> unaccountedSince = new HashMap<>();
   private final Set<String> returning = new HashSet<>();
   private final Set<String> toDrop = new HashSet<>();
+  private final Map<String, Long> returned = new HashMap<>();
   private final Set<String> needed = new HashSet<>();
   private final Set<String> reserved = new HashSet<>();
   private Map<String, Listed> listed = new HashMap<>();
@@ -267,9 +268,11 @@
       }
     }
     unaccountedSince.keySet().retainAll(known);
+    returned.values().removeIf(at -> now - at > Constants.RETURNED_MS);
     if (LOG.isDebugEnabled()) logUse(up);
     for (Listed l : listed.values()) {
       if (known.contains(l.id()) || returning.contains(l.id())) continue;
+      if (now - returned.getOrDefault(l.id(), Long.MIN_VALUE / 2) < Constants.RETURNED_MS) continue;
       MachineType t = core.types().get(l.type());
       double age = l.ageS() + (now - listedAt) / 1000.0;
       if (l.state().equals("failed")) back.add(l.id());
@@ -295,6 +298,7 @@
     }
     for (String t : core.types().keySet()) planType(t, have.getOrDefault(t, 0), up, now);
     back.removeAll(returning);
+    back.removeAll(returned.keySet());
     if (!back.isEmpty())
       giveBack(
           back.subList(0, Math.min(back.size(), Constants.RETURN_MAX)), "lost, failed or faulty");
@@ -476,6 +480,7 @@
               returning.removeAll(names);
               if (!ok) return;
               for (String id : names) {
+                returned.put(id, core.now());
                 coming.remove(id);
                 listed.remove(id);
                 if (store.machine(id) != null) toDrop.add(id);
--- a/src/main/java/mallowstall/core/Holder.java
+++ b/src/main/java/mallowstall/core/Holder.java
@@ -274,7 +274,9 @@
     if (h == null) return;
     Active a = h.active.get(f.task());
     if (a == null || a.attempt != f.attempt() || a.seen) return;
-    h.avoid.put(f.machine(), core.now() + 1_000);
+    boolean soon = f.reason().equals(Owner.NOT_KNOWN);
+    h.avoid.put(
+        f.machine(), core.now() + (soon ? Constants.LAG_RETRY_MS : Constants.REFUSED_RETRY_MS));
     free(a, true);
   }
 
--- a/src/main/java/mallowstall/core/Owner.java
+++ b/src/main/java/mallowstall/core/Owner.java
@@ -23,6 +23,9 @@
 final class Owner {
   private static final Logger LOG = LoggerFactory.getLogger("mallowstall.owner");
 
+  /** The owner's mirror lags: worth another try soon. */
+  static final String NOT_KNOWN = "job not known here yet";
+
   record Key(String job, int task) {}
 
   /** One attempt: a worker may list a refused attempt of a task beside the one it runs. */
@@ -138,6 +141,14 @@
       reply.accept(ReportAnswer.unable());
       return;
     }
+    if (core.cutOffAlone()) {
+      // New jobs aren't known here, so these machines would stand idle: send them where they are.
+      String other = core.servedPeer();
+      if (other != null) {
+        reply.accept(ReportAnswer.elsewhere(other));
+        return;
+      }
+    }
     Owned o = owned.get(r.machine());
     if (o != null && r.token() <= o.token) {
       if (o.lost && r.session() <= o.session) {
@@ -490,7 +501,7 @@
     if (m == null || m.version > store.revision()) return "not the owner";
     if (!core.mayKeepAlive()) return "cut off";
     JobRec j = store.job(o.job());
-    if (j == null) return "job not known here yet";
+    if (j == null) return NOT_KNOWN;
     if (j.fin() != Final.NONE) return "job is over";
     if (o.epoch() < j.epoch()) return "older epoch";
     if (!store.live(s.node(), s.incarnation())) return "holder's session is gone";
--- a/src/test/java/mallowstall/core/SafetyCasesTest.java
+++ b/src/test/java/mallowstall/core/SafetyCasesTest.java
@@ -104,6 +104,8 @@
     s.run(20_000);
     assertFalse(h.name.equals(entry(s, "wk-000001").holder()));
     assertFalse(h.core.ready());
+    for (Sim.Worker w : s.workers.values())
+      assertFalse(w.node.equals(h.name), "its machines move to served peers");
     s.run(60_000);
     h.noState = false;
     s.run(150_000);
