A machine that dies with its owner is returned once it has turned to nobody

Ruled out: slow claims (2 to 5 s). Also, deleting a returned machine's record is tried again when it fails. Test: SafetyCasesTest.

--- a/src/main/java/mallowstall/Constants.java
+++ b/src/main/java/mallowstall/Constants.java
@@ -205,6 +205,13 @@
   /** ms. Added to a worker's lease: a machine silent for longer is returned. */
   public static final long SILENT_RETURN_MS = 12_000;
 
+  /**
+   * ms. Within this and one and a half report intervals a worker whose controller has ended has
+   * turned to another: 4 s for the missing answer, 1 s before the next try, and some for the
+   * adoption.
+   */
+  public static final long COMES_BACK_MS = 7_500;
+
   /** ms. A drain request is forgotten after this if the machine wasn't returned. */
   public static final long DRAIN_LIFE_MS = 20_000;
 
--- a/src/main/java/mallowstall/core/Core.java
+++ b/src/main/java/mallowstall/core/Core.java
@@ -390,6 +390,12 @@
     return null;
   }
 
+  /** Whether this controller holds the job and may place its tasks. */
+  boolean latched(String id) {
+    Holder.Held h = holder.job(id);
+    return h != null && h.latched;
+  }
+
   /** Tasks of the job that rosters show as running. */
   int running(String id) {
     Holder.Held h = holder.job(id);
--- a/src/main/java/mallowstall/core/Fleet.java
+++ b/src/main/java/mallowstall/core/Fleet.java
@@ -233,7 +233,9 @@
     Set<String> known = new HashSet<>();
     List<View.Seen> up = new ArrayList<>();
     List<String> back = new ArrayList<>();
+    List<String> orphans = new ArrayList<>();
     long lease = core.settings().leaseMs();
+    long comesBack = Constants.COMES_BACK_MS + core.settings().reportMs() * 3 / 2;
     for (Map.Entry<String, Store.Held> e : store.under(Store.MACHINES).entrySet()) {
       MachineRec rec = (MachineRec) e.getValue().value();
       String id = e.getKey().substring(Store.MACHINES.length());
@@ -242,7 +244,7 @@
       View.Seen s = core.view().machines.get(id);
       boolean accounted = core.view().accounted(id, rec, 0);
       boolean ownerLive = store.live(rec.node(), rec.incarnation());
-      if (accounted && now - s.at < 2 * Constants.ROSTER_STALE_MS) {
+      if (accounted && ownerLive && now - s.at < 2 * Constants.ROSTER_STALE_MS) {
         unaccountedSince.remove(id);
         if (s.m.silent()) {
           if (s.m.idleMs() > lease + Constants.SILENT_RETURN_MS) back.add(id);
@@ -264,9 +266,14 @@
       } else {
         long since = unaccountedSince.computeIfAbsent(id, k -> now);
         if (now - since > lease + 2 * Constants.SILENT_RETURN_MS) back.add(id);
+        else if (!ownerLive && now - since > comesBack) orphans.add(id);
         else have.merge(rec.type(), 1, Integer::sum);
       }
     }
+    // Its owner is gone and it has turned to nobody: while it is unaccounted for, jobs taken over
+    // wait,
+    // and a return is proof. Many at once would rather mean that their arrival is what is slow.
+    if (orphans.size() * 4 <= known.size() + 4) back.addAll(orphans);
     unaccountedSince.keySet().retainAll(known);
     returned.values().removeIf(at -> now - at > Constants.RETURNED_MS);
     if (LOG.isDebugEnabled()) logUse(up);
@@ -498,8 +505,17 @@
       if (keys.size() >= core.settings().txnOps()) break;
       keys.add(Store.MACHINES + id);
     }
-    store.transact(Store.Urgency.MACHINE, new Txn(List.of(), List.of(), keys), r -> {});
     toDrop.removeIf(id -> keys.contains(Store.MACHINES + id));
+    // until the records are gone, holders don't know and jobs taken over wait for these machines
+    Runnable again = () -> keys.forEach(k -> toDrop.add(k.substring(Store.MACHINES.length())));
+    boolean asked =
+        store.transact(
+            Store.Urgency.MACHINE,
+            new Txn(List.of(), List.of(), keys),
+            r -> {
+              if (r.code() != Code.OK) again.run();
+            });
+    if (!asked) again.run();
   }
 
   private void list() {
--- a/src/test/java/mallowstall/core/SafetyCasesTest.java
+++ b/src/test/java/mallowstall/core/SafetyCasesTest.java
@@ -184,6 +184,34 @@
     assertEquals(0, ((TeamRec) s.state.keys.get(Store.TEAMS + "tight").value()).cpus(), 1e-9);
   }
 
+  /**
+   * A machine that dies with its owner: the jobs taken over wait for it only until its return
+   * proves it gone, not until the owner's next process may write it off. It once took 25 s.
+   */
+  @Test
+  void aMachineThatDiesWithItsOwnerHoldsNobodyUpForLong() {
+    Sim s = new Sim(44);
+    s.run(8_000);
+    s.submit(plain(s, "wk-000001", 60, "free"));
+    s.run(12_000);
+    Sim.Node h = holder(s, "wk-000001");
+    String dead = null;
+    for (Sim.Worker w : s.workers.values()) {
+      Sim.StateService.Val v = s.state.keys.get(Store.MACHINES + w.id);
+      if (v != null && ((MachineRec) v.value()).node().equals(h.name)) dead = w.id;
+    }
+    assertNotNull(dead);
+    s.workers.remove(dead).dead = true;
+    s.rules.machineGone(dead);
+    h.crash(60_000);
+    s.run(12_000 + 5_500 + 9_000 + 4_000);
+    Sim.Node next = holder(s, "wk-000001");
+    assertFalse(next == h);
+    assertTrue(next.core.latched("wk-000001"));
+    s.run(160_000);
+    finished(s, "wk-000001");
+  }
+
   /**
    * A roster that still acknowledges the former process's connections must not settle a start of
    * the new one: this once placed a task twice on a rough day.
