--- a/src/main/java/mallowstall/Constants.java
+++ b/src/main/java/mallowstall/Constants.java
@@ -149,6 +149,9 @@
   /** ms. A waiting job of higher priority may stop lower work after this time. */
   public static final long PREEMPT_AFTER_MS = 2_500;
 
+  /** ms. A job within its team's guarantee may stop what other teams borrow after this time. */
+  public static final long GUARANTEE_AFTER_MS = 20_000;
+
   /** ms. Between two preemption rounds of one job. */
   public static final long PREEMPT_GAP_MS = 3_000;
 
--- a/src/main/java/mallowstall/Meters.java
+++ b/src/main/java/mallowstall/Meters.java
@@ -19,7 +19,12 @@
     counters.computeIfAbsent(what, registry::counter).increment();
   }
 
-  void time(String what, long nanos) {
+  @Override
+  public void time(String what, long ms) {
+    timeNanos(what, ms * 1_000_000);
+  }
+
+  void timeNanos(String what, long nanos) {
     times
         .computeIfAbsent(what, k -> new Histogram(MAX_US, 2))
         .recordValue(Math.min(MAX_US, Math.max(0, nanos / 1_000)));
--- a/src/main/java/mallowstall/Service.java
+++ b/src/main/java/mallowstall/Service.java
@@ -197,7 +197,7 @@
           users.submit(
               q,
               (status, json, retry) -> {
-                meters.time("submit", System.nanoTime() - t0);
+                meters.timeNanos("submit", System.nanoTime() - t0);
                 r.answer(status, json, retry);
               });
         }
@@ -237,7 +237,7 @@
       state.transact(
           txn,
           r -> {
-            meters.time("state_write", System.nanoTime() - t0);
+            meters.timeNanos("state_write", System.nanoTime() - t0);
             then.accept(r);
           });
     }
@@ -285,7 +285,13 @@
 
     @Override
     public void rent(RentRequest request, Consumer<RentReply> then) {
-      cloud.rent(request, then);
+      long t0 = System.nanoTime();
+      cloud.rent(
+          request,
+          r -> {
+            meters.timeNanos("cloud_rent", System.nanoTime() - t0);
+            then.accept(r);
+          });
     }
 
     @Override
--- a/src/main/java/mallowstall/core/Core.java
+++ b/src/main/java/mallowstall/core/Core.java
@@ -25,6 +25,9 @@
   /** Where counts of notable events go. */
   public interface Metrics {
     void count(String what);
+
+    /** A duration in ms. */
+    void time(String what, long ms);
   }
 
   private final CoreSettings settings;
--- a/src/main/java/mallowstall/core/Placement.java
+++ b/src/main/java/mallowstall/core/Placement.java
@@ -5,9 +5,11 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import mallowstall.Constants;
 import mallowstall.core.Holder.Active;
@@ -41,6 +43,7 @@
   /** Waiting work of one job, as far as it matters to others. */
   private record Ahead(int rank, String type, String holder, double cpus) {}
 
+  private final Set<String> entitled = new HashSet<>();
   private final List<Ahead> aheads = new ArrayList<>();
   private final Object2DoubleOpenHashMap<String> roomOf = new Object2DoubleOpenHashMap<>();
   private final Object2DoubleOpenHashMap<String> freeOf = new Object2DoubleOpenHashMap<>();
@@ -62,6 +65,8 @@
   int order(Held a, Held b) {
     int c = Integer.compare(b.spec.priority().ordinal(), a.spec.priority().ordinal());
     if (c != 0) return c;
+    c = Boolean.compare(entitled.contains(b.id), entitled.contains(a.id));
+    if (c != 0) return c;
     c = Integer.compare(tier(a.rec, a.spec), tier(b.rec, b.spec));
     if (c != 0) return c;
     c = Double.compare(urgency(a), urgency(b));
@@ -98,6 +103,7 @@
     }
     if (wait.isEmpty()) return;
     countRoom();
+    countEntitled();
     wait.sort(this::order);
     List<View.Seen> machines = new ArrayList<>();
     for (View.Seen s : core.view().machines.values()) {
@@ -229,6 +235,7 @@
         backOff.until = 0;
       } else if (possible == 0) {
         // exhausted every block: wait, unless a roster tells of new room before
+        core.metrics().count("backoffs");
         backOff.until = now + backOff.wait;
         backOff.wait = Math.min(Constants.BACKOFF_MAX_MS, backOff.wait * 2);
         backOff.roomSeen = core.roomNews();
@@ -237,6 +244,35 @@
     }
   }
 
+  /**
+   * The jobs that fit into their team's guarantee together with the team's earlier unfinished ones:
+   * they need not wait for other teams. Counted only where several teams share.
+   */
+  private void countEntitled() {
+    entitled.clear();
+    if (core.settings().teams().size() < 2) return;
+    List<JobRec> open = new ArrayList<>();
+    for (Store.Held e : store.under(Store.JOBS).values()) {
+      JobRec rec = (JobRec) e.value();
+      if (rec.fin() == Final.NONE) open.add(rec);
+    }
+    open.sort(Comparator.comparingLong(JobRec::submittedMs).thenComparing(r -> r.spec().id()));
+    Object2DoubleOpenHashMap<String> cpus = new Object2DoubleOpenHashMap<>();
+    Object2DoubleOpenHashMap<String> gpus = new Object2DoubleOpenHashMap<>();
+    for (JobRec rec : open) {
+      JobSpec j = rec.spec();
+      Team t = core.settings().teams().get(j.team());
+      if (t == null) continue;
+      int left = j.tasks() - rec.doneCount();
+      cpus.addTo(j.team(), left * j.cpus());
+      gpus.addTo(j.team(), left * j.gpus());
+      boolean fits =
+          cpus.getDouble(j.team()) <= t.cpus() + 1e-9
+              && gpus.getDouble(j.team()) <= t.gpus() + 1e-9;
+      if (fits) entitled.add(j.id());
+    }
+  }
+
   /** Processors of usable machines, all and free, by machine type. */
   private void countRoom() {
     roomOf.clear();
@@ -418,6 +454,9 @@
     long attempt = (h.rec.epoch() << Constants.ATTEMPT_BITS) + ++h.counter;
     long life = Math.min(Constants.START_LIFE_MS, store.sessionLeft());
     long expiry = core.wall() + life - 2 * core.settings().skewMs();
+    if (h.active.isEmpty() && h.doneCount == 0) {
+      core.metrics().time("job_wait", core.wall() - h.rec.submittedMs());
+    }
     holder.place(
         new Active(
             h,
@@ -449,7 +488,9 @@
   /** Stops lower work where that makes room for a job of higher priority that has waited. */
   private void preempt(Held h, long now) {
     JobSpec j = h.spec;
-    if (j.priority().ordinal() < Priority.HIGH.ordinal()) return;
+    boolean urgent = j.priority().ordinal() >= Priority.HIGH.ordinal();
+    boolean owed = entitled.contains(h.id) && now - h.heldSince > Constants.GUARANTEE_AFTER_MS;
+    if (!urgent && !owed) return;
     if (now - h.heldSince < Constants.PREEMPT_AFTER_MS
         || now - h.lastPreempt < Constants.PREEMPT_GAP_MS) return;
     h.lastPreempt = now;
@@ -466,7 +507,10 @@
             || t.state() == null
             || t.state() == TaskState.SAVING
             || o == null) continue;
-        if (o.spec().priority().ordinal() < j.priority().ordinal()) lower.add(t);
+        boolean below = urgent && o.spec().priority().ordinal() < j.priority().ordinal();
+        boolean borrowed =
+            owed && !o.spec().team().equals(j.team()) && !entitled.contains(o.spec().id());
+        if (below || borrowed) lower.add(t);
       }
       if (lower.isEmpty()) continue;
       // least lost first: what is still fetching
--- a/src/test/java/mallowstall/core/Sim.java
+++ b/src/test/java/mallowstall/core/Sim.java
@@ -190,7 +190,13 @@
                   Map.of()),
               this,
               c -> new TestPolicy(c, () -> evaluations++),
-              what -> {},
+              new Core.Metrics() {
+                @Override
+                public void count(String what) {}
+
+                @Override
+                public void time(String what, long ms) {}
+              },
               rnd.nextLong());
       for (String p : peers) at(20, () -> connect(p));
       int l = life;
