--- a/src/main/java/mallowstall/cli/Rehearsal.java
+++ b/src/main/java/mallowstall/cli/Rehearsal.java
@@ -54,7 +54,9 @@
       body = "{\"sierras\":[],\"has_next\":false}";
     } else if (p.equals("/orders")) {
       status = 409;
-      body = "{}";
+      body =
+          "{\"sierra\":\"m-000001\",\"addr\":\"\",\"calibre\":\"x\",\"patio\":\"z\",\"turno\":1,\"folio\":1,"
+              + "\"baston\":1,\"piezas\":[]}";
     } else {
       body = "{\"sierras\":[]}";
     }
--- /dev/null
+++ b/src/test/java/mallowstall/ServiceTest.java
@@ -0,0 +1,125 @@
+package mallowstall;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import mallowstall.cli.Main;
+import mallowstall.config.Settings;
+import mallowstall.policy.Policies;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.Test;
+
+/**
+ * The real process on loopback, without a world around it: what it can't take is answered at once.
+ */
+class ServiceTest {
+  private static Service service;
+  private static String base;
+  private static final HttpClient HTTP =
+      HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+  @BeforeAll
+  static void start() throws Exception {
+    String s =
+        """
+        {"node":"n0","listen":"127.0.0.1:0","peer_bind":"127.0.0.1:0",
+         "endpoints":{"cloud":"127.0.0.1:1","state":"127.0.0.1:1"},
+         "facts":{"teams":[{"name":"vision"}],
+          "workers":{"report_s":1.0,"lease_s":10.0,"cancel_s":35.0},
+          "state":{"rps":150.0,"write_rps":60.0,"value_kb":16.0,"txn_ops":24},
+          "cloud":{"rps":1.5,"list_lag_s":10.0},"skew_ms":25.0}}
+        """;
+    service =
+        new Service(
+            Settings.parse(s.getBytes(StandardCharsets.UTF_8), Main.json()),
+            Main.json(),
+            Policies.bundled());
+    service.start();
+    base = "http://127.0.0.1:" + service.address().getPort();
+  }
+
+  @AfterAll
+  static void stop() {
+    service.stop();
+  }
+
+  private static HttpResponse<String> call(String method, String path, String body)
+      throws IOException, InterruptedException {
+    return HTTP.send(
+        HttpRequest.newBuilder(URI.create(base + path))
+            .timeout(Duration.ofSeconds(4))
+            .method(
+                method,
+                body == null
+                    ? HttpRequest.BodyPublishers.noBody()
+                    : HttpRequest.BodyPublishers.ofString(body))
+            .build(),
+        HttpResponse.BodyHandlers.ofString());
+  }
+
+  @Test
+  void eachBadRequestGetsItsStatusAndAMessage() throws Exception {
+    String job = mallowstall.users.Examples.JOB;
+    Object[][] cases = {
+      {"GET", "/nothing", null, 404, "no such path"},
+      {"GET", "/submissions/wk-000001/more", null, 404, "no such path"},
+      {"GET", "/submissions/other", null, 404, "no such job"},
+      {"DELETE", "/submissions", null, 405, "the method must be POST"},
+      {"POST", "/ready", "{}", 405, "the method must be GET"},
+      {"POST", "/submissions", "{", 400, "not JSON"},
+      {"POST", "/submissions", "[]", 400, "the body"},
+      {"POST", "/submissions", "\"" + "x".repeat(70_000) + "\"", 400, "larger than 64 KiB"},
+      {"POST", "/submissions", job.replace("\"batch\"", "\"daemon\""), 400, "oficio must be batch"},
+      {"POST", "/hello", "{}", 400, "not a valid report"},
+    };
+    for (Object[] c : cases) {
+      HttpResponse<String> r = call((String) c[0], (String) c[1], (String) c[2]);
+      assertEquals(c[3], r.statusCode(), c[0] + " " + c[1]);
+      assertTrue(r.body().startsWith("{\"error\":") && r.body().contains((String) c[4]), r.body());
+    }
+  }
+
+  /** Nothing is held back to keep a user from asking again. */
+  @Test
+  void whatCannotBeDecidedIsAnsweredAtOnceWithARetryAfter() throws Exception {
+    for (String[] c :
+        new String[][] {
+          {"POST", "/submissions", mallowstall.users.Examples.JOB},
+          {"GET", "/submissions/wk-000412", null},
+          {"POST", "/submissions/wk-000412/cancel", ""},
+        }) {
+      long t0 = System.nanoTime();
+      HttpResponse<String> r = call(c[0], c[1], c[2]);
+      assertEquals(503, r.statusCode(), c[1]);
+      assertTrue(Integer.parseInt(r.headers().firstValue("retry-after").orElseThrow()) >= 1);
+      assertTrue(System.nanoTime() - t0 < 2_500_000_000L, c[1]);
+    }
+    assertEquals(503, call("GET", "/ready", null).statusCode());
+    HttpResponse<String> m = call("GET", "/metrics", null);
+    assertTrue(m.body().contains("mallowstall_submit_seconds_count"), m.body());
+  }
+
+  @Test
+  void aConnectionStaysOpenForTheNextRequest() throws Exception {
+    try (Socket s = new Socket("127.0.0.1", service.address().getPort())) {
+      s.setSoTimeout(3_000);
+      byte[] ask = "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+      for (int i = 0; i < 3; i++) {
+        s.getOutputStream().write(ask);
+        byte[] b = new byte[1_000];
+        int n = s.getInputStream().read(b);
+        String text = new String(b, 0, n, StandardCharsets.US_ASCII);
+        assertTrue(text.startsWith("HTTP/1.1 503"), text);
+      }
+    }
+  }
+}
