--- a/src/main/java/mallowstall/core/Placement.java
+++ b/src/main/java/mallowstall/core/Placement.java
@@ -65,8 +65,6 @@
   int order(Held a, Held b) {
     int c = Integer.compare(b.spec.priority().ordinal(), a.spec.priority().ordinal());
     if (c != 0) return c;
-    c = Boolean.compare(entitled.contains(b.id), entitled.contains(a.id));
-    if (c != 0) return c;
     c = Integer.compare(tier(a.rec, a.spec), tier(b.rec, b.spec));
     if (c != 0) return c;
     c = Double.compare(urgency(a), urgency(b));
@@ -250,7 +248,7 @@
    */
   private void countEntitled() {
     entitled.clear();
-    if (core.settings().teams().size() < 2) return;
+    if (core.settings().teams().size() < 2) return; // nobody to borrow from
     List<JobRec> open = new ArrayList<>();
     for (Store.Held e : store.under(Store.JOBS).values()) {
       JobRec rec = (JobRec) e.value();
