Finished jobs cost nothing in planning; one fault in a policy block reports once

Placement, planning and adoption walked all jobs ever recorded at each round. Policies: reading goes on behind a faulty block.

--- a/src/main/java/mallowstall/Constants.java
+++ b/src/main/java/mallowstall/Constants.java
@@ -232,6 +232,9 @@
    */
   public static final long RETURNED_MS = 60_000;
 
+  /** Count. Different needs of tasks whose smallest fitting type is remembered. */
+  public static final int NEEDS_CACHED = 2_000;
+
   // ---- users --------------------------------------------------------------------------------
   /** Bytes. Largest request body (protocol). */
   public static final int BODY_MAX = 64 << 10;
--- a/src/main/java/mallowstall/core/Core.java
+++ b/src/main/java/mallowstall/core/Core.java
@@ -1,6 +1,7 @@
 package mallowstall.core;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -46,6 +47,7 @@
           (a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
   private final Map<String, MachineType> types = new LinkedHashMap<>();
   private final Map<String, Double> images = new HashMap<>();
+  private final Map<String, JobRec> open = new LinkedHashMap<>();
   private long now;
   private long wall;
   private long timerOrder;
@@ -137,6 +139,7 @@
           nextTypes = now + (list == null || list.isEmpty() ? 1_000 : 60_000);
           if (list == null) return;
           for (MachineType t : list) types.put(t.name(), t);
+          fleet.typesChanged();
         });
   }
 
@@ -393,6 +396,11 @@
     return null;
   }
 
+  /** Jobs that somebody must still look after, whoever holds them; finished ones cost nothing. */
+  Collection<JobRec> openJobs() {
+    return open.values();
+  }
+
   /** Whether this controller holds the job and may place its tasks. */
   boolean latched(String id) {
     Holder.Held h = holder.job(id);
@@ -425,6 +433,8 @@
         if (rec == null) return;
         images.put(rec.spec().image(), rec.spec().imageGb());
         String id = rec.spec().id();
+        if (rec.open()) open.put(id, rec);
+        else open.remove(id);
         users.jobChanged(id, rec);
         holder.jobChanged(id, rec);
       } else if (key.startsWith(Store.MACHINES)) {
--- a/src/main/java/mallowstall/core/Fleet.java
+++ b/src/main/java/mallowstall/core/Fleet.java
@@ -85,12 +85,13 @@
 
   String minimalType(JobSpec j) {
     String key = j.cpus() + "/" + j.gpus() + "/" + j.memoryGb() + "/" + j.types();
-    return minimal.computeIfAbsent(
-        key,
-        k -> {
-          if (minimal.size() > 2_000) return smallest(j);
-          return smallest(j);
-        });
+    if (minimal.size() > Constants.NEEDS_CACHED) minimal.clear();
+    return minimal.computeIfAbsent(key, k -> smallest(j));
+  }
+
+  /** The types have been read anew. */
+  void typesChanged() {
+    minimal.clear();
   }
 
   private String smallest(JobSpec j) {
@@ -155,8 +156,7 @@
     for (Team t : core.settings().teams().values()) {
       teamLeft.put(t.name(), t.cpusMax() > 0 ? t.cpusMax() : Double.MAX_VALUE);
     }
-    for (Store.Held e : store.under(Store.JOBS).values()) {
-      JobRec rec = (JobRec) e.value();
+    for (JobRec rec : core.openJobs()) {
       if (rec.fin() != Final.NONE) continue;
       JobSpec j = rec.spec();
       String name = minimalType(j);
--- a/src/main/java/mallowstall/core/Holder.java
+++ b/src/main/java/mallowstall/core/Holder.java
@@ -422,10 +422,9 @@
     nextAdopt = now + Constants.ADOPT_EVERY_MS;
     List<String> live = core.liveNodes();
     int n = 0;
-    for (Map.Entry<String, Store.Held> e : store.under(Store.JOBS).entrySet()) {
-      JobRec rec = (JobRec) e.getValue().value();
+    for (JobRec rec : new ArrayList<>(core.openJobs())) {
       String id = rec.spec().id();
-      if (!rec.open() || store.live(rec.holder(), rec.incarnation())) {
+      if (store.live(rec.holder(), rec.incarnation())) {
         orphanSince.remove(id);
         continue;
       }
@@ -437,13 +436,13 @@
       if (c != null && now - c < 2 * Constants.STATE_TIMEOUT_MS) continue;
       if (++n > Constants.ADOPT_BATCH) break;
       claiming.put(id, now);
-      String key = e.getKey();
+      String key = Store.JOBS + id;
       JobRec mine = rec.withHolder(core.node(), store.incarnation());
       boolean asked =
           store.transact(
               Store.Urgency.JOB,
               new Txn(
-                  List.of(new Cond(key, e.getValue().version())),
+                  List.of(new Cond(key, store.version(key))),
                   List.of(new Put(key, mine, 0)),
                   List.of()),
               r -> {
--- a/src/main/java/mallowstall/core/Placement.java
+++ b/src/main/java/mallowstall/core/Placement.java
@@ -250,8 +250,7 @@
     entitled.clear();
     if (core.settings().teams().size() < 2) return; // nobody to borrow from
     List<JobRec> open = new ArrayList<>();
-    for (Store.Held e : store.under(Store.JOBS).values()) {
-      JobRec rec = (JobRec) e.value();
+    for (JobRec rec : core.openJobs()) {
       if (rec.fin() == Final.NONE) open.add(rec);
     }
     open.sort(Comparator.comparingLong(JobRec::submittedMs).thenComparing(r -> r.spec().id()));
@@ -323,8 +322,7 @@
         if (t.state() != TaskState.EXITED) placedOf.addTo(t.job(), 1);
       }
     }
-    for (Store.Held e : store.under(Store.JOBS).values()) {
-      JobRec rec = (JobRec) e.value();
+    for (JobRec rec : core.openJobs()) {
       if (rec.fin() != Final.NONE) continue;
       JobSpec j = rec.spec();
       sample.put(j.image(), j);
--- a/src/main/java/mallowstall/core/View.java
+++ b/src/main/java/mallowstall/core/View.java
@@ -1,10 +1,8 @@
 package mallowstall.core;
 
 import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import mallowstall.core.Model.*;
@@ -160,8 +158,4 @@
         && s.m.confirmed()
         && s.rosterRevision >= revision;
   }
-
-  List<Seen> all() {
-    return new ArrayList<>(machines.values());
-  }
 }
--- a/src/main/java/mallowstall/policy/Parser.java
+++ b/src/main/java/mallowstall/policy/Parser.java
@@ -123,24 +123,43 @@
       fault(name, "class '" + name.text() + "' is defined twice");
     expect("{");
     List<Policy.Block> blocks = new ArrayList<>();
+    int begun = 0;
     while (!look().is("}")) {
       Token t = look();
       if (t.kind() == Kind.END || t.is("class"))
         throw stop(t, "class '" + name.text() + "' has no closing '}'");
+      int from = at;
+      begun++;
       try {
         if (!t.is("block")) throw stop(t, "expected 'block' or '}' but found " + t);
         next();
         Policy.Block b = block(t);
         if (b != null) blocks.add(b);
       } catch (Stop e) {
-        while (look().kind() != Kind.END && !look().is("block") && !look().is("class")) next();
+        skipBlock(from);
       }
     }
     next();
-    if (blocks.isEmpty()) fault(name, "class '" + name.text() + "' has no block");
+    if (begun == 0) fault(name, "class '" + name.text() + "' has no block");
     classes.put(name.text(), new Named(name.text(), List.copyOf(blocks)));
   }
 
+  /** Goes on behind the block that begins at {@code from}, or where the next one begins. */
+  private void skipBlock(int from) {
+    int open = 0;
+    for (int i = from; i < tokens.size() && !tokens.get(i).is("class"); i++) {
+      if (i > from && tokens.get(i).is("block")) break;
+      if (tokens.get(i).is("{")) open++;
+      if (tokens.get(i).is("}") && --open == 0) {
+        at = i + 1;
+        return;
+      }
+    }
+    do {
+      next();
+    } while (look().kind() != Kind.END && !look().is("block") && !look().is("class"));
+  }
+
   private Policy.Block block(Token start) {
     expect("{");
     Map<String, Token> seen = new HashMap<>();
--- a/src/test/java/mallowstall/policy/PoliciesTest.java
+++ b/src/test/java/mallowstall/policy/PoliciesTest.java
@@ -72,6 +72,20 @@
     assertTrue(all.stream().anyMatch(s -> s.contains("no class 'default'")), all.toString());
   }
 
+  /** One fault inside a block isn't followed by others that it only caused. */
+  @Test
+  void readingGoesOnBehindAFaultyBlock() {
+    Policies p =
+        Policies.of(
+            "class default { block { workers: nope strategy: random }\n"
+                + "block { strategy: random } }\nclass b { block { strategy: x } block { strategy: random } }");
+    assertEquals(
+        List.of(
+            "f:1:34: unknown name 'nope'",
+            "f:3:29: expected lowest, highest or random but found 'x'"),
+        p.faults().stream().map(f -> f.at("f")).toList());
+  }
+
   @Test
   void blocksThatNeverMatchAreWarnedOf() {
     for (String s :
