Only rosters received since a claim is known count for its rebuilding

Test: SafetyCasesTest.aClaimantThatHearsLateOfItsClaimMissesNoTask, which shows the same double start without the change.

--- a/src/main/java/mallowstall/core/Holder.java
+++ b/src/main/java/mallowstall/core/Holder.java
@@ -81,6 +81,12 @@
     int doneCount;
     boolean latched;
     long claimRevision;
+
+    /**
+     * Rosters received before this controller knew of its holding: their tasks weren't looked at.
+     */
+    long rostersBefore;
+
     boolean writing;
     long lastWrite = Long.MIN_VALUE / 2;
     int counter;
@@ -180,6 +186,7 @@
       h = new Held(id, rec.spec());
       h.heldSince = core.now();
       h.claimRevision = version;
+      h.rostersBefore = core.view().received;
       // the first epoch of this very process: nobody can have started anything before
       h.latched = rec.epoch() == 1;
       load(h, rec);
@@ -392,12 +399,14 @@
     for (Held h : jobs.values()) any |= !h.latched;
     if (!any) return;
     long upTo = Long.MAX_VALUE;
+    long oldest = Long.MAX_VALUE;
     String worst = null;
     for (Map.Entry<String, Store.Held> e : store.under(Store.MACHINES).entrySet()) {
       MachineRec rec = (MachineRec) e.getValue().value();
       String id = e.getKey().substring(Store.MACHINES.length());
       View.Seen s = core.view().machines.get(id);
       long rev = core.view().accounted(id, rec, 0) ? s.rosterRevision : -1;
+      if (rev >= 0) oldest = Math.min(oldest, s.serial);
       if (rev < upTo) {
         upTo = rev;
         worst = id;
@@ -405,7 +414,10 @@
     }
     for (Held h : jobs.values()) {
       if (h.latched || h.claimRevision > store.revision()) continue;
-      if (upTo >= h.claimRevision) {
+      // A roster may know of the claim before its claimant does, whose own answer was slow. Its
+      // tasks
+      // went unnoticed then, and one was started twice: only rosters received since count.
+      if (upTo >= h.claimRevision && oldest > h.rostersBefore) {
         h.latched = true;
         LOG.info(
             "job {} epoch {} rebuilt: {} tasks on machines", h.id, h.rec.epoch(), h.active.size());
--- a/src/main/java/mallowstall/core/View.java
+++ b/src/main/java/mallowstall/core/View.java
@@ -19,6 +19,10 @@
     long ownerIncarnation;
     long rosterRevision;
     long at;
+
+    /** Which of the rosters received here told this last. */
+    long serial;
+
     RosterMachine m;
 
     /** Room taken by starts sent from here and not yet in the owner's roster. */
@@ -82,6 +86,10 @@
 
   final Map<String, Seen> machines = new Object2ObjectOpenHashMap<>();
   final Map<String, Peer> peers = new HashMap<>();
+
+  /** Rosters received so far. */
+  long received;
+
   private final Core core;
 
   View(Core core) {
@@ -104,6 +112,7 @@
     }
     if (r.serial() <= p.serial) return false;
     p.serial = r.serial();
+    received++;
     long now = core.now();
     p.rosterAt = now;
     p.rosterRevision = r.mirrorRevision();
@@ -127,6 +136,7 @@
       s.ownerIncarnation = r.incarnation();
       s.rosterRevision = r.mirrorRevision();
       s.at = now;
+      s.serial = received;
       s.m = m;
     }
     for (String id : p.machines) {
--- a/src/test/java/mallowstall/core/SafetyCasesTest.java
+++ b/src/test/java/mallowstall/core/SafetyCasesTest.java
@@ -184,6 +184,43 @@
     assertEquals(0, ((TeamRec) s.state.keys.get(Store.TEAMS + "tight").value()).cpus(), 1e-9);
   }
 
+  /**
+   * The other owners may follow the state service past a claim before the claimant has its own
+   * answer: what their rosters told in between must not count as looked at. This once started a
+   * task twice.
+   */
+  @Test
+  void aClaimantThatHearsLateOfItsClaimMissesNoTask() {
+    for (String name : Sim.NODES) {
+      Sim s = new Sim(51);
+      s.runMs = 25_000;
+      s.run(8_000);
+      s.submit(plain(s, "wk-000001", 14, "free"));
+      s.run(14_000);
+      Sim.Node claimant = s.nodes.get(name);
+      if (claimant == holder(s, "wk-000001")) continue;
+      claimant.lag = 900;
+      // its claim is executed, the answer is lost, and its watch tells it late
+      String key = Store.JOBS + "wk-000001";
+      JobRec mine = entry(s, "wk-000001").withHolder(name, claimant.core.incarnation());
+      long version = s.state.keys.get(key).version();
+      assertEquals(
+          Effects.Code.OK,
+          s.state
+              .transact(
+                  new Effects.Txn(
+                      List.of(new Effects.Cond(key, version)),
+                      List.of(new Effects.Put(key, mine, 0)),
+                      List.of()))
+              .code());
+      s.run(18_000);
+      assertEquals(List.of(), s.rules.broken);
+      claimant.lag = 0;
+      s.run(200_000);
+      finished(s, "wk-000001");
+    }
+  }
+
   /**
    * A machine that dies with its owner: the jobs taken over wait for it only until its return
    * proves it gone, not until the owner's next process may write it off. It once took 25 s.
--- a/src/test/java/mallowstall/core/Sim.java
+++ b/src/test/java/mallowstall/core/Sim.java
@@ -47,6 +47,10 @@
   boolean strayOrders;
 
   int strayed;
+
+  /** How long tasks run, in ms; 0: 1 to 7 s. */
+  long runMs;
+
   long evaluations;
   long ticks;
 
@@ -153,6 +157,10 @@
     int life;
     boolean up;
     boolean noState;
+
+    /** ms added to what the state service answers this node. */
+    long lag;
+
     final double drift = rnd.nextDouble() * 0.0004;
     final long skew = rnd.nextInt(40) - 20;
     final Map<String, Long> connection = new HashMap<>();
@@ -311,7 +319,7 @@
             () -> {
               T t = exec.get();
               int still = life;
-              if (l == still) back(1, () -> then.accept(t));
+              if (l == still) back(1 + lag, () -> then.accept(t));
             });
       }
     }
@@ -380,7 +388,7 @@
         }
         if (!out.isEmpty() || now >= until) {
           long rev = state.revision;
-          back(delay(), () -> then.accept(new WatchReply(Code.OK, out, rev)));
+          back(delay() + lag, () -> then.accept(new WatchReply(Code.OK, out, rev)));
           return;
         }
       } else if (now > until + Constants.STATE_TIMEOUT_MS) {
@@ -708,7 +716,7 @@
       changed = true;
       rules.started(now, new Rules.OnMachine(id, t.job, t.task, "t8", zone, spot));
       at(
-          faulty ? 1 : 1_000 + rnd.nextInt(6_000),
+          faulty ? 1 : runMs > 0 ? runMs : 1_000 + rnd.nextInt(6_000),
           () -> {
             if (dead || tasks.get(key) != t || t.state != TaskState.RUNNING) return;
             exit(t, faulty ? Why.ERROR : Why.DONE);
