Tidying: one way to write a machine's record, one count of tasks that fit

Three copies of the same compare-and-set became Owner.record, slots and fits share howMany, the boot limit stands once, unused methods and an argument that was always 0 are gone, and the smallest type is looked up by a record instead of a text that was built per job and machine in each round. Behaviour as before.

--- a/src/main/java/mallowstall/core/Fleet.java
+++ b/src/main/java/mallowstall/core/Fleet.java
@@ -23,6 +23,9 @@
 
   private record Rented(String type, String zone, boolean spot, long at) {}
 
+  /** What decides which types fit a task. */
+  private record Need(double cpus, double gpus, double memoryGb, List<String> types) {}
+
   /** Demand for one machine type. Mutable. */
   private static final class Demand {
     double machines;
@@ -42,7 +45,7 @@
   private final Store store;
   private final Budget calls;
   private final Map<String, Demand> demands = new HashMap<>();
-  private final Map<String, String> minimal = new HashMap<>();
+  private final Map<Need, String> minimal = new HashMap<>();
   private final Map<String, Rented> coming = new LinkedHashMap<>();
   private final Map<String, Long> refusedUntil = new HashMap<>();
   private final Map<String, Long> unaccountedSince = new HashMap<>();
@@ -84,7 +87,7 @@
   }
 
   String minimalType(JobSpec j) {
-    String key = j.cpus() + "/" + j.gpus() + "/" + j.memoryGb() + "/" + j.types();
+    Need key = new Need(j.cpus(), j.gpus(), j.memoryGb(), j.types());
     if (minimal.size() > Constants.NEEDS_CACHED) minimal.clear();
     return minimal.computeIfAbsent(key, k -> smallest(j));
   }
@@ -242,7 +245,7 @@
       known.add(id);
       coming.remove(id);
       View.Seen s = core.view().machines.get(id);
-      boolean accounted = core.view().accounted(id, rec, 0);
+      boolean accounted = core.view().accounted(id, rec);
       boolean ownerLive = store.live(rec.node(), rec.incarnation());
       if (accounted && ownerLive && now - s.at < 2 * Constants.ROSTER_STALE_MS) {
         unaccountedSince.remove(id);
@@ -271,8 +274,8 @@
       }
     }
     // Its owner is gone and it has turned to nobody: while it is unaccounted for, jobs taken over
-    // wait,
-    // and a return is proof. Many at once would rather mean that their arrival is what is slow.
+    // wait, and a return is proof. Many at once would rather mean that their arrival is what is
+    // slow.
     if (orphans.size() * 4 <= known.size() + 4) back.addAll(orphans);
     unaccountedSince.keySet().retainAll(known);
     returned.values().removeIf(at -> now - at > Constants.RETURNED_MS);
@@ -283,15 +286,14 @@
       MachineType t = core.types().get(l.type());
       double age = l.ageS() + (now - listedAt) / 1000.0;
       if (l.state().equals("failed")) back.add(l.id());
-      else if (t != null && age > Math.max(60, Constants.BOOT_GIVE_UP * t.bootS()))
-        back.add(l.id());
+      else if (t != null && age > bootLimitS(t)) back.add(l.id());
       else if (!coming.containsKey(l.id()))
         coming.put(l.id(), new Rented(l.type(), l.zone(), l.spot(), now - (long) (age * 1000)));
     }
     for (Map.Entry<String, Rented> e : new ArrayList<>(coming.entrySet())) {
       Rented r = e.getValue();
       MachineType t = core.types().get(r.type);
-      double limit = t == null ? 120 : Math.max(60, Constants.BOOT_GIVE_UP * t.bootS());
+      double limit = t == null ? 120 : bootLimitS(t);
       boolean vanished =
           now - r.at > 4 * core.settings().listLagMs()
               && listedAt > r.at + 3 * core.settings().listLagMs()
@@ -311,6 +313,11 @@
           back.subList(0, Math.min(back.size(), Constants.RETURN_MAX)), "lost, failed or faulty");
   }
 
+  /** After so many seconds a machine that isn't up is taken for one that never boots. */
+  private static double bootLimitS(MachineType t) {
+    return Math.max(60, Constants.BOOT_GIVE_UP * t.bootS());
+  }
+
   /** Where the rented processors go: the first thing to look at when jobs wait. */
   private void logUse(List<View.Seen> up) {
     double running = 0;
--- a/src/main/java/mallowstall/core/Holder.java
+++ b/src/main/java/mallowstall/core/Holder.java
@@ -405,7 +405,7 @@
       MachineRec rec = (MachineRec) e.getValue().value();
       String id = e.getKey().substring(Store.MACHINES.length());
       View.Seen s = core.view().machines.get(id);
-      long rev = core.view().accounted(id, rec, 0) ? s.rosterRevision : -1;
+      long rev = core.view().accounted(id, rec) ? s.rosterRevision : -1;
       if (rev >= 0) oldest = Math.min(oldest, s.serial);
       if (rev < upTo) {
         upTo = rev;
@@ -415,8 +415,7 @@
     for (Held h : jobs.values()) {
       if (h.latched || h.claimRevision > store.revision()) continue;
       // A roster may know of the claim before its claimant does, whose own answer was slow. Its
-      // tasks
-      // went unnoticed then, and one was started twice: only rosters received since count.
+      // tasks went unnoticed then, and one was started twice: only rosters received since count.
       if (upTo >= h.claimRevision && oldest > h.rostersBefore) {
         h.latched = true;
         LOG.info(
--- a/src/main/java/mallowstall/core/Owner.java
+++ b/src/main/java/mallowstall/core/Owner.java
@@ -119,14 +119,6 @@
     this.store = store;
   }
 
-  int count() {
-    return owned.size();
-  }
-
-  boolean owns(String machine) {
-    return owned.containsKey(machine);
-  }
-
   void touch() {
     dirty = true;
   }
@@ -143,11 +135,8 @@
     }
     if (core.cutOffAlone()) {
       // New jobs aren't known here, so these machines would stand idle: send them where they are.
-      String other = core.servedPeer();
-      if (other != null) {
-        reply.accept(ReportAnswer.elsewhere(other));
-        return;
-      }
+      reply.accept(ReportAnswer.elsewhere(core.servedPeer()));
+      return;
     }
     Owned o = owned.get(r.machine());
     if (o != null && r.token() <= o.token) {
@@ -157,9 +146,8 @@
         return;
       }
       if (r.session() < o.session || (r.session() == o.session && r.seq() <= o.seq)) {
-        // Overtaken by the answer of a direct command, or a late copy: it says nothing new.
-        // Refusing it
-        // would send a healthy worker to another controller.
+        // Overtaken by the answer of a direct command, or a late copy: it says nothing new. To
+        // refuse it would send a healthy worker to another controller.
         o.lastOk = now;
         reply.accept(ReportAnswer.ok(o.token, List.of()));
         return;
@@ -171,6 +159,15 @@
     adopt(r, reply);
   }
 
+  /** Writes the machine's record if it still has that version; false: refused for the backlog. */
+  private boolean record(String id, long version, MachineRec rec, Consumer<TxnReply> then) {
+    String key = Store.MACHINES + id;
+    return store.transact(
+        Store.Urgency.MACHINE,
+        new Txn(List.of(new Cond(key, version)), List.of(new Put(key, rec, 0)), List.of()),
+        then);
+  }
+
   /** Makes this controller the recorded owner, under a larger token, before the first 200. */
   private void adopt(Report r, Consumer<ReportAnswer> reply) {
     long now = core.now();
@@ -199,18 +196,15 @@
       return;
     }
     adopting.put(r.machine(), now);
-    String key = Store.MACHINES + r.machine();
     MachineRec old = store.machine(r.machine());
     long token = Math.max(r.token(), old == null ? 0 : old.token()) + 1;
     MachineRec rec =
         new MachineRec(core.node(), store.incarnation(), token, r.type(), r.zone(), r.spot());
     boolean asked =
-        store.transact(
-            Store.Urgency.MACHINE,
-            new Txn(
-                List.of(new Cond(key, store.version(key))),
-                List.of(new Put(key, rec, 0)),
-                List.of()),
+        record(
+            r.machine(),
+            store.version(Store.MACHINES + r.machine()),
+            rec,
             res -> {
               adopting.remove(r.machine());
               if (res.code() != Code.OK) {
@@ -443,15 +437,15 @@
    */
   private void raise(Owned o) {
     if (o.raising || o.raised) return;
-    String key = Store.MACHINES + o.id;
     MachineRec rec =
         new MachineRec(
             core.node(), store.incarnation(), o.token + 1, o.type.name(), o.zone, o.spot);
     o.raising = true;
     boolean asked =
-        store.transact(
-            Store.Urgency.MACHINE,
-            new Txn(List.of(new Cond(key, o.version)), List.of(new Put(key, rec, 0)), List.of()),
+        record(
+            o.id,
+            o.version,
+            rec,
             r -> {
               o.raising = false;
               if (r.code() != Code.OK || owned.get(o.id) != o) return;
@@ -635,12 +629,10 @@
               rec.zone(),
               rec.spot());
       boolean asked =
-          store.transact(
-              Store.Urgency.MACHINE,
-              new Txn(
-                  List.of(new Cond(e.getKey(), e.getValue().version())),
-                  List.of(new Put(e.getKey(), mine, 0)),
-                  List.of()),
+          record(
+              id,
+              e.getValue().version(),
+              mine,
               r -> {
                 adopting.remove(id);
                 if (r.code() != Code.OK) return;
--- a/src/main/java/mallowstall/core/Placement.java
+++ b/src/main/java/mallowstall/core/Placement.java
@@ -112,8 +112,7 @@
     countSent();
     countImages();
     int budget = Constants.STARTS_PER_ROUND;
-    // one priority after the other; within one, every job tries its first block before any its
-    // second
+    // one priority after the other; within one, every job tries a block before any tries the next
     for (int from = 0; from < wait.size() && budget > 0; ) {
       Priority priority = wait.get(from).spec.priority();
       List<Try> tries = new ArrayList<>();
@@ -335,7 +334,7 @@
     }
     for (View.Seen s : core.view().machines.values()) {
       if (s.m == null || !s.takes()) continue;
-      java.util.Set<String> has = new java.util.HashSet<>(s.m.images());
+      Set<String> has = new HashSet<>(s.m.images());
       for (RosterTask t : s.m.tasks()) {
         JobRec r = t.state() == TaskState.EXITED ? null : store.job(t.job());
         if (r != null) has.add(r.spec().image());
@@ -353,11 +352,7 @@
   private double slots(View.Seen s, JobSpec j) {
     MachineType t = core.types().get(s.m.type());
     if (t == null) return 0;
-    double n = 1000;
-    if (j.cpus() > 0) n = Math.min(n, Math.floor(t.cpus() / j.cpus() + 1e-9));
-    if (j.memoryGb() > 0) n = Math.min(n, Math.floor(t.memoryGb() / j.memoryGb() + 1e-9));
-    if (j.gpus() > 0) n = Math.min(n, Math.floor(t.gpus() / j.gpus() + 1e-9));
-    return n;
+    return howMany(t.cpus(), t.gpus(), t.memoryGb(), j);
   }
 
   private void countSent() {
@@ -391,10 +386,14 @@
   }
 
   static int fits(View.Seen s, JobSpec j) {
+    return howMany(s.freeCpus(), s.freeGpus(), s.freeMemory(), j);
+  }
+
+  private static int howMany(double cpus, double gpus, double memoryGb, JobSpec j) {
     double n = 1000;
-    if (j.cpus() > 0) n = Math.min(n, s.freeCpus() / j.cpus());
-    if (j.gpus() > 0) n = Math.min(n, s.freeGpus() / j.gpus());
-    if (j.memoryGb() > 0) n = Math.min(n, s.freeMemory() / j.memoryGb());
+    if (j.cpus() > 0) n = Math.min(n, cpus / j.cpus());
+    if (j.gpus() > 0) n = Math.min(n, gpus / j.gpus());
+    if (j.memoryGb() > 0) n = Math.min(n, memoryGb / j.memoryGb());
     return (int) Math.floor(n + 1e-9);
   }
 
@@ -491,7 +490,7 @@
         || now - h.lastPreempt < Constants.PREEMPT_GAP_MS) return;
     h.lastPreempt = now;
     int need = Math.min(h.pending(), 16);
-    record Victim(View.Seen s, List<RosterTask> tasks, int gain, double cost) {}
+    record Victim(View.Seen s, RosterTask task, int gain, double cost) {}
     List<Victim> victims = new ArrayList<>();
     for (View.Seen s : core.view().machines.values()) {
       if (!s.takes() || !Owner.allowed(j, s.m.type(), s.m.zone(), s.m.spot())) continue;
@@ -520,21 +519,19 @@
               Math.min(j.cpus() > 0 ? c / j.cpus() : 99, j.memoryGb() > 0 ? m / j.memoryGb() : 99);
       if (gain <= 0) continue;
       double fetch = s.m.images().contains(j.image()) ? 0 : 1;
-      victims.add(
-          new Victim(s, List.of(t), gain, (t.state() == TaskState.FETCHING ? 0 : 2) + fetch));
+      victims.add(new Victim(s, t, gain, (t.state() == TaskState.FETCHING ? 0 : 2) + fetch));
     }
     victims.sort(Comparator.comparingDouble(Victim::cost));
     for (Victim v : victims) {
       if (need <= 0) break;
-      for (RosterTask t : v.tasks) {
-        JobSpec o = store.job(t.job()).spec();
-        LOG.info("job {} preempts {}/{} on {}", h.id, t.job(), t.task(), v.s.id);
-        core.metrics().count("preemptions");
-        core.stop(
-            v.s.owner,
-            new StopOrder(
-                v.s.id, t.job(), t.task(), t.attempt(), o.checkpointS() > 0 ? o.saveS() : 0));
-      }
+      RosterTask t = v.task;
+      JobSpec o = store.job(t.job()).spec();
+      LOG.info("job {} preempts {}/{} on {}", h.id, t.job(), t.task(), v.s.id);
+      core.metrics().count("preemptions");
+      core.stop(
+          v.s.owner,
+          new StopOrder(
+              v.s.id, t.job(), t.task(), t.attempt(), o.checkpointS() > 0 ? o.saveS() : 0));
       need -= v.gain;
     }
   }
--- a/src/main/java/mallowstall/core/View.java
+++ b/src/main/java/mallowstall/core/View.java
@@ -154,10 +154,10 @@
   }
 
   /**
-   * Whether the machine's owner has followed the state service to {@code revision} and told all
-   * that is on it: then no start of an older epoch can reach it any more.
+   * Whether the machine's recorded owner has told all that is on it, with commands of former owners
+   * dead. The roster's revision then says up to where no start of an older epoch can reach it.
    */
-  boolean accounted(String machine, MachineRec rec, long revision) {
+  boolean accounted(String machine, MachineRec rec) {
     Seen s = machines.get(machine);
     return s != null
         && s.owner != null
@@ -165,7 +165,6 @@
         && s.owner.equals(rec.node())
         && s.ownerIncarnation == rec.incarnation()
         && s.m.token() == rec.token()
-        && s.m.confirmed()
-        && s.rosterRevision >= revision;
+        && s.m.confirmed();
   }
 }
