--- a/src/main/java/mallowstall/Constants.java
+++ b/src/main/java/mallowstall/Constants.java
@@ -75,6 +75,15 @@
   /** ms. Least time between two rosters: joins what happens within one burst of reports. */
   public static final long ROSTER_GAP_MS = 120;
 
+  /**
+   * ms. A machine of which nothing new is to be said is told again after this, so that the idle
+   * times and reports that peers know of stay about right.
+   */
+  public static final long RESTATE_MS = 4_000;
+
+  /** Count. Machines handed on that an owner remembers; beyond it peers are told all anew. */
+  public static final int GONE_KEPT = 2_000;
+
   /** ms. A peer's roster older than this is not used for placing; its digest is. */
   public static final long ROSTER_STALE_MS = 4_000;
 
--- a/src/main/java/mallowstall/core/Core.java
+++ b/src/main/java/mallowstall/core/Core.java
@@ -190,6 +190,8 @@
   public void connected(String node, long connection) {
     View.Peer p = view.peer(node);
     p.connection = connection;
+    // perhaps another process, which knows nothing yet
+    p.knows = 0;
     // says which connection counts from now on, so that starts lost with the last one are resolved
     fx.send(node, new Starts(node(), store.incarnation(), connection, p.nextSeq++, List.of()));
   }
@@ -203,8 +205,9 @@
 
   void rosterFrom(Roster r) {
     if (!view.roster(r)) return;
-    roomNews++;
     holder.roster(r);
+    if (r.machines().isEmpty() && r.refusals().isEmpty()) return;
+    roomNews++;
     awake = true;
   }
 
@@ -248,9 +251,9 @@
     return settings;
   }
 
-  /** Whether the machine's record is gone, as of a revision that its owner hasn't passed. */
-  boolean returned(String machine, long ownerRevision) {
-    return store.machine(machine) == null && ownerRevision <= store.revision();
+  /** Whether the record that was written at this revision has been dropped since. */
+  boolean returned(String machine, long version) {
+    return store.machine(machine) == null && version <= store.revision();
   }
 
   /** When this process began: whatever answered for it before was dead by then. */
--- a/src/main/java/mallowstall/core/Fleet.java
+++ b/src/main/java/mallowstall/core/Fleet.java
@@ -247,10 +247,10 @@
       View.Seen s = core.view().machines.get(id);
       boolean accounted = core.view().accounted(id, rec);
       boolean ownerLive = store.live(rec.node(), rec.incarnation());
-      if (accounted && ownerLive && now - s.at < 2 * Constants.ROSTER_STALE_MS) {
+      if (accounted && ownerLive && now - core.view().heardAt(s) < 2 * Constants.ROSTER_STALE_MS) {
         unaccountedSince.remove(id);
         if (s.m.silent()) {
-          if (s.m.idleMs() > lease + Constants.SILENT_RETURN_MS) back.add(id);
+          if (s.idleMs(now) > lease + Constants.SILENT_RETURN_MS) back.add(id);
           continue;
         }
         if (s.m.replace()) {
@@ -367,14 +367,14 @@
     for (View.Seen s : up) {
       if (!s.m.type().equals(type) || !s.m.tasks().isEmpty() || returning.contains(s.id)) continue;
       if (s.m.draining()) ready.add(s.id);
-      else if (s.m.idleMs() > Constants.IDLE_RETURN_MS) idle.add(s);
+      else if (s.idleMs(now) > Constants.IDLE_RETURN_MS) idle.add(s);
     }
     if (!ready.isEmpty()) {
       giveBack(ready, "idle");
       return;
     }
     // the dear ones first, then those that have waited longest
-    idle.sort(Comparator.comparing((View.Seen s) -> s.m.spot()).thenComparing(s -> -s.m.idleMs()));
+    idle.sort(Comparator.comparing((View.Seen s) -> s.m.spot()).thenComparing(s -> -s.idleMs(now)));
     int n = Math.min(have - keep, Math.max(1, have / 6));
     Map<String, List<String>> drains = new HashMap<>();
     for (View.Seen s : idle.subList(0, Math.min(n, idle.size()))) {
--- a/src/main/java/mallowstall/core/Holder.java
+++ b/src/main/java/mallowstall/core/Holder.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -35,11 +36,16 @@
     final long connection;
     final long seq;
 
-    /** Seen in a roster; false while only sent. */
+    /** Seen on its machine; false while only sent or booked. */
     boolean seen;
 
+    /** Its machine's owner lists it. */
+    boolean listed;
+
+    /** The machine's session in which it was seen. */
+    long session;
+
     TaskState state;
-    long mark;
     long since;
     boolean stopping;
 
@@ -150,7 +156,10 @@
   private final Set<String> teamBusy = new HashSet<>();
   private final Map<String, Long> claiming = new HashMap<>();
   private final Map<String, Long> orphanSince = new HashMap<>();
-  private long mark;
+
+  /** Tasks that were sent to an owner and not yet seen on a machine. */
+  private final Set<Active> unseen = new LinkedHashSet<>();
+
   private long nextAdopt;
 
   Holder(Core core, Store store) {
@@ -181,7 +190,8 @@
       return;
     }
     long version = store.version(Store.JOBS + id);
-    if (h == null || h.rec.epoch() != rec.epoch()) {
+    boolean taken = h == null || h.rec.epoch() != rec.epoch();
+    if (taken) {
       if (h != null) drop(h);
       h = new Held(id, rec.spec());
       h.heldSince = core.now();
@@ -195,9 +205,23 @@
     if (version > h.version) h.uncertain = false;
     h.rec = rec;
     h.version = version;
+    if (taken && !h.latched) find(id);
     core.wake();
   }
 
+  /**
+   * Where the job's tasks are by what owners have told so far. Later statements repeat only what
+   * has changed, so a task that this passed over would be placed once more.
+   */
+  private void find(String id) {
+    for (View.Seen s : core.view().machines.values()) {
+      if (s.m == null || s.owner == null) continue; // its next owner tells it all
+      for (RosterTask t : s.m.tasks()) {
+        if (t.job().equals(id)) task(s.owner, s.ownerIncarnation, s.m, t);
+      }
+    }
+  }
+
   private void load(Held h, JobRec rec) {
     h.done.or(BitSet.valueOf(rec.done()));
     for (int c = 1; c * Constants.BITS_PER_CHUNK < rec.spec().tasks(); c++) {
@@ -221,6 +245,7 @@
   }
 
   private void unlink(Active a) {
+    unseen.remove(a);
     Set<Active> s = byMachine.get(a.machine);
     if (s == null) return;
     s.remove(a);
@@ -230,6 +255,7 @@
   void place(Active a) {
     a.job.active.put(a.task, a);
     a.since = core.now();
+    if (!a.seen) unseen.add(a);
     byMachine.computeIfAbsent(a.machine, k -> new HashSet<>()).add(a);
   }
 
@@ -243,24 +269,34 @@
 
   // ---- rosters ------------------------------------------------------------------------------
   void roster(Roster r) {
-    mark++;
-    View.Peer p = core.view().peer(r.node());
     for (Refusal f : r.refusals()) refused(f);
     for (RosterMachine m : r.machines()) {
       View.Seen seen = core.view().machines.get(m.machine());
       if (seen == null || seen.m != m) continue; // a larger term is known
-      for (RosterTask t : m.tasks()) task(r, m, t);
       Set<Active> here = byMachine.get(m.machine());
-      if (here == null || !m.confirmed()) continue;
+      if (here != null) for (Active a : here) a.listed = false;
+      for (RosterTask t : m.tasks()) task(r.node(), r.incarnation(), m, t);
+      if (here == null) continue;
       for (Active a : new ArrayList<>(here)) {
-        if (a.mark == mark) continue;
-        if (a.seen || resolved(a, r, p)) {
-          LOG.info(
-              "task {}/{} attempt {} is no longer on {}", a.job.id, a.task, a.attempt, a.machine);
-          free(a, true);
-        }
+        if (a.listed) continue;
+        // a later session of the machine has none of an earlier one's tasks, whoever owns it
+        if (a.seen && (m.confirmed() || m.session() > a.session)) gone(a);
       }
     }
+    // Of a start that wasn't seen yet, a statement tells by its acknowledgement too, which comes
+    // without anything new on the machine if the start never arrived.
+    View.Peer p = core.view().peer(r.node());
+    for (Active a : new ArrayList<>(unseen)) {
+      if (a.listed) continue;
+      View.Seen s = core.view().machines.get(a.machine);
+      if (s == null || s.m == null || !r.node().equals(s.owner) || !s.m.confirmed()) continue;
+      if (resolved(a, r, p)) gone(a);
+    }
+  }
+
+  private void gone(Active a) {
+    LOG.info("task {}/{} attempt {} is no longer on {}", a.job.id, a.task, a.attempt, a.machine);
+    free(a, true);
   }
 
   /** Whether this roster already tells the outcome of a start that was only sent. */
@@ -287,12 +323,12 @@
     free(a, true);
   }
 
-  private void task(Roster r, RosterMachine m, RosterTask t) {
+  private void task(String owner, long incarnation, RosterMachine m, RosterTask t) {
     Held h = jobs.get(t.job());
     if (h == null || t.task() >= h.spec.tasks()) return;
     Active a = h.active.get(t.task());
     boolean same = a != null && a.attempt == t.attempt() && a.machine.equals(m.machine());
-    if (same) a.mark = mark;
+    if (same) a.listed = true;
     if (t.state() == TaskState.EXITED) {
       if (t.why() == Why.DONE) {
         if (!h.done.get(t.task())) {
@@ -317,9 +353,11 @@
       return;
     }
     if (same) {
-      if (!a.seen && t.state() != null) {
-        a.seen = true;
+      if (t.state() != null) {
         // from now on only its owner's list says where it is
+        a.seen = true;
+        a.session = m.session();
+        unseen.remove(a);
       }
       a.state = t.state() == null ? a.state : t.state();
       return;
@@ -328,25 +366,17 @@
     if (a == null) {
       Active found =
           new Active(
-              h,
-              t.task(),
-              t.attempt(),
-              m.machine(),
-              m.zone(),
-              m.type(),
-              r.node(),
-              r.incarnation(),
-              0,
-              0);
+              h, t.task(), t.attempt(), m.machine(), m.zone(), m.type(), owner, incarnation, 0, 0);
       found.seen = true;
       found.state = t.state();
-      found.mark = mark;
+      found.listed = true;
+      found.session = m.session();
       place(found);
       LOG.info("task {}/{} attempt {} found on {}", h.id, t.task(), t.attempt(), m.machine());
     } else if (t.attempt() > a.attempt) {
       // both are on machines: the task isn't free before the later one is gone too
       free(a, false);
-      task(r, m, t);
+      task(owner, incarnation, m, t);
     } else if (t.attempt() < a.attempt && m.confirmed()) {
       LOG.error(
           "task {}/{} attempt {} is on {} beside attempt {} on {}",
@@ -356,7 +386,7 @@
           m.machine(),
           a.attempt,
           a.machine);
-      core.stop(r.node(), new StopOrder(m.machine(), h.id, t.task(), t.attempt(), 0));
+      core.stop(owner, new StopOrder(m.machine(), h.id, t.task(), t.attempt(), 0));
     }
   }
 
@@ -398,6 +428,7 @@
     boolean any = false;
     for (Held h : jobs.values()) any |= !h.latched;
     if (!any) return;
+    // each owner's newest statement restates what it hasn't changed
     long upTo = Long.MAX_VALUE;
     long oldest = Long.MAX_VALUE;
     String worst = null;
@@ -405,8 +436,9 @@
       MachineRec rec = (MachineRec) e.getValue().value();
       String id = e.getKey().substring(Store.MACHINES.length());
       View.Seen s = core.view().machines.get(id);
-      long rev = core.view().accounted(id, rec) ? s.rosterRevision : -1;
-      if (rev >= 0) oldest = Math.min(oldest, s.serial);
+      View.Peer p = core.view().peer(rec.node());
+      long rev = core.view().accounted(id, rec) ? p.rosterRevision : -1;
+      if (rev >= 0) oldest = Math.min(oldest, p.received);
       if (rev < upTo) {
         upTo = rev;
         worst = id;
--- a/src/main/java/mallowstall/core/Model.java
+++ b/src/main/java/mallowstall/core/Model.java
@@ -204,15 +204,22 @@
   /** The answer "not possible": this start was never passed on and never will be. */
   public record Refusal(String machine, String job, int task, long attempt, String reason) {}
 
-  /** One machine as its owner knows it. */
+  /**
+   * One machine as its owner knows it. {@code version} is that of its record, {@code session} and
+   * {@code seq} name the newest report behind this.
+   */
   public record RosterMachine(
       String machine,
       long token,
+      long version,
+      long session,
+      long seq,
       boolean confirmed,
       boolean usable,
       boolean draining,
       boolean replace,
       boolean silent,
+      boolean lost,
       String type,
       String zone,
       boolean spot,
@@ -222,16 +229,42 @@
       double freeMemoryGb,
       long idleMs,
       List<String> images,
-      List<RosterTask> tasks) {}
+      List<RosterTask> tasks) {
+    /** Whether both say the same, but for what drifts with time alone. */
+    boolean sameAs(RosterMachine o) {
+      return token == o.token
+          && version == o.version
+          && session == o.session
+          && confirmed == o.confirmed
+          && usable == o.usable
+          && draining == o.draining
+          && replace == o.replace
+          && silent == o.silent
+          && lost == o.lost
+          && (noticeS < 0) == (o.noticeS < 0)
+          && freeCpus == o.freeCpus
+          && freeGpus == o.freeGpus
+          && freeMemoryGb == o.freeMemoryGb
+          && (idleMs == 0) == (o.idleMs == 0)
+          && images.equals(o.images)
+          && tasks.equals(o.tasks);
+    }
+  }
 
   /**
-   * All that an owner knows of its machines. {@code mirrorRevision} tells up to which revision of
-   * the state service it has followed, {@code acked*} which of the receiver's messages are in it.
+   * All that an owner knows of its machines, as of its statement {@code serial}, told as what has
+   * changed since its statement {@code since} (0: told in full). {@code mirrorRevision} tells up to
+   * which revision of the state service it has followed, {@code acked*} which of the receiver's
+   * starts are in it, {@code heard*} the newest statement of the receiver that the sender has taken
+   * in: the receiver's next one builds on that.
    */
   public record Roster(
       String node,
       long incarnation,
       long serial,
+      long since,
+      long heardIncarnation,
+      long heardSerial,
       long mirrorRevision,
       long ackedIncarnation,
       long ackedConnection,
@@ -239,6 +272,7 @@
       long sinceMirrorMs,
       long sinceCancelMs,
       List<RosterMachine> machines,
+      List<String> gone,
       List<Refusal> refusals)
       implements PeerMessage {}
 
--- a/src/main/java/mallowstall/core/Owner.java
+++ b/src/main/java/mallowstall/core/Owner.java
@@ -93,6 +93,15 @@
 
     final LinkedHashSet<String> images = new LinkedHashSet<>();
 
+    /** The newest report handled; an answer of a direct command may be newer. */
+    long reported;
+
+    /** What the last statement said of it, in which, and when. */
+    RosterMachine said;
+
+    long saidIn;
+    long saidAt;
+
     Owned(String id, MachineType type, String zone, boolean spot, long token, long version) {
       this.id = id;
       this.type = type;
@@ -114,6 +123,12 @@
   private long lastRoster;
   private long serial;
 
+  /** Machines no longer owned, with the statement that said so. */
+  private final Map<String, Long> gone = new LinkedHashMap<>();
+
+  /** Statements up to this one can't be built upon: what went since then is forgotten. */
+  private long forgotten;
+
   Owner(Core core, Store store) {
     this.core = core;
     this.store = store;
@@ -213,6 +228,7 @@
               }
               Owned o = new Owned(r.machine(), type, r.zone(), r.spot(), token, res.revision());
               Owned before = owned.put(r.machine(), o);
+              gone.remove(r.machine());
               if (before != null) o.images.addAll(before.images);
               o.idleSince = core.now();
               LOG.info("machine {} adopted under term {} (reported {})", o.id, token, r.token());
@@ -592,18 +608,13 @@
     Owned o = owned.get(id);
     if (o == null) return;
     if (rec == null) {
-      owned.remove(id);
-      dirty = true;
+      disown(id);
     } else if (rec.node().equals(core.node()) && rec.incarnation() == store.incarnation()) {
       // this controller's own raise or adoption, seen before its answer is handled
-      if (!o.raising && rec.token() > o.token) {
-        owned.remove(id);
-        dirty = true;
-      }
+      if (!o.raising && rec.token() > o.token) disown(id);
     } else if (rec.token() > o.token) {
       LOG.info("machine {} is now owned by {} under term {}", id, rec.node(), rec.token());
-      owned.remove(id);
-      dirty = true;
+      disown(id);
     }
   }
 
@@ -642,6 +653,7 @@
                 o.heardAt = core.now() - Constants.SILENT_MS;
                 o.idleSince = core.now();
                 if (!owned.containsKey(id)) owned.put(id, o);
+                gone.remove(id);
                 LOG.info("machine {} kept from the former process, term {}", id, mine.token());
                 dirty = true;
               });
@@ -695,85 +707,131 @@
   private void sendRosters() {
     if (store.incarnation() == 0 || !store.synced()) return;
     dirty = false;
-    lastRoster = core.now();
+    long now = core.now();
+    lastRoster = now;
     serial++;
-    List<RosterMachine> ms = machines();
+    List<Owned> changed = state(now);
     List<Refusal> no = new ArrayList<>(refusals);
     refusals.clear();
-    long now = core.now();
     for (String p : core.settings().peers()) {
       View.Peer peer = core.view().peer(p);
-      core.effects()
-          .send(
-              p,
-              new Roster(
-                  core.node(),
-                  store.incarnation(),
-                  serial,
-                  store.revision(),
-                  peer.gotIncarnation,
-                  peer.gotConnection,
-                  peer.gotSeq,
-                  now - store.freshAt(),
-                  now - core.cancelTold(),
-                  ms,
-                  no));
+      core.effects().send(p, roster(peer, now - store.freshAt(), now - core.cancelTold(), no));
     }
     View.Peer me = core.view().peer(core.node());
+    List<RosterMachine> mine = new ArrayList<>();
+    for (Owned o : changed) mine.add(o.said);
     core.rosterFrom(
         new Roster(
             core.node(),
             store.incarnation(),
             serial,
+            me.serial,
+            store.incarnation(),
+            serial,
             store.revision(),
             me.gotIncarnation,
             me.gotConnection,
             me.gotSeq,
             0,
             0,
-            ms,
+            mine,
+            goneSince(me.serial),
             no));
   }
 
-  private List<RosterMachine> machines() {
-    long now = core.now();
-    List<RosterMachine> out = new ArrayList<>(owned.size());
+  /** What the peer doesn't know for certain yet, or all if it can't be told as a difference. */
+  private Roster roster(View.Peer p, long sinceMirror, long sinceCancel, List<Refusal> no) {
+    long since = p.knows >= forgotten ? p.knows : 0;
+    List<RosterMachine> ms = new ArrayList<>();
+    for (Owned o : owned.values()) if (o.saidIn > since) ms.add(o.said);
+    return new Roster(
+        core.node(),
+        store.incarnation(),
+        serial,
+        since,
+        p.heardIncarnation,
+        p.heardSerial,
+        store.revision(),
+        p.gotIncarnation,
+        p.gotConnection,
+        p.gotSeq,
+        sinceMirror,
+        sinceCancel,
+        ms,
+        since == 0 ? List.of() : goneSince(since),
+        no);
+  }
+
+  private List<String> goneSince(long since) {
+    List<String> out = new ArrayList<>();
+    gone.forEach(
+        (id, in) -> {
+          if (in > since) out.add(id);
+        });
+    return out;
+  }
+
+  private void disown(String id) {
+    if (owned.remove(id) == null) return;
+    gone.put(id, serial + 1);
+    dirty = true;
+    if (gone.size() > Constants.GONE_KEPT) {
+      forgotten = serial + 1;
+      gone.clear();
+    }
+  }
+
+  /** Makes the new statement: every machine of which something else is to be said than before. */
+  private List<Owned> state(long now) {
+    List<Owned> changed = new ArrayList<>();
     for (Owned o : owned.values()) {
-      List<RosterTask> ts = new ArrayList<>(o.tasks.size() + o.booked.size());
-      for (TaskReport t : o.tasks.values()) {
-        ts.add(new RosterTask(t.job(), t.task(), t.attempt(), t.state(), t.why()));
-        if (t.state() == TaskState.EXITED && t.why() != Why.DONE) {
-          o.told.put(new Key(t.job(), t.task()), t.attempt());
-        }
-      }
-      for (Booked b : o.booked.values()) {
-        ts.add(new RosterTask(b.order.job(), b.order.task(), b.order.attempt(), null, null));
+      RosterMachine m = tell(o, now);
+      if (o.said != null && now - o.saidAt < Constants.RESTATE_MS && m.sameAs(o.said)) continue;
+      o.said = m;
+      o.saidIn = serial;
+      o.saidAt = now;
+      changed.add(o);
+    }
+    return changed;
+  }
+
+  private RosterMachine tell(Owned o, long now) {
+    List<RosterTask> ts = new ArrayList<>(o.tasks.size() + o.booked.size());
+    for (TaskReport t : o.tasks.values()) {
+      ts.add(new RosterTask(t.job(), t.task(), t.attempt(), t.state(), t.why()));
+      if (t.state() == TaskState.EXITED && t.why() != Why.DONE) {
+        o.told.put(new Key(t.job(), t.task()), t.attempt());
       }
-      double[] f = free(o);
-      boolean idle = o.tasks.isEmpty() && o.booked.isEmpty();
-      out.add(
-          new RosterMachine(
-              o.id,
-              o.token,
-              o.confirmed,
-              usable(o),
-              o.drainUntil > now,
-              o.replace,
-              silent(o),
-              o.type.name(),
-              o.zone,
-              o.spot,
-              o.noticeUntil == Long.MAX_VALUE ? -1 : (o.noticeUntil - now) / 1000.0,
-              f[0],
-              f[1],
-              f[2],
-              o.lost || silent(o)
-                  ? now - o.heardAt
-                  : idle && o.idleSince > 0 ? now - o.idleSince : 0,
-              List.copyOf(o.images),
-              ts));
     }
-    return out;
+    for (Booked b : o.booked.values()) {
+      ts.add(new RosterTask(b.order.job(), b.order.task(), b.order.attempt(), null, null));
+    }
+    double[] f = free(o);
+    boolean idle = o.tasks.isEmpty() && o.booked.isEmpty();
+    return new RosterMachine(
+        o.id,
+        o.token,
+        o.version,
+        o.session,
+        o.seq,
+        o.confirmed,
+        usable(o),
+        o.drainUntil > now,
+        o.replace,
+        silent(o),
+        o.lost,
+        o.type.name(),
+        o.zone,
+        o.spot,
+        o.noticeUntil == Long.MAX_VALUE ? -1 : Math.max(0, (o.noticeUntil - now) / 1000.0),
+        f[0],
+        f[1],
+        f[2],
+        o.lost || silent(o)
+            ? Math.max(1, now - o.heardAt)
+            : idle && o.idleSince > 0 ? Math.max(1, now - o.idleSince) : 0,
+        List.copyOf(o.images),
+        ts);
   }
 
   List<Room> rooms() {
--- a/src/main/java/mallowstall/core/Placement.java
+++ b/src/main/java/mallowstall/core/Placement.java
@@ -105,7 +105,9 @@
     wait.sort(this::order);
     List<View.Seen> machines = new ArrayList<>();
     for (View.Seen s : core.view().machines.values()) {
-      if (s.takes() && now - s.at < Constants.ROSTER_STALE_MS && s.freeCpus() > 0.01) {
+      if (s.takes()
+          && now - core.view().heardAt(s) < Constants.ROSTER_STALE_MS
+          && s.freeCpus() > 0.01) {
         machines.add(s);
       }
     }
@@ -359,7 +361,7 @@
     for (View.Seen s : core.view().machines.values()) s.sentCpus = s.sentGpus = s.sentMemory = 0;
     for (Held h : holder.jobs()) {
       for (Active a : h.active.values()) {
-        if (a.seen || a.mark != 0) continue;
+        if (a.seen || a.listed) continue;
         View.Seen s = core.view().machines.get(a.machine);
         if (s != null) book(s, h.spec, 1);
       }
--- a/src/main/java/mallowstall/core/View.java
+++ b/src/main/java/mallowstall/core/View.java
@@ -17,11 +17,9 @@
     final String id;
     String owner;
     long ownerIncarnation;
-    long rosterRevision;
-    long at;
 
-    /** Which of the rosters received here told this last. */
-    long serial;
+    /** When {@link #m} was told. */
+    long at;
 
     RosterMachine m;
 
@@ -51,11 +49,17 @@
     boolean takes() {
       return m != null
           && owner != null
+          && m.confirmed()
           && m.usable()
           && !m.draining()
           && !m.silent()
           && !m.replace();
     }
+
+    /** For how long it has been idle, or silent; what was told then has gone on since. */
+    long idleMs(long now) {
+      return m.idleMs() == 0 ? 0 : m.idleMs() + now - at;
+    }
   }
 
   /** What is known of a controller's roster. */
@@ -68,6 +72,18 @@
     long ackedConnection;
     long ackedSeq;
     long rosterAt = Long.MIN_VALUE / 2;
+
+    /** Which of the rosters received here its last one was. */
+    long received;
+
+    /** Its newest statement that this controller has taken in, and the process that made it. */
+    long heardIncarnation;
+
+    long heardSerial;
+
+    /** This controller's newest statement that the peer has taken in; 0: tell it all. */
+    long knows;
+
     long rosterRevision;
     long mirrorFreshAt = Long.MIN_VALUE / 2;
     long cancelAt = Long.MIN_VALUE / 2;
@@ -100,7 +116,10 @@
     return peers.computeIfAbsent(node, Peer::new);
   }
 
-  /** Takes in a roster; returns false if it is older than what is known. */
+  /**
+   * Takes in a roster; returns false if it is older than what is known, or builds on a statement
+   * that never came. The sender then goes on from the last one that did, so nothing need be asked.
+   */
   boolean roster(Roster r) {
     Peer p = peer(r.node());
     if (r.incarnation() < p.incarnation) return false;
@@ -109,45 +128,57 @@
       p.ackedConnection = 0;
       p.ackedSeq = 0;
       p.serial = 0;
+      p.heardIncarnation = r.incarnation();
+      p.heardSerial = 0;
     }
-    if (r.serial() <= p.serial) return false;
+    // statements count from 1, so a process that has none of this one's is told all
+    if (r.serial() <= p.serial || r.since() > p.serial) return false;
     p.serial = r.serial();
-    received++;
+    p.heardSerial = r.serial();
+    p.knows = r.heardIncarnation() == core.incarnation() ? r.heardSerial() : 0;
+    p.received = ++received;
     long now = core.now();
     p.rosterAt = now;
     p.rosterRevision = r.mirrorRevision();
     // Connections are numbered anew by each process: what the peer acknowledges of a former one
-    // says
-    // nothing of this one's starts. Taking it for an answer once started a task twice.
+    // says nothing of this one's starts. Taking it for an answer once started a task twice.
     boolean mine = r.ackedIncarnation() == core.incarnation();
     p.ackedConnection = mine ? r.ackedConnection() : 0;
     p.ackedSeq = mine ? r.ackedSeq() : 0;
     p.mirrorFreshAt = now - r.sinceMirrorMs();
     p.cancelAt = now - r.sinceCancelMs();
-    Set<String> names = new HashSet<>();
+    Set<String> names = r.since() == 0 ? new HashSet<>() : null;
     for (RosterMachine m : r.machines()) {
       // returned: its record is dropped, only its owner hasn't heard of it yet
-      if (core.returned(m.machine(), r.mirrorRevision())) continue;
+      if (core.returned(m.machine(), m.version())) continue;
       Seen s = machines.computeIfAbsent(m.machine(), Seen::new);
       if (s.m != null && s.m.token() > m.token()) continue;
-      names.add(m.machine());
+      if (names != null) names.add(m.machine());
       if (s.owner != null && !s.owner.equals(r.node())) peer(s.owner).machines.remove(m.machine());
       s.owner = r.node();
       s.ownerIncarnation = r.incarnation();
-      s.rosterRevision = r.mirrorRevision();
       s.at = now;
-      s.serial = received;
       s.m = m;
+      if (names == null) p.machines.add(m.machine());
     }
-    for (String id : p.machines) {
-      if (names.contains(id)) continue;
-      Seen s = machines.get(id);
-      if (s != null && r.node().equals(s.owner)) s.owner = null;
+    for (String id : r.gone()) if (p.machines.remove(id)) disown(r.node(), id);
+    if (names != null) {
+      for (String id : p.machines) if (!names.contains(id)) disown(r.node(), id);
+      p.machines = names;
     }
-    p.machines = names;
     return true;
   }
 
+  private void disown(String node, String machine) {
+    Seen s = machines.get(machine);
+    if (s != null && node.equals(s.owner)) s.owner = null;
+  }
+
+  /** When the machine's owner was last heard; what it has not changed since then still holds. */
+  long heardAt(Seen s) {
+    return s.owner == null ? Long.MIN_VALUE / 2 : peer(s.owner).rosterAt;
+  }
+
   void gone(String machine) {
     Seen s = machines.remove(machine);
     if (s != null && s.owner != null) peer(s.owner).machines.remove(machine);
--- a/src/main/java/mallowstall/peers/PeerCodec.java
+++ b/src/main/java/mallowstall/peers/PeerCodec.java
@@ -30,6 +30,7 @@
   private static final int REPLACE = 8;
   private static final int SILENT = 16;
   private static final int SPOT = 32;
+  private static final int LOST = 64;
   private static final TaskState[] STATES = TaskState.values();
   private static final Why[] WHYS = Why.values();
 
@@ -103,6 +104,9 @@
     e.writeString(r.node());
     e.writeLong(r.incarnation());
     e.writeLong(r.serial());
+    e.writeLong(r.since());
+    e.writeLong(r.heardIncarnation());
+    e.writeLong(r.heardSerial());
     e.writeLong(r.mirrorRevision());
     e.writeLong(r.ackedIncarnation());
     e.writeLong(r.ackedConnection());
@@ -110,6 +114,7 @@
     e.writeLong(r.sinceMirrorMs());
     e.writeLong(r.sinceCancelMs());
     list(e, r.machines(), PeerCodec::machine);
+    list(e, r.gone(), BinaryEncoder::writeString);
     list(e, r.refusals(), PeerCodec::refusal);
   }
 
@@ -124,20 +129,28 @@
         d.readLong(),
         d.readLong(),
         d.readLong(),
+        d.readLong(),
+        d.readLong(),
+        d.readLong(),
         list(d, PeerCodec::machine),
+        list(d, BinaryDecoder::readString),
         list(d, PeerCodec::refusal));
   }
 
   private static void machine(BinaryEncoder e, RosterMachine m) throws IOException {
     e.writeString(m.machine());
     e.writeLong(m.token());
+    e.writeLong(m.version());
+    e.writeLong(m.session());
+    e.writeLong(m.seq());
     e.writeInt(
         (m.confirmed() ? CONFIRMED : 0)
             | (m.usable() ? USABLE : 0)
             | (m.draining() ? DRAINING : 0)
             | (m.replace() ? REPLACE : 0)
             | (m.silent() ? SILENT : 0)
-            | (m.spot() ? SPOT : 0));
+            | (m.spot() ? SPOT : 0)
+            | (m.lost() ? LOST : 0));
     e.writeString(m.type());
     e.writeString(m.zone());
     e.writeDouble(m.noticeS());
@@ -152,17 +165,24 @@
   private static RosterMachine machine(BinaryDecoder d) throws IOException {
     String id = d.readString();
     long token = d.readLong();
+    long version = d.readLong();
+    long session = d.readLong();
+    long seq = d.readLong();
     int f = d.readInt();
     String type = d.readString();
     String zone = d.readString();
     return new RosterMachine(
         id,
         token,
+        version,
+        session,
+        seq,
         (f & CONFIRMED) != 0,
         (f & USABLE) != 0,
         (f & DRAINING) != 0,
         (f & REPLACE) != 0,
         (f & SILENT) != 0,
+        (f & LOST) != 0,
         type,
         zone,
         (f & SPOT) != 0,
--- a/src/test/java/mallowstall/core/HistoriesTest.java
+++ b/src/test/java/mallowstall/core/HistoriesTest.java
@@ -62,11 +62,13 @@
   void roughDaysKeepEveryRule(long seed) {
     Sim s = new Sim(seed);
     s.loss = 0.02;
+    s.rosterChaos = seed % 2 == 0 ? 0.2 : 0;
+    s.lateCopies = seed % 3 == 0 ? 0.2 : 0;
     work(s, 25);
     for (int i = 0; i < 14; i++) {
       s.at(10_000 + s.rnd.nextInt(110_000), () -> trouble(s));
     }
-    s.at(140_000, () -> s.loss = 0);
+    s.at(140_000, () -> s.loss = s.rosterChaos = s.lateCopies = 0);
     s.run(330_000);
     allOver(s);
     assertTrue(s.rules.starts > 40, "starts " + s.rules.starts);
@@ -74,7 +76,7 @@
 
   private static void trouble(Sim s) {
     Sim.Node n = s.nodes.get(Sim.NODES.get(s.rnd.nextInt(3)));
-    switch (s.rnd.nextInt(8)) {
+    switch (s.rnd.nextInt(11)) {
       case 0 -> n.crash(s.rnd.nextBoolean() ? 200 : 5_000);
       case 1 -> {
         for (Sim.Node x : s.nodes.values()) x.crash(300 + s.rnd.nextInt(5_000));
@@ -96,6 +98,41 @@
       case 5 -> {
         if (!s.workers.isEmpty()) s.killMachine(s.workers.keySet().iterator().next());
       }
+      case 6 -> {
+        for (Sim.Node x : s.nodes.values()) {
+          for (String other : Sim.NODES) {
+            x.cut.put(other, true);
+            x.drop(other);
+          }
+        }
+        s.at(
+            3_000 + s.rnd.nextInt(25_000),
+            () -> s.nodes.values().forEach(x -> x.cut.replaceAll((k, v) -> false)));
+      }
+      case 7 -> {
+        // without state service and peers, but with its workers
+        n.noState = true;
+        for (Sim.Node x : s.nodes.values()) {
+          if (x == n) continue;
+          x.cut.put(n.name, true);
+          n.cut.put(x.name, true);
+          x.drop(n.name);
+          n.drop(x.name);
+        }
+        s.at(
+            3_000 + s.rnd.nextInt(40_000),
+            () -> {
+              n.noState = false;
+              s.nodes.values().forEach(x -> x.cut.replaceAll((k, v) -> false));
+            });
+      }
+      case 8, 9 -> {
+        List<Sim.Worker> ws = List.copyOf(s.workers.values());
+        if (ws.isEmpty()) return;
+        Sim.Worker w = ws.get(s.rnd.nextInt(ws.size()));
+        w.deaf = true;
+        s.at(2_000 + s.rnd.nextInt(60_000), () -> w.deaf = false);
+      }
       default -> {
         List<Sim.Worker> ws = List.copyOf(s.workers.values());
         if (ws.isEmpty()) return;
--- a/src/test/java/mallowstall/core/SafetyCasesTest.java
+++ b/src/test/java/mallowstall/core/SafetyCasesTest.java
@@ -262,12 +262,16 @@
     n.event(
         () ->
             n.core.message(
-                new Roster("n1", 1_000, 1, 1, mine - 1, 99, 99, 0, 0, List.of(), List.of())));
+                new Roster(
+                    "n1", 1_000, 1, 0, 0, 0, 1, mine - 1, 99, 99, 0, 0, List.of(), List.of(),
+                    List.of())));
     assertEquals(0, n.core.view().peer("n1").ackedConnection);
     n.event(
         () ->
             n.core.message(
-                new Roster("n1", 1_000, 2, 1, mine, 99, 99, 0, 0, List.of(), List.of())));
+                new Roster(
+                    "n1", 1_000, 2, 0, 0, 0, 1, mine, 99, 99, 0, 0, List.of(), List.of(),
+                    List.of())));
     assertEquals(99, n.core.view().peer("n1").ackedConnection);
   }
 
--- a/src/test/java/mallowstall/core/Sim.java
+++ b/src/test/java/mallowstall/core/Sim.java
@@ -43,6 +43,14 @@
   /** Share of messages to the state service and to workers that go astray. */
   double loss;
 
+  /** Share of rosters that are lost, and of those that come once more, late. */
+  double rosterChaos;
+
+  /** Share of reports of which a copy comes late, to any controller. */
+  double lateCopies;
+
+  int copied;
+
   /** Every direct command is executed late and its answer is lost. */
   boolean strayOrders;
 
@@ -283,6 +291,15 @@
       if (!connection.containsKey(node)) return;
       Node other = nodes.get(node);
       int l = other.life;
+      if (m instanceof Roster && rnd.nextDouble() < rosterChaos) {
+        boolean lost = rnd.nextBoolean();
+        at(
+            rnd.nextInt(6_000),
+            () -> {
+              if (other.up && other.life == l) other.event(() -> other.core.message(m));
+            });
+        if (lost) return;
+      }
       // in order; behind a cut it is held and delivered late
       long when = Math.max(now + delay() / 2, lastArrival.getOrDefault(node, 0L));
       if (Boolean.TRUE.equals(cut.get(node)))
@@ -430,8 +447,8 @@
     public void order(
         String addr, long token, long session, List<Command> commands, Consumer<OrderReply> then) {
       Worker w = workers.get(addr);
-      if (w == null || w.cut) {
-        if (w != null && rnd.nextBoolean()) {
+      if (w == null || w.cut || w.deaf) {
+        if (w != null && w.cut && rnd.nextBoolean()) {
           // held by the cut, executed late
           at(1_000 + rnd.nextInt(15_000), () -> w.orders(token, session, commands));
           back(Constants.ORDER_TIMEOUT_MS, () -> then.accept(new OrderReply(Code.UNKNOWN, null)));
@@ -528,6 +545,10 @@
     long leaseFrom;
     boolean dead;
     boolean cut;
+
+    /** Its reports arrive, answers and commands don't reach it. */
+    boolean deaf;
+
     boolean faulty;
     String node = NODES.get(rnd.nextInt(3));
     long flight;
@@ -593,6 +614,15 @@
           () -> {
             if (flight == mine && inFlight) next();
           });
+      if (rnd.nextDouble() < lateCopies) {
+        Node any = nodes.get(NODES.get(rnd.nextInt(3)));
+        copied++;
+        at(
+            200 + rnd.nextInt(3 * (int) LEASE),
+            () -> {
+              if (any.up) any.event(() -> any.core.report(r, a -> {}));
+            });
+      }
       if (cut) {
         if (rnd.nextBoolean())
           at(
@@ -627,7 +657,7 @@
                             at(
                                 delay(),
                                 () -> {
-                                  if (flight == mine && inFlight && !cut)
+                                  if (flight == mine && inFlight && !cut && !deaf)
                                     answer(a, sent, r.session());
                                 })));
           });
--- a/src/test/java/mallowstall/peers/PeerCodecTest.java
+++ b/src/test/java/mallowstall/peers/PeerCodecTest.java
@@ -19,6 +19,9 @@
           "n1",
           3,
           9,
+          7,
+          4,
+          8,
           431,
           6,
           2,
@@ -29,11 +32,15 @@
               new RosterMachine(
                   "m-000007",
                   5,
+                  400,
+                  2,
+                  88,
                   true,
                   true,
                   false,
                   true,
                   false,
+                  true,
                   "t8",
                   "z",
                   true,
@@ -46,6 +53,7 @@
                   List.of(
                       new RosterTask("wk-000001", 3, (2L << 24) + 5, TaskState.EXITED, Why.DONE),
                       new RosterTask("wk-000001", 4, (2L << 24) + 6, null, null)))),
+          List.of("m-000008"),
           List.of(new Refusal("m-000007", "wk-000002", 0, 8, "no room")));
 
   @Test
