--- a/src/main/java/mallowstall/Constants.java
+++ b/src/main/java/mallowstall/Constants.java
@@ -62,6 +62,9 @@
   /** ms. Free-room digests (design page: every 5 seconds). */
   public static final long DIGEST_EVERY_MS = 5_000;
 
+  /** Bytes. One machine's room in a digest, with its name at its longest seen. */
+  public static final int ROOM_BYTES = 80;
+
   /** ms. Between scans for jobs whose holder is gone. */
   public static final long ADOPT_EVERY_MS = 300;
 
@@ -161,6 +164,9 @@
   /** ms. A job within its team's guarantee may stop what other teams borrow after this time. */
   public static final long GUARANTEE_AFTER_MS = 20_000;
 
+  /** Count. Tasks of one job started in the place of lower work in one round. */
+  public static final int PREEMPT_MOST = 32;
+
   /** ms. Between two preemption rounds of one job. */
   public static final long PREEMPT_GAP_MS = 3_000;
 
--- a/src/main/java/mallowstall/Service.java
+++ b/src/main/java/mallowstall/Service.java
@@ -106,6 +106,7 @@
         f.state().rps(),
         f.state().writeRps(),
         f.state().txnOps(),
+        (int) (f.state().valueKb() * 1024),
         f.cloud().rps(),
         (long) (f.cloud().listLagS() * 1000),
         late);
--- a/src/main/java/mallowstall/core/Fleet.java
+++ b/src/main/java/mallowstall/core/Fleet.java
@@ -264,8 +264,8 @@
       } else if (ownerLive
           && !rec.node().equals(core.node())
           && now - core.view().peer(rec.node()).rosterAt > Constants.ROSTER_STALE_MS) {
-        // its owner lives and only isn't heard here: its digest speaks for its machines
-        if (inDigest(rec.node(), id)) have.merge(rec.type(), 1, Integer::sum);
+        // its owner lives and only isn't heard here
+        have.merge(rec.type(), 1, Integer::sum);
       } else {
         long since = unaccountedSince.computeIfAbsent(id, k -> now);
         if (now - since > lease + 2 * Constants.SILENT_RETURN_MS) back.add(id);
@@ -343,13 +343,6 @@
         free);
   }
 
-  private boolean inDigest(String node, String machine) {
-    Store.Held h = store.held(Store.DIGESTS + node);
-    if (h == null) return false;
-    for (Room r : ((DigestRec) h.value()).rooms()) if (r.machine().equals(machine)) return true;
-    return false;
-  }
-
   private void planType(String type, int have, List<View.Seen> up, long now) {
     Demand d = demands.get(type);
     double need = d == null ? 0 : d.machines;
--- a/src/main/java/mallowstall/core/Model.java
+++ b/src/main/java/mallowstall/core/Model.java
@@ -276,8 +276,17 @@
       List<Refusal> refusals)
       implements PeerMessage {}
 
+  public record TaskRef(String job, int task, long attempt) {}
+
+  /** {@code instead}: lower tasks on that machine that are stopped to make room for this one. */
   public record StartOrder(
-      String machine, String job, int task, long attempt, long epoch, long expiryWallMs) {}
+      String machine,
+      String job,
+      int task,
+      long attempt,
+      long epoch,
+      long expiryWallMs,
+      List<TaskRef> instead) {}
 
   /** Starts from a holder to an owner. */
   public record Starts(
@@ -309,6 +318,7 @@
       double stateRps,
       double stateWriteRps,
       int txnOps,
+      int valueBytes,
       double cloudRps,
       long listLagMs,
       Map<String, Double> lateTimes) {}
--- a/src/main/java/mallowstall/core/Owner.java
+++ b/src/main/java/mallowstall/core/Owner.java
@@ -3,12 +3,15 @@
 import it.unimi.dsi.fastutil.objects.Object2LongOpenHashMap;
 import it.unimi.dsi.fastutil.objects.Object2ObjectLinkedOpenHashMap;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import mallowstall.Constants;
 import mallowstall.core.Effects.*;
@@ -72,6 +75,12 @@
     final Map<Key, Booked> booked = new Object2ObjectLinkedOpenHashMap<>();
     final Map<Key, StopOrder> stops = new HashMap<>();
 
+    /**
+     * Tasks stopped for others that were accepted in their place. Their stop goes out before or
+     * with any start that follows, so their room counts as free.
+     */
+    final Set<Attempt> replaced = new HashSet<>();
+
     /** Ends other than done that a roster has told. */
     final Object2LongOpenHashMap<Key> told = new Object2LongOpenHashMap<>();
 
@@ -270,6 +279,7 @@
       if (j != null && (t.state() == TaskState.RUNNING || t.why() == Why.DONE)) image(o, j.spec());
       if (t.state() == TaskState.EXITED) ended(o, t);
     }
+    o.replaced.retainAll(o.tasks.keySet());
     Iterator<Booked> it = o.booked.values().iterator();
     while (it.hasNext()) {
       Booked b = it.next();
@@ -482,6 +492,14 @@
       if (no == null) {
         Owned m = owned.get(o.machine());
         m.booked.put(new Key(o.job(), o.task()), new Booked(o, store.job(o.job()).spec()));
+        for (TaskRef t : o.instead()) {
+          Attempt a = new Attempt(t.job(), t.task(), t.attempt());
+          if (!m.tasks.containsKey(a) || !m.replaced.add(a)) continue;
+          LOG.info("{}/{} stops {}/{} on {}", o.job(), o.task(), t.job(), t.task(), m.id);
+          core.metrics().count("preemptions");
+          StopOrder stop = new StopOrder(m.id, t.job(), t.task(), t.attempt(), 0);
+          m.stops.put(new Key(t.job(), t.task()), stop);
+        }
         m.idleSince = 0;
         pushing = true;
         LOG.debug(
@@ -523,6 +541,14 @@
     Key k = new Key(o.job(), o.task());
     if (here(m, k)) return "task is here already";
     double[] free = free(m);
+    for (TaskRef t : o.instead()) {
+      TaskReport r = m.tasks.get(new Attempt(t.job(), t.task(), t.attempt()));
+      JobRec other = store.job(t.job());
+      if (r == null || r.state() == TaskState.EXITED || other == null) continue; // its room is free
+      // what is replaced already is counted as free room, and only once
+      if (!m.replaced.contains(new Attempt(t.job(), t.task(), t.attempt())))
+        minus(free, other.spec(), -1);
+    }
     if (spec.cpus() > free[0] + 1e-6
         || spec.gpus() > free[1] + 1e-6
         || spec.memoryGb() > free[2] + 1e-6) {
@@ -562,17 +588,18 @@
     double[] f = {m.type.cpus(), m.type.gpus(), m.type.memoryGb()};
     for (TaskReport t : m.tasks.values()) {
       if (t.state() == TaskState.EXITED) continue;
+      if (m.replaced.contains(new Attempt(t.job(), t.task(), t.attempt()))) continue;
       JobRec j = store.job(t.job());
-      if (j != null) minus(f, j.spec());
+      if (j != null) minus(f, j.spec(), 1);
     }
-    for (Booked b : m.booked.values()) minus(f, b.spec);
+    for (Booked b : m.booked.values()) minus(f, b.spec, 1);
     return f;
   }
 
-  private static void minus(double[] f, JobSpec s) {
-    f[0] -= s.cpus();
-    f[1] -= s.gpus();
-    f[2] -= s.memoryGb();
+  private static void minus(double[] f, JobSpec s, int times) {
+    f[0] -= times * s.cpus();
+    f[1] -= times * s.gpus();
+    f[2] -= times * s.memoryGb();
   }
 
   void stops(Stops s) {
@@ -834,6 +861,7 @@
         ts);
   }
 
+  /** The roomiest machines, as many as fit into one value of the state service. */
   List<Room> rooms() {
     List<Room> out = new ArrayList<>();
     for (Owned o : owned.values()) {
@@ -841,6 +869,10 @@
       double[] f = free(o);
       out.add(new Room(o.id, f[0], f[1], f[2]));
     }
-    return out;
+    // two hundred machines once made a value that the state service refused
+    int most = Math.max(1, core.settings().valueBytes() / Constants.ROOM_BYTES - 2);
+    if (out.size() <= most) return out;
+    out.sort(Comparator.comparingDouble(Room::cpus).reversed());
+    return out.subList(0, most);
   }
 }
--- a/src/main/java/mallowstall/core/Placement.java
+++ b/src/main/java/mallowstall/core/Placement.java
@@ -211,7 +211,7 @@
         for (int i = 0; i < go; i++) {
           int task = h.take();
           if (task < 0) return started;
-          start(h, task, c.s);
+          start(h, task, c.s, List.of());
           started++;
           placed++;
           want--;
@@ -238,9 +238,102 @@
         backOff.until = now + backOff.wait;
         backOff.wait = Math.min(Constants.BACKOFF_MAX_MS, backOff.wait * 2);
         backOff.roomSeen = core.roomNews();
-        preempt(h, now);
+        preempt(now);
       }
     }
+
+    /**
+     * Starts tasks in the place of lower work where the job has waited for room in vain. Only on
+     * machines that a block of its policy takes, with that room free: stopping work elsewhere once
+     * freed room that nobody used, over and over.
+     */
+    private void preempt(long now) {
+      JobSpec j = h.spec;
+      boolean urgent = j.priority().ordinal() >= Priority.HIGH.ordinal();
+      boolean owed = entitled.contains(h.id) && now - h.heldSince > Constants.GUARANTEE_AFTER_MS;
+      if (!urgent && !owed) return;
+      if (now - h.heldSince < Constants.PREEMPT_AFTER_MS
+          || now - h.lastPreempt < Constants.PREEMPT_GAP_MS) return;
+      h.lastPreempt = now;
+      record Choice(View.Seen s, List<RosterTask> victims, double cost) {}
+      List<Choice> choices = new ArrayList<>();
+      for (View.Seen s : core.view().machines.values()) {
+        if (!s.takes() || now - core.view().heardAt(s) >= Constants.ROSTER_STALE_MS) continue;
+        if (!Owner.allowed(j, s.m.type(), s.m.zone(), s.m.spot())) continue;
+        if (j.oneZone() && oneZone != null && !s.m.zone().equals(oneZone)) continue;
+        if (core.fleet().scarce(j, s.m.type()) || h.avoid.getOrDefault(s.id, 0L) > now) continue;
+        List<RosterTask> victims = victims(s, urgent, owed, now);
+        if (victims.isEmpty()) continue;
+        fill(s, h, now);
+        boolean taken = false;
+        for (Policy.Block b : policy.blocks()) taken |= b.workers(facts) && !b.invalidate(facts);
+        if (!taken) continue;
+        double cost = facts.fetchS;
+        for (RosterTask t : victims) cost += loss(t);
+        choices.add(new Choice(s, victims, cost));
+      }
+      choices.sort(Comparator.comparingDouble(Choice::cost));
+      int left = Constants.PREEMPT_MOST;
+      for (Choice c : choices) {
+        for (RosterTask t : c.victims) {
+          JobSpec o = store.job(t.job()).spec();
+          book(c.s, o, -1);
+          c.s.replaced.put(ref(t), now + Constants.PREEMPT_GAP_MS);
+        }
+        int n = Math.min(Math.min(want, fits(c.s, j)), Math.min(spare, left));
+        n = Math.min(n, zoneMax - perZone.getOrDefault(c.s.m.zone(), 0));
+        for (int i = 0; i < n; i++) {
+          int task = h.take();
+          if (task < 0) return;
+          List<TaskRef> instead = new ArrayList<>();
+          if (i == 0) for (RosterTask t : c.victims) instead.add(ref(t));
+          start(h, task, c.s, instead);
+          perZone.merge(c.s.m.zone(), 1, Integer::sum);
+          want--;
+          spare--;
+          left--;
+        }
+        if (want <= 0 || spare <= 0 || left <= 0) return;
+      }
+    }
+
+    /** The fewest lower tasks on the machine that make room for one of this job; none: empty. */
+    private List<RosterTask> victims(View.Seen s, boolean urgent, boolean owed, long now) {
+      List<RosterTask> lower = new ArrayList<>();
+      for (RosterTask t : s.m.tasks()) {
+        JobRec o = t.state() == null ? null : store.job(t.job());
+        if (o == null || t.state() == TaskState.EXITED || t.state() == TaskState.SAVING) continue;
+        if (s.replaced.getOrDefault(ref(t), 0L) > now) continue;
+        boolean below = urgent && o.spec().priority().ordinal() < h.spec.priority().ordinal();
+        boolean borrowed =
+            owed && !o.spec().team().equals(h.spec.team()) && !entitled.contains(o.spec().id());
+        if (below || borrowed) lower.add(t);
+      }
+      lower.sort(Comparator.comparingDouble(Placement.this::loss));
+      double cpus = s.freeCpus();
+      double gpus = s.freeGpus();
+      double memory = s.freeMemory();
+      for (int i = 0; i < lower.size(); i++) {
+        JobSpec o = store.job(lower.get(i).job()).spec();
+        cpus += o.cpus();
+        gpus += o.gpus();
+        memory += o.memoryGb();
+        if (howMany(cpus, gpus, memory, h.spec) > 0) return lower.subList(0, i + 1);
+      }
+      return List.of();
+    }
+  }
+
+  private static TaskRef ref(RosterTask t) {
+    return new TaskRef(t.job(), t.task(), t.attempt());
+  }
+
+  /** Seconds of work that are about lost when the task is stopped; little while it fetches. */
+  private double loss(RosterTask t) {
+    if (t.state() == TaskState.FETCHING) return 1;
+    JobSpec j = store.job(t.job()).spec();
+    double half = j.estimateS() / 2;
+    return j.checkpointS() > 0 ? Math.min(half, j.checkpointS()) : half;
   }
 
   /**
@@ -439,14 +532,14 @@
     f.taskCpus = j.cpus();
     f.taskGpus = j.gpus();
     f.taskMemory = j.memoryGb();
-    f.waitedS = (now - h.heldSince) / 1000.0;
+    f.waitedS = (core.wall() - h.rec.submittedMs()) / 1000.0;
     f.estimateS = j.estimateS();
     f.priority = j.priority().ordinal();
     f.pending = h.pending();
     f.price = t == null ? 0 : s.m.spot() ? t.spotPrice() : t.price();
   }
 
-  private void start(Held h, int task, View.Seen s) {
+  private void start(Held h, int task, View.Seen s, List<TaskRef> instead) {
     View.Peer p = core.view().peer(s.owner);
     long attempt = (h.rec.epoch() << Constants.ATTEMPT_BITS) + ++h.counter;
     long life = Math.min(Constants.START_LIFE_MS, store.sessionLeft());
@@ -468,7 +561,7 @@
             p.nextSeq));
     book(s, h.spec, 1);
     out.computeIfAbsent(s.owner, k -> new ArrayList<>())
-        .add(new StartOrder(s.id, h.id, task, attempt, h.rec.epoch(), expiry));
+        .add(new StartOrder(s.id, h.id, task, attempt, h.rec.epoch(), expiry, instead));
     LOG.debug("start {}/{} attempt {} on {} through {}", h.id, task, attempt, s.id, s.owner);
   }
 
@@ -481,60 +574,4 @@
     }
     out.clear();
   }
-
-  /** Stops lower work where that makes room for a job of higher priority that has waited. */
-  private void preempt(Held h, long now) {
-    JobSpec j = h.spec;
-    boolean urgent = j.priority().ordinal() >= Priority.HIGH.ordinal();
-    boolean owed = entitled.contains(h.id) && now - h.heldSince > Constants.GUARANTEE_AFTER_MS;
-    if (!urgent && !owed) return;
-    if (now - h.heldSince < Constants.PREEMPT_AFTER_MS
-        || now - h.lastPreempt < Constants.PREEMPT_GAP_MS) return;
-    h.lastPreempt = now;
-    int need = Math.min(h.pending(), 16);
-    record Victim(View.Seen s, RosterTask task, int gain, double cost) {}
-    List<Victim> victims = new ArrayList<>();
-    for (View.Seen s : core.view().machines.values()) {
-      if (!s.takes() || !Owner.allowed(j, s.m.type(), s.m.zone(), s.m.spot())) continue;
-      if (core.fleet().scarce(j, s.m.type())) continue;
-      List<RosterTask> lower = new ArrayList<>();
-      for (RosterTask t : s.m.tasks()) {
-        JobRec o = store.job(t.job());
-        if (t.state() == TaskState.EXITED
-            || t.state() == null
-            || t.state() == TaskState.SAVING
-            || o == null) continue;
-        boolean below = urgent && o.spec().priority().ordinal() < j.priority().ordinal();
-        boolean borrowed =
-            owed && !o.spec().team().equals(j.team()) && !entitled.contains(o.spec().id());
-        if (below || borrowed) lower.add(t);
-      }
-      if (lower.isEmpty()) continue;
-      // least lost first: what is still fetching
-      lower.sort(Comparator.comparing(t -> t.state() == TaskState.FETCHING ? 0 : 1));
-      RosterTask t = lower.get(0);
-      JobSpec o = store.job(t.job()).spec();
-      double c = s.freeCpus() + o.cpus();
-      double m = s.freeMemory() + o.memoryGb();
-      int gain =
-          (int)
-              Math.min(j.cpus() > 0 ? c / j.cpus() : 99, j.memoryGb() > 0 ? m / j.memoryGb() : 99);
-      if (gain <= 0) continue;
-      double fetch = s.m.images().contains(j.image()) ? 0 : 1;
-      victims.add(new Victim(s, t, gain, (t.state() == TaskState.FETCHING ? 0 : 2) + fetch));
-    }
-    victims.sort(Comparator.comparingDouble(Victim::cost));
-    for (Victim v : victims) {
-      if (need <= 0) break;
-      RosterTask t = v.task;
-      JobSpec o = store.job(t.job()).spec();
-      LOG.info("job {} preempts {}/{} on {}", h.id, t.job(), t.task(), v.s.id);
-      core.metrics().count("preemptions");
-      core.stop(
-          v.s.owner,
-          new StopOrder(
-              v.s.id, t.job(), t.task(), t.attempt(), o.checkpointS() > 0 ? o.saveS() : 0));
-      need -= v.gain;
-    }
-  }
 }
--- a/src/main/java/mallowstall/core/View.java
+++ b/src/main/java/mallowstall/core/View.java
@@ -28,7 +28,9 @@
 
     double sentGpus;
     double sentMemory;
-    long avoidUntil;
+
+    /** Tasks there that this controller has asked to be stopped for others, until when. */
+    final Map<TaskRef, Long> replaced = new HashMap<>();
 
     Seen(String id) {
       this.id = id;
--- a/src/main/java/mallowstall/peers/PeerCodec.java
+++ b/src/main/java/mallowstall/peers/PeerCodec.java
@@ -234,11 +234,28 @@
     e.writeLong(o.attempt());
     e.writeLong(o.epoch());
     e.writeLong(o.expiryWallMs());
+    list(e, o.instead(), PeerCodec::ref);
+  }
+
+  private static void ref(BinaryEncoder e, TaskRef t) throws IOException {
+    e.writeString(t.job());
+    e.writeInt(t.task());
+    e.writeLong(t.attempt());
+  }
+
+  private static TaskRef ref(BinaryDecoder d) throws IOException {
+    return new TaskRef(d.readString(), d.readInt(), d.readLong());
   }
 
   private static StartOrder start(BinaryDecoder d) throws IOException {
     return new StartOrder(
-        d.readString(), d.readString(), d.readInt(), d.readLong(), d.readLong(), d.readLong());
+        d.readString(),
+        d.readString(),
+        d.readInt(),
+        d.readLong(),
+        d.readLong(),
+        d.readLong(),
+        list(d, PeerCodec::ref));
   }
 
   private static void stop(BinaryEncoder e, StopOrder o) throws IOException {
--- a/src/test/java/mallowstall/peers/PeerCodecTest.java
+++ b/src/test/java/mallowstall/peers/PeerCodecTest.java
@@ -64,7 +64,15 @@
             3,
             2,
             18,
-            List.of(new StartOrder("m-000007", "wk-000002", 1, 99, 4, 1_700_000_000_000L)));
+            List.of(
+                new StartOrder(
+                    "m-000007",
+                    "wk-000002",
+                    1,
+                    99,
+                    4,
+                    1_700_000_000_000L,
+                    List.of(new TaskRef("wk-000003", 7, 5)))));
     Stops stops =
         new Stops(
             "n1", 3, List.of(new StopOrder("m-000007", "wk-000002", 1, 99, 4.5)), List.of("m-1"));
