--- a/src/main/java/mallowstall/core/Holder.java
+++ b/src/main/java/mallowstall/core/Holder.java
@@ -99,6 +99,7 @@
     long grantIdleSince;
     long heldSince;
     long lastPreempt;
+    long lastStart;
     long outrankedSince;
     int wantsGrant;
     boolean granting;
--- a/src/main/java/mallowstall/core/Placement.java
+++ b/src/main/java/mallowstall/core/Placement.java
@@ -450,10 +450,12 @@
         JobRec r = t.state() == TaskState.EXITED ? null : store.job(t.job());
         if (r != null) has.add(r.spec().image());
       }
+      // a machine with several images that are waited for serves each of them only in part
+      has.removeIf(i -> waiting.getDouble(i) <= 0);
       for (String image : has) {
         JobSpec j = sample.get(image);
         if (j != null && Owner.allowed(j, s.m.type(), s.m.zone(), s.m.spot())) {
-          warm.mergeDouble(image, slots(s, j), Double::sum);
+          warm.mergeDouble(image, slots(s, j) / has.size(), Double::sum);
         }
       }
     }
@@ -548,13 +550,26 @@
     f.taskCpus = j.cpus();
     f.taskGpus = j.gpus();
     f.taskMemory = j.memoryGb();
-    f.waitedS = (core.wall() - h.rec.submittedMs()) / 1000.0;
+    f.waitedS = waitedS(h, now);
+    f.slackS =
+        j.deadlineS() == null
+            ? 1e9
+            : j.deadlineS() - j.estimateS() - (core.wall() - h.rec.submittedMs()) / 1000.0;
     f.estimateS = j.estimateS();
     f.priority = j.priority().ordinal();
     f.pending = h.pending();
     f.price = t == null ? 0 : s.m.spot() ? t.spotPrice() : t.price();
   }
 
+  /**
+   * Since the job was submitted, or since a task of it was started last: what is being served,
+   * however slowly, doesn't starve.
+   */
+  private double waitedS(Held h, long now) {
+    double age = (core.wall() - h.rec.submittedMs()) / 1000.0;
+    return h.lastStart == 0 ? age : Math.min(age, (now - h.lastStart) / 1000.0);
+  }
+
   private void start(Held h, int task, View.Seen s, List<TaskRef> instead) {
     View.Peer p = core.view().peer(s.owner);
     long attempt = (h.rec.epoch() << Constants.ATTEMPT_BITS) + ++h.counter;
@@ -575,10 +590,18 @@
             s.ownerIncarnation,
             p.connection,
             p.nextSeq));
+    h.lastStart = core.now();
     book(s, h.spec, 1);
     out.computeIfAbsent(s.owner, k -> new ArrayList<>())
         .add(new StartOrder(s.id, h.id, task, attempt, h.rec.epoch(), expiry, instead));
-    LOG.debug("start {}/{} attempt {} on {} through {}", h.id, task, attempt, s.id, s.owner);
+    LOG.debug(
+        "start {}/{} attempt {} on {} through {}, image {}",
+        h.id,
+        task,
+        attempt,
+        s.id,
+        s.owner,
+        s.m.images().contains(h.spec.image()) ? "there" : "missing");
   }
 
   private void send() {
--- a/src/main/java/mallowstall/core/Policy.java
+++ b/src/main/java/mallowstall/core/Policy.java
@@ -36,7 +36,13 @@
     public double taskCpus;
     public double taskGpus;
     public double taskMemory;
+
+    /** Since submission, or since a task of the job was started last. */
     public double waitedS;
+
+    /** Until a task must start for the job to meet its deadline; very much without one. */
+    public double slackS;
+
     public double estimateS;
     public double priority;
     public double pending;
