--- a/src/main/java/mallowstall/Constants.java
+++ b/src/main/java/mallowstall/Constants.java
@@ -139,6 +139,24 @@
   /** ms. A worker that hasn't answered by then may still execute the commands. */
   public static final long ORDER_TIMEOUT_MS = 2_000;
 
+  /**
+   * ms. After a controller's session has ended, its machines that have turned to nobody are asked
+   * by the others: workers of a dead controller have come over by then.
+   */
+  public static final long SEIZE_AFTER_MS = 3_000;
+
+  /** ms. Between two looks for such machines. */
+  public static final long SEIZE_EVERY_MS = 500;
+
+  /** ms. Before the same machine is asked again: longer than the request's timeout. */
+  public static final long SEIZE_AGAIN_MS = 5_000;
+
+  /** Count. Machines asked in one look, within the sockets and the state service's changes. */
+  public static final int SEIZE_MOST = 8;
+
+  /** ms. By how much the regular roster of a controller that works may be late. */
+  public static final long ROSTER_LATE_MS = 500;
+
   /**
    * ms. After its start a controller claims the machines of its former process that haven't
    * reported to anybody: the others have come back by then, and need no second write.
--- a/src/main/java/mallowstall/core/Model.java
+++ b/src/main/java/mallowstall/core/Model.java
@@ -210,6 +210,7 @@
    */
   public record RosterMachine(
       String machine,
+      String addr,
       long token,
       long version,
       long session,
@@ -233,6 +234,7 @@
     /** Whether both say the same, but for what drifts with time alone. */
     boolean sameAs(RosterMachine o) {
       return token == o.token
+          && java.util.Objects.equals(addr, o.addr)
           && version == o.version
           && session == o.session
           && confirmed == o.confirmed
--- a/src/main/java/mallowstall/core/Owner.java
+++ b/src/main/java/mallowstall/core/Owner.java
@@ -127,6 +127,15 @@
   private final Map<String, Long> adopting = new HashMap<>();
   private final Map<String, Long> redirected = new HashMap<>();
   private final List<Refusal> refusals = new ArrayList<>();
+
+  /** Machines whose record was dropped, since they were returned; names are never used again. */
+  private final Set<String> returned = new LinkedHashSet<>();
+
+  /** Machines whose recorded owner is gone, since when; and when they were last asked. */
+  private final Map<String, Long> orphanSince = new HashMap<>();
+
+  private final Map<String, Long> asked = new HashMap<>();
+  private long nextSeize;
   private boolean dirty;
   private boolean pushing;
   private long lastRoster;
@@ -169,9 +178,15 @@
         reply.accept(ReportAnswer.unable());
         return;
       }
-      if (r.session() < o.session || (r.session() == o.session && r.seq() <= o.seq)) {
-        // Overtaken by the answer of a direct command, or a late copy: it says nothing new. To
-        // refuse it would send a healthy worker to another controller.
+      if (r.session() < o.session || (r.session() == o.session && r.seq() <= o.reported)) {
+        // A late copy: reports of a worker come one at a time. It renews nothing.
+        reply.accept(ReportAnswer.unable());
+        return;
+      }
+      if (r.session() == o.session && r.seq() <= o.seq) {
+        // Overtaken by the answer of a direct command: it says nothing new. To refuse it would
+        // send a healthy worker to another controller.
+        o.reported = r.seq();
         o.lastOk = now;
         reply.accept(ReportAnswer.ok(o.token, List.of()));
         return;
@@ -192,6 +207,42 @@
         then);
   }
 
+  /**
+   * Whether the report is an old one that comes late: its machine is gone, or its owner has told of
+   * a newer one. Taking it for the worker itself would take the machine from its live owner, or
+   * bring back a machine that was returned.
+   */
+  private boolean stale(Report r) {
+    // Records are made before the first token is shown and dropped once the machine is returned.
+    if (r.token() > 0 && store.machine(r.machine()) == null) return true;
+    if (returned.contains(r.machine())) return true;
+    View.Seen s = core.view().machines.get(r.machine());
+    if (s == null || s.m == null || r.session() > s.m.session()) return false;
+    return r.session() < s.m.session() || s.m.lost() || r.seq() <= s.m.seq();
+  }
+
+  /**
+   * The recorded owner, if it lives, is served and still hears the machine by what it has just
+   * told: the report may be a late copy that is newer than the last statement. Only once in a
+   * while, so that a worker that can't reach its owner any more is soon taken over.
+   */
+  private String liveOwner(Report r, long now) {
+    MachineRec old = store.machine(r.machine());
+    View.Seen s = core.view().machines.get(r.machine());
+    if (old == null || s == null || s.m == null || old.node().equals(core.node())) return null;
+    View.Peer p = core.view().peer(old.node());
+    boolean heard =
+        store.live(old.node(), old.incarnation())
+            && old.node().equals(s.owner)
+            && s.m.token() == old.token()
+            && s.m.confirmed()
+            && !s.m.silent()
+            && now - p.rosterAt < Constants.ROSTER_EVERY_MS + Constants.ROSTER_LATE_MS
+            && now - p.mirrorFreshAt < Constants.CUT_OFF_MS + Constants.WATCH_HOLD_MS;
+    Long before = redirected.get(r.machine());
+    return heard && (before == null || now - before > 20_000) ? old.node() : null;
+  }
+
   /** Makes this controller the recorded owner, under a larger token, before the first 200. */
   private void adopt(Report r, Consumer<ReportAnswer> reply) {
     long now = core.now();
@@ -200,6 +251,16 @@
       reply.accept(ReportAnswer.unable());
       return;
     }
+    if (stale(r)) {
+      reply.accept(ReportAnswer.unable());
+      return;
+    }
+    String owner = liveOwner(r, now);
+    if (owner != null) {
+      redirected.put(r.machine(), now);
+      reply.accept(ReportAnswer.elsewhere(owner));
+      return;
+    }
     if (r.token() == 0) {
       String better = core.preferredOwner(r.machine(), r.zone());
       Long before = redirected.get(r.machine());
@@ -258,7 +319,16 @@
     if (r.session() > o.session) {
       o.told.clear();
       clearOrdered(o); // the worker refuses commands for an earlier session
+      o.reported = 0;
+      if (o.session != 0 && o.confirmed && now - o.lastOk < core.settings().leaseMs() / 2) {
+        // Its lease ran out although it was answered: it doesn't hear. It gets no task before it
+        // has shown a new term; once a deaf machine drew start after start.
+        LOG.info("machine {} lost its lease although it was answered", o.id);
+        o.dangling = true;
+        raise(o);
+      }
     }
+    if (byReport) o.reported = r.seq();
     if (o.dangling && !o.raising && r.token() >= o.token && o.raised) clearOrdered(o);
     o.session = r.session();
     o.seq = r.seq();
@@ -537,6 +607,7 @@
     JobSpec spec = j.spec();
     if (core.recordedDone(j, o.task())) return "done already";
     if (!allowed(spec, m.type.name(), m.zone, m.spot)) return "machine not allowed";
+    if (!m.confirmed) return "machine doesn't show that it hears";
     if (!usable(m) || m.drainUntil > core.now()) return "machine set aside";
     Key k = new Key(o.job(), o.task());
     if (here(m, k)) return "task is here already";
@@ -632,6 +703,10 @@
 
   // ---- mirror -------------------------------------------------------------------------------
   void machineChanged(String id, MachineRec rec) {
+    if (rec == null) {
+      returned.add(id);
+      if (returned.size() > Constants.GONE_KEPT) returned.remove(returned.iterator().next());
+    }
     Owned o = owned.get(id);
     if (o == null) return;
     if (rec == null) {
@@ -688,9 +763,88 @@
     }
   }
 
+  /**
+   * A controller without state service and peers may go on answering its workers after its session
+   * is gone; they never turn to another then, and every job taken over would wait for them. So each
+   * is asked directly, by one of the others, and shown a larger term: from then on it drops what
+   * its former owner says, which sends it away in turn when it sees that term. What can't be
+   * reached, as in a zone that is cut off, is left alone.
+   */
+  private void seize(long now) {
+    if (now < nextSeize || !store.sessionGood()) return;
+    nextSeize = now + Constants.SEIZE_EVERY_MS;
+    Set<String> orphans = new HashSet<>();
+    int most = Constants.SEIZE_MOST;
+    for (Map.Entry<String, Store.Held> e : store.under(Store.MACHINES).entrySet()) {
+      MachineRec rec = (MachineRec) e.getValue().value();
+      if (store.live(rec.node(), rec.incarnation())) continue;
+      String id = e.getKey().substring(Store.MACHINES.length());
+      orphans.add(id);
+      long since = orphanSince.computeIfAbsent(id, k -> now);
+      View.Seen s = core.view().machines.get(id);
+      if (now - since < Constants.SEIZE_AFTER_MS || s == null || s.m == null) continue;
+      if (s.m.addr() == null || adopting.containsKey(id) || most <= 0) continue;
+      if (now - asked.getOrDefault(id, Long.MIN_VALUE / 2) < Constants.SEIZE_AGAIN_MS) continue;
+      if (!core.preferredOwner(id, rec.zone()).equals(core.node())) continue;
+      most--;
+      asked.put(id, now);
+      // no session is 0, so this is refused, with the worker's report
+      core.effects().order(s.m.addr(), 0, 0, List.of(), r -> seize(id, rec, r.report()));
+    }
+    orphanSince.keySet().retainAll(orphans);
+    asked.keySet().retainAll(orphans);
+  }
+
+  private void seize(String id, MachineRec old, Report r) {
+    MachineType type = core.types().get(old.type());
+    MachineRec now = store.machine(id);
+    if (r == null || !r.machine().equals(id) || type == null || !old.equals(now)) return;
+    if (adopting.containsKey(id) || owned.containsKey(id)) return;
+    long token = Math.max(r.token(), old.token()) + 1;
+    MachineRec mine =
+        new MachineRec(core.node(), store.incarnation(), token, old.type(), old.zone(), old.spot());
+    adopting.put(id, core.now());
+    boolean wrote =
+        record(
+            id,
+            store.version(Store.MACHINES + id),
+            mine,
+            res -> {
+              adopting.remove(id);
+              if (res.code() != Code.OK || owned.containsKey(id)) return;
+              Owned o = new Owned(id, type, old.zone(), old.spot(), token, res.revision());
+              owned.put(id, o);
+              gone.remove(id);
+              o.idleSince = core.now();
+              // until it shows the new term, its former owner may renew its lease
+              o.lastOk = core.now();
+              take(o, r, false);
+              LOG.info("machine {} taken from {}, which is gone, term {}", id, old.node(), token);
+              show(o);
+            });
+    if (!wrote) adopting.remove(id);
+  }
+
+  /** Shows the worker the term without any command. */
+  private void show(Owned o) {
+    core.effects()
+        .order(
+            o.addr,
+            o.token,
+            o.session,
+            List.of(),
+            r -> {
+              if (owned.get(o.id) != o || r.code() != Code.OK || r.report() == null) return;
+              o.lastOk = core.now();
+              if (r.report().session() > o.session || r.report().seq() > o.seq)
+                take(o, r.report(), false);
+            });
+  }
+
   // ---- duties -------------------------------------------------------------------------------
   void tick() {
     long now = core.now();
+    seize(now);
     long writeOff =
         (long) (core.settings().leaseMs() * (1 + 2 * Constants.DRIFT))
             + Constants.WRITE_OFF_MARGIN_MS;
@@ -837,6 +991,7 @@
     boolean idle = o.tasks.isEmpty() && o.booked.isEmpty();
     return new RosterMachine(
         o.id,
+        o.addr,
         o.token,
         o.version,
         o.session,
--- a/src/main/java/mallowstall/peers/PeerCodec.java
+++ b/src/main/java/mallowstall/peers/PeerCodec.java
@@ -139,6 +139,7 @@
 
   private static void machine(BinaryEncoder e, RosterMachine m) throws IOException {
     e.writeString(m.machine());
+    e.writeString(m.addr() == null ? "" : m.addr());
     e.writeLong(m.token());
     e.writeLong(m.version());
     e.writeLong(m.session());
@@ -164,6 +165,7 @@
 
   private static RosterMachine machine(BinaryDecoder d) throws IOException {
     String id = d.readString();
+    String addr = d.readString();
     long token = d.readLong();
     long version = d.readLong();
     long session = d.readLong();
@@ -173,6 +175,7 @@
     String zone = d.readString();
     return new RosterMachine(
         id,
+        addr.isEmpty() ? null : addr,
         token,
         version,
         session,
--- a/src/test/java/mallowstall/peers/PeerCodecTest.java
+++ b/src/test/java/mallowstall/peers/PeerCodecTest.java
@@ -31,6 +31,7 @@
           List.of(
               new RosterMachine(
                   "m-000007",
+                  "10.1.0.7:9000",
                   5,
                   400,
                   2,
