--- a/src/main/java/mallowstall/core/Owner.java
+++ b/src/main/java/mallowstall/core/Owner.java
@@ -126,6 +126,7 @@
   private final Map<String, Owned> owned = new LinkedHashMap<>();
   private final Map<String, Long> adopting = new HashMap<>();
   private final Map<String, Long> redirected = new HashMap<>();
+  private final Map<String, Long> sentBack = new HashMap<>();
   private final List<Refusal> refusals = new ArrayList<>();
 
   /** Machines whose record was dropped, since they were returned; names are never used again. */
@@ -239,7 +240,7 @@
             && !s.m.silent()
             && now - p.rosterAt < Constants.ROSTER_EVERY_MS + Constants.ROSTER_LATE_MS
             && now - p.mirrorFreshAt < Constants.CUT_OFF_MS + Constants.WATCH_HOLD_MS;
-    Long before = redirected.get(r.machine());
+    Long before = sentBack.get(r.machine());
     return heard && (before == null || now - before > 20_000) ? old.node() : null;
   }
 
@@ -257,7 +258,7 @@
     }
     String owner = liveOwner(r, now);
     if (owner != null) {
-      redirected.put(r.machine(), now);
+      sentBack.put(r.machine(), now);
       reply.accept(ReportAnswer.elsewhere(owner));
       return;
     }
@@ -791,6 +792,7 @@
       // no session is 0, so this is refused, with the worker's report
       core.effects().order(s.m.addr(), 0, 0, List.of(), r -> seize(id, rec, r.report()));
     }
+    sentBack.values().removeIf(at -> now - at > 20_000);
     orphanSince.keySet().retainAll(orphans);
     asked.keySet().retainAll(orphans);
   }
--- a/src/test/java/mallowstall/core/SafetyCasesTest.java
+++ b/src/test/java/mallowstall/core/SafetyCasesTest.java
@@ -7,6 +7,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import mallowstall.Constants;
 import mallowstall.core.Model.*;
 import org.junit.jupiter.api.Test;
 
@@ -305,6 +306,231 @@
     assertEquals(List.of(), seen.m.tasks());
   }
 
+  /**
+   * Reports arrive, answers and commands don't: the tasks are accounted for by the machine's next
+   * session and run elsewhere, nothing is started there, and it is used again once it hears. It
+   * drew one start after the other, each of them lost.
+   */
+  @Test
+  void aDeafMachineGetsNoTasksAndLosesItsOwnToOthers() {
+    Sim s = new Sim(61);
+    s.runMs = 14_000;
+    s.run(8_000);
+    s.submit(plain(s, "wk-000001", 12, "free"));
+    s.run(11_000);
+    Sim.Worker w = null;
+    for (Sim.Worker x : s.workers.values()) if (!x.tasks.isEmpty()) w = x;
+    assertNotNull(w);
+    w.deaf = true;
+    s.run(11_000 + Sim.LEASE + 4_000);
+    assertTrue(w.session > 1, "its lease ran out although its reports were answered");
+    for (Sim.Node n : s.nodes.values()) {
+      View.Seen seen = n.core.view().machines.get(w.id);
+      assertFalse(seen != null && seen.takes(), "no start goes to a machine that doesn't hear");
+    }
+    s.run(75_000);
+    finished(s, "wk-000001");
+    // whether it was replaced meanwhile or not, a machine that hears again serves again
+    w.deaf = false;
+    s.submit(plain(s, "wk-000002", 30, "free"));
+    s.run(200_000);
+    finished(s, "wk-000002");
+  }
+
+  /** The same with a cancellation: it holds on a machine that never hears of it. */
+  @Test
+  void aCancellationHoldsOnADeafMachine() {
+    Sim s = new Sim(62);
+    s.runMs = 100_000;
+    s.run(8_000);
+    s.submit(plain(s, "wk-000001", 12, "free"));
+    s.run(12_000);
+    for (Sim.Worker w : s.workers.values()) w.deaf = true;
+    s.cancel("wk-000001");
+    s.run(70_000);
+    assertEquals("cancelled", s.rules.lastTold("wk-000001"));
+    assertEquals(List.of(), s.rules.broken);
+  }
+
+  private static Report copy(Sim.Worker w, long session, long seq, long token) {
+    return new Report(
+        w.id,
+        w.id,
+        "t8",
+        w.zone,
+        w.spot,
+        session,
+        seq,
+        token,
+        null,
+        List.of(new TaskReport("wk-000001", 0, 1, TaskState.RUNNING, null, false)));
+  }
+
+  /**
+   * Late copies at the owner and at any other controller, of a live machine and of one that was
+   * returned: the record stays as it is, no task comes to life, and none is answered 200.
+   */
+  @Test
+  void lateCopiesOfReportsChangeNothing() {
+    Sim s = new Sim(63);
+    s.run(12_000);
+    Sim.Worker w = s.workers.values().iterator().next();
+    MachineRec before = (MachineRec) s.state.keys.get(Store.MACHINES + w.id).value();
+    Report old = copy(w, w.session, w.seq - 3, w.token);
+    for (Sim.Node n : s.nodes.values()) {
+      List<ReportAnswer> got = new ArrayList<>();
+      n.event(() -> n.core.report(old, got::add));
+      s.run(s.now + 100);
+      assertEquals(503, got.get(0).status(), n.name);
+    }
+    // so new that its owner hasn't told of a newer one: sent to the owner, who is alive
+    for (Sim.Node n : s.nodes.values()) {
+      if (n.name.equals(before.node())) continue;
+      List<ReportAnswer> got = new ArrayList<>();
+      n.event(() -> n.core.report(copy(w, w.session, w.seq + 1, w.token), got::add));
+      s.run(s.now + 100);
+      assertEquals(421, got.get(0).status(), n.name);
+      assertEquals(before.node(), got.get(0).reportTo());
+    }
+    s.run(s.now + 3_000);
+    assertEquals(before, s.state.keys.get(Store.MACHINES + w.id).value());
+    for (Sim.Node n : s.nodes.values())
+      assertEquals(List.of(), n.core.view().machines.get(w.id).m.tasks());
+    // returned: by the cloud and in the records
+    s.killMachine(w.id);
+    s.state.transact(new Effects.Txn(List.of(), List.of(), List.of(Store.MACHINES + w.id)));
+    s.run(s.now + 3_000);
+    for (long token : new long[] {0, w.token}) {
+      for (Sim.Node n : s.nodes.values()) {
+        List<ReportAnswer> got = new ArrayList<>();
+        n.event(() -> n.core.report(copy(w, w.session, w.seq + 9, token), got::add));
+        s.run(s.now + 200);
+        assertEquals(503, got.get(0).status(), n.name);
+      }
+    }
+    assertFalse(s.state.keys.containsKey(Store.MACHINES + w.id));
+  }
+
+  /**
+   * A controller without state service and peers still answers its workers, who turn to nobody
+   * else: the others take them over directly, tasks and all. Its jobs waited 20 s and more.
+   */
+  @Test
+  void machinesOfAControllerCutOffFromAllButThemAreTakenOver() {
+    Sim s = new Sim(64);
+    s.runMs = 60_000;
+    s.run(8_000);
+    s.submit(plain(s, "wk-000001", 40, "free"));
+    s.run(14_000);
+    Sim.Node h = holder(s, "wk-000001");
+    isolate(s, h);
+    s.run(14_000 + Constants.SESSION_TTL_MS + Constants.SEIZE_AFTER_MS + 4_000);
+    Sim.Node next = holder(s, "wk-000001");
+    assertFalse(next == h);
+    assertTrue(next.core.latched("wk-000001"), "the job goes on while the cut lasts");
+    for (Sim.Worker w : s.workers.values()) {
+      assertFalse(w.node.equals(h.name), "its workers have turned to the others");
+      assertEquals(1, w.session, "and kept their tasks");
+    }
+    s.run(45_000);
+    h.noState = false;
+    s.nodes.values().forEach(n -> n.cut.clear());
+    s.run(330_000);
+    finished(s, "wk-000001");
+  }
+
+  private static void isolate(Sim s, Sim.Node h) {
+    h.noState = true;
+    for (Sim.Node n : s.nodes.values()) {
+      if (n == h) continue;
+      h.cut.put(n.name, true);
+      n.cut.put(h.name, true);
+      h.drop(n.name);
+      n.drop(h.name);
+    }
+  }
+
+  /** All connections between controllers are refused: work goes on and recovers at once. */
+  @Test
+  void controllersThatRefuseEachOtherGoOnWorking() {
+    Sim s = new Sim(65);
+    s.run(8_000);
+    s.submit(plain(s, "wk-000001", 60, "free"));
+    s.run(10_000);
+    for (Sim.Node n : s.nodes.values()) {
+      for (String other : Sim.NODES) {
+        if (other.equals(n.name)) continue;
+        n.cut.put(other, true);
+        n.drop(other);
+      }
+    }
+    int before = entry(s, "wk-000001").doneCount();
+    s.run(40_000);
+    assertTrue(entry(s, "wk-000001").doneCount() > before, "its holder's own machines serve it");
+    s.nodes.values().forEach(n -> n.cut.clear());
+    s.run(100_000);
+    finished(s, "wk-000001");
+  }
+
+  /** All controllers end while the state service is down: jobs stay known and run on. */
+  @Test
+  void allControllersEndInAnOutage() {
+    Sim s = new Sim(66);
+    s.run(8_000);
+    for (int i = 0; i < 6; i++) s.submit(plain(s, "wk-00000" + i, 6, "tight"));
+    s.run(12_000);
+    s.state.outage = true;
+    s.run(15_000);
+    for (Sim.Node n : s.nodes.values()) n.crash(n.name.equals("n1") ? 200 : 4_000);
+    s.run(32_000);
+    s.state.recover();
+    s.run(45_000);
+    for (Sim.Node n : s.nodes.values()) {
+      List<UserAnswer> got = new ArrayList<>();
+      n.event(() -> n.core.query("wk-000003", got::add));
+      s.run(s.now + 1_000);
+      assertEquals(200, got.get(0).status(), "known at " + n.name);
+    }
+    s.run(200_000);
+    for (int i = 0; i < 6; i++) finished(s, "wk-00000" + i);
+  }
+
+  /**
+   * Statements between controllers are lost, late and repeated: one that builds on a statement that
+   * never came is not taken in, and the next says again all that isn't known to have been heard.
+   */
+  @Test
+  void aStatementWithAGapIsNotTakenIn() {
+    Sim s = new Sim(67);
+    s.run(6_000);
+    Sim.Node n = s.nodes.get("n0");
+    View.Peer p = n.core.view().peer("n9");
+    RosterMachine m = machine("m-900001", 1);
+    n.event(() -> n.core.message(roster(1, 0, List.of(m), List.of())));
+    assertEquals(1, p.serial);
+    assertTrue(p.machines.contains("m-900001"));
+    n.event(() -> n.core.message(roster(4, 3, List.of(), List.of("m-900001"))));
+    assertEquals(1, p.serial, "builds on the third, which never came");
+    assertTrue(p.machines.contains("m-900001"));
+    n.event(() -> n.core.message(roster(5, 1, List.of(machine("m-900002", 1)), List.of())));
+    assertEquals(5, p.serial);
+    n.event(() -> n.core.message(roster(4, 1, List.of(), List.of("m-900002"))));
+    assertTrue(p.machines.contains("m-900002"), "an older one comes late");
+    n.event(() -> n.core.message(roster(6, 5, List.of(), List.of("m-900001"))));
+    assertFalse(p.machines.contains("m-900001"));
+    assertTrue(p.machines.contains("m-900002"), "what isn't said anew still holds");
+  }
+
+  private static Roster roster(long serial, long since, List<RosterMachine> ms, List<String> gone) {
+    return new Roster("n9", 900, serial, since, 0, 0, 1, 0, 0, 0, 0, 0, ms, gone, List.of());
+  }
+
+  private static RosterMachine machine(String id, long token) {
+    return new RosterMachine(
+        id, id, token, 1L << 40, 1, 1, true, true, false, false, false, false, "t8", "a", false, -1,
+        8, 0, 32, 1, List.of(), List.of());
+  }
+
   /** Cost follows groups and machines: a large job is decided as one, in chunks of its bitmap. */
   @Test
   void aJobOfAHundredThousandTasksIsDecidedAsOne() {
