--- a/src/main/java/mallowstall/Constants.java
+++ b/src/main/java/mallowstall/Constants.java
@@ -189,7 +189,7 @@
   public static final long PREEMPT_AFTER_MS = 2_500;
 
   /** ms. A job within its team's guarantee may stop what other teams borrow after this time. */
-  public static final long GUARANTEE_AFTER_MS = 20_000;
+  public static final long GUARANTEE_AFTER_MS = 6_000;
 
   /** Count. Tasks of one job started in the place of lower work in one round. */
   public static final int PREEMPT_MOST = 32;
@@ -244,6 +244,15 @@
   /** ms. An idle machine not needed by the plan is returned after this. */
   public static final long IDLE_RETURN_MS = 40_000;
 
+  /** ms. The same for ordinary machines, which cost a multiple of spot ones. */
+  public static final long IDLE_ORDINARY_MS = 20_000;
+
+  /** Factor on an owner's estimate when machines are planned by it: it is often too low. */
+  public static final double ESTIMATE_MARGIN = 1.2;
+
+  /** Count. Most tasks planned to run one after the other in one place. */
+  public static final double WAVES_MOST = 2;
+
   /** Factor on the usual boot time after which a machine is taken for one that never boots. */
   public static final double BOOT_GIVE_UP = 4.0;
 
--- a/src/main/java/mallowstall/core/Fleet.java
+++ b/src/main/java/mallowstall/core/Fleet.java
@@ -188,7 +188,7 @@
       double life = j.estimateS() + j.imageGb() / Math.max(1e-3, t.fetchGbPerS());
       double share = Math.min(1, life / Math.max(20, 0.8 * t.bootS()));
       Demand d = demands.computeIfAbsent(name, k -> new Demand());
-      d.machines += tasks / per * share;
+      d.machines += tasks / per * share / waves(rec, t);
       d.spotOnly &= j.spot();
       if (!j.spot()) d.ordinary += tasks / per;
       Map<String, Double> pinned = j.spot() ? d.pinned : d.pinnedOrdinary;
@@ -206,6 +206,20 @@
     reserve();
   }
 
+  /**
+   * How many of the job's tasks may run one after the other in one place and still be on time, on a
+   * machine that must first be rented and fetch the image. A machine for every two tasks of a job
+   * with minutes to spare cost more than it was worth.
+   */
+  private double waves(JobRec rec, MachineType t) {
+    JobSpec j = rec.spec();
+    if (j.deadlineS() == null || j.priority().ordinal() >= Priority.HIGH.ordinal()) return 1;
+    double left = j.deadlineS() - (core.wall() - rec.submittedMs()) / 1000.0;
+    double ready = t.bootS() + j.imageGb() / Math.max(1e-3, t.fetchGbPerS());
+    double each = Math.max(1, j.estimateS() * Constants.ESTIMATE_MARGIN);
+    return Math.max(1, Math.min(Constants.WAVES_MOST, (left - ready) / each));
+  }
+
   /**
    * Keeps as many machines from lower work as urgent jobs use on average, so that these needn't
    * stop anybody. The oldest ordinary ones: they are not taken back, and every controller names the
@@ -359,13 +373,17 @@
       return;
     }
     int keep = (int) Math.ceil(Math.max(need * 1.2, floor * 1.15));
-    if (have <= keep) return;
+    // dear machines are kept for what there is to do, not for what there was
+    double urgent = d == null ? 0 : d.urgent * Constants.RESERVE_FACTOR;
+    int keepOrdinary = Math.min(keep, (int) Math.ceil(Math.max(need * 1.2, urgent)));
+    if (have <= keepOrdinary) return;
     List<View.Seen> idle = new ArrayList<>();
     List<String> ready = new ArrayList<>();
     for (View.Seen s : up) {
       if (!s.m.type().equals(type) || !s.m.tasks().isEmpty() || returning.contains(s.id)) continue;
       if (s.m.draining()) ready.add(s.id);
-      else if (s.idleMs(now) > Constants.IDLE_RETURN_MS) idle.add(s);
+      else if (s.idleMs(now) > (s.m.spot() ? Constants.IDLE_RETURN_MS : Constants.IDLE_ORDINARY_MS))
+        idle.add(s);
     }
     if (!ready.isEmpty()) {
       giveBack(ready, "idle");
@@ -373,9 +391,12 @@
     }
     // the dear ones first, then those that have waited longest
     idle.sort(Comparator.comparing((View.Seen s) -> s.m.spot()).thenComparing(s -> -s.idleMs(now)));
-    int n = Math.min(have - keep, Math.max(1, have / 6));
+    int most = Math.max(1, have / 6);
+    int left = have;
     Map<String, List<String>> drains = new HashMap<>();
-    for (View.Seen s : idle.subList(0, Math.min(n, idle.size()))) {
+    for (View.Seen s : idle) {
+      if (have - left >= most || left <= (s.m.spot() ? keep : keepOrdinary)) break;
+      left--;
       drains.computeIfAbsent(s.owner, k -> new ArrayList<>()).add(s.id);
     }
     drains.forEach((owner, ids) -> core.drain(owner, ids));
