--- a/src/main/java/mallowstall/Constants.java
+++ b/src/main/java/mallowstall/Constants.java
@@ -217,6 +217,16 @@
    */
   public static final double WORK_WEIGHT = 3;
 
+  /**
+   * ms. A job that has nothing on machines and had nothing started for so long comes before all
+   * others: the largest must begin within 4 minutes however long an overload lasts, and room must
+   * still free itself and an image be fetched.
+   */
+  public static final long STARVES_MS = 90_000;
+
+  /** ms. For so long, and then again after three times as long, room is left to starving jobs. */
+  public static final long YIELD_MS = 8_000;
+
   /** ms. How long a job leaves free room to other controllers' jobs that come before it. */
   public static final long OUTRANKED_MS = 2_500;
 
--- a/src/main/java/mallowstall/core/Holder.java
+++ b/src/main/java/mallowstall/core/Holder.java
@@ -161,6 +161,10 @@
   /** Tasks that were sent to an owner and not yet seen on a machine. */
   private final Set<Active> unseen = new LinkedHashSet<>();
 
+  /** Per team, the job that must give up grants. */
+  private final Map<String, String> yielding = new HashMap<>();
+
+  private long nextYielding;
   private long nextAdopt;
 
   Holder(Core core, Store store) {
@@ -419,6 +423,10 @@
     latch();
     adopt();
     for (Held h : new ArrayList<>(jobs.values())) write(h);
+    if (core.now() >= nextYielding) {
+      nextYielding = core.now() + Constants.ADOPT_EVERY_MS;
+      findYielding();
+    }
     grants();
   }
 
@@ -667,7 +675,7 @@
   private int delta(Held h, long now) {
     int spare = h.rec.grant() - h.active.size();
     if (!h.latched) return 0;
-    if (h.over()) return -Math.max(0, spare);
+    if (h.over() || yields(h)) return -Math.max(0, spare);
     int pending = h.pending();
     boolean roomy = roomy(h.spec.team());
     if (spare - pending > (roomy ? h.rec.grant() / 2 : 0)) return -(spare - pending);
@@ -680,6 +688,44 @@
     return 0;
   }
 
+  /**
+   * Whether the job must give up what of its grant becomes free: its team is at its limit, a job of
+   * the team has had none for long, and of those that have some this one has most. A large job with
+   * tasks waiting would otherwise use its grant again and again, and nobody else get any.
+   */
+  boolean yields(Held h) {
+    return h.id.equals(yielding.get(h.spec.team()));
+  }
+
+  private void findYielding() {
+    yielding.clear();
+    Map<String, JobRec> most = new HashMap<>();
+    Set<String> starved = new HashSet<>();
+    for (JobRec r : core.openJobs()) {
+      if (r.fin() != Final.NONE || !limited(r.spec())) continue;
+      String team = r.spec().team();
+      if (r.grant() == 0) {
+        TeamRec sum = teamSum(team);
+        boolean full =
+            room(core.settings().teams().get(team), r.spec(), sum.cpus(), sum.gpus(), 1) == 0;
+        if (full && core.wall() - r.submittedMs() > Constants.STARVES_MS) starved.add(team);
+      } else {
+        most.merge(team, r, (a, b) -> weight(a) >= weight(b) ? a : b);
+      }
+    }
+    for (String team : starved)
+      if (most.containsKey(team)) yielding.put(team, most.get(team).spec().id());
+  }
+
+  private static double weight(JobRec r) {
+    return r.grant() * (r.spec().cpus() + 1e-3 * r.spec().gpus());
+  }
+
+  private TeamRec teamSum(String team) {
+    Store.Held held = store.held(Store.TEAMS + team);
+    return held == null ? new TeamRec(0, 0) : (TeamRec) held.value();
+  }
+
   /** How many more tasks like these keep the team's sums within this fraction of its limits. */
   private static int room(Team t, JobSpec j, double cpus, double gpus, double fraction) {
     double n = Integer.MAX_VALUE;
@@ -692,9 +738,7 @@
   /** Whether all running grants of the team are at most half of what it may use. */
   private boolean roomy(String team) {
     Team t = core.settings().teams().get(team);
-    Store.Held held = store.held(Store.TEAMS + team);
-    if (held == null) return true;
-    TeamRec sum = (TeamRec) held.value();
+    TeamRec sum = teamSum(team);
     return (t.cpusMax() <= 0 || sum.cpus() <= t.cpusMax() * Constants.ROOMY)
         && (t.gpusMax() <= 0 || sum.gpus() <= t.gpusMax() * Constants.ROOMY);
   }
--- a/src/main/java/mallowstall/core/Placement.java
+++ b/src/main/java/mallowstall/core/Placement.java
@@ -41,7 +41,13 @@
   private final Map<String, List<StartOrder>> out = new LinkedHashMap<>();
 
   /** Waiting work of one job, as far as it matters to others. */
-  private record Ahead(int rank, String type, String holder, double cpus) {}
+  private record Ahead(String job, int rank, String type, String holder, double cpus) {}
+
+  /** Jobs that starve, whoever holds them, and since when that is known here. */
+  private final Map<String, Long> starvingSince = new HashMap<>();
+
+  /** Tasks on machines, by job, as all owners tell. */
+  private final Object2IntOpenHashMap<String> placedOf = new Object2IntOpenHashMap<>();
 
   private final Set<String> entitled = new HashSet<>();
   private final List<Ahead> aheads = new ArrayList<>();
@@ -58,12 +64,27 @@
   }
 
   /**
-   * Priority before deadline before age. Jobs that can't meet their deadline any more come after
-   * those that can: serving them first would only make more of them. Among the rest slack decides,
-   * and of like slack the smaller job, since each job counts once.
+   * A job of which nothing is on a machine and nothing was started for so long: whatever its
+   * priority, size and hope, it is next, with a tenth of its tasks. Smaller and still hopeful jobs
+   * before it would otherwise keep it waiting as long as the overload lasts.
+   */
+  private boolean starves(Held h) {
+    return h.active.isEmpty()
+        && h.pending() > 0
+        && waitedS(h, core.now()) * 1000 > Constants.STARVES_MS;
+  }
+
+  /**
+   * Starving jobs first, the longest waiting before others. Then priority before deadline before
+   * age. Jobs that can't meet their deadline any more come after those that can: serving them first
+   * would only make more of them. Among the rest slack decides, and of like slack the smaller job,
+   * since each job counts once.
    */
   int order(Held a, Held b) {
-    int c = Integer.compare(b.spec.priority().ordinal(), a.spec.priority().ordinal());
+    int c = Boolean.compare(starves(b), starves(a));
+    if (c != 0) return c;
+    if (starves(a)) return Long.compare(a.rec.submittedMs(), b.rec.submittedMs());
+    c = Integer.compare(b.spec.priority().ordinal(), a.spec.priority().ordinal());
     if (c != 0) return c;
     c = Integer.compare(tier(a.rec, a.spec), tier(b.rec, b.spec));
     if (c != 0) return c;
@@ -117,12 +138,17 @@
     // one priority after the other; within one, every job tries a block before any tries the next
     for (int from = 0; from < wait.size() && budget > 0; ) {
       Priority priority = wait.get(from).spec.priority();
+      boolean starving = starves(wait.get(from));
       List<Try> tries = new ArrayList<>();
       int blocks = 0;
-      for (; from < wait.size() && wait.get(from).spec.priority() == priority; from++) {
+      for (;
+          from < wait.size()
+              && wait.get(from).spec.priority() == priority
+              && starves(wait.get(from)) == starving;
+          from++) {
         Try t = new Try(wait.get(from), machines);
         if (now < t.backOff.until && core.roomNews() <= t.backOff.roomSeen) continue;
-        if (outranked(t.h, now)) continue;
+        if (!starving && outranked(t.h, now)) continue;
         tries.add(t);
         blocks = Math.max(blocks, t.policy.blocks().size());
       }
@@ -162,12 +188,13 @@
       policy = core.policies().forClass(j.jobClass());
       backOff = backOffs.computeIfAbsent(policy.name(), k -> new BackOff());
       want = h.pending();
+      if (starves(h)) want = Math.min(want, Math.max(1, j.tasks() / 10));
       limited = holder.limited(j);
       // a change of the grant that is under way or in doubt: what it will be isn't known
       spare =
           !limited
               ? Integer.MAX_VALUE
-              : h.granting || h.uncertain ? 0 : h.rec.grant() - h.active.size();
+              : h.granting || h.uncertain || holder.yields(h) ? 0 : h.rec.grant() - h.active.size();
       for (Active a : h.active.values()) {
         oneZone = a.zone;
         perZone.merge(a.zone, 1, Integer::sum);
@@ -323,7 +350,7 @@
       for (RosterTask t : s.m.tasks()) {
         JobRec o = t.state() == null ? null : store.job(t.job());
         if (o == null || t.state() == TaskState.EXITED || t.state() == TaskState.SAVING) continue;
-        if (s.replaced.getOrDefault(ref(t), 0L) > now) continue;
+        if (s.replaced.getOrDefault(ref(t), 0L) > now || spared(o)) continue;
         boolean below = urgent && o.spec().priority().ordinal() < h.spec.priority().ordinal();
         boolean borrowed =
             owed && !o.spec().team().equals(h.spec.team()) && !entitled.contains(o.spec().id());
@@ -344,6 +371,12 @@
     }
   }
 
+  /** What has just begun after starving keeps its few tasks, or it would starve on. */
+  private boolean spared(JobRec o) {
+    return core.wall() - o.submittedMs() > Constants.STARVES_MS
+        && placedOf.getInt(o.spec().id()) <= Math.max(1, o.spec().tasks() / 10);
+  }
+
   private static TaskRef ref(RosterTask t) {
     return new TaskRef(t.job(), t.task(), t.attempt());
   }
@@ -405,6 +438,15 @@
     String type = core.fleet().minimalType(h.spec);
     if (type == null) return false;
     int mine = rank(h.rec, h.spec);
+    // by turns, since it may have reasons of its own to wait
+    double starving = 0;
+    for (Ahead a : aheads) {
+      long since = a.rank > 0 ? now : starvingSince.getOrDefault(a.job, now);
+      boolean turn = (now - since) % (4 * Constants.YIELD_MS) < Constants.YIELD_MS;
+      if (a.rank == 0 && turn && type.equals(a.type) && !core.node().equals(a.holder))
+        starving += a.cpus;
+    }
+    if (starving > 0 && starving >= freeOf.getDouble(type)) return true;
     double ahead = 0;
     for (Ahead a : aheads) {
       if (a.rank < mine && type.equals(a.type) && !core.node().equals(a.holder)) ahead += a.cpus;
@@ -428,7 +470,8 @@
     waiting.clear();
     aheads.clear();
     warm.clear();
-    Object2IntOpenHashMap<String> placedOf = new Object2IntOpenHashMap<>();
+    placedOf.clear();
+    starvingSince.keySet().removeIf(id -> store.job(id).fin() != Final.NONE);
     Map<String, JobSpec> sample = new HashMap<>();
     for (View.Seen s : core.view().machines.values()) {
       if (s.m == null) continue;
@@ -442,8 +485,18 @@
       sample.put(j.image(), j);
       int n = Math.max(0, j.tasks() - rec.doneCount() - placedOf.getInt(j.id()));
       if (n > 0 && store.live(rec.holder(), rec.incarnation())) {
+        boolean starves =
+            placedOf.getInt(j.id()) == 0 && core.wall() - rec.submittedMs() > Constants.STARVES_MS;
+        if (starves) starvingSince.putIfAbsent(j.id(), core.now());
+        else starvingSince.remove(j.id());
+        double cpus = (starves ? Math.max(1, j.tasks() / 10) : n) * j.cpus();
         aheads.add(
-            new Ahead(rank(rec, j), core.fleet().minimalType(j), rec.holder(), n * j.cpus()));
+            new Ahead(
+                j.id(),
+                starves ? 0 : rank(rec, j),
+                core.fleet().minimalType(j),
+                rec.holder(),
+                cpus));
       }
       waiting.mergeDouble(j.image(), n * j.estimateS(), Double::sum);
     }
--- a/src/test/java/mallowstall/core/SafetyCasesTest.java
+++ b/src/test/java/mallowstall/core/SafetyCasesTest.java
@@ -578,6 +578,50 @@
     finished(s, "wk-000001");
   }
 
+  /**
+   * Nobody starves: small urgent jobs without end, more than can be done, and a large routine one
+   * submitted among them begins within 150 s all the same. Without the bound it never did.
+   */
+  @Test
+  void aLargeRoutineJobBeginsInAnOverloadOfUrgentOnes() {
+    Sim s = new Sim(70);
+    s.runMs = 20_000;
+    s.run(8_000);
+    for (int i = 0; i < 400; i++) {
+      String id = String.format("wk-1%05d", i);
+      s.at(
+          i * 700L,
+          () -> s.submit(s.job(id, 4, 4, Priority.HIGH, "free", false, false, true, null)));
+    }
+    s.run(30_000);
+    s.submit(s.job("wk-000001", 40, 4, Priority.NORMAL, "free", true, false, true, null));
+    s.submit(s.job("wk-000002", 40, 4, Priority.LOW, "free", false, true, true, null));
+    s.run(180_000);
+    for (String id : List.of("wk-000001", "wk-000002")) {
+      JobRec r = entry(s, id);
+      boolean begun = r.doneCount() > 0;
+      for (Sim.Worker w : s.workers.values())
+        for (Sim.Worker.T t : w.tasks.values()) begun |= t.job.equals(id);
+      assertTrue(begun, id + " has begun");
+    }
+    assertEquals(List.of(), s.rules.broken);
+  }
+
+  /** The same within one team's limit: a job that uses its grant again and again gives some up. */
+  @Test
+  void aTeamsLargestJobDoesNotKeepAllItsGrants() {
+    Sim s = new Sim(71);
+    s.runMs = 8_000;
+    s.run(8_000);
+    s.submit(s.job("wk-000001", 400, 2, Priority.HIGH, "tight", false, false, true, null));
+    s.run(15_000);
+    s.submit(s.job("wk-000002", 10, 2, Priority.NORMAL, "tight", false, false, true, null));
+    s.run(180_000);
+    assertTrue(entry(s, "wk-000001").doneCount() < 400, "there is more to do than can be");
+    assertTrue(entry(s, "wk-000002").doneCount() > 0, "and still the other has begun");
+    assertEquals(List.of(), s.rules.broken);
+  }
+
   /** Cost follows groups and machines: a large job is decided as one, in chunks of its bitmap. */
   @Test
   void aJobOfAHundredThousandTasksIsDecidedAsOne() {
