--- a/src/main/java/mallowstall/Constants.java
+++ b/src/main/java/mallowstall/Constants.java
@@ -264,7 +264,10 @@
   public static final long IDLE_RETURN_MS = 40_000;
 
   /** ms. The same for ordinary machines, which cost a multiple of spot ones. */
-  public static final long IDLE_ORDINARY_MS = 20_000;
+  public static final long IDLE_ORDINARY_MS = 30_000;
+
+  /** Fraction of the average demand that idle ordinary machines are kept for. */
+  public static final double ORDINARY_FLOOR = 0.8;
 
   /** Factor on an owner's estimate when machines are planned by it: it is often too low. */
   public static final double ESTIMATE_MARGIN = 1.2;
--- a/src/main/java/mallowstall/core/Fleet.java
+++ b/src/main/java/mallowstall/core/Fleet.java
@@ -373,9 +373,10 @@
       return;
     }
     int keep = (int) Math.ceil(Math.max(need * 1.2, floor * 1.15));
-    // dear machines are kept for what there is to do, not for what there was
+    // dear machines are kept for what there is to do more than for what there was
     double urgent = d == null ? 0 : d.urgent * Constants.RESERVE_FACTOR;
-    int keepOrdinary = Math.min(keep, (int) Math.ceil(Math.max(need * 1.2, urgent)));
+    double was = Math.max(urgent, floor * Constants.ORDINARY_FLOOR);
+    int keepOrdinary = Math.min(keep, (int) Math.ceil(Math.max(need * 1.2, was)));
     if (have <= keepOrdinary) return;
     List<View.Seen> idle = new ArrayList<>();
     List<String> ready = new ArrayList<>();
