--- a/src/test/java/mallowstall/core/SafetyCasesTest.java
+++ b/src/test/java/mallowstall/core/SafetyCasesTest.java
@@ -622,6 +622,83 @@
     assertEquals(List.of(), s.rules.broken);
   }
 
+  /** Runs until the job has another holder than this one; its epoch has been raised then. */
+  private static Sim.Node claimed(Sim s, String id, Sim.Node before) {
+    while (holder(s, id) == before) s.run(s.now + 5);
+    return holder(s, id);
+  }
+
+  @Test
+  void aSessionThatEndsBetweenClaimAndRebuildLosesNoJob() {
+    Sim s = new Sim(72);
+    s.run(8_000);
+    s.submit(plain(s, "wk-000001", 40, "free"));
+    s.run(12_000);
+    Sim.Node h = holder(s, "wk-000001");
+    h.crash(60_000);
+    Sim.Node next = claimed(s, "wk-000001", h);
+    assertFalse(next.core.latched("wk-000001"));
+    long lease = s.state.keys.get(Store.SESSIONS + next.name).lease();
+    s.state.end(lease);
+    s.run(s.now + 75_000);
+    boolean over = entry(s, "wk-000001").fin() == Final.DONE;
+    assertTrue(over || holder(s, "wk-000001").core.latched("wk-000001"), "known and looked after");
+    s.run(250_000);
+    finished(s, "wk-000001");
+  }
+
+  @Test
+  void aMirrorThatIsResetWhileClaimsAreOpenLosesNoJob() {
+    Sim s = new Sim(73);
+    s.run(8_000);
+    for (int i = 0; i < 8; i++) s.submit(plain(s, "wk-00000" + i, 8, "tight"));
+    s.run(12_000);
+    Sim.Node h = holder(s, "wk-000001");
+    h.crash(60_000);
+    claimed(s, "wk-000001", h);
+    for (Sim.Node n : s.nodes.values()) n.tooOld = true;
+    s.run(250_000);
+    for (int i = 0; i < 8; i++) finished(s, "wk-00000" + i);
+  }
+
+  /**
+   * A process is back after 150 ms, ended just when it has claimed the duty, a job or machines,
+   * with late copies of reports and of what its former process asked for following.
+   */
+  @Test
+  void aProcessBackAtOnceInTheMiddleOfAClaimKeepsTheRules() {
+    for (String prefix : List.of(Store.DUTY, Store.JOBS, Store.GROUPS, Store.MACHINES)) {
+      Sim s = new Sim(74);
+      s.lateCopies = 0.2;
+      s.loss = 0.03;
+      s.run(8_000);
+      for (int i = 0; i < 6; i++) s.submit(plain(s, "wk-00000" + i, 8, "tight"));
+      s.run(12_000);
+      for (int i = 0; i < 5; i++) {
+        s.nodes.get(Sim.NODES.get(i % 3)).crash(4_000);
+        int from = s.state.changes.size();
+        String claimant = null;
+        while (claimant == null && s.now < 12_000 + (i + 1) * 15_000L) {
+          s.run(s.now + 5);
+          for (; from < s.state.changes.size() && claimant == null; from++) {
+            Effects.Item c = s.state.changes.get(from);
+            if (!c.key().startsWith(prefix)) continue;
+            if (c.value() instanceof DutyRec d) claimant = d.node();
+            else if (c.value() instanceof JobRec j && j.epoch() > 1) claimant = j.holder();
+            else if (c.value() instanceof GroupRec g) claimant = g.node();
+            else if (c.value() instanceof MachineRec m) claimant = m.node();
+          }
+        }
+        if (claimant != null && s.nodes.containsKey(claimant) && s.nodes.get(claimant).up)
+          s.nodes.get(claimant).crash(150);
+        s.run(12_000 + (i + 1) * 15_000L);
+      }
+      s.lateCopies = s.loss = 0;
+      s.run(300_000);
+      for (int i = 0; i < 6; i++) finished(s, "wk-00000" + i);
+    }
+  }
+
   /** Cost follows groups and machines: a large job is decided as one, in chunks of its bitmap. */
   @Test
   void aJobOfAHundredThousandTasksIsDecidedAsOne() {
--- a/src/test/java/mallowstall/core/Sim.java
+++ b/src/test/java/mallowstall/core/Sim.java
@@ -166,6 +166,9 @@
     boolean up;
     boolean noState;
 
+    /** Its next watch is told that what it asks for is too old. */
+    boolean tooOld;
+
     /** ms added to what the state service answers this node. */
     long lag;
 
@@ -396,6 +399,11 @@
 
     private void look(long after, long until, int l, Consumer<WatchReply> then) {
       if (l != life) return;
+      if (tooOld) {
+        tooOld = false;
+        back(1, () -> then.accept(new WatchReply(Code.GONE, List.of(), 0)));
+        return;
+      }
       if (!state.outage && !noState) {
         state.expire();
         List<Item> out = new ArrayList<>();
