--- a/src/main/java/mallowstall/core/Core.java
+++ b/src/main/java/mallowstall/core/Core.java
@@ -431,6 +431,11 @@
   }
 
   private final class Changes implements Store.Listener {
+    @Override
+    public void overtaken(String machine, MachineRec rec) {
+      owner.overtaken(machine, rec);
+    }
+
     @Override
     public void changed(String key, Entry before, Entry after) {
       if (key == null) {
--- a/src/main/java/mallowstall/core/Owner.java
+++ b/src/main/java/mallowstall/core/Owner.java
@@ -94,6 +94,9 @@
     boolean dangling;
     boolean raising;
 
+    /** Somebody else may have answered it after this controller's former process had ended. */
+    boolean disputed;
+
     /** The term was raised after the last start went astray. */
     boolean raised;
 
@@ -335,6 +338,15 @@
     }
   }
 
+  /** This controller's from the change of that revision on, which is its term too. */
+  private Owned own(String id, MachineType type, String zone, boolean spot, long revision) {
+    Owned o = new Owned(id, type, zone, spot, revision, revision);
+    o.idleSince = core.now();
+    owned.put(id, o);
+    gone.remove(id);
+    return o;
+  }
+
   private void adopted(Arriving a, TxnReply res) {
     Report r = a.report;
     adopting.remove(r.machine());
@@ -344,11 +356,9 @@
       a.reply.accept(ReportAnswer.unable());
       return;
     }
-    Owned o = new Owned(r.machine(), a.type, r.zone(), r.spot(), res.revision(), res.revision());
-    Owned before = owned.put(r.machine(), o);
-    gone.remove(r.machine());
+    Owned before = owned.get(r.machine());
+    Owned o = own(r.machine(), a.type, r.zone(), r.spot(), res.revision());
     if (before != null) o.images.addAll(before.images);
-    o.idleSince = core.now();
     LOG.info(
         "machine {} ({}, {}) adopted under term {} (reported {})",
         o.id,
@@ -767,9 +777,20 @@
     }
   }
 
+  /**
+   * Another controller owned the machine between the record that this one took over from its former
+   * process and its own. That one may have answered the worker since, so the lease doesn't count
+   * from the former process's end: the machine can't be written off before it is confirmed.
+   */
+  void overtaken(String id, MachineRec rec) {
+    Owned o = owned.get(id);
+    if (o != null && o.session == 0 && !rec.node().equals(core.node())) o.disputed = true;
+  }
+
   /**
    * Records that name a former process of this controller: that process is dead, so nobody answers
-   * those machines unless they have gone to another controller, and then the comparison fails.
+   * those machines unless they have gone to another controller, which {@link #overtaken} tells at
+   * the latest before the write-off.
    */
   void reclaim() {
     for (Map.Entry<String, Store.Held> e :
@@ -788,14 +809,11 @@
               rec.spot(),
               r -> {
                 adopting.remove(id);
-                if (r.code() != Code.OK) return;
-                Owned o = new Owned(id, type, rec.zone(), rec.spot(), r.revision(), r.revision());
+                if (r.code() != Code.OK || owned.containsKey(id)) return;
+                Owned o = own(id, type, rec.zone(), rec.spot(), r.revision());
                 // the former process may have answered until just before this one began
                 o.lastOk = core.startedAt();
                 o.heardAt = core.now() - Constants.SILENT_MS;
-                o.idleSince = core.now();
-                if (!owned.containsKey(id)) owned.put(id, o);
-                gone.remove(id);
                 LOG.info("machine {} kept from the former process, term {}", id, o.token);
                 dirty = true;
               });
@@ -851,10 +869,7 @@
             res -> {
               adopting.remove(id);
               if (res.code() != Code.OK || owned.containsKey(id)) return;
-              Owned o = new Owned(id, type, old.zone(), old.spot(), res.revision(), res.revision());
-              owned.put(id, o);
-              gone.remove(id);
-              o.idleSince = core.now();
+              Owned o = own(id, type, old.zone(), old.spot(), res.revision());
               // until it shows the new term, its former owner may renew its lease
               o.lastOk = core.now();
               take(o, r, false);
@@ -891,7 +906,7 @@
       if (o.dangling && !o.raised) raise(o);
       if (o.lost || now - o.lastOk <= writeOff) continue;
       // unconfirmed: a former owner may still be answering it, unless it was our own former process
-      if (!o.confirmed && o.session != 0) continue;
+      if (!o.confirmed && (o.session != 0 || o.disputed)) continue;
       // the mirror has passed the end of the lease and still names this controller
       if (store.freshAt() <= o.lastOk + writeOff) continue;
       LOG.info(
--- a/src/main/java/mallowstall/core/Store.java
+++ b/src/main/java/mallowstall/core/Store.java
@@ -44,6 +44,9 @@
   record Held(Entry value, long version) {}
 
   interface Listener {
+    /** A machine had this record for a while, before the one that the mirror holds already. */
+    void overtaken(String machine, MachineRec rec);
+
     /** A key changed; {@code now} null when deleted. */
     void changed(String key, Entry before, Entry now);
 
@@ -272,7 +275,7 @@
   }
 
   // ---- mirror -------------------------------------------------------------------------------
-  private void apply(Item e) {
+  void apply(Item e) {
     if (e.value() instanceof GroupRec g) {
       for (GroupMachine m : g.machines()) {
         MachineRec rec =
@@ -294,7 +297,11 @@
 
   private void put(String key, Entry value, long version) {
     Held old = mirror.get(key);
-    if (old != null && old.version() >= version) return;
+    if (old != null && old.version() >= version) {
+      if (old.version() > version && value instanceof MachineRec m)
+        listener.overtaken(key.substring(MACHINES.length()), m);
+      return;
+    }
     Long gone = dropped.get(key);
     if (gone != null && gone >= version) return;
     if (value == null) {
--- a/src/test/java/mallowstall/core/SafetyCasesTest.java
+++ b/src/test/java/mallowstall/core/SafetyCasesTest.java
@@ -622,6 +622,45 @@
     assertEquals(List.of(), s.rules.broken);
   }
 
+  /**
+   * A restarted controller takes over the machines of its former process, counting their leases
+   * from its own start. If another has owned one of them in between, which its mirror may tell
+   * late, that one may have answered since: writing the machine off would start its tasks twice.
+   */
+  @Test
+  void aMachineThatAnotherOwnedInBetweenIsNotWrittenOff() {
+    for (boolean between : new boolean[] {false, true}) {
+      Sim s = new Sim(75);
+      s.run(8_000);
+      Sim.Worker w = s.workers.values().iterator().next();
+      String name = s.machineRec(w.id).node();
+      Sim.Node n = s.nodes.get(name);
+      Sim.Node other = s.nodes.get(name.equals("n1") ? "n2" : "n1");
+      s.workers.remove(w.id).dead = true; // silent; whether it is gone nobody knows
+      n.crash(1_000);
+      s.run(9_100);
+      long first = n.core.startedAt();
+      while (s.now < 25_000 && !n.core.store().live(name, n.core.incarnation())) s.run(s.now + 50);
+      MachineRec mine = n.core.store().machine(w.id);
+      while (s.now < 25_000 && (mine == null || mine.incarnation() != n.core.incarnation())) {
+        s.run(s.now + 50);
+        mine = n.core.store().machine(w.id);
+      }
+      assertEquals(n.core.incarnation(), mine.incarnation(), "kept from the former process");
+      GroupRec group =
+          new GroupRec(
+              other.name,
+              other.core.incarnation(),
+              List.of(new GroupMachine(w.id, "t8", w.zone, w.spot)));
+      long revision = mine.token() - 1;
+      if (between)
+        n.event(
+            () -> n.core.store().apply(new Effects.Item(Store.GROUPS + "9-9", group, revision)));
+      s.run(first + Sim.LEASE + 6_000);
+      assertEquals(!between, n.core.view().machines.get(w.id).m.lost());
+    }
+  }
+
   /** Runs until the job has another holder than this one; its epoch has been raised then. */
   private static Sim.Node claimed(Sim s, String id, Sim.Node before) {
     while (holder(s, id) == before) s.run(s.now + 5);
