--- a/src/main/java/mallowstall/Constants.java
+++ b/src/main/java/mallowstall/Constants.java
@@ -105,6 +105,9 @@
   /** Bytes. Largest message between controllers. */
   public static final int PEER_FRAME_MAX = 4 << 20;
 
+  /** Bytes. Longest text in such a message: names are far shorter. */
+  public static final int PEER_TEXT_MAX = 64 << 10;
+
   /** ms. Between attempts to connect to a peer. */
   public static final long PEER_RETRY_MS = 700;
 
--- a/src/main/java/mallowstall/Service.java
+++ b/src/main/java/mallowstall/Service.java
@@ -182,6 +182,7 @@
           try {
             workers.report(q, r);
           } catch (IOException e) {
+            LOG.info("a report is refused: {}", e.getMessage());
             error(r, 400, "not a valid report");
           }
         }
--- a/src/main/java/mallowstall/core/Placement.java
+++ b/src/main/java/mallowstall/core/Placement.java
@@ -346,11 +346,12 @@
 
     /** The fewest lower tasks on the machine that make room for one of this job; none: empty. */
     private List<RosterTask> victims(View.Seen s, boolean urgent, boolean owed, long now) {
+      s.replaced.values().removeIf(until -> until <= now);
       List<RosterTask> lower = new ArrayList<>();
       for (RosterTask t : s.m.tasks()) {
         JobRec o = t.state() == null ? null : store.job(t.job());
         if (o == null || t.state() == TaskState.EXITED || t.state() == TaskState.SAVING) continue;
-        if (s.replaced.getOrDefault(ref(t), 0L) > now || spared(o)) continue;
+        if (s.replaced.containsKey(ref(t)) || spared(o)) continue;
         boolean below = urgent && o.spec().priority().ordinal() < h.spec.priority().ordinal();
         boolean borrowed =
             owed && !o.spec().team().equals(h.spec.team()) && !entitled.contains(o.spec().id());
@@ -471,7 +472,9 @@
     aheads.clear();
     warm.clear();
     placedOf.clear();
-    starvingSince.keySet().removeIf(id -> store.job(id).fin() != Final.NONE);
+    starvingSince
+        .keySet()
+        .removeIf(id -> store.job(id) == null || store.job(id).fin() != Final.NONE);
     Map<String, JobSpec> sample = new HashMap<>();
     for (View.Seen s : core.view().machines.values()) {
       if (s.m == null) continue;
--- a/src/main/java/mallowstall/peers/PeerCodec.java
+++ b/src/main/java/mallowstall/peers/PeerCodec.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import mallowstall.Constants;
 import mallowstall.core.Model.*;
 import org.apache.avro.io.BinaryDecoder;
 import org.apache.avro.io.BinaryEncoder;
@@ -34,6 +35,12 @@
   private static final TaskState[] STATES = TaskState.values();
   private static final Why[] WHYS = Why.values();
 
+  static {
+    // else a few bytes may ask for a text of two gigabytes
+    System.setProperty(
+        "org.apache.avro.limits.string.maxLength", String.valueOf(Constants.PEER_TEXT_MAX));
+  }
+
   private PeerCodec() {}
 
   public static byte[] encode(PeerMessage m) {
@@ -64,7 +71,16 @@
     return out.toByteArray();
   }
 
+  /** Whatever the bytes are: a message, or an {@link IOException}. */
   public static PeerMessage decode(byte[] b) throws IOException {
+    try {
+      return message(b);
+    } catch (RuntimeException e) {
+      throw new IOException("malformed message", e);
+    }
+  }
+
+  private static PeerMessage message(byte[] b) throws IOException {
     BinaryDecoder d = DecoderFactory.get().binaryDecoder(b, null);
     int kind = d.readIndex();
     return switch (kind) {
--- a/src/main/java/mallowstall/peers/PeersAdapter.java
+++ b/src/main/java/mallowstall/peers/PeersAdapter.java
@@ -114,7 +114,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable e) {
-      LOG.debug("connection from a peer ends: {}", e.toString());
+      LOG.info("connection from {} ends: {}", ctx.channel().remoteAddress(), e.toString());
       ctx.close();
     }
   }
--- a/src/test/java/mallowstall/peers/PeerCodecTest.java
+++ b/src/test/java/mallowstall/peers/PeerCodecTest.java
@@ -2,10 +2,12 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
 import java.io.InputStream;
 import java.util.List;
+import java.util.SplittableRandom;
 import mallowstall.core.Model.*;
 import org.apache.avro.Schema;
 import org.apache.avro.generic.GenericDatumReader;
@@ -113,4 +115,24 @@
     assertThrows(
         IOException.class, () -> PeerCodec.decode(java.util.Arrays.copyOf(b, b.length / 2)));
   }
+
+  /**
+   * Bytes of any kind give a message or an exception that is handled; never more memory than that.
+   */
+  @Test
+  void anyBytesAreAMessageOrRefused() {
+    SplittableRandom rnd = new SplittableRandom(5);
+    byte[] good = PeerCodec.encode(ROSTER);
+    int refused = 0;
+    for (int i = 0; i < 20_000; i++) {
+      byte[] b = good.clone();
+      for (int n = rnd.nextInt(6); n >= 0; n--) b[rnd.nextInt(b.length)] = (byte) rnd.nextInt(256);
+      try {
+        PeerCodec.decode(b);
+      } catch (IOException e) {
+        refused++;
+      }
+    }
+    assertTrue(refused > 5_000, "refused " + refused);
+  }
 }
