--- a/src/main/java/mallowstall/Constants.java
+++ b/src/main/java/mallowstall/Constants.java
@@ -166,6 +166,9 @@
   /** Count. Machines asked in one look, within the sockets and the state service's changes. */
   public static final int SEIZE_MOST = 8;
 
+  /** ms. A worker that was sent elsewhere and comes again within this is served where it is. */
+  public static final long REDIRECT_AGAIN_MS = 20_000;
+
   /** ms. By how much the regular roster of a controller that works may be late. */
   public static final long ROSTER_LATE_MS = 500;
 
@@ -338,6 +341,9 @@
   /** Fraction of the sockets that users and workers may use. */
   public static final double SOCKET_SHARE = 0.7;
 
+  /** Fraction of the sockets kept open to workers' own addresses. */
+  public static final double ORDER_SOCKET_SHARE = 0.2;
+
   /** Bits of an attempt number below the epoch: a new holder's attempts exceed all earlier ones. */
   public static final int ATTEMPT_BITS = 24;
 }
--- a/src/main/java/mallowstall/Service.java
+++ b/src/main/java/mallowstall/Service.java
@@ -67,7 +67,9 @@
             : s.facts().limits().maxConnections();
     this.peers = new PeersAdapter(loop, core, events, 16);
     this.users = new UsersAdapter(json, core);
-    this.workers = new WorkersAdapter(json, core, loop, events);
+    this.workers =
+        new WorkersAdapter(
+            json, core, loop, events, (int) (sockets * Constants.ORDER_SOCKET_SHARE));
     this.server = new HttpServer(this::handle, (int) (sockets * Constants.SOCKET_SHARE));
   }
 
--- a/src/main/java/mallowstall/core/Owner.java
+++ b/src/main/java/mallowstall/core/Owner.java
@@ -257,7 +257,9 @@
             && now - p.rosterAt < Constants.ROSTER_EVERY_MS + Constants.ROSTER_LATE_MS
             && now - p.mirrorFreshAt < Constants.CUT_OFF_MS + Constants.WATCH_HOLD_MS;
     Long before = sentBack.get(r.machine());
-    return heard && (before == null || now - before > 20_000) ? old.node() : null;
+    return heard && (before == null || now - before > Constants.REDIRECT_AGAIN_MS)
+        ? old.node()
+        : null;
   }
 
   /** Makes this controller the recorded owner, under a larger token, before the first 200. */
@@ -281,7 +283,8 @@
     if (r.token() == 0) {
       String better = core.preferredOwner(r.machine(), r.zone());
       Long before = redirected.get(r.machine());
-      if (!better.equals(core.node()) && (before == null || now - before > 20_000)) {
+      if (!better.equals(core.node())
+          && (before == null || now - before > Constants.REDIRECT_AGAIN_MS)) {
         redirected.put(r.machine(), now);
         if (redirected.size() > 2_000) redirected.clear();
         reply.accept(ReportAnswer.elsewhere(better));
@@ -849,7 +852,7 @@
       // no session is 0, so this is refused, with the worker's report
       core.effects().order(s.m.addr(), 0, 0, List.of(), r -> seize(id, rec, r.report()));
     }
-    sentBack.values().removeIf(at -> now - at > 20_000);
+    sentBack.values().removeIf(at -> now - at > Constants.REDIRECT_AGAIN_MS);
     orphanSince.keySet().retainAll(orphans);
     asked.keySet().retainAll(orphans);
   }
--- a/src/main/java/mallowstall/workers/WorkersAdapter.java
+++ b/src/main/java/mallowstall/workers/WorkersAdapter.java
@@ -65,7 +65,7 @@
   private static final Logger LOG = LoggerFactory.getLogger("mallowstall.workers");
 
   /** Connections kept to workers' own addresses; beyond it they are opened anew. */
-  private static final int MAX_CLIENTS = 120;
+  private final int maxClients;
 
   private final ObjectMapper json;
   private final Core core;
@@ -73,7 +73,9 @@
   private final Consumer<Runnable> events;
   private final Map<String, HttpClient> clients = new HashMap<>();
 
-  public WorkersAdapter(ObjectMapper json, Core core, EventLoop loop, Consumer<Runnable> events) {
+  public WorkersAdapter(
+      ObjectMapper json, Core core, EventLoop loop, Consumer<Runnable> events, int maxClients) {
+    this.maxClients = maxClients;
     this.json = json;
     this.core = core;
     this.loop = loop;
@@ -95,7 +97,7 @@
         then.accept(new OrderReply(Code.REFUSED, null));
         return;
       }
-      if (clients.size() >= MAX_CLIENTS) {
+      if (clients.size() >= maxClients) {
         clients.values().forEach(HttpClient::closeIdle);
         clients.clear();
       }
