--- a/src/main/java/mallowstall/core/Fleet.java
+++ b/src/main/java/mallowstall/core/Fleet.java
@@ -209,7 +209,8 @@
   /**
    * How many of the job's tasks may run one after the other in one place and still be on time, on a
    * machine that must first be rented and fetch the image. A machine for every two tasks of a job
-   * with minutes to spare cost more than it was worth.
+   * with minutes to spare cost more than it was worth. Whole ones only: a wave and a half rented
+   * too few machines for jobs of which only one wave is on time.
    */
   private double waves(JobRec rec, MachineType t) {
     JobSpec j = rec.spec();
@@ -217,7 +218,7 @@
     double left = j.deadlineS() - (core.wall() - rec.submittedMs()) / 1000.0;
     double ready = t.bootS() + j.imageGb() / Math.max(1e-3, t.fetchGbPerS());
     double each = Math.max(1, j.estimateS() * Constants.ESTIMATE_MARGIN);
-    return Math.max(1, Math.min(Constants.WAVES_MOST, (left - ready) / each));
+    return Math.max(1, Math.min(Constants.WAVES_MOST, Math.floor((left - ready) / each)));
   }
 
   /**
