--- a/src/test/java/mallowstall/core/SafetyCasesTest.java
+++ b/src/test/java/mallowstall/core/SafetyCasesTest.java
@@ -661,6 +661,43 @@
     }
   }
 
+  /**
+   * Machines are planned for whole waves of tasks: where one and three quarters would be on time,
+   * one is, and all its machines are needed. Fewer were rented once.
+   */
+  @Test
+  void machinesArePlannedForWholeWaves() {
+    for (double deadline : new double[] {72, 200}) {
+      Sim s = new Sim(76);
+      s.run(8_000);
+      s.submit(
+          new JobSpec(
+              "wk-000001",
+              "c",
+              "free",
+              Priority.NORMAL,
+              20,
+              4,
+              0,
+              1,
+              "i",
+              1,
+              null,
+              null,
+              false,
+              false,
+              true,
+              30,
+              0,
+              0,
+              deadline));
+      s.run(13_000);
+      int machines = s.workers.size();
+      if (deadline == 72) assertTrue(machines >= 10, "for one wave of 20 tasks: " + machines);
+      else assertTrue(machines >= 5 && machines <= 7, "for two waves: " + machines);
+    }
+  }
+
   /** Runs until the job has another holder than this one; its epoch has been raised then. */
   private static Sim.Node claimed(Sim s, String id, Sim.Node before) {
     while (holder(s, id) == before) s.run(s.now + 5);
