--- a/src/test/java/mallowstall/core/HistoriesTest.java
+++ b/src/test/java/mallowstall/core/HistoriesTest.java
@@ -73,6 +73,7 @@
       s.at(10_000 + s.rnd.nextInt(110_000), () -> trouble(s));
     }
     s.at(140_000, () -> s.loss = s.rosterChaos = s.lateCopies = 0);
+    s.rules.calmSince = 185_000; // the last trouble has begun by 120 s and lasts up to a minute
     s.run(330_000);
     allOver(s);
     assertTrue(s.rules.starts > 40, "starts " + s.rules.starts);
@@ -147,6 +148,21 @@
     }
   }
 
+  /** Runs or stays known: the check of it can fail too, and not before its time. */
+  @Test
+  void theModelSeesAJobNobodyAnswersFor() {
+    Sim s = new Sim(6);
+    Rules r = new Rules(s.teams, 1_000);
+    r.submitted(s.job("wk-000003", 1, 4, Priority.NORMAL, "free", false, false, false, null));
+    r.calmSince = 10_000;
+    r.told(9_000, "wk-000003", 201, "pending");
+    r.told(60_000, "wk-000003", 503, null);
+    r.step(84_000);
+    assertEquals(List.of(), r.broken);
+    r.step(85_500);
+    assertTrue(r.broken.get(0).contains("forgotten"), r.broken.toString());
+  }
+
   /** The checks can fail: rogue commands and answers are each called by their rule's name. */
   @Test
   void theModelSeesBrokenRules() {
--- a/src/test/java/mallowstall/core/Rules.java
+++ b/src/test/java/mallowstall/core/Rules.java
@@ -24,8 +24,12 @@
   private final Map<String, Long> cancelledAt = new HashMap<>();
   private final Map<String, String> told = new HashMap<>();
   private final Set<String> wantsCancel = new HashSet<>();
+  private final Map<String, Long> answered = new HashMap<>();
   int starts;
 
+  /** From here on no trouble is left: every accepted job's questions must be answered. */
+  long calmSince = Long.MAX_VALUE;
+
   Rules(Map<String, Team> teams, long cancelMs) {
     this.teams = teams;
     this.cancelMs = cancelMs;
@@ -80,6 +84,14 @@
   }
 
   void step(long now) {
+    for (Map.Entry<String, Long> e : answered.entrySet()) {
+      String last = told.get(e.getKey());
+      boolean over = "done".equals(last) || "cancelled".equals(last);
+      if (!over && now - 75_000 > Math.max(calmSince, e.getValue())) {
+        broken.add(now + " forgotten: no question about " + e.getKey() + " is answered");
+        e.setValue(now);
+      }
+    }
     for (OnMachine o : on) {
       Long c = cancelledAt.get(o.job);
       if (c != null && now - c > cancelMs) {
@@ -100,6 +112,7 @@
       broken.add(now + " forgotten: " + job + " " + status);
     }
     if (state == null) return;
+    answered.put(job, now);
     boolean fin = "done".equals(before) || "cancelled".equals(before);
     if (fin && !before.equals(state))
       broken.add(now + " went_back: " + job + " " + before + " " + state);
