--- a/src/test/java/mallowstall/core/HistoriesTest.java
+++ b/src/test/java/mallowstall/core/HistoriesTest.java
@@ -104,31 +104,16 @@
         if (!s.workers.isEmpty()) s.killMachine(s.workers.keySet().iterator().next());
       }
       case 6 -> {
-        for (Sim.Node x : s.nodes.values()) {
-          for (String other : Sim.NODES) {
-            x.cut.put(other, true);
-            x.drop(other);
-          }
-        }
-        s.at(
-            3_000 + s.rnd.nextInt(25_000),
-            () -> s.nodes.values().forEach(x -> x.cut.replaceAll((k, v) -> false)));
+        s.refusePeers();
+        s.at(3_000 + s.rnd.nextInt(25_000), s::rejoin);
       }
       case 7 -> {
-        // without state service and peers, but with its workers
-        n.noState = true;
-        for (Sim.Node x : s.nodes.values()) {
-          if (x == n) continue;
-          x.cut.put(n.name, true);
-          n.cut.put(x.name, true);
-          x.drop(n.name);
-          n.drop(x.name);
-        }
+        s.isolate(n);
         s.at(
             3_000 + s.rnd.nextInt(40_000),
             () -> {
               n.noState = false;
-              s.nodes.values().forEach(x -> x.cut.replaceAll((k, v) -> false));
+              s.rejoin();
             });
       }
       case 8, 9 -> {
--- a/src/test/java/mallowstall/core/SafetyCasesTest.java
+++ b/src/test/java/mallowstall/core/SafetyCasesTest.java
@@ -126,7 +126,7 @@
       n.cut.put(h.name, true);
     }
     s.run(30_000);
-    for (Sim.Node n : s.nodes.values()) n.cut.clear();
+    s.rejoin();
     s.run(150_000);
     finished(s, "wk-000001");
   }
@@ -426,7 +426,7 @@
     s.submit(plain(s, "wk-000001", 40, "free"));
     s.run(14_000);
     Sim.Node h = holder(s, "wk-000001");
-    isolate(s, h);
+    s.isolate(h);
     s.run(14_000 + Constants.SESSION_TTL_MS + Constants.SEIZE_AFTER_MS + 4_000);
     Sim.Node next = holder(s, "wk-000001");
     assertFalse(next == h);
@@ -437,22 +437,11 @@
     }
     s.run(45_000);
     h.noState = false;
-    s.nodes.values().forEach(n -> n.cut.clear());
+    s.rejoin();
     s.run(330_000);
     finished(s, "wk-000001");
   }
 
-  private static void isolate(Sim s, Sim.Node h) {
-    h.noState = true;
-    for (Sim.Node n : s.nodes.values()) {
-      if (n == h) continue;
-      h.cut.put(n.name, true);
-      n.cut.put(h.name, true);
-      h.drop(n.name);
-      n.drop(h.name);
-    }
-  }
-
   /** All connections between controllers are refused: work goes on and recovers at once. */
   @Test
   void controllersThatRefuseEachOtherGoOnWorking() {
@@ -460,20 +449,14 @@
     s.run(8_000);
     for (int i = 0; i < 6; i++) s.submit(plain(s, "wk-00000" + i, 30, "free"));
     s.run(14_000);
-    for (Sim.Node n : s.nodes.values()) {
-      for (String other : Sim.NODES) {
-        if (other.equals(n.name)) continue;
-        n.cut.put(other, true);
-        n.drop(other);
-      }
-    }
+    s.refusePeers();
     int before = 0;
     for (int i = 0; i < 6; i++) before += entry(s, "wk-00000" + i).doneCount();
     s.run(40_000);
     int after = 0;
     for (int i = 0; i < 6; i++) after += entry(s, "wk-00000" + i).doneCount();
     assertTrue(after > before + 10, "holders' own machines serve them: " + (after - before));
-    s.nodes.values().forEach(n -> n.cut.clear());
+    s.rejoin();
     s.run(150_000);
     for (int i = 0; i < 6; i++) finished(s, "wk-00000" + i);
   }
--- a/src/test/java/mallowstall/core/Sim.java
+++ b/src/test/java/mallowstall/core/Sim.java
@@ -536,6 +536,28 @@
     return id;
   }
 
+  /** Without state service and peers, but with its workers, until {@link #rejoin}. */
+  void isolate(Node h) {
+    h.noState = true;
+    for (Node n : nodes.values()) if (n != h) part(n, h);
+  }
+
+  /** Controllers refuse each other's connections, all of them, until {@link #rejoin}. */
+  void refusePeers() {
+    for (Node n : nodes.values()) for (Node o : nodes.values()) if (n != o) part(n, o);
+  }
+
+  private static void part(Node a, Node b) {
+    a.cut.put(b.name, true);
+    b.cut.put(a.name, true);
+    a.drop(b.name);
+    b.drop(a.name);
+  }
+
+  void rejoin() {
+    for (Node n : nodes.values()) n.cut.clear();
+  }
+
   /** The machine's record as the first controller that is up has it. */
   MachineRec machineRec(String id) {
     for (Node n : nodes.values()) if (n.up) return n.core.store().machine(id);
