Starving is counted from the last task that ran, not from the last start tried

Cause: a job that starves is served next, but a start that its machine's owner refused counted as served, so the job waited 90 s more. Ruled out: other jobs outranking it (it was first in order when its start was refused).

--- a/src/main/java/mallowstall/core/Holder.java
+++ b/src/main/java/mallowstall/core/Holder.java
@@ -100,6 +100,10 @@
     long heldSince;
     long lastPreempt;
     long lastStart;
+
+    /** When a task of the job was last seen to run; starts that were only tried don't count. */
+    long lastRan;
+
     long outrankedSince;
     int wantsGrant;
     boolean granting;
@@ -335,6 +339,7 @@
     Active a = h.active.get(t.task());
     boolean same = a != null && a.attempt == t.attempt() && a.machine.equals(m.machine());
     if (same) a.listed = true;
+    if (t.state() == TaskState.RUNNING || t.why() == Why.DONE) h.lastRan = core.now();
     if (t.state() == TaskState.EXITED) {
       if (t.why() == Why.DONE) {
         if (!h.done.get(t.task())) {
--- a/src/main/java/mallowstall/core/Placement.java
+++ b/src/main/java/mallowstall/core/Placement.java
@@ -64,14 +64,16 @@
   }
 
   /**
-   * A job of which nothing is on a machine and nothing was started for so long: whatever its
-   * priority, size and hope, it is next, with a tenth of its tasks. Smaller and still hopeful jobs
-   * before it would otherwise keep it waiting as long as the overload lasts.
+   * A job of which nothing is on a machine and nothing ran for so long: whatever its priority, size
+   * and hope, it is next, with a tenth of its tasks. Smaller and still hopeful jobs before it would
+   * otherwise keep it waiting as long as the overload lasts.
    */
   private boolean starves(Held h) {
     return h.active.isEmpty()
         && h.pending() > 0
-        && waitedS(h, core.now()) * 1000 > Constants.STARVES_MS;
+        && core.wall() - h.rec.submittedMs() > Constants.STARVES_MS
+        // not since the last try: a start that an owner refused once cost the job another wait
+        && (h.lastRan == 0 || core.now() - h.lastRan > Constants.STARVES_MS);
   }
 
   /**
