Connections to workers' own addresses are given up one by one, and closed for good

Cause, found by reading for fleets with more workers than connections: when the pool was full all its clients were forgotten at once; those with a call under way were never closed after it, so sockets leaked, and every other worker's next command had to connect anew. Now the longest unused client makes room and closes its connection when its call is over. The test over loopback fails without that (a server of one connection answers nobody else).

--- a/src/main/java/mallowstall/net/HttpClient.java
+++ b/src/main/java/mallowstall/net/HttpClient.java
@@ -48,6 +48,7 @@
   private final ArrayDeque<Conn> idle = new ArrayDeque<>();
   private final ArrayDeque<Call> queue = new ArrayDeque<>();
   private int open;
+  private boolean retired;
 
   private static final class Call {
     final HttpMethod method;
@@ -101,8 +102,9 @@
     }
   }
 
-  /** Closes the connections that carry no call. */
-  public void closeIdle() {
+  /** No further call will be made: connections close at once, or when their call is over. */
+  public void retire() {
+    retired = true;
     for (Conn c : new ArrayDeque<>(idle)) c.channel.close();
   }
 
@@ -185,7 +187,7 @@
       byte[] b = new byte[m.content().readableBytes()];
       m.content().readBytes(b);
       boolean keep = HttpUtil.isKeepAlive(m);
-      if (keep) idle.push(this);
+      if (keep && !retired) idle.push(this);
       else ctx.close();
       next();
       c.finish(new Reply(m.status().code(), b));
--- a/src/main/java/mallowstall/workers/WorkersAdapter.java
+++ b/src/main/java/mallowstall/workers/WorkersAdapter.java
@@ -5,11 +5,10 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpMethod;
+import it.unimi.dsi.fastutil.objects.Object2ObjectLinkedOpenHashMap;
 import java.io.IOException;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.function.Consumer;
 import mallowstall.Constants;
 import mallowstall.config.Settings;
@@ -71,7 +70,8 @@
   private final Core core;
   private final EventLoop loop;
   private final Consumer<Runnable> events;
-  private final Map<String, HttpClient> clients = new HashMap<>();
+  private final Object2ObjectLinkedOpenHashMap<String, HttpClient> clients =
+      new Object2ObjectLinkedOpenHashMap<>();
 
   public WorkersAdapter(
       ObjectMapper json, Core core, EventLoop loop, Consumer<Runnable> events, int maxClients) {
@@ -89,7 +89,7 @@
   /** Commands to the worker's own address. */
   public void order(
       String addr, long token, long session, List<Command> commands, Consumer<OrderReply> then) {
-    HttpClient c = clients.get(addr);
+    HttpClient c = clients.getAndMoveToLast(addr);
     if (c == null) {
       try {
         c = new HttpClient(loop, Settings.address(addr), 1);
@@ -97,10 +97,9 @@
         then.accept(new OrderReply(Code.REFUSED, null));
         return;
       }
-      if (clients.size() >= maxClients) {
-        clients.values().forEach(HttpClient::closeIdle);
-        clients.clear();
-      }
+      // the longest unused one makes room: closing all at once, with calls under way on some,
+      // left those open for good and made every other worker's next command connect anew
+      if (clients.size() >= maxClients) clients.removeFirst().retire();
       clients.put(addr, c);
     }
     byte[] body;
