Tests: a controller that stands still, a zone cut off, half as many machines again

Standing still: what an event decides leaves only when the controller wakes, 4 to 28 s later, and what came meanwhile lies unread. A zone is cut off with its controller while another ends. 1,466 machines outlive two ends of all controllers, the second just after an outage.

--- a/src/test/java/mallowstall/core/HistoriesTest.java
+++ b/src/test/java/mallowstall/core/HistoriesTest.java
@@ -81,7 +81,7 @@
 
   private static void trouble(Sim s) {
     Sim.Node n = s.nodes.get(Sim.NODES.get(s.rnd.nextInt(3)));
-    switch (s.rnd.nextInt(11)) {
+    switch (s.rnd.nextInt(13)) {
       case 0 -> n.crash(s.rnd.nextBoolean() ? 200 : 5_000);
       case 1 -> {
         for (Sim.Node x : s.nodes.values()) x.crash(300 + s.rnd.nextInt(5_000));
@@ -116,6 +116,12 @@
               s.rejoin();
             });
       }
+      case 11 -> n.freezeFor = 2_000 + s.rnd.nextInt(28_000);
+      case 12 -> {
+        if (s.cutZone != null) return;
+        s.cutOff(s.rnd.nextBoolean() ? "a" : "b");
+        s.at(5_000 + s.rnd.nextInt(40_000), s::rejoin);
+      }
       case 8, 9 -> {
         List<Sim.Worker> ws = List.copyOf(s.workers.values());
         if (ws.isEmpty()) return;
--- a/src/test/java/mallowstall/core/SafetyCasesTest.java
+++ b/src/test/java/mallowstall/core/SafetyCasesTest.java
@@ -565,6 +565,85 @@
     finished(s, "wk-000001");
   }
 
+  /**
+   * A controller stands still for longer than its session, between deciding and sending: its
+   * starts, answers and changes leave when it wakes. The others serve its jobs and machines
+   * meanwhile, and nothing that comes late starts a task or undoes a change.
+   */
+  @ParameterizedTest
+  @ValueSource(longs = {4_000, 12_000, 28_000})
+  void aControllerThatStandsStillActsOnNothingOld(long ms) {
+    Sim s = new Sim(80 + ms);
+    s.runMs = 3_000;
+    s.run(8_000);
+    for (int i = 0; i < 9; i++) s.submit(plain(s, "wk-00000" + i, 8, "tight"));
+    s.run(9_500);
+    Sim.Node n = holder(s, "wk-000004");
+    n.freezeFor = ms;
+    s.run(9_500 + ms);
+    for (int i = 0; i < 9 && ms > 20_000; i++)
+      assertTrue(holder(s, "wk-00000" + i) != n, "others hold wk-00000" + i);
+    s.run(200_000);
+    for (int i = 0; i < 9; i++) finished(s, "wk-00000" + i);
+  }
+
+  /**
+   * A zone is cut off with all in it while a controller outside ends. Its workers go on as long as
+   * its controller answers them, jobs submitted meanwhile are done outside, and what was held back
+   * by the cut breaks no rule when it comes.
+   */
+  @Test
+  void aZoneThatIsCutOffWhileAControllerEnds() {
+    Sim s = new Sim(90);
+    s.run(8_000);
+    for (int i = 0; i < 4; i++) s.submit(plain(s, "wk-00000" + i, 8, "tight"));
+    s.run(10_000);
+    s.cutOff("b");
+    s.run(20_000);
+    s.nodes.get("n2").crash(4_000);
+    s.run(24_000);
+    List<JobSpec> outside = new ArrayList<>();
+    for (int i = 4; i < 8; i++) {
+      outside.add(s.job("wk-00000" + i, 4, 2, Priority.HIGH, "free", false, false, true, "a"));
+      s.submit(outside.get(outside.size() - 1));
+    }
+    s.run(55_000);
+    for (JobSpec j : outside) assertTrue(entry(s, j.id()).doneCount() > 0, j.id() + " is served");
+    s.rejoin();
+    s.run(200_000);
+    for (int i = 0; i < 8; i++) finished(s, "wk-00000" + i);
+  }
+
+  /**
+   * Half as many machines again as the largest fleet: all controllers end, and once more just after
+   * an outage of the state service. The machines come back within their leases, in few changes, and
+   * work goes on.
+   */
+  @Test
+  void fifteenHundredMachinesOutliveTheirControllers() {
+    Sim s = new Sim(91);
+    for (int i = 0; i < 1_462; i++) s.machine("t8", i % 2 == 0 ? "a" : "b", false, 0);
+    s.run(20_000);
+    for (int i = 0; i < 6; i++) s.submit(plain(s, "wk-00000" + i, 700, "free"));
+    s.run(24_000);
+    long before = s.state.revision;
+    for (Sim.Node n : s.nodes.values()) n.crash(2_000);
+    s.run(36_000);
+    for (Sim.Worker w : s.workers.values()) assertEquals(1, w.session, w.id);
+    long adoptions =
+        s.state.changes.stream()
+            .filter(i -> i.version() > before)
+            .filter(i -> i.key().startsWith(Store.GROUPS) || i.key().startsWith(Store.MACHINES))
+            .count();
+    assertTrue(adoptions < 500, "changes for 1,466 machines: " + adoptions);
+    s.state.outage = true;
+    s.run(40_000);
+    s.state.recover();
+    for (Sim.Node n : s.nodes.values()) n.crash(2_000);
+    s.run(110_000);
+    for (int i = 0; i < 6; i++) finished(s, "wk-00000" + i);
+  }
+
   /**
    * Nobody starves: small urgent jobs without end, more than can be done, and large routine ones
    * submitted among them begin within 200 s all the same, whatever the luck. Without the bound they
--- a/src/test/java/mallowstall/core/Sim.java
+++ b/src/test/java/mallowstall/core/Sim.java
@@ -18,6 +18,7 @@
  */
 final class Sim {
   static final List<String> NODES = List.of("n0", "n1", "n2");
+  static final Map<String, String> ZONES = Map.of("n0", "a", "n1", "b", "n2", "a");
   static final long REPORT = 1_000;
   static final long LEASE = 10_000;
   static final long CANCEL = 35_000;
@@ -56,6 +57,11 @@
 
   int strayed;
 
+  /**
+   * This zone is cut off from everything outside it; what goes in or out is held and comes late.
+   */
+  String cutZone;
+
   /** How long tasks run, in ms; 0: 1 to 7 s. */
   long runMs;
 
@@ -195,6 +201,14 @@
     /** ms added to what the state service answers this node. */
     long lag;
 
+    /** It stands still from its next event on for so many ms, while its clocks run on. */
+    long freezeFor;
+
+    private long frozenUntil;
+
+    /** What the event under way decides leaves only so much later. */
+    long lateBy;
+
     final double drift = rnd.nextDouble() * 0.0004;
     final long skew = rnd.nextInt(40) - 20;
     final Map<String, Long> connection = new HashMap<>();
@@ -210,27 +224,15 @@
     void boot() {
       life++;
       up = true;
+      frozenUntil = 0;
       connections = 0;
       List<String> peers = new ArrayList<>(NODES);
       peers.remove(name);
       core =
           new Core(
               new CoreSettings(
-                  name,
-                  peers,
-                  Map.of("n0", "a", "n1", "b", "n2", "a"),
-                  teams,
-                  REPORT,
-                  LEASE,
-                  CANCEL,
-                  25,
-                  300,
-                  120,
-                  24,
-                  8_192,
-                  5,
-                  2_000,
-                  Map.of()),
+                  name, peers, ZONES, teams, REPORT, LEASE, CANCEL, 25, 300, 120, 24, 8_192, 5,
+                  2_000, Map.of()),
               this,
               c -> new TestPolicy(c, () -> evaluations++),
               new Core.Metrics() {
@@ -246,6 +248,10 @@
       at(5, () -> tick(l));
     }
 
+    String zone() {
+      return ZONES.get(name);
+    }
+
     void crash(long downMs) {
       up = false;
       life++;
@@ -256,21 +262,37 @@
     void tick(int l) {
       if (l != life) return;
       ticks++;
-      event(core::tick);
+      if (now >= frozenUntil) event(core::tick);
       at(Constants.TICK_MS, () -> tick(l));
     }
 
     void event(Runnable r) {
       if (!up) return;
+      int l = life;
+      if (now < frozenUntil) {
+        // lies unread until it wakes
+        at(
+            frozenUntil - now,
+            () -> {
+              if (l == life) event(r);
+            });
+        return;
+      }
+      if (freezeFor > 0) {
+        // between the reading of the clock and the sending of what was decided
+        lateBy = freezeFor;
+        frozenUntil = now + freezeFor;
+        freezeFor = 0;
+      }
       core.time((long) (now * (1 + drift)), 1_700_000_000_000L + now + skew);
       r.run();
       core.settle();
-      int l = life;
+      lateBy = 0;
       if (core.nextTimer() != Long.MAX_VALUE) {
         at(
             Math.max(1, core.nextTimer() - (long) (now * (1 + drift))),
             () -> {
-              if (l == life) {
+              if (l == life && now >= frozenUntil) {
                 core.time((long) (now * (1 + drift)), 1_700_000_000_000L + now + skew);
                 core.settle();
               }
@@ -328,7 +350,7 @@
         if (lost) return;
       }
       // in order; behind a cut it is held and delivered late
-      long when = Math.max(now + delay() / 2, lastArrival.getOrDefault(node, 0L));
+      long when = Math.max(now + lateBy + delay() / 2, lastArrival.getOrDefault(node, 0L));
       if (Boolean.TRUE.equals(cut.get(node)))
         when = Math.max(when, now + 2_000 + rnd.nextInt(8_000));
       lastArrival.put(node, when);
@@ -342,6 +364,12 @@
 
     private <T> void ask(
         java.util.function.Supplier<T> exec, T refused, T unknown, Consumer<T> then) {
+      if (lateBy > 0) {
+        // executed when it wakes, with the answer long given up on
+        at(lateBy, exec::get);
+        back(lateBy, () -> then.accept(unknown));
+        return;
+      }
       if (state.outage || noState) {
         back(5, () -> then.accept(refused));
         return;
@@ -479,8 +507,13 @@
     public void order(
         String addr, long token, long session, List<Command> commands, Consumer<OrderReply> then) {
       Worker w = workers.get(addr);
-      if (w == null || w.cut || w.deaf) {
-        if (w != null && w.cut && rnd.nextBoolean()) {
+      if (lateBy > 0 && w != null) {
+        at(lateBy, () -> w.orders(token, session, commands));
+        back(lateBy, () -> then.accept(new OrderReply(Code.UNKNOWN, null)));
+        return;
+      }
+      if (w == null || w.cutFrom(this) || w.deaf) {
+        if (w != null && w.cutFrom(this) && rnd.nextBoolean()) {
           // held by the cut, executed late
           at(1_000 + rnd.nextInt(15_000), () -> w.orders(token, session, commands));
           back(Constants.ORDER_TIMEOUT_MS, () -> then.accept(new OrderReply(Code.UNKNOWN, null)));
@@ -565,6 +598,16 @@
     for (Node n : nodes.values()) if (n != h) part(n, h);
   }
 
+  /** The zone is cut off from everything, its controllers too, until {@link #rejoin}. */
+  void cutOff(String zone) {
+    cutZone = zone;
+    for (Node n : nodes.values()) {
+      if (!n.zone().equals(zone)) continue;
+      n.noState = true;
+      for (Node o : nodes.values()) if (!o.zone().equals(zone)) part(n, o);
+    }
+  }
+
   /** Controllers refuse each other's connections, all of them, until {@link #rejoin}. */
   void refusePeers() {
     for (Node n : nodes.values()) for (Node o : nodes.values()) if (n != o) part(n, o);
@@ -578,6 +621,8 @@
   }
 
   void rejoin() {
+    if (cutZone != null) for (Node n : nodes.values()) n.noState &= !n.zone().equals(cutZone);
+    cutZone = null;
     for (Node n : nodes.values()) n.cut.clear();
   }
 
@@ -683,7 +728,7 @@
               if (any.up) any.event(() -> any.core.report(r, a -> {}));
             });
       }
-      if (cut) {
+      if (cutFrom(n)) {
         if (rnd.nextBoolean())
           at(
               1_000 + rnd.nextInt(20_000),
@@ -715,14 +760,18 @@
                         r,
                         a ->
                             at(
-                                delay(),
+                                delay() + n.lateBy,
                                 () -> {
-                                  if (flight == mine && inFlight && !cut && !deaf)
+                                  if (flight == mine && inFlight && !cutFrom(n) && !deaf)
                                     answer(a, sent, r.session());
                                 })));
           });
     }
 
+    boolean cutFrom(Node n) {
+      return cut || cutZone != null && zone.equals(cutZone) != n.zone().equals(cutZone);
+    }
+
     private void next() {
       inFlight = false;
       flight++;
