--- a/src/main/java/mallowstall/core/Holder.java
+++ b/src/main/java/mallowstall/core/Holder.java
@@ -388,7 +388,9 @@
       // both are on machines: the task isn't free before the later one is gone too
       free(a, false);
       task(owner, incarnation, m, t);
-    } else if (t.attempt() < a.attempt && m.confirmed()) {
+    } else if (t.attempt() < a.attempt && m.confirmed() && store.sessionGood()) {
+      // without a session what is known here may be old: a controller cut off from the state
+      // service called tasks doubled that were on a machine returned meanwhile
       LOG.error(
           "task {}/{} attempt {} is on {} beside attempt {} on {}",
           h.id,
