--- a/src/test/java/mallowstall/core/SafetyCasesTest.java
+++ b/src/test/java/mallowstall/core/SafetyCasesTest.java
@@ -519,9 +519,13 @@
   }
 
   private static RosterMachine machine(String id, long token) {
+    return machine(id, token, List.of());
+  }
+
+  private static RosterMachine machine(String id, long token, List<RosterTask> tasks) {
     return new RosterMachine(
         id, id, token, 1L << 40, 1, 1, true, true, false, false, false, false, "t8", "a", false, -1,
-        8, 0, 32, 1, List.of(), List.of());
+        8, 0, 32, 1, List.of(), tasks);
   }
 
   /**
@@ -587,6 +591,32 @@
     for (int i = 0; i < 9; i++) finished(s, "wk-00000" + i);
   }
 
+  /**
+   * A holder whose session is gone knows old things: it once called tasks doubled, and asked for
+   * stops, on a machine that had been returned meanwhile. With its session it must do so.
+   */
+  @Test
+  void aHolderWithoutSessionCallsNoTaskDoubled() {
+    for (boolean session : new boolean[] {true, false}) {
+      Sim s = new Sim(92);
+      s.runMs = 60_000;
+      s.run(8_000);
+      s.submit(plain(s, "wk-000001", 1, "tight"));
+      s.run(13_000);
+      Sim.Node n = holder(s, "wk-000001");
+      long attempt = 0;
+      for (Sim.Worker w : s.workers.values())
+        for (Sim.Worker.T t : w.tasks.values()) attempt = t.attempt;
+      n.noState = !session;
+      s.run(20_000);
+      RosterTask older = new RosterTask("wk-000001", 0, attempt - 1, TaskState.RUNNING, null);
+      RosterMachine m = machine("m-900001", 1, List.of(older));
+      n.stopsSent = 0;
+      n.event(() -> n.core.message(roster(1, 0, List.of(m), List.of())));
+      assertEquals(session ? 1 : 0, n.stopsSent);
+    }
+  }
+
   /**
    * A zone is cut off with all in it while a controller outside ends. Its workers go on as long as
    * its controller answers them, jobs submitted meanwhile are done outside, and what was held back
--- a/src/test/java/mallowstall/core/Sim.java
+++ b/src/test/java/mallowstall/core/Sim.java
@@ -201,6 +201,9 @@
     /** ms added to what the state service answers this node. */
     long lag;
 
+    /** Orders to stop tasks, to whomever. */
+    int stopsSent;
+
     /** It stands still from its next event on for so many ms, while its clocks run on. */
     long freezeFor;
 
@@ -337,6 +340,7 @@
 
     @Override
     public void send(String node, PeerMessage m) {
+      if (m instanceof Stops) stopsSent++;
       if (!connection.containsKey(node)) return;
       Node other = nodes.get(node);
       int l = other.life;
