--- a/src/test/java/mallowstall/core/SafetyCasesTest.java
+++ b/src/test/java/mallowstall/core/SafetyCasesTest.java
@@ -36,6 +36,14 @@
     assertEquals(r.spec().tasks(), r.doneCount());
   }
 
+  /** Changes of machines' owners since that revision. */
+  private static long adoptions(Sim s, long since) {
+    return s.state.changes.stream()
+        .filter(i -> i.version() > since)
+        .filter(i -> i.key().startsWith(Store.GROUPS) || i.key().startsWith(Store.MACHINES))
+        .count();
+  }
+
   @Test
   void aCommandThatArrivesLateStartsNothingTwice() {
     Sim s = new Sim(31);
@@ -558,11 +566,7 @@
     for (Sim.Node n : s.nodes.values()) n.crash(2_000);
     s.run(32_000);
     for (Sim.Worker w : s.workers.values()) assertEquals(1, w.session, w.id);
-    long adoptions =
-        s.state.changes.stream()
-            .filter(i -> i.version() > before)
-            .filter(i -> i.key().startsWith(Store.GROUPS) || i.key().startsWith(Store.MACHINES))
-            .count();
+    long adoptions = adoptions(s, before);
     assertTrue(adoptions < 150, "changes for 304 machines: " + adoptions);
     s.submit(plain(s, "wk-000001", 40, "free"));
     s.run(90_000);
@@ -689,11 +693,7 @@
     for (Sim.Node n : s.nodes.values()) n.crash(2_000);
     s.run(36_000);
     for (Sim.Worker w : s.workers.values()) assertEquals(1, w.session, w.id);
-    long adoptions =
-        s.state.changes.stream()
-            .filter(i -> i.version() > before)
-            .filter(i -> i.key().startsWith(Store.GROUPS) || i.key().startsWith(Store.MACHINES))
-            .count();
+    long adoptions = adoptions(s, before);
     assertTrue(adoptions < 500, "changes for 1,466 machines: " + adoptions);
     s.state.outage = true;
     s.run(40_000);
