Cancellations are told between controllers until the peer's mirror has them

Cause: the state service refused the leading controller alone, another confirmed a cancellation, and the state service was down for all. The leader kept machines alive while fresh words of its peers said that none was told; a process that was back at once knew nothing of what its predecessor had confirmed, said so, and the tasks ran on (test: CONFIRMER_BACK_AT_ONCE, broken before). Otherwise everybody's leases ran out for the one job. Now each statement names the cancellations newer than the peer's mirror; owners stop those tasks at once and refuse their starts. A peer's word counts from when the statement it acknowledges was sent from here, so one held back by a cut vouches for nothing new. Withheld leases stay as the backstop when a peer isn't heard.

Also: the session's entry is compared with what was read, and asked for again when it is replaced by a late one (everybody took the controller for dead, it never noticed); a submission answered after standing still is read anew; a repeated submission of an accepted job gets its state even if it is wrong by itself.

Ruled out: a stream of words that are all 30 s late (held before too, since none counted as fresh meanwhile).

--- a/src/main/java/mallowstall/Constants.java
+++ b/src/main/java/mallowstall/Constants.java
@@ -99,6 +99,15 @@
   /** Count. Machines handed on that an owner remembers; beyond it peers are told all anew. */
   public static final int GONE_KEPT = 2_000;
 
+  /**
+   * Count. Cancellations kept to be told to peers that don't follow the state service: hundreds a
+   * minute for as long as workers may be kept alive without it. Beyond it nobody's word counts.
+   */
+  public static final int CANCELLED_KEPT = 2_000;
+
+  /** Count. Statements whose sending is remembered: more than a minute of them. */
+  public static final int STATEMENTS_DATED = 600;
+
   /** ms. A peer's roster older than this is not used for placing; its digest is. */
   public static final long ROSTER_STALE_MS = 4_000;
 
--- /dev/null
+++ b/src/main/java/mallowstall/core/Cancellations.java
@@ -0,0 +1,78 @@
+package mallowstall.core;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import mallowstall.Constants;
+import mallowstall.core.Model.*;
+
+/**
+ * Cancellations as controllers tell each other. Whoever the state service refuses learns of them
+ * from its peers, so that it can stop those tasks and need not let everybody's leases run out.
+ *
+ * <p>Every statement to a peer names all cancellations in this controller's mirror that are newer
+ * than that peer's own mirror, as it has told; nothing is counted as heard, so a lost statement
+ * costs nothing. Acting on a peer's word is safe, since a final state never changes; it only stops
+ * tasks and refuses starts, and never makes an entry of the mirror, whose other fields it lacks.
+ */
+final class Cancellations {
+  private record Cancelled(long version, String job) implements Comparable<Cancelled> {
+    @Override
+    public int compareTo(Cancelled o) {
+      return version != o.version ? Long.compare(version, o.version) : job.compareTo(o.job);
+    }
+  }
+
+  private final Store store;
+
+  /** What the mirror holds, by the revision at which it came to know. */
+  private final TreeSet<Cancelled> recorded = new TreeSet<>();
+
+  /** Cancellations up to this revision are no longer kept. */
+  private long forgotten;
+
+  /** What only peers have told; the mirror doesn't say so yet. */
+  private final Set<String> told = new HashSet<>();
+
+  Cancellations(Store store) {
+    this.store = store;
+  }
+
+  /** The mirror has learnt of it. */
+  void recorded(String job, long version) {
+    told.remove(job);
+    recorded.add(new Cancelled(version, job));
+    while (recorded.size() > Constants.CANCELLED_KEPT) forgotten = recorded.pollFirst().version();
+  }
+
+  /** Whether all that is newer than this revision is still kept. */
+  boolean keeps(long revision) {
+    return revision >= forgotten;
+  }
+
+  /** Jobs cancelled after this revision. */
+  List<String> since(long revision) {
+    List<String> out = new ArrayList<>();
+    for (Cancelled c : recorded.tailSet(new Cancelled(revision + 1, ""))) out.add(c.job());
+    return out;
+  }
+
+  /** A peer tells of these; false: they can't all be remembered. */
+  boolean heard(List<String> jobs) {
+    boolean all = true;
+    for (String id : jobs) {
+      JobRec j = store.job(id);
+      if (j != null && j.fin() != Final.NONE) continue;
+      if (told.size() < Constants.CANCELLED_KEPT) told.add(id);
+      else all &= told.contains(id);
+    }
+    return all;
+  }
+
+  /** Whether a peer has told that the job is cancelled, and the mirror doesn't know. */
+  boolean told(String job) {
+    return !told.isEmpty() && told.contains(job);
+  }
+}
--- a/src/main/java/mallowstall/core/Core.java
+++ b/src/main/java/mallowstall/core/Core.java
@@ -59,7 +59,7 @@
   private boolean reclaimed;
   private long startedAt;
   private long roomNews = 1;
-  private long cancelTold = Long.MIN_VALUE / 4;
+  private final Cancellations cancellations;
 
   public Core(CoreSettings settings, Effects fx, Policy.Book policies, Metrics metrics, long seed) {
     this.settings = settings;
@@ -67,6 +67,7 @@
     this.policies = policies;
     this.metrics = metrics;
     this.store = new Store(this, fx, new Changes(), settings);
+    this.cancellations = new Cancellations(store);
     this.view = new View(this);
     this.owner = new Owner(this, store);
     this.holder = new Holder(this, store);
@@ -174,6 +175,12 @@
     settle();
   }
 
+  /** A submission that is wrong by itself, unless a controller of another version accepted it. */
+  public void refuse(String id, String why, Consumer<UserAnswer> reply) {
+    users.refuse(id, 400, why, reply);
+    settle();
+  }
+
   public void query(String id, Consumer<UserAnswer> reply) {
     users.query(id, reply);
     settle();
@@ -206,6 +213,7 @@
   }
 
   void rosterFrom(Roster r) {
+    hearCancellations(r);
     if (!view.roster(r)) return;
     holder.roster(r);
     if (r.machines().isEmpty() && r.refusals().isEmpty()) return;
@@ -213,6 +221,13 @@
     awake = true;
   }
 
+  /** Cancellations count whether the statement's machines can be taken in or not. */
+  private void hearCancellations(Roster r) {
+    if (!cancellations.heard(r.cancelled()) || r.heardIncarnation() != incarnation()) return;
+    View.Peer p = view.peer(r.node());
+    p.cancelsKnownAt = Math.max(p.cancelsKnownAt, owner.statementSentAt(r.heardSerial()));
+  }
+
   private void startsFrom(Starts s) {
     View.Peer p = view.peer(s.node());
     if (s.incarnation() < p.gotIncarnation) return;
@@ -307,13 +322,13 @@
     return types;
   }
 
-  /** A user is being told that a job is cancelled. */
-  void tellsCancelled() {
-    cancelTold = now;
+  Cancellations cancellations() {
+    return cancellations;
   }
 
-  long cancelTold() {
-    return cancelTold;
+  /** Whether nothing of the job may be started and all of it must be stopped. */
+  boolean over(String id, JobRec j) {
+    return j != null && j.fin() != Final.NONE || cancellations.told(id);
   }
 
   long roomNews() {
@@ -377,18 +392,14 @@
   }
 
   /**
-   * Whether machines may be kept alive: a controller that can't be sure of hearing of cancellations
-   * lets their leases run out in time.
+   * Whether machines may be kept alive: a controller that can't be sure of having heard of every
+   * cancellation that anybody has confirmed lets their leases run out in time. It has heard of them
+   * up to when its mirror was fresh, or else up to when each of its peers told it of theirs.
    */
   boolean mayKeepAlive() {
     long limit = settings.cancelMs() - settings.leaseMs() - Constants.CANCEL_MARGIN_MS;
-    long fresh = store.freshAt();
-    if (now - fresh < limit) return true;
-    // nobody has told a cancellation since: there is none to miss
-    for (String p : settings.peers()) {
-      View.Peer peer = view.peer(p);
-      if (now - peer.rosterAt > Constants.ROSTER_STALE_MS || peer.cancelAt > fresh) return false;
-    }
+    if (now - store.freshAt() < limit) return true;
+    for (String p : settings.peers()) if (now - view.peer(p).cancelsKnownAt >= limit) return false;
     return true;
   }
 
@@ -438,6 +449,7 @@
         owner.touch();
         return;
       }
+      if (key.equals(Store.SESSIONS + node())) store.ownSession((SessionRec) after);
       if (key.startsWith(Store.JOBS)) {
         JobRec rec = (JobRec) after;
         if (rec == null) return;
@@ -445,6 +457,11 @@
         String id = rec.spec().id();
         if (rec.open()) open.put(id, rec);
         else open.remove(id);
+        if (rec.fin() == Final.CANCELLED
+            && (before == null || ((JobRec) before).fin() != Final.CANCELLED)) {
+          cancellations.recorded(id, store.version(key));
+          owner.touch();
+        }
         users.jobChanged(id, rec);
         holder.jobChanged(id, rec);
       } else if (key.startsWith(Store.MACHINES)) {
--- a/src/main/java/mallowstall/core/Model.java
+++ b/src/main/java/mallowstall/core/Model.java
@@ -288,7 +288,8 @@
    * changed since its statement {@code since} (0: told in full). {@code mirrorRevision} tells up to
    * which revision of the state service it has followed, {@code acked*} which of the receiver's
    * starts are in it, {@code heard*} the newest statement of the receiver that the sender has taken
-   * in: the receiver's next one builds on that.
+   * in: the receiver's next one builds on that. {@code cancelled} names the jobs that the sender
+   * knows to be cancelled since the revision that the receiver's mirror has reached.
    */
   public record Roster(
       String node,
@@ -302,7 +303,7 @@
       long ackedConnection,
       long ackedSeq,
       long sinceMirrorMs,
-      long sinceCancelMs,
+      List<String> cancelled,
       List<RosterMachine> machines,
       List<String> gone,
       List<Refusal> refusals)
--- a/src/main/java/mallowstall/core/Owner.java
+++ b/src/main/java/mallowstall/core/Owner.java
@@ -1,5 +1,6 @@
 package mallowstall.core;
 
+import it.unimi.dsi.fastutil.longs.Long2LongLinkedOpenHashMap;
 import it.unimi.dsi.fastutil.objects.Object2LongOpenHashMap;
 import it.unimi.dsi.fastutil.objects.Object2ObjectLinkedOpenHashMap;
 import java.util.ArrayList;
@@ -153,6 +154,9 @@
   private long lastRoster;
   private long serial;
 
+  /** When the newest statements were made. */
+  private final Long2LongLinkedOpenHashMap madeAt = new Long2LongLinkedOpenHashMap();
+
   /** Machines no longer owned, with the statement that said so. */
   private final Map<String, Long> gone = new LinkedHashMap<>();
 
@@ -478,13 +482,13 @@
       if (t.state() == TaskState.EXITED) {
         boolean forget =
             j != null
-                && (j.fin() != Final.NONE
+                && (core.over(t.job(), j)
                     || done
                     || (t.why() != Why.DONE && o.told.getLong(k) == t.attempt()));
         if (forget && !o.ordered.containsKey(k))
           forgets.add(new Command(CommandKind.FORGET, t.job(), t.task(), t.attempt(), 0));
         o.stops.remove(k);
-      } else if (j != null && (j.fin() != Final.NONE || done)) {
+      } else if (core.over(t.job(), j) || done) {
         stops.add(new Command(CommandKind.STOP, t.job(), t.task(), t.attempt(), 0));
       } else {
         StopOrder s = o.stops.get(k);
@@ -512,7 +516,7 @@
       Key k = new Key(b.order.job(), b.order.task());
       if (o.ordered.containsKey(k)) continue;
       boolean unwanted =
-          j != null && (j.fin() != Final.NONE || core.recordedDone(j, b.order.task()));
+          core.over(b.order.job(), j) || j != null && core.recordedDone(j, b.order.task());
       if (unwanted || o.stops.containsKey(k) || core.wall() > b.order.expiryWallMs()) {
         // every earlier response is dead by now (this answers a later report), so it never runs
         it.remove();
@@ -555,7 +559,7 @@
     for (Booked b : o.booked.values()) {
       Key k = new Key(b.order.job(), b.order.task());
       JobRec j = store.job(b.order.job());
-      if (b.sent || o.stops.containsKey(k) || j == null || j.fin() != Final.NONE) continue;
+      if (b.sent || o.stops.containsKey(k) || j == null || core.over(k.job(), j)) continue;
       if (core.wall() > b.order.expiryWallMs() || out.size() >= Constants.COMMANDS_MAX) continue;
       out.add(new Command(CommandKind.START, b.order.job(), b.order.task(), b.order.attempt(), 0));
       starts.add(b);
@@ -675,7 +679,7 @@
     if (!core.mayKeepAlive()) return "cut off";
     JobRec j = store.job(o.job());
     if (j == null) return NOT_KNOWN;
-    if (j.fin() != Final.NONE) return "job is over";
+    if (core.over(o.job(), j)) return "job is over";
     if (o.epoch() < j.epoch()) return "older epoch";
     if (!store.live(s.node(), s.incarnation())) return "holder's session is gone";
     if (core.wall() > o.expiryWallMs()) return "expired";
@@ -968,12 +972,14 @@
     long now = core.now();
     lastRoster = now;
     serial++;
+    madeAt.put(serial, now);
+    if (madeAt.size() > Constants.STATEMENTS_DATED) madeAt.removeFirstLong();
     List<Owned> changed = state(now);
     List<Refusal> no = new ArrayList<>(refusals);
     refusals.clear();
     for (String p : core.settings().peers()) {
       View.Peer peer = core.view().peer(p);
-      core.effects().send(p, roster(peer, now - store.freshAt(), now - core.cancelTold(), no));
+      core.effects().send(p, roster(peer, now - store.freshAt(), no));
     }
     View.Peer me = core.view().peer(core.node());
     List<RosterMachine> mine = new ArrayList<>();
@@ -991,35 +997,42 @@
             me.gotConnection,
             me.gotSeq,
             0,
-            0,
+            List.of(),
             mine,
             goneSince(me.serial),
             no));
   }
 
   /** What the peer doesn't know for certain yet, or all if it can't be told as a difference. */
-  private Roster roster(View.Peer p, long sinceMirror, long sinceCancel, List<Refusal> no) {
+  private Roster roster(View.Peer p, long sinceMirror, List<Refusal> no) {
     long since = p.knows >= forgotten ? p.knows : 0;
     List<RosterMachine> ms = new ArrayList<>();
     for (Owned o : owned.values()) if (o.saidIn > since) ms.add(o.said);
+    // to acknowledge what it said would vouch for all cancellations newer than its mirror
+    boolean vouches = p.rosterRevision > 0 && core.cancellations().keeps(p.rosterRevision);
     return new Roster(
         core.node(),
         store.incarnation(),
         serial,
         since,
-        p.heardIncarnation,
-        p.heardSerial,
+        vouches ? p.heardIncarnation : 0,
+        vouches ? p.heardSerial : 0,
         store.revision(),
         p.gotIncarnation,
         p.gotConnection,
         p.gotSeq,
         sinceMirror,
-        sinceCancel,
+        vouches ? core.cancellations().since(p.rosterRevision) : List.of(),
         ms,
         since == 0 ? List.of() : goneSince(since),
         no);
   }
 
+  /** When this statement was made; never, if it is forgotten or unknown. */
+  long statementSentAt(long serial) {
+    return madeAt.getOrDefault(serial, Long.MIN_VALUE / 2);
+  }
+
   private List<String> goneSince(long since) {
     List<String> out = new ArrayList<>();
     gone.forEach(
--- a/src/main/java/mallowstall/core/Store.java
+++ b/src/main/java/mallowstall/core/Store.java
@@ -193,6 +193,17 @@
     return lease;
   }
 
+  /**
+   * The mirror shows another session under this controller's name, or none. A change that a former
+   * process asked for may be carried out late, in place of this one's entry, and go with its own
+   * lease: this process then renewed a lease that held nothing, and everybody took it for dead.
+   */
+  void ownSession(SessionRec now) {
+    if (!sessionPut || (now != null && now.incarnation() == incarnation)) return;
+    LOG.info("session entry replaced or gone, incarnation {}", incarnation);
+    sessionPut = false;
+  }
+
   /** Milliseconds for which this controller's session surely lasts; not positive: none. */
   long sessionLeft() {
     return sessionPut ? leaseGoodUntil - core.now() : -1;
@@ -481,12 +492,23 @@
                 - Constants.SESSION_MARGIN_MS);
   }
 
+  /** Compared with what was read, so that one that is carried out late replaces no later one. */
   private void putSession() {
     renewing = true;
+    read(
+        Urgency.SESSION,
+        SESSIONS + core.node(),
+        g -> {
+          if (g.code() == Code.OK) putSession(g.item().version());
+          else failed();
+        });
+  }
+
+  private void putSession(long version) {
     transact(
         Urgency.SESSION,
         new Txn(
-            List.of(),
+            List.of(new Cond(SESSIONS + core.node(), version)),
             List.of(
                 new Put(SESSIONS + core.node(), new SessionRec(core.node(), incarnation), lease)),
             List.of()),
--- a/src/main/java/mallowstall/core/Users.java
+++ b/src/main/java/mallowstall/core/Users.java
@@ -55,8 +55,7 @@
     }
     String never = neverRuns(j);
     if (never != null) {
-      // a repeated submission of an accepted job must not be told that it is wrong
-      reply.accept(UserAnswer.error(422, never));
+      refuse(j.id(), 422, never, reply);
       return;
     }
     if (!store.synced() || !store.sessionGood()) {
@@ -67,13 +66,18 @@
     JobRec rec =
         new JobRec(
             j, core.wall(), core.node(), store.incarnation(), 1, new byte[0], 0, 0, Final.NONE);
+    long since = core.now();
     boolean asked =
         store.transact(
             Store.Urgency.USER,
             new Txn(List.of(new Cond(key, 0)), List.of(new Put(key, rec, 0)), List.of()),
             r -> {
               switch (r.code()) {
-                case OK -> reply.accept(UserAnswer.state(201, j.id(), "pending", 0, 0));
+                case OK -> {
+                  // a controller that stood still meanwhile called a job pending that was over
+                  if (core.now() - since > Constants.READ_LIFE_MS) query(j.id(), reply);
+                  else reply.accept(UserAnswer.state(201, j.id(), "pending", 0, 0));
+                }
                 case CONFLICT -> query(j.id(), reply);
                 default -> reply.accept(later("the job could not be recorded"));
               }
@@ -81,6 +85,28 @@
     if (!asked) reply.accept(later("too many requests are waiting"));
   }
 
+  /**
+   * Wrong, unless it repeats the submission of an accepted job, which must never be told so: that
+   * is asked for first. Without the state service it is told at once.
+   */
+  void refuse(String id, int status, String why, Consumer<UserAnswer> reply) {
+    if (store.job(id) != null) {
+      query(id, reply);
+      return;
+    }
+    UserAnswer no = UserAnswer.error(status, why);
+    if (!store.synced() || core.now() - store.contactAt() > Constants.READ_LIFE_MS) {
+      reply.accept(no);
+      return;
+    }
+    fresh(
+        id,
+        g -> {
+          if (g.code() != Code.OK || g.item().value() == null) reply.accept(no);
+          else reply.accept(answer((JobRec) g.item().value()));
+        });
+  }
+
   private String neverRuns(JobSpec j) {
     Team t = core.settings().teams().get(j.team());
     if (t == null) return "unknown team " + j.team();
@@ -147,7 +173,6 @@
   private UserAnswer answer(JobRec rec) {
     String id = rec.spec().id();
     if (rec.fin() == Final.DONE) return UserAnswer.state(200, id, "done", rec.spec().tasks(), 0);
-    if (rec.fin() == Final.CANCELLED) core.tellsCancelled();
     if (rec.fin() == Final.CANCELLED)
       return UserAnswer.state(200, id, "cancelled", rec.doneCount(), 0);
     int running = core.running(id);
--- a/src/main/java/mallowstall/core/View.java
+++ b/src/main/java/mallowstall/core/View.java
@@ -100,7 +100,13 @@
 
     long rosterRevision;
     long mirrorFreshAt = Long.MIN_VALUE / 2;
-    long cancelAt = Long.MIN_VALUE / 2;
+
+    /**
+     * Up to when this controller knows of all cancellations that the peer has told users: its
+     * statement names them, and it was made after it had taken in one that was sent from here at
+     * this time. Dated from its arrival, a statement that a cut had held back passed for new.
+     */
+    long cancelsKnownAt = Long.MIN_VALUE / 2;
 
     /** What this controller acknowledges to that one. */
     long gotConnection;
@@ -169,7 +175,6 @@
     p.ackedConnection = mine ? r.ackedConnection() : 0;
     p.ackedSeq = mine ? r.ackedSeq() : 0;
     p.mirrorFreshAt = now - r.sinceMirrorMs();
-    p.cancelAt = now - r.sinceCancelMs();
     Set<String> names = r.since() == 0 ? new HashSet<>() : null;
     for (RosterMachine m : r.machines()) {
       // returned: its record is dropped, only its owner hasn't heard of it yet
--- a/src/main/java/mallowstall/peers/PeerCodec.java
+++ b/src/main/java/mallowstall/peers/PeerCodec.java
@@ -128,7 +128,7 @@
     e.writeLong(r.ackedConnection());
     e.writeLong(r.ackedSeq());
     e.writeLong(r.sinceMirrorMs());
-    e.writeLong(r.sinceCancelMs());
+    list(e, r.cancelled(), BinaryEncoder::writeString);
     list(e, r.machines(), PeerCodec::machine);
     list(e, r.gone(), BinaryEncoder::writeString);
     list(e, r.refusals(), PeerCodec::refusal);
@@ -147,7 +147,7 @@
         d.readLong(),
         d.readLong(),
         d.readLong(),
-        d.readLong(),
+        list(d, BinaryDecoder::readString),
         list(d, PeerCodec::machine),
         list(d, BinaryDecoder::readString),
         list(d, PeerCodec::refusal));
--- a/src/main/java/mallowstall/users/UsersAdapter.java
+++ b/src/main/java/mallowstall/users/UsersAdapter.java
@@ -52,8 +52,16 @@
   static final class Malformed extends Exception {
     private static final long serialVersionUID = 1;
 
+    /** The job it is about, if that much can be read. */
+    final String id;
+
     Malformed(String m) {
+      this(m, null);
+    }
+
+    Malformed(String m, String id) {
       super(m);
+      this.id = id;
     }
   }
 
@@ -82,7 +90,8 @@
     try {
       spec = parse(q.body());
     } catch (Malformed e) {
-      error(r, 400, e.getMessage());
+      if (e.id == null) error(r, 400, e.getMessage());
+      else core.refuse(e.id, e.getMessage(), a -> answer(a, r, true));
       return;
     }
     core.submit(spec, a -> answer(a, r, true));
@@ -114,6 +123,14 @@
     if (w == null) throw new Malformed("the body is not an object");
     text("ref", w.id);
     if (!ID.matcher(w.id).matches()) throw new Malformed("ref must look like wk-000412");
+    try {
+      return spec(w);
+    } catch (Malformed e) {
+      throw new Malformed(e.getMessage(), w.id);
+    }
+  }
+
+  private static JobSpec spec(JobWire w) throws Malformed {
     text("lote", w.jobClass);
     text("cuadrilla", w.team);
     text("oficio", w.kind);
--- /dev/null
+++ b/src/test/java/mallowstall/core/MeetingsTest.java
@@ -0,0 +1,265 @@
+package mallowstall.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import mallowstall.core.Model.*;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/**
+ * Two troubles that meet, each brought about on simulated time. Every test first shows that its
+ * meeting took place. The arguments stand in docs/design.md, "When troubles meet".
+ */
+class MeetingsTest {
+  private static final String VICTIM = "wk-000001";
+  private static final String OTHER = "wk-000002";
+
+  private static JobSpec plain(Sim s, String id, int tasks) {
+    return s.job(id, tasks, 2, Priority.NORMAL, "free", false, false, true, null);
+  }
+
+  private static JobRec entry(Sim s, String id) {
+    return (JobRec) s.state.keys.get(Store.JOBS + id).value();
+  }
+
+  /** Tasks of the job that run, by the controller that their machines report to. */
+  private static Map<String, Integer> running(Sim s, String job) {
+    Map<String, Integer> out = new TreeMap<>();
+    for (Sim.Worker w : s.workers.values()) {
+      for (Sim.Worker.T t : w.tasks.values())
+        if (t.job.equals(job) && t.state != TaskState.EXITED) out.merge(w.node, 1, Integer::sum);
+    }
+    return out;
+  }
+
+  private static int count(Map<String, Integer> m) {
+    return m.values().stream().mapToInt(Integer::intValue).sum();
+  }
+
+  /** The user's answer; the confirmation counts from then on. */
+  private static UserAnswer cancelAt(Sim s, Sim.Node n, String id) {
+    s.rules.asksToCancel(id);
+    List<UserAnswer> got = new ArrayList<>();
+    n.event(
+        () ->
+            n.core.cancel(
+                id,
+                a -> {
+                  got.add(a);
+                  s.rules.told(s.now, id, a.status(), a.state());
+                }));
+    long until = s.now + 3_000;
+    while (got.isEmpty() && s.now < until) s.run(s.now + 10);
+    return got.isEmpty() ? null : got.get(0);
+  }
+
+  /** What happens besides, in the meeting before all others. */
+  enum Besides {
+    NOTHING,
+    /** The confirmer ends as soon as it has told, and is back at once. */
+    CONFIRMER_BACK_AT_ONCE,
+    /** The confirmer ends as soon as it has told, for good. */
+    CONFIRMER_GONE,
+    /** All that it says to the leader is held back for long, and then delivered. */
+    WORDS_HELD_BACK,
+    /** All that it says arrives 30 s late: what was said before the cancellation passes for new. */
+    WORDS_LATE,
+    /** Its words are held back and it ends. */
+    WORDS_HELD_BACK_AND_GONE,
+    /** The recorded cancellation is confirmed only when asked for again, in the outage. */
+    TOLD_FROM_MEMORY,
+    /** Half of the machines hang on their commands: nothing reaches them for 8 s. */
+    MACHINES_CANNOT_BE_ASKED
+  }
+
+  /**
+   * The state service refuses the leader alone, another controller confirms a cancellation, then
+   * the service is down for all for longer than a cancellation may take, while workers go on
+   * reporting to the leader. The tasks are gone in time all the same; others' tasks run on unless
+   * the confirmer can't be heard.
+   */
+  @ParameterizedTest
+  @EnumSource(Besides.class)
+  void aCancellationThatTheLeaderCannotReadOfHolds(Besides besides) {
+    for (long gap : new long[] {200, 900, 2_000}) {
+      for (long seed = 1; seed <= 3; seed++) {
+        Sim s = new Sim(100 + seed);
+        s.runMs = 400_000;
+        s.run(8_000);
+        s.submit(plain(s, VICTIM, 8));
+        s.submit(plain(s, OTHER, 6));
+        s.run(16_000);
+        assertEquals(8, count(running(s, VICTIM)));
+        // leading: who owns most of the machines that run it
+        Map<String, Integer> on = running(s, VICTIM);
+        String name = "n0";
+        for (String n : on.keySet()) if (on.get(n) > on.getOrDefault(name, 0)) name = n;
+        Sim.Node leader = s.nodes.get(name);
+        Sim.Node confirmer = s.nodes.get(name.equals("n1") ? "n2" : "n1");
+        leader.noState = true;
+        s.run(s.now + 120);
+        if (besides.name().startsWith("WORDS")) {
+          s.heldMs = besides == Besides.WORDS_LATE ? 30_000 : 60_000;
+          confirmer.cut.put(leader.name, true);
+        }
+        long confirmed;
+        if (besides == Besides.TOLD_FROM_MEMORY) {
+          s.rules.asksToCancel(VICTIM);
+          confirmer.event(() -> confirmer.core.cancel(VICTIM, a -> {}));
+          s.run(s.now + gap);
+          s.state.outage = true;
+          s.run(s.now + 3_000);
+          assertEquals("cancelled", cancelAt(s, confirmer, VICTIM).state());
+          confirmed = s.now;
+        } else {
+          assertEquals("cancelled", cancelAt(s, confirmer, VICTIM).state());
+          confirmed = s.now;
+          if (besides == Besides.CONFIRMER_BACK_AT_ONCE) confirmer.crash(150);
+          if (besides.name().endsWith("GONE")) confirmer.crash(500_000);
+          if (besides == Besides.MACHINES_CANNOT_BE_ASKED) {
+            int i = 0;
+            for (Sim.Worker w : s.workers.values()) {
+              if (i++ % 2 != 0) continue;
+              w.cut = true;
+              s.at(8_000, () -> w.cut = false);
+            }
+          }
+          s.run(s.now + gap);
+          s.state.outage = true;
+        }
+        s.run(confirmed + 7_000);
+        // the meeting took place: the leader can't read of it, and workers report to the leader
+        assertEquals(Final.NONE, leader.core.store().job(VICTIM).fin());
+        assertTrue(s.workers.values().stream().anyMatch(w -> w.node.equals(leader.name)));
+        s.run(confirmed + Sim.CANCEL - 100);
+        assertEquals(0, count(running(s, VICTIM)), besides + ", gap " + gap + ", seed " + seed);
+        boolean heard = besides == Besides.NOTHING || besides == Besides.TOLD_FROM_MEMORY;
+        if (heard) assertEquals(6, count(running(s, OTHER)), "unrelated tasks run on");
+        s.run(confirmed + Sim.CANCEL + 15_000);
+        if (heard) assertEquals(6, count(running(s, OTHER)), "unrelated tasks run on");
+        s.state.recover();
+        leader.noState = false;
+        confirmer.cut.clear();
+        s.run(s.now + 90_000);
+        assertEquals(List.of(), s.rules.broken);
+        assertEquals(0, count(running(s, VICTIM)));
+        assertTrue(count(running(s, OTHER)) > 0, "the other job is run again");
+        assertEquals(Final.CANCELLED, entry(s, VICTIM).fin());
+      }
+    }
+  }
+
+  /**
+   * A controller's former process asked for its session, without an answer; it is carried out after
+   * the new process has its own, and ends with the former one's lease. The new one used to go on
+   * renewing a lease that held nothing, while everybody took it for dead.
+   */
+  @Test
+  void aSessionThatIsWrittenLateReplacesNoLaterOne() {
+    Sim s = new Sim(120);
+    s.run(8_000);
+    Sim.Node n = s.nodes.get("n1");
+    long former = n.core.incarnation();
+    long lease = s.state.keys.get(Store.SESSIONS + "n1").lease();
+    n.crash(150);
+    while (n.core.incarnation() == 0 || n.core.store().sessionLeft() <= 0) s.run(s.now + 10);
+    assertTrue(s.state.leases.containsKey(lease), "the former lease hasn't ended yet");
+    // as a former version would have asked for it, compared with nothing
+    Effects.Put late = new Effects.Put(Store.SESSIONS + "n1", new SessionRec("n1", former), lease);
+    s.state.transact(new Effects.Txn(List.of(), List.of(late), List.of()));
+    long until = s.now + 12_000;
+    boolean lost = false;
+    while (s.now < until) {
+      s.run(s.now + 50);
+      lost |= !s.state.keys.containsKey(Store.SESSIONS + "n1");
+      Sim.StateService.Val v = s.state.keys.get(Store.SESSIONS + "n1");
+      lost |= v != null && ((SessionRec) v.value()).incarnation() == former;
+    }
+    assertTrue(lost, "it was replaced");
+    Sim.StateService.Val now = s.state.keys.get(Store.SESSIONS + "n1");
+    assertEquals(n.core.incarnation(), ((SessionRec) now.value()).incarnation());
+    assertTrue(s.state.leases.containsKey(now.lease()));
+    s.submit(plain(s, VICTIM, 12));
+    s.run(s.now + 60_000);
+    assertEquals(List.of(), s.rules.broken);
+    assertEquals("done", s.rules.lastTold(VICTIM));
+  }
+
+  /** What this version asks for is compared with what was read, so the late one fails. */
+  @Test
+  void aSessionIsComparedWithWhatWasRead() {
+    Sim s = new Sim(121);
+    s.run(8_000);
+    List<Effects.Txn> asked = s.state.asked;
+    assertTrue(
+        asked.stream()
+            .filter(t -> t.puts().stream().anyMatch(p -> p.value() instanceof SessionRec))
+            .allMatch(t -> t.when().stream().anyMatch(c -> c.key().startsWith(Store.SESSIONS))));
+    assertTrue(
+        asked.stream()
+            .anyMatch(t -> t.puts().stream().anyMatch(p -> p.value() instanceof SessionRec)));
+  }
+
+  /**
+   * A submission whose answer comes after the controller stood still must not call pending what
+   * others have called cancelled meanwhile; a repeated submission is never told that it is wrong.
+   */
+  @Test
+  void aSubmissionAnsweredLateSaysWhatTheJobIsNow() {
+    Sim s = new Sim(122);
+    s.run(8_000);
+    Sim.Node slow = s.nodes.get("n0");
+    slow.lag = 3_500;
+    List<UserAnswer> got = new ArrayList<>();
+    JobSpec j = plain(s, VICTIM, 4);
+    s.rules.submitted(j);
+    slow.event(() -> slow.core.submit(j, got::add));
+    s.run(s.now + 400);
+    assertEquals(List.of(), got);
+    assertEquals("cancelled", cancelAt(s, s.nodes.get("n1"), VICTIM).state());
+    s.run(s.now + 3_300);
+    slow.lag = 0;
+    s.run(s.now + 5_000);
+    assertEquals(1, got.size());
+    UserAnswer a = got.get(0);
+    assertTrue(a.status() == 503 || "cancelled".equals(a.state()), a.toString());
+  }
+
+  /** Wrong by itself, but accepted all the same, as by another version: its state is told. */
+  @Test
+  void anAcceptedJobsRepetitionIsNeverWrong() {
+    Sim s = new Sim(123);
+    s.runMs = 100_000;
+    s.run(8_000);
+    s.submit(plain(s, VICTIM, 4));
+    s.run(9_000);
+    for (Sim.Node n : s.nodes.values()) {
+      for (String id : List.of(VICTIM, "wk-000777")) {
+        List<UserAnswer> got = new ArrayList<>();
+        JobSpec never = s.job(id, 1, 99, Priority.NORMAL, "free", false, false, true, null);
+        n.event(() -> n.core.submit(never, got::add));
+        s.run(s.now + 1_000);
+        n.event(() -> n.core.refuse(id, "oficio must be batch", got::add));
+        s.run(s.now + 1_000);
+        assertEquals(id.equals(VICTIM) ? 200 : 422, got.get(0).status());
+        assertEquals(id.equals(VICTIM) ? 200 : 400, got.get(1).status());
+      }
+    }
+    // at once also while the state service can't be asked
+    s.state.outage = true;
+    s.run(s.now + 5_000);
+    List<UserAnswer> got = new ArrayList<>();
+    Sim.Node n = s.nodes.get("n0");
+    n.event(() -> n.core.refuse("wk-000778", "oficio must be batch", got::add));
+    assertEquals(400, got.get(0).status());
+    n.event(() -> n.core.refuse(VICTIM, "oficio must be batch", got::add));
+    s.run(s.now + 1_000);
+    assertEquals(503, got.get(1).status());
+  }
+}
--- a/src/test/java/mallowstall/core/SafetyCasesTest.java
+++ b/src/test/java/mallowstall/core/SafetyCasesTest.java
@@ -276,14 +276,14 @@
         () ->
             n.core.message(
                 new Roster(
-                    "n1", 1_000, 1, 0, 0, 0, 1, mine - 1, 99, 99, 0, 0, List.of(), List.of(),
-                    List.of())));
+                    "n1", 1_000, 1, 0, 0, 0, 1, mine - 1, 99, 99, 0, List.of(), List.of(),
+                    List.of(), List.of())));
     assertEquals(0, n.core.view().peer("n1").ackedConnection);
     n.event(
         () ->
             n.core.message(
                 new Roster(
-                    "n1", 1_000, 2, 0, 0, 0, 1, mine, 99, 99, 0, 0, List.of(), List.of(),
+                    "n1", 1_000, 2, 0, 0, 0, 1, mine, 99, 99, 0, List.of(), List.of(), List.of(),
                     List.of())));
     assertEquals(99, n.core.view().peer("n1").ackedConnection);
   }
@@ -523,7 +523,8 @@
   }
 
   private static Roster roster(long serial, long since, List<RosterMachine> ms, List<String> gone) {
-    return new Roster("n9", 900, serial, since, 0, 0, 1, 0, 0, 0, 0, 0, ms, gone, List.of());
+    return new Roster(
+        "n9", 900, serial, since, 0, 0, 1, 0, 0, 0, 0, List.of(), ms, gone, List.of());
   }
 
   private static RosterMachine machine(String id, long token) {
--- a/src/test/java/mallowstall/core/Sim.java
+++ b/src/test/java/mallowstall/core/Sim.java
@@ -62,6 +62,9 @@
    */
   String cutZone;
 
+  /** By how much a cut between controllers delays what it holds, in ms; 0: 2 to 10 s. */
+  long heldMs;
+
   /** How long tasks run, in ms; 0: 1 to 7 s. */
   long runMs;
 
@@ -134,6 +137,9 @@
     long leaseNo;
     boolean outage;
 
+    /** All transactions that came here, whatever became of them. */
+    final List<Effects.Txn> asked = new ArrayList<>();
+
     void set(String key, Entry v, long rev, long lease) {
       if (v == null) {
         if (keys.remove(key) == null) return;
@@ -164,6 +170,7 @@
 
     Effects.TxnReply transact(Effects.Txn t) {
       expire();
+      asked.add(t);
       for (Effects.Put p : t.puts()) {
         if (p.lease() != 0 && !leases.containsKey(p.lease())) {
           return new Effects.TxnReply(Effects.Code.NO_LEASE, revision);
@@ -356,7 +363,7 @@
       // in order; behind a cut it is held and delivered late
       long when = Math.max(now + lateBy + delay() / 2, lastArrival.getOrDefault(node, 0L));
       if (Boolean.TRUE.equals(cut.get(node)))
-        when = Math.max(when, now + 2_000 + rnd.nextInt(8_000));
+        when = Math.max(when, now + (heldMs > 0 ? heldMs : 2_000 + rnd.nextInt(8_000)));
       lastArrival.put(node, when);
       at(
           when - now,
--- a/src/test/java/mallowstall/peers/PeerCodecTest.java
+++ b/src/test/java/mallowstall/peers/PeerCodecTest.java
@@ -29,7 +29,7 @@
           2,
           17,
           40,
-          1L << 40,
+          List.of("wk-000009", "wk-000010"),
           List.of(
               new RosterMachine(
                   "m-000007",
@@ -99,7 +99,7 @@
             .read(null, DecoderFactory.get().binaryDecoder(b, null));
     GenericRecord r = (GenericRecord) message.get("body");
     assertEquals("n1", r.get("node").toString());
-    assertEquals(1L << 40, r.get("sinceCancelMs"));
+    assertEquals("[wk-000009, wk-000010]", r.get("cancelled").toString());
     GenericRecord m = (GenericRecord) ((List<?>) r.get("machines")).get(0);
     assertEquals(12.25, m.get("freeMemoryGb"));
     GenericRecord t = (GenericRecord) ((List<?>) m.get("tasks")).get(0);
