--- a/src/test/java/mallowstall/core/MeetingsTest.java
+++ b/src/test/java/mallowstall/core/MeetingsTest.java
@@ -293,4 +293,333 @@
           lag + ": " + asked.get(0));
     }
   }
+
+  /** The meetings that need no other evidence than that they struck; each says whether it did. */
+  enum Meeting {
+    /** Cancellations, questions and repetitions at the moment of a job's last end, everywhere. */
+    END_AND_CANCELLATION {
+      @Override
+      boolean play(Sim s) {
+        s.cancelAtEnd = 0.5;
+        for (int i = 10; i < 40; i++) s.submit(plain(s, "wk-0000" + i, 1 + i % 3));
+        for (int i = 0; i < 400; i++)
+          s.at(i * 100L, () -> s.oddRequests(1)); // repeats submissions, cancels what is done
+        s.run(s.now + 60_000);
+        s.cancelAtEnd = 0;
+        return s.struck.containsKey("cancelAtEnd")
+            && s.struck.containsKey("cancelAtEnd, one task short")
+            && s.struck.containsKey("oddRequests, over again");
+      }
+    },
+    /** A report is held back until another owns the machine, then arrives there and elsewhere. */
+    HELD_REPORT_AND_NEW_OWNER {
+      @Override
+      boolean play(Sim s) {
+        Sim.Worker w = busiest(s);
+        Report held = w.snapshot();
+        MachineRec before = s.machineRec(w.id);
+        s.nodes.get(before.node()).crash(9_000);
+        long until = s.now + 15_000;
+        while (s.now < until && s.machineRec(w.id).node().equals(before.node())) s.run(s.now + 50);
+        s.run(s.now + 2_000);
+        MachineRec since = s.machineRec(w.id);
+        boolean refused = true;
+        for (Sim.Node n : s.nodes.values()) {
+          if (!n.up) continue;
+          List<ReportAnswer> got = new ArrayList<>();
+          n.event(() -> n.core.report(held, got::add));
+          s.run(s.now + 200);
+          refused &= got.get(0).status() != 200;
+        }
+        assertTrue(refused, "a report that old renews nothing");
+        return !since.node().equals(before.node());
+      }
+    },
+    /** A leader without state service and peers; its jobs are cancelled through another. */
+    LEADER_APART_AND_CANCELLATION {
+      @Override
+      boolean play(Sim s) {
+        Sim.Worker w = busiest(s);
+        Sim.Node h = s.nodes.get(s.machineRec(w.id).node());
+        String job = running(w);
+        s.isolate(h);
+        Sim.Node other = s.nodes.get(h.name.equals("n1") ? "n2" : "n1");
+        assertEquals("cancelled", cancelAt(s, other, job).state());
+        boolean apart = count(running(s, job)) > 0;
+        s.run(s.now + Sim.CANCEL);
+        assertEquals(0, count(running(s, job)));
+        s.run(s.now + 10_000);
+        h.noState = false;
+        s.rejoin();
+        return apart;
+      }
+    },
+    /** All controllers are away for longer than a lease. */
+    ALL_AWAY_FOR_A_LEASE {
+      @Override
+      boolean play(Sim s) {
+        for (Sim.Node n : s.nodes.values()) n.crash(Sim.LEASE + 5_000);
+        s.run(s.now + Sim.LEASE + 4_000);
+        return s.workers.values().stream().allMatch(w -> w.session > 1 && w.tasks.isEmpty());
+      }
+    },
+    /** The state service is slow, then refuses a leader, then all, while users cancel and ask. */
+    SLOW_STATE_AND_CANCELLATION {
+      @Override
+      boolean play(Sim s) {
+        s.rules.crossingsBreak = false;
+        s.slowState = 2_500;
+        s.at(2_000, () -> s.cancelNow(3, 0));
+        s.at(9_000, () -> s.oddRequests(20));
+        s.run(s.now + 20_000);
+        s.slowState = 0;
+        s.refusedThenOutage(s.nodes.get("n0"), 3_000, Sim.CANCEL + 5_000);
+        s.at(2_500, () -> s.cancelNow(2, 0));
+        s.run(s.now + Sim.CANCEL + 10_000);
+        return s.struck.containsKey("slowState") && s.struck.containsKey("cancelNow");
+      }
+    },
+    /** A team at its limit, a change of leader, machines that can't be asked, a cancellation. */
+    TEAM_AT_ITS_LIMIT {
+      @Override
+      boolean play(Sim s) {
+        for (int i = 1; i <= 4; i++) s.cancel("wk-00000" + i); // makes room for it
+        double used = 0;
+        for (long until = s.now + 20_000; used < 22 && s.now < until; s.run(s.now + 200))
+          used = ((TeamRec) s.state.keys.get(Store.TEAMS + "tight").value()).cpus();
+        Sim.Node h = s.nodes.get(entry(s, "wk-000005").holder());
+        h.crash(700);
+        int i = 0;
+        for (Sim.Worker w : s.workers.values()) {
+          if (i++ % 2 != 0) continue;
+          w.cut = true;
+          s.at(15_000, () -> w.cut = false);
+        }
+        s.at(1_500, () -> s.cancel("wk-000005"));
+        s.run(s.now + 30_000);
+        return used >= 22;
+      }
+    },
+    /** More work than room, urgent and not, over slow links. */
+    TOO_MUCH_WORK_SLOWLY {
+      @Override
+      boolean play(Sim s) {
+        for (Sim.Node n : s.nodes.values()) n.lag = 400;
+        s.rosterChaos = 0.3;
+        for (int i = 10; i < 50; i++) {
+          Priority p = Priority.values()[i % 4];
+          s.submit(s.job("wk-0000" + i, 4, 2, p, "free", false, false, true, null));
+        }
+        s.run(s.now + 40_000);
+        long open =
+            s.state.keys.values().stream()
+                .filter(v -> v.value() instanceof JobRec j && j.fin() == Final.NONE)
+                .count();
+        for (Sim.Node n : s.nodes.values()) n.lag = 0;
+        s.rosterChaos = 0;
+        return open > 5;
+      }
+    },
+    /** Machines reach no controller for longer than a lease; commands reach them; one cancels. */
+    MUTE_MACHINES {
+      @Override
+      boolean play(Sim s) {
+        for (Sim.Worker w : s.workers.values()) w.mute = true;
+        s.at(3_000, () -> s.cancel("wk-000004"));
+        s.run(s.now + Sim.LEASE + 8_000);
+        for (Sim.Worker w : s.workers.values()) w.mute = false;
+        return s.struck.containsKey("mute");
+      }
+    },
+    /** Commands and their answers are held up by machines that hang and go on. */
+    HELD_COMMANDS {
+      @Override
+      boolean play(Sim s) {
+        s.runMs = 1_500;
+        s.run(s.now + 30_000);
+        for (int i = 10; i < 40; i++) {
+          String id = "wk-0000" + i;
+          s.at(i * 1_000L, () -> s.submit(plain(s, id, 4)));
+        }
+        for (int i = 0; i < 20; i++)
+          s.at(
+              i * 2_500L,
+              () -> {
+                for (Sim.Worker w : s.workers.values()) w.hang(s.rnd.nextInt(4_000));
+              });
+        s.at(14_000, () -> s.cancelNow(2, 8_000));
+        s.run(s.now + 55_000);
+        return s.struck.containsKey("hang, held orders executed");
+      }
+    },
+    /** Controllers hand over and back, all end, and one returns, also within a second. */
+    THERE_AND_BACK {
+      @Override
+      boolean play(Sim s) {
+        for (int i = 0; i < 6; i++) {
+          s.nodes.get(Sim.NODES.get(i % 3)).crash(i % 2 == 0 ? 150 : 6_000);
+          s.run(s.now + 5_000);
+        }
+        s.run(s.now + 8_000);
+        for (Sim.Node n : s.nodes.values()) n.crash(n.name.equals("n1") ? 300 : 20_000);
+        s.run(s.now + 2_000);
+        boolean one = s.nodes.get("n1").up && !s.nodes.get("n0").up && !s.nodes.get("n2").up;
+        s.run(s.now + 25_000);
+        return one;
+      }
+    },
+    /** Transactions without an answer are carried out late, after newer ones, also of the dead. */
+    LATE_TRANSACTIONS {
+      @Override
+      boolean play(Sim s) {
+        s.lateWrites = 0.3;
+        for (int i = 10; i < 20; i++)
+          s.submit(s.job("wk-0000" + i, 4, 2, Priority.NORMAL, "tight", false, false, true, null));
+        for (int i = 0; i < 4; i++) {
+          s.run(s.now + 8_000);
+          s.nodes.get(Sim.NODES.get(i % 3)).crash(200);
+        }
+        s.run(s.now + 10_000);
+        s.lateWrites = 0;
+        s.run(s.now + 13_000);
+        return s.struck.containsKey("lateWrites, applied");
+      }
+    },
+    /** Jobs of two or three tasks that end far apart, with another leader in between. */
+    ENDS_FAR_APART {
+      @Override
+      boolean play(Sim s) {
+        for (int j = 10; j < 16; j++) {
+          String id = "wk-0000" + j;
+          for (int t = 0; t < 3; t++) s.runOf.put(id + "/" + t, 2_000L + t * 30_000L);
+          s.submit(plain(s, id, 2 + j % 2));
+        }
+        s.run(s.now + 24_000);
+        boolean between = false;
+        for (int j = 10; j < 16; j++) {
+          JobRec r = entry(s, "wk-0000" + j);
+          between |= r.doneCount() > 0 && r.doneCount() < r.spec().tasks();
+        }
+        for (Sim.Node n : s.nodes.values()) n.crash(n.name.equals("n2") ? 200 : 5_000);
+        s.run(s.now + 22_000);
+        s.changeLeaders();
+        s.run(s.now + 30_000);
+        return between;
+      }
+    },
+    /** Jobs of one zone, pinned and not, lose machines. */
+    ONE_ZONE_LOSES_MACHINES {
+      @Override
+      boolean play(Sim s) {
+        s.submit(s.job("wk-000010", 6, 2, Priority.NORMAL, "free", false, false, true, "a"));
+        s.submit(s.job("wk-000011", 6, 2, Priority.NORMAL, "free", true, false, true, null));
+        s.submit(s.job("wk-000012", 5, 2, Priority.NORMAL, "free", false, true, true, null));
+        s.run(s.now + 6_000);
+        int lost = 0;
+        for (Sim.Worker w : List.copyOf(s.workers.values())) {
+          if (!w.zone.equals("a") || w.tasks.isEmpty()) continue;
+          lost += w.tasks.size();
+          s.killMachine(w.id);
+        }
+        s.run(s.now + 20_000);
+        return lost > 0;
+      }
+    },
+    /** Leaders change ten times in two minutes, also inside an outage. */
+    TEN_LEADERS {
+      @Override
+      boolean play(Sim s) {
+        for (int i = 0; i < 10; i++) s.at(i * 11_000L, s::changeLeaders);
+        s.at(38_000, () -> s.state.outage = true);
+        s.at(70_000, s.state::recover);
+        s.at(60_000, () -> s.cancel("wk-000003"));
+        s.run(s.now + 120_000);
+        return s.struck.getOrDefault("changeLeaders", 0) > 6
+            && s.struck.containsKey("changeLeaders, in an outage");
+      }
+    },
+    /** A zone with workers and a controller is cut off for longer than a lease; one cancels. */
+    ZONE_CUT_OFF {
+      @Override
+      boolean play(Sim s) {
+        s.cutOff("b");
+        s.run(s.now + 300);
+        String job = null;
+        for (Sim.Worker w : s.workers.values())
+          if (w.zone.equals("b") && running(w) != null) job = running(w);
+        boolean inside = job != null && s.nodes.get("n1").up;
+        assertEquals("cancelled", cancelAt(s, s.nodes.get("n0"), job).state());
+        s.run(s.now + Sim.CANCEL + 5_000);
+        assertEquals(0, count(running(s, job)));
+        s.rejoin();
+        return inside;
+      }
+    },
+    /** A leader ends; machines with long tasks can't be reached, or don't hear the next one. */
+    LEADER_ENDS_MACHINES_UNREACHED {
+      @Override
+      boolean play(Sim s) {
+        Sim.Node h = s.nodes.get(s.machineRec(busiest(s).id).node());
+        int i = 0;
+        for (Sim.Worker w : s.workers.values()) {
+          if (!w.node.equals(h.name)) continue;
+          if (i++ % 2 == 0) w.cut = true;
+          else w.deaf = true;
+          s.at(22_000, () -> w.cut = w.deaf = false);
+        }
+        h.crash(30_000);
+        s.run(s.now + 40_000);
+        return i > 0;
+      }
+    };
+
+    abstract boolean play(Sim s);
+  }
+
+  /** A job of which a task runs there; null: none. */
+  private static String running(Sim.Worker w) {
+    for (Sim.Worker.T t : w.tasks.values()) if (t.state == TaskState.RUNNING) return t.job;
+    return null;
+  }
+
+  private static Sim.Worker busiest(Sim s) {
+    Sim.Worker most = null;
+    for (Sim.Worker w : s.workers.values())
+      if (most == null || w.tasks.size() > most.tasks.size()) most = w;
+    return most;
+  }
+
+  /** Six jobs run, two of them of a team at its limit, when the troubles meet. */
+  @ParameterizedTest
+  @EnumSource(Meeting.class)
+  void theRulesHold(Meeting meeting) {
+    for (long seed = 1; seed <= 3; seed++) {
+      Sim s = new Sim(200 + seed);
+      s.runMs = 25_000;
+      s.run(8_000);
+      for (int i = 1; i <= 6; i++)
+        s.submit(
+            s.job(
+                "wk-00000" + i,
+                i > 4 ? 9 : 4,
+                2,
+                Priority.NORMAL,
+                i > 4 ? "tight" : "free",
+                false,
+                false,
+                true,
+                null));
+      s.run(18_000);
+      assertTrue(s.rules.starts > 8, "work is under way");
+      assertTrue(meeting.play(s), meeting + " took place, seed " + seed);
+      s.runMs = 3_000;
+      s.rules.calmSince = s.now;
+      s.run(s.now + 260_000);
+      assertEquals(List.of(), s.rules.broken, meeting + ", seed " + seed);
+      for (String id : s.jobs) {
+        String last = s.rules.lastTold(id);
+        assertTrue("done".equals(last) || "cancelled".equals(last), id + " is " + last);
+      }
+    }
+  }
 }
--- a/src/test/java/mallowstall/core/Sim.java
+++ b/src/test/java/mallowstall/core/Sim.java
@@ -82,6 +82,9 @@
   /** How long tasks run, in ms; 0: 1 to 7 s. */
   long runMs;
 
+  /** How long single tasks run, by job and number. */
+  final Map<String, Long> runOf = new HashMap<>();
+
   long evaluations;
   long ticks;
 
@@ -1070,13 +1073,18 @@
       rules.started(now, new Rules.OnMachine(id, t.job, t.task, "t8", zone, spot));
       progress(
           t,
-          faulty ? 1 : runMs > 0 ? runMs : 1_000 + rnd.nextInt(6_000),
+          faulty ? 1 : runs(t),
           () -> {
             if (dead || tasks.get(key) != t || t.state != TaskState.RUNNING) return;
             exit(t, faulty ? Why.ERROR : Why.DONE);
           });
     }
 
+    private long runs(T t) {
+      Long own = runOf.get(t.job + "/" + t.task);
+      return own != null ? own : runMs > 0 ? runMs : 1_000 + rnd.nextInt(6_000);
+    }
+
     void exit(T t, Why why) {
       boolean was = t.state == TaskState.RUNNING;
       t.state = TaskState.EXITED;
