--- a/src/main/java/mallowstall/core/Cancellations.java
+++ b/src/main/java/mallowstall/core/Cancellations.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Consumer;
 import mallowstall.Constants;
 import mallowstall.core.Model.*;
 
@@ -59,14 +60,16 @@
     return out;
   }
 
-  /** A peer tells of these; false: they can't all be remembered. */
-  boolean heard(List<String> jobs) {
+  /** A peer tells of these, {@code news} of those not known; false: too many to remember. */
+  boolean heard(List<String> jobs, Consumer<String> news) {
     boolean all = true;
     for (String id : jobs) {
       JobRec j = store.job(id);
       if (j != null && j.fin() != Final.NONE) continue;
+      if (told.contains(id)) continue;
       if (told.size() < Constants.CANCELLED_KEPT) told.add(id);
-      else all &= told.contains(id);
+      else all = false;
+      news.accept(id);
     }
     return all;
   }
--- a/src/main/java/mallowstall/core/Core.java
+++ b/src/main/java/mallowstall/core/Core.java
@@ -223,7 +223,8 @@
 
   /** Cancellations count whether the statement's machines can be taken in or not. */
   private void hearCancellations(Roster r) {
-    if (!cancellations.heard(r.cancelled()) || r.heardIncarnation() != incarnation()) return;
+    boolean all = cancellations.heard(r.cancelled(), owner::cancelled);
+    if (!all || r.heardIncarnation() != incarnation()) return;
     View.Peer p = view.peer(r.node());
     p.cancelsKnownAt = Math.max(p.cancelsKnownAt, owner.statementSentAt(r.heardSerial()));
   }
@@ -460,7 +461,7 @@
         if (rec.fin() == Final.CANCELLED
             && (before == null || ((JobRec) before).fin() != Final.CANCELLED)) {
           cancellations.recorded(id, store.version(key));
-          owner.touch();
+          owner.cancelled(id);
         }
         users.jobChanged(id, rec);
         if (before == null) owner.jobKnown(id);
--- a/src/main/java/mallowstall/core/Owner.java
+++ b/src/main/java/mallowstall/core/Owner.java
@@ -179,6 +179,22 @@
     dirty = true;
   }
 
+  /**
+   * The job is cancelled: its tasks that wait for their image are stopped at once, at the worker's
+   * own address, since they would begin before the next report's answer. Those that run are stopped
+   * by that answer, as are these if the command goes astray.
+   */
+  void cancelled(String job) {
+    dirty = true; // peers hear of it soon
+    for (Owned o : owned.values()) {
+      for (TaskReport t : o.tasks.values()) {
+        if (t.state() != TaskState.FETCHING || !t.job().equals(job)) continue;
+        o.stops.put(new Key(job, t.task()), new StopOrder(o.id, job, t.task(), t.attempt(), 0));
+        toPush.add(o);
+      }
+    }
+  }
+
   /**
    * A job has become known whose tasks may be on machines that came over from an owner whose mirror
    * was ahead: only now their room counts. Until the next restatement such a machine was told as
--- a/src/test/java/mallowstall/core/MeetingsTest.java
+++ b/src/test/java/mallowstall/core/MeetingsTest.java
@@ -294,6 +294,32 @@
     }
   }
 
+  /**
+   * A job is cancelled while its tasks wait for their image: hardly one of them begins after the
+   * confirmation. Stopped by the next report's answer only, many did.
+   */
+  @Test
+  void tasksThatWaitForTheirImageDontBeginAfterACancellation() {
+    int waiting = 0;
+    int begun = 0;
+    for (long seed = 0; seed < 12; seed++) {
+      Sim s = new Sim(140 + seed);
+      s.run(8_000);
+      s.submit(plain(s, VICTIM, 12));
+      long until = s.now + 3_000;
+      while (s.now < until && count(running(s, VICTIM)) < 8) s.run(s.now + 20);
+      s.run(s.now + 250);
+      assertEquals("cancelled", cancelAt(s, s.nodes.get("n" + seed % 3), VICTIM).state());
+      for (Sim.Worker w : s.workers.values())
+        for (Sim.Worker.T t : w.tasks.values()) if (t.state == TaskState.FETCHING) waiting++;
+      s.run(s.now + 10_000);
+      begun += s.rules.startsAfterCancel;
+      assertEquals(List.of(), s.rules.broken);
+    }
+    assertTrue(waiting > 40, "waited: " + waiting);
+    assertTrue(begun * 10 < waiting, "of " + waiting + " that waited, begun: " + begun);
+  }
+
   /** The meetings that need no other evidence than that they struck; each says whether it did. */
   enum Meeting {
     /** Cancellations, questions and repetitions at the moment of a job's last end, everywhere. */
