A session known from a command's answer alone has its whole lease before it is written off

Its lease ran out, the answer to a command told its next session, tasks were started in it, and its owner wrote it off as of the former session's last answered report: they were started elsewhere too. The lease now counts from when the session is known. And what hasn't reported for 3.5 s (or two reports) gets no tasks, though it answers commands: it loses them with each lease.

--- a/src/main/java/mallowstall/core/Owner.java
+++ b/src/main/java/mallowstall/core/Owner.java
@@ -438,6 +438,10 @@
         o.dangling = true;
         raise(o);
       }
+      // Its lease counts from when the session began, which may be known from a direct command's
+      // answer alone: counted from the former session's last report, a machine that reaches no
+      // controller was written off with tasks that it had just got.
+      o.lastOk = Math.max(o.lastOk, now);
     }
     o.touched = true;
     if (byReport) o.reported = r.seq();
@@ -760,17 +764,24 @@
         && (!spot || j.spot());
   }
 
+  /** A machine whose reports come to nobody answers commands, but loses its tasks each lease. */
   private boolean usable(Owned m) {
     long now = core.now();
     return !m.lost
         && !m.replace
         && m.noticeUntil == Long.MAX_VALUE
         && m.quarantineUntil <= now
-        && !silent(m);
+        && !silent(m)
+        && now - m.lastOk <= silenceMs();
+  }
+
+  /** A machine not heard for so long gets no tasks. */
+  private long silenceMs() {
+    return Math.max(Constants.SILENT_MS, core.settings().reportMs() * 2);
   }
 
   private boolean silent(Owned m) {
-    return core.now() - m.heardAt > Math.max(Constants.SILENT_MS, core.settings().reportMs() * 2);
+    return core.now() - m.heardAt > silenceMs();
   }
 
   private double[] free(Owned m) {
--- a/src/test/java/mallowstall/core/SafetyCasesTest.java
+++ b/src/test/java/mallowstall/core/SafetyCasesTest.java
@@ -864,6 +864,53 @@
     assertTrue(seen == null || seen.m.lost());
   }
 
+  /**
+   * A machine reaches no controller, direct commands reach it. Its next session is known from a
+   * command's answer alone, and its lease counts from then: seeds 3745 and 3818 of the histories
+   * started tasks twice, since it was written off as of the former session's last report.
+   */
+  @Test
+  void aSessionKnownFromACommandAloneHasItsWholeLease() {
+    Sim s = new Sim(79);
+    s.runMs = 60_000;
+    s.run(8_000);
+    s.submit(plain(s, "wk-000001", 16, "free"));
+    s.run(12_000);
+    Sim.Worker w = null;
+    for (Sim.Worker x : s.workers.values()) if (x.tasks.size() == 4) w = x;
+    assertNotNull(w);
+    Sim.Worker mute = w;
+    Sim.Node n = s.nodes.get(s.machineRec(w.id).node());
+    List<StopOrder> stops = new ArrayList<>();
+    for (Sim.Worker.T t : w.tasks.values())
+      stops.add(new StopOrder(w.id, t.job, t.task, t.attempt, 0));
+    w.mute = true;
+    long from = w.leaseFrom;
+    for (int i = 0; i < 4; i++) {
+      // the last one comes in the next session, which the answer tells
+      s.run(i < 3 ? from + 3_000 * (i + 1) : from + Sim.LEASE + 150);
+      StopOrder stop = stops.get(i);
+      n.event(() -> n.core.stop(n.name, stop));
+      if (i == 1) {
+        View.Seen seen = n.core.view().machines.get(mute.id);
+        assertFalse(seen.takes(), "it answers commands, but loses its tasks each lease");
+        assertFalse(seen.m.silent());
+      }
+    }
+    s.run(s.now + 400);
+    assertEquals(2, w.session);
+    View.Seen seen = n.core.view().machines.get(w.id);
+    assertEquals(2, seen.m.session(), "known from the answer");
+    long known = s.now;
+    while (s.now < known + Sim.LEASE - 600) {
+      s.run(s.now + 200);
+      assertFalse(n.core.view().machines.get(w.id).m.lost(), "at " + (s.now - known));
+    }
+    s.run(known + Sim.LEASE + 4_000);
+    seen = n.core.view().machines.get(w.id);
+    assertTrue(seen == null || seen.m.lost(), "and not a longer one");
+  }
+
   /**
    * Machines are planned for whole waves of tasks: where one and three quarters would be on time,
    * one is, and all its machines are needed. Fewer were rented once.
