--- a/src/test/java/mallowstall/core/SafetyCasesTest.java
+++ b/src/test/java/mallowstall/core/SafetyCasesTest.java
@@ -29,6 +29,17 @@
     return s.nodes.get(entry(s, id).holder());
   }
 
+  /** Runs until the controller has the machine from its former process; its record of it. */
+  private static MachineRec kept(Sim s, Sim.Node n, String id) {
+    MachineRec mine = n.core.store().machine(id);
+    while (s.now < 25_000 && (mine == null || mine.incarnation() != n.core.incarnation())) {
+      s.run(s.now + 50);
+      mine = n.core.store().machine(id);
+    }
+    assertEquals(n.core.incarnation(), mine.incarnation(), "kept from the former process");
+    return mine;
+  }
+
   private static void finished(Sim s, String id) {
     assertEquals(List.of(), s.rules.broken);
     assertEquals("done", s.rules.lastTold(id));
@@ -769,12 +780,7 @@
       s.run(9_100);
       long first = n.core.startedAt();
       while (s.now < 25_000 && !n.core.store().live(name, n.core.incarnation())) s.run(s.now + 50);
-      MachineRec mine = n.core.store().machine(w.id);
-      while (s.now < 25_000 && (mine == null || mine.incarnation() != n.core.incarnation())) {
-        s.run(s.now + 50);
-        mine = n.core.store().machine(w.id);
-      }
-      assertEquals(n.core.incarnation(), mine.incarnation(), "kept from the former process");
+      MachineRec mine = kept(s, n, w.id);
       GroupRec group =
           new GroupRec(
               other.name,
@@ -851,11 +857,7 @@
     s.workers.remove(w.id).dead = true;
     n.crash(200);
     s.run(8_300);
-    MachineRec mine = null;
-    while (s.now < 25_000 && (mine == null || mine.incarnation() != n.core.incarnation())) {
-      s.run(s.now + 50);
-      mine = n.core.store().machine(w.id);
-    }
+    kept(s, n, w.id);
     List<ReportAnswer> got = new ArrayList<>();
     n.event(() -> n.core.report(late, got::add));
     assertEquals(200, got.get(0).status(), "taken for the worker's own");
