--- a/src/test/java/mallowstall/core/MeetingsTest.java
+++ b/src/test/java/mallowstall/core/MeetingsTest.java
@@ -24,10 +24,6 @@
     return s.job(id, tasks, 2, Priority.NORMAL, "free", false, false, true, null);
   }
 
-  private static JobRec entry(Sim s, String id) {
-    return (JobRec) s.state.keys.get(Store.JOBS + id).value();
-  }
-
   /** Tasks of the job that run, by the controller that their machines report to. */
   private static Map<String, Integer> running(Sim s, String job) {
     Map<String, Integer> out = new TreeMap<>();
@@ -150,7 +146,7 @@
         assertEquals(List.of(), s.rules.broken);
         assertEquals(0, count(running(s, VICTIM)));
         assertTrue(count(running(s, OTHER)) > 0, "the other job is run again");
-        assertEquals(Final.CANCELLED, entry(s, VICTIM).fin());
+        assertEquals(Final.CANCELLED, s.entry(VICTIM).fin());
       }
     }
   }
@@ -417,7 +413,7 @@
         double used = 0;
         for (long until = s.now + 20_000; used < 22 && s.now < until; s.run(s.now + 200))
           used = ((TeamRec) s.state.keys.get(Store.TEAMS + "tight").value()).cpus();
-        Sim.Node h = s.nodes.get(entry(s, "wk-000005").holder());
+        Sim.Node h = s.nodes.get(s.entry("wk-000005").holder());
         h.crash(700);
         int i = 0;
         for (Sim.Worker w : s.workers.values()) {
@@ -527,7 +523,7 @@
         s.run(s.now + 24_000);
         boolean between = false;
         for (int j = 10; j < 16; j++) {
-          JobRec r = entry(s, "wk-0000" + j);
+          JobRec r = s.entry("wk-0000" + j);
           between |= r.doneCount() > 0 && r.doneCount() < r.spec().tasks();
         }
         for (Sim.Node n : s.nodes.values()) n.crash(n.name.equals("n2") ? 200 : 5_000);
--- a/src/test/java/mallowstall/core/SafetyCasesTest.java
+++ b/src/test/java/mallowstall/core/SafetyCasesTest.java
@@ -21,12 +21,8 @@
     return s.job(id, tasks, 2, Priority.NORMAL, team, false, false, true, null);
   }
 
-  private static JobRec entry(Sim s, String id) {
-    return (JobRec) s.state.keys.get(Store.JOBS + id).value();
-  }
-
   private static Sim.Node holder(Sim s, String id) {
-    return s.nodes.get(entry(s, id).holder());
+    return s.nodes.get(s.entry(id).holder());
   }
 
   /** Runs until the controller has the machine from its former process; its record of it. */
@@ -43,7 +39,7 @@
   private static void finished(Sim s, String id) {
     assertEquals(List.of(), s.rules.broken);
     assertEquals("done", s.rules.lastTold(id));
-    JobRec r = entry(s, id);
+    JobRec r = s.entry(id);
     assertEquals(r.spec().tasks(), r.doneCount());
   }
 
@@ -74,7 +70,7 @@
     s.run(6_000);
     s.submit(plain(s, "wk-000001", 6, "tight"));
     s.run(7_000);
-    JobRec before = entry(s, "wk-000001");
+    JobRec before = s.entry("wk-000001");
     long version = s.state.keys.get(Store.JOBS + "wk-000001").version();
     s.run(60_000);
     finished(s, "wk-000001");
@@ -126,7 +122,7 @@
     Sim.Node h = holder(s, "wk-000001");
     h.noState = true;
     s.run(20_000);
-    assertFalse(h.name.equals(entry(s, "wk-000001").holder()));
+    assertFalse(h.name.equals(s.entry("wk-000001").holder()));
     assertFalse(h.core.ready());
     for (Sim.Worker w : s.workers.values())
       assertFalse(w.node.equals(h.name), "its machines move to served peers");
@@ -192,7 +188,7 @@
       s.run(90_000);
       assertEquals(List.of(), s.rules.broken);
       assertEquals("cancelled", s.rules.lastTold("wk-000001"));
-      assertEquals(0, entry(s, "wk-000001").grant(), "the grant is given back");
+      assertEquals(0, s.entry("wk-000001").grant(), "the grant is given back");
       Sim.StateService.Val sum = s.state.keys.get(Store.TEAMS + "tight");
       assertEquals(0, sum == null ? 0 : ((TeamRec) sum.value()).cpus(), 1e-9);
     }
@@ -226,7 +222,7 @@
       claimant.lag = 900;
       // its claim is executed, the answer is lost, and its watch tells it late
       String key = Store.JOBS + "wk-000001";
-      JobRec mine = entry(s, "wk-000001").withHolder(name, claimant.core.incarnation());
+      JobRec mine = s.entry("wk-000001").withHolder(name, claimant.core.incarnation());
       long version = s.state.keys.get(key).version();
       assertEquals(
           Effects.Code.OK,
@@ -474,10 +470,10 @@
     s.run(14_000);
     s.refusePeers();
     int before = 0;
-    for (int i = 0; i < 6; i++) before += entry(s, "wk-00000" + i).doneCount();
+    for (int i = 0; i < 6; i++) before += s.entry("wk-00000" + i).doneCount();
     s.run(40_000);
     int after = 0;
-    for (int i = 0; i < 6; i++) after += entry(s, "wk-00000" + i).doneCount();
+    for (int i = 0; i < 6; i++) after += s.entry("wk-00000" + i).doneCount();
     assertTrue(after > before + 10, "holders' own machines serve them: " + (after - before));
     s.rejoin();
     s.run(150_000);
@@ -683,7 +679,7 @@
       s.submit(outside.get(outside.size() - 1));
     }
     s.run(55_000);
-    for (JobSpec j : outside) assertTrue(entry(s, j.id()).doneCount() > 0, j.id() + " is served");
+    for (JobSpec j : outside) assertTrue(s.entry(j.id()).doneCount() > 0, j.id() + " is served");
     s.rejoin();
     s.run(200_000);
     for (int i = 0; i < 8; i++) finished(s, "wk-00000" + i);
@@ -756,8 +752,8 @@
     s.run(15_000);
     s.submit(s.job("wk-000002", 10, 2, Priority.NORMAL, "tight", false, false, true, null));
     s.run(180_000);
-    assertTrue(entry(s, "wk-000001").doneCount() < 400, "there is more to do than can be");
-    assertTrue(entry(s, "wk-000002").doneCount() > 0, "and still the other has begun");
+    assertTrue(s.entry("wk-000001").doneCount() < 400, "there is more to do than can be");
+    assertTrue(s.entry("wk-000002").doneCount() > 0, "and still the other has begun");
     assertEquals(List.of(), s.rules.broken);
   }
 
@@ -969,7 +965,7 @@
     long lease = s.state.keys.get(Store.SESSIONS + next.name).lease();
     s.state.end(lease);
     s.run(s.now + 75_000);
-    boolean over = entry(s, "wk-000001").fin() == Final.DONE;
+    boolean over = s.entry("wk-000001").fin() == Final.DONE;
     assertTrue(over || holder(s, "wk-000001").core.latched("wk-000001"), "known and looked after");
     s.run(250_000);
     finished(s, "wk-000001");
@@ -1039,12 +1035,12 @@
     rounds = s.ticks - rounds;
     assertTrue(
         s.evaluations < rounds * 12 * 8, s.evaluations + " evaluations in " + rounds + " ticks");
-    JobRec r = entry(s, "wk-000001");
+    JobRec r = s.entry("wk-000001");
     assertTrue(r.doneCount() > 50, "done " + r.doneCount());
     holder(s, "wk-000001").crash(30_000);
     s.run(60_000);
-    assertTrue(entry(s, "wk-000001").epoch() > 1);
-    assertTrue(entry(s, "wk-000001").doneCount() > r.doneCount());
+    assertTrue(s.entry("wk-000001").epoch() > 1);
+    assertTrue(s.entry("wk-000001").doneCount() > r.doneCount());
     assertEquals(List.of(), s.rules.broken);
   }
 }
--- a/src/test/java/mallowstall/core/Sim.java
+++ b/src/test/java/mallowstall/core/Sim.java
@@ -761,6 +761,11 @@
     for (Node n : nodes.values()) n.cut.clear();
   }
 
+  /** The job's entry in the state service. */
+  JobRec entry(String id) {
+    return (JobRec) state.keys.get(Store.JOBS + id).value();
+  }
+
   /** The machine's record as the first controller that is up has it. */
   MachineRec machineRec(String id) {
     for (Node n : nodes.values()) if (n.up) return n.core.store().machine(id);
