Service jobs: their kind, the versions controllers show, and when they are accepted

Stored entries of batch jobs keep their bytes; a service's open entry has a final state that the production version can't read, so it answers 503 and never runs it as an array. A daemon is refused for now (503) until every controller in the settings has shown a version that knows services.

--- a/src/main/java/mallowstall/Service.java
+++ b/src/main/java/mallowstall/Service.java
@@ -15,6 +15,7 @@
 import java.util.function.Consumer;
 import mallowstall.cloud.CloudAdapter;
 import mallowstall.config.Settings;
+import mallowstall.core.ClusterVersion;
 import mallowstall.core.Core;
 import mallowstall.core.Effects;
 import mallowstall.core.Model.*;
@@ -111,7 +112,8 @@
         (int) (f.state().valueKb() * 1024),
         f.cloud().rps(),
         (long) (f.cloud().listLagS() * 1000),
-        late);
+        late,
+        ClusterVersion.CURRENT);
   }
 
   public void start() throws InterruptedException {
--- a/src/main/java/mallowstall/cli/Main.java
+++ b/src/main/java/mallowstall/cli/Main.java
@@ -14,8 +14,10 @@
 import java.util.concurrent.Callable;
 import mallowstall.Service;
 import mallowstall.config.Settings;
+import mallowstall.core.Model.JobSpec;
 import mallowstall.policy.Fault;
 import mallowstall.policy.Policies;
+import mallowstall.state.StoredJobSpec;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -107,6 +109,7 @@
             .disable(DeserializationFeature.ACCEPT_FLOAT_AS_INT)
             .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
             .disable(JsonReadFeature.ALLOW_NON_NUMERIC_NUMBERS)
+            .addMixIn(JobSpec.class, StoredJobSpec.class)
             .build();
     m.coercionConfigFor(LogicalType.Textual)
         .setCoercion(CoercionInputShape.Integer, CoercionAction.Fail)
--- a/src/main/java/mallowstall/core/Cancellations.java
+++ b/src/main/java/mallowstall/core/Cancellations.java
@@ -65,7 +65,7 @@
     boolean all = true;
     for (String id : jobs) {
       JobRec j = store.job(id);
-      if (j != null && j.fin() != Final.NONE) continue;
+      if (j != null && j.over()) continue;
       if (told.contains(id)) continue;
       if (told.size() < Constants.CANCELLED_KEPT) told.add(id);
       else all = false;
--- a/src/main/java/mallowstall/core/Core.java
+++ b/src/main/java/mallowstall/core/Core.java
@@ -60,6 +60,7 @@
   private long startedAt;
   private long roomNews = 1;
   private final Cancellations cancellations;
+  private final ClusterVersion clusterVersion;
 
   public Core(CoreSettings settings, Effects fx, Policy.Book policies, Metrics metrics, long seed) {
     this.settings = settings;
@@ -68,6 +69,7 @@
     this.metrics = metrics;
     this.store = new Store(this, fx, new Changes(), settings);
     this.cancellations = new Cancellations(store);
+    this.clusterVersion = new ClusterVersion(this, store);
     this.view = new View(this);
     this.owner = new Owner(this, store);
     this.holder = new Holder(this, store);
@@ -327,9 +329,13 @@
     return cancellations;
   }
 
+  ClusterVersion clusterVersion() {
+    return clusterVersion;
+  }
+
   /** Whether nothing of the job may be started and all of it must be stopped. */
   boolean over(String id, JobRec j) {
-    return j != null && j.fin() != Final.NONE || cancellations.told(id);
+    return j != null && j.over() || cancellations.told(id);
   }
 
   long roomNews() {
--- a/src/main/java/mallowstall/core/Fleet.java
+++ b/src/main/java/mallowstall/core/Fleet.java
@@ -167,7 +167,7 @@
       teamLeft.put(t.name(), t.cpusMax() > 0 ? t.cpusMax() : Double.MAX_VALUE);
     }
     for (JobRec rec : core.openJobs()) {
-      if (rec.fin() != Final.NONE) continue;
+      if (rec.over()) continue;
       JobSpec j = rec.spec();
       String name = minimalType(j);
       if (name == null) continue;
--- a/src/main/java/mallowstall/core/Holder.java
+++ b/src/main/java/mallowstall/core/Holder.java
@@ -126,7 +126,7 @@
     }
 
     boolean over() {
-      return rec.fin() != Final.NONE;
+      return rec.over();
     }
 
     int running() {
@@ -516,7 +516,7 @@
 
   private void write(Held h) {
     long now = core.now();
-    boolean all = h.doneCount == h.spec.tasks() && h.rec.fin() == Final.NONE;
+    boolean all = h.doneCount == h.spec.tasks() && !h.over();
     if (h.dirtyChunks.isEmpty() && !all && !h.uncertain) return;
     if (h.writing || h.granting || (!all && now - h.lastWrite < Constants.JOB_WRITE_GAP_MS)) return;
     if (h.over() && h.rec.fin() == Final.CANCELLED) {
@@ -709,7 +709,7 @@
     Map<String, JobRec> most = new HashMap<>();
     Set<String> starved = new HashSet<>();
     for (JobRec r : core.openJobs()) {
-      if (r.fin() != Final.NONE || !limited(r.spec())) continue;
+      if (r.over() || !limited(r.spec())) continue;
       String team = r.spec().team();
       if (r.grant() == 0) {
         TeamRec sum = teamSum(team);
--- a/src/main/java/mallowstall/core/Model.java
+++ b/src/main/java/mallowstall/core/Model.java
@@ -15,11 +15,26 @@
     PRODUCTION
   }
 
-  /** Final state of a job; {@code NONE} while it is open. */
+  /**
+   * How a job's tasks end: those of a batch by themselves, replicas of a service when cancelled.
+   */
+  public enum JobKind {
+    BATCH,
+    SERVICE
+  }
+
+  /**
+   * How a job has ended; {@code NONE} while a batch job is open, {@code SERVING} while a service
+   * is.
+   *
+   * <p>Versions without services can't read {@code SERVING}, so they take an open service for an
+   * unreadable entry: they answer 503 for it, and never run it as a batch or call it done.
+   */
   public enum Final {
     NONE,
     DONE,
-    CANCELLED
+    CANCELLED,
+    SERVING
   }
 
   /** What a worker says of a task. */
@@ -59,12 +74,24 @@
       double estimateS,
       double checkpointS,
       double saveS,
-      Double deadlineS) {}
+      Double deadlineS,
+      JobKind kind) {
+    /** Entries of batch jobs carry no kind: versions without services wrote them. */
+    public JobSpec {
+      if (kind == null) kind = JobKind.BATCH;
+    }
+
+    /** Whether its tasks are replicas that run until the job is cancelled. */
+    boolean service() {
+      return kind == JobKind.SERVICE;
+    }
+  }
 
   // ---- entries in the state service ---------------------------------------------------------
   /** Anything kept under a key of the state service. */
   public sealed interface Entry
       permits SessionRec,
+          VersionRec,
           JobRec,
           BitsRec,
           MachineRec,
@@ -76,6 +103,9 @@
 
   public record SessionRec(String node, long incarnation) implements Entry {}
 
+  /** The program version of a controller's process, written together with its session. */
+  public record VersionRec(String node, long incarnation, int version) implements Entry {}
+
   /**
    * A job's entry. {@code done} holds the first chunk of the bitmap; the rest are {@link BitsRec}.
    */
@@ -102,9 +132,20 @@
       return new JobRec(spec, submittedMs, holder, incarnation, epoch, done, doneCount, g, fin);
     }
 
+    /** True once the job has ended: nothing of it may be started any more. */
+    boolean over() {
+      return fin == Final.DONE || fin == Final.CANCELLED;
+    }
+
     /** True while somebody must still look after the job. */
     boolean open() {
-      return fin == Final.NONE || grant > 0;
+      return !over() || grant > 0;
+    }
+
+    /** The entry of a job that has just been accepted. */
+    static JobRec accepted(JobSpec spec, long submittedMs, String holder, long incarnation) {
+      Final fin = spec.service() ? Final.SERVING : Final.NONE;
+      return new JobRec(spec, submittedMs, holder, incarnation, 1, new byte[0], 0, 0, fin);
     }
   }
 
@@ -354,5 +395,6 @@
       int valueBytes,
       double cloudRps,
       long listLagMs,
-      Map<String, Double> lateTimes) {}
+      Map<String, Double> lateTimes,
+      int programVersion) {}
 }
--- a/src/main/java/mallowstall/core/Placement.java
+++ b/src/main/java/mallowstall/core/Placement.java
@@ -397,7 +397,7 @@
     if (core.settings().teams().size() < 2) return; // nobody to borrow from
     List<JobRec> open = new ArrayList<>();
     for (JobRec rec : core.openJobs()) {
-      if (rec.fin() == Final.NONE) open.add(rec);
+      if (!rec.over()) open.add(rec);
     }
     open.sort(Comparator.comparingLong(JobRec::submittedMs).thenComparing(r -> r.spec().id()));
     Object2DoubleOpenHashMap<String> cpus = new Object2DoubleOpenHashMap<>();
@@ -469,12 +469,10 @@
     waiting.clear();
     aheads.clear();
     warm.clear();
-    starvingSince
-        .keySet()
-        .removeIf(id -> store.job(id) == null || store.job(id).fin() != Final.NONE);
+    starvingSince.keySet().removeIf(id -> store.job(id) == null || store.job(id).over());
     Map<String, JobSpec> sample = new HashMap<>();
     for (JobRec rec : core.openJobs()) {
-      if (rec.fin() != Final.NONE) continue;
+      if (rec.over()) continue;
       JobSpec j = rec.spec();
       sample.put(j.image(), j);
       int n = Math.max(0, j.tasks() - rec.doneCount() - core.view().placed(j.id()));
--- a/src/main/java/mallowstall/core/Store.java
+++ b/src/main/java/mallowstall/core/Store.java
@@ -26,6 +26,10 @@
   static final String MACHINES = "c/m/";
   static final String GROUPS = "c/g/";
   static final String SESSIONS = "c/n/";
+
+  /** Versions without this key ignore it; it has no lease, since a node that is down keeps one. */
+  static final String VERSIONS = "c/v/";
+
   static final String TEAMS = "c/t/";
   static final String DIGESTS = "c/d/";
   static final String BITS = "c/b/";
@@ -505,13 +509,16 @@
   }
 
   private void putSession(long version) {
+    List<Put> puts = new ArrayList<>();
+    puts.add(new Put(SESSIONS + core.node(), new SessionRec(core.node(), incarnation), lease));
+    int programVersion = core.settings().programVersion();
+    if (programVersion > ClusterVersion.UNKNOWN) {
+      VersionRec shown = new VersionRec(core.node(), incarnation, programVersion);
+      puts.add(new Put(VERSIONS + core.node(), shown, 0));
+    }
     transact(
         Urgency.SESSION,
-        new Txn(
-            List.of(new Cond(SESSIONS + core.node(), version)),
-            List.of(
-                new Put(SESSIONS + core.node(), new SessionRec(core.node(), incarnation), lease)),
-            List.of()),
+        new Txn(List.of(new Cond(SESSIONS + core.node(), version)), puts, List.of()),
         r -> {
           if (r.code() == Code.NO_LEASE) {
             lease = 0;
--- a/src/main/java/mallowstall/core/Users.java
+++ b/src/main/java/mallowstall/core/Users.java
@@ -29,7 +29,7 @@
   }
 
   void jobChanged(String id, JobRec rec) {
-    if (rec.fin() != Final.NONE) finals.put(id, rec);
+    if (rec.over()) finals.put(id, rec);
   }
 
   boolean ready() {
@@ -62,10 +62,13 @@
       reply.accept(later("no contact with the state service"));
       return;
     }
+    if (j.service() && !core.clusterVersion().allowsServices()) {
+      UserAnswer notYet = later("a controller runs a version without services");
+      unlessAccepted(j.id(), notYet, reply);
+      return;
+    }
     String key = Store.JOBS + j.id();
-    JobRec rec =
-        new JobRec(
-            j, core.wall(), core.node(), store.incarnation(), 1, new byte[0], 0, 0, Final.NONE);
+    JobRec rec = JobRec.accepted(j, core.wall(), core.node(), store.incarnation());
     long since = core.now();
     boolean asked =
         store.transact(
@@ -97,15 +100,19 @@
       query(id, reply);
       return;
     }
-    UserAnswer no = UserAnswer.error(status, why);
+    unlessAccepted(id, UserAnswer.error(status, why), reply);
+  }
+
+  /** Gives this answer unless the state service knows the job; then its state is told. */
+  private void unlessAccepted(String id, UserAnswer otherwise, Consumer<UserAnswer> reply) {
     if (!store.synced() || core.now() - store.contactAt() > Constants.READ_LIFE_MS) {
-      reply.accept(no);
+      reply.accept(otherwise);
       return;
     }
     fresh(
         id,
         g -> {
-          if (g.code() != Code.OK || g.item().value() == null) reply.accept(no);
+          if (g.code() != Code.OK || g.item().value() == null) reply.accept(otherwise);
           else reply.accept(answer((JobRec) g.item().value()));
         });
   }
@@ -118,10 +125,13 @@
       any |= core.fits(j, m) && (j.zone() == null || m.zones().contains(j.zone()));
     }
     if (!any) return "a task fits no allowed machine type";
-    if (t.cpusMax() > 0 && j.cpus() > t.cpusMax())
-      return "a task needs more cpus than the team's limit";
-    if (t.gpusMax() > 0 && j.gpus() > t.gpusMax())
-      return "a task needs more gpus than the team's limit";
+    // replicas run all at once; a batch may run one task after the other
+    int atOnce = j.service() ? j.tasks() : 1;
+    String what = j.service() ? "all replicas together need" : "a task needs";
+    if (t.cpusMax() > 0 && atOnce * j.cpus() > t.cpusMax() + 1e-9)
+      return what + " more cpus than the team's limit";
+    if (t.gpusMax() > 0 && atOnce * j.gpus() > t.gpusMax() + 1e-9)
+      return what + " more gpus than the team's limit";
     return null;
   }
 
@@ -180,9 +190,8 @@
   private UserAnswer answer(JobRec read) {
     String id = read.spec().id();
     JobRec known = store.job(id);
-    JobRec rec = known != null && known.fin() != Final.NONE ? known : read;
-    if (rec.fin() == Final.NONE && core.cancellations().told(id))
-      rec = rec.withFinal(Final.CANCELLED);
+    JobRec rec = known != null && known.over() ? known : read;
+    if (!rec.over() && core.cancellations().told(id)) rec = rec.withFinal(Final.CANCELLED);
     if (rec.fin() == Final.DONE) return UserAnswer.state(200, id, "done", rec.spec().tasks(), 0);
     if (rec.fin() == Final.CANCELLED)
       return UserAnswer.state(200, id, "cancelled", rec.doneCount(), 0);
@@ -212,7 +221,7 @@
             return;
           }
           JobRec rec = (JobRec) g.item().value();
-          if (rec.fin() != Final.NONE) {
+          if (rec.over()) {
             reply.accept(answer(rec));
             return;
           }
--- a/src/main/java/mallowstall/state/StateAdapter.java
+++ b/src/main/java/mallowstall/state/StateAdapter.java
@@ -107,6 +107,7 @@
           case "c/m/" -> MachineRec.class;
           case "c/g/" -> GroupRec.class;
           case "c/n/" -> SessionRec.class;
+          case "c/v/" -> VersionRec.class;
           case "c/t/" -> TeamRec.class;
           case "c/d/" -> DigestRec.class;
           case "c/b/" -> BitsRec.class;
--- a/src/main/java/mallowstall/users/UsersAdapter.java
+++ b/src/main/java/mallowstall/users/UsersAdapter.java
@@ -77,6 +77,9 @@
           "best_effort",
           Priority.LOW);
 
+  private static final Map<String, JobKind> KINDS =
+      Map.of("batch", JobKind.BATCH, "daemon", JobKind.SERVICE);
+
   private final ObjectMapper json;
   private final Core core;
 
@@ -134,7 +137,8 @@
     text("lote", w.jobClass);
     text("cuadrilla", w.team);
     text("oficio", w.kind);
-    if (!w.kind.equals("batch")) throw new Malformed("oficio must be batch");
+    JobKind kind = KINDS.get(w.kind);
+    if (kind == null) throw new Malformed("oficio must be batch or daemon");
     text("urgencia", w.priority);
     Priority p = PRIORITIES.get(w.priority);
     if (p == null) throw new Malformed("urgencia must be prod, high, standard or best_effort");
@@ -178,7 +182,8 @@
         w.estimateS,
         w.checkpointS,
         w.saveS,
-        w.deadlineS);
+        w.deadlineS,
+        kind);
   }
 
   private static void text(String name, String v) throws Malformed {
