Service jobs: replicas run again, are spread and moved, and their machines planned for

A replica that ends runs again at once, and with the policy's back-off if it ends again and again. Its team's grant stays until the job is cancelled. Replicas are spread over machines, moved off machines that won't last (place first, then stop, then start), and a silent machine that has some is returned as proof instead of waiting for its lease, unless many are silent at once.

--- a/src/main/java/mallowstall/Constants.java
+++ b/src/main/java/mallowstall/Constants.java
@@ -188,6 +188,24 @@
   public static final long RECLAIM_AFTER_MS = 7_000;
 
   // ---- placement ----------------------------------------------------------------------------
+  /** ms. A replica that has run for so long before it ended is started again at once. */
+  public static final long REPLICA_STABLE_MS = 10_000;
+
+  /**
+   * s. What stopping a replica counts against stopping other work: more than any task's run time,
+   * since it is served to somebody at every moment.
+   */
+  public static final double REPLICA_LOSS_S = 100_000;
+
+  /**
+   * ms. For so long the room that a replica moves to is kept, and a faulty machine isn't returned:
+   * time to save, to exit, and for the report of it.
+   */
+  public static final long MOVE_KEEPS_ROOM_MS = 6_000;
+
+  /** ms. A machine that had no room after all isn't tried again for that job for so long. */
+  public static final long NO_ROOM_AVOIDS_MS = 3_000;
+
   /** ms. First wait of a policy that failed (design page). */
   public static final long BACKOFF_FIRST_MS = 1_000;
 
@@ -293,6 +311,13 @@
   /** Factor on the usual boot time after which a machine is taken for one that never boots. */
   public static final double BOOT_GIVE_UP = 4.0;
 
+  /**
+   * ms. Added to the report interval: a machine with replicas that is silent for longer is
+   * returned, as the proof that they are gone. Its tasks would be lost with its lease some seconds
+   * later.
+   */
+  public static final long SILENT_HOST_MS = 5_000;
+
   /** ms. Added to a worker's lease: a machine silent for longer is returned. */
   public static final long SILENT_RETURN_MS = 12_000;
 
--- a/src/main/java/mallowstall/core/Fleet.java
+++ b/src/main/java/mallowstall/core/Fleet.java
@@ -52,6 +52,10 @@
   private final Map<String, Rented> coming = new LinkedHashMap<>();
   private final Map<String, Long> refusedUntil = new HashMap<>();
   private final Map<String, Long> unaccountedSince = new HashMap<>();
+
+  /** Faulty machines that have replicas still to be moved. */
+  private final Map<String, Long> replaceSince = new HashMap<>();
+
   private final Set<String> returning = new HashSet<>();
   private final Set<String> toDrop = new HashSet<>();
   private final Map<String, Long> returned = new HashMap<>();
@@ -188,8 +192,7 @@
       if (j.priority().ordinal() >= Priority.HIGH.ordinal()) {
         urgent.merge(name, tasks / per, Double::sum);
       }
-      double life = j.estimateS() + j.imageGb() / Math.max(1e-3, t.fetchGbPerS());
-      double share = Math.min(1, life / Math.max(20, 0.8 * t.bootS()));
+      double share = shareOfBoot(j, t);
       Demand d = demands.computeIfAbsent(name, k -> new Demand());
       d.machines += tasks / per * share / waves(rec, t);
       d.spotOnly &= j.spot();
@@ -209,6 +212,16 @@
     reserve();
   }
 
+  /**
+   * The part of its own machines that a task is worth: what is over before one has booted needs
+   * none. A service has no estimate and stands for good.
+   */
+  private static double shareOfBoot(JobSpec j, MachineType t) {
+    if (j.service()) return 1;
+    double life = j.estimateS() + j.imageGb() / Math.max(1e-3, t.fetchGbPerS());
+    return Math.min(1, life / Math.max(20, 0.8 * t.bootS()));
+  }
+
   /**
    * How many of the job's tasks may run one after the other in one place and still be on time, on a
    * machine that must first be rented and fetch the image. A machine for every two tasks of a job
@@ -260,6 +273,7 @@
     List<View.Seen> up = new ArrayList<>();
     List<String> back = new ArrayList<>();
     List<String> orphans = new ArrayList<>();
+    List<String> silentHosts = new ArrayList<>();
     long lease = core.settings().leaseMs();
     long comesBack = Constants.COMES_BACK_MS + core.settings().reportMs() * 3 / 2;
     for (Map.Entry<String, Store.Held> e : store.under(Store.MACHINES).entrySet()) {
@@ -274,10 +288,12 @@
         unaccountedSince.remove(id);
         if (s.m.silent()) {
           if (s.idleMs(now) > lease + Constants.SILENT_RETURN_MS) back.add(id);
+          else if (s.idleMs(now) > silentHostMs() && core.view().hostsReplicas(s))
+            silentHosts.add(id);
           continue;
         }
         if (s.m.replace()) {
-          back.add(id);
+          if (!core.view().hostsReplicas(s) || replaceLate(id, now)) back.add(id);
           continue;
         }
         if (s.m.noticeS() < 0) {
@@ -300,7 +316,11 @@
     // wait, and a return is proof. Many at once would rather mean that their arrival is what is
     // slow.
     if (orphans.size() * 4 <= known.size() + 4) back.addAll(orphans);
+    // A silent machine's replicas can start elsewhere once its lease is over, or at once when it is
+    // returned. Many at once are cut off rather than dead, and go on if the cut is short.
+    if (silentHosts.size() * 4 <= known.size() + 4) back.addAll(silentHosts);
     unaccountedSince.keySet().retainAll(known);
+    replaceSince.keySet().retainAll(known);
     returned.values().removeIf(at -> now - at > Constants.RETURNED_MS);
     if (LOG.isDebugEnabled()) logUse(up);
     for (Listed l : listed.values()) {
@@ -334,6 +354,16 @@
     if (!back.isEmpty()) giveBack(back, "lost, failed or faulty");
   }
 
+  /** Some reports later than where a machine counts as silent. */
+  private long silentHostMs() {
+    return Constants.SILENT_HOST_MS + core.settings().reportMs();
+  }
+
+  /** Whether a faulty machine's replicas have had their time to be moved. */
+  private boolean replaceLate(String id, long now) {
+    return now - replaceSince.computeIfAbsent(id, k -> now) > Constants.MOVE_KEEPS_ROOM_MS;
+  }
+
   /** After so many seconds a machine that isn't up is taken for one that never boots. */
   private static double bootLimitS(MachineType t) {
     return Math.max(60, Constants.BOOT_GIVE_UP * t.bootS());
--- a/src/main/java/mallowstall/core/Holder.java
+++ b/src/main/java/mallowstall/core/Holder.java
@@ -47,7 +47,9 @@
 
     TaskState state;
     long since;
-    boolean stopping;
+
+    /** When it was first seen to run; 0: not yet. */
+    long runningSince;
 
     Active(
         Held job,
@@ -111,6 +113,14 @@
     /** A write has an unknown outcome and may still be applied: nothing is started on its grant. */
     boolean uncertain;
 
+    /** Of a service: how long replicas that have ended wait, and where some are being moved. */
+    final ReplicaRestarts restarts = new ReplicaRestarts();
+
+    final ReplicaMoves moves = new ReplicaMoves();
+
+    /** Of a service, whose wait for a zone must not hold up other jobs of its policy. */
+    final BackOff backOff = new BackOff();
+
     final Map<String, Long> avoid = new HashMap<>();
     final Set<String> errorsOn = new HashSet<>();
     long notBefore;
@@ -121,8 +131,9 @@
       this.spec = spec;
     }
 
+    /** Tasks that could be started now. */
     int pending() {
-      return spec.tasks() - doneCount - active.size();
+      return spec.tasks() - doneCount - active.size() - restarts.waiting();
     }
 
     boolean over() {
@@ -184,6 +195,11 @@
     return jobs.get(id);
   }
 
+  boolean anyService() {
+    for (Held h : jobs.values()) if (h.spec.service()) return true;
+    return false;
+  }
+
   boolean limited(JobSpec s) {
     Team t = core.settings().teams().get(s.team());
     return t != null && t.limited();
@@ -341,7 +357,9 @@
     if (same) a.listed = true;
     if (t.state() == TaskState.RUNNING || t.why() == Why.DONE) h.lastRan = core.now();
     if (t.state() == TaskState.EXITED) {
-      if (t.why() == Why.DONE) {
+      if (h.spec.service()) {
+        if (same) replicaEnded(a, m.machine(), t.why());
+      } else if (t.why() == Why.DONE) {
         if (!h.done.get(t.task())) {
           h.done.set(t.task());
           h.doneCount++;
@@ -350,20 +368,13 @@
         }
         if (same) free(a, false);
       } else if (same) {
-        if (t.why() == Why.ERROR) error(h, m.machine());
-        else if (t.why() == Why.NO_ROOM) h.avoid.put(m.machine(), core.now() + 3_000);
-        LOG.info(
-            "task {}/{} attempt {} ended on {}: {}",
-            h.id,
-            t.task(),
-            t.attempt(),
-            m.machine(),
-            t.why());
+        endedInVain(a, t.why());
         free(a, true);
       }
       return;
     }
     if (same) {
+      if (t.state() == TaskState.RUNNING && a.runningSince == 0) a.runningSince = core.now();
       if (t.state() != null) {
         // from now on only its owner's list says where it is
         a.seen = true;
@@ -382,6 +393,7 @@
       found.state = t.state();
       found.listed = true;
       found.session = m.session();
+      if (t.state() == TaskState.RUNNING) found.runningSince = core.now();
       place(found);
       LOG.info("task {}/{} attempt {} found on {}", h.id, t.task(), t.attempt(), m.machine());
     } else if (t.attempt() > a.attempt) {
@@ -403,11 +415,32 @@
     }
   }
 
+  /** A task has ended and must run again: remembers where it shouldn't be tried. */
+  private void endedInVain(Active a, Why why) {
+    if (why == Why.ERROR) error(a.job, a.machine);
+    else if (why == Why.NO_ROOM)
+      a.job.avoid.put(a.machine, core.now() + Constants.NO_ROOM_AVOIDS_MS);
+    LOG.info("task {}/{} attempt {} ended on {}: {}", a.job.id, a.task, a.attempt, a.machine, why);
+  }
+
+  /** Whatever a replica says of its end, it must run again until its job is cancelled. */
+  private void replicaEnded(Active a, String machine, Why why) {
+    Held h = a.job;
+    long ranMs = a.runningSince == 0 ? 0 : core.now() - a.runningSince;
+    // errors of long ago, each on another machine, don't make it the job's own fault
+    if (ranMs >= Constants.REPLICA_STABLE_MS) h.errorsOn.clear();
+    endedInVain(a, why);
+    boolean refused = why == Why.STOPPED || why == Why.NO_ROOM || why == Why.BUSY;
+    boolean startable = refused || h.restarts.ended(a.task, ranMs, core.now());
+    free(a, startable);
+  }
+
   private void error(Held h, String machine) {
     long now = core.now();
     h.errorsOn.add(machine);
     h.avoid.put(machine, now + Constants.JOB_AVOIDS_MS);
-    if (h.errorsOn.size() >= Constants.JOB_FAULT_MACHINES) {
+    // replicas wait one by one: the others may be well
+    if (h.errorsOn.size() >= Constants.JOB_FAULT_MACHINES && !h.spec.service()) {
       h.notBefore = now + Constants.JOB_FAULT_WAIT_MS;
       LOG.info(
           "job {} fails on every machine, next try in {} ms", h.id, Constants.JOB_FAULT_WAIT_MS);
@@ -429,7 +462,10 @@
     if (!store.synced()) return;
     latch();
     adopt();
-    for (Held h : new ArrayList<>(jobs.values())) write(h);
+    for (Held h : new ArrayList<>(jobs.values())) {
+      if (h.spec.service()) h.restarts.release(core.now(), h::putBack);
+      else write(h);
+    }
     if (core.now() >= nextYielding) {
       nextYielding = core.now() + Constants.ADOPT_EVERY_MS;
       findYielding();
@@ -623,14 +659,14 @@
         for (Held h : hs) {
           int d = delta(h, now);
           if ((pass == 0) != (d < 0) || in.size() >= room) continue;
-          if (d > 0) {
+          if (d > 0 && !h.spec.service()) {
             // what isn't asked for by placement must leave the team far from its limit: else it
             // was given and taken back by turns, with every change, and served nobody
             int early = Math.min(d, room(t, h.spec, cpus, gpus, Constants.ROOMY));
             d = Math.max(early, Math.min(d, h.wantsGrant));
-            d = Math.min(d, room(t, h.spec, cpus, gpus, 1));
-            if (d <= 0) continue;
           }
+          if (d > 0) d = Math.min(d, room(t, h.spec, cpus, gpus, 1));
+          if (d == 0) continue;
           cpus += d * h.spec.cpus();
           gpus += d * h.spec.gpus();
           String key = Store.JOBS + h.id;
@@ -682,6 +718,8 @@
   private int delta(Held h, long now) {
     int spare = h.rec.grant() - h.active.size();
     if (!h.latched) return 0;
+    // replicas start again and again: what they need stays granted until the job is cancelled
+    if (h.spec.service() && !h.over()) return Math.max(0, h.spec.tasks() - h.rec.grant());
     if (h.over() || yields(h)) return -Math.max(0, spare);
     int pending = h.pending();
     boolean roomy = roomy(h.spec.team());
@@ -711,12 +749,14 @@
     for (JobRec r : core.openJobs()) {
       if (r.over() || !limited(r.spec())) continue;
       String team = r.spec().team();
-      if (r.grant() == 0) {
+      boolean service = r.spec().service();
+      if (service ? r.grant() < r.spec().tasks() : r.grant() == 0) {
         TeamRec sum = teamSum(team);
         boolean full =
             room(core.settings().teams().get(team), r.spec(), sum.cpus(), sum.gpus(), 1) == 0;
-        if (full && core.wall() - r.submittedMs() > Constants.STARVES_MS) starved.add(team);
-      } else {
+        long patience = service ? Constants.PREEMPT_AFTER_MS : Constants.STARVES_MS;
+        if (full && core.wall() - r.submittedMs() > patience) starved.add(team);
+      } else if (!service) {
         most.merge(team, r, (a, b) -> weight(a) >= weight(b) ? a : b);
       }
     }
--- a/src/main/java/mallowstall/core/Owner.java
+++ b/src/main/java/mallowstall/core/Owner.java
@@ -513,6 +513,13 @@
     }
   }
 
+  /** Whether the task runs again after this end, whose only trace is what statements tell of it. */
+  private boolean runsAgain(TaskReport t) {
+    if (t.why() != Why.DONE) return true;
+    JobRec j = store.job(t.job());
+    return j != null && j.spec().service();
+  }
+
   private ReportAnswer answer(Owned o) {
     long now = core.now();
     o.touched = true; // what it refuses below is booked no longer
@@ -527,7 +534,7 @@
             j != null
                 && (core.over(t.job(), j)
                     || done
-                    || (t.why() != Why.DONE && o.told.getLong(k) == t.attempt()));
+                    || (runsAgain(t) && o.told.getLong(k) == t.attempt()));
         if (forget && !o.ordered.containsKey(k))
           forgets.add(new Command(CommandKind.FORGET, t.job(), t.task(), t.attempt(), 0));
         o.stops.remove(k);
@@ -1135,7 +1142,7 @@
       o.saidAt = now;
       changed.add(o);
       for (TaskReport t : o.tasks.values()) {
-        if (t.state() == TaskState.EXITED && t.why() != Why.DONE)
+        if (t.state() == TaskState.EXITED && runsAgain(t))
           o.told.put(new Key(t.job(), t.task()), t.attempt());
       }
     }
--- a/src/main/java/mallowstall/core/Placement.java
+++ b/src/main/java/mallowstall/core/Placement.java
@@ -24,13 +24,6 @@
 final class Placement {
   private static final Logger LOG = LoggerFactory.getLogger("mallowstall.placement");
 
-  /** How long a policy that failed still waits. */
-  private static final class BackOff {
-    long until;
-    long wait = Constants.BACKOFF_FIRST_MS;
-    long roomSeen;
-  }
-
   private final Core core;
   private final Store store;
   private final Holder holder;
@@ -116,9 +109,11 @@
     long now = core.now();
     List<Held> wait = new ArrayList<>();
     for (Held h : holder.jobs()) {
+      if (h.spec.service()) h.moves.expire(now);
       if (h.latched && !h.over() && h.pending() > 0 && now >= h.notBefore) wait.add(h);
     }
-    if (wait.isEmpty()) return;
+    boolean anyService = holder.anyService();
+    if (wait.isEmpty() && !anyService) return;
     countRoom();
     countEntitled();
     wait.sort(this::order);
@@ -132,6 +127,7 @@
     }
     countSent();
     countImages();
+    if (anyService) moveReplicas(machines, now);
     int budget = Constants.STARTS_PER_ROUND;
     // one priority after the other; within one, every job tries a block before any tries the next
     for (int from = 0; from < wait.size() && budget > 0; ) {
@@ -145,8 +141,8 @@
               && starves(wait.get(from)) == starving;
           from++) {
         Try t = new Try(wait.get(from), machines);
-        if (now < t.backOff.until && core.roomNews() <= t.backOff.roomSeen) continue;
-        if (!starving && outranked(t.h, now)) continue;
+        if (t.backOff.waits(now, core.roomNews())) continue;
+        if (!starving && !t.h.spec.service() && outranked(t.h, now)) continue;
         tries.add(t);
         blocks = Math.max(blocks, t.policy.blocks().size());
       }
@@ -161,6 +157,9 @@
     send();
   }
 
+  /** A machine that a block takes; the lower score comes first. */
+  private record Choice(View.Seen s, double score) {}
+
   /** One job's part in a placement round. Mutable. */
   private final class Try {
     final Held h;
@@ -169,6 +168,10 @@
     final boolean limited;
     final Map<String, Integer> perZone = new HashMap<>();
     final int zoneMax;
+
+    /** Replicas of a service on each machine, which are spread as evenly as can be. */
+    final Map<String, Integer> perMachine = new HashMap<>();
+
     String oneZone;
     int want;
     int spare;
@@ -184,9 +187,10 @@
       this.h = h;
       JobSpec j = h.spec;
       policy = core.policies().forClass(j.jobClass());
-      backOff = backOffs.computeIfAbsent(policy.name(), k -> new BackOff());
+      backOff =
+          j.service() ? h.backOff : backOffs.computeIfAbsent(policy.name(), k -> new BackOff());
       want = h.pending();
-      if (starves(h)) want = Math.min(want, Math.max(1, j.tasks() / 10));
+      if (starves(h) && !j.service()) want = Math.min(want, Math.max(1, j.tasks() / 10));
       limited = holder.limited(j);
       // a change of the grant that is under way or in doubt: what it will be isn't known
       spare =
@@ -196,6 +200,7 @@
       for (Active a : h.active.values()) {
         oneZone = a.zone;
         perZone.merge(a.zone, 1, Integer::sum);
+        if (j.service()) perMachine.merge(a.machine, 1, Integer::sum);
       }
       if (j.oneZone() && oneZone == null) oneZone = roomiestZone(j, machines);
       zoneMax = j.spread() ? (j.tasks() + 1) / 2 : Integer.MAX_VALUE;
@@ -205,7 +210,27 @@
     int block(Policy.Block b, List<View.Seen> machines, int budget, long now) {
       JobSpec j = h.spec;
       if (want <= 0) return 0;
-      record Choice(View.Seen s, double score) {}
+      List<Choice> choices = choices(b, machines, now);
+      if (!j.service()) return take(b, choices, Integer.MAX_VALUE, budget, now);
+      int started = 0;
+      // one failure takes few replicas if each machine gets a second one only after all have one
+      for (int most = 1; most <= j.tasks() && want > 0 && started < budget; most++) {
+        int before = want;
+        started += take(b, choices, most, budget - started, now);
+        if (want == before && most > mostOnOneMachine()) break;
+      }
+      return started;
+    }
+
+    private int mostOnOneMachine() {
+      int most = 0;
+      for (int replicas : perMachine.values()) most = Math.max(most, replicas);
+      return most;
+    }
+
+    /** The machines that this block takes, best first. */
+    private List<Choice> choices(Policy.Block b, List<View.Seen> machines, long now) {
+      JobSpec j = h.spec;
       List<Choice> choices = new ArrayList<>();
       for (View.Seen s : machines) {
         if (!Owner.allowed(j, s.m.type(), s.m.zone(), s.m.spot())) continue;
@@ -227,9 +252,16 @@
         choices.add(new Choice(s, score + random.nextDouble() * 0.5));
       }
       choices.sort(Comparator.comparingDouble(Choice::score));
+      return choices;
+    }
+
+    /** Starts tasks on these machines, at most so many of the job on each; returns how many. */
+    private int take(Policy.Block b, List<Choice> choices, int most, int budget, long now) {
+      JobSpec j = h.spec;
       int started = 0;
       for (Choice c : choices) {
         int n = Math.min(want, fits(c.s, j));
+        if (j.service()) n = Math.min(n, most - perMachine.getOrDefault(c.s.id, 0));
         n = Math.min(n, zoneMax - perZone.getOrDefault(c.s.m.zone(), 0));
         if (n <= 0) continue;
         if (!c.s.m.images().contains(j.image())) {
@@ -252,6 +284,7 @@
         want -= n - go;
         book(c.s, j, n - go);
         perZone.merge(c.s.m.zone(), n, Integer::sum);
+        if (j.service()) perMachine.merge(c.s.id, n, Integer::sum);
         if (want <= 0 || started >= budget) break;
       }
       return started;
@@ -261,8 +294,7 @@
       if (limited && possible > 0) h.wantsGrant = Math.max(h.wantsGrant, possible);
       if (placed > 0) {
         h.grantIdleSince = 0;
-        backOff.wait = Constants.BACKOFF_FIRST_MS;
-        backOff.until = 0;
+        backOff.reset();
       } else if (possible == 0) {
         // exhausted every block: wait, unless a roster tells of new room before
         LOG.debug(
@@ -272,9 +304,7 @@
             h.active.size(),
             refused);
         core.metrics().count("backoffs");
-        backOff.until = now + backOff.wait;
-        backOff.wait = Math.min(Constants.BACKOFF_MAX_MS, backOff.wait * 2);
-        backOff.roomSeen = core.roomNews();
+        backOff.failed(now, core.roomNews());
         preempt(now);
       }
     }
@@ -296,8 +326,8 @@
         return;
       }
       h.lastPreempt = now;
-      record Choice(View.Seen s, List<RosterTask> victims, double cost) {}
-      List<Choice> choices = new ArrayList<>();
+      record Exchange(View.Seen s, List<RosterTask> victims, double cost) {}
+      List<Exchange> choices = new ArrayList<>();
       for (View.Seen s : core.view().machines.values()) {
         if (!s.takes() || now - core.view().heardAt(s) >= Constants.ROSTER_STALE_MS) continue;
         if (!Owner.allowed(j, s.m.type(), s.m.zone(), s.m.spot())) continue;
@@ -311,11 +341,11 @@
         if (!taken) continue;
         double cost = facts.fetchS;
         for (RosterTask t : victims) cost += loss(t);
-        choices.add(new Choice(s, victims, cost));
+        choices.add(new Exchange(s, victims, cost));
       }
-      choices.sort(Comparator.comparingDouble(Choice::cost));
+      choices.sort(Comparator.comparingDouble(Exchange::cost));
       int left = Constants.PREEMPT_MOST;
-      for (Choice c : choices) {
+      for (Exchange c : choices) {
         // with no room anywhere the first start names the zone: two zones were once taken
         if (j.oneZone() && oneZone != null && !c.s.m.zone().equals(oneZone)) continue;
         if (zoneMax <= perZone.getOrDefault(c.s.m.zone(), 0)) continue;
@@ -384,6 +414,7 @@
   private double loss(RosterTask t) {
     if (t.state() == TaskState.FETCHING) return 1;
     JobSpec j = store.job(t.job()).spec();
+    if (j.service()) return Constants.REPLICA_LOSS_S;
     double half = j.estimateS() / 2;
     return j.checkpointS() > 0 ? Math.min(half, j.checkpointS()) : half;
   }
@@ -516,9 +547,81 @@
     return howMany(t.cpus(), t.gpus(), t.memoryGb(), j);
   }
 
+  /**
+   * Moves replicas off machines that won't last: the place is chosen first and its room kept, then
+   * the replica is stopped, and it starts there as soon as its end is proven.
+   */
+  private void moveReplicas(List<View.Seen> machines, long now) {
+    for (Held h : holder.jobs()) {
+      if (!h.spec.service() || !h.latched || h.over()) continue;
+      for (int replica : h.moves.replicas()) startMoved(h, replica, now);
+      if (h.uncertain) continue;
+      for (Active a : new ArrayList<>(h.active.values())) {
+        if (!a.seen || h.moves.underWay(a.task)) continue;
+        View.Seen from = core.view().machines.get(a.machine);
+        if (from == null || !from.leaves()) continue;
+        View.Seen to = placeToMove(h, a, machines, now);
+        if (to == null) continue;
+        LOG.info("replica {}/{} moves from {} to {}", h.id, a.task, a.machine, to.id);
+        h.moves.begin(a.task, to.id, now);
+        book(to, h.spec, 1);
+        core.stop(
+            from.owner, new StopOrder(a.machine, h.id, a.task, a.attempt, h.spec.saveS() + 1));
+      }
+    }
+  }
+
+  /** Starts a replica where its move leads, once it is proven to run nowhere. */
+  private void startMoved(Held h, int replica, long now) {
+    if (h.active.containsKey(replica) || h.granting || h.uncertain) return;
+    View.Seen to = core.view().machines.get(h.moves.target(replica));
+    h.moves.end(replica);
+    if (to == null) return;
+    book(to, h.spec, -1);
+    boolean granted = !holder.limited(h.spec) || h.rec.grant() > h.active.size();
+    boolean heard = to.takes() && now - core.view().heardAt(to) < Constants.ROSTER_STALE_MS;
+    if (granted && heard && allowsMove(h, replica, to)) start(h, replica, to, List.of());
+  }
+
+  private View.Seen placeToMove(Held h, Active moving, List<View.Seen> machines, long now) {
+    Map<String, Integer> perMachine = new HashMap<>();
+    for (Active a : h.active.values()) perMachine.merge(a.machine, 1, Integer::sum);
+    Policy policy = core.policies().forClass(h.spec.jobClass());
+    View.Seen best = null;
+    double bestCost = Double.MAX_VALUE;
+    for (View.Seen s : machines) {
+      if (h.avoid.getOrDefault(s.id, 0L) > now || !allowsMove(h, moving.task, s)) continue;
+      fill(s, h, now);
+      boolean taken = false;
+      for (Policy.Block b : policy.blocks()) taken |= b.workers(facts) && !b.invalidate(facts);
+      double cost = facts.fetchS + perMachine.getOrDefault(s.id, 0);
+      if (!taken || cost >= bestCost) continue;
+      best = s;
+      bestCost = cost;
+    }
+    return best;
+  }
+
+  /** Whether the replica may run there, given where the job's others are. */
+  private boolean allowsMove(Held h, int replica, View.Seen to) {
+    JobSpec j = h.spec;
+    if (!Owner.allowed(j, to.m.type(), to.m.zone(), to.m.spot()) || fits(to, j) <= 0) return false;
+    int there = 1;
+    for (Active a : h.active.values()) {
+      if (a.task == replica) continue;
+      if (j.oneZone() && !a.zone.equals(to.m.zone())) return false;
+      if (a.zone.equals(to.m.zone())) there++;
+    }
+    return !j.spread() || there <= (j.tasks() + 1) / 2;
+  }
+
   private void countSent() {
     for (View.Seen s : core.view().machines.values()) s.sentCpus = s.sentGpus = s.sentMemory = 0;
     for (Held h : holder.jobs()) {
+      for (Map.Entry<String, Integer> e : h.moves.targets().entrySet()) {
+        View.Seen s = core.view().machines.get(e.getKey());
+        if (s != null) book(s, h.spec, e.getValue());
+      }
       for (Active a : h.active.values()) {
         if (a.seen || a.listed) continue;
         View.Seen s = core.view().machines.get(a.machine);
--- a/src/main/java/mallowstall/core/View.java
+++ b/src/main/java/mallowstall/core/View.java
@@ -70,6 +70,11 @@
           && !m.replace();
     }
 
+    /** Whether it will be gone before long, by the cloud's notice or since it fails its tasks. */
+    boolean leaves() {
+      return m != null && owner != null && (m.noticeS() >= 0 || m.replace());
+    }
+
     /** For how long it has been idle, or silent; what was told then has gone on since. */
     long idleMs(long now) {
       return m.idleMs() == 0 ? 0 : m.idleMs() + now - at;
@@ -236,6 +241,15 @@
     s.images = images.toArray(new String[0]);
   }
 
+  /** Whether replicas of services are on the machine, as its owner last told. */
+  boolean hostsReplicas(Seen s) {
+    for (RosterTask t : s.m.tasks()) {
+      JobRec r = t.state() == TaskState.EXITED ? null : core.store().job(t.job());
+      if (r != null && r.spec().service() && !r.over()) return true;
+    }
+    return false;
+  }
+
   private void disown(String node, String machine) {
     Seen s = machines.get(machine);
     if (s != null && node.equals(s.owner)) s.owner = null;
