--- a/src/test/java/mallowstall/users/SubmissionTest.java
+++ b/src/test/java/mallowstall/users/SubmissionTest.java
@@ -7,6 +7,7 @@
 
 import java.nio.charset.StandardCharsets;
 import mallowstall.cli.Main;
+import mallowstall.core.Model.JobKind;
 import mallowstall.core.Model.JobSpec;
 import mallowstall.core.Model.Priority;
 import org.junit.jupiter.api.Test;
@@ -34,6 +35,26 @@
     assertNull(parse(GOOD.replace("\"calibres\":[\"g8\"],", "")).types());
   }
 
+  /** A service has no run time to estimate, so 0 is right and no deadline needed. */
+  @Test
+  void aServiceIsRead() throws UsersAdapter.Malformed {
+    String daemon =
+        GOOD.replace("\"batch\"", "\"daemon\"")
+            .replace("\"aserrado_s\":240.0", "\"aserrado_s\":0")
+            .replace("\"despacho_s\":900.0", "\"despacho_s\":null");
+    JobSpec j = parse(daemon);
+    assertEquals(JobKind.SERVICE, j.kind());
+    assertEquals(0, j.estimateS());
+    assertNull(j.deadlineS());
+    assertEquals(JobKind.BATCH, parse(GOOD).kind());
+    assertThrows(
+        UsersAdapter.Malformed.class,
+        () -> parse(daemon.replace("\"aserrado_s\":0", "\"aserrado_s\":-1")));
+    assertThrows(
+        UsersAdapter.Malformed.class,
+        () -> parse(daemon.replace("\"piezas\":16", "\"piezas\":0")));
+  }
+
   @Test
   void eachFaultIsNamed() {
     String[][] cases = {
