Settings: limits of the state service that fall

facts.state.next names limits that hold from some moment on; since that isn't told, the smaller of both is kept from the start, field by field.

--- a/src/main/java/mallowstall/Service.java
+++ b/src/main/java/mallowstall/Service.java
@@ -97,6 +97,8 @@
       }
     }
     Settings.Facts f = s.facts();
+    // when the limits fall isn't known: the lower ones are kept from the start
+    Settings.State state = f.state().lowest();
     return new CoreSettings(
         s.node(),
         others,
@@ -106,10 +108,10 @@
         (long) (f.workers().leaseS() * 1000),
         (long) (f.workers().cancelS() * 1000),
         (long) Math.ceil(f.skewMs()),
-        f.state().rps(),
-        f.state().writeRps(),
-        f.state().txnOps(),
-        (int) (f.state().valueKb() * 1024),
+        state.rps(),
+        state.writeRps(),
+        state.txnOps(),
+        (int) (state.valueKb() * 1024),
         f.cloud().rps(),
         (long) (f.cloud().listLagS() * 1000),
         late,
--- a/src/main/java/mallowstall/config/Settings.java
+++ b/src/main/java/mallowstall/config/Settings.java
@@ -46,6 +46,32 @@
       @JsonProperty("cancel_s") Double cancelS) {}
 
   public record State(
+      @JsonProperty("rps") Double rps,
+      @JsonProperty("write_rps") Double writeRps,
+      @JsonProperty("value_kb") Double valueKb,
+      @JsonProperty("txn_ops") Integer txnOps,
+      @JsonProperty("next") NextState next) {
+    /** These limits, field by field the smaller ones of now and of later. */
+    public State lowest() {
+      if (next == null) return this;
+      return new State(
+          lower(rps, next.rps),
+          lower(writeRps, next.writeRps),
+          lower(valueKb, next.valueKb),
+          next.txnOps == null ? txnOps : (Integer) Math.min(txnOps, next.txnOps),
+          null);
+    }
+
+    private static Double lower(Double now, Double later) {
+      return later == null ? now : (Double) Math.min(now, later);
+    }
+  }
+
+  /**
+   * Limits that the state service will have from some moment on, without notice; those absent stay
+   * as they are.
+   */
+  public record NextState(
       @JsonProperty("rps") Double rps,
       @JsonProperty("write_rps") Double writeRps,
       @JsonProperty("value_kb") Double valueKb,
@@ -139,6 +165,7 @@
     positive("facts.state.value_kb", facts.state.valueKb);
     if (facts.state.txnOps == null || facts.state.txnOps < 2)
       throw new Invalid("facts.state.txn_ops must be a whole number above 1");
+    checkNext(facts.state.next);
     if (facts.cloud == null) throw new Invalid("facts.cloud is missing: expected an object");
     positive("facts.cloud.rps", facts.cloud.rps);
     positive("facts.cloud.list_lag_s", facts.cloud.listLagS);
@@ -151,6 +178,15 @@
       throw new Invalid("facts.skew_ms must be a number of 0 or more");
   }
 
+  private static void checkNext(NextState next) throws Invalid {
+    if (next == null) return;
+    if (next.rps != null) positive("facts.state.next.rps", next.rps);
+    if (next.writeRps != null) positive("facts.state.next.write_rps", next.writeRps);
+    if (next.valueKb != null) positive("facts.state.next.value_kb", next.valueKb);
+    if (next.txnOps != null && next.txnOps < 2)
+      throw new Invalid("facts.state.next.txn_ops must be a whole number above 1");
+  }
+
   private static void text(String path, String v) throws Invalid {
     if (v == null || v.isEmpty()) throw new Invalid(path + " is missing: expected text");
   }
--- a/src/test/java/mallowstall/ServiceTest.java
+++ b/src/test/java/mallowstall/ServiceTest.java
@@ -22,6 +22,16 @@
  * The real process on loopback, without a world around it: what it can't take is answered at once.
  */
 class ServiceTest {
+  private static final String SETTINGS =
+      """
+      {"node":"n0","listen":"127.0.0.1:0","peer_bind":"127.0.0.1:0",
+       "endpoints":{"cloud":"127.0.0.1:1","state":"127.0.0.1:1"},
+       "facts":{"teams":[{"name":"vision"}],
+        "workers":{"report_s":1.0,"lease_s":10.0,"cancel_s":35.0},
+        "state":{"rps":150.0,"write_rps":60.0,"value_kb":16.0,"txn_ops":24},
+        "cloud":{"rps":1.5,"list_lag_s":10.0},"skew_ms":25.0}}
+      """;
+
   private static Service service;
   private static String base;
   private static final HttpClient HTTP =
@@ -29,18 +39,9 @@
 
   @BeforeAll
   static void start() throws Exception {
-    String s =
-        """
-        {"node":"n0","listen":"127.0.0.1:0","peer_bind":"127.0.0.1:0",
-         "endpoints":{"cloud":"127.0.0.1:1","state":"127.0.0.1:1"},
-         "facts":{"teams":[{"name":"vision"}],
-          "workers":{"report_s":1.0,"lease_s":10.0,"cancel_s":35.0},
-          "state":{"rps":150.0,"write_rps":60.0,"value_kb":16.0,"txn_ops":24},
-          "cloud":{"rps":1.5,"list_lag_s":10.0},"skew_ms":25.0}}
-        """;
     service =
         new Service(
-            Settings.parse(s.getBytes(StandardCharsets.UTF_8), Main.json()),
+            Settings.parse(SETTINGS.getBytes(StandardCharsets.UTF_8), Main.json()),
             Main.json(),
             Policies.bundled());
     service.start();
@@ -66,6 +67,23 @@
         HttpResponse.BodyHandlers.ofString());
   }
 
+  /** The limits that the core works with, from the start on. */
+  @Test
+  void theCoreKeepsToTheSmallerLimits() throws Exception {
+    String next = ",\"next\":{\"value_kb\":2.0,\"txn_ops\":8,\"write_rps\":90.0}";
+    Settings s =
+        Settings.parse(
+            SETTINGS
+                .replace("\"txn_ops\":24", "\"txn_ops\":24" + next)
+                .getBytes(StandardCharsets.UTF_8),
+            Main.json());
+    mallowstall.core.Model.CoreSettings core = Service.coreSettings(s);
+    assertEquals(2_048, core.valueBytes());
+    assertEquals(8, core.txnOps());
+    assertEquals(60.0, core.stateWriteRps());
+    assertEquals(150.0, core.stateRps());
+  }
+
   @Test
   void eachBadRequestGetsItsStatusAndAMessage() throws Exception {
     String job = mallowstall.users.Examples.JOB;
--- a/src/test/java/mallowstall/config/SettingsTest.java
+++ b/src/test/java/mallowstall/config/SettingsTest.java
@@ -31,6 +31,47 @@
     assertEquals(10.0, s.facts().workers().leaseS());
   }
 
+  private static String withNext(String next) {
+    return GOOD.replace("\"txn_ops\":24", "\"txn_ops\":24,\"next\":" + next);
+  }
+
+  private static Settings.State lowest(String settings) throws Settings.Invalid {
+    return parse(settings).facts().state().lowest();
+  }
+
+  @Test
+  void ofLimitsThatFallTheSmallerOnesAreKeptFieldByField() throws Settings.Invalid {
+    Settings.State now = new Settings.State(150.0, 60.0, 16.0, 24, null);
+    assertEquals(now, lowest(GOOD));
+    assertEquals(now, lowest(withNext("null")));
+    assertEquals(now, lowest(withNext("{}")));
+    assertEquals(
+        new Settings.State(90.0, 20.0, 2.0, 8, null),
+        lowest(withNext("{\"rps\":90,\"write_rps\":20.0,\"value_kb\":2,\"txn_ops\":8}")));
+    assertEquals(
+        new Settings.State(150.0, 60.0, 2.5, 24, null),
+        lowest(withNext("{\"rps\":200.0,\"value_kb\":2.5,\"txn_ops\":64,\"more\":1}")));
+  }
+
+  @Test
+  void faultsOfLaterLimitsNameTheField() {
+    String[][] cases = {
+      {"{\"rps\":0}", "facts.state.next.rps must be a number above 0"},
+      {"{\"write_rps\":-1.0}", "facts.state.next.write_rps must be a number above 0"},
+      {"{\"value_kb\":0.0}", "facts.state.next.value_kb must be a number above 0"},
+      {"{\"value_kb\":1e999}", "facts.state.next.value_kb must be a number above 0"},
+      {"{\"value_kb\":\"2\"}", "facts.state.next.value_kb has the wrong type"},
+      {"{\"txn_ops\":1}", "facts.state.next.txn_ops must be a whole number above 1"},
+      {"{\"txn_ops\":8.5}", "facts.state.next.txn_ops has the wrong type"},
+      {"8", "facts.state.next has the wrong type"},
+      {"[]", "facts.state.next has the wrong type"},
+    };
+    for (String[] c : cases) {
+      Settings.Invalid e = assertThrows(Settings.Invalid.class, () -> parse(withNext(c[0])), c[0]);
+      assertEquals(c[1], e.getMessage(), c[0]);
+    }
+  }
+
   @Test
   void faultsNameTheFieldAndWhatWasExpected() {
     String[][] cases = {
