--- a/src/main/java/mallowstall/Constants.java
+++ b/src/main/java/mallowstall/Constants.java
@@ -318,6 +318,9 @@
    */
   public static final long SILENT_HOST_MS = 5_000;
 
+  /** s. With less than this left of its notice a silent machine is taken for gone. */
+  public static final double NOTICE_OVER_S = 2;
+
   /** ms. Added to a worker's lease: a machine silent for longer is returned. */
   public static final long SILENT_RETURN_MS = 12_000;
 
--- a/src/main/java/mallowstall/core/Fleet.java
+++ b/src/main/java/mallowstall/core/Fleet.java
@@ -26,7 +26,10 @@
   /** Demand for one machine type. Mutable. */
   private static final class Demand {
     double machines;
-    boolean spotOnly = true;
+
+    /** Whether spot machines can serve some of it; what they can't is rented before the rest. */
+    boolean spotAllowed;
+
     double average;
 
     /** Average machines' worth of urgent work. */
@@ -162,6 +165,7 @@
     Map<String, Double> urgent = new HashMap<>();
     for (Demand d : demands.values()) {
       d.machines = 0;
+      d.spotAllowed = false;
       d.pinned.clear();
       d.pinnedOrdinary.clear();
       d.ordinary = 0;
@@ -195,7 +199,7 @@
       double share = shareOfBoot(j, t);
       Demand d = demands.computeIfAbsent(name, k -> new Demand());
       d.machines += tasks / per * share / waves(rec, t);
-      d.spotOnly &= j.spot();
+      d.spotAllowed |= j.spot();
       if (!j.spot()) d.ordinary += tasks / per;
       Map<String, Double> pinned = j.spot() ? d.pinned : d.pinnedOrdinary;
       if (j.zone() != null) pinned.merge(j.zone(), tasks / per, Double::sum);
@@ -287,7 +291,7 @@
       if (accounted && ownerLive && now - core.view().heardAt(s) < 2 * Constants.ROSTER_STALE_MS) {
         unaccountedSince.remove(id);
         if (s.m.silent()) {
-          if (s.idleMs(now) > lease + Constants.SILENT_RETURN_MS) back.add(id);
+          if (taken(s, now) || s.idleMs(now) > lease + Constants.SILENT_RETURN_MS) back.add(id);
           else if (s.idleMs(now) > silentHostMs() && core.view().hostsReplicas(s))
             silentHosts.add(id);
           continue;
@@ -354,6 +358,15 @@
     if (!back.isEmpty()) giveBack(back, "lost, failed or faulty");
   }
 
+  /**
+   * Silent at the end of its notice: the cloud has it back, and a return proves at once what its
+   * lease would prove only later.
+   */
+  private static boolean taken(View.Seen s, long now) {
+    double left = s.m.noticeS() - (now - s.at) / 1000.0;
+    return s.m.noticeS() >= 0 && left < Constants.NOTICE_OVER_S;
+  }
+
   /** Some reports later than where a machine counts as silent. */
   private long silentHostMs() {
     return Constants.SILENT_HOST_MS + core.settings().reportMs();
@@ -401,7 +414,7 @@
     int want = (int) Math.ceil(Math.max(need * 1.1, floor) - 0.05);
     if (d != null && !renting && calls.has(now, 1, 0) && constrained(type, d, up, now)) return;
     if (want > have) {
-      if (!renting && calls.has(now, 1, 0)) rent(type, want - have, have, want, d.spotOnly, now);
+      if (!renting && calls.has(now, 1, 0)) rent(type, want - have, have, want, d == null || d.spotAllowed, now);
       return;
     }
     int keep = (int) Math.ceil(Math.max(need * 1.2, floor * 1.15));
