Limits that fall: done bits in pieces, values measured as sent, refusals tried ever more seldom

Jobs whose entry or chunks would exceed the value limit keep their done bits in pieces of 8,192, once every controller reads these; the transaction that takes bits out of an entry writes them. Digests and groups are cut by their encoded size. A 400 has its own code; what the state service refuses is tried again after a doubled wait.

--- a/src/main/java/mallowstall/Constants.java
+++ b/src/main/java/mallowstall/Constants.java
@@ -47,9 +47,33 @@
   /** Count. Items asked for in one listing (protocol maximum is 1,000). */
   public static final int LIST_PAGE = 500;
 
-  /** Count. Tasks whose done bits stand in one value: 2 KiB raw, below any value limit seen. */
+  /**
+   * ms. Longest wait before a change that the state service calls too large is tried again: what it
+   * needs is another layout or other limits, and each try costs everybody a change.
+   */
+  public static final long STATE_MALFORMED_RETRY_MAX_MS = 30_000;
+
+  /**
+   * ms. Longest wait before a change that was refused otherwise is tried again: for a rate that was
+   * exceeded it is long, after an outage what waits is still recorded within seconds.
+   */
+  public static final long STATE_REFUSED_RETRY_MAX_MS = 3_200;
+
+  /** Count. Tasks whose done bits stand in one value of the first layout: 2 KiB raw. */
   public static final int BITS_PER_CHUNK = 16_384;
 
+  /**
+   * Count. Tasks whose done bits stand in one value of the compact layout: 1 KiB raw and below 1.5
+   * KiB encoded, so that they fit the lowest value limit announced, 2 KiB.
+   */
+  public static final int BITS_PER_PIECE = 8_192;
+
+  /**
+   * Count. Jobs of up to so many tasks have all done bits in their entry: at most 344 bytes
+   * encoded, beside a description of about 500, and a change of one value each time.
+   */
+  public static final int INLINE_TASKS = 2_048;
+
   /** ms. Least time between two writes of one job's entry: finishes in between are one batch. */
   public static final long JOB_WRITE_GAP_MS = 150;
 
--- a/src/main/java/mallowstall/Service.java
+++ b/src/main/java/mallowstall/Service.java
@@ -250,6 +250,11 @@
           });
     }
 
+    @Override
+    public int encodedSize(Entry value) {
+      return state.encodedSize(value);
+    }
+
     @Override
     public void get(String key, Consumer<GetReply> then) {
       state.get(key, then);
--- a/src/main/java/mallowstall/core/ClusterVersion.java
+++ b/src/main/java/mallowstall/core/ClusterVersion.java
@@ -30,6 +30,11 @@
     return lowest() >= WITH_SERVICES;
   }
 
+  /** Whether every controller reads done bits in small pieces. */
+  boolean allowsSmallPieces() {
+    return lowest() >= WITH_SERVICES;
+  }
+
   private int lowest() {
     int lowest = shownBy(core.node());
     for (String peer : core.settings().peers()) lowest = Math.min(lowest, shownBy(peer));
--- a/src/main/java/mallowstall/core/Core.java
+++ b/src/main/java/mallowstall/core/Core.java
@@ -61,6 +61,8 @@
   private long roomNews = 1;
   private final Cancellations cancellations;
   private final ClusterVersion clusterVersion;
+  private final JobEntries jobEntries;
+  private final RetryDelay digestRetry = new RetryDelay();
 
   public Core(CoreSettings settings, Effects fx, Policy.Book policies, Metrics metrics, long seed) {
     this.settings = settings;
@@ -70,6 +72,8 @@
     this.store = new Store(this, fx, new Changes(), settings);
     this.cancellations = new Cancellations(store);
     this.clusterVersion = new ClusterVersion(this, store);
+    this.jobEntries =
+        new JobEntries(settings, fx::encodedSize, clusterVersion::allowsSmallPieces, store::held);
     this.view = new View(this);
     this.owner = new Owner(this, store);
     this.holder = new Holder(this, store);
@@ -157,13 +161,23 @@
         Store.Urgency.BACKGROUND,
         new Effects.Txn(
             List.of(),
-            List.of(
-                new Effects.Put(
-                    Store.DIGESTS + node(),
-                    new DigestRec(store.incarnation(), owner.rooms(), pending),
-                    store.leaseId())),
+            List.of(new Effects.Put(Store.DIGESTS + node(), digestRec(pending), store.leaseId())),
             List.of()),
-        r -> {});
+        r -> {
+          digestRetry.answered(now, r.code());
+          nextDigest = Math.max(nextDigest, digestRetry.until());
+        });
+  }
+
+  /** The digest with as many of the roomiest machines as fit one value. */
+  private DigestRec digestRec(double pendingCpus) {
+    long incarnation = store.incarnation();
+    List<Room> rooms =
+        ValueSize.fitting(
+            owner.rooms(),
+            some -> fx.encodedSize(new DigestRec(incarnation, some, pendingCpus)),
+            settings.valueBytes());
+    return new DigestRec(incarnation, rooms, pendingCpus);
   }
 
   // ---- events -------------------------------------------------------------------------------
@@ -333,6 +347,10 @@
     return clusterVersion;
   }
 
+  JobEntries jobEntries() {
+    return jobEntries;
+  }
+
   /** Whether nothing of the job may be started and all of it must be stopped. */
   boolean over(String id, JobRec j) {
     return j != null && j.over() || cancellations.told(id);
@@ -360,13 +378,7 @@
 
   /** Whether the task's done bit stands in the state service. */
   boolean recordedDone(JobRec j, int task) {
-    if (task < Constants.BITS_PER_CHUNK) return bit(j.done(), task);
-    Store.Held b = store.held(Holder.bitsKey(j.spec().id(), task / Constants.BITS_PER_CHUNK));
-    return b != null && bit(((BitsRec) b.value()).done(), task % Constants.BITS_PER_CHUNK);
-  }
-
-  private static boolean bit(byte[] bits, int i) {
-    return i / 8 < bits.length && (bits[i / 8] >> (i % 8) & 1) != 0;
+    return jobEntries.recorded(j, task);
   }
 
   /** Controllers with a session, sorted; this one is among them once its own stands. */
@@ -472,6 +484,8 @@
         users.jobChanged(id, rec);
         if (before == null) owner.jobKnown(id);
         holder.jobChanged(id, rec);
+      } else if (key.startsWith(Store.BITS)) {
+        if (after != null) holder.bitsChanged(JobEntries.jobOf(key));
       } else if (key.startsWith(Store.MACHINES)) {
         String id = key.substring(Store.MACHINES.length());
         owner.machineChanged(id, (MachineRec) after);
--- a/src/main/java/mallowstall/core/Effects.java
+++ b/src/main/java/mallowstall/core/Effects.java
@@ -13,6 +13,8 @@
     GONE,
     /** Surely not executed. */
     REFUSED,
+    /** Surely not executed, nor ever as it is: a value or the transaction is too large. */
+    MALFORMED,
     /** Perhaps executed, perhaps later. */
     UNKNOWN
   }
@@ -44,6 +46,9 @@
 
   void transact(Txn txn, Consumer<TxnReply> then);
 
+  /** Bytes of the value as the state service gets and measures it. */
+  int encodedSize(Entry value);
+
   void get(String key, Consumer<GetReply> then);
 
   void list(String after, Consumer<ListReply> then);
--- a/src/main/java/mallowstall/core/Fleet.java
+++ b/src/main/java/mallowstall/core/Fleet.java
@@ -62,6 +62,8 @@
   private boolean listing;
   private boolean renting;
   private boolean claiming;
+  private final RetryDelay claimRetry = new RetryDelay();
+  private final RetryDelay dropRetry = new RetryDelay();
   private long nextPlan;
   private long nextList;
   private long nextDemand;
@@ -122,14 +124,14 @@
       demand(now);
     }
     if (!store.sessionGood()) return;
-    if (store.held(Store.DUTY) == null && !claiming) claim();
+    if (store.held(Store.DUTY) == null && !claiming && claimRetry.due(now)) claim();
     if (!onDuty()) return;
     if (now >= nextList && !listing && calls.has(now, 1, 0)) list();
     if (now >= nextPlan) {
       nextPlan = now + Constants.FLEET_EVERY_MS;
       plan(now);
     }
-    if (!toDrop.isEmpty()) dropRecords();
+    if (!toDrop.isEmpty() && dropRetry.due(now)) dropRecords();
   }
 
   private void claim() {
@@ -147,6 +149,7 @@
                 List.of()),
             r -> {
               claiming = false;
+              claimRetry.answered(core.now(), r.code());
               if (r.code() == Code.OK) LOG.info("cloud duty taken");
             });
     if (!asked) claiming = false;
@@ -556,6 +559,7 @@
             Store.Urgency.MACHINE,
             new Txn(List.of(), ends, drops),
             r -> {
+              dropRetry.answered(core.now(), r.code());
               if (r.code() != Code.OK) again.run();
             });
     if (!asked) again.run();
--- a/src/main/java/mallowstall/core/Holder.java
+++ b/src/main/java/mallowstall/core/Holder.java
@@ -80,7 +80,7 @@
     final BitSet done = new BitSet();
     final Int2ObjectOpenHashMap<Active> active = new Int2ObjectOpenHashMap<>();
     final IntArrayFIFOQueue again = new IntArrayFIFOQueue();
-    final Set<Integer> dirtyChunks = new TreeSet<>();
+    final Set<Integer> dirtyPieces = new TreeSet<>();
     JobRec rec;
     long version;
     int next;
@@ -95,6 +95,8 @@
 
     boolean writing;
     long lastWrite = Long.MIN_VALUE / 2;
+    final RetryDelay writeRetry = new RetryDelay();
+    final RetryDelay grantRetry = new RetryDelay();
     int counter;
     long grantIdleSince;
     long heldSince;
@@ -160,6 +162,8 @@
   private final Map<String, Long> teamNext = new HashMap<>();
   private final Set<String> teamBusy = new HashSet<>();
   private final Map<String, Long> claiming = new HashMap<>();
+  private final Map<String, RetryDelay> claimRetries = new HashMap<>();
+  private final Map<String, RetryDelay> teamRetries = new HashMap<>();
   private final Map<String, Long> orphanSince = new HashMap<>();
 
   /** Tasks that were sent to an owner and not yet seen on a machine. */
@@ -233,20 +237,14 @@
   }
 
   private void load(Held h, JobRec rec) {
-    h.done.or(BitSet.valueOf(rec.done()));
-    for (int c = 1; c * Constants.BITS_PER_CHUNK < rec.spec().tasks(); c++) {
-      Store.Held b = store.held(bitsKey(h.id, c));
-      if (b == null) continue;
-      BitSet bits = BitSet.valueOf(((BitsRec) b.value()).done());
-      for (int i = bits.nextSetBit(0); i >= 0; i = bits.nextSetBit(i + 1)) {
-        h.done.set(c * Constants.BITS_PER_CHUNK + i);
-      }
-    }
+    h.done.or(core.jobEntries().done(rec));
     h.doneCount = h.done.cardinality();
   }
 
-  static String bitsKey(String id, int chunk) {
-    return Store.BITS + id + "/" + chunk;
+  /** Bits of the job that came after its entry, which may have been read on its own. */
+  void bitsChanged(String id) {
+    Held h = jobs.get(id);
+    if (h != null) load(h, h.rec);
   }
 
   private void drop(Held h) {
@@ -345,7 +343,7 @@
         if (!h.done.get(t.task())) {
           h.done.set(t.task());
           h.doneCount++;
-          h.dirtyChunks.add(t.task() / Constants.BITS_PER_CHUNK);
+          h.dirtyPieces.add(JobEntries.pieceOf(t.task()));
           h.errorsOn.clear();
         }
         if (same) free(a, false);
@@ -486,6 +484,7 @@
       String id = rec.spec().id();
       if (store.live(rec.holder(), rec.incarnation())) {
         orphanSince.remove(id);
+        claimRetries.remove(id);
         continue;
       }
       long since = orphanSince.computeIfAbsent(id, k -> now);
@@ -494,19 +493,19 @@
       if (!first.equals(core.node()) && now - since < 2_000) continue;
       Long c = claiming.get(id);
       if (c != null && now - c < 2 * Constants.STATE_TIMEOUT_MS) continue;
+      RetryDelay retry = claimRetries.computeIfAbsent(id, k -> new RetryDelay());
+      if (!retry.due(now)) continue;
       if (++n > Constants.ADOPT_BATCH) break;
       claiming.put(id, now);
-      String key = Store.JOBS + id;
       JobRec mine = rec.withHolder(core.node(), store.incarnation());
+      JobEntries.Write claim = core.jobEntries().keepingBits(mine, store.version(Store.JOBS + id));
       boolean asked =
           store.transact(
               Store.Urgency.JOB,
-              new Txn(
-                  List.of(new Cond(key, store.version(key))),
-                  List.of(new Put(key, mine, 0)),
-                  List.of()),
+              new Txn(claim.when(), claim.puts(), List.of()),
               r -> {
                 claiming.remove(id);
+                retry.answered(core.now(), r.code());
                 if (r.code() == Code.OK)
                   LOG.info("job {} taken over from {}, epoch {}", id, rec.holder(), mine.epoch());
               });
@@ -517,70 +516,48 @@
   private void write(Held h) {
     long now = core.now();
     boolean all = h.doneCount == h.spec.tasks() && !h.over();
-    if (h.dirtyChunks.isEmpty() && !all && !h.uncertain) return;
+    boolean moves = core.jobEntries().outOfPlace(h.rec);
+    if (h.dirtyPieces.isEmpty() && !all && !h.uncertain && !moves) return;
+    if (!h.writeRetry.due(now) || !bitsKnown(h)) return;
     if (h.writing || h.granting || (!all && now - h.lastWrite < Constants.JOB_WRITE_GAP_MS)) return;
     if (h.over() && h.rec.fin() == Final.CANCELLED) {
-      h.dirtyChunks.clear();
-      if (!h.uncertain) return;
-    }
-    List<Put> puts = new ArrayList<>();
-    JobRec old = h.rec;
-    int first = Math.min(h.spec.tasks(), Constants.BITS_PER_CHUNK);
-    JobRec rec =
-        new JobRec(
-            old.spec(),
-            old.submittedMs(),
-            old.holder(),
-            old.incarnation(),
-            old.epoch(),
-            h.done.get(0, first).toByteArray(),
-            h.doneCount,
-            old.grant(),
-            all ? Final.DONE : old.fin());
-    String key = Store.JOBS + h.id;
-    puts.add(new Put(key, rec, 0));
-    List<Integer> chunks = new ArrayList<>();
-    int room = core.settings().txnOps() - 1;
-    for (int c : h.dirtyChunks) {
-      if (c == 0) {
-        chunks.add(c);
-        continue;
-      }
-      if (room-- <= 0) break;
-      chunks.add(c);
-      int from = c * Constants.BITS_PER_CHUNK;
-      puts.add(
-          new Put(
-              bitsKey(h.id, c),
-              new BitsRec(h.done.get(from, from + Constants.BITS_PER_CHUNK).toByteArray()),
-              0));
-    }
-    if (chunks.size() < h.dirtyChunks.size()) {
-      rec = rec.withFinal(old.fin());
-      puts.set(0, new Put(key, rec, 0));
+      h.dirtyPieces.clear();
+      if (!h.uncertain && !moves) return;
     }
+    JobEntries.Write write = core.jobEntries().recording(h.rec, h.version, h.done, h.dirtyPieces);
+    List<Integer> pieces = new ArrayList<>(h.dirtyPieces);
+    pieces.retainAll(write.pieces());
     h.writing = true;
     h.lastWrite = now;
-    h.dirtyChunks.removeAll(chunks);
+    h.dirtyPieces.removeAll(pieces);
     boolean asked =
         store.transact(
             Store.Urgency.JOB,
-            new Txn(List.of(new Cond(key, h.version)), puts, List.of()),
+            new Txn(write.when(), write.puts(), List.of()),
             r -> {
               h.writing = false;
+              h.writeRetry.answered(core.now(), r.code());
               if (r.code() == Code.OK) return;
               // not known to be recorded: the next write says all of it again
-              h.dirtyChunks.addAll(chunks);
+              h.dirtyPieces.addAll(pieces);
               if (r.code() == Code.UNKNOWN) h.uncertain = true;
               if (r.code() == Code.CONFLICT) reread(h);
               else h.lastWrite = core.now() + Constants.STATE_RETRY_MS;
             });
     if (!asked) {
       h.writing = false;
-      h.dirtyChunks.addAll(chunks);
+      h.dirtyPieces.addAll(pieces);
     }
   }
 
+  /**
+   * Whether the mirror holds all bits that were recorded before this holding. The entry may have
+   * been read on its own, and pieces written without them would take bits back.
+   */
+  private boolean bitsKnown(Held h) {
+    return JobEntries.inline(h.spec) || h.claimRevision <= store.revision();
+  }
+
   /** After a failed comparison the mirror may lag: learn the entry before the next try. */
   private void reread(Held h) {
     h.writing = true;
@@ -603,6 +580,8 @@
     Map<String, List<Held>> byTeam = new LinkedHashMap<>();
     for (Held h : jobs.values()) {
       if (!limited(h.spec) || h.writing || h.granting || h.uncertain) continue;
+      // its own next write brings the entry into its present layout first
+      if (!h.grantRetry.due(now) || core.jobEntries().outOfPlace(h.rec)) continue;
       if (delta(h, now) != 0) byTeam.computeIfAbsent(h.spec.team(), k -> new ArrayList<>()).add(h);
     }
     for (Map.Entry<String, List<Held>> e : byTeam.entrySet()) {
@@ -623,6 +602,9 @@
         for (Held h : hs) {
           int d = delta(h, now);
           if ((pass == 0) != (d < 0) || in.size() >= room) continue;
+          // one that may be refused for its size is tried alone, so that it delays no other job
+          boolean alone = !core.jobEntries().fitsNow(h.rec);
+          if (alone && !in.isEmpty()) continue;
           if (d > 0) {
             // what isn't asked for by placement must leave the team far from its limit: else it
             // was given and taken back by turns, with every change, and served nobody
@@ -637,6 +619,7 @@
           when.add(new Cond(key, h.version));
           puts.add(new Put(key, h.rec.withGrant(h.rec.grant() + d), 0));
           in.add(h);
+          if (alone) room = 1;
         }
       }
       if (in.isEmpty()) continue;
@@ -651,8 +634,11 @@
               new Txn(when, puts, List.of()),
               r -> {
                 teamBusy.remove(team);
+                RetryDelay teamRetry = teamRetries.computeIfAbsent(team, k -> new RetryDelay());
+                if (r.code() != Code.MALFORMED) teamRetry.answered(core.now(), r.code());
                 for (Held h : in) {
                   h.granting = false;
+                  if (r.code() != Code.REFUSED) h.grantRetry.answered(core.now(), r.code());
                   if (r.code() == Code.OK) h.wantsGrant = 0;
                   else if (r.code() == Code.UNKNOWN) h.uncertain = true;
                   else if (r.code() == Code.CONFLICT && r.revision() > store.revision()) reread(h);
@@ -663,7 +649,8 @@
                       Store.Urgency.JOB, Store.TEAMS + team, g -> teamBusy.remove(team)))
                     teamBusy.remove(team);
                 } else if (r.code() != Code.OK) {
-                  teamNext.put(team, core.now() + Constants.STATE_RETRY_MS);
+                  long next = core.now() + Constants.STATE_RETRY_MS;
+                  teamNext.put(team, Math.max(next, teamRetry.until()));
                 }
                 core.wake();
               });
--- a/src/main/java/mallowstall/core/Model.java
+++ b/src/main/java/mallowstall/core/Model.java
@@ -107,7 +107,8 @@
   public record VersionRec(String node, long incarnation, int version) implements Entry {}
 
   /**
-   * A job's entry. {@code done} holds the first chunk of the bitmap; the rest are {@link BitsRec}.
+   * A job's entry. {@code done} holds the first bits of the bitmap, further ones are {@link
+   * BitsRec}: see {@link JobEntries}.
    */
   public record JobRec(
       JobSpec spec,
@@ -128,6 +129,11 @@
       return new JobRec(spec, submittedMs, node, inc, epoch + 1, done, doneCount, grant, fin);
     }
 
+    /** With these done bits in the entry itself, and so many done tasks in all. */
+    JobRec withDone(byte[] bits, int count, Final f) {
+      return new JobRec(spec, submittedMs, holder, incarnation, epoch, bits, count, grant, f);
+    }
+
     JobRec withGrant(int g) {
       return new JobRec(spec, submittedMs, holder, incarnation, epoch, done, doneCount, g, fin);
     }
@@ -149,7 +155,7 @@
     }
   }
 
-  /** A further chunk of a large job's bitmap. */
+  /** Further bits of a large job's bitmap: a chunk or a piece. */
   public record BitsRec(byte[] done) implements Entry {}
 
   /**
--- a/src/main/java/mallowstall/core/Owner.java
+++ b/src/main/java/mallowstall/core/Owner.java
@@ -365,21 +365,18 @@
     List<Arriving> all = new ArrayList<>(arriving);
     arriving.clear();
     int most = Math.max(1, core.settings().valueBytes() / Constants.GROUP_BYTES - 2);
-    for (int from = 0; from < all.size(); from += most) {
-      List<Arriving> part = all.subList(from, Math.min(all.size(), from + most));
+    List<Arriving> part;
+    for (int from = 0; from < all.size(); from += part.size()) {
+      part = fitting(all.subList(from, Math.min(all.size(), from + most)));
       boolean asked;
-      Consumer<TxnReply> then = res -> part.forEach(a -> adopted(a, res));
+      List<Arriving> these = part;
+      Consumer<TxnReply> then = res -> these.forEach(a -> adopted(a, res));
       if (part.size() == 1) {
         Report r = part.get(0).report;
         asked = record(r.machine(), r.type(), r.zone(), r.spot(), then);
       } else {
-        List<GroupMachine> ms = new ArrayList<>();
-        for (Arriving a : part) {
-          Report r = a.report;
-          ms.add(new GroupMachine(r.machine(), r.type(), r.zone(), r.spot()));
-        }
         String key = Store.GROUPS + store.incarnation() + "-" + ++groups;
-        Put put = new Put(key, new GroupRec(core.node(), store.incarnation(), ms), 0);
+        Put put = new Put(key, group(part), 0);
         asked =
             store.transact(
                 Store.Urgency.MACHINE,
@@ -390,6 +387,21 @@
     }
   }
 
+  /** As many of the machines as fit one value, with the names that they really have. */
+  private List<Arriving> fitting(List<Arriving> some) {
+    return ValueSize.fitting(
+        some, part -> core.effects().encodedSize(group(part)), core.settings().valueBytes());
+  }
+
+  private GroupRec group(List<Arriving> part) {
+    List<GroupMachine> machines = new ArrayList<>();
+    for (Arriving a : part) {
+      Report r = a.report;
+      machines.add(new GroupMachine(r.machine(), r.type(), r.zone(), r.spot()));
+    }
+    return new GroupRec(core.node(), store.incarnation(), machines);
+  }
+
   /** This controller's from the change of that revision on, which is its term too. */
   private Owned own(String id, MachineType type, String zone, boolean spot, long revision) {
     Owned o = new Owned(id, type, zone, spot, revision, revision);
--- a/src/main/java/mallowstall/core/Store.java
+++ b/src/main/java/mallowstall/core/Store.java
@@ -242,10 +242,12 @@
     for (Urgency u : Urgency.values()) {
       ArrayDeque<Waiting> q = queues.get(u.ordinal());
       double reserve = u == Urgency.SESSION ? -100 : u == Urgency.BACKGROUND ? 4 : 0;
+      // a large transaction may have overdrawn a low rate for seconds: sessions don't wait for that
+      double writeReserve = u == Urgency.SESSION ? -100 : u == Urgency.BACKGROUND ? 3 : 0;
       while (!q.isEmpty()) {
         Waiting w = q.peek();
         if (!requests.has(now, w.reads, reserve)) return;
-        if (w.writes > 0 && !writes.has(now, w.writes, u == Urgency.BACKGROUND ? 3 : 0)) break;
+        if (w.writes > 0 && !writes.has(now, w.writes, writeReserve)) break;
         q.poll();
         requests.spend(now, w.reads);
         if (w.writes > 0) writes.spend(now, w.writes);
--- a/src/main/java/mallowstall/core/Users.java
+++ b/src/main/java/mallowstall/core/Users.java
@@ -49,6 +49,11 @@
       query(j.id(), reply);
       return;
     }
+    JobRec rec = JobRec.accepted(j, core.wall(), core.node(), store.incarnation());
+    if (!core.jobEntries().fits(rec)) {
+      refuse(j.id(), 400, "the description is too large", reply);
+      return;
+    }
     if (core.types().isEmpty()) {
       reply.accept(later("the machine types are not known yet"));
       return;
@@ -68,7 +73,6 @@
       return;
     }
     String key = Store.JOBS + j.id();
-    JobRec rec = JobRec.accepted(j, core.wall(), core.node(), store.incarnation());
     long since = core.now();
     boolean asked =
         store.transact(
@@ -225,15 +229,12 @@
             reply.accept(answer(rec));
             return;
           }
-          String key = Store.JOBS + id;
           JobRec cancelled = rec.withFinal(Final.CANCELLED);
+          JobEntries.Write write = core.jobEntries().keepingBits(cancelled, g.item().version());
           boolean asked =
               store.transact(
                   Store.Urgency.USER,
-                  new Txn(
-                      List.of(new Cond(key, g.item().version())),
-                      List.of(new Put(key, cancelled, 0)),
-                      List.of()),
+                  new Txn(write.when(), write.puts(), List.of()),
                   r -> {
                     if (r.code() == Code.OK) reply.accept(answer(cancelled));
                     else if (r.code() == Code.CONFLICT && tries > 0) cancel(id, reply, tries - 1);
--- a/src/main/java/mallowstall/state/StateAdapter.java
+++ b/src/main/java/mallowstall/state/StateAdapter.java
@@ -75,6 +75,7 @@
       case 200 -> Code.OK;
       case 409 -> Code.CONFLICT;
       case 404, 410 -> Code.GONE;
+      case 400 -> Code.MALFORMED;
       case 0 -> Code.UNKNOWN;
       default -> Code.REFUSED;
     };
@@ -125,6 +126,15 @@
     }
   }
 
+  /** Bytes of the value as it is sent. */
+  public int encodedSize(Entry value) {
+    try {
+      return json.writeValueAsBytes(value).length;
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
   public void transact(Txn t, Consumer<TxnReply> then) {
     List<CondWire> when = new ArrayList<>();
     for (Cond c : t.when()) when.add(new CondWire(c.key(), c.version()));
--- a/src/test/java/mallowstall/core/Sim.java
+++ b/src/test/java/mallowstall/core/Sim.java
@@ -1,6 +1,9 @@
 package mallowstall.core;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -90,7 +93,18 @@
 
   final MachineType type = new MachineType("t8", 8, 0, 32, 20, 1, 1.0, 0.3, 8, List.of("a", "b"));
 
+  /** Limits of the state service: bytes of a value, changes in a transaction and in a second. */
+  record StateLimits(int valueBytes, int txnOps, double changesPerSecond) {}
+
+  /** What the controllers keep to. */
+  private final StateLimits kept;
+
   Sim(long seed) {
+    this(seed, new StateLimits(8_192, 24, 120));
+  }
+
+  Sim(long seed, StateLimits kept) {
+    this.kept = kept;
     rnd = new SplittableRandom(seed);
     for (String n : NODES) nodes.put(n, new Node(n));
     for (int i = 0; i < 4; i++) machine("t8", i % 2 == 0 ? "a" : "b", false, 0);
@@ -147,6 +161,17 @@
   }
 
   // ---- state service ------------------------------------------------------------------------
+  private static final ObjectMapper JSON = mallowstall.cli.Main.json();
+
+  /** Bytes of the value as the real state service gets it. */
+  static int size(Entry value) {
+    try {
+      return JSON.writeValueAsBytes(value).length;
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
   final class StateService {
     record Val(Entry value, long version, long lease) {}
 
@@ -158,6 +183,45 @@
     long leaseNo;
     boolean outage;
 
+    /** What it refuses to exceed, null: nothing. What is stored already stays. */
+    private StateLimits limits;
+
+    /** Changes that may come at once, at most a second's; refilled up to that moment. */
+    private double changesLeft;
+
+    private long changesLeftAt;
+
+    /** Given each transaction right after it was carried out. */
+    Consumer<Effects.Txn> changed = t -> {};
+
+    /** From now on these limits hold, without notice. */
+    void limitTo(StateLimits now) {
+      limits = now;
+      changesLeft = now.changesPerSecond();
+      changesLeftAt = Sim.this.now;
+    }
+
+    /** Why the transaction exceeds the limits; OK: it doesn't. */
+    private Effects.Code exceeds(Effects.Txn t) {
+      if (limits == null) return Effects.Code.OK;
+      int changes = t.puts().size() + t.drops().size();
+      boolean large = changes > limits.txnOps() || t.when().size() > 4 * limits.txnOps();
+      for (Effects.Put p : t.puts()) large |= size(p.value()) > limits.valueBytes();
+      if (large) {
+        strike("limits, too large");
+        return Effects.Code.MALFORMED;
+      }
+      double rate = limits.changesPerSecond();
+      changesLeft = Math.min(rate, changesLeft + (now - changesLeftAt) * rate / 1_000);
+      changesLeftAt = now;
+      if (changes > changesLeft) {
+        strike("limits, too many");
+        return Effects.Code.REFUSED;
+      }
+      changesLeft -= changes;
+      return Effects.Code.OK;
+    }
+
     /** All transactions that came here, whatever became of them. */
     final List<Effects.Txn> asked = new ArrayList<>();
 
@@ -192,6 +256,8 @@
     Effects.TxnReply transact(Effects.Txn t) {
       expire();
       asked.add(t);
+      Effects.Code exceeds = exceeds(t);
+      if (exceeds != Effects.Code.OK) return new Effects.TxnReply(exceeds, 0);
       for (Effects.Put p : t.puts()) {
         if (p.lease() != 0 && !leases.containsKey(p.lease())) {
           return new Effects.TxnReply(Effects.Code.NO_LEASE, revision);
@@ -206,6 +272,7 @@
       revision++;
       for (Effects.Put p : t.puts()) set(p.key(), p.value(), revision, p.lease());
       for (String k : t.drops()) set(k, null, revision, 0);
+      changed.accept(t);
       return new Effects.TxnReply(Effects.Code.OK, revision);
     }
 
@@ -277,9 +344,9 @@
                   CANCEL,
                   25,
                   300,
-                  120,
-                  24,
-                  8_192,
+                  kept.changesPerSecond,
+                  kept.txnOps,
+                  kept.valueBytes,
                   5,
                   2_000,
                   Map.of(),
@@ -500,6 +567,11 @@
           then);
     }
 
+    @Override
+    public int encodedSize(Entry value) {
+      return size(value);
+    }
+
     @Override
     public void get(String key, Consumer<GetReply> then) {
       ask(
@@ -780,6 +852,16 @@
     return (JobRec) state.keys.get(Store.JOBS + id).value();
   }
 
+  /** All tasks of the job that are readable as done in the state service. */
+  BitSet doneBits(String id) {
+    return JobEntries.done(
+        entry(id),
+        key -> {
+          StateService.Val v = state.keys.get(key);
+          return v == null ? null : new Store.Held(v.value(), v.version());
+        });
+  }
+
   /** The machine's record as the first controller that is up has it. */
   MachineRec machineRec(String id) {
     for (Node n : nodes.values()) if (n.up) return n.core.store().machine(id);
