--- a/src/test/java/mallowstall/core/ValueSizeTest.java
+++ b/src/test/java/mallowstall/core/ValueSizeTest.java
@@ -34,6 +34,21 @@
     }
   }
 
+  @Test
+  void aGroupFitsWhateverItsNames() {
+    for (int nameLength : new int[] {8, 40, 200}) {
+      String name = "t".repeat(nameLength);
+      List<GroupMachine> all = new ArrayList<>();
+      for (Room room : rooms(100, nameLength))
+        all.add(new GroupMachine(room.machine(), name, name, false));
+      List<GroupMachine> some =
+          ValueSize.fitting(all, g -> Sim.size(new GroupRec(name, Long.MAX_VALUE, g)), LIMIT);
+      int bytes = Sim.size(new GroupRec(name, Long.MAX_VALUE, some));
+      assertTrue(bytes <= LIMIT, "bytes: " + bytes);
+      assertTrue(bytes > LIMIT / 2, "bytes: " + bytes);
+    }
+  }
+
   @Test
   void whatFitsIsLeftWhole() {
     List<Room> all = rooms(3, 8);
--- a/src/test/java/mallowstall/users/SubmissionTest.java
+++ b/src/test/java/mallowstall/users/SubmissionTest.java
@@ -51,8 +51,7 @@
         UsersAdapter.Malformed.class,
         () -> parse(daemon.replace("\"aserrado_s\":0", "\"aserrado_s\":-1")));
     assertThrows(
-        UsersAdapter.Malformed.class,
-        () -> parse(daemon.replace("\"piezas\":16", "\"piezas\":0")));
+        UsersAdapter.Malformed.class, () -> parse(daemon.replace("\"piezas\":16", "\"piezas\":0")));
   }
 
   @Test
