--- a/src/main/java/mallowstall/core/Fleet.java
+++ b/src/main/java/mallowstall/core/Fleet.java
@@ -69,6 +69,8 @@
   private boolean listing;
   private boolean renting;
   private boolean claiming;
+  private final RetryDelay claimRetry = new RetryDelay();
+  private final RetryDelay dropRetry = new RetryDelay();
   private long nextPlan;
   private long nextList;
   private long nextDemand;
@@ -129,14 +131,14 @@
       demand(now);
     }
     if (!store.sessionGood()) return;
-    if (store.held(Store.DUTY) == null && !claiming) claim();
+    if (store.held(Store.DUTY) == null && !claiming && claimRetry.due(now)) claim();
     if (!onDuty()) return;
     if (now >= nextList && !listing && calls.has(now, 1, 0)) list();
     if (now >= nextPlan) {
       nextPlan = now + Constants.FLEET_EVERY_MS;
       plan(now);
     }
-    if (!toDrop.isEmpty()) dropRecords();
+    if (!toDrop.isEmpty() && dropRetry.due(now)) dropRecords();
   }
 
   private void claim() {
@@ -154,6 +156,7 @@
                 List.of()),
             r -> {
               claiming = false;
+              claimRetry.answered(core.now(), r.code());
               if (r.code() == Code.OK) LOG.info("cloud duty taken");
             });
     if (!asked) claiming = false;
@@ -599,6 +602,7 @@
             Store.Urgency.MACHINE,
             new Txn(List.of(), ends, drops),
             r -> {
+              dropRetry.answered(core.now(), r.code());
               if (r.code() != Code.OK) again.run();
             });
     if (!asked) again.run();
