--- a/src/main/java/mallowstall/core/Holder.java
+++ b/src/main/java/mallowstall/core/Holder.java
@@ -462,7 +462,8 @@
     adopt();
     for (Held h : new ArrayList<>(jobs.values())) {
       if (h.spec.service()) h.restarts.release(core.now(), h::putBack);
-      else write(h);
+      // a service has no bits, but a change of unknown outcome is resolved by the next write
+      write(h);
     }
     if (core.now() >= nextYielding) {
       nextYielding = core.now() + Constants.ADOPT_EVERY_MS;
