Images stay known when a machine changes owner

Ruled out: adoption itself, once each within 5 s since the lower limits are kept. A test that fails without.

--- a/src/main/java/mallowstall/core/Owner.java
+++ b/src/main/java/mallowstall/core/Owner.java
@@ -406,6 +406,10 @@
   private Owned own(String id, MachineType type, String zone, boolean spot, long revision) {
     Owned o = new Owned(id, type, zone, spot, revision, revision);
     o.idleSince = core.now();
+    // reports don't name images: without what its last owner told of them, tasks were sent to
+    // machines that had to fetch theirs, each time that machines changed owner
+    View.Seen seen = core.view().machines.get(id);
+    if (seen != null && seen.m != null) o.images.addAll(seen.m.images());
     owned.put(id, o);
     gone.remove(id);
     return o;
--- a/src/test/java/mallowstall/core/SafetyCasesTest.java
+++ b/src/test/java/mallowstall/core/SafetyCasesTest.java
@@ -1044,4 +1044,32 @@
     assertTrue(s.entry("wk-000001").doneCount() > r.doneCount());
     assertEquals(List.of(), s.rules.broken);
   }
+
+  /**
+   * Reports don't name images. Whoever owned a machine next took each for missing there, so tasks
+   * went to machines that had to fetch theirs whenever a controller had ended.
+   */
+  @Test
+  void imagesStayKnownWhenAMachineChangesOwner() {
+    Sim s = new Sim(93);
+    s.run(6_000);
+    s.submit(plain(s, "wk-000001", 16, "free"));
+    s.run(30_000);
+    finished(s, "wk-000001");
+    Sim.Node ends = s.nodes.get("n0");
+    Sim.Node stays = s.nodes.get("n1");
+    List<String> machines = new ArrayList<>();
+    for (View.Seen seen : stays.core.view().machines.values()) {
+      if ("n0".equals(seen.owner) && seen.m.images().contains("wk-000001")) machines.add(seen.id);
+    }
+    assertFalse(machines.isEmpty(), "n0 owns machines that have the image");
+    ends.crash(30_000);
+    s.run(s.now + 15_000);
+    for (String id : machines) {
+      View.Seen seen = stays.core.view().machines.get(id);
+      if (seen == null) continue; // it was idle and has been returned
+      assertFalse("n0".equals(seen.owner), id);
+      assertTrue(seen.m.images().contains("wk-000001"), id);
+    }
+  }
 }
