--- a/src/test/java/mallowstall/core/Rules.java
+++ b/src/test/java/mallowstall/core/Rules.java
@@ -17,12 +17,17 @@
 final class Rules {
   record OnMachine(String machine, String job, int task, String type, String zone, boolean spot) {}
 
+  private record Replica(String job, int number) {}
+
   /** A machine that is up, with all its processors. */
   record Machine(String id, String type, String zone, boolean spot, double cpus) {}
 
   /** How long a job may wait beside room for it once no trouble is left. */
   static final long WAITS_MS = 90_000;
 
+  /** How long a replica may be on no machine beside room for it once no trouble is left. */
+  static final long REPLICA_MISSING_MS = 30_000;
+
   /** How long a user waits for the answer to a question. */
   static final long POLL_MS = 2_000;
 
@@ -49,6 +54,7 @@
   private final Map<String, Long> answered = new HashMap<>();
   private final Map<String, Machine> up = new TreeMap<>();
   private final Map<String, Long> waitsSince = new HashMap<>();
+  private final Map<Replica, Long> missingSince = new HashMap<>();
   int starts;
 
   /** Starts after a cancellation was told, soon enough to have been under way then. */
@@ -70,6 +76,11 @@
     wantsCancel.add(job);
   }
 
+  /** Whether somebody has asked to cancel the job. */
+  boolean cancelAsked(String job) {
+    return wantsCancel.contains(job);
+  }
+
   void started(long now, OnMachine m) {
     starts++;
     JobSpec j = jobs.get(m.job);
@@ -109,7 +120,13 @@
 
   void left(String machine, String job, int task, boolean completed) {
     on.removeIf(o -> o.machine.equals(machine) && o.job.equals(job) && o.task == task);
-    if (completed) done.computeIfAbsent(job, k -> new HashSet<>()).add(task);
+    if (completed && !service(job)) done.computeIfAbsent(job, k -> new HashSet<>()).add(task);
+  }
+
+  /** Whether the job is a service: a replica of it that completed has to run again. */
+  boolean service(String job) {
+    JobSpec spec = jobs.get(job);
+    return spec != null && spec.service();
   }
 
   void machineUp(Machine m) {
@@ -148,18 +165,61 @@
         waitsSince.put(j.id(), now);
       }
     }
+    for (JobSpec j : jobs.values()) {
+      if (j.service()) stepReplicas(now, j);
+    }
+  }
+
+  private void stepReplicas(long now, JobSpec service) {
+    boolean due = now >= calmSince && wanted(service.id()) && roomFor(service);
+    for (int number = 0; number < service.tasks(); number++) {
+      Replica replica = new Replica(service.id(), number);
+      if (!due || runs(replica)) {
+        missingSince.remove(replica);
+        continue;
+      }
+      long since = missingSince.computeIfAbsent(replica, k -> now);
+      if (now - since > REPLICA_MISSING_MS) {
+        broken.add(now + " replica_missing: " + replica + " beside room since " + since);
+        missingSince.put(replica, now);
+      }
+    }
   }
 
-  /** Accepted, not over, on no machine, its team under its limit, and a machine has room for it. */
+  private boolean runs(Replica replica) {
+    for (OnMachine o : on) {
+      if (o.job.equals(replica.job) && o.task == replica.number) return true;
+    }
+    return false;
+  }
+
+  /** How many replicas of the service are on machines. */
+  int replicasOn(String service) {
+    int count = 0;
+    for (OnMachine o : on) if (o.job.equals(service)) count++;
+    return count;
+  }
+
+  /** Accepted, not over, on no machine, and there is room for a task. */
   private boolean waitsBesideRoom(JobSpec j) {
-    String last = told.get(j.id());
-    if (last == null || last.equals("done") || last.equals("cancelled")) return false;
-    if (wantsCancel.contains(j.id()) || tasksLeft(j.id()) == 0) return false;
+    if (!wanted(j.id()) || tasksLeft(j.id()) == 0) return false;
     for (OnMachine o : on) if (o.job.equals(j.id())) return false;
+    return roomFor(j);
+  }
+
+  /** Accepted, not over, and nobody has asked to cancel it. */
+  private boolean wanted(String job) {
+    String last = told.get(job);
+    if (last == null || last.equals("done") || last.equals("cancelled")) return false;
+    return !wantsCancel.contains(job);
+  }
+
+  /** Whether the team is under its limit and some machine may take one more task of the job. */
+  private boolean roomFor(JobSpec j) {
     Team t = teams.get(j.team());
     if (t.cpusMax() > 0 && used(j.team()) + j.cpus() > t.cpusMax() + 1e-6) return false;
     for (Machine m : up.values()) {
-      if (!Owner.allowed(j, m.type, m.zone, m.spot)) continue;
+      if (!Owner.allowed(j, m.type, m.zone, m.spot) || !zoneAllowed(j, m.zone)) continue;
       double free = m.cpus;
       for (OnMachine o : on) if (o.machine.equals(m.id)) free -= jobs.get(o.job).cpus();
       if (free >= j.cpus() - 1e-6) return true;
@@ -167,6 +227,17 @@
     return false;
   }
 
+  /** Whether one more task of the job may run in the zone beside those that do. */
+  private boolean zoneAllowed(JobSpec j, String zone) {
+    int inZone = 1;
+    for (OnMachine o : on) {
+      if (!o.job.equals(j.id())) continue;
+      if (j.oneZone() && !o.zone.equals(zone)) return false;
+      if (o.zone.equals(zone)) inZone++;
+    }
+    return !j.spread() || inZone <= (j.tasks() + 1) / 2;
+  }
+
   /** A job that can never run was answered so: refused for good, or for now while undecided. */
   void toldImpossible(long now, String job, int status) {
     if (status != 422 && status != 503) broken.add(now + " took_impossible: " + job + " " + status);
@@ -223,7 +294,9 @@
     }
     if (state.equals("cancelled") && !wantsCancel.contains(job))
       broken.add(now + " went_back: " + job);
-    if (state.equals("done")) {
+    if (state.equals("done") && service(job))
+      broken.add(now + " not_done: " + job + " is a service");
+    else if (state.equals("done")) {
       int n = done.getOrDefault(job, Set.of()).size();
       if (n < jobs.get(job).tasks()) broken.add(now + " not_done: " + job + " has " + n);
     }
--- /dev/null
+++ b/src/test/java/mallowstall/core/ServiceRulesTest.java
@@ -0,0 +1,237 @@
+package mallowstall.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import mallowstall.core.Model.*;
+import org.junit.jupiter.api.Test;
+
+/** The checks of services can fail, and not before their time; so the simulation can be trusted. */
+class ServiceRulesTest {
+  private static final String SERVICE = "wk-000001";
+  private static final long CALM = 1_000;
+
+  private static Rules rules(JobSpec service) {
+    Rules rules = new Rules(new Sim(5).teams, 1_000);
+    rules.submitted(service);
+    rules.told(1, service.id(), 201, "pending");
+    rules.calmSince = CALM;
+    return rules;
+  }
+
+  private static JobSpec plain(int replicas, String team) {
+    return new Sim(5)
+        .service(SERVICE, replicas, 4, Priority.NORMAL, team, false, false, true, null);
+  }
+
+  private static Rules.Machine machine(String id, String zone) {
+    return new Rules.Machine(id, "t8", zone, false, 8);
+  }
+
+  private static Rules.OnMachine on(Rules.Machine machine, int replica) {
+    return new Rules.OnMachine(
+        machine.id(), SERVICE, replica, machine.type(), machine.zone(), machine.spot());
+  }
+
+  /** As the user keeps asking and is answered. */
+  private static void step(Rules rules, long now) {
+    rules.told(now, SERVICE, 200, "pending");
+    rules.step(now);
+  }
+
+  /** Steps the rules from then until just after the bound for replicas is over. */
+  private static void stepPastTheBound(Rules rules, long from) {
+    for (long now = from; now <= from + Rules.REPLICA_MISSING_MS + 500; now += 500)
+      step(rules, now);
+  }
+
+  private static void assertBroken(Rules rules, String check) {
+    assertEquals(1, rules.broken.size(), rules.broken.toString());
+    assertTrue(rules.broken.get(0).contains(check), rules.broken.toString());
+  }
+
+  @Test
+  void aServiceIsNeverDoneWhateverItsReplicasDid() {
+    Rules rules = rules(plain(1, "free"));
+    Rules.Machine machine = machine("m1", "a");
+    rules.machineUp(machine);
+    rules.started(2, on(machine, 0));
+    rules.left("m1", SERVICE, 0, true);
+    assertEquals(1, rules.tasksLeft(SERVICE), "it has to run again");
+    rules.told(3, SERVICE, 200, "pending");
+    rules.started(4, on(machine, 0));
+    rules.told(5, SERVICE, 200, "running");
+    assertEquals(List.of(), rules.broken, "a replica that completed may run again");
+    rules.told(6, SERVICE, 200, "done");
+    assertBroken(rules, "not_done");
+  }
+
+  @Test
+  void theRulesOfPlacementHoldForReplicas() {
+    Rules rules = rules(plain(7, "tight"));
+    for (int replica = 0; replica < 6; replica++)
+      rules.started(2, on(machine("m" + replica, "a"), replica));
+    assertEquals(List.of(), rules.broken);
+    rules.started(3, on(machine("m7", "a"), 6));
+    assertBroken(rules, "quota");
+    rules.left("m7", SERVICE, 6, true);
+    rules.broken.clear();
+    rules.left("m0", SERVICE, 0, true);
+    rules.started(4, on(machine("m8", "a"), 1));
+    assertBroken(rules, "ran_twice");
+    rules.broken.clear();
+    rules.asksToCancel(SERVICE);
+    rules.told(5, SERVICE, 200, "cancelled");
+    rules.step(1_004);
+    assertEquals(List.of(), rules.broken);
+    rules.step(1_006);
+    assertTrue(rules.broken.get(0).contains("ran_cancelled"), rules.broken.toString());
+    Rules placed =
+        rules(new Sim(5).service(SERVICE, 3, 1, Priority.NORMAL, "free", false, false, false, "b"));
+    placed.started(2, on(machine("m1", "a"), 0));
+    assertBroken(placed, "wrong_place");
+  }
+
+  @Test
+  void aReplicaThatRunsNowhereBesideRoomIsMissing() {
+    Rules rules = rules(plain(2, "free"));
+    Rules.Machine machine = machine("m1", "a");
+    rules.machineUp(machine);
+    rules.started(2, on(machine, 1));
+    for (long now = 500; now < CALM; now += 500) rules.step(now);
+    for (long now = CALM; now <= CALM + Rules.REPLICA_MISSING_MS; now += 500) rules.step(now);
+    assertEquals(List.of(), rules.broken, "not before its time");
+    rules.step(CALM + Rules.REPLICA_MISSING_MS + 1);
+    assertBroken(rules, "replica_missing: Replica[job=wk-000001, number=0]");
+  }
+
+  @Test
+  void eachReplicaHasTheWholeBoundToComeBack() {
+    Rules rules = rules(plain(1, "free"));
+    Rules.Machine machine = machine("m1", "a");
+    rules.machineUp(machine);
+    long now = CALM;
+    for (int times = 0; times < 3; times++) {
+      long back = now + Rules.REPLICA_MISSING_MS;
+      for (; now <= back; now += 500) step(rules, now);
+      rules.started(now, on(machine, 0));
+      step(rules, now);
+      rules.left("m1", SERVICE, 0, true);
+      now += 500;
+    }
+    assertEquals(List.of(), rules.broken);
+    stepPastTheBound(rules, now);
+    assertBroken(rules, "replica_missing");
+  }
+
+  @Test
+  void withoutRoomNoReplicaIsMissing() {
+    Rules tooFull = rules(plain(3, "free"));
+    Rules.Machine machine = machine("m1", "a");
+    tooFull.machineUp(machine);
+    tooFull.started(2, on(machine, 0));
+    tooFull.started(2, on(machine, 1));
+    stepPastTheBound(tooFull, CALM);
+    assertEquals(List.of(), tooFull.broken, "no machine has room");
+
+    Rules atLimit = rules(plain(7, "tight"));
+    for (int i = 0; i < 6; i++) {
+      atLimit.machineUp(machine("m" + i, "a"));
+      atLimit.started(2, on(machine("m" + i, "a"), i));
+    }
+    stepPastTheBound(atLimit, CALM);
+    assertEquals(List.of(), atLimit.broken, "the team is at its limit");
+
+    JobSpec pinned =
+        new Sim(5).service(SERVICE, 1, 4, Priority.NORMAL, "free", false, false, false, "b");
+    Rules elsewhere = rules(pinned);
+    elsewhere.machineUp(machine("m1", "a"));
+    elsewhere.machineUp(new Rules.Machine("m2", "t8", "b", true, 8));
+    stepPastTheBound(elsewhere, CALM);
+    assertEquals(List.of(), elsewhere.broken, "wrong zone, wrong kind of machine");
+    elsewhere.machineUp(machine("m3", "b"));
+    stepPastTheBound(elsewhere, 100_000);
+    assertBroken(elsewhere, "replica_missing");
+  }
+
+  @Test
+  void roomIsInAZoneThatTheOtherReplicasAllow() {
+    JobSpec oneZone =
+        new Sim(5).service(SERVICE, 2, 8, Priority.NORMAL, "free", true, false, true, null);
+    JobSpec spread =
+        new Sim(5).service(SERVICE, 2, 8, Priority.NORMAL, "free", false, true, true, null);
+    for (JobSpec service : List.of(oneZone, spread)) {
+      String allowed = service.oneZone() ? "a" : "b";
+      String forbidden = service.oneZone() ? "b" : "a";
+      Rules rules = rules(service);
+      rules.machineUp(machine("m1", "a"));
+      rules.started(2, on(machine("m1", "a"), 0));
+      rules.machineUp(machine("m2", forbidden));
+      stepPastTheBound(rules, CALM);
+      assertEquals(List.of(), rules.broken);
+      rules.machineUp(machine("m3", allowed));
+      stepPastTheBound(rules, 100_000);
+      assertBroken(rules, "replica_missing");
+    }
+  }
+
+  @Test
+  void aCancelledServiceMissesNoReplica() {
+    Rules rules = rules(plain(2, "free"));
+    rules.machineUp(machine("m1", "a"));
+    rules.asksToCancel(SERVICE);
+    stepPastTheBound(rules, CALM);
+    assertEquals(List.of(), rules.broken);
+  }
+
+  @Test
+  void aReplicaRunsOnUntilItIsStoppedOrEnds() {
+    Sim s = new Sim(5);
+    s.run(5_000);
+    s.rules.submitted(plain(2, "free"));
+    Sim.Worker worker = List.copyOf(s.workers.values()).get(0);
+    worker.execute(new Command(CommandKind.START, SERVICE, 0, 1, 0));
+    worker.execute(new Command(CommandKind.START, SERVICE, 1, 1, 0));
+    s.run(8_000);
+    assertEquals(2, s.rules.replicasOn(SERVICE));
+    s.run(9_000);
+    worker.execute(new Command(CommandKind.STOP, SERVICE, 1, 1, 0));
+    assertEquals(1, s.rules.replicasOn(SERVICE));
+    assertTrue(s.endReplica(SERVICE, 0, Why.DONE));
+    assertEquals(0, s.rules.replicasOn(SERVICE));
+  }
+
+  /** Started again where it completed, a replica ends at once; elsewhere it runs. */
+  @Test
+  void aWorkerKeepsTheResultOfAReplicaThatCompleted() {
+    Sim s = new Sim(5);
+    s.run(5_000);
+    s.rules.submitted(plain(1, "free"));
+    List<Sim.Worker> workers = List.copyOf(s.workers.values());
+    workers.get(0).execute(new Command(CommandKind.START, SERVICE, 0, 1, 0));
+    s.run(8_000);
+    assertTrue(s.endReplica(SERVICE, 0, Why.DONE));
+    workers.get(0).execute(new Command(CommandKind.START, SERVICE, 0, 2, 0));
+    s.run(8_100);
+    assertEquals(0, s.rules.replicasOn(SERVICE));
+    assertEquals(1, s.struck.get("result kept"));
+    workers.get(1).execute(new Command(CommandKind.START, SERVICE, 0, 3, 0));
+    s.run(12_000);
+    assertEquals(1, s.rules.replicasOn(SERVICE));
+  }
+
+  @Test
+  void aFaultyMachineFailsReplicas() {
+    Sim s = new Sim(5);
+    s.run(5_000);
+    s.rules.submitted(plain(1, "free"));
+    Sim.Worker worker = List.copyOf(s.workers.values()).get(0);
+    worker.faulty = true;
+    worker.execute(new Command(CommandKind.START, SERVICE, 0, 1, 0));
+    Sim.Worker.T replica = worker.tasks.values().iterator().next();
+    s.run(8_000);
+    assertEquals(0, s.rules.replicasOn(SERVICE));
+    assertEquals(Why.ERROR, replica.why);
+  }
+}
--- a/src/test/java/mallowstall/core/Sim.java
+++ b/src/test/java/mallowstall/core/Sim.java
@@ -79,6 +79,9 @@
 
   private int impossibleNo;
 
+  /** Share of replicas that end by themselves within 20 s, as done or with an error. */
+  double replicaEnds;
+
   /** How long tasks run, in ms; 0: 1 to 7 s. */
   long runMs;
 
@@ -91,8 +94,13 @@
   final MachineType type = new MachineType("t8", 8, 0, 32, 20, 1, 1.0, 0.3, 8, List.of("a", "b"));
 
   Sim(long seed) {
+    this(seed, ClusterVersion.CURRENT);
+  }
+
+  /** All controllers begin with this program version. */
+  Sim(long seed, int programVersion) {
     rnd = new SplittableRandom(seed);
-    for (String n : NODES) nodes.put(n, new Node(n));
+    for (String n : NODES) nodes.put(n, new Node(n, programVersion));
     for (int i = 0; i < 4; i++) machine("t8", i % 2 == 0 ? "a" : "b", false, 0);
     at(0, this::watchRules);
   }
@@ -221,6 +229,16 @@
     Core core;
     int life;
     boolean up;
+
+    /** The program version that it boots with next. */
+    int installed;
+
+    /** The program version of its present process. */
+    int running;
+
+    /** What happens once, when it next asks the state service for a job of another's. */
+    Runnable atNextClaim;
+
     boolean noState;
 
     /** Its next watch is told that what it asks for is too old. */
@@ -253,14 +271,16 @@
     final Map<String, Boolean> cut = new HashMap<>();
     long connections;
 
-    Node(String name) {
+    Node(String name, int programVersion) {
       this.name = name;
+      this.installed = programVersion;
       boot();
     }
 
     void boot() {
       life++;
       up = true;
+      running = installed;
       frozenUntil = 0;
       connections = 0;
       List<String> peers = new ArrayList<>(NODES);
@@ -268,22 +288,8 @@
       core =
           new Core(
               new CoreSettings(
-                  name,
-                  peers,
-                  ZONES,
-                  teams,
-                  REPORT,
-                  LEASE,
-                  CANCEL,
-                  25,
-                  300,
-                  120,
-                  24,
-                  8_192,
-                  5,
-                  2_000,
-                  Map.of(),
-                  ClusterVersion.CURRENT),
+                  name, peers, ZONES, teams, REPORT, LEASE, CANCEL, 25, 300, 120, 24, 8_192, 5,
+                  2_000, Map.of(), running),
               this,
               c -> new TestPolicy(c, () -> evaluations++),
               new Core.Metrics() {
@@ -310,6 +316,27 @@
       at(downMs, this::boot);
     }
 
+    boolean knowsServices() {
+      return running >= ClusterVersion.WITH_SERVICES;
+    }
+
+    /**
+     * What its program makes of an entry; null: it can't read it. Versions without services read no
+     * entry of an open service, and take a cancelled one for that of a batch job.
+     */
+    private Entry read(Entry value) {
+      if (knowsServices() || !(value instanceof JobRec job)) return value;
+      if (job.fin() == Final.SERVING) return null;
+      return job.spec().service() ? asBatch(job) : job;
+    }
+
+    /** The items that its program sees in listings and watches. */
+    private boolean sees(String key, Entry value) {
+      if (knowsServices()) return true;
+      if (key.startsWith(Store.VERSIONS)) return false;
+      return value == null || read(value) != null;
+    }
+
     void tick(int l) {
       if (l != life) return;
       ticks++;
@@ -481,6 +508,12 @@
     }
 
     private void transactNow(Txn txn, Consumer<TxnReply> then) {
+      if (atNextClaim != null && claims(txn)) {
+        Runnable meeting = atNextClaim;
+        atNextClaim = null;
+        strike("claim");
+        at(0, meeting);
+      }
       boolean served = !state.outage && !noState && lateBy == 0;
       if (served && lateWrites > 0 && rnd.nextDouble() < lateWrites) {
         strike("lateWrites");
@@ -500,14 +533,27 @@
           then);
     }
 
+    /** Whether the transaction takes over a job that another process holds. */
+    private boolean claims(Txn txn) {
+      for (Put put : txn.puts()) {
+        if (!(put.value() instanceof JobRec claimed)) continue;
+        StateService.Val present = state.keys.get(put.key());
+        if (present == null || !(present.value() instanceof JobRec before)) continue;
+        if (claimed.epoch() > before.epoch()) return true;
+      }
+      return false;
+    }
+
     @Override
     public void get(String key, Consumer<GetReply> then) {
       ask(
           () -> {
             state.expire();
             StateService.Val v = state.keys.get(key);
-            return new GetReply(
-                Code.OK, new Item(key, v == null ? null : v.value(), v == null ? 0 : v.version()));
+            if (v == null) return new GetReply(Code.OK, new Item(key, null, 0));
+            Entry value = read(v.value());
+            if (value == null) return new GetReply(Code.REFUSED, null);
+            return new GetReply(Code.OK, new Item(key, value, v.version()));
           },
           new GetReply(Code.REFUSED, null),
           new GetReply(Code.UNKNOWN, null),
@@ -523,11 +569,13 @@
             boolean more = false;
             for (Map.Entry<String, StateService.Val> e :
                 state.keys.tailMap(after == null ? "" : after, false).entrySet()) {
+              if (!sees(e.getKey(), e.getValue().value())) continue;
               if (out.size() == 7) { // small pages, so that changes come between them
                 more = true;
                 break;
               }
-              out.add(new Item(e.getKey(), e.getValue().value(), e.getValue().version()));
+              Entry value = read(e.getValue().value());
+              out.add(new Item(e.getKey(), value, e.getValue().version()));
             }
             return new ListReply(Code.OK, out, more, state.revision);
           },
@@ -556,7 +604,9 @@
         for (int i = state.changes.size() - 1;
             i >= 0 && state.changes.get(i).version() > after;
             i--) {
-          out.add(0, state.changes.get(i));
+          Item change = state.changes.get(i);
+          if (!sees(change.key(), change.value())) continue;
+          out.add(0, new Item(change.key(), read(change.value()), change.version()));
         }
         if (!out.isEmpty() || now >= until) {
           long rev = state.revision;
@@ -727,6 +777,31 @@
     }
   }
 
+  private static JobRec asBatch(JobRec job) {
+    return new JobRec(
+        withKind(job.spec(), JobKind.BATCH),
+        job.submittedMs(),
+        job.holder(),
+        job.incarnation(),
+        job.epoch(),
+        job.done(),
+        job.doneCount(),
+        job.grant(),
+        job.fin());
+  }
+
+  /** Its turn in the upgrade has come: it is killed, and every later process is of the present. */
+  void upgrade(Node node, long downMs) {
+    node.installed = ClusterVersion.CURRENT;
+    strike(node.up ? "upgrade" : "upgrade, while down");
+    if (node.up) node.crash(downMs);
+  }
+
+  /** Whether every controller is up with the present version. */
+  boolean allUpgraded() {
+    return nodes.values().stream().allMatch(n -> n.up && n.running == ClusterVersion.CURRENT);
+  }
+
   // ---- workers ------------------------------------------------------------------------------
   String machine(String t, String zone, boolean spot, long bootMs) {
     String id = String.format("m-%06d", machineNo++);
@@ -786,6 +861,18 @@
     throw new IllegalStateException("no controller is up");
   }
 
+  /** Ends a running replica as if by itself; false: it runs nowhere. */
+  boolean endReplica(String job, int number, Why why) {
+    for (Worker w : workers.values()) {
+      for (Worker.T t : w.tasks.values()) {
+        if (!t.job.equals(job) || t.task != number || t.state != TaskState.RUNNING) continue;
+        w.exit(t, why);
+        return true;
+      }
+    }
+    return false;
+  }
+
   void killMachine(String id) {
     Worker w = workers.remove(id);
     if (w == null) return;
@@ -829,6 +916,9 @@
     final Map<String, Long> images = new HashMap<>();
     final Map<String, T> tasks = new LinkedHashMap<>();
 
+    /** Tasks that completed here: their results are kept. */
+    private final java.util.Set<String> completed = new java.util.HashSet<>();
+
     final class T {
       String job;
       int task;
@@ -1087,16 +1177,30 @@
     void running(T t, String key, int step) {
       if (dead || tasks.get(key) != t || t.step != step || t.state != TaskState.FETCHING) return;
       images.put(t.job, now);
+      if (completed.contains(t.job + "/" + t.task)) {
+        strike("result kept");
+        exit(t, Why.DONE);
+        return;
+      }
       t.state = TaskState.RUNNING;
       changed = true;
       rules.started(now, new Rules.OnMachine(id, t.job, t.task, "t8", zone, spot));
-      progress(
-          t,
-          faulty ? 1 : runs(t),
-          () -> {
-            if (dead || tasks.get(key) != t || t.state != TaskState.RUNNING) return;
-            exit(t, faulty ? Why.ERROR : Why.DONE);
-          });
+      if (rules.service(t.job) && !faulty) {
+        if (replicaEnds > 0 && rnd.nextDouble() < replicaEnds) endByChance(t, key);
+        return;
+      }
+      progress(t, faulty ? 1 : runs(t), () -> endItself(t, key, faulty ? Why.ERROR : Why.DONE));
+    }
+
+    private void endByChance(T t, String key) {
+      Why why = rnd.nextBoolean() ? Why.DONE : Why.ERROR;
+      strike("replica ended: " + why);
+      progress(t, rnd.nextInt(20_000), () -> endItself(t, key, why));
+    }
+
+    private void endItself(T t, String key, Why why) {
+      if (dead || tasks.get(key) != t || t.state != TaskState.RUNNING) return;
+      exit(t, why);
     }
 
     private long runs(T t) {
@@ -1110,6 +1214,7 @@
       t.why = why;
       changed = true;
       if (was) rules.left(id, t.job, t.task, why == Why.DONE);
+      if (why == Why.DONE) completed.add(t.job + "/" + t.task);
       if (was && why == Why.DONE) cancelAtItsEnd(t.job);
     }
   }
@@ -1150,6 +1255,52 @@
         JobKind.BATCH);
   }
 
+  /** A service: placed like a batch job, but its replicas run until it is cancelled. */
+  JobSpec service(
+      String id,
+      int replicas,
+      double cpus,
+      Priority p,
+      String team,
+      boolean oneZone,
+      boolean spread,
+      boolean spot,
+      String zone) {
+    JobSpec batch = job(id, replicas, cpus, p, team, oneZone, spread, spot, zone);
+    return withKind(batch, JobKind.SERVICE);
+  }
+
+  private static JobSpec withKind(JobSpec spec, JobKind kind) {
+    return new JobSpec(
+        spec.id(),
+        spec.jobClass(),
+        spec.team(),
+        spec.priority(),
+        spec.tasks(),
+        spec.cpus(),
+        spec.gpus(),
+        spec.memoryGb(),
+        spec.image(),
+        spec.imageGb(),
+        spec.types(),
+        spec.zone(),
+        spec.oneZone(),
+        spec.spread(),
+        spec.spot(),
+        kind == JobKind.SERVICE ? 0 : spec.estimateS(),
+        spec.checkpointS(),
+        spec.saveS(),
+        kind == JobKind.SERVICE ? null : spec.deadlineS(),
+        kind);
+  }
+
+  /** Asks this controller, whose adapter refuses the kinds of jobs that its version lacks. */
+  void submitAt(Node n, JobSpec j, Consumer<UserAnswer> reply) {
+    if (j.service() && !n.knowsServices())
+      n.event(() -> n.core.refuse(j.id(), "oficio must be batch", reply));
+    else n.event(() -> n.core.submit(j, reply));
+  }
+
   void submit(JobSpec j) {
     rules.submitted(j);
     jobs.add(j.id());
@@ -1162,17 +1313,16 @@
     long asked = now;
     boolean[] answered = {false};
     if (n.up) {
-      n.event(
-          () ->
-              n.core.submit(
-                  j,
-                  a -> {
-                    answered[0] = true;
-                    if (rnd.nextDouble() < loss) answered[0] = false; // the user doesn't get it
-                    else rules.told(now, asked, j.id(), a.status(), a.state());
-                    if (answered[0] && a.state() != null) poll(j.id());
-                    else at(1_000, () -> trySubmit(j, until));
-                  }));
+      submitAt(
+          n,
+          j,
+          a -> {
+            answered[0] = true;
+            if (rnd.nextDouble() < loss) answered[0] = false; // the user doesn't get it
+            else rules.told(now, asked, j.id(), a.status(), a.state());
+            if (answered[0] && a.state() != null) poll(j.id());
+            else at(1_000, () -> trySubmit(j, until));
+          });
     }
     at(
         5_000,
@@ -1213,12 +1363,23 @@
   }
 
   private void cancelAtItsEnd(String job) {
-    if (cancelAtEnd <= 0 || rules.tasksLeft(job) > 1) return;
+    if (cancelAtEnd <= 0) return;
+    if (rules.service(job)) {
+      cancelAtReplicasEnd(job);
+      return;
+    }
+    if (rules.tasksLeft(job) > 1) return;
     if (rnd.nextDouble() >= cancelAtEnd) return;
     strike(rules.tasksLeft(job) == 0 ? "cancelAtEnd" : "cancelAtEnd, one task short");
     at(0, () -> cancel(job));
   }
 
+  private void cancelAtReplicasEnd(String service) {
+    if (rnd.nextDouble() >= cancelAtEnd / 4) return;
+    strike("cancelAtEnd, replica");
+    at(0, () -> cancel(service));
+  }
+
   /** Calls off up that many jobs that run, within 200 ms; up to eight of their machines hang. */
   void cancelNow(int count, long hangMs) {
     List<String> ids = new ArrayList<>(rules.running());
@@ -1263,10 +1424,7 @@
         boolean over = "done".equals(last) || "cancelled".equals(last);
         strike(over ? "oddRequests, over again" : "oddRequests, again");
         long asked = now;
-        n.event(
-            () ->
-                n.core.submit(
-                    rules.spec(id), a -> rules.told(now, asked, id, a.status(), a.state())));
+        submitAt(n, rules.spec(id), a -> rules.told(now, asked, id, a.status(), a.state()));
       }
       case 1 -> {
         if (done.isEmpty()) return;
@@ -1339,6 +1497,16 @@
         });
   }
 
+  /** A service of more replicas than its team may run at once is asked for. */
+  void askForImpossibleService() {
+    Node n = nodes.get(NODES.get(rnd.nextInt(3)));
+    if (!n.up) return;
+    strike("impossible service");
+    String id = String.format("wk-8%05d", impossibleNo++);
+    JobSpec tooMany = service(id, 7, 4, Priority.NORMAL, "tight", false, false, true, null);
+    submitAt(n, tooMany, a -> rules.toldImpossible(now, id, a.status()));
+  }
+
   void askForNobody() {
     askFor("wk-999999");
   }
