--- a/src/test/java/mallowstall/core/Sim.java
+++ b/src/test/java/mallowstall/core/Sim.java
@@ -908,6 +908,10 @@
     private boolean newSession;
 
     boolean faulty;
+
+    /** When the cloud takes it away, by its notice; 0: no notice. */
+    private long goneAt;
+
     String node = NODES.get(rnd.nextInt(3));
     long flight;
     boolean inFlight;
@@ -937,6 +941,15 @@
       this.spot = spot;
     }
 
+    /** The cloud tells it that it will be gone after so long. */
+    void notice(long ms) {
+      if (dead || goneAt != 0) return;
+      strike("notice");
+      goneAt = now + ms;
+      changed = true;
+      at(ms, () -> killMachine(id));
+    }
+
     void begin() {
       leaseFrom = now;
       loop();
@@ -1007,7 +1020,8 @@
       List<TaskReport> l = new ArrayList<>();
       for (T t : tasks.values())
         l.add(new TaskReport(t.job, t.task, t.attempt, t.state, t.why, false));
-      return new Report(id, id, "t8", zone, spot, session, ++seq, token, null, l);
+      Double noticeS = goneAt == 0 ? null : (Double) ((goneAt - now) / 1000.0);
+      return new Report(id, id, "t8", zone, spot, session, ++seq, token, noticeS, l);
     }
 
     void report() {
