--- a/src/test/java/mallowstall/core/ServiceRulesTest.java
+++ b/src/test/java/mallowstall/core/ServiceRulesTest.java
@@ -117,7 +117,7 @@
       for (; now <= back; now += 500) step(rules, now);
       rules.started(now, on(machine, 0));
       step(rules, now);
-      rules.left("m1", SERVICE, 0, true);
+      rules.left("m1", SERVICE, 0, false);
       now += 500;
     }
     assertEquals(List.of(), rules.broken);
@@ -176,6 +176,25 @@
     }
   }
 
+  /** It would end there as soon as it is started; another replica has room there. */
+  @Test
+  void aMachineThatKeepsItsResultIsNoRoomForAReplica() {
+    Rules rules = rules(plain(2, "free"));
+    Rules.Machine machine = machine("m1", "a");
+    rules.machineUp(machine);
+    rules.started(2, on(machine, 0));
+    rules.left("m1", SERVICE, 0, true);
+    stepPastTheBound(rules, CALM);
+    assertBroken(rules, "replica_missing: Replica[job=wk-000001, number=1]");
+    rules.broken.clear();
+    rules.started(50_000, on(machine, 1));
+    stepPastTheBound(rules, 50_000);
+    assertEquals(List.of(), rules.broken);
+    rules.machineUp(machine("m2", "a"));
+    stepPastTheBound(rules, 100_000);
+    assertBroken(rules, "replica_missing: Replica[job=wk-000001, number=0]");
+  }
+
   @Test
   void aCancelledServiceMissesNoReplica() {
     Rules rules = rules(plain(2, "free"));
