--- a/src/main/java/mallowstall/core/Holder.java
+++ b/src/main/java/mallowstall/core/Holder.java
@@ -430,6 +430,8 @@
     // errors of long ago, each on another machine, don't make it the job's own fault
     if (ranMs >= Constants.REPLICA_STABLE_MS) h.errorsOn.clear();
     endedInVain(a, why);
+    // its result is kept there; for longer than it waits, so that it is tried elsewhere
+    if (why == Why.DONE) h.avoid.put(machine, core.now() + Constants.JOB_AVOIDS_MS);
     boolean refused = why == Why.STOPPED || why == Why.NO_ROOM || why == Why.BUSY;
     boolean startable = refused || h.restarts.ended(a.task, ranMs, core.now());
     free(a, startable);
@@ -464,7 +466,7 @@
     adopt();
     for (Held h : new ArrayList<>(jobs.values())) {
       if (h.spec.service()) h.restarts.release(core.now(), h::putBack);
-      else write(h);
+      write(h); // for a service only to learn what became of a change of its grant
     }
     if (core.now() >= nextYielding) {
       nextYielding = core.now() + Constants.ADOPT_EVERY_MS;
@@ -552,7 +554,7 @@
 
   private void write(Held h) {
     long now = core.now();
-    boolean all = h.doneCount == h.spec.tasks() && !h.over();
+    boolean all = !h.spec.service() && h.doneCount == h.spec.tasks() && !h.over();
     if (h.dirtyChunks.isEmpty() && !all && !h.uncertain) return;
     if (h.writing || h.granting || (!all && now - h.lastWrite < Constants.JOB_WRITE_GAP_MS)) return;
     if (h.over() && h.rec.fin() == Final.CANCELLED) {
