--- a/src/main/java/mallowstall/Constants.java
+++ b/src/main/java/mallowstall/Constants.java
@@ -308,6 +308,12 @@
   /** Count. Most tasks planned to run one after the other in one place. */
   public static final double WAVES_MOST = 2;
 
+  /** ms. A replica without room for longer has a machine rented for it alone. */
+  public static final long REPLICA_STRANDED_MS = 5_000;
+
+  /** ms. The same of a batch job of which no task has room, beside services. */
+  public static final long BATCH_STRANDED_MS = 20_000;
+
   /** Factor on the usual boot time after which a machine is taken for one that never boots. */
   public static final double BOOT_GIVE_UP = 4.0;
 
--- a/src/main/java/mallowstall/core/Fleet.java
+++ b/src/main/java/mallowstall/core/Fleet.java
@@ -56,6 +56,7 @@
   /** Faulty machines that have replicas still to be moved. */
   private final Map<String, Long> replaceSince = new HashMap<>();
 
+  private final StrandedJobs stranded;
   private final Set<String> returning = new HashSet<>();
   private final Set<String> toDrop = new HashSet<>();
   private final Map<String, Long> returned = new HashMap<>();
@@ -73,6 +74,7 @@
   private int counter;
 
   Fleet(Core core, Store store, CoreSettings s) {
+    this.stranded = new StrandedJobs(core);
     this.core = core;
     this.store = store;
     this.calls =
@@ -404,6 +406,7 @@
       if (!renting && calls.has(now, 1, 0)) rent(type, want - have, have, want, d.spotOnly, now);
       return;
     }
+    if (d != null && !renting && calls.has(now, 1, 0) && rentForStranded(type, up, now)) return;
     int keep = (int) Math.ceil(Math.max(need * 1.2, floor * 1.15));
     // dear machines are kept for what there is to do more than for what there was
     double urgent = d == null ? 0 : d.urgent * Constants.RESERVE_FACTOR;
@@ -474,6 +477,34 @@
     return false;
   }
 
+  /**
+   * Rents one machine for a job that has room on none, though there are enough by their number: a
+   * replica that the others of its zone left no room for once waited for good, and so did a batch.
+   */
+  private boolean rentForStranded(String type, List<View.Seen> up, long now) {
+    if (core.openJobs().stream().noneMatch(rec -> rec.spec().service() && !rec.over()))
+      return false;
+    stranded.retain(core.openJobs());
+    for (JobRec rec : core.openJobs()) {
+      JobSpec job = rec.spec();
+      if (rec.over() || !type.equals(minimalType(job))) continue;
+      for (String zone : stranded.zonesMissing(rec, core.types().get(type), up, now)) {
+        if (!rentOne(type, zone, job.spot(), now)) continue;
+        LOG.info("job {} has room on no machine in {}", job.id(), zone);
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Whether one has been asked for; not while a machine that may serve is coming. */
+  private boolean rentOne(String type, String zone, boolean spotAllowed, long now) {
+    for (Rented r : coming.values()) {
+      if (r.type.equals(type) && r.zone.equals(zone) && (spotAllowed || !r.spot)) return false;
+    }
+    return spotAllowed && tryZone(type, zone, true, 1, now) || tryZone(type, zone, false, 1, now);
+  }
+
   private boolean tryZone(String type, String zone, boolean spot, int n, long now) {
     String key = type + "/" + zone + "/" + spot;
     if (refusedUntil.getOrDefault(key, 0L) > now) return false;
--- /dev/null
+++ b/src/main/java/mallowstall/core/StrandedJobs.java
@@ -0,0 +1,95 @@
+package mallowstall.core;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import mallowstall.Constants;
+import mallowstall.core.Model.*;
+
+/**
+ * Open jobs with a task that no machine has room for, although by their number there are enough.
+ * Replicas stand for good: what they leave free may be too little on each machine, or be in a zone
+ * that the job doesn't allow. Mutable.
+ */
+final class StrandedJobs {
+  private final Core core;
+  private final Map<String, Long> since = new HashMap<>();
+
+  StrandedJobs(Core core) {
+    this.core = core;
+  }
+
+  /** Drops what is remembered of jobs that are over. */
+  void retain(Iterable<JobRec> open) {
+    Set<String> ids = new HashSet<>();
+    for (JobRec rec : open) if (!rec.over()) ids.add(rec.spec().id());
+    since.keySet().retainAll(ids);
+  }
+
+  /**
+   * The zones of the type in which a machine would help the job; none while one may have room, or
+   * hasn't been missing for long.
+   */
+  List<String> zonesMissing(JobRec rec, MachineType type, List<View.Seen> up, long now) {
+    JobSpec job = rec.spec();
+    List<String> zones = type.zones().stream().filter(z -> allows(job, z, up)).toList();
+    if (!waits(rec) || zones.isEmpty() || roomIn(job, zones, up)) {
+      since.remove(job.id());
+      return List.of();
+    }
+    long from = since.computeIfAbsent(job.id(), k -> now);
+    long patience = job.service() ? Constants.REPLICA_STRANDED_MS : Constants.BATCH_STRANDED_MS;
+    return now - from > patience ? zones : List.of();
+  }
+
+  /** A replica runs nowhere, or no task of a batch does, and not for its team's limit. */
+  private boolean waits(JobRec rec) {
+    JobSpec job = rec.spec();
+    int placed = core.view().placed(job.id());
+    boolean missing = job.service() ? placed < job.tasks() : placed == 0;
+    return missing && (rec.grant() > placed || !teamAtLimit(job));
+  }
+
+  private boolean teamAtLimit(JobSpec job) {
+    Team team = core.settings().teams().get(job.team());
+    Store.Held held = core.store().held(Store.TEAMS + job.team());
+    if (team == null || held == null) return false;
+    TeamRec sum = (TeamRec) held.value();
+    return team.cpusMax() > 0 && sum.cpus() + job.cpus() > team.cpusMax() + 1e-9
+        || team.gpusMax() > 0 && sum.gpus() + job.gpus() > team.gpusMax() + 1e-9;
+  }
+
+  private boolean allows(JobSpec job, String zone, List<View.Seen> up) {
+    if (job.zone() != null && !job.zone().equals(zone)) return false;
+    int there = 0;
+    int elsewhere = 0;
+    for (View.Seen s : up) {
+      int tasks = tasksOn(s, job.id());
+      if (s.m.zone().equals(zone)) there += tasks;
+      else elsewhere += tasks;
+    }
+    if (job.oneZone() && elsewhere > 0) return false;
+    return !job.spread() || there < (job.tasks() + 1) / 2;
+  }
+
+  private static int tasksOn(View.Seen s, String job) {
+    int tasks = 0;
+    for (RosterTask t : s.m.tasks())
+      if (t.job().equals(job) && t.state() != TaskState.EXITED) tasks++;
+    return tasks;
+  }
+
+  private static boolean roomIn(JobSpec job, List<String> zones, List<View.Seen> up) {
+    for (View.Seen s : up) {
+      if (!Owner.allowed(job, s.m.type(), s.m.zone(), s.m.spot())) continue;
+      boolean fits =
+          s.m.freeCpus() >= job.cpus() - 1e-9
+              && s.m.freeGpus() >= job.gpus() - 1e-9
+              && s.m.freeMemoryGb() >= job.memoryGb() - 1e-9;
+      if (fits && zones.contains(s.m.zone())) return true;
+    }
+    return false;
+  }
+}
--- a/src/test/java/mallowstall/core/ReplicasTest.java
+++ b/src/test/java/mallowstall/core/ReplicasTest.java
@@ -57,4 +57,29 @@
     assertEquals(4, s.rules.replicasOn(SERVICE));
     assertEquals(List.of(), s.rules.broken);
   }
+
+  /** By their number the machines are enough, but in the zone of the others there is no room. */
+  @Test
+  void aReplicaWithoutRoomInItsZoneHasAMachineRented() {
+    Sim s = new Sim(421);
+    s.run(8_000);
+    s.submit(s.service(SERVICE, 5, 4, Priority.HIGH, "free", true, false, false, null));
+    s.run(s.now + 60_000);
+    assertEquals(5, s.rules.replicasOn(SERVICE));
+    assertEquals(List.of(), s.rules.broken);
+  }
+
+  /** What a service leaves free is enough in all, and too little on each machine. */
+  @Test
+  void aBatchJobWithoutRoomBesideAServiceHasAMachineRented() {
+    Sim s = new Sim(422);
+    s.run(8_000);
+    s.submit(s.service(SERVICE, 8, 2.5, Priority.HIGH, "free", false, false, false, null));
+    s.run(s.now + 10_000);
+    assertEquals(4, s.rules.machinesOf(SERVICE).size(), "3 cpus are free on each");
+    s.submit(s.job(OTHER, 1, 4, Priority.NORMAL, "free", false, false, false, null));
+    s.run(s.now + 60_000);
+    assertEquals("done", s.rules.lastTold(OTHER));
+    assertEquals(List.of(), s.rules.broken);
+  }
 }
