--- a/src/main/java/mallowstall/core/Fleet.java
+++ b/src/main/java/mallowstall/core/Fleet.java
@@ -26,7 +26,10 @@
   /** Demand for one machine type. Mutable. */
   private static final class Demand {
     double machines;
-    boolean spotOnly = true;
+
+    /** Whether spot machines can serve some of it; what they can't is rented before the rest. */
+    boolean spotAllowed;
+
     double average;
 
     /** Average machines' worth of urgent work. */
@@ -67,6 +70,8 @@
   private boolean listing;
   private boolean renting;
   private boolean claiming;
+  private final RetryDelay claimRetry = new RetryDelay();
+  private final RetryDelay dropRetry = new RetryDelay();
   private long nextPlan;
   private long nextList;
   private long nextDemand;
@@ -128,14 +133,14 @@
       demand(now);
     }
     if (!store.sessionGood()) return;
-    if (store.held(Store.DUTY) == null && !claiming) claim();
+    if (store.held(Store.DUTY) == null && !claiming && claimRetry.due(now)) claim();
     if (!onDuty()) return;
     if (now >= nextList && !listing && calls.has(now, 1, 0)) list();
     if (now >= nextPlan) {
       nextPlan = now + Constants.FLEET_EVERY_MS;
       plan(now);
     }
-    if (!toDrop.isEmpty()) dropRecords();
+    if (!toDrop.isEmpty() && dropRetry.due(now)) dropRecords();
   }
 
   private void claim() {
@@ -153,6 +158,7 @@
                 List.of()),
             r -> {
               claiming = false;
+              claimRetry.answered(core.now(), r.code());
               if (r.code() == Code.OK) LOG.info("cloud duty taken");
             });
     if (!asked) claiming = false;
@@ -164,6 +170,7 @@
     Map<String, Double> urgent = new HashMap<>();
     for (Demand d : demands.values()) {
       d.machines = 0;
+      d.spotAllowed = false;
       d.pinned.clear();
       d.pinnedOrdinary.clear();
       d.ordinary = 0;
@@ -197,7 +204,7 @@
       double share = shareOfBoot(j, t);
       Demand d = demands.computeIfAbsent(name, k -> new Demand());
       d.machines += tasks / per * share / waves(rec, t);
-      d.spotOnly &= j.spot();
+      d.spotAllowed |= j.spot();
       if (!j.spot()) d.ordinary += tasks / per;
       Map<String, Double> pinned = j.spot() ? d.pinned : d.pinnedOrdinary;
       if (j.zone() != null) pinned.merge(j.zone(), tasks / per, Double::sum);
@@ -289,7 +296,7 @@
       if (accounted && ownerLive && now - core.view().heardAt(s) < 2 * Constants.ROSTER_STALE_MS) {
         unaccountedSince.remove(id);
         if (s.m.silent()) {
-          if (s.idleMs(now) > lease + Constants.SILENT_RETURN_MS) back.add(id);
+          if (taken(s, now) || s.idleMs(now) > lease + Constants.SILENT_RETURN_MS) back.add(id);
           else if (s.idleMs(now) > silentHostMs() && core.view().hostsReplicas(s))
             silentHosts.add(id);
           continue;
@@ -356,6 +363,15 @@
     if (!back.isEmpty()) giveBack(back, "lost, failed or faulty");
   }
 
+  /**
+   * Silent at the end of its notice: the cloud has it back, and a return proves at once what its
+   * lease would prove only later.
+   */
+  private static boolean taken(View.Seen s, long now) {
+    double left = s.m.noticeS() - (now - s.at) / 1000.0;
+    return s.m.noticeS() >= 0 && left < Constants.NOTICE_OVER_S;
+  }
+
   /** Some reports later than where a machine counts as silent. */
   private long silentHostMs() {
     return Constants.SILENT_HOST_MS + core.settings().reportMs();
@@ -403,7 +419,8 @@
     int want = (int) Math.ceil(Math.max(need * 1.1, floor) - 0.05);
     if (d != null && !renting && calls.has(now, 1, 0) && constrained(type, d, up, now)) return;
     if (want > have) {
-      if (!renting && calls.has(now, 1, 0)) rent(type, want - have, have, want, d.spotOnly, now);
+      if (!renting && calls.has(now, 1, 0))
+        rent(type, want - have, have, want, d == null || d.spotAllowed, now);
       return;
     }
     if (d != null && !renting && calls.has(now, 1, 0) && rentForStranded(type, up, now)) return;
@@ -617,6 +634,7 @@
             Store.Urgency.MACHINE,
             new Txn(List.of(), ends, drops),
             r -> {
+              dropRetry.answered(core.now(), r.code());
               if (r.code() != Code.OK) again.run();
             });
     if (!asked) again.run();
