--- a/src/main/java/mallowstall/core/Holder.java
+++ b/src/main/java/mallowstall/core/Holder.java
@@ -428,6 +428,8 @@
     // errors of long ago, each on another machine, don't make it the job's own fault
     if (ranMs >= Constants.REPLICA_STABLE_MS) h.errorsOn.clear();
     endedInVain(a, why);
+    // its result is kept there; for longer than it waits, so that it is tried elsewhere
+    if (why == Why.DONE) h.avoid.put(machine, core.now() + Constants.JOB_AVOIDS_MS);
     boolean refused = why == Why.STOPPED || why == Why.NO_ROOM || why == Why.BUSY;
     boolean startable = refused || h.restarts.ended(a.task, ranMs, core.now());
     free(a, startable);
@@ -552,7 +554,7 @@
 
   private void write(Held h) {
     long now = core.now();
-    boolean all = h.doneCount == h.spec.tasks() && !h.over();
+    boolean all = !h.spec.service() && h.doneCount == h.spec.tasks() && !h.over();
     boolean moves = core.jobEntries().outOfPlace(h.rec);
     if (h.dirtyPieces.isEmpty() && !all && !h.uncertain && !moves) return;
     if (!h.writeRetry.due(now) || !bitsKnown(h)) return;
