--- a/src/main/java/mallowstall/core/StrandedJobs.java
+++ b/src/main/java/mallowstall/core/StrandedJobs.java
@@ -34,8 +34,8 @@
    */
   List<String> zonesMissing(JobRec rec, MachineType type, List<View.Seen> up, long now) {
     JobSpec job = rec.spec();
-    List<String> zones = type.zones().stream().filter(z -> allows(job, z, up)).toList();
-    if (!waits(rec) || zones.isEmpty() || roomIn(job, zones, up)) {
+    List<String> zones = waits(rec) ? zonesAllowed(job, type, up) : List.of();
+    if (zones.isEmpty() || roomIn(job, zones, up)) {
       since.remove(job.id());
       return List.of();
     }
@@ -61,7 +61,12 @@
         || team.gpusMax() > 0 && sum.gpus() + job.gpus() > team.gpusMax() + 1e-9;
   }
 
-  private boolean allows(JobSpec job, String zone, List<View.Seen> up) {
+  private static List<String> zonesAllowed(JobSpec job, MachineType type, List<View.Seen> up) {
+    if (job.zone() == null && !job.oneZone() && !job.spread()) return type.zones();
+    return type.zones().stream().filter(zone -> allows(job, zone, up)).toList();
+  }
+
+  private static boolean allows(JobSpec job, String zone, List<View.Seen> up) {
     if (job.zone() != null && !job.zone().equals(zone)) return false;
     int there = 0;
     int elsewhere = 0;
