--- a/src/main/java/mallowstall/core/JobEntries.java
+++ b/src/main/java/mallowstall/core/JobEntries.java
@@ -217,7 +217,7 @@
    */
   Write recording(JobRec old, long version, BitSet done, Collection<Integer> dirty) {
     int count = done.cardinality();
-    boolean all = count == old.spec().tasks() && !old.over();
+    boolean all = !old.spec().service() && count == old.spec().tasks() && !old.over();
     // what was told of a job that is over doesn't change
     JobRec rec = old.over() ? old : old.withDone(old.done(), count, all ? Final.DONE : old.fin());
     if (compact(old)) return compactWrite(old, rec, version, done, dirty, false);
--- /dev/null
+++ b/src/test/java/mallowstall/core/ViewTest.java
@@ -0,0 +1,67 @@
+package mallowstall.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Set;
+import mallowstall.core.Model.*;
+import org.junit.jupiter.api.Test;
+
+/** What follows from what owners tell of a machine. */
+class ViewTest {
+  private static View.Seen machine(double noticeS, boolean replace, List<String> images) {
+    View.Seen seen = new View.Seen("m-000001");
+    seen.owner = "n0";
+    seen.m =
+        new RosterMachine(
+            "m-000001",
+            "a:1",
+            1,
+            1,
+            1,
+            1,
+            true,
+            true,
+            false,
+            replace,
+            false,
+            false,
+            "t8",
+            "a",
+            false,
+            noticeS,
+            8,
+            0,
+            32,
+            0,
+            images,
+            List.of());
+    return seen;
+  }
+
+  /** Eight replicas with as many images were once sent to the first machine back after a cut. */
+  @Test
+  void startsOnTheirWayCountAsFetches() {
+    View.Seen seen = machine(-1, false, List.of("there"));
+    assertEquals(0, seen.otherFetches("i1"));
+    seen.sentImages.addAll(Set.of("there", "i1", "i2"));
+    assertEquals(1, seen.otherFetches("i1"));
+    assertEquals(2, seen.otherFetches("i3"));
+    seen.fetching = Set.of("i2", "i4");
+    assertEquals(2, seen.otherFetches("i1"));
+    assertEquals(2, seen.otherFetches("i4"));
+  }
+
+  @Test
+  void aMachineLeavesOnNoticeOrWhenItIsReplaced() {
+    assertFalse(machine(-1, false, List.of()).leaves());
+    assertTrue(machine(0, false, List.of()).leaves());
+    assertTrue(machine(12, false, List.of()).leaves());
+    assertTrue(machine(-1, true, List.of()).leaves());
+    View.Seen nobodys = machine(12, false, List.of());
+    nobodys.owner = null;
+    assertFalse(nobodys.leaves(), "nobody could be asked to stop its replicas");
+  }
+}
