--- a/src/main/java/mallowstall/Constants.java
+++ b/src/main/java/mallowstall/Constants.java
@@ -95,6 +95,9 @@
   /** ms. Machines that turn to a controller within this are taken over in one change. */
   public static final long ADOPT_JOIN_MS = 40;
 
+  /** ms. Machines that turn here join one change for so long while an earlier one is unanswered. */
+  public static final long ADOPT_WAIT_MS = 500;
+
   /** Bytes. One machine in such a change, with its names at their longest seen. */
   public static final int GROUP_BYTES = 100;
 
--- a/src/main/java/mallowstall/core/Fleet.java
+++ b/src/main/java/mallowstall/core/Fleet.java
@@ -147,7 +147,8 @@
     claiming = true;
     boolean asked =
         store.transact(
-            Store.Urgency.BACKGROUND,
+            // behind the adoptions of a fleet it waited for a minute, and jobs for its returns
+            Store.Urgency.MACHINE,
             new Txn(
                 List.of(new Cond(Store.DUTY, 0)),
                 List.of(
--- a/src/main/java/mallowstall/core/Owner.java
+++ b/src/main/java/mallowstall/core/Owner.java
@@ -143,6 +143,12 @@
   private final List<Refusal> refusals = new ArrayList<>();
   private final List<Arriving> arriving = new ArrayList<>();
   private int groups;
+
+  /** Whether the next batch of {@link #arriving} is planned; how many changes are unanswered. */
+  private boolean batchPlanned;
+
+  private int adoptionsOpen;
+  private long batchSentAt;
   private long nextSweep;
 
   /** Machines whose record was dropped, since they were returned; names are never used again. */
@@ -351,7 +357,13 @@
     }
     adopting.put(r.machine(), now);
     arriving.add(new Arriving(r, type, reply));
-    if (arriving.size() == 1) core.after(Constants.ADOPT_JOIN_MS, this::adoptAll);
+    planBatch();
+  }
+
+  private void planBatch() {
+    if (batchPlanned) return;
+    batchPlanned = true;
+    core.after(Constants.ADOPT_JOIN_MS, this::adoptAll);
   }
 
   private record Arriving(Report report, MachineType type, Consumer<ReportAnswer> reply) {}
@@ -362,6 +374,16 @@
    * the revision of the change.
    */
   private void adoptAll() {
+    batchPlanned = false;
+    // While changes wait for the state service's rate, more machines join the next batch. With one
+    // change for every 40 ms the queue outgrew the 4 s for which workers wait: each turned to the
+    // next controller, was adopted there as late, and so on for a minute.
+    boolean waits = adoptionsOpen > 0 && core.now() - batchSentAt < Constants.ADOPT_WAIT_MS;
+    if (waits) {
+      planBatch();
+      return;
+    }
+    batchSentAt = core.now();
     List<Arriving> all = new ArrayList<>(arriving);
     arriving.clear();
     int most = Math.max(1, core.settings().valueBytes() / Constants.GROUP_BYTES - 2);
@@ -370,7 +392,12 @@
       part = fitting(all.subList(from, Math.min(all.size(), from + most)));
       boolean asked;
       List<Arriving> these = part;
-      Consumer<TxnReply> then = res -> these.forEach(a -> adopted(a, res));
+      adoptionsOpen++;
+      Consumer<TxnReply> then =
+          res -> {
+            adoptionsOpen--;
+            these.forEach(a -> adopted(a, res));
+          };
       if (part.size() == 1) {
         Report r = part.get(0).report;
         asked = record(r.machine(), r.type(), r.zone(), r.spot(), then);
--- a/src/test/java/mallowstall/core/StateLimitsTest.java
+++ b/src/test/java/mallowstall/core/StateLimitsTest.java
@@ -8,8 +8,10 @@
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import mallowstall.Constants;
 import mallowstall.core.Effects.Code;
 import mallowstall.core.Effects.Cond;
@@ -350,4 +352,32 @@
         j.deadlineS(),
         j.kind());
   }
+
+  /**
+   * All controllers end with hundreds of machines, and few changes are allowed. One change for
+   * every 40 ms of arrivals outgrew what workers wait for: each turned to the next controller and
+   * was adopted there as late, for a minute; and the cloud duty waited behind it.
+   */
+  @Test
+  void machinesChangeOwnerOnceThoughFewChangesAreAllowed() {
+    Sim.StateLimits few = new Sim.StateLimits(2_048, 8, 12);
+    Sim s = new Sim(320, few);
+    for (int i = 0; i < 500; i++) s.machine("t8", i % 2 == 0 ? "a" : "b", false, 0);
+    s.run(25_000);
+    s.state.limitTo(few);
+    long before = s.state.revision;
+    for (Sim.Node n : s.nodes.values()) n.crash(2_000);
+    s.run(s.now + 12_000);
+    Set<String> kept = new HashSet<>();
+    for (Sim.Worker w : s.workers.values()) if (w.session == 1) kept.add(w.id);
+    assertTrue(kept.size() > s.workers.size() * 9 / 10, "kept: " + kept.size());
+    assertTrue(s.state.keys.containsKey(Store.DUTY), "somebody rents and returns machines again");
+    int adopted = 0;
+    for (Effects.Item i : s.state.changes) {
+      if (i.version() <= before) continue;
+      if (i.value() instanceof GroupRec g) adopted += g.machines().size();
+      else if (i.value() instanceof MachineRec) adopted++;
+    }
+    assertTrue(adopted < s.workers.size() * 5 / 4, "adopted: " + adopted);
+  }
 }
