--- a/src/main/java/mallowstall/core/Placement.java
+++ b/src/main/java/mallowstall/core/Placement.java
@@ -616,10 +616,7 @@
   }
 
   private void countSent() {
-    for (View.Seen s : core.view().machines.values()) {
-      s.sentCpus = s.sentGpus = s.sentMemory = 0;
-      s.sentImages.clear();
-    }
+    for (View.Seen s : core.view().machines.values()) s.sentCpus = s.sentGpus = s.sentMemory = 0;
     for (Held h : holder.jobs()) {
       for (Map.Entry<String, Integer> e : h.moves.targets().entrySet()) {
         View.Seen s = core.view().machines.get(e.getKey());
@@ -628,9 +625,7 @@
       for (Active a : h.active.values()) {
         if (a.seen || a.listed) continue;
         View.Seen s = core.view().machines.get(a.machine);
-        if (s == null) continue;
-        book(s, h.spec, 1);
-        s.sentImages.add(h.spec.image());
+        if (s != null) book(s, h.spec, 1);
       }
     }
   }
@@ -680,9 +675,13 @@
     f.freeMemory = s.freeMemory();
     f.used = t == null || t.cpus() <= 0 ? 0 : 1 - s.freeCpus() / t.cpus();
     f.imagePresent = s.m.images().contains(j.image());
+    int fetching = 0;
+    boolean same = false;
     core.view().derive(s);
-    boolean same = s.fetching.contains(j.image()) || s.sentImages.contains(j.image());
-    int fetching = s.otherFetches(j.image());
+    for (String other : s.fetching) {
+      if (other.equals(j.image())) same = true;
+      else if (!s.m.images().contains(other)) fetching++;
+    }
     f.fetches = fetching;
     double rate = t == null ? 1 : Math.max(1e-3, t.fetchGbPerS());
     f.fetchS = f.imagePresent ? 0 : j.imageGb() / rate * (same ? 0.6 : 1 + fetching);
@@ -742,7 +741,6 @@
             p.nextSeq));
     h.lastStart = core.now();
     book(s, h.spec, 1);
-    s.sentImages.add(h.spec.image());
     out.computeIfAbsent(s.owner, k -> new ArrayList<>())
         .add(new StartOrder(s.id, h.id, task, attempt, h.rec.epoch(), expiry, instead));
     LOG.debug(
--- a/src/main/java/mallowstall/core/View.java
+++ b/src/main/java/mallowstall/core/View.java
@@ -2,9 +2,11 @@
 
 import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
 import it.unimi.dsi.fastutil.objects.Object2ObjectOpenHashMap;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import mallowstall.core.Model.*;
@@ -31,14 +33,11 @@
     double sentGpus;
     double sentMemory;
 
-    /** Images that those starts need. */
-    final Set<String> sentImages = new HashSet<>();
-
     /** Images that are there or that a task there needs, as of {@link #m}. */
     String[] images = {};
 
-    /** Images that aren't there and that a task there waits for, or that was only accepted. */
-    Set<String> fetching = Set.of();
+    /** For each task there that waits for its image, or was only accepted, that image. */
+    List<String> fetching = List.of();
 
     private RosterMachine derived;
 
@@ -76,20 +75,6 @@
       return m != null && owner != null && (m.noticeS() >= 0 || m.replace());
     }
 
-    /**
-     * Other images that the machine fetches, or will for starts that are on their way: counted
-     * late, one machine was sent eight at once.
-     */
-    int otherFetches(String image) {
-      int others = 0;
-      for (String other : fetching) if (!other.equals(image)) others++;
-      for (String other : sentImages) {
-        boolean counted = other.equals(image) || fetching.contains(other);
-        if (!counted && !m.images().contains(other)) others++;
-      }
-      return others;
-    }
-
     /** For how long it has been idle, or silent; what was told then has gone on since. */
     long idleMs(long now) {
       return m.idleMs() == 0 ? 0 : m.idleMs() + now - at;
@@ -246,14 +231,13 @@
     if (s.derived == s.m) return;
     s.derived = s.m;
     Set<String> images = new LinkedHashSet<>(s.m.images());
-    s.fetching = new LinkedHashSet<>();
+    s.fetching = new ArrayList<>();
     for (RosterTask t : s.m.tasks()) {
       JobRec r = t.state() == TaskState.EXITED ? null : core.store().job(t.job());
       if (r == null) continue;
       images.add(r.spec().image());
       if (t.state() == null || t.state() == TaskState.FETCHING) s.fetching.add(r.spec().image());
     }
-    s.fetching.removeAll(s.m.images());
     s.images = images.toArray(new String[0]);
   }
 
