A task found on a machine that was returned meanwhile no longer waits for good

Cause: a controller that has dropped a machine's record itself, while its mirror was behind that record, took in an older word of the machine's owner; a job taken over at that moment found its task there, and the record, coming later, was ignored. Batch jobs could meet it too.

--- a/src/main/java/mallowstall/core/Holder.java
+++ b/src/main/java/mallowstall/core/Holder.java
@@ -457,9 +457,24 @@
     }
   }
 
+  /**
+   * A machine may be told of while this mirror is behind its record, although it has been returned
+   * and this controller has dropped that record itself: the record comes later and is ignored, so
+   * nothing else says that the machine is gone. A task found there waited for good.
+   */
+  private void leaveReturnedMachines() {
+    for (String id : new ArrayList<>(byMachine.keySet())) {
+      View.Seen seen = core.view().machines.get(id);
+      if (seen == null || seen.m == null || !core.returned(id, seen.m.version())) continue;
+      core.view().gone(id);
+      machineGone(id);
+    }
+  }
+
   // ---- duties -------------------------------------------------------------------------------
   void tick() {
     if (!store.synced()) return;
+    leaveReturnedMachines();
     latch();
     adopt();
     for (Held h : new ArrayList<>(jobs.values())) {
