--- a/src/main/java/mallowstall/core/Fleet.java
+++ b/src/main/java/mallowstall/core/Fleet.java
@@ -27,8 +27,11 @@
   private static final class Demand {
     double machines;
 
-    /** Whether spot machines can serve some of it; what they can't is rented before the rest. */
-    boolean spotAllowed;
+    /**
+     * Whether spot machines can serve all of it. Beside services that they can't serve all is
+     * rented as ordinary: else replicas found no room and waited for a boot.
+     */
+    boolean spotOnly = true;
 
     double average;
 
@@ -171,7 +174,7 @@
     Map<String, Double> urgent = new HashMap<>();
     for (Demand d : demands.values()) {
       d.machines = 0;
-      d.spotAllowed = false;
+      d.spotOnly = true;
       d.pinned.clear();
       d.pinnedOrdinary.clear();
       d.ordinary = 0;
@@ -205,7 +208,7 @@
       double share = shareOfBoot(j, t);
       Demand d = demands.computeIfAbsent(name, k -> new Demand());
       d.machines += tasks / per * share / waves(rec, t);
-      d.spotAllowed |= j.spot();
+      d.spotOnly &= j.spot();
       if (!j.spot()) d.ordinary += tasks / per;
       Map<String, Double> pinned = j.spot() ? d.pinned : d.pinnedOrdinary;
       if (j.zone() != null) pinned.merge(j.zone(), tasks / per, Double::sum);
@@ -426,7 +429,7 @@
     if (d != null && !renting && calls.has(now, 1, 0) && constrained(type, d, up, now)) return;
     if (want > have) {
       if (!renting && calls.has(now, 1, 0))
-        rent(type, want - have, have, want, d == null || d.spotAllowed, now);
+        rent(type, want - have, have, want, d == null || d.spotOnly, now);
       return;
     }
     if (d != null && !renting && calls.has(now, 1, 0) && rentForStranded(type, up, now)) return;
