--- a/src/main/java/mallowstall/core/Fleet.java
+++ b/src/main/java/mallowstall/core/Fleet.java
@@ -27,11 +27,8 @@
   private static final class Demand {
     double machines;
 
-    /**
-     * Whether spot machines can serve all of it. Beside services that they can't serve all is
-     * rented as ordinary: else replicas found no room and waited for a boot.
-     */
-    boolean spotOnly = true;
+    /** Whether spot machines can serve some of it; what they can't is rented before the rest. */
+    boolean spotAllowed;
 
     double average;
 
@@ -174,7 +171,7 @@
     Map<String, Double> urgent = new HashMap<>();
     for (Demand d : demands.values()) {
       d.machines = 0;
-      d.spotOnly = true;
+      d.spotAllowed = false;
       d.pinned.clear();
       d.pinnedOrdinary.clear();
       d.ordinary = 0;
@@ -208,7 +205,7 @@
       double share = shareOfBoot(j, t);
       Demand d = demands.computeIfAbsent(name, k -> new Demand());
       d.machines += tasks / per * share / waves(rec, t);
-      d.spotOnly &= j.spot();
+      d.spotAllowed |= j.spot();
       if (!j.spot()) d.ordinary += tasks / per;
       Map<String, Double> pinned = j.spot() ? d.pinned : d.pinnedOrdinary;
       if (j.zone() != null) pinned.merge(j.zone(), tasks / per, Double::sum);
@@ -429,7 +426,7 @@
     if (d != null && !renting && calls.has(now, 1, 0) && constrained(type, d, up, now)) return;
     if (want > have) {
       if (!renting && calls.has(now, 1, 0))
-        rent(type, want - have, have, want, d == null || d.spotOnly, now);
+        rent(type, want - have, have, want, d == null || d.spotAllowed, now);
       return;
     }
     if (d != null && !renting && calls.has(now, 1, 0) && rentForStranded(type, up, now)) return;
