--- a/src/test/java/mallowstall/core/HistoriesTest.java
+++ b/src/test/java/mallowstall/core/HistoriesTest.java
@@ -9,7 +9,6 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
-import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.atomic.AtomicLong;
 import mallowstall.core.Model.*;
 import org.junit.jupiter.api.AfterAll;
@@ -119,19 +118,12 @@
    */
   @Test
   void manySeeds() throws InterruptedException {
-    String asked = System.getProperty("mallowstall.seeds", "100");
-    String[] ends = asked.split("-");
-    long last = Long.parseLong(ends[ends.length - 1]);
-    AtomicLong next = new AtomicLong(Long.parseLong(ends[0]));
-    long count = last - next.get() + 1;
     AtomicLong starts = new AtomicLong();
     AtomicLong crossed = new AtomicLong();
     AtomicLong startsAfterCancel = new AtomicLong();
-    Map<Long, String> failed = new ConcurrentSkipListMap<>();
-    Runnable hunt =
-        () -> {
-          for (long seed = next.getAndIncrement(); seed <= last; seed = next.getAndIncrement()) {
-            try {
+    new SeedHunt()
+        .run(
+            seed -> {
               Sim s = meetings(seed);
               starts.addAndGet(s.rules.starts);
               crossed.addAndGet(s.rules.crossed.size());
@@ -139,26 +131,11 @@
               assertEquals(List.of(), s.rules.broken);
               overForUsers(s);
               assertTrue(s.rules.starts > 0, "nothing_ran");
-            } catch (Throwable t) {
-              failed.put(seed, t.toString());
-              System.out.println("seed " + seed + ": " + t);
-            }
-          }
-        };
-    Thread beside = new Thread(hunt);
-    if (count > 1) beside.start();
-    hunt.run();
-    beside.join();
-    if (count > 1)
-      System.out.printf(
-          "%d seeds, %d failed %s; %d starts, %d of them after a told cancellation; %d answers crossed%n",
-          count,
-          failed.size(),
-          failed.keySet(),
-          starts.get(),
-          startsAfterCancel.get(),
-          crossed.get());
-    assertEquals(Map.of(), failed);
+            },
+            () ->
+                String.format(
+                    "%d starts, %d of them after a told cancellation; %d answers crossed",
+                    starts.get(), startsAfterCancel.get(), crossed.get()));
   }
 
   private static Sim meetings(long seed) {
--- a/src/test/java/mallowstall/core/UpgradeHistoriesTest.java
+++ b/src/test/java/mallowstall/core/UpgradeHistoriesTest.java
@@ -9,7 +9,6 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
-import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.atomic.AtomicLong;
 import mallowstall.core.Model.*;
 import org.junit.jupiter.api.AfterAll;
@@ -81,36 +80,19 @@
    */
   @Test
   void manySeeds() throws InterruptedException {
-    String[] ends = System.getProperty("mallowstall.seeds", "100").split("-");
-    long last = Long.parseLong(ends[ends.length - 1]);
-    AtomicLong next = new AtomicLong(Long.parseLong(ends[0]));
-    long count = last - next.get() + 1;
     AtomicLong starts = new AtomicLong();
     AtomicLong services = new AtomicLong();
-    Map<Long, String> failed = new ConcurrentSkipListMap<>();
-    Runnable hunt =
-        () -> {
-          for (long seed = next.getAndIncrement(); seed <= last; seed = next.getAndIncrement()) {
-            try {
+    new SeedHunt()
+        .run(
+            seed -> {
               Sim s = history(seed);
               starts.addAndGet(s.rules.starts);
               services.addAndGet(kept(s).size());
               assertKept(s);
-            } catch (Throwable t) {
-              failed.put(seed, t.toString());
-              System.out.println("seed " + seed + ": " + t);
-            }
-          }
-        };
-    Thread beside = new Thread(hunt);
-    if (count > 1) beside.start();
-    hunt.run();
-    beside.join();
-    if (count > 1)
-      System.out.printf(
-          "%d seeds, %d failed %s; %d starts, %d services kept to the end%n",
-          count, failed.size(), failed.keySet(), starts.get(), services.get());
-    assertEquals(Map.of(), failed);
+            },
+            () ->
+                String.format(
+                    "%d starts, %d services kept to the end", starts.get(), services.get()));
   }
 
   private static Sim history(long seed) {
@@ -173,13 +155,18 @@
   }
 
   private static void upgradeInClaim(Sim s, Sim.Node n, long downMs) {
+    endInClaim(s, n, () -> s.upgrade(n, downMs));
+  }
+
+  /** Some moment after it has asked for its next claim. */
+  private static void endInClaim(Sim s, Sim.Node n, Runnable end) {
     n.atNextClaim =
         () ->
             s.at(
                 s.rnd.nextInt(30),
                 () -> {
                   s.strike("claim, crashed");
-                  s.upgrade(n, downMs);
+                  end.run();
                 });
   }
 
@@ -203,14 +190,7 @@
   /** A holder ends; whoever claims its jobs ends in the middle of that. */
   private static void crashInClaim(Sim s) {
     for (Sim.Node n : s.nodes.values()) {
-      n.atNextClaim =
-          () ->
-              s.at(
-                  s.rnd.nextInt(30),
-                  () -> {
-                    s.strike("claim, crashed");
-                    crash(s, n);
-                  });
+      endInClaim(s, n, () -> crash(s, n));
     }
     s.changeLeaders();
   }
