--- a/src/main/java/mallowstall/core/Cancellations.java
+++ b/src/main/java/mallowstall/core/Cancellations.java
@@ -7,7 +7,7 @@
 import java.util.TreeSet;
 import java.util.function.Consumer;
 import mallowstall.Constants;
-import mallowstall.core.Model.*;
+import mallowstall.core.Model.JobRec;
 
 /**
  * Cancellations as controllers tell each other. Whoever the state service refuses learns of them
--- a/src/main/java/mallowstall/core/Effects.java
+++ b/src/main/java/mallowstall/core/Effects.java
@@ -2,7 +2,13 @@
 
 import java.util.List;
 import java.util.function.Consumer;
-import mallowstall.core.Model.*;
+import mallowstall.core.Model.Command;
+import mallowstall.core.Model.Entry;
+import mallowstall.core.Model.Listed;
+import mallowstall.core.Model.MachineType;
+import mallowstall.core.Model.PeerMessage;
+import mallowstall.core.Model.RentRequest;
+import mallowstall.core.Model.Report;
 
 /** What the core asks of the world. Every call returns at once; answers come back as events. */
 public interface Effects {
--- a/src/main/java/mallowstall/core/JobEntries.java
+++ b/src/main/java/mallowstall/core/JobEntries.java
@@ -13,7 +13,12 @@
 import mallowstall.Constants;
 import mallowstall.core.Effects.Cond;
 import mallowstall.core.Effects.Put;
-import mallowstall.core.Model.*;
+import mallowstall.core.Model.BitsRec;
+import mallowstall.core.Model.CoreSettings;
+import mallowstall.core.Model.Entry;
+import mallowstall.core.Model.Final;
+import mallowstall.core.Model.JobRec;
+import mallowstall.core.Model.JobSpec;
 
 /**
  * How a job and the bits of its done tasks stand in the state service. Pure: it is given what is
--- a/src/main/java/mallowstall/core/Placement.java
+++ b/src/main/java/mallowstall/core/Placement.java
@@ -13,7 +13,17 @@
 import mallowstall.Constants;
 import mallowstall.core.Holder.Active;
 import mallowstall.core.Holder.Held;
-import mallowstall.core.Model.*;
+import mallowstall.core.Model.JobRec;
+import mallowstall.core.Model.JobSpec;
+import mallowstall.core.Model.MachineType;
+import mallowstall.core.Model.Priority;
+import mallowstall.core.Model.RosterTask;
+import mallowstall.core.Model.StartOrder;
+import mallowstall.core.Model.Starts;
+import mallowstall.core.Model.StopOrder;
+import mallowstall.core.Model.TaskRef;
+import mallowstall.core.Model.TaskState;
+import mallowstall.core.Model.Team;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
--- a/src/main/java/mallowstall/core/StrandedJobs.java
+++ b/src/main/java/mallowstall/core/StrandedJobs.java
@@ -6,7 +6,13 @@
 import java.util.Map;
 import java.util.Set;
 import mallowstall.Constants;
-import mallowstall.core.Model.*;
+import mallowstall.core.Model.JobRec;
+import mallowstall.core.Model.JobSpec;
+import mallowstall.core.Model.MachineType;
+import mallowstall.core.Model.RosterTask;
+import mallowstall.core.Model.TaskState;
+import mallowstall.core.Model.Team;
+import mallowstall.core.Model.TeamRec;
 
 /**
  * Open jobs with a task that no machine has room for, although by their number there are enough.
--- a/src/main/java/mallowstall/core/Users.java
+++ b/src/main/java/mallowstall/core/Users.java
@@ -7,8 +7,17 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import mallowstall.Constants;
-import mallowstall.core.Effects.*;
-import mallowstall.core.Model.*;
+import mallowstall.core.Effects.Code;
+import mallowstall.core.Effects.Cond;
+import mallowstall.core.Effects.GetReply;
+import mallowstall.core.Effects.Put;
+import mallowstall.core.Effects.Txn;
+import mallowstall.core.Model.Final;
+import mallowstall.core.Model.JobRec;
+import mallowstall.core.Model.JobSpec;
+import mallowstall.core.Model.MachineType;
+import mallowstall.core.Model.Team;
+import mallowstall.core.Model.UserAnswer;
 
 /** What users ask for: accepted, cancelled and done are recorded before they are told. */
 final class Users {
--- a/src/main/java/mallowstall/core/View.java
+++ b/src/main/java/mallowstall/core/View.java
@@ -9,7 +9,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import mallowstall.core.Model.*;
+import mallowstall.core.Model.JobRec;
+import mallowstall.core.Model.MachineRec;
+import mallowstall.core.Model.Roster;
+import mallowstall.core.Model.RosterMachine;
+import mallowstall.core.Model.RosterTask;
+import mallowstall.core.Model.TaskRef;
+import mallowstall.core.Model.TaskState;
 
 /**
  * What this controller knows of all machines: its own from reports, the others' from their owners'
--- a/src/main/java/mallowstall/users/UsersAdapter.java
+++ b/src/main/java/mallowstall/users/UsersAdapter.java
@@ -11,7 +11,10 @@
 import java.util.regex.Pattern;
 import mallowstall.Constants;
 import mallowstall.core.Core;
-import mallowstall.core.Model.*;
+import mallowstall.core.Model.JobKind;
+import mallowstall.core.Model.JobSpec;
+import mallowstall.core.Model.Priority;
+import mallowstall.core.Model.UserAnswer;
 import mallowstall.net.HttpServer.Request;
 import mallowstall.net.HttpServer.Responder;
 
--- a/src/test/java/mallowstall/core/JobEntriesTest.java
+++ b/src/test/java/mallowstall/core/JobEntriesTest.java
@@ -14,7 +14,13 @@
 import mallowstall.Constants;
 import mallowstall.core.Effects.Cond;
 import mallowstall.core.Effects.Put;
-import mallowstall.core.Model.*;
+import mallowstall.core.Model.BitsRec;
+import mallowstall.core.Model.CoreSettings;
+import mallowstall.core.Model.Final;
+import mallowstall.core.Model.JobKind;
+import mallowstall.core.Model.JobRec;
+import mallowstall.core.Model.JobSpec;
+import mallowstall.core.Model.Priority;
 import org.junit.jupiter.api.Test;
 
 /** What is stored for jobs and their done bits, in both layouts and on the way between them. */
--- a/src/test/java/mallowstall/core/ReplicasTest.java
+++ b/src/test/java/mallowstall/core/ReplicasTest.java
@@ -6,7 +6,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import mallowstall.core.Model.*;
+import mallowstall.core.Model.Priority;
+import mallowstall.core.Model.Why;
 import org.junit.jupiter.api.Test;
 
 /** Replicas of a service run again, whatever ended them or kept them from starting. */
--- a/src/test/java/mallowstall/core/ServiceRulesTest.java
+++ b/src/test/java/mallowstall/core/ServiceRulesTest.java
@@ -4,7 +4,11 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
-import mallowstall.core.Model.*;
+import mallowstall.core.Model.Command;
+import mallowstall.core.Model.CommandKind;
+import mallowstall.core.Model.JobSpec;
+import mallowstall.core.Model.Priority;
+import mallowstall.core.Model.Why;
 import org.junit.jupiter.api.Test;
 
 /** The checks of services can fail, and not before their time; so the simulation can be trusted. */
--- a/src/test/java/mallowstall/core/Sim.java
+++ b/src/test/java/mallowstall/core/Sim.java
@@ -13,7 +13,30 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import mallowstall.Constants;
-import mallowstall.core.Model.*;
+import mallowstall.core.Model.Command;
+import mallowstall.core.Model.CoreSettings;
+import mallowstall.core.Model.Entry;
+import mallowstall.core.Model.Final;
+import mallowstall.core.Model.GroupRec;
+import mallowstall.core.Model.JobKind;
+import mallowstall.core.Model.JobRec;
+import mallowstall.core.Model.JobSpec;
+import mallowstall.core.Model.Listed;
+import mallowstall.core.Model.MachineRec;
+import mallowstall.core.Model.MachineType;
+import mallowstall.core.Model.PeerMessage;
+import mallowstall.core.Model.Priority;
+import mallowstall.core.Model.RentRequest;
+import mallowstall.core.Model.Report;
+import mallowstall.core.Model.ReportAnswer;
+import mallowstall.core.Model.Roster;
+import mallowstall.core.Model.RosterTask;
+import mallowstall.core.Model.Stops;
+import mallowstall.core.Model.TaskReport;
+import mallowstall.core.Model.TaskState;
+import mallowstall.core.Model.Team;
+import mallowstall.core.Model.UserAnswer;
+import mallowstall.core.Model.Why;
 
 /**
  * Several real cores on simulated time against stand-ins for the state service, the cloud, workers
--- a/src/test/java/mallowstall/core/UpgradeTest.java
+++ b/src/test/java/mallowstall/core/UpgradeTest.java
@@ -7,7 +7,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
-import mallowstall.core.Model.*;
+import mallowstall.core.Model.Final;
+import mallowstall.core.Model.JobSpec;
+import mallowstall.core.Model.Priority;
+import mallowstall.core.Model.UserAnswer;
+import mallowstall.core.Model.Why;
 import org.junit.jupiter.api.Test;
 
 /** Single moments of an upgrade from the version without services, on simulated time. */
--- a/src/test/java/mallowstall/core/ValueSizeTest.java
+++ b/src/test/java/mallowstall/core/ValueSizeTest.java
@@ -5,7 +5,10 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import mallowstall.core.Model.*;
+import mallowstall.core.Model.DigestRec;
+import mallowstall.core.Model.GroupMachine;
+import mallowstall.core.Model.GroupRec;
+import mallowstall.core.Model.Room;
 import org.junit.jupiter.api.Test;
 
 /** Lists are cut by the size of the encoded value, whatever the names in them. */
--- a/src/test/java/mallowstall/core/ViewTest.java
+++ b/src/test/java/mallowstall/core/ViewTest.java
@@ -4,7 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
-import mallowstall.core.Model.*;
+import mallowstall.core.Model.RosterMachine;
 import org.junit.jupiter.api.Test;
 
 /** What follows from what owners tell of a machine. */
