--- a/src/main/java/mallowstall/Service.java
+++ b/src/main/java/mallowstall/Service.java
@@ -147,8 +147,12 @@
   public void stop() {
     loop.execute(
         () -> {
-          if (ticks != null) ticks.cancel();
-          if (wake != null) wake.cancel(false);
+          if (ticks != null) {
+            ticks.cancel();
+          }
+          if (wake != null) {
+            wake.cancel(false);
+          }
           server.close();
           peers.close();
         });
@@ -166,7 +170,9 @@
     }
     long next = core.nextTimer();
     if (next < wakeAt) {
-      if (wake != null) wake.cancel(false);
+      if (wake != null) {
+        wake.cancel(false);
+      }
       wakeAt = next;
       wake =
           loop.schedule(
@@ -187,7 +193,9 @@
   private void route(Request q, Responder r) {
     String path = q.path();
     int query = path.indexOf('?');
-    if (query >= 0) path = path.substring(0, query);
+    if (query >= 0) {
+      path = path.substring(0, query);
+    }
     try {
       if (path.equals("/hello")) {
         if (method(q, r, "POST")) {
@@ -200,11 +208,16 @@
         }
       } else if (path.equals("/ready")) {
         if (method(q, r, "GET")) {
-          if (core.ready()) r.answer(200, "{\"ready\":true}".getBytes(StandardCharsets.UTF_8), 0);
-          else r.answer(503, "{\"ready\":false}".getBytes(StandardCharsets.UTF_8), 1);
+          if (core.ready()) {
+            r.answer(200, "{\"ready\":true}".getBytes(StandardCharsets.UTF_8), 0);
+          } else {
+            r.answer(503, "{\"ready\":false}".getBytes(StandardCharsets.UTF_8), 1);
+          }
         }
       } else if (path.equals("/metrics")) {
-        if (method(q, r, "GET")) r.answer(200, meters.text().getBytes(StandardCharsets.UTF_8), 0);
+        if (method(q, r, "GET")) {
+          r.answer(200, meters.text().getBytes(StandardCharsets.UTF_8), 0);
+        }
       } else if (path.equals("/submissions")) {
         if (method(q, r, "POST")) {
           long t0 = System.nanoTime();
@@ -218,9 +231,13 @@
       } else if (path.startsWith("/submissions/")) {
         String rest = path.substring("/submissions/".length());
         if (rest.endsWith("/cancel") && rest.indexOf('/') == rest.length() - 7) {
-          if (method(q, r, "POST")) users.cancel(rest.substring(0, rest.length() - 7), r);
+          if (method(q, r, "POST")) {
+            users.cancel(rest.substring(0, rest.length() - 7), r);
+          }
         } else if (rest.indexOf('/') < 0) {
-          if (method(q, r, "GET")) users.query(rest, r);
+          if (method(q, r, "GET")) {
+            users.query(rest, r);
+          }
         } else {
           error(r, 404, "no such path");
         }
@@ -234,7 +251,9 @@
   }
 
   private static boolean method(Request q, Responder r, String wanted) {
-    if (q.method().equals(wanted)) return true;
+    if (q.method().equals(wanted)) {
+      return true;
+    }
     error(r, 405, "the method must be " + wanted);
     return false;
   }
--- a/src/main/java/mallowstall/cli/Main.java
+++ b/src/main/java/mallowstall/cli/Main.java
@@ -51,7 +51,9 @@
         return 1;
       }
       for (Fault f : p.faults()) System.err.println(f.at(file.toString()));
-      if (p.usable()) System.out.println(file + ": ok");
+      if (p.usable()) {
+        System.out.println(file + ": ok");
+      }
       return p.usable() ? 0 : 1;
     }
   }
@@ -79,7 +81,9 @@
   public static void main(String[] args) {
     logging();
     int code = new CommandLine(new Main()).execute(args);
-    if (code != SERVING) System.exit(code);
+    if (code != SERVING) {
+      System.exit(code);
+    }
   }
 
   private static final int SERVING = -1;
@@ -87,7 +91,9 @@
   private static void logging() {
     String level = System.getenv("LOG_LEVEL");
     level = level == null ? "info" : level.toLowerCase(Locale.ROOT);
-    if (!level.equals("error") && !level.equals("debug")) level = "info";
+    if (!level.equals("error") && !level.equals("debug")) {
+      level = "info";
+    }
     String p = "org.slf4j.simpleLogger.";
     System.setProperty(p + "defaultLogLevel", "warn");
     System.setProperty(p + "log.mallowstall", level);
@@ -142,7 +148,9 @@
         return 1;
       }
       for (Fault f : book.faults()) System.err.println(f.at(policies.toString()));
-      if (!book.usable()) return 1;
+      if (!book.usable()) {
+        return 1;
+      }
     }
     new Service(s, json, book).start();
     return SERVING;
--- a/src/main/java/mallowstall/config/Settings.java
+++ b/src/main/java/mallowstall/config/Settings.java
@@ -53,7 +53,9 @@
       @JsonProperty("next") NextState next) {
     /** These limits, field by field the smaller ones of now and of later. */
     public State lowest() {
-      if (next == null) return this;
+      if (next == null) {
+        return this;
+      }
       return new State(
           lower(rps, next.rps),
           lower(writeRps, next.writeRps),
@@ -117,9 +119,11 @@
     } catch (JsonMappingException e) {
       StringBuilder path = new StringBuilder();
       for (JsonMappingException.Reference r : e.getPath()) {
-        if (r.getFieldName() != null)
+        if (r.getFieldName() != null) {
           path.append(path.length() > 0 ? "." : "").append(r.getFieldName());
-        else path.append('[').append(r.getIndex()).append(']');
+        } else {
+          path.append('[').append(r.getIndex()).append(']');
+        }
       }
       throw new Invalid((path.length() == 0 ? "the file" : path) + " has the wrong type");
     } catch (JsonProcessingException e) {
@@ -132,7 +136,9 @@
     } catch (IOException e) {
       throw new Invalid("can't be read");
     }
-    if (s == null) throw new Invalid("the file holds no object");
+    if (s == null) {
+      throw new Invalid("the file holds no object");
+    }
     s.check();
     return s;
   }
@@ -147,26 +153,39 @@
         address("known[" + i + "].addr", peers.get(i).addr);
       }
     }
-    if (endpoints == null)
+    if (endpoints == null) {
       throw new Invalid("endpoints is missing: expected an object with cloud and state");
+    }
     address("endpoints.cloud", endpoints.cloud);
     address("endpoints.state", endpoints.state);
-    if (facts == null) throw new Invalid("facts is missing: expected an object");
-    if (facts.teams == null) throw new Invalid("facts.teams is missing: expected a list");
-    for (int i = 0; i < facts.teams.size(); i++)
+    if (facts == null) {
+      throw new Invalid("facts is missing: expected an object");
+    }
+    if (facts.teams == null) {
+      throw new Invalid("facts.teams is missing: expected a list");
+    }
+    for (int i = 0; i < facts.teams.size(); i++) {
       text("facts.teams[" + i + "].name", facts.teams.get(i).name);
-    if (facts.workers == null) throw new Invalid("facts.workers is missing: expected an object");
+    }
+    if (facts.workers == null) {
+      throw new Invalid("facts.workers is missing: expected an object");
+    }
     positive("facts.workers.report_s", facts.workers.reportS);
     positive("facts.workers.lease_s", facts.workers.leaseS);
     positive("facts.workers.cancel_s", facts.workers.cancelS);
-    if (facts.state == null) throw new Invalid("facts.state is missing: expected an object");
+    if (facts.state == null) {
+      throw new Invalid("facts.state is missing: expected an object");
+    }
     positive("facts.state.rps", facts.state.rps);
     positive("facts.state.write_rps", facts.state.writeRps);
     positive("facts.state.value_kb", facts.state.valueKb);
-    if (facts.state.txnOps == null || facts.state.txnOps < 2)
+    if (facts.state.txnOps == null || facts.state.txnOps < 2) {
       throw new Invalid("facts.state.txn_ops must be a whole number above 1");
+    }
     checkNext(facts.state.next);
-    if (facts.cloud == null) throw new Invalid("facts.cloud is missing: expected an object");
+    if (facts.cloud == null) {
+      throw new Invalid("facts.cloud is missing: expected an object");
+    }
     positive("facts.cloud.rps", facts.cloud.rps);
     positive("facts.cloud.list_lag_s", facts.cloud.listLagS);
     if (facts.limits != null
@@ -174,26 +193,39 @@
         && facts.limits.maxConnections < 50) {
       throw new Invalid("facts.machine_limits.fd_limit must be 50 or more");
     }
-    if (facts.skewMs == null || facts.skewMs < 0)
+    if (facts.skewMs == null || facts.skewMs < 0) {
       throw new Invalid("facts.skew_ms must be a number of 0 or more");
+    }
   }
 
   private static void checkNext(NextState next) throws Invalid {
-    if (next == null) return;
-    if (next.rps != null) positive("facts.state.next.rps", next.rps);
-    if (next.writeRps != null) positive("facts.state.next.write_rps", next.writeRps);
-    if (next.valueKb != null) positive("facts.state.next.value_kb", next.valueKb);
-    if (next.txnOps != null && next.txnOps < 2)
+    if (next == null) {
+      return;
+    }
+    if (next.rps != null) {
+      positive("facts.state.next.rps", next.rps);
+    }
+    if (next.writeRps != null) {
+      positive("facts.state.next.write_rps", next.writeRps);
+    }
+    if (next.valueKb != null) {
+      positive("facts.state.next.value_kb", next.valueKb);
+    }
+    if (next.txnOps != null && next.txnOps < 2) {
       throw new Invalid("facts.state.next.txn_ops must be a whole number above 1");
+    }
   }
 
   private static void text(String path, String v) throws Invalid {
-    if (v == null || v.isEmpty()) throw new Invalid(path + " is missing: expected text");
+    if (v == null || v.isEmpty()) {
+      throw new Invalid(path + " is missing: expected text");
+    }
   }
 
   private static void positive(String path, Double v) throws Invalid {
-    if (v == null || !(v > 0) || v.isInfinite())
+    if (v == null || !(v > 0) || v.isInfinite()) {
       throw new Invalid(path + " must be a number above 0");
+    }
   }
 
   private static void address(String path, String v) throws Invalid {
--- a/src/main/java/mallowstall/core/Cancellations.java
+++ b/src/main/java/mallowstall/core/Cancellations.java
@@ -45,7 +45,9 @@
   void recorded(String job, long version) {
     told.remove(job);
     recorded.add(new Cancelled(version, job));
-    while (recorded.size() > Constants.CANCELLED_KEPT) forgotten = recorded.pollFirst().version();
+    while (recorded.size() > Constants.CANCELLED_KEPT) {
+      forgotten = recorded.pollFirst().version();
+    }
   }
 
   /** Whether all that is newer than this revision is still kept. */
@@ -65,10 +67,17 @@
     boolean all = true;
     for (String id : jobs) {
       JobRec j = store.job(id);
-      if (j != null && j.over()) continue;
-      if (told.contains(id)) continue;
-      if (told.size() < Constants.CANCELLED_KEPT) told.add(id);
-      else all = false;
+      if (j != null && j.over()) {
+        continue;
+      }
+      if (told.contains(id)) {
+        continue;
+      }
+      if (told.size() < Constants.CANCELLED_KEPT) {
+        told.add(id);
+      } else {
+        all = false;
+      }
       news.accept(id);
     }
     return all;
--- a/src/main/java/mallowstall/core/ClusterVersion.java
+++ b/src/main/java/mallowstall/core/ClusterVersion.java
@@ -48,7 +48,9 @@
    */
   private int shownBy(String node) {
     Store.Held entry = store.held(Store.VERSIONS + node);
-    if (entry == null) return UNKNOWN;
+    if (entry == null) {
+      return UNKNOWN;
+    }
     VersionRec shown = (VersionRec) entry.value();
     Store.Held session = store.held(Store.SESSIONS + node);
     boolean present =
--- a/src/main/java/mallowstall/core/Core.java
+++ b/src/main/java/mallowstall/core/Core.java
@@ -120,8 +120,9 @@
 
   /** Runs what is due; the caller calls again after every event and at least every tick. */
   public void settle() {
-    for (int i = 0; i < 10_000 && !timers.isEmpty() && timers.peek().at <= now; i++)
+    for (int i = 0; i < 10_000 && !timers.isEmpty() && timers.peek().at <= now; i++) {
       timers.poll().run.run();
+    }
     if (awake && now >= nextRound) {
       awake = false;
       nextRound = now + Constants.ROUND_GAP_MS;
@@ -138,8 +139,12 @@
   /** The regular duties; to be called every {@link Constants#TICK_MS}. */
   public void tick() {
     store.tick();
-    if (now >= nextTypes && !askingTypes) askTypes();
-    if (startedAt == 0) startedAt = now;
+    if (now >= nextTypes && !askingTypes) {
+      askTypes();
+    }
+    if (startedAt == 0) {
+      startedAt = now;
+    }
     boolean late = now - startedAt > Constants.RECLAIM_AFTER_MS;
     if (late && store.synced() && !types.isEmpty() && store.sessionGood() && !reclaimed) {
       reclaimed = true;
@@ -163,17 +168,24 @@
         list -> {
           askingTypes = false;
           nextTypes = now + (list == null || list.isEmpty() ? 1_000 : 60_000);
-          if (list == null) return;
+          if (list == null) {
+            return;
+          }
           for (MachineType t : list) types.put(t.name(), t);
           fleet.typesChanged();
         });
   }
 
   private void digest() {
-    if (now < nextDigest || !store.synced() || !store.sessionGood()) return;
+    if (now < nextDigest || !store.synced() || !store.sessionGood()) {
+      return;
+    }
     nextDigest = now + Constants.DIGEST_EVERY_MS;
     double pending = 0;
-    for (Holder.Held h : holder.jobs()) if (!h.over()) pending += h.pending() * h.spec.cpus();
+    for (Holder.Held h : holder.jobs())
+      if (!h.over()) {
+        pending += h.pending() * h.spec.cpus();
+      }
     store.transact(
         Store.Urgency.BACKGROUND,
         new Effects.Txn(
@@ -239,17 +251,25 @@
   }
 
   public void message(PeerMessage m) {
-    if (m instanceof Roster r) rosterFrom(r);
-    else if (m instanceof Starts s) startsFrom(s);
-    else if (m instanceof Stops s) owner.stops(s);
+    if (m instanceof Roster r) {
+      rosterFrom(r);
+    } else if (m instanceof Starts s) {
+      startsFrom(s);
+    } else if (m instanceof Stops s) {
+      owner.stops(s);
+    }
     settle();
   }
 
   void rosterFrom(Roster r) {
     hearCancellations(r);
-    if (!view.roster(r)) return;
+    if (!view.roster(r)) {
+      return;
+    }
     holder.roster(r);
-    if (r.machines().isEmpty() && r.refusals().isEmpty()) return;
+    if (r.machines().isEmpty() && r.refusals().isEmpty()) {
+      return;
+    }
     roomNews++;
     awake = true;
   }
@@ -257,22 +277,30 @@
   /** Cancellations count whether the statement's machines can be taken in or not. */
   private void hearCancellations(Roster r) {
     boolean all = cancellations.heard(r.cancelled(), owner::cancelled);
-    if (!all || r.heardIncarnation() != incarnation()) return;
+    if (!all || r.heardIncarnation() != incarnation()) {
+      return;
+    }
     View.Peer p = view.peer(r.node());
     p.cancelsKnownAt = Math.max(p.cancelsKnownAt, owner.statementSentAt(r.heardSerial()));
   }
 
   private void startsFrom(Starts s) {
     View.Peer p = view.peer(s.node());
-    if (s.incarnation() < p.gotIncarnation) return;
+    if (s.incarnation() < p.gotIncarnation) {
+      return;
+    }
     if (s.incarnation() > p.gotIncarnation) {
       p.gotIncarnation = s.incarnation();
       p.gotConnection = 0;
       p.gotSeq = 0;
     }
     // what an older connection still delivers was already answered as never arrived
-    if (s.connection() < p.gotConnection) return;
-    if (s.connection() == p.gotConnection && s.seq() <= p.gotSeq) return;
+    if (s.connection() < p.gotConnection) {
+      return;
+    }
+    if (s.connection() == p.gotConnection && s.seq() <= p.gotSeq) {
+      return;
+    }
     p.gotConnection = s.connection();
     p.gotSeq = s.seq();
     owner.starts(s);
@@ -280,8 +308,11 @@
 
   // ---- between the parts --------------------------------------------------------------------
   void sendStarts(String node, Starts s) {
-    if (node.equals(node())) startsFrom(s);
-    else fx.send(node, s);
+    if (node.equals(node())) {
+      startsFrom(s);
+    } else {
+      fx.send(node, s);
+    }
   }
 
   void stop(String node, StopOrder o) {
@@ -294,8 +325,11 @@
   }
 
   private void stops(String node, Stops s) {
-    if (node.equals(node())) owner.stops(s);
-    else fx.send(node, s);
+    if (node.equals(node())) {
+      owner.stops(s);
+    } else {
+      fx.send(node, s);
+    }
   }
 
   CoreSettings settings() {
@@ -410,9 +444,14 @@
   String preferredOwner(String machine, String zone) {
     List<String> near = new ArrayList<>();
     List<String> all = liveNodes();
-    for (String n : all) if (zone.equals(settings.nodeZones().get(n))) near.add(n);
+    for (String n : all)
+      if (zone.equals(settings.nodeZones().get(n))) {
+        near.add(n);
+      }
     List<String> from = near.size() * 2 >= all.size() ? near : all;
-    if (from.isEmpty()) return node();
+    if (from.isEmpty()) {
+      return node();
+    }
     String best = node();
     int top = Integer.MIN_VALUE;
     for (String n : from) {
@@ -434,8 +473,13 @@
    */
   boolean mayKeepAlive() {
     long limit = settings.cancelMs() - settings.leaseMs() - Constants.CANCEL_MARGIN_MS;
-    if (now - store.freshAt() < limit) return true;
-    for (String p : settings.peers()) if (now - view.peer(p).cancelsKnownAt >= limit) return false;
+    if (now - store.freshAt() < limit) {
+      return true;
+    }
+    for (String p : settings.peers())
+      if (now - view.peer(p).cancelsKnownAt >= limit) {
+        return false;
+      }
     return true;
   }
 
@@ -485,24 +529,35 @@
         owner.touch();
         return;
       }
-      if (key.equals(Store.SESSIONS + node())) store.ownSession((SessionRec) after);
+      if (key.equals(Store.SESSIONS + node())) {
+        store.ownSession((SessionRec) after);
+      }
       if (key.startsWith(Store.JOBS)) {
         JobRec rec = (JobRec) after;
-        if (rec == null) return;
+        if (rec == null) {
+          return;
+        }
         images.put(rec.spec().image(), rec.spec().imageGb());
         String id = rec.spec().id();
-        if (rec.open()) open.put(id, rec);
-        else open.remove(id);
+        if (rec.open()) {
+          open.put(id, rec);
+        } else {
+          open.remove(id);
+        }
         if (rec.fin() == Final.CANCELLED
             && (before == null || ((JobRec) before).fin() != Final.CANCELLED)) {
           cancellations.recorded(id, store.version(key));
           owner.cancelled(id);
         }
         users.jobChanged(id, rec);
-        if (before == null) owner.jobKnown(id);
+        if (before == null) {
+          owner.jobKnown(id);
+        }
         holder.jobChanged(id, rec);
       } else if (key.startsWith(Store.BITS)) {
-        if (after != null) holder.bitsChanged(JobEntries.jobOf(key));
+        if (after != null) {
+          holder.bitsChanged(JobEntries.jobOf(key));
+        }
       } else if (key.startsWith(Store.MACHINES)) {
         String id = key.substring(Store.MACHINES.length());
         owner.machineChanged(id, (MachineRec) after);
--- a/src/main/java/mallowstall/core/Fleet.java
+++ b/src/main/java/mallowstall/core/Fleet.java
@@ -103,7 +103,9 @@
 
   boolean onDuty() {
     Store.Held h = store.held(Store.DUTY);
-    if (h == null || !store.sessionGood()) return false;
+    if (h == null || !store.sessionGood()) {
+      return false;
+    }
     DutyRec d = (DutyRec) h.value();
     return d.node().equals(core.node()) && d.incarnation() == store.incarnation();
   }
@@ -116,10 +118,16 @@
 
   String minimalType(JobSpec j) {
     String known = minimal.get(j.id());
-    if (known != null) return known;
-    if (minimal.size() > Constants.NEEDS_CACHED) minimal.clear();
+    if (known != null) {
+      return known;
+    }
+    if (minimal.size() > Constants.NEEDS_CACHED) {
+      minimal.clear();
+    }
     String found = smallest(j);
-    if (found != null) minimal.put(j.id(), found);
+    if (found != null) {
+      minimal.put(j.id(), found);
+    }
     return found;
   }
 
@@ -131,30 +139,46 @@
   private String smallest(JobSpec j) {
     MachineType best = null;
     for (MachineType t : core.types().values()) {
-      if (!core.fits(j, t)) continue;
+      if (!core.fits(j, t)) {
+        continue;
+      }
       if (best == null
           || t.cpus() < best.cpus()
-          || (t.cpus() == best.cpus() && t.price() < best.price())) best = t;
+          || (t.cpus() == best.cpus() && t.price() < best.price())) {
+        best = t;
+      }
     }
     return best == null ? null : best.name();
   }
 
   void tick() {
     long now = core.now();
-    if (!store.synced() || core.types().isEmpty()) return;
+    if (!store.synced() || core.types().isEmpty()) {
+      return;
+    }
     if (now >= nextDemand) {
       nextDemand = now + Constants.FLEET_EVERY_MS / 2;
       demand(now);
     }
-    if (!store.sessionGood()) return;
-    if (store.held(Store.DUTY) == null && !claiming && claimRetry.due(now)) claim();
-    if (!onDuty()) return;
-    if (now >= nextList && !listing && calls.has(now, 1, 0)) list();
+    if (!store.sessionGood()) {
+      return;
+    }
+    if (store.held(Store.DUTY) == null && !claiming && claimRetry.due(now)) {
+      claim();
+    }
+    if (!onDuty()) {
+      return;
+    }
+    if (now >= nextList && !listing && calls.has(now, 1, 0)) {
+      list();
+    }
     if (now >= nextPlan) {
       nextPlan = now + Constants.FLEET_EVERY_MS;
       plan(now);
     }
-    if (!toDrop.isEmpty() && dropRetry.due(now)) dropRecords();
+    if (!toDrop.isEmpty() && dropRetry.due(now)) {
+      dropRecords();
+    }
   }
 
   private void claim() {
@@ -174,9 +198,13 @@
             r -> {
               claiming = false;
               claimRetry.answered(core.now(), r.code());
-              if (r.code() == Code.OK) LOG.info("cloud duty taken");
+              if (r.code() == Code.OK) {
+                LOG.info("cloud duty taken");
+              }
             });
-    if (!asked) claiming = false;
+    if (!asked) {
+      claiming = false;
+    }
   }
 
   // ---- demand -------------------------------------------------------------------------------
@@ -195,15 +223,23 @@
       teamLeft.put(t.name(), t.cpusMax() > 0 ? t.cpusMax() : Double.MAX_VALUE);
     }
     for (JobRec rec : core.openJobs()) {
-      if (rec.over()) continue;
+      if (rec.over()) {
+        continue;
+      }
       JobSpec j = rec.spec();
       String name = minimalType(j);
-      if (name == null) continue;
+      if (name == null) {
+        continue;
+      }
       MachineType t = core.types().get(name);
       double tasks = j.tasks() - rec.doneCount();
       double left = teamLeft.getOrDefault(j.team(), Double.MAX_VALUE);
-      if (j.cpus() > 0) tasks = Math.min(tasks, Math.floor(left / j.cpus()));
-      if (tasks <= 0) continue;
+      if (j.cpus() > 0) {
+        tasks = Math.min(tasks, Math.floor(left / j.cpus()));
+      }
+      if (tasks <= 0) {
+        continue;
+      }
       teamLeft.put(j.team(), left - tasks * j.cpus());
       needed.add(name);
       double per =
@@ -212,7 +248,9 @@
               Math.min(
                   j.memoryGb() > 0 ? Math.floor(t.memoryGb() / j.memoryGb()) : 1e9,
                   j.gpus() > 0 ? Math.floor(t.gpus() / j.gpus()) : 1e9));
-      if (per < 1) continue;
+      if (per < 1) {
+        continue;
+      }
       if (j.priority().ordinal() >= Priority.HIGH.ordinal()) {
         urgent.merge(name, tasks / per, Double::sum);
       }
@@ -220,11 +258,17 @@
       Demand d = demands.computeIfAbsent(name, k -> new Demand());
       d.machines += tasks / per * share / waves(rec, t);
       d.spotAllowed |= j.spot();
-      if (!j.spot()) d.ordinary += tasks / per;
+      if (!j.spot()) {
+        d.ordinary += tasks / per;
+      }
       Map<String, Double> pinned = j.spot() ? d.pinned : d.pinnedOrdinary;
-      if (j.zone() != null) pinned.merge(j.zone(), tasks / per, Double::sum);
+      if (j.zone() != null) {
+        pinned.merge(j.zone(), tasks / per, Double::sum);
+      }
       // at most half of a spread job may be in one zone: it needs another
-      if (j.spread()) for (String z : t.zones()) pinned.merge(z, 0.01, Double::sum);
+      if (j.spread()) {
+        for (String z : t.zones()) pinned.merge(z, 0.01, Double::sum);
+      }
     }
     double w = lastDemand == 0 ? 1 : 1 - Math.exp(-(now - lastDemand) / Constants.USAGE_TAU_MS);
     lastDemand = now;
@@ -241,7 +285,9 @@
    * none. A service has no estimate and stands for good.
    */
   private static double shareOfBoot(JobSpec j, MachineType t) {
-    if (j.service()) return 1;
+    if (j.service()) {
+      return 1;
+    }
     double life = j.estimateS() + j.imageGb() / Math.max(1e-3, t.fetchGbPerS());
     return Math.min(1, life / Math.max(20, 0.8 * t.bootS()));
   }
@@ -254,7 +300,9 @@
    */
   private double waves(JobRec rec, MachineType t) {
     JobSpec j = rec.spec();
-    if (j.deadlineS() == null || j.priority().ordinal() >= Priority.HIGH.ordinal()) return 1;
+    if (j.deadlineS() == null || j.priority().ordinal() >= Priority.HIGH.ordinal()) {
+      return 1;
+    }
     double left = j.deadlineS() - (core.wall() - rec.submittedMs()) / 1000.0;
     double ready = t.bootS() + j.imageGb() / Math.max(1e-3, t.fetchGbPerS());
     double each = Math.max(1, j.estimateS() * Constants.ESTIMATE_MARGIN);
@@ -269,7 +317,10 @@
   private void reserve() {
     reserved.clear();
     List<View.Seen> up = new ArrayList<>();
-    for (View.Seen s : core.view().machines.values()) if (s.takes()) up.add(s);
+    for (View.Seen s : core.view().machines.values())
+      if (s.takes()) {
+        up.add(s);
+      }
     up.sort(Comparator.comparing((View.Seen s) -> s.m.spot()).thenComparing(s -> s.id));
     for (Map.Entry<String, Demand> e : demands.entrySet()) {
       long all = up.stream().filter(s -> s.m.type().equals(e.getKey())).count();
@@ -278,8 +329,12 @@
               (long) Math.ceil(e.getValue().urgent * Constants.RESERVE_FACTOR),
               (long) (all * Constants.RESERVE_MOST));
       for (View.Seen s : up) {
-        if (n <= 0) break;
-        if (!s.m.type().equals(e.getKey())) continue;
+        if (n <= 0) {
+          break;
+        }
+        if (!s.m.type().equals(e.getKey())) {
+          continue;
+        }
         reserved.add(s.id);
         n--;
       }
@@ -317,11 +372,15 @@
             continue;
           }
           silent++;
-          if (s.idleMs(now) > silentHostMs() && core.view().hostsReplicas(s)) silentHosts.add(id);
+          if (s.idleMs(now) > silentHostMs() && core.view().hostsReplicas(s)) {
+            silentHosts.add(id);
+          }
           continue;
         }
         if (s.m.replace()) {
-          if (!core.view().hostsReplicas(s) || replaceLate(id, now)) back.add(id);
+          if (!core.view().hostsReplicas(s) || replaceLate(id, now)) {
+            back.add(id);
+          }
           continue;
         }
         if (s.m.noticeS() < 0) {
@@ -335,32 +394,49 @@
         have.merge(rec.type(), 1, Integer::sum);
       } else {
         long since = unaccountedSince.computeIfAbsent(id, k -> now);
-        if (now - since > lease + 2 * Constants.SILENT_RETURN_MS) back.add(id);
-        else if (!ownerLive && now - since > comesBack) orphans.add(id);
-        else have.merge(rec.type(), 1, Integer::sum);
+        if (now - since > lease + 2 * Constants.SILENT_RETURN_MS) {
+          back.add(id);
+        } else if (!ownerLive && now - since > comesBack) {
+          orphans.add(id);
+        } else {
+          have.merge(rec.type(), 1, Integer::sum);
+        }
       }
     }
     // Its owner is gone and it has turned to nobody: while it is unaccounted for, jobs taken over
     // wait, and a return is proof. Many at once would rather mean that their arrival is what is
     // slow.
-    if (orphans.size() * 4 <= known.size() + 4) back.addAll(orphans);
+    if (orphans.size() * 4 <= known.size() + 4) {
+      back.addAll(orphans);
+    }
     // A silent machine's replicas can start elsewhere once its lease is over, or at once when it is
     // returned. Many at once are cut off rather than dead, and go on if the cut is short: all count
     // that are silent, since a cut's machines pass the longer time one by one.
-    if (silent * 4 <= known.size() + 4) back.addAll(silentHosts);
+    if (silent * 4 <= known.size() + 4) {
+      back.addAll(silentHosts);
+    }
     unaccountedSince.keySet().retainAll(known);
     replaceSince.keySet().retainAll(known);
     returned.values().removeIf(at -> now - at > Constants.RETURNED_MS);
-    if (LOG.isDebugEnabled()) logUse(up);
+    if (LOG.isDebugEnabled()) {
+      logUse(up);
+    }
     for (Listed l : listed.values()) {
-      if (known.contains(l.id()) || returning.contains(l.id())) continue;
-      if (now - returned.getOrDefault(l.id(), Long.MIN_VALUE / 2) < Constants.RETURNED_MS) continue;
+      if (known.contains(l.id()) || returning.contains(l.id())) {
+        continue;
+      }
+      if (now - returned.getOrDefault(l.id(), Long.MIN_VALUE / 2) < Constants.RETURNED_MS) {
+        continue;
+      }
       MachineType t = core.types().get(l.type());
       double age = l.ageS() + (now - listedAt) / 1000.0;
-      if (l.state().equals("failed")) back.add(l.id());
-      else if (t != null && age > bootLimitS(t)) back.add(l.id());
-      else if (!coming.containsKey(l.id()))
+      if (l.state().equals("failed")) {
+        back.add(l.id());
+      } else if (t != null && age > bootLimitS(t)) {
+        back.add(l.id());
+      } else if (!coming.containsKey(l.id())) {
         coming.put(l.id(), new Rented(l.type(), l.zone(), l.spot(), now - (long) (age * 1000)));
+      }
     }
     for (Map.Entry<String, Rented> e : new ArrayList<>(coming.entrySet())) {
       Rented r = e.getValue();
@@ -380,7 +456,9 @@
     for (String t : core.types().keySet()) planType(t, have.getOrDefault(t, 0), up, now);
     back.removeAll(returning);
     back.removeAll(returned.keySet());
-    if (!back.isEmpty()) giveBack(back, "lost, failed or faulty");
+    if (!back.isEmpty()) {
+      giveBack(back, "lost, failed or faulty");
+    }
   }
 
   /**
@@ -417,10 +495,16 @@
       free += s.m.freeCpus();
       for (RosterTask t : s.m.tasks()) {
         JobRec j = store.job(t.job());
-        if (j == null || t.state() == TaskState.EXITED) continue;
-        if (t.state() == null) booked += j.spec().cpus();
-        else if (t.state() == TaskState.FETCHING) fetching += j.spec().cpus();
-        else running += j.spec().cpus();
+        if (j == null || t.state() == TaskState.EXITED) {
+          continue;
+        }
+        if (t.state() == null) {
+          booked += j.spec().cpus();
+        } else if (t.state() == TaskState.FETCHING) {
+          fetching += j.spec().cpus();
+        } else {
+          running += j.spec().cpus();
+        }
       }
     }
     LOG.debug(
@@ -437,26 +521,38 @@
     double need = d == null ? 0 : d.machines;
     double floor = d == null ? 0 : d.average;
     int want = (int) Math.ceil(Math.max(need * 1.1, floor) - 0.05);
-    if (d != null && !renting && calls.has(now, 1, 0) && constrained(type, d, up, now)) return;
+    if (d != null && !renting && calls.has(now, 1, 0) && constrained(type, d, up, now)) {
+      return;
+    }
     if (want > have) {
-      if (!renting && calls.has(now, 1, 0))
+      if (!renting && calls.has(now, 1, 0)) {
         rent(type, want - have, have, want, d == null || d.spotAllowed, now);
+      }
+      return;
+    }
+    if (d != null && !renting && calls.has(now, 1, 0) && rentForStranded(type, up, now)) {
       return;
     }
-    if (d != null && !renting && calls.has(now, 1, 0) && rentForStranded(type, up, now)) return;
     int keep = (int) Math.ceil(Math.max(need * 1.2, floor * 1.15));
     // dear machines are kept for what there is to do more than for what there was
     double urgent = d == null ? 0 : d.urgent * Constants.RESERVE_FACTOR;
     double was = Math.max(urgent, floor * Constants.ORDINARY_FLOOR);
     int keepOrdinary = Math.min(keep, (int) Math.ceil(Math.max(need * 1.2, was)));
-    if (have <= keepOrdinary) return;
+    if (have <= keepOrdinary) {
+      return;
+    }
     List<View.Seen> idle = new ArrayList<>();
     List<String> ready = new ArrayList<>();
     for (View.Seen s : up) {
-      if (!s.m.type().equals(type) || !s.m.tasks().isEmpty() || returning.contains(s.id)) continue;
-      if (s.m.draining()) ready.add(s.id);
-      else if (s.idleMs(now) > (s.m.spot() ? Constants.IDLE_RETURN_MS : Constants.IDLE_ORDINARY_MS))
+      if (!s.m.type().equals(type) || !s.m.tasks().isEmpty() || returning.contains(s.id)) {
+        continue;
+      }
+      if (s.m.draining()) {
+        ready.add(s.id);
+      } else if (s.idleMs(now)
+          > (s.m.spot() ? Constants.IDLE_RETURN_MS : Constants.IDLE_ORDINARY_MS)) {
         idle.add(s);
+      }
     }
     if (!ready.isEmpty()) {
       giveBack(ready, "idle");
@@ -468,7 +564,9 @@
     int left = have;
     Map<String, List<String>> drains = new HashMap<>();
     for (View.Seen s : idle) {
-      if (have - left >= most || left <= (s.m.spot() ? keep : keepOrdinary)) break;
+      if (have - left >= most || left <= (s.m.spot() ? keep : keepOrdinary)) {
+        break;
+      }
       left--;
       drains.computeIfAbsent(s.owner, k -> new ArrayList<>()).add(s.id);
     }
@@ -484,32 +582,52 @@
     Map<String, Integer> perZone = new HashMap<>();
     Map<String, Integer> ordinaryIn = new HashMap<>();
     for (View.Seen s : up) {
-      if (!s.m.type().equals(type)) continue;
+      if (!s.m.type().equals(type)) {
+        continue;
+      }
       perZone.merge(s.m.zone(), 1, Integer::sum);
-      if (!s.m.spot()) ordinaryIn.merge(s.m.zone(), 1, Integer::sum);
+      if (!s.m.spot()) {
+        ordinaryIn.merge(s.m.zone(), 1, Integer::sum);
+      }
     }
     for (Rented r : coming.values()) {
-      if (!r.type.equals(type)) continue;
+      if (!r.type.equals(type)) {
+        continue;
+      }
       perZone.merge(r.zone, 1, Integer::sum);
-      if (!r.spot) ordinaryIn.merge(r.zone, 1, Integer::sum);
+      if (!r.spot) {
+        ordinaryIn.merge(r.zone, 1, Integer::sum);
+      }
     }
     for (Map.Entry<String, Double> e : d.pinned.entrySet()) {
       int missing = (int) Math.ceil(e.getValue()) - perZone.getOrDefault(e.getKey(), 0);
-      if (missing <= 0) continue;
-      if (tryZone(type, e.getKey(), true, missing, now)) return true;
-      if (tryZone(type, e.getKey(), false, missing, now)) return true;
+      if (missing <= 0) {
+        continue;
+      }
+      if (tryZone(type, e.getKey(), true, missing, now)) {
+        return true;
+      }
+      if (tryZone(type, e.getKey(), false, missing, now)) {
+        return true;
+      }
     }
     // A spot machine in the zone and an ordinary one elsewhere once passed for what such a job
     // needs.
     for (Map.Entry<String, Double> e : d.pinnedOrdinary.entrySet()) {
       int missing = (int) Math.ceil(e.getValue()) - ordinaryIn.getOrDefault(e.getKey(), 0);
-      if (missing > 0 && tryZone(type, e.getKey(), false, missing, now)) return true;
+      if (missing > 0 && tryZone(type, e.getKey(), false, missing, now)) {
+        return true;
+      }
     }
     int ordinary = ordinaryIn.values().stream().mapToInt(Integer::intValue).sum();
     int missing = (int) Math.ceil(d.ordinary) - ordinary;
-    if (missing <= 0) return false;
+    if (missing <= 0) {
+      return false;
+    }
     for (String z : core.types().get(type).zones()) {
-      if (tryZone(type, z, false, missing, now)) return true;
+      if (tryZone(type, z, false, missing, now)) {
+        return true;
+      }
     }
     return false;
   }
@@ -519,14 +637,19 @@
    * replica that the others of its zone left no room for once waited for good, and so did a batch.
    */
   private boolean rentForStranded(String type, List<View.Seen> up, long now) {
-    if (core.openJobs().stream().noneMatch(rec -> rec.spec().service() && !rec.over()))
+    if (core.openJobs().stream().noneMatch(rec -> rec.spec().service() && !rec.over())) {
       return false;
+    }
     stranded.retain(core.openJobs());
     for (JobRec rec : core.openJobs()) {
       JobSpec job = rec.spec();
-      if (rec.over() || !type.equals(minimalType(job))) continue;
+      if (rec.over() || !type.equals(minimalType(job))) {
+        continue;
+      }
       for (String zone : stranded.zonesMissing(rec, core.types().get(type), up, now)) {
-        if (!rentOne(type, zone, job.spot(), now)) continue;
+        if (!rentOne(type, zone, job.spot(), now)) {
+          continue;
+        }
         LOG.info("job {} has room on no machine in {}", job.id(), zone);
         return true;
       }
@@ -537,14 +660,18 @@
   /** Whether one has been asked for; not while a machine that may serve is coming. */
   private boolean rentOne(String type, String zone, boolean spotAllowed, long now) {
     for (Rented r : coming.values()) {
-      if (r.type.equals(type) && r.zone.equals(zone) && (spotAllowed || !r.spot)) return false;
+      if (r.type.equals(type) && r.zone.equals(zone) && (spotAllowed || !r.spot)) {
+        return false;
+      }
     }
     return spotAllowed && tryZone(type, zone, true, 1, now) || tryZone(type, zone, false, 1, now);
   }
 
   private boolean tryZone(String type, String zone, boolean spot, int n, long now) {
     String key = type + "/" + zone + "/" + spot;
-    if (refusedUntil.getOrDefault(key, 0L) > now) return false;
+    if (refusedUntil.getOrDefault(key, 0L) > now) {
+      return false;
+    }
     ask(
         new RentRequest(
             "r-" + store.incarnation() + "-" + ++counter,
@@ -560,18 +687,26 @@
     MachineType t = core.types().get(type);
     Map<String, Integer> perZone = new HashMap<>();
     for (View.Seen s : core.view().machines.values()) {
-      if (s.m != null && s.m.type().equals(type)) perZone.merge(s.m.zone(), 1, Integer::sum);
+      if (s.m != null && s.m.type().equals(type)) {
+        perZone.merge(s.m.zone(), 1, Integer::sum);
+      }
     }
     for (Rented r : coming.values())
-      if (r.type.equals(type)) perZone.merge(r.zone, 1, Integer::sum);
+      if (r.type.equals(type)) {
+        perZone.merge(r.zone, 1, Integer::sum);
+      }
     List<String> zones = new ArrayList<>(t.zones());
     zones.sort(Comparator.comparingInt(z -> perZone.getOrDefault(z, 0)));
     for (int kind = spotAllowed ? 0 : 1; kind < 2; kind++) {
       boolean spot = kind == 0;
-      if (!spot && spotAllowed && missing < 0.15 * want) continue;
+      if (!spot && spotAllowed && missing < 0.15 * want) {
+        continue;
+      }
       for (String z : zones) {
         int half = zones.size() > 1 ? (missing + 1) / 2 : missing;
-        if (tryZone(type, z, spot, half, now)) return;
+        if (tryZone(type, z, spot, half, now)) {
+          return;
+        }
       }
     }
   }
@@ -596,8 +731,9 @@
                 for (String m : r.machines())
                   coming.put(m, new Rented(q.type(), q.zone(), q.spot(), now));
                 LOG.info("rented {} of {} asked as {}", r.machines().size(), q.count(), q.name());
-                if (r.machines().size() < q.count())
+                if (r.machines().size() < q.count()) {
                   refusedUntil.put(key, now + Constants.REFUSED_WAIT_MS);
+                }
               } else if (r.status() == 503) {
                 refusedUntil.put(key, now + Constants.REFUSED_WAIT_MS);
                 LOG.info("refused {}", q.name());
@@ -611,7 +747,9 @@
    * named all at once, 200 of them: the cloud refused, again and again, and none went back.
    */
   private void giveBack(List<String> ids, String why) {
-    if (!calls.has(core.now(), 1, 0)) return;
+    if (!calls.has(core.now(), 1, 0)) {
+      return;
+    }
     calls.spend(core.now(), 1);
     List<String> names = List.copyOf(ids.subList(0, Math.min(ids.size(), Constants.RETURN_MAX)));
     returning.addAll(names);
@@ -621,12 +759,16 @@
             names,
             ok -> {
               returning.removeAll(names);
-              if (!ok) return;
+              if (!ok) {
+                return;
+              }
               for (String id : names) {
                 returned.put(id, core.now());
                 coming.remove(id);
                 listed.remove(id);
-                if (store.machine(id) != null) toDrop.add(id);
+                if (store.machine(id) != null) {
+                  toDrop.add(id);
+                }
               }
               dropRecords();
             });
@@ -635,16 +777,23 @@
   /** The cloud has confirmed that these are gone; the deleted records tell every holder so. */
   private void dropRecords() {
     toDrop.removeIf(id -> store.machine(id) == null);
-    if (toDrop.isEmpty()) return;
+    if (toDrop.isEmpty()) {
+      return;
+    }
     List<String> keys = new ArrayList<>();
     List<Put> ends = new ArrayList<>();
     List<String> drops = new ArrayList<>();
     for (String id : toDrop) {
-      if (keys.size() >= core.settings().txnOps()) break;
+      if (keys.size() >= core.settings().txnOps()) {
+        break;
+      }
       String key = Store.MACHINES + id;
       keys.add(key);
-      if (store.grouped(id)) ends.add(new Put(key, MachineRec.returned(), 0));
-      else drops.add(key);
+      if (store.grouped(id)) {
+        ends.add(new Put(key, MachineRec.returned(), 0));
+      } else {
+        drops.add(key);
+      }
     }
     toDrop.removeIf(id -> keys.contains(Store.MACHINES + id));
     // until the records are gone, holders don't know and jobs taken over wait for these machines
@@ -655,9 +804,13 @@
             new Txn(List.of(), ends, drops),
             r -> {
               dropRetry.answered(core.now(), r.code());
-              if (r.code() != Code.OK) again.run();
+              if (r.code() != Code.OK) {
+                again.run();
+              }
             });
-    if (!asked) again.run();
+    if (!asked) {
+      again.run();
+    }
   }
 
   private void list() {
--- a/src/main/java/mallowstall/core/Holder.java
+++ b/src/main/java/mallowstall/core/Holder.java
@@ -159,7 +159,10 @@
 
     int running() {
       int n = 0;
-      for (Active a : active.values()) if (a.seen && a.state == TaskState.RUNNING) n++;
+      for (Active a : active.values())
+        if (a.seen && a.state == TaskState.RUNNING) {
+          n++;
+        }
       return n;
     }
 
@@ -167,11 +170,15 @@
     int take() {
       while (!again.isEmpty()) {
         int t = again.dequeueInt();
-        if (!done.get(t) && !active.containsKey(t)) return t;
+        if (!done.get(t) && !active.containsKey(t)) {
+          return t;
+        }
       }
       while (next < spec.tasks()) {
         int t = next++;
-        if (!done.get(t) && !active.containsKey(t)) return t;
+        if (!done.get(t) && !active.containsKey(t)) {
+          return t;
+        }
       }
       return -1;
     }
@@ -215,7 +222,10 @@
   }
 
   boolean anyService() {
-    for (Held h : jobs.values()) if (h.spec.service()) return true;
+    for (Held h : jobs.values())
+      if (h.spec.service()) {
+        return true;
+      }
     return false;
   }
 
@@ -230,13 +240,17 @@
     boolean mine =
         rec.holder().equals(core.node()) && rec.incarnation() == store.incarnation() && rec.open();
     if (!mine) {
-      if (h != null) drop(h);
+      if (h != null) {
+        drop(h);
+      }
       return;
     }
     long version = store.version(Store.JOBS + id);
     boolean taken = h == null || h.rec.epoch() != rec.epoch();
     if (taken) {
-      if (h != null) drop(h);
+      if (h != null) {
+        drop(h);
+      }
       h = new Held(id, rec.spec());
       h.heldSince = core.now();
       h.claimRevision = version;
@@ -246,11 +260,17 @@
       load(h, rec);
       jobs.put(id, h);
     }
-    if (version > h.version) h.uncertain = false;
-    if (h.rec != null && rec.grant() > h.rec.grant()) h.grantIdleSince = core.now();
+    if (version > h.version) {
+      h.uncertain = false;
+    }
+    if (h.rec != null && rec.grant() > h.rec.grant()) {
+      h.grantIdleSince = core.now();
+    }
     h.rec = rec;
     h.version = version;
-    if (taken && !h.latched) find(id);
+    if (taken && !h.latched) {
+      find(id);
+    }
     core.wake();
   }
 
@@ -260,9 +280,13 @@
    */
   private void find(String id) {
     for (View.Seen s : core.view().machines.values()) {
-      if (s.m == null || s.owner == null) continue; // its next owner tells it all
+      if (s.m == null || s.owner == null) {
+        continue; // its next owner tells it all
+      }
       for (RosterTask t : s.m.tasks()) {
-        if (t.job().equals(id)) task(s.owner, s.ownerIncarnation, s.m, t);
+        if (t.job().equals(id)) {
+          task(s.owner, s.ownerIncarnation, s.m, t);
+        }
       }
     }
   }
@@ -275,7 +299,9 @@
   /** Bits of the job that came after its entry, which may have been read on its own. */
   void bitsChanged(String id) {
     Held h = jobs.get(id);
-    if (h != null) load(h, h.rec);
+    if (h != null) {
+      load(h, h.rec);
+    }
   }
 
   private void drop(Held h) {
@@ -286,23 +312,35 @@
   private void unlink(Active a) {
     unseen.remove(a);
     Set<Active> s = byMachine.get(a.machine);
-    if (s == null) return;
+    if (s == null) {
+      return;
+    }
     s.remove(a);
-    if (s.isEmpty()) byMachine.remove(a.machine);
+    if (s.isEmpty()) {
+      byMachine.remove(a.machine);
+    }
   }
 
   void place(Active a) {
     a.job.active.put(a.task, a);
     a.since = core.now();
-    if (!a.seen) unseen.add(a);
+    if (!a.seen) {
+      unseen.add(a);
+    }
     byMachine.computeIfAbsent(a.machine, k -> new LinkedHashSet<>()).add(a);
   }
 
   private void free(Active a, boolean retry) {
-    if (a.job.active.get(a.task) == a) a.job.active.remove(a.task);
+    if (a.job.active.get(a.task) == a) {
+      a.job.active.remove(a.task);
+    }
     unlink(a);
-    if (a.job.active.isEmpty() || a.job.grantIdleSince == 0) a.job.grantIdleSince = core.now();
-    if (retry && !a.job.done.get(a.task)) a.job.putBack(a.task);
+    if (a.job.active.isEmpty() || a.job.grantIdleSince == 0) {
+      a.job.grantIdleSince = core.now();
+    }
+    if (retry && !a.job.done.get(a.task)) {
+      a.job.putBack(a.task);
+    }
     core.wake();
   }
 
@@ -311,25 +349,41 @@
     for (Refusal f : r.refusals()) refused(f);
     for (RosterMachine m : r.machines()) {
       View.Seen seen = core.view().machines.get(m.machine());
-      if (seen == null || seen.m != m) continue; // a larger term is known
+      if (seen == null || seen.m != m) {
+        continue; // a larger term is known
+      }
       Set<Active> here = byMachine.get(m.machine());
-      if (here != null) for (Active a : here) a.listed = false;
+      if (here != null) {
+        for (Active a : here) a.listed = false;
+      }
       for (RosterTask t : m.tasks()) task(r.node(), r.incarnation(), m, t);
-      if (here == null) continue;
+      if (here == null) {
+        continue;
+      }
       for (Active a : new ArrayList<>(here)) {
-        if (a.listed) continue;
+        if (a.listed) {
+          continue;
+        }
         // a later session of the machine has none of an earlier one's tasks, whoever owns it
-        if (a.seen && (m.confirmed() || m.session() > a.session)) gone(a);
+        if (a.seen && (m.confirmed() || m.session() > a.session)) {
+          gone(a);
+        }
       }
     }
     // Of a start that wasn't seen yet, a statement tells by its acknowledgement too, which comes
     // without anything new on the machine if the start never arrived.
     View.Peer p = core.view().peer(r.node());
     for (Active a : new ArrayList<>(unseen)) {
-      if (a.listed) continue;
+      if (a.listed) {
+        continue;
+      }
       View.Seen s = core.view().machines.get(a.machine);
-      if (s == null || s.m == null || !r.node().equals(s.owner) || !s.m.confirmed()) continue;
-      if (resolved(a, r, p)) gone(a);
+      if (s == null || s.m == null || !r.node().equals(s.owner) || !s.m.confirmed()) {
+        continue;
+      }
+      if (resolved(a, r, p)) {
+        gone(a);
+      }
     }
   }
 
@@ -344,18 +398,26 @@
       // The machine has moved, but the start may still be on its way to the owner it was sent to,
       // which may own the machine again by the time it arrives.
       p = core.view().peer(a.owner);
-      if (core.now() - a.since > Constants.START_LIFE_MS + Constants.START_SLACK_MS) return true;
+      if (core.now() - a.since > Constants.START_LIFE_MS + Constants.START_SLACK_MS) {
+        return true;
+      }
+    }
+    if (p.incarnation > a.ownerIncarnation) {
+      return true;
     }
-    if (p.incarnation > a.ownerIncarnation) return true;
     return p.ackedConnection > a.connection
         || (p.ackedConnection == a.connection && p.ackedSeq >= a.seq);
   }
 
   private void refused(Refusal f) {
     Held h = jobs.get(f.job());
-    if (h == null) return;
+    if (h == null) {
+      return;
+    }
     Active a = h.active.get(f.task());
-    if (a == null || a.attempt != f.attempt() || a.seen) return;
+    if (a == null || a.attempt != f.attempt() || a.seen) {
+      return;
+    }
     boolean soon = f.reason().equals(Owner.NOT_KNOWN);
     h.avoid.put(
         f.machine(), core.now() + (soon ? Constants.LAG_RETRY_MS : Constants.REFUSED_RETRY_MS));
@@ -364,14 +426,22 @@
 
   private void task(String owner, long incarnation, RosterMachine m, RosterTask t) {
     Held h = jobs.get(t.job());
-    if (h == null || t.task() >= h.spec.tasks()) return;
+    if (h == null || t.task() >= h.spec.tasks()) {
+      return;
+    }
     Active a = h.active.get(t.task());
     boolean same = a != null && a.attempt == t.attempt() && a.machine.equals(m.machine());
-    if (same) a.listed = true;
-    if (t.state() == TaskState.RUNNING || t.why() == Why.DONE) h.lastRan = core.now();
+    if (same) {
+      a.listed = true;
+    }
+    if (t.state() == TaskState.RUNNING || t.why() == Why.DONE) {
+      h.lastRan = core.now();
+    }
     if (t.state() == TaskState.EXITED) {
       if (h.spec.service()) {
-        if (same) replicaEnded(a, m.machine(), t.why());
+        if (same) {
+          replicaEnded(a, m.machine(), t.why());
+        }
       } else if (t.why() == Why.DONE) {
         if (!h.done.get(t.task())) {
           h.done.set(t.task());
@@ -379,7 +449,9 @@
           h.dirtyPieces.add(JobEntries.pieceOf(t.task()));
           h.errorsOn.clear();
         }
-        if (same) free(a, false);
+        if (same) {
+          free(a, false);
+        }
       } else if (same) {
         endedInVain(a, t.why());
         free(a, true);
@@ -387,7 +459,9 @@
       return;
     }
     if (same) {
-      if (t.state() == TaskState.RUNNING && a.runningSince == 0) a.runningSince = core.now();
+      if (t.state() == TaskState.RUNNING && a.runningSince == 0) {
+        a.runningSince = core.now();
+      }
       if (t.state() != null) {
         // from now on only its owner's list says where it is
         a.seen = true;
@@ -397,7 +471,9 @@
       a.state = t.state() == null ? a.state : t.state();
       return;
     }
-    if (h.done.get(t.task())) return; // its owner stops it once the bit is recorded
+    if (h.done.get(t.task())) {
+      return; // its owner stops it once the bit is recorded
+    }
     if (a == null) {
       Active found =
           new Active(
@@ -406,7 +482,9 @@
       found.state = t.state();
       found.listed = true;
       found.session = m.session();
-      if (t.state() == TaskState.RUNNING) found.runningSince = core.now();
+      if (t.state() == TaskState.RUNNING) {
+        found.runningSince = core.now();
+      }
       place(found);
       LOG.info("task {}/{} attempt {} found on {}", h.id, t.task(), t.attempt(), m.machine());
     } else if (t.attempt() > a.attempt) {
@@ -430,9 +508,11 @@
 
   /** A task has ended and must run again: remembers where it shouldn't be tried. */
   private void endedInVain(Active a, Why why) {
-    if (why == Why.ERROR) error(a.job, a.machine);
-    else if (why == Why.NO_ROOM)
+    if (why == Why.ERROR) {
+      error(a.job, a.machine);
+    } else if (why == Why.NO_ROOM) {
       a.job.avoid.put(a.machine, core.now() + Constants.NO_ROOM_AVOIDS_MS);
+    }
     LOG.info("task {}/{} attempt {} ended on {}: {}", a.job.id, a.task, a.attempt, a.machine, why);
   }
 
@@ -441,10 +521,14 @@
     Held h = a.job;
     long ranMs = a.runningSince == 0 ? 0 : core.now() - a.runningSince;
     // errors of long ago, each on another machine, don't make it the job's own fault
-    if (ranMs >= Constants.REPLICA_STABLE_MS) h.errorsOn.clear();
+    if (ranMs >= Constants.REPLICA_STABLE_MS) {
+      h.errorsOn.clear();
+    }
     endedInVain(a, why);
     // its result is kept there; for longer than it waits, so that it is tried elsewhere
-    if (why == Why.DONE) h.avoid.put(machine, core.now() + Constants.JOB_AVOIDS_MS);
+    if (why == Why.DONE) {
+      h.avoid.put(machine, core.now() + Constants.JOB_AVOIDS_MS);
+    }
     boolean refused = why == Why.STOPPED || why == Why.NO_ROOM || why == Why.BUSY;
     boolean startable = refused || h.restarts.ended(a.task, ranMs, core.now());
     free(a, startable);
@@ -465,7 +549,9 @@
   /** The machine is proven gone: so are its tasks. */
   void machineGone(String id) {
     Set<Active> here = byMachine.get(id);
-    if (here == null) return;
+    if (here == null) {
+      return;
+    }
     for (Active a : new ArrayList<>(here)) {
       LOG.info("task {}/{} attempt {} is gone with {}", a.job.id, a.task, a.attempt, id);
       free(a, true);
@@ -480,7 +566,9 @@
   private void leaveReturnedMachines() {
     for (String id : new ArrayList<>(byMachine.keySet())) {
       View.Seen seen = core.view().machines.get(id);
-      if (seen == null || seen.m == null || !core.returned(id, seen.m.version())) continue;
+      if (seen == null || seen.m == null || !core.returned(id, seen.m.version())) {
+        continue;
+      }
       core.view().gone(id);
       machineGone(id);
     }
@@ -488,12 +576,16 @@
 
   // ---- duties -------------------------------------------------------------------------------
   void tick() {
-    if (!store.synced()) return;
+    if (!store.synced()) {
+      return;
+    }
     leaveReturnedMachines();
     latch();
     adopt();
     for (Held h : new ArrayList<>(jobs.values())) {
-      if (h.spec.service()) h.restarts.release(core.now(), h::putBack);
+      if (h.spec.service()) {
+        h.restarts.release(core.now(), h::putBack);
+      }
       // a service has no bits, but a change of unknown outcome is resolved by the next write
       write(h);
     }
@@ -511,7 +603,9 @@
   private void latch() {
     boolean any = false;
     for (Held h : jobs.values()) any |= !h.latched;
-    if (!any) return;
+    if (!any) {
+      return;
+    }
     // each owner's newest statement restates what it hasn't changed
     long upTo = Long.MAX_VALUE;
     long oldest = Long.MAX_VALUE;
@@ -522,14 +616,18 @@
       View.Seen s = core.view().machines.get(id);
       View.Peer p = core.view().peer(rec.node());
       long rev = core.view().accounted(id, rec) ? p.rosterRevision : -1;
-      if (rev >= 0) oldest = Math.min(oldest, p.received);
+      if (rev >= 0) {
+        oldest = Math.min(oldest, p.received);
+      }
       if (rev < upTo) {
         upTo = rev;
         worst = id;
       }
     }
     for (Held h : jobs.values()) {
-      if (h.latched || h.claimRevision > store.revision()) continue;
+      if (h.latched || h.claimRevision > store.revision()) {
+        continue;
+      }
       // A roster may know of the claim before its claimant does, whose own answer was slow. Its
       // tasks went unnoticed then, and one was started twice: only rosters received since count.
       if (upTo >= h.claimRevision && oldest > h.rostersBefore) {
@@ -545,7 +643,9 @@
 
   private void adopt() {
     long now = core.now();
-    if (now < nextAdopt || !store.sessionGood()) return;
+    if (now < nextAdopt || !store.sessionGood()) {
+      return;
+    }
     nextAdopt = now + Constants.ADOPT_EVERY_MS;
     List<String> live = core.liveNodes();
     int n = 0;
@@ -559,12 +659,20 @@
       long since = orphanSince.computeIfAbsent(id, k -> now);
       String first =
           live.isEmpty() ? core.node() : live.get(Math.floorMod(id.hashCode(), live.size()));
-      if (!first.equals(core.node()) && now - since < 2_000) continue;
+      if (!first.equals(core.node()) && now - since < 2_000) {
+        continue;
+      }
       Long c = claiming.get(id);
-      if (c != null && now - c < 2 * Constants.STATE_TIMEOUT_MS) continue;
+      if (c != null && now - c < 2 * Constants.STATE_TIMEOUT_MS) {
+        continue;
+      }
       RetryDelay retry = claimRetries.computeIfAbsent(id, k -> new RetryDelay());
-      if (!retry.due(now)) continue;
-      if (++n > Constants.ADOPT_BATCH) break;
+      if (!retry.due(now)) {
+        continue;
+      }
+      if (++n > Constants.ADOPT_BATCH) {
+        break;
+      }
       claiming.put(id, now);
       JobRec mine = rec.withHolder(core.node(), store.incarnation());
       JobEntries.Write claim = core.jobEntries().keepingBits(mine, store.version(Store.JOBS + id));
@@ -575,10 +683,13 @@
               r -> {
                 claiming.remove(id);
                 retry.answered(core.now(), r.code());
-                if (r.code() == Code.OK)
+                if (r.code() == Code.OK) {
                   LOG.info("job {} taken over from {}, epoch {}", id, rec.holder(), mine.epoch());
+                }
               });
-      if (!asked) claiming.remove(id);
+      if (!asked) {
+        claiming.remove(id);
+      }
     }
   }
 
@@ -586,12 +697,20 @@
     long now = core.now();
     boolean all = !h.spec.service() && h.doneCount == h.spec.tasks() && !h.over();
     boolean moves = core.jobEntries().outOfPlace(h.rec);
-    if (h.dirtyPieces.isEmpty() && !all && !h.uncertain && !moves) return;
-    if (!h.writeRetry.due(now) || !bitsKnown(h)) return;
-    if (h.writing || h.granting || (!all && now - h.lastWrite < Constants.JOB_WRITE_GAP_MS)) return;
+    if (h.dirtyPieces.isEmpty() && !all && !h.uncertain && !moves) {
+      return;
+    }
+    if (!h.writeRetry.due(now) || !bitsKnown(h)) {
+      return;
+    }
+    if (h.writing || h.granting || (!all && now - h.lastWrite < Constants.JOB_WRITE_GAP_MS)) {
+      return;
+    }
     if (h.over() && h.rec.fin() == Final.CANCELLED) {
       h.dirtyPieces.clear();
-      if (!h.uncertain && !moves) return;
+      if (!h.uncertain && !moves) {
+        return;
+      }
     }
     JobEntries.Write write = core.jobEntries().recording(h.rec, h.version, h.done, h.dirtyPieces);
     List<Integer> pieces = new ArrayList<>(h.dirtyPieces);
@@ -606,12 +725,19 @@
             r -> {
               h.writing = false;
               h.writeRetry.answered(core.now(), r.code());
-              if (r.code() == Code.OK) return;
+              if (r.code() == Code.OK) {
+                return;
+              }
               // not known to be recorded: the next write says all of it again
               h.dirtyPieces.addAll(pieces);
-              if (r.code() == Code.UNKNOWN) h.uncertain = true;
-              if (r.code() == Code.CONFLICT) reread(h);
-              else h.lastWrite = core.now() + Constants.STATE_RETRY_MS;
+              if (r.code() == Code.UNKNOWN) {
+                h.uncertain = true;
+              }
+              if (r.code() == Code.CONFLICT) {
+                reread(h);
+              } else {
+                h.lastWrite = core.now() + Constants.STATE_RETRY_MS;
+              }
             });
     if (!asked) {
       h.writing = false;
@@ -638,7 +764,9 @@
               h.writing = false;
               h.lastWrite = core.now();
             });
-    if (!asked) h.writing = false;
+    if (!asked) {
+      h.writing = false;
+    }
   }
 
   /**
@@ -648,14 +776,22 @@
     long now = core.now();
     Map<String, List<Held>> byTeam = new LinkedHashMap<>();
     for (Held h : jobs.values()) {
-      if (!limited(h.spec) || h.writing || h.granting || h.uncertain) continue;
+      if (!limited(h.spec) || h.writing || h.granting || h.uncertain) {
+        continue;
+      }
       // its own next write brings the entry into its present layout first
-      if (!h.grantRetry.due(now) || core.jobEntries().outOfPlace(h.rec)) continue;
-      if (delta(h, now) != 0) byTeam.computeIfAbsent(h.spec.team(), k -> new ArrayList<>()).add(h);
+      if (!h.grantRetry.due(now) || core.jobEntries().outOfPlace(h.rec)) {
+        continue;
+      }
+      if (delta(h, now) != 0) {
+        byTeam.computeIfAbsent(h.spec.team(), k -> new ArrayList<>()).add(h);
+      }
     }
     for (Map.Entry<String, List<Held>> e : byTeam.entrySet()) {
       String team = e.getKey();
-      if (teamBusy.contains(team) || now < teamNext.getOrDefault(team, 0L)) continue;
+      if (teamBusy.contains(team) || now < teamNext.getOrDefault(team, 0L)) {
+        continue;
+      }
       List<Held> hs = e.getValue();
       hs.sort(core.placement()::order);
       Team t = core.settings().teams().get(team);
@@ -670,28 +806,40 @@
       for (int pass = 0; pass < 2; pass++) {
         for (Held h : hs) {
           int d = delta(h, now);
-          if ((pass == 0) != (d < 0) || in.size() >= room) continue;
+          if ((pass == 0) != (d < 0) || in.size() >= room) {
+            continue;
+          }
           // one that may be refused for its size is tried alone, so that it delays no other job
           boolean alone = !core.jobEntries().fitsNow(h.rec);
-          if (alone && !in.isEmpty()) continue;
+          if (alone && !in.isEmpty()) {
+            continue;
+          }
           if (d > 0 && !h.spec.service()) {
             // what isn't asked for by placement must leave the team far from its limit: else it
             // was given and taken back by turns, with every change, and served nobody
             int early = Math.min(d, room(t, h.spec, cpus, gpus, Constants.ROOMY));
             d = Math.max(early, Math.min(d, h.wantsGrant));
           }
-          if (d > 0) d = Math.min(d, room(t, h.spec, cpus, gpus, 1));
-          if (d == 0) continue;
+          if (d > 0) {
+            d = Math.min(d, room(t, h.spec, cpus, gpus, 1));
+          }
+          if (d == 0) {
+            continue;
+          }
           cpus += d * h.spec.cpus();
           gpus += d * h.spec.gpus();
           String key = Store.JOBS + h.id;
           when.add(new Cond(key, h.version));
           puts.add(new Put(key, h.rec.withGrant(h.rec.grant() + d), 0));
           in.add(h);
-          if (alone) room = 1;
+          if (alone) {
+            room = 1;
+          }
         }
       }
-      if (in.isEmpty()) continue;
+      if (in.isEmpty()) {
+        continue;
+      }
       when.add(new Cond(Store.TEAMS + team, sum == null ? 0 : sum.version()));
       puts.add(new Put(Store.TEAMS + team, new TeamRec(Math.max(0, cpus), Math.max(0, gpus)), 0));
       for (Held h : in) h.granting = true;
@@ -704,19 +852,28 @@
               r -> {
                 teamBusy.remove(team);
                 RetryDelay teamRetry = teamRetries.computeIfAbsent(team, k -> new RetryDelay());
-                if (r.code() != Code.MALFORMED) teamRetry.answered(core.now(), r.code());
+                if (r.code() != Code.MALFORMED) {
+                  teamRetry.answered(core.now(), r.code());
+                }
                 for (Held h : in) {
                   h.granting = false;
-                  if (r.code() != Code.REFUSED) h.grantRetry.answered(core.now(), r.code());
-                  if (r.code() == Code.OK) h.wantsGrant = 0;
-                  else if (r.code() == Code.UNKNOWN) h.uncertain = true;
-                  else if (r.code() == Code.CONFLICT && r.revision() > store.revision()) reread(h);
+                  if (r.code() != Code.REFUSED) {
+                    h.grantRetry.answered(core.now(), r.code());
+                  }
+                  if (r.code() == Code.OK) {
+                    h.wantsGrant = 0;
+                  } else if (r.code() == Code.UNKNOWN) {
+                    h.uncertain = true;
+                  } else if (r.code() == Code.CONFLICT && r.revision() > store.revision()) {
+                    reread(h);
+                  }
                 }
                 if (r.code() == Code.CONFLICT) {
                   teamBusy.add(team);
                   if (!store.read(
-                      Store.Urgency.JOB, Store.TEAMS + team, g -> teamBusy.remove(team)))
+                      Store.Urgency.JOB, Store.TEAMS + team, g -> teamBusy.remove(team))) {
                     teamBusy.remove(team);
+                  }
                 } else if (r.code() != Code.OK) {
                   long next = core.now() + Constants.STATE_RETRY_MS;
                   teamNext.put(team, Math.max(next, teamRetry.until()));
@@ -737,19 +894,31 @@
    */
   private int delta(Held h, long now) {
     int spare = h.rec.grant() - h.active.size();
-    if (!h.latched) return 0;
+    if (!h.latched) {
+      return 0;
+    }
     // replicas start again and again: what they need stays granted until the job is cancelled
-    if (h.spec.service() && !h.over()) return Math.max(0, h.spec.tasks() - h.rec.grant());
-    if (h.over() || yields(h)) return -Math.max(0, spare);
+    if (h.spec.service() && !h.over()) {
+      return Math.max(0, h.spec.tasks() - h.rec.grant());
+    }
+    if (h.over() || yields(h)) {
+      return -Math.max(0, spare);
+    }
     int pending = h.pending();
     boolean roomy = roomy(h.spec.team());
-    if (spare - pending > (roomy ? h.rec.grant() / 2 : 0)) return -(spare - pending);
+    if (spare - pending > (roomy ? h.rec.grant() / 2 : 0)) {
+      return -(spare - pending);
+    }
     int wanted = roomy ? pending : h.wantsGrant;
-    if (wanted > 0) return Math.min(wanted, Math.max(0, pending - spare));
+    if (wanted > 0) {
+      return Math.min(wanted, Math.max(0, pending - spare));
+    }
     if (!roomy
         && spare > 0
         && h.grantIdleSince > 0
-        && now - h.grantIdleSince > Constants.GRANT_IDLE_MS) return -spare;
+        && now - h.grantIdleSince > Constants.GRANT_IDLE_MS) {
+      return -spare;
+    }
     return 0;
   }
 
@@ -767,7 +936,9 @@
     Map<String, JobRec> most = new HashMap<>();
     Set<String> starved = new HashSet<>();
     for (JobRec r : core.openJobs()) {
-      if (r.over() || !limited(r.spec())) continue;
+      if (r.over() || !limited(r.spec())) {
+        continue;
+      }
       String team = r.spec().team();
       boolean service = r.spec().service();
       if (service ? r.grant() < r.spec().tasks() : r.grant() == 0) {
@@ -775,13 +946,17 @@
         boolean full =
             room(core.settings().teams().get(team), r.spec(), sum.cpus(), sum.gpus(), 1) == 0;
         long patience = service ? Constants.PREEMPT_AFTER_MS : Constants.STARVES_MS;
-        if (full && core.wall() - r.submittedMs() > patience) starved.add(team);
+        if (full && core.wall() - r.submittedMs() > patience) {
+          starved.add(team);
+        }
       } else if (!service) {
         most.merge(team, r, (a, b) -> weight(a) >= weight(b) ? a : b);
       }
     }
     for (String team : starved)
-      if (most.containsKey(team)) yielding.put(team, most.get(team).spec().id());
+      if (most.containsKey(team)) {
+        yielding.put(team, most.get(team).spec().id());
+      }
   }
 
   private static double weight(JobRec r) {
@@ -796,9 +971,12 @@
   /** How many more tasks like these keep the team's sums within this fraction of its limits. */
   private static int room(Team t, JobSpec j, double cpus, double gpus, double fraction) {
     double n = Integer.MAX_VALUE;
-    if (t.cpusMax() > 0 && j.cpus() > 0) n = (t.cpusMax() * fraction - cpus) / j.cpus();
-    if (t.gpusMax() > 0 && j.gpus() > 0)
+    if (t.cpusMax() > 0 && j.cpus() > 0) {
+      n = (t.cpusMax() * fraction - cpus) / j.cpus();
+    }
+    if (t.gpusMax() > 0 && j.gpus() > 0) {
       n = Math.min(n, (t.gpusMax() * fraction - gpus) / j.gpus());
+    }
     return (int) Math.max(0, Math.floor(n + 1e-9));
   }
 
--- a/src/main/java/mallowstall/core/JobEntries.java
+++ b/src/main/java/mallowstall/core/JobEntries.java
@@ -68,7 +68,10 @@
 
   private static String longest(CoreSettings settings) {
     String longest = settings.node();
-    for (String peer : settings.peers()) if (peer.length() > longest.length()) longest = peer;
+    for (String peer : settings.peers())
+      if (peer.length() > longest.length()) {
+        longest = peer;
+      }
     return longest;
   }
 
@@ -108,28 +111,40 @@
   /** All tasks that are recorded as done by what stands under the keys. */
   static BitSet done(JobRec rec, Function<String, Store.Held> stored) {
     BitSet done = BitSet.valueOf(rec.done());
-    if (inline(rec.spec())) return done;
+    if (inline(rec.spec())) {
+      return done;
+    }
     int tasks = rec.spec().tasks();
     String job = rec.spec().id();
-    for (int c = 1; c * Constants.BITS_PER_CHUNK < tasks; c++)
+    for (int c = 1; c * Constants.BITS_PER_CHUNK < tasks; c++) {
       addBits(done, stored.apply(chunkKey(job, c)), c * Constants.BITS_PER_CHUNK);
-    for (int p = 0; p * Constants.BITS_PER_PIECE < tasks; p++)
+    }
+    for (int p = 0; p * Constants.BITS_PER_PIECE < tasks; p++) {
       addBits(done, stored.apply(pieceKey(job, p)), p * Constants.BITS_PER_PIECE);
+    }
     return done;
   }
 
   private static void addBits(BitSet done, Store.Held held, int from) {
     BitSet bits = BitSet.valueOf(bytes(held));
-    for (int i = bits.nextSetBit(0); i >= 0; i = bits.nextSetBit(i + 1)) done.set(from + i);
+    for (int i = bits.nextSetBit(0); i >= 0; i = bits.nextSetBit(i + 1)) {
+      done.set(from + i);
+    }
   }
 
   /** Whether the task is recorded as done. */
   boolean recorded(JobRec rec, int task) {
-    if (bit(rec.done(), task)) return true;
-    if (inline(rec.spec())) return false;
+    if (bit(rec.done(), task)) {
+      return true;
+    }
+    if (inline(rec.spec())) {
+      return false;
+    }
     String job = rec.spec().id();
     int chunk = task / Constants.BITS_PER_CHUNK;
-    if (chunk > 0 && bit(bytes(chunkKey(job, chunk)), task % Constants.BITS_PER_CHUNK)) return true;
+    if (chunk > 0 && bit(bytes(chunkKey(job, chunk)), task % Constants.BITS_PER_CHUNK)) {
+      return true;
+    }
     return bit(bytes(pieceKey(job, pieceOf(task))), task % Constants.BITS_PER_PIECE);
   }
 
@@ -159,7 +174,9 @@
 
   /** Whether the compact layout is written for this job. */
   boolean compact(JobRec rec) {
-    if (inline(rec.spec()) || !allReadPieces.getAsBoolean()) return false;
+    if (inline(rec.spec()) || !allReadPieces.getAsBoolean()) {
+      return false;
+    }
     // a chunk is smaller than the entry of a job that has chunks
     int bits = Math.min(rec.spec().tasks(), Constants.BITS_PER_CHUNK);
     return encodedSize.applyAsInt(largest(rec, bits)) > valueBytes;
@@ -188,17 +205,26 @@
    * be compact, or in pieces only while a controller may not read these.
    */
   boolean outOfPlace(JobRec rec) {
-    if (inline(rec.spec())) return false;
-    if (compact(rec)) return rec.done().length > 0;
-    for (int p = 0; p * Constants.BITS_PER_PIECE < rec.spec().tasks(); p++)
-      if (pieceAhead(rec, p)) return true;
+    if (inline(rec.spec())) {
+      return false;
+    }
+    if (compact(rec)) {
+      return rec.done().length > 0;
+    }
+    for (int p = 0; p * Constants.BITS_PER_PIECE < rec.spec().tasks(); p++) {
+      if (pieceAhead(rec, p)) {
+        return true;
+      }
+    }
     return false;
   }
 
   /** Whether a piece holds bits that the first layout doesn't. */
   private boolean pieceAhead(JobRec rec, int piece) {
     BitSet bits = BitSet.valueOf(bytes(pieceKey(rec.spec().id(), piece)));
-    if (bits.isEmpty()) return false;
+    if (bits.isEmpty()) {
+      return false;
+    }
     int chunk = piece / PIECES_PER_CHUNK;
     byte[] first = chunk == 0 ? rec.done() : bytes(chunkKey(rec.spec().id(), chunk));
     int from = piece % PIECES_PER_CHUNK * Constants.BITS_PER_PIECE;
@@ -211,7 +237,9 @@
    * for bits that leave the entry are compared, since its view of them may be older than the entry.
    */
   Write keepingBits(JobRec rec, long version) {
-    if (!compact(rec)) return write(rec, version, List.of(), Set.of());
+    if (!compact(rec)) {
+      return write(rec, version, List.of(), Set.of());
+    }
     return compactWrite(rec, rec, version, done(rec), List.of(), true);
   }
 
@@ -225,7 +253,9 @@
     boolean all = !old.spec().service() && count == old.spec().tasks() && !old.over();
     // what was told of a job that is over doesn't change
     JobRec rec = old.over() ? old : old.withDone(old.done(), count, all ? Final.DONE : old.fin());
-    if (compact(old)) return compactWrite(old, rec, version, done, dirty, false);
+    if (compact(old)) {
+      return compactWrite(old, rec, version, done, dirty, false);
+    }
     return chunkWrite(old, rec, version, done, dirty);
   }
 
@@ -234,14 +264,20 @@
     TreeSet<Integer> chunks = new TreeSet<>();
     for (int piece : dirty) chunks.add(piece / PIECES_PER_CHUNK);
     int pieces = inline(old.spec()) ? 0 : pieceOf(old.spec().tasks() - 1) + 1;
-    for (int p = 0; p < pieces; p++) if (pieceAhead(old, p)) chunks.add(p / PIECES_PER_CHUNK);
+    for (int p = 0; p < pieces; p++) {
+      if (pieceAhead(old, p)) {
+        chunks.add(p / PIECES_PER_CHUNK);
+      }
+    }
     chunks.remove(0); // the entry itself
     List<Put> puts = new ArrayList<>();
     Set<Integer> written = new TreeSet<>();
     addPieces(written, 0);
     int room = txnOps - 1;
     for (int chunk : chunks) {
-      if (puts.size() == room) break;
+      if (puts.size() == room) {
+        break;
+      }
       int from = chunk * Constants.BITS_PER_CHUNK;
       puts.add(bitsPut(chunkKey(old.spec().id(), chunk), done, from, Constants.BITS_PER_CHUNK));
       addPieces(written, chunk);
@@ -253,7 +289,9 @@
   }
 
   private static void addPieces(Set<Integer> pieces, int chunk) {
-    for (int i = 0; i < PIECES_PER_CHUNK; i++) pieces.add(chunk * PIECES_PER_CHUNK + i);
+    for (int i = 0; i < PIECES_PER_CHUNK; i++) {
+      pieces.add(chunk * PIECES_PER_CHUNK + i);
+    }
   }
 
   private Write compactWrite(
@@ -272,7 +310,10 @@
       pieces.add(last);
       kept.clear(last * Constants.BITS_PER_PIECE, kept.length());
     }
-    for (int piece : dirty) if (pieces.size() < room) pieces.add(piece);
+    for (int piece : dirty)
+      if (pieces.size() < room) {
+        pieces.add(piece);
+      }
     List<Put> puts = new ArrayList<>();
     for (int piece : pieces) {
       int from = piece * Constants.BITS_PER_PIECE;
@@ -281,7 +322,9 @@
     JobRec told = pieces.containsAll(dirty) ? rec : old;
     JobRec entry = told.withDone(kept.toByteArray(), told.doneCount(), told.fin());
     Write write = write(entry, version, puts, pieces);
-    if (!compare) return write;
+    if (!compare) {
+      return write;
+    }
     List<Cond> when = new ArrayList<>(write.when());
     for (Put put : puts) when.add(new Cond(put.key(), version(put.key())));
     return new Write(when, write.puts(), pieces);
--- a/src/main/java/mallowstall/core/Model.java
+++ b/src/main/java/mallowstall/core/Model.java
@@ -78,7 +78,9 @@
       JobKind kind) {
     /** Entries of batch jobs carry no kind: versions without services wrote them. */
     public JobSpec {
-      if (kind == null) kind = JobKind.BATCH;
+      if (kind == null) {
+        kind = JobKind.BATCH;
+      }
     }
 
     /** Whether its tasks are replicas that run until the job is cancelled. */
--- a/src/main/java/mallowstall/core/Owner.java
+++ b/src/main/java/mallowstall/core/Owner.java
@@ -220,7 +220,9 @@
     dirty = true; // peers hear of it soon
     for (Owned o : owned.values()) {
       for (TaskReport t : o.tasks.values()) {
-        if (t.state() != TaskState.FETCHING || !t.job().equals(job)) continue;
+        if (t.state() != TaskState.FETCHING || !t.job().equals(job)) {
+          continue;
+        }
         o.stops.put(new Key(job, t.task()), new StopOrder(o.id, job, t.task(), t.attempt(), 0));
         toPush.add(o);
       }
@@ -235,7 +237,9 @@
   void jobKnown(String id) {
     for (Owned o : owned.values()) {
       for (TaskReport t : o.tasks.values()) {
-        if (!t.job().equals(id)) continue;
+        if (!t.job().equals(id)) {
+          continue;
+        }
         o.touched = true;
         dirty = true;
         break;
@@ -312,10 +316,16 @@
    */
   private boolean stale(Report r) {
     // Records are made before the first token is shown and dropped once the machine is returned.
-    if (r.token() > 0 && store.machine(r.machine()) == null) return true;
-    if (returned.contains(r.machine())) return true;
+    if (r.token() > 0 && store.machine(r.machine()) == null) {
+      return true;
+    }
+    if (returned.contains(r.machine())) {
+      return true;
+    }
     View.Seen s = core.view().machines.get(r.machine());
-    if (s == null || s.m == null || r.session() > s.m.session()) return false;
+    if (s == null || s.m == null || r.session() > s.m.session()) {
+      return false;
+    }
     return r.session() < s.m.session() || s.m.lost() || r.seq() <= s.m.seq();
   }
 
@@ -327,7 +337,9 @@
   private String liveOwner(Report r, long now) {
     MachineRec old = store.machine(r.machine());
     View.Seen s = core.view().machines.get(r.machine());
-    if (old == null || s == null || s.m == null || old.node().equals(core.node())) return null;
+    if (old == null || s == null || s.m == null || old.node().equals(core.node())) {
+      return null;
+    }
     View.Peer p = core.view().peer(old.node());
     boolean heard =
         store.live(old.node(), old.incarnation())
@@ -367,7 +379,9 @@
       if (!better.equals(core.node())
           && (before == null || now - before > Constants.REDIRECT_AGAIN_MS)) {
         redirected.put(r.machine(), now);
-        if (redirected.size() > 2_000) redirected.clear();
+        if (redirected.size() > 2_000) {
+          redirected.clear();
+        }
         reply.accept(ReportAnswer.elsewhere(better));
         return;
       }
@@ -387,7 +401,9 @@
   }
 
   private void planBatch() {
-    if (batchPlanned) return;
+    if (batchPlanned) {
+      return;
+    }
     batchPlanned = true;
     core.after(Constants.ADOPT_JOIN_MS, this::adoptAll);
   }
@@ -436,7 +452,9 @@
                 new Txn(List.of(new Cond(key, 0), session()), List.of(put), List.of()),
                 then);
       }
-      if (!asked) then.accept(new TxnReply(Code.REFUSED, 0));
+      if (!asked) {
+        then.accept(new TxnReply(Code.REFUSED, 0));
+      }
     }
   }
 
@@ -462,7 +480,9 @@
     // reports don't name images: without what its last owner told of them, tasks were sent to
     // machines that had to fetch theirs, each time that machines changed owner
     View.Seen seen = core.view().machines.get(id);
-    if (seen != null && seen.m != null) o.images.addAll(seen.m.images());
+    if (seen != null && seen.m != null) {
+      o.images.addAll(seen.m.images());
+    }
     owned.put(id, o);
     gone.remove(id);
     return o;
@@ -479,7 +499,9 @@
     }
     Owned before = owned.get(r.machine());
     Owned o = own(r.machine(), a.type, r.zone(), r.spot(), res.revision());
-    if (before != null) o.images.addAll(before.images);
+    if (before != null) {
+      o.images.addAll(before.images);
+    }
     LOG.info(
         "machine {} ({}, {}) adopted under term {} (reported {})",
         o.id,
@@ -513,14 +535,20 @@
       o.lastOk = Math.max(o.lastOk, now);
     }
     o.touched = true;
-    if (byReport) o.reported = r.seq();
-    if (o.dangling && !o.raising && r.token() >= o.token && o.raised) clearOrdered(o);
+    if (byReport) {
+      o.reported = r.seq();
+    }
+    if (o.dangling && !o.raising && r.token() >= o.token && o.raised) {
+      clearOrdered(o);
+    }
     o.session = r.session();
     o.seq = r.seq();
     o.heardAt = now;
     o.addr = r.addr();
     o.lost = false;
-    if (r.token() >= o.token) o.confirmed = true;
+    if (r.token() >= o.token) {
+      o.confirmed = true;
+    }
     o.noticeUntil = r.noticeS() == null ? Long.MAX_VALUE : now + (long) (r.noticeS() * 1000);
     Map<Attempt, TaskReport> before = new HashMap<>(o.tasks);
     o.tasks.clear();
@@ -529,10 +557,16 @@
       o.tasks.put(k, t);
       TaskReport b = before.get(k);
       boolean changed = b == null || b.state() != t.state();
-      if (!changed) continue;
+      if (!changed) {
+        continue;
+      }
       JobRec j = store.job(t.job());
-      if (j != null && (t.state() == TaskState.RUNNING || t.why() == Why.DONE)) image(o, j.spec());
-      if (t.state() == TaskState.EXITED) ended(o, t);
+      if (j != null && (t.state() == TaskState.RUNNING || t.why() == Why.DONE)) {
+        image(o, j.spec());
+      }
+      if (t.state() == TaskState.EXITED) {
+        ended(o, t);
+      }
     }
     o.replaced.retainAll(o.tasks.keySet());
     Iterator<Booked> it = o.booked.values().iterator();
@@ -549,7 +583,9 @@
       }
     }
     if (o.tasks.isEmpty() && o.booked.isEmpty()) {
-      if (o.idleSince == 0) o.idleSince = now;
+      if (o.idleSince == 0) {
+        o.idleSince = now;
+      }
     } else {
       o.idleSince = 0;
     }
@@ -557,7 +593,9 @@
   }
 
   private void image(Owned o, JobSpec j) {
-    if (j.image() == null) return;
+    if (j.image() == null) {
+      return;
+    }
     o.images.remove(j.image());
     o.images.add(j.image());
     double sum = 0;
@@ -565,7 +603,9 @@
     java.util.Collections.reverse(newestFirst);
     for (String i : newestFirst) {
       sum += core.imageGb(i);
-      if (sum > o.type.cacheGb() && !i.equals(j.image())) o.images.remove(i);
+      if (sum > o.type.cacheGb() && !i.equals(j.image())) {
+        o.images.remove(i);
+      }
     }
   }
 
@@ -577,14 +617,18 @@
       LOG.info("task {}/{} failed on {}, {} in a row", t.job(), t.task(), o.id, o.errorsInRow);
       if (o.errorsInRow >= Constants.FAULTY_ERRORS) {
         o.quarantineUntil = core.now() + Constants.QUARANTINE_MS;
-        if (o.errorsInRow >= Constants.BROKEN_ERRORS) o.replace = true;
+        if (o.errorsInRow >= Constants.BROKEN_ERRORS) {
+          o.replace = true;
+        }
       }
     }
   }
 
   /** Whether the task runs again after this end, whose only trace is what statements tell of it. */
   private boolean runsAgain(TaskReport t) {
-    if (t.why() != Why.DONE) return true;
+    if (t.why() != Why.DONE) {
+      return true;
+    }
     JobRec j = store.job(t.job());
     return j != null && j.spec().service();
   }
@@ -604,8 +648,9 @@
                 && (core.over(t.job(), j)
                     || done
                     || (runsAgain(t) && o.told.getLong(k) == t.attempt()));
-        if (forget && !o.ordered.containsKey(k))
+        if (forget && !o.ordered.containsKey(k)) {
           forgets.add(new Command(CommandKind.FORGET, t.job(), t.task(), t.attempt(), 0));
+        }
         o.stops.remove(k);
       } else if (core.over(t.job(), j) || done) {
         stops.add(new Command(CommandKind.STOP, t.job(), t.task(), t.attempt(), 0));
@@ -633,7 +678,9 @@
       Booked b = it.next();
       JobRec j = store.job(b.order.job());
       Key k = new Key(b.order.job(), b.order.task());
-      if (o.ordered.containsKey(k)) continue;
+      if (o.ordered.containsKey(k)) {
+        continue;
+      }
       boolean unwanted =
           core.over(b.order.job(), j) || j != null && core.recordedDone(j, b.order.task());
       if (unwanted || o.stops.containsKey(k) || core.wall() > b.order.expiryWallMs()) {
@@ -652,38 +699,56 @@
   // ---- commands to the worker's own address --------------------------------------------------
   /** Sends what waits for a machine's next report to its own address, one request at a time. */
   void push() {
-    if (toPush.isEmpty()) return;
+    if (toPush.isEmpty()) {
+      return;
+    }
     List<Owned> now = new ArrayList<>(toPush);
     toPush.clear();
     for (Owned o : now) {
-      if (owned.get(o.id) != o || o.stops.isEmpty() && o.booked.isEmpty()) continue;
-      if (core.now() - o.orderedAt < Constants.ORDER_GAP_MS) toPush.add(o);
-      else push(o);
+      if (owned.get(o.id) != o || o.stops.isEmpty() && o.booked.isEmpty()) {
+        continue;
+      }
+      if (core.now() - o.orderedAt < Constants.ORDER_GAP_MS) {
+        toPush.add(o);
+      } else {
+        push(o);
+      }
     }
   }
 
   private void push(Owned o) {
     long now = core.now();
-    if (o.ordering || o.dangling || o.raising || o.addr == null || o.session == 0 || !o.confirmed)
+    if (o.ordering || o.dangling || o.raising || o.addr == null || o.session == 0 || !o.confirmed) {
+      return;
+    }
+    if (silent(o) || !core.mayKeepAlive()) {
       return;
-    if (silent(o) || !core.mayKeepAlive()) return;
+    }
     List<Command> out = new ArrayList<>();
     List<Booked> starts = new ArrayList<>();
     for (Map.Entry<Key, StopOrder> e : o.stops.entrySet()) {
       Key k = e.getKey();
       TaskReport t = o.tasks.get(new Attempt(k.job(), k.task(), e.getValue().attempt()));
-      if (t == null || t.state() == TaskState.EXITED || t.state() == TaskState.SAVING) continue;
+      if (t == null || t.state() == TaskState.EXITED || t.state() == TaskState.SAVING) {
+        continue;
+      }
       out.add(new Command(CommandKind.STOP, t.job(), t.task(), t.attempt(), e.getValue().graceS()));
     }
     for (Booked b : o.booked.values()) {
       Key k = new Key(b.order.job(), b.order.task());
       JobRec j = store.job(b.order.job());
-      if (b.sent || o.stops.containsKey(k) || j == null || core.over(k.job(), j)) continue;
-      if (core.wall() > b.order.expiryWallMs() || out.size() >= Constants.COMMANDS_MAX) continue;
+      if (b.sent || o.stops.containsKey(k) || j == null || core.over(k.job(), j)) {
+        continue;
+      }
+      if (core.wall() > b.order.expiryWallMs() || out.size() >= Constants.COMMANDS_MAX) {
+        continue;
+      }
       out.add(new Command(CommandKind.START, b.order.job(), b.order.task(), b.order.attempt(), 0));
       starts.add(b);
     }
-    if (out.isEmpty()) return;
+    if (out.isEmpty()) {
+      return;
+    }
     for (Booked b : starts) {
       b.sent = true;
       o.ordered.put(new Key(b.order.job(), b.order.task()), b.order.attempt());
@@ -699,9 +764,13 @@
             out,
             r -> {
               o.ordering = false;
-              if (owned.get(o.id) != o || o.session != session) return;
+              if (owned.get(o.id) != o || o.session != session) {
+                return;
+              }
               if (r.code() == Code.UNKNOWN) {
-                if (o.ordered.isEmpty()) return;
+                if (o.ordered.isEmpty()) {
+                  return;
+                }
                 LOG.info("commands to {} went astray: raising its term", o.id);
                 o.dangling = true;
                 raise(o);
@@ -730,7 +799,9 @@
    * Once the worker has shown a larger term, commands that went astray under the old one are dead.
    */
   private void raise(Owned o) {
-    if (o.raising || o.raised) return;
+    if (o.raising || o.raised) {
+      return;
+    }
     o.raising = true;
     boolean asked =
         record(
@@ -740,7 +811,9 @@
             o.spot,
             r -> {
               o.raising = false;
-              if (r.code() != Code.OK || owned.get(o.id) != o) return;
+              if (r.code() != Code.OK || owned.get(o.id) != o) {
+                return;
+              }
               o.token = r.revision();
               o.version = r.revision();
               o.confirmed = false;
@@ -748,7 +821,9 @@
               o.touched = true;
               dirty = true;
             });
-    if (!asked) o.raising = false;
+    if (!asked) {
+      o.raising = false;
+    }
   }
 
   // ---- orders from holders ------------------------------------------------------------------
@@ -761,7 +836,9 @@
         m.booked.put(new Key(o.job(), o.task()), new Booked(o, store.job(o.job()).spec()));
         for (TaskRef t : o.instead()) {
           Attempt a = new Attempt(t.job(), t.task(), t.attempt());
-          if (!m.tasks.containsKey(a) || !m.replaced.add(a)) continue;
+          if (!m.tasks.containsKey(a) || !m.replaced.add(a)) {
+            continue;
+          }
           LOG.info("{}/{} stops {}/{} on {}", o.job(), o.task(), t.job(), t.task(), m.id);
           core.metrics().count("preemptions");
           StopOrder stop = new StopOrder(m.id, t.job(), t.task(), t.attempt(), 0);
@@ -794,29 +871,56 @@
 
   private String vet(Starts s, StartOrder o) {
     Owned m = owned.get(o.machine());
-    if (m == null || m.version > store.revision()) return "not the owner";
-    if (!core.mayKeepAlive()) return "cut off";
+    if (m == null || m.version > store.revision()) {
+      return "not the owner";
+    }
+    if (!core.mayKeepAlive()) {
+      return "cut off";
+    }
     JobRec j = store.job(o.job());
-    if (j == null) return NOT_KNOWN;
-    if (core.over(o.job(), j)) return "job is over";
-    if (o.epoch() < j.epoch()) return "older epoch";
-    if (!store.live(s.node(), s.incarnation())) return "holder's session is gone";
-    if (core.wall() > o.expiryWallMs()) return "expired";
+    if (j == null) {
+      return NOT_KNOWN;
+    }
+    if (core.over(o.job(), j)) {
+      return "job is over";
+    }
+    if (o.epoch() < j.epoch()) {
+      return "older epoch";
+    }
+    if (!store.live(s.node(), s.incarnation())) {
+      return "holder's session is gone";
+    }
+    if (core.wall() > o.expiryWallMs()) {
+      return "expired";
+    }
     JobSpec spec = j.spec();
-    if (core.recordedDone(j, o.task())) return "done already";
-    if (!allowed(spec, m.type.name(), m.zone, m.spot)) return "machine not allowed";
-    if (!m.confirmed) return "machine doesn't show that it hears";
-    if (!usable(m) || m.drainUntil > core.now()) return "machine set aside";
+    if (core.recordedDone(j, o.task())) {
+      return "done already";
+    }
+    if (!allowed(spec, m.type.name(), m.zone, m.spot)) {
+      return "machine not allowed";
+    }
+    if (!m.confirmed) {
+      return "machine doesn't show that it hears";
+    }
+    if (!usable(m) || m.drainUntil > core.now()) {
+      return "machine set aside";
+    }
     Key k = new Key(o.job(), o.task());
-    if (here(m, k)) return "task is here already";
+    if (here(m, k)) {
+      return "task is here already";
+    }
     double[] free = free(m);
     for (TaskRef t : o.instead()) {
       TaskReport r = m.tasks.get(new Attempt(t.job(), t.task(), t.attempt()));
       JobRec other = store.job(t.job());
-      if (r == null || r.state() == TaskState.EXITED || other == null) continue; // its room is free
-      // what is replaced already is counted as free room, and only once
-      if (!m.replaced.contains(new Attempt(t.job(), t.task(), t.attempt())))
+      if (r == null || r.state() == TaskState.EXITED || other == null) {
+        continue; // its room is free
+        // what is replaced already is counted as free room, and only once
+      }
+      if (!m.replaced.contains(new Attempt(t.job(), t.task(), t.attempt()))) {
         minus(free, other.spec(), -1);
+      }
     }
     if (spec.cpus() > free[0] + 1e-6
         || spec.gpus() > free[1] + 1e-6
@@ -827,9 +931,13 @@
   }
 
   private static boolean here(Owned m, Key k) {
-    if (m.booked.containsKey(k)) return true;
+    if (m.booked.containsKey(k)) {
+      return true;
+    }
     for (Attempt a : m.tasks.keySet()) {
-      if (a.task() == k.task() && a.job().equals(k.job())) return true;
+      if (a.task() == k.task() && a.job().equals(k.job())) {
+        return true;
+      }
     }
     return false;
   }
@@ -863,10 +971,16 @@
   private double[] free(Owned m) {
     double[] f = {m.type.cpus(), m.type.gpus(), m.type.memoryGb()};
     for (TaskReport t : m.tasks.values()) {
-      if (t.state() == TaskState.EXITED) continue;
-      if (m.replaced.contains(new Attempt(t.job(), t.task(), t.attempt()))) continue;
+      if (t.state() == TaskState.EXITED) {
+        continue;
+      }
+      if (m.replaced.contains(new Attempt(t.job(), t.task(), t.attempt()))) {
+        continue;
+      }
       JobRec j = store.job(t.job());
-      if (j != null) minus(f, j.spec(), 1);
+      if (j != null) {
+        minus(f, j.spec(), 1);
+      }
     }
     for (Booked b : m.booked.values()) minus(f, b.spec, 1);
     return f;
@@ -881,7 +995,9 @@
   void stops(Stops s) {
     for (StopOrder o : s.stops()) {
       Owned m = owned.get(o.machine());
-      if (m == null) continue;
+      if (m == null) {
+        continue;
+      }
       Key k = new Key(o.job(), o.task());
       Booked b = m.booked.get(k);
       if (m.tasks.containsKey(new Attempt(o.job(), o.task(), o.attempt()))
@@ -910,17 +1026,23 @@
   void machineChanged(String id, MachineRec rec) {
     if (rec == null) {
       returned.add(id);
-      if (returned.size() > Constants.GONE_KEPT) returned.remove(returned.iterator().next());
+      if (returned.size() > Constants.GONE_KEPT) {
+        returned.remove(returned.iterator().next());
+      }
     } else {
       ownedBetween(id, rec);
     }
     Owned o = owned.get(id);
-    if (o == null) return;
+    if (o == null) {
+      return;
+    }
     if (rec == null) {
       disown(id);
     } else if (rec.node().equals(core.node()) && rec.incarnation() == store.incarnation()) {
       // this controller's own raise or adoption, seen before its answer is handled
-      if (!o.raising && rec.token() > o.token) disown(id);
+      if (!o.raising && rec.token() > o.token) {
+        disown(id);
+      }
     } else if (rec.token() > o.token) {
       LOG.info("machine {} is now owned by {} under term {}", id, rec.node(), rec.token());
       disown(id);
@@ -935,12 +1057,16 @@
   void overtaken(String id, MachineRec rec) {
     ownedBetween(id, rec);
     Owned o = owned.get(id);
-    if (o != null && o.reclaimed && !rec.node().equals(core.node())) o.disputed = true;
+    if (o != null && o.reclaimed && !rec.node().equals(core.node())) {
+      o.disputed = true;
+    }
   }
 
   /** The same, told while the record is still being asked for. */
   private void ownedBetween(String id, MachineRec rec) {
-    if (!rec.node().equals(core.node())) reclaiming.computeIfPresent(id, (k, v) -> true);
+    if (!rec.node().equals(core.node())) {
+      reclaiming.computeIfPresent(id, (k, v) -> true);
+    }
   }
 
   /**
@@ -952,10 +1078,14 @@
     for (Map.Entry<String, Store.Held> e :
         new ArrayList<>(store.under(Store.MACHINES).entrySet())) {
       MachineRec rec = (MachineRec) e.getValue().value();
-      if (!rec.node().equals(core.node()) || rec.incarnation() == store.incarnation()) continue;
+      if (!rec.node().equals(core.node()) || rec.incarnation() == store.incarnation()) {
+        continue;
+      }
       String id = e.getKey().substring(Store.MACHINES.length());
       MachineType type = core.types().get(rec.type());
-      if (type == null || owned.containsKey(id) || adopting.containsKey(id)) continue;
+      if (type == null || owned.containsKey(id) || adopting.containsKey(id)) {
+        continue;
+      }
       adopting.put(id, core.now());
       reclaiming.put(id, false);
       boolean asked =
@@ -967,7 +1097,9 @@
               r -> {
                 adopting.remove(id);
                 boolean between = reclaiming.remove(id);
-                if (r.code() != Code.OK || owned.containsKey(id)) return;
+                if (r.code() != Code.OK || owned.containsKey(id)) {
+                  return;
+                }
                 Owned o = own(id, type, rec.zone(), rec.spot(), r.revision());
                 o.reclaimed = true;
                 o.disputed = between;
@@ -992,21 +1124,33 @@
    * reached, as in a zone that is cut off, is left alone.
    */
   private void seize(long now) {
-    if (now < nextSeize || !store.sessionGood()) return;
+    if (now < nextSeize || !store.sessionGood()) {
+      return;
+    }
     nextSeize = now + Constants.SEIZE_EVERY_MS;
     Set<String> orphans = new HashSet<>();
     int most = Constants.SEIZE_MOST;
     for (Map.Entry<String, Store.Held> e : store.under(Store.MACHINES).entrySet()) {
       MachineRec rec = (MachineRec) e.getValue().value();
-      if (store.live(rec.node(), rec.incarnation())) continue;
+      if (store.live(rec.node(), rec.incarnation())) {
+        continue;
+      }
       String id = e.getKey().substring(Store.MACHINES.length());
       orphans.add(id);
       long since = orphanSince.computeIfAbsent(id, k -> now);
       View.Seen s = core.view().machines.get(id);
-      if (now - since < Constants.SEIZE_AFTER_MS || s == null || s.m == null) continue;
-      if (s.m.addr() == null || adopting.containsKey(id) || most <= 0) continue;
-      if (now - asked.getOrDefault(id, Long.MIN_VALUE / 2) < Constants.SEIZE_AGAIN_MS) continue;
-      if (!core.preferredOwner(id, rec.zone()).equals(core.node())) continue;
+      if (now - since < Constants.SEIZE_AFTER_MS || s == null || s.m == null) {
+        continue;
+      }
+      if (s.m.addr() == null || adopting.containsKey(id) || most <= 0) {
+        continue;
+      }
+      if (now - asked.getOrDefault(id, Long.MIN_VALUE / 2) < Constants.SEIZE_AGAIN_MS) {
+        continue;
+      }
+      if (!core.preferredOwner(id, rec.zone()).equals(core.node())) {
+        continue;
+      }
       most--;
       asked.put(id, now);
       // no session is 0, so this is refused, with the worker's report
@@ -1020,8 +1164,12 @@
   private void seize(String id, MachineRec old, Report r) {
     MachineType type = core.types().get(old.type());
     MachineRec now = store.machine(id);
-    if (r == null || !r.machine().equals(id) || type == null || !old.equals(now)) return;
-    if (adopting.containsKey(id) || owned.containsKey(id)) return;
+    if (r == null || !r.machine().equals(id) || type == null || !old.equals(now)) {
+      return;
+    }
+    if (adopting.containsKey(id) || owned.containsKey(id)) {
+      return;
+    }
     adopting.put(id, core.now());
     boolean wrote =
         record(
@@ -1031,7 +1179,9 @@
             old.spot(),
             res -> {
               adopting.remove(id);
-              if (res.code() != Code.OK || owned.containsKey(id)) return;
+              if (res.code() != Code.OK || owned.containsKey(id)) {
+                return;
+              }
               Owned o = own(id, type, old.zone(), old.spot(), res.revision());
               // until it shows the new term, its former owner may renew its lease
               o.lastOk = core.now();
@@ -1039,7 +1189,9 @@
               LOG.info("machine {} taken from {}, which is gone, term {}", id, old.node(), o.token);
               show(o);
             });
-    if (!wrote) adopting.remove(id);
+    if (!wrote) {
+      adopting.remove(id);
+    }
   }
 
   /** Shows the worker the term without any command. */
@@ -1051,10 +1203,13 @@
             o.session,
             List.of(),
             r -> {
-              if (owned.get(o.id) != o || r.code() != Code.OK || r.report() == null) return;
+              if (owned.get(o.id) != o || r.code() != Code.OK || r.report() == null) {
+                return;
+              }
               o.lastOk = core.now();
-              if (r.report().session() > o.session || r.report().seq() > o.seq)
+              if (r.report().session() > o.session || r.report().seq() > o.seq) {
                 take(o, r.report(), false);
+              }
             });
   }
 
@@ -1066,16 +1221,26 @@
         (long) (core.settings().leaseMs() * (1 + 2 * Constants.DRIFT))
             + Constants.WRITE_OFF_MARGIN_MS;
     for (Owned o : owned.values()) {
-      if (o.dangling && !o.raised) raise(o);
-      if (o.lost || now - o.lastOk <= writeOff) continue;
+      if (o.dangling && !o.raised) {
+        raise(o);
+      }
+      if (o.lost || now - o.lastOk <= writeOff) {
+        continue;
+      }
       // unconfirmed: a former owner may still be answering it, unless it was our own former process
       // (a late copy of a report to that one may have told a session: that changes nothing)
-      if (!o.confirmed && (!o.reclaimed || o.disputed)) continue;
+      if (!o.confirmed && (!o.reclaimed || o.disputed)) {
+        continue;
+      }
       // Who owned it between the former process and this one may still be unknown here: a group's
       // record isn't compared with. Written off then, its tasks were started a second time.
-      if (o.reclaimed && o.version > store.revision()) continue;
+      if (o.reclaimed && o.version > store.revision()) {
+        continue;
+      }
       // the mirror has passed the end of the lease and still names this controller
-      if (store.freshAt() <= o.lastOk + writeOff) continue;
+      if (store.freshAt() <= o.lastOk + writeOff) {
+        continue;
+      }
       LOG.info(
           "machine {} written off with {} tasks: silent beyond its lease", o.id, o.tasks.size());
       o.lost = true;
@@ -1090,21 +1255,29 @@
       dirty = true;
     }
     sweep(now);
-    for (Owned o : owned.values()) if (!o.stops.isEmpty() || !o.booked.isEmpty()) toPush.add(o);
+    for (Owned o : owned.values())
+      if (!o.stops.isEmpty() || !o.booked.isEmpty()) {
+        toPush.add(o);
+      }
     push();
     long since = now - lastRoster;
-    if ((dirty && since >= Constants.ROSTER_GAP_MS) || since >= Constants.ROSTER_EVERY_MS)
+    if ((dirty && since >= Constants.ROSTER_GAP_MS) || since >= Constants.ROSTER_EVERY_MS) {
       sendRosters();
+    }
   }
 
   /** Drops groups that say nothing any more, one at a time. */
   private void sweep(long now) {
-    if (now < nextSweep || !store.sessionGood()) return;
+    if (now < nextSweep || !store.sessionGood()) {
+      return;
+    }
     nextSweep = now + Constants.SWEEP_EVERY_MS;
     for (String key : store.spentGroups()) {
       GroupRec g = (GroupRec) store.held(key).value();
       boolean mine = g.node().equals(core.node()) || !store.live(g.node(), g.incarnation());
-      if (!mine) continue;
+      if (!mine) {
+        continue;
+      }
       store.transact(
           Store.Urgency.BACKGROUND, new Txn(List.of(), List.of(), List.of(key)), r -> {});
       return;
@@ -1112,13 +1285,17 @@
   }
 
   private void sendRosters() {
-    if (store.incarnation() == 0 || !store.synced()) return;
+    if (store.incarnation() == 0 || !store.synced()) {
+      return;
+    }
     dirty = false;
     long now = core.now();
     lastRoster = now;
     serial++;
     madeAt.put(serial, now);
-    if (madeAt.size() > Constants.STATEMENTS_DATED) madeAt.removeFirstLong();
+    if (madeAt.size() > Constants.STATEMENTS_DATED) {
+      madeAt.removeFirstLong();
+    }
     List<Owned> changed = state(now);
     List<Refusal> no = new ArrayList<>(refusals);
     refusals.clear();
@@ -1152,7 +1329,10 @@
   private Roster roster(View.Peer p, long sinceMirror, List<Refusal> no) {
     long since = p.knows >= forgotten ? p.knows : 0;
     List<RosterMachine> ms = new ArrayList<>();
-    for (Owned o : owned.values()) if (o.saidIn > since) ms.add(o.said);
+    for (Owned o : owned.values())
+      if (o.saidIn > since) {
+        ms.add(o.said);
+      }
     // to acknowledge what it said would vouch for all cancellations newer than its mirror
     boolean vouches = p.rosterRevision > 0 && core.cancellations().keeps(p.rosterRevision);
     return new Roster(
@@ -1182,13 +1362,17 @@
     List<String> out = new ArrayList<>();
     gone.forEach(
         (id, in) -> {
-          if (in > since) out.add(id);
+          if (in > since) {
+            out.add(id);
+          }
         });
     return out;
   }
 
   private void disown(String id) {
-    if (owned.remove(id) == null) return;
+    if (owned.remove(id) == null) {
+      return;
+    }
     gone.put(id, serial + 1);
     dirty = true;
     if (gone.size() > Constants.GONE_KEPT) {
@@ -1202,17 +1386,22 @@
     List<Owned> changed = new ArrayList<>();
     for (Owned o : owned.values()) {
       boolean lately = o.said != null && now - o.saidAt < Constants.RESTATE_MS;
-      if (lately && !o.touched && !drifted(o, now)) continue;
+      if (lately && !o.touched && !drifted(o, now)) {
+        continue;
+      }
       o.touched = false;
       RosterMachine m = tell(o, now);
-      if (lately && m.sameAs(o.said)) continue;
+      if (lately && m.sameAs(o.said)) {
+        continue;
+      }
       o.said = m;
       o.saidIn = serial;
       o.saidAt = now;
       changed.add(o);
       for (TaskReport t : o.tasks.values()) {
-        if (t.state() == TaskState.EXITED && runsAgain(t))
+        if (t.state() == TaskState.EXITED && runsAgain(t)) {
           o.told.put(new Key(t.job(), t.task()), t.attempt());
+        }
       }
     }
     return changed;
@@ -1234,8 +1423,12 @@
     List<String> out = new ArrayList<>();
     long now = core.now();
     for (Owned o : owned.values()) {
-      if (o.said == null || o.touched || drifted(o, now)) continue;
-      if (!tell(o, now).sameAs(o.said)) out.add(o.id);
+      if (o.said == null || o.touched || drifted(o, now)) {
+        continue;
+      }
+      if (!tell(o, now).sameAs(o.said)) {
+        out.add(o.id);
+      }
     }
     return out;
   }
@@ -1281,13 +1474,17 @@
   List<Room> rooms() {
     List<Room> out = new ArrayList<>();
     for (Owned o : owned.values()) {
-      if (!usable(o)) continue;
+      if (!usable(o)) {
+        continue;
+      }
       double[] f = free(o);
       out.add(new Room(o.id, f[0], f[1], f[2]));
     }
     // two hundred machines once made a value that the state service refused
     int most = Math.max(1, core.settings().valueBytes() / Constants.ROOM_BYTES - 2);
-    if (out.size() <= most) return out;
+    if (out.size() <= most) {
+      return out;
+    }
     out.sort(Comparator.comparingDouble(Room::cpus).reversed());
     return out.subList(0, most);
   }
--- a/src/main/java/mallowstall/core/Placement.java
+++ b/src/main/java/mallowstall/core/Placement.java
@@ -83,21 +83,33 @@
    */
   int order(Held a, Held b) {
     int c = Boolean.compare(starves(b), starves(a));
-    if (c != 0) return c;
-    if (starves(a)) return Long.compare(a.rec.submittedMs(), b.rec.submittedMs());
+    if (c != 0) {
+      return c;
+    }
+    if (starves(a)) {
+      return Long.compare(a.rec.submittedMs(), b.rec.submittedMs());
+    }
     c = Integer.compare(b.spec.priority().ordinal(), a.spec.priority().ordinal());
-    if (c != 0) return c;
+    if (c != 0) {
+      return c;
+    }
     c = Integer.compare(tier(a.rec, a.spec), tier(b.rec, b.spec));
-    if (c != 0) return c;
+    if (c != 0) {
+      return c;
+    }
     c = Double.compare(urgency(a), urgency(b));
     return c != 0 ? c : Long.compare(a.rec.submittedMs(), b.rec.submittedMs());
   }
 
   /** 0: the deadline can be met; 1: only a later one that the operators count; 2: neither. */
   private int tier(JobRec rec, JobSpec j) {
-    if (j.deadlineS() == null) return 0;
+    if (j.deadlineS() == null) {
+      return 0;
+    }
     double end = (core.wall() - rec.submittedMs()) / 1000.0 + j.estimateS() * Constants.HOPE_FACTOR;
-    if (end <= j.deadlineS()) return 0;
+    if (end <= j.deadlineS()) {
+      return 0;
+    }
     double times = core.settings().lateTimes().getOrDefault(j.jobClass(), 1.0);
     return end <= j.deadlineS() * times ? 1 : 2;
   }
@@ -115,15 +127,23 @@
   }
 
   void round() {
-    if (!store.sessionGood() || !store.synced() || core.types().isEmpty()) return;
+    if (!store.sessionGood() || !store.synced() || core.types().isEmpty()) {
+      return;
+    }
     long now = core.now();
     List<Held> wait = new ArrayList<>();
     for (Held h : holder.jobs()) {
-      if (h.spec.service()) h.moves.expire(now);
-      if (h.latched && !h.over() && h.pending() > 0 && now >= h.notBefore) wait.add(h);
+      if (h.spec.service()) {
+        h.moves.expire(now);
+      }
+      if (h.latched && !h.over() && h.pending() > 0 && now >= h.notBefore) {
+        wait.add(h);
+      }
     }
     boolean anyService = holder.anyService();
-    if (wait.isEmpty() && !anyService) return;
+    if (wait.isEmpty() && !anyService) {
+      return;
+    }
     countRoom();
     countEntitled();
     wait.sort(this::order);
@@ -137,7 +157,9 @@
     }
     countSent();
     countImages();
-    if (anyService) moveReplicas(machines, now);
+    if (anyService) {
+      moveReplicas(machines, now);
+    }
     int budget = Constants.STARTS_PER_ROUND;
     // one priority after the other; within one, every job tries a block before any tries the next
     for (int from = 0; from < wait.size() && budget > 0; ) {
@@ -151,14 +173,20 @@
               && starves(wait.get(from)) == starving;
           from++) {
         Try t = new Try(wait.get(from), machines);
-        if (t.backOff.waits(now, core.roomNews())) continue;
-        if (!starving && !t.h.spec.service() && outranked(t.h, now)) continue;
+        if (t.backOff.waits(now, core.roomNews())) {
+          continue;
+        }
+        if (!starving && !t.h.spec.service() && outranked(t.h, now)) {
+          continue;
+        }
         tries.add(t);
         blocks = Math.max(blocks, t.policy.blocks().size());
       }
       for (int i = 0; i < blocks; i++) {
         for (Try t : tries) {
-          if (i >= t.policy.blocks().size() || budget <= 0) continue;
+          if (i >= t.policy.blocks().size() || budget <= 0) {
+            continue;
+          }
           budget -= t.block(t.policy.blocks().get(i), machines, budget, now);
         }
       }
@@ -200,7 +228,9 @@
       backOff =
           j.service() ? h.backOff : backOffs.computeIfAbsent(policy.name(), k -> new BackOff());
       want = h.pending();
-      if (starves(h) && !j.service()) want = Math.min(want, Math.max(1, j.tasks() / 10));
+      if (starves(h) && !j.service()) {
+        want = Math.min(want, Math.max(1, j.tasks() / 10));
+      }
       limited = holder.limited(j);
       // a change of the grant that is under way or in doubt: what it will be isn't known
       spare =
@@ -210,24 +240,34 @@
       for (Active a : h.active.values()) {
         oneZone = a.zone;
         perZone.merge(a.zone, 1, Integer::sum);
-        if (j.service()) perMachine.merge(a.machine, 1, Integer::sum);
+        if (j.service()) {
+          perMachine.merge(a.machine, 1, Integer::sum);
+        }
+      }
+      if (j.oneZone() && oneZone == null) {
+        oneZone = roomiestZone(j, machines);
       }
-      if (j.oneZone() && oneZone == null) oneZone = roomiestZone(j, machines);
       zoneMax = j.spread() ? (j.tasks() + 1) / 2 : Integer.MAX_VALUE;
     }
 
     /** Places what this block allows; returns the number of starts. */
     int block(Policy.Block b, List<View.Seen> machines, int budget, long now) {
       JobSpec j = h.spec;
-      if (want <= 0) return 0;
+      if (want <= 0) {
+        return 0;
+      }
       List<Choice> choices = choices(b, machines, now);
-      if (!j.service()) return take(b, choices, Integer.MAX_VALUE, budget, now);
+      if (!j.service()) {
+        return take(b, choices, Integer.MAX_VALUE, budget, now);
+      }
       int started = 0;
       // one failure takes few replicas if each machine gets a second one only after all have one
       for (int most = 1; most <= j.tasks() && want > 0 && started < budget; most++) {
         int before = want;
         started += take(b, choices, most, budget - started, now);
-        if (want == before && most > mostOnOneMachine()) break;
+        if (want == before && most > mostOnOneMachine()) {
+          break;
+        }
       }
       return started;
     }
@@ -243,11 +283,19 @@
       JobSpec j = h.spec;
       List<Choice> choices = new ArrayList<>();
       for (View.Seen s : machines) {
-        if (!Owner.allowed(j, s.m.type(), s.m.zone(), s.m.spot())) continue;
-        if (j.oneZone() && !s.m.zone().equals(oneZone)) continue;
-        if (fits(s, j) <= 0) continue;
+        if (!Owner.allowed(j, s.m.type(), s.m.zone(), s.m.spot())) {
+          continue;
+        }
+        if (j.oneZone() && !s.m.zone().equals(oneZone)) {
+          continue;
+        }
+        if (fits(s, j) <= 0) {
+          continue;
+        }
         Long avoid = h.avoid.get(s.id);
-        if (avoid != null && avoid > now) continue;
+        if (avoid != null && avoid > now) {
+          continue;
+        }
         fill(s, h, now);
         if (!b.workers(facts) || b.invalidate(facts)) {
           refused++;
@@ -271,19 +319,27 @@
       int started = 0;
       for (Choice c : choices) {
         int n = Math.min(want, fits(c.s, j));
-        if (j.service()) n = Math.min(n, most - perMachine.getOrDefault(c.s.id, 0));
+        if (j.service()) {
+          n = Math.min(n, most - perMachine.getOrDefault(c.s.id, 0));
+        }
         n = Math.min(n, zoneMax - perZone.getOrDefault(c.s.m.zone(), 0));
-        if (n <= 0) continue;
+        if (n <= 0) {
+          continue;
+        }
         if (!c.s.m.images().contains(j.image())) {
           // each cold machine adds its slots to those that will serve the image's other tasks
           fill(c.s, h, now);
-          if (b.invalidate(facts)) break;
+          if (b.invalidate(facts)) {
+            break;
+          }
           warm.mergeDouble(j.image(), slots(c.s, j), Double::sum);
         }
         int go = Math.min(n, Math.min(spare, budget - started));
         for (int i = 0; i < go; i++) {
           int task = h.take();
-          if (task < 0) return started;
+          if (task < 0) {
+            return started;
+          }
           start(h, task, c.s, List.of());
           started++;
           placed++;
@@ -294,14 +350,20 @@
         want -= n - go;
         book(c.s, j, n - go);
         perZone.merge(c.s.m.zone(), n, Integer::sum);
-        if (j.service()) perMachine.merge(c.s.id, n, Integer::sum);
-        if (want <= 0 || started >= budget) break;
+        if (j.service()) {
+          perMachine.merge(c.s.id, n, Integer::sum);
+        }
+        if (want <= 0 || started >= budget) {
+          break;
+        }
       }
       return started;
     }
 
     void end(long now) {
-      if (limited && possible > 0) h.wantsGrant = Math.max(h.wantsGrant, possible);
+      if (limited && possible > 0) {
+        h.wantsGrant = Math.max(h.wantsGrant, possible);
+      }
       if (placed > 0) {
         h.grantIdleSince = 0;
         backOff.reset();
@@ -328,9 +390,13 @@
       JobSpec j = h.spec;
       boolean urgent = j.priority().ordinal() >= Priority.HIGH.ordinal();
       boolean owed = entitled.contains(h.id) && now - h.heldSince > Constants.GUARANTEE_AFTER_MS;
-      if (!urgent && !owed) return;
+      if (!urgent && !owed) {
+        return;
+      }
       if (now - h.heldSince < Constants.PREEMPT_AFTER_MS
-          || now - h.lastPreempt < Constants.PREEMPT_GAP_MS) return;
+          || now - h.lastPreempt < Constants.PREEMPT_GAP_MS) {
+        return;
+      }
       if (spare <= 0) {
         h.wantsGrant = Math.max(h.wantsGrant, Math.min(want, Constants.PREEMPT_MOST));
         return;
@@ -339,16 +405,28 @@
       record Exchange(View.Seen s, List<RosterTask> victims, double cost) {}
       List<Exchange> choices = new ArrayList<>();
       for (View.Seen s : core.view().machines.values()) {
-        if (!s.takes() || now - core.view().heardAt(s) >= Constants.ROSTER_STALE_MS) continue;
-        if (!Owner.allowed(j, s.m.type(), s.m.zone(), s.m.spot())) continue;
-        if (j.oneZone() && oneZone != null && !s.m.zone().equals(oneZone)) continue;
-        if (core.fleet().scarce(j, s.m.type()) || h.avoid.getOrDefault(s.id, 0L) > now) continue;
+        if (!s.takes() || now - core.view().heardAt(s) >= Constants.ROSTER_STALE_MS) {
+          continue;
+        }
+        if (!Owner.allowed(j, s.m.type(), s.m.zone(), s.m.spot())) {
+          continue;
+        }
+        if (j.oneZone() && oneZone != null && !s.m.zone().equals(oneZone)) {
+          continue;
+        }
+        if (core.fleet().scarce(j, s.m.type()) || h.avoid.getOrDefault(s.id, 0L) > now) {
+          continue;
+        }
         List<RosterTask> victims = victims(s, urgent, owed, now);
-        if (victims.isEmpty()) continue;
+        if (victims.isEmpty()) {
+          continue;
+        }
         fill(s, h, now);
         boolean taken = false;
         for (Policy.Block b : policy.blocks()) taken |= b.workers(facts) && !b.invalidate(facts);
-        if (!taken) continue;
+        if (!taken) {
+          continue;
+        }
         double cost = facts.fetchS;
         for (RosterTask t : victims) cost += loss(t);
         choices.add(new Exchange(s, victims, cost));
@@ -357,8 +435,12 @@
       int left = Constants.PREEMPT_MOST;
       for (Exchange c : choices) {
         // with no room anywhere the first start names the zone: two zones were once taken
-        if (j.oneZone() && oneZone != null && !c.s.m.zone().equals(oneZone)) continue;
-        if (zoneMax <= perZone.getOrDefault(c.s.m.zone(), 0)) continue;
+        if (j.oneZone() && oneZone != null && !c.s.m.zone().equals(oneZone)) {
+          continue;
+        }
+        if (zoneMax <= perZone.getOrDefault(c.s.m.zone(), 0)) {
+          continue;
+        }
         for (RosterTask t : c.victims) {
           JobSpec o = store.job(t.job()).spec();
           book(c.s, o, -1);
@@ -368,9 +450,13 @@
         n = Math.min(n, zoneMax - perZone.getOrDefault(c.s.m.zone(), 0));
         for (int i = 0; i < n; i++) {
           int task = h.take();
-          if (task < 0) return;
+          if (task < 0) {
+            return;
+          }
           List<TaskRef> instead = new ArrayList<>();
-          if (i == 0) for (RosterTask t : c.victims) instead.add(ref(t));
+          if (i == 0) {
+            for (RosterTask t : c.victims) instead.add(ref(t));
+          }
           start(h, task, c.s, instead);
           perZone.merge(c.s.m.zone(), 1, Integer::sum);
           oneZone = c.s.m.zone();
@@ -378,7 +464,9 @@
           spare--;
           left--;
         }
-        if (want <= 0 || spare <= 0 || left <= 0) return;
+        if (want <= 0 || spare <= 0 || left <= 0) {
+          return;
+        }
       }
     }
 
@@ -388,12 +476,18 @@
       List<RosterTask> lower = new ArrayList<>();
       for (RosterTask t : s.m.tasks()) {
         JobRec o = t.state() == null ? null : store.job(t.job());
-        if (o == null || t.state() == TaskState.EXITED || t.state() == TaskState.SAVING) continue;
-        if (s.replaced.containsKey(ref(t)) || spared(o)) continue;
+        if (o == null || t.state() == TaskState.EXITED || t.state() == TaskState.SAVING) {
+          continue;
+        }
+        if (s.replaced.containsKey(ref(t)) || spared(o)) {
+          continue;
+        }
         boolean below = urgent && o.spec().priority().ordinal() < h.spec.priority().ordinal();
         boolean borrowed =
             owed && !o.spec().team().equals(h.spec.team()) && !entitled.contains(o.spec().id());
-        if (below || borrowed) lower.add(t);
+        if (below || borrowed) {
+          lower.add(t);
+        }
       }
       lower.sort(Comparator.comparingDouble(Placement.this::loss));
       double cpus = s.freeCpus();
@@ -404,7 +498,9 @@
         cpus += o.cpus();
         gpus += o.gpus();
         memory += o.memoryGb();
-        if (howMany(cpus, gpus, memory, h.spec) > 0) return lower.subList(0, i + 1);
+        if (howMany(cpus, gpus, memory, h.spec) > 0) {
+          return lower.subList(0, i + 1);
+        }
       }
       return List.of();
     }
@@ -422,9 +518,13 @@
 
   /** Seconds of work that are about lost when the task is stopped; little while it fetches. */
   private double loss(RosterTask t) {
-    if (t.state() == TaskState.FETCHING) return 1;
+    if (t.state() == TaskState.FETCHING) {
+      return 1;
+    }
     JobSpec j = store.job(t.job()).spec();
-    if (j.service()) return Constants.REPLICA_LOSS_S;
+    if (j.service()) {
+      return Constants.REPLICA_LOSS_S;
+    }
     double half = j.estimateS() / 2;
     return j.checkpointS() > 0 ? Math.min(half, j.checkpointS()) : half;
   }
@@ -435,10 +535,14 @@
    */
   private void countEntitled() {
     entitled.clear();
-    if (core.settings().teams().size() < 2) return; // nobody to borrow from
+    if (core.settings().teams().size() < 2) {
+      return; // nobody to borrow from
+    }
     List<JobRec> open = new ArrayList<>();
     for (JobRec rec : core.openJobs()) {
-      if (!rec.over()) open.add(rec);
+      if (!rec.over()) {
+        open.add(rec);
+      }
     }
     open.sort(Comparator.comparingLong(JobRec::submittedMs).thenComparing(r -> r.spec().id()));
     Object2DoubleOpenHashMap<String> cpus = new Object2DoubleOpenHashMap<>();
@@ -446,14 +550,18 @@
     for (JobRec rec : open) {
       JobSpec j = rec.spec();
       Team t = core.settings().teams().get(j.team());
-      if (t == null) continue;
+      if (t == null) {
+        continue;
+      }
       int left = j.tasks() - rec.doneCount();
       cpus.addTo(j.team(), left * j.cpus());
       gpus.addTo(j.team(), left * j.gpus());
       boolean fits =
           cpus.getDouble(j.team()) <= t.cpus() + 1e-9
               && gpus.getDouble(j.team()) <= t.gpus() + 1e-9;
-      if (fits) entitled.add(j.id());
+      if (fits) {
+        entitled.add(j.id());
+      }
     }
   }
 
@@ -462,9 +570,13 @@
     roomOf.clear();
     freeOf.clear();
     for (View.Seen s : core.view().machines.values()) {
-      if (!s.takes()) continue;
+      if (!s.takes()) {
+        continue;
+      }
       MachineType t = core.types().get(s.m.type());
-      if (t == null) continue;
+      if (t == null) {
+        continue;
+      }
       roomOf.addTo(t.name(), t.cpus());
       freeOf.addTo(t.name(), Math.max(0, s.freeCpus()));
     }
@@ -476,26 +588,35 @@
    */
   private boolean outranked(Held h, long now) {
     String type = core.fleet().minimalType(h.spec);
-    if (type == null) return false;
+    if (type == null) {
+      return false;
+    }
     int mine = rank(h.rec, h.spec);
     // by turns, since it may have reasons of its own to wait
     double starving = 0;
     for (Ahead a : aheads) {
       long since = a.rank > 0 ? now : starvingSince.getOrDefault(a.job, now);
       boolean turn = (now - since) % (4 * Constants.YIELD_MS) < Constants.YIELD_MS;
-      if (a.rank == 0 && turn && type.equals(a.type) && !core.node().equals(a.holder))
+      if (a.rank == 0 && turn && type.equals(a.type) && !core.node().equals(a.holder)) {
         starving += a.cpus;
+      }
+    }
+    if (starving > 0 && starving >= freeOf.getDouble(type)) {
+      return true;
     }
-    if (starving > 0 && starving >= freeOf.getDouble(type)) return true;
     double ahead = 0;
     for (Ahead a : aheads) {
-      if (a.rank < mine && type.equals(a.type) && !core.node().equals(a.holder)) ahead += a.cpus;
+      if (a.rank < mine && type.equals(a.type) && !core.node().equals(a.holder)) {
+        ahead += a.cpus;
+      }
     }
     if (ahead <= 0 || ahead < freeOf.getDouble(type)) {
       h.outrankedSince = 0;
       return false;
     }
-    if (h.outrankedSince == 0) h.outrankedSince = now;
+    if (h.outrankedSince == 0) {
+      h.outrankedSince = now;
+    }
     return now - h.outrankedSince < Constants.OUTRANKED_MS;
   }
 
@@ -513,7 +634,9 @@
     starvingSince.keySet().removeIf(id -> store.job(id) == null || store.job(id).over());
     Map<String, JobSpec> sample = new HashMap<>();
     for (JobRec rec : core.openJobs()) {
-      if (rec.over()) continue;
+      if (rec.over()) {
+        continue;
+      }
       JobSpec j = rec.spec();
       sample.put(j.image(), j);
       int n = Math.max(0, j.tasks() - rec.doneCount() - core.view().placed(j.id()));
@@ -521,8 +644,11 @@
         boolean starves =
             core.view().placed(j.id()) == 0
                 && core.wall() - rec.submittedMs() > Constants.STARVES_MS;
-        if (starves) starvingSince.putIfAbsent(j.id(), core.now());
-        else starvingSince.remove(j.id());
+        if (starves) {
+          starvingSince.putIfAbsent(j.id(), core.now());
+        } else {
+          starvingSince.remove(j.id());
+        }
         double cpus = (starves ? Math.max(1, j.tasks() / 10) : n) * j.cpus();
         aheads.add(
             new Ahead(
@@ -532,15 +658,24 @@
                 rec.holder(),
                 cpus));
       }
-      if (n > 0 && j.estimateS() > 0) waiting.addTo(j.image(), n * j.estimateS());
+      if (n > 0 && j.estimateS() > 0) {
+        waiting.addTo(j.image(), n * j.estimateS());
+      }
     }
     for (View.Seen s : core.view().machines.values()) {
-      if (!s.takes()) continue;
+      if (!s.takes()) {
+        continue;
+      }
       core.view().derive(s);
       // a machine with several images that are waited for serves each of them only in part
       int wanted = 0;
-      for (String image : s.images) if (waiting.containsKey(image)) wanted++;
-      if (wanted == 0) continue;
+      for (String image : s.images)
+        if (waiting.containsKey(image)) {
+          wanted++;
+        }
+      if (wanted == 0) {
+        continue;
+      }
       for (String image : s.images) {
         JobSpec j = waiting.containsKey(image) ? sample.get(image) : null;
         if (j != null && Owner.allowed(j, s.m.type(), s.m.zone(), s.m.spot())) {
@@ -553,7 +688,9 @@
   /** How many tasks like this one an empty machine would hold. */
   private double slots(View.Seen s, JobSpec j) {
     MachineType t = core.types().get(s.m.type());
-    if (t == null) return 0;
+    if (t == null) {
+      return 0;
+    }
     return howMany(t.cpus(), t.gpus(), t.memoryGb(), j);
   }
 
@@ -563,15 +700,25 @@
    */
   private void moveReplicas(List<View.Seen> machines, long now) {
     for (Held h : holder.jobs()) {
-      if (!h.spec.service() || !h.latched || h.over()) continue;
+      if (!h.spec.service() || !h.latched || h.over()) {
+        continue;
+      }
       for (int replica : h.moves.replicas()) startMoved(h, replica, now);
-      if (h.uncertain) continue;
+      if (h.uncertain) {
+        continue;
+      }
       for (Active a : new ArrayList<>(h.active.values())) {
-        if (!a.seen || h.moves.underWay(a.task)) continue;
+        if (!a.seen || h.moves.underWay(a.task)) {
+          continue;
+        }
         View.Seen from = core.view().machines.get(a.machine);
-        if (from == null || !from.leaves()) continue;
+        if (from == null || !from.leaves()) {
+          continue;
+        }
         View.Seen to = placeToMove(h, a, machines, now);
-        if (to == null) continue;
+        if (to == null) {
+          continue;
+        }
         LOG.info("replica {}/{} moves from {} to {}", h.id, a.task, a.machine, to.id);
         h.moves.begin(a.task, to.id, now);
         book(to, h.spec, 1);
@@ -583,14 +730,20 @@
 
   /** Starts a replica where its move leads, once it is proven to run nowhere. */
   private void startMoved(Held h, int replica, long now) {
-    if (h.active.containsKey(replica) || h.granting || h.uncertain) return;
+    if (h.active.containsKey(replica) || h.granting || h.uncertain) {
+      return;
+    }
     View.Seen to = core.view().machines.get(h.moves.target(replica));
     h.moves.end(replica);
-    if (to == null) return;
+    if (to == null) {
+      return;
+    }
     book(to, h.spec, -1);
     boolean granted = !holder.limited(h.spec) || h.rec.grant() > h.active.size();
     boolean heard = to.takes() && now - core.view().heardAt(to) < Constants.ROSTER_STALE_MS;
-    if (granted && heard && allowsMove(h, replica, to)) start(h, replica, to, List.of());
+    if (granted && heard && allowsMove(h, replica, to)) {
+      start(h, replica, to, List.of());
+    }
   }
 
   private View.Seen placeToMove(Held h, Active moving, List<View.Seen> machines, long now) {
@@ -600,12 +753,16 @@
     View.Seen best = null;
     double bestCost = Double.MAX_VALUE;
     for (View.Seen s : machines) {
-      if (h.avoid.getOrDefault(s.id, 0L) > now || !allowsMove(h, moving.task, s)) continue;
+      if (h.avoid.getOrDefault(s.id, 0L) > now || !allowsMove(h, moving.task, s)) {
+        continue;
+      }
       fill(s, h, now);
       boolean taken = false;
       for (Policy.Block b : policy.blocks()) taken |= b.workers(facts) && !b.invalidate(facts);
       double cost = facts.fetchS + perMachine.getOrDefault(s.id, 0);
-      if (!taken || cost >= bestCost) continue;
+      if (!taken || cost >= bestCost) {
+        continue;
+      }
       best = s;
       bestCost = cost;
     }
@@ -615,12 +772,20 @@
   /** Whether the replica may run there, given where the job's others are. */
   private boolean allowsMove(Held h, int replica, View.Seen to) {
     JobSpec j = h.spec;
-    if (!Owner.allowed(j, to.m.type(), to.m.zone(), to.m.spot()) || fits(to, j) <= 0) return false;
+    if (!Owner.allowed(j, to.m.type(), to.m.zone(), to.m.spot()) || fits(to, j) <= 0) {
+      return false;
+    }
     int there = 1;
     for (Active a : h.active.values()) {
-      if (a.task == replica) continue;
-      if (j.oneZone() && !a.zone.equals(to.m.zone())) return false;
-      if (a.zone.equals(to.m.zone())) there++;
+      if (a.task == replica) {
+        continue;
+      }
+      if (j.oneZone() && !a.zone.equals(to.m.zone())) {
+        return false;
+      }
+      if (a.zone.equals(to.m.zone())) {
+        there++;
+      }
     }
     return !j.spread() || there <= (j.tasks() + 1) / 2;
   }
@@ -630,12 +795,18 @@
     for (Held h : holder.jobs()) {
       for (Map.Entry<String, Integer> e : h.moves.targets().entrySet()) {
         View.Seen s = core.view().machines.get(e.getKey());
-        if (s != null) book(s, h.spec, e.getValue());
+        if (s != null) {
+          book(s, h.spec, e.getValue());
+        }
       }
       for (Active a : h.active.values()) {
-        if (a.seen || a.listed) continue;
+        if (a.seen || a.listed) {
+          continue;
+        }
         View.Seen s = core.view().machines.get(a.machine);
-        if (s != null) book(s, h.spec, 1);
+        if (s != null) {
+          book(s, h.spec, 1);
+        }
       }
     }
   }
@@ -649,12 +820,15 @@
   private String roomiestZone(JobSpec j, List<View.Seen> machines) {
     Map<String, Integer> room = new HashMap<>();
     for (View.Seen s : machines) {
-      if (Owner.allowed(j, s.m.type(), s.m.zone(), s.m.spot()))
+      if (Owner.allowed(j, s.m.type(), s.m.zone(), s.m.spot())) {
         room.merge(s.m.zone(), fits(s, j), Integer::sum);
+      }
     }
     String best = null;
     for (Map.Entry<String, Integer> e : room.entrySet()) {
-      if (best == null || e.getValue() > room.get(best)) best = e.getKey();
+      if (best == null || e.getValue() > room.get(best)) {
+        best = e.getKey();
+      }
     }
     return best;
   }
@@ -665,9 +839,15 @@
 
   private static int howMany(double cpus, double gpus, double memoryGb, JobSpec j) {
     double n = 1000;
-    if (j.cpus() > 0) n = Math.min(n, cpus / j.cpus());
-    if (j.gpus() > 0) n = Math.min(n, gpus / j.gpus());
-    if (j.memoryGb() > 0) n = Math.min(n, memoryGb / j.memoryGb());
+    if (j.cpus() > 0) {
+      n = Math.min(n, cpus / j.cpus());
+    }
+    if (j.gpus() > 0) {
+      n = Math.min(n, gpus / j.gpus());
+    }
+    if (j.memoryGb() > 0) {
+      n = Math.min(n, memoryGb / j.memoryGb());
+    }
     return (int) Math.floor(n + 1e-9);
   }
 
@@ -689,8 +869,11 @@
     boolean same = false;
     core.view().derive(s);
     for (String other : s.fetching) {
-      if (other.equals(j.image())) same = true;
-      else if (!s.m.images().contains(other)) fetching++;
+      if (other.equals(j.image())) {
+        same = true;
+      } else if (!s.m.images().contains(other)) {
+        fetching++;
+      }
     }
     f.fetches = fetching;
     double rate = t == null ? 1 : Math.max(1e-3, t.fetchGbPerS());
--- a/src/main/java/mallowstall/core/ReplicaMoves.java
+++ b/src/main/java/mallowstall/core/ReplicaMoves.java
@@ -34,7 +34,9 @@
   }
 
   void expire(long now) {
-    if (!moves.isEmpty()) moves.values().removeIf(move -> move.until() <= now);
+    if (!moves.isEmpty()) {
+      moves.values().removeIf(move -> move.until() <= now);
+    }
   }
 
   int[] replicas() {
--- a/src/main/java/mallowstall/core/ReplicaRestarts.java
+++ b/src/main/java/mallowstall/core/ReplicaRestarts.java
@@ -40,20 +40,26 @@
       return true;
     }
     delay.backOff.failed(now);
-    if (!delay.waiting) waiting++;
+    if (!delay.waiting) {
+      waiting++;
+    }
     delay.waiting = true;
     return false;
   }
 
   /** Names the replicas whose wait is over. */
   void release(long now, IntConsumer startable) {
-    if (waiting == 0) return;
+    if (waiting == 0) {
+      return;
+    }
     ObjectIterator<Int2ObjectOpenHashMap.Entry<Delay>> all =
         delays.int2ObjectEntrySet().fastIterator();
     while (all.hasNext()) {
       Int2ObjectOpenHashMap.Entry<Delay> entry = all.next();
       Delay delay = entry.getValue();
-      if (!delay.waiting || delay.backOff.waits(now)) continue;
+      if (!delay.waiting || delay.backOff.waits(now)) {
+        continue;
+      }
       delay.waiting = false;
       waiting--;
       startable.accept(entry.getIntKey());
@@ -62,6 +68,8 @@
 
   private void forget(int replica) {
     Delay delay = delays.remove(replica);
-    if (delay != null && delay.waiting) waiting--;
+    if (delay != null && delay.waiting) {
+      waiting--;
+    }
   }
 }
--- a/src/main/java/mallowstall/core/RetryDelay.java
+++ b/src/main/java/mallowstall/core/RetryDelay.java
@@ -19,8 +19,12 @@
 
   /** Takes in the state service's answer; only refusals make the next try wait. */
   void answered(long now, Code code) {
-    if (code == Code.OK) delayMs = 0;
-    if (code != Code.REFUSED && code != Code.MALFORMED) return;
+    if (code == Code.OK) {
+      delayMs = 0;
+    }
+    if (code != Code.REFUSED && code != Code.MALFORMED) {
+      return;
+    }
     long longest =
         code == Code.MALFORMED
             ? Constants.STATE_MALFORMED_RETRY_MAX_MS
--- a/src/main/java/mallowstall/core/Store.java
+++ b/src/main/java/mallowstall/core/Store.java
@@ -127,7 +127,9 @@
     this.writeRate = s.stateWriteRps() * Constants.BUDGET_SHARE;
     this.requests = new Budget(requestRate / nodes, requestRate / nodes);
     this.writes = new Budget(writeRate / nodes, writeRate / nodes);
-    for (int i = 0; i < Urgency.values().length; i++) queues.add(new ArrayDeque<>());
+    for (int i = 0; i < Urgency.values().length; i++) {
+      queues.add(new ArrayDeque<>());
+    }
   }
 
   // ---- reading the mirror -------------------------------------------------------------------
@@ -162,7 +164,9 @@
 
   /** The version to compare with when the key is written. */
   long version(String key) {
-    if (key.startsWith(MACHINES)) return single.getOrDefault(key, 0L);
+    if (key.startsWith(MACHINES)) {
+      return single.getOrDefault(key, 0L);
+    }
     Held h = mirror.get(key);
     return h == null ? 0 : h.version();
   }
@@ -170,7 +174,10 @@
   /** Whether a group names the machine: then its end must be written, not only dropped. */
   boolean grouped(String id) {
     for (Held h : under(GROUPS).values()) {
-      for (GroupMachine m : ((GroupRec) h.value()).machines()) if (m.id().equals(id)) return true;
+      for (GroupMachine m : ((GroupRec) h.value()).machines())
+        if (m.id().equals(id)) {
+          return true;
+        }
     }
     return false;
   }
@@ -183,7 +190,9 @@
             (key, h) -> {
               for (GroupMachine m : ((GroupRec) h.value()).machines()) {
                 Held now = mirror.get(MACHINES + m.id());
-                if (now != null && now.version() <= h.version()) return;
+                if (now != null && now.version() <= h.version()) {
+                  return;
+                }
               }
               out.add(key);
             });
@@ -217,7 +226,9 @@
    * lease: this process then renewed a lease that held nothing, and everybody took it for dead.
    */
   void ownSession(SessionRec now) {
-    if (!sessionPut || (now != null && now.incarnation() == incarnation)) return;
+    if (!sessionPut || (now != null && now.incarnation() == incarnation)) {
+      return;
+    }
     LOG.info("session entry replaced or gone, incarnation {}", incarnation);
     sessionPut = false;
   }
@@ -245,7 +256,9 @@
   }
 
   private boolean admit(Urgency u, double reads, double puts, Runnable go) {
-    if (u != Urgency.SESSION && backlog() >= Constants.STATE_BACKLOG) return false;
+    if (u != Urgency.SESSION && backlog() >= Constants.STATE_BACKLOG) {
+      return false;
+    }
     queues.get(u.ordinal()).add(new Waiting(reads, puts, go));
     pump();
     return true;
@@ -260,11 +273,17 @@
       double writeReserve = u == Urgency.SESSION ? -100 : u == Urgency.BACKGROUND ? 3 : 0;
       while (!q.isEmpty()) {
         Waiting w = q.peek();
-        if (!requests.has(now, w.reads, reserve)) return;
-        if (w.writes > 0 && !writes.has(now, w.writes, writeReserve)) break;
+        if (!requests.has(now, w.reads, reserve)) {
+          return;
+        }
+        if (w.writes > 0 && !writes.has(now, w.writes, writeReserve)) {
+          break;
+        }
         q.poll();
         requests.spend(now, w.reads);
-        if (w.writes > 0) writes.spend(now, w.writes);
+        if (w.writes > 0) {
+          writes.spend(now, w.writes);
+        }
         w.go.run();
       }
     }
@@ -303,13 +322,17 @@
                 key,
                 r -> {
                   contact(r.code(), core.now());
-                  if (r.code() == Code.OK && r.item().value() != null) apply(r.item());
+                  if (r.code() == Code.OK && r.item().value() != null) {
+                    apply(r.item());
+                  }
                   then.accept(r);
                 }));
   }
 
   private void contact(Code c, long at) {
-    if (c == Code.OK || c == Code.CONFLICT || c == Code.NO_LEASE || c == Code.GONE) contactAt = at;
+    if (c == Code.OK || c == Code.CONFLICT || c == Code.NO_LEASE || c == Code.GONE) {
+      contactAt = at;
+    }
   }
 
   // ---- mirror -------------------------------------------------------------------------------
@@ -322,9 +345,14 @@
       }
     } else if (e.key().startsWith(MACHINES)) {
       long known = single.getOrDefault(e.key(), 0L);
-      if (e.version() <= known) return;
-      if (e.value() == null) single.remove(e.key());
-      else single.put(e.key(), (Long) e.version());
+      if (e.version() <= known) {
+        return;
+      }
+      if (e.value() == null) {
+        single.remove(e.key());
+      } else {
+        single.put(e.key(), (Long) e.version());
+      }
       MachineRec rec = (MachineRec) e.value();
       boolean returned = rec == null || rec.node().isEmpty();
       put(e.key(), returned ? null : rec.withToken(e.version()), e.version());
@@ -336,31 +364,44 @@
   private void put(String key, Entry value, long version) {
     Held old = mirror.get(key);
     if (old != null && old.version() >= version) {
-      if (old.version() > version && value instanceof MachineRec m)
+      if (old.version() > version && value instanceof MachineRec m) {
         listener.overtaken(key.substring(MACHINES.length()), m);
+      }
       return;
     }
     Long gone = dropped.get(key);
-    if (gone != null && gone >= version) return;
+    if (gone != null && gone >= version) {
+      return;
+    }
     if (value == null) {
       dropped.put(key, (Long) version);
-      if (dropped.size() > 20_000) dropped.clear();
+      if (dropped.size() > 20_000) {
+        dropped.clear();
+      }
       if (old != null) {
         mirror.remove(key);
-        if (key.startsWith(JOBS)) jobs.remove(key.substring(JOBS.length()));
-        else if (key.startsWith(MACHINES)) machines.remove(key.substring(MACHINES.length()));
+        if (key.startsWith(JOBS)) {
+          jobs.remove(key.substring(JOBS.length()));
+        } else if (key.startsWith(MACHINES)) {
+          machines.remove(key.substring(MACHINES.length()));
+        }
         listener.changed(key, old.value(), null);
       }
       return;
     }
     mirror.put(key, new Held(value, version));
-    if (value instanceof JobRec j) jobs.put(key.substring(JOBS.length()), j);
-    else if (value instanceof MachineRec m) machines.put(key.substring(MACHINES.length()), m);
+    if (value instanceof JobRec j) {
+      jobs.put(key.substring(JOBS.length()), j);
+    } else if (value instanceof MachineRec m) {
+      machines.put(key.substring(MACHINES.length()), m);
+    }
     listener.changed(key, old == null ? null : old.value(), value);
   }
 
   private void sync() {
-    if (syncing) return;
+    if (syncing) {
+      return;
+    }
     syncing = true;
     listFrom(null, 0, new java.util.HashSet<>(), core.now());
   }
@@ -381,8 +422,9 @@
           for (Item i : r.items()) {
             apply(i);
             seen.add(i.key());
-            if (i.value() instanceof GroupRec g)
+            if (i.value() instanceof GroupRec g) {
               for (GroupMachine m : g.machines()) seen.add(MACHINES + m.id());
+            }
             last = i.key();
           }
           if (r.more() && last != null) {
@@ -391,8 +433,9 @@
           }
           // what was deleted while no watch ran
           for (String k : new ArrayList<>(mirror.keySet())) {
-            if (!seen.contains(k) && mirror.get(k).version() <= first)
+            if (!seen.contains(k) && mirror.get(k).version() <= first) {
               apply(new Item(k, null, first));
+            }
           }
           revision = first;
           freshAt = began;
@@ -436,11 +479,17 @@
     requests.rate(now, requestRate / live);
     writes.rate(now, writeRate / live);
     if (incarnation == 0) {
-      if (!renewing && now >= nextSessionTry) obtainIncarnation();
+      if (!renewing && now >= nextSessionTry) {
+        obtainIncarnation();
+      }
     } else if (lease == 0) {
-      if (!renewing && now >= nextSessionTry) obtainLease();
+      if (!renewing && now >= nextSessionTry) {
+        obtainLease();
+      }
     } else if (!sessionPut) {
-      if (!renewing && now >= nextSessionTry) putSession();
+      if (!renewing && now >= nextSessionTry) {
+        putSession();
+      }
     } else if (!renewing && now - lastRenew >= Constants.RENEW_EVERY_MS && now >= nextSessionTry) {
       renew();
     }
@@ -519,8 +568,11 @@
         Urgency.SESSION,
         SESSIONS + core.node(),
         g -> {
-          if (g.code() == Code.OK) putSession(g.item().version());
-          else failed();
+          if (g.code() == Code.OK) {
+            putSession(g.item().version());
+          } else {
+            failed();
+          }
         });
   }
 
@@ -548,7 +600,9 @@
           renewing = false;
           sessionPut = true;
           LOG.info("session up, incarnation {}", incarnation);
-          if (!synced) sync();
+          if (!synced) {
+            sync();
+          }
         });
   }
 
--- a/src/main/java/mallowstall/core/StrandedJobs.java
+++ b/src/main/java/mallowstall/core/StrandedJobs.java
@@ -30,7 +30,10 @@
   /** Drops what is remembered of jobs that are over. */
   void retain(Iterable<JobRec> open) {
     Set<String> ids = new HashSet<>();
-    for (JobRec rec : open) if (!rec.over()) ids.add(rec.spec().id());
+    for (JobRec rec : open)
+      if (!rec.over()) {
+        ids.add(rec.spec().id());
+      }
     since.keySet().retainAll(ids);
   }
 
@@ -61,45 +64,62 @@
   private boolean teamAtLimit(JobSpec job) {
     Team team = core.settings().teams().get(job.team());
     Store.Held held = core.store().held(Store.TEAMS + job.team());
-    if (team == null || held == null) return false;
+    if (team == null || held == null) {
+      return false;
+    }
     TeamRec sum = (TeamRec) held.value();
     return team.cpusMax() > 0 && sum.cpus() + job.cpus() > team.cpusMax() + 1e-9
         || team.gpusMax() > 0 && sum.gpus() + job.gpus() > team.gpusMax() + 1e-9;
   }
 
   private static List<String> zonesAllowed(JobSpec job, MachineType type, List<View.Seen> up) {
-    if (job.zone() == null && !job.oneZone() && !job.spread()) return type.zones();
+    if (job.zone() == null && !job.oneZone() && !job.spread()) {
+      return type.zones();
+    }
     return type.zones().stream().filter(zone -> allows(job, zone, up)).toList();
   }
 
   private static boolean allows(JobSpec job, String zone, List<View.Seen> up) {
-    if (job.zone() != null && !job.zone().equals(zone)) return false;
+    if (job.zone() != null && !job.zone().equals(zone)) {
+      return false;
+    }
     int there = 0;
     int elsewhere = 0;
     for (View.Seen s : up) {
       int tasks = tasksOn(s, job.id());
-      if (s.m.zone().equals(zone)) there += tasks;
-      else elsewhere += tasks;
+      if (s.m.zone().equals(zone)) {
+        there += tasks;
+      } else {
+        elsewhere += tasks;
+      }
+    }
+    if (job.oneZone() && elsewhere > 0) {
+      return false;
     }
-    if (job.oneZone() && elsewhere > 0) return false;
     return !job.spread() || there < (job.tasks() + 1) / 2;
   }
 
   private static int tasksOn(View.Seen s, String job) {
     int tasks = 0;
     for (RosterTask t : s.m.tasks())
-      if (t.job().equals(job) && t.state() != TaskState.EXITED) tasks++;
+      if (t.job().equals(job) && t.state() != TaskState.EXITED) {
+        tasks++;
+      }
     return tasks;
   }
 
   private static boolean roomIn(JobSpec job, List<String> zones, List<View.Seen> up) {
     for (View.Seen s : up) {
-      if (!Owner.allowed(job, s.m.type(), s.m.zone(), s.m.spot())) continue;
+      if (!Owner.allowed(job, s.m.type(), s.m.zone(), s.m.spot())) {
+        continue;
+      }
       boolean fits =
           s.m.freeCpus() >= job.cpus() - 1e-9
               && s.m.freeGpus() >= job.gpus() - 1e-9
               && s.m.freeMemoryGb() >= job.memoryGb() - 1e-9;
-      if (fits && zones.contains(s.m.zone())) return true;
+      if (fits && zones.contains(s.m.zone())) {
+        return true;
+      }
     }
     return false;
   }
--- a/src/main/java/mallowstall/core/Users.java
+++ b/src/main/java/mallowstall/core/Users.java
@@ -38,7 +38,9 @@
   }
 
   void jobChanged(String id, JobRec rec) {
-    if (rec.over()) finals.put(id, rec);
+    if (rec.over()) {
+      finals.put(id, rec);
+    }
   }
 
   boolean ready() {
@@ -93,15 +95,19 @@
                   // A controller that stood still meanwhile called a job pending that was over. The
                   // user asks again and is told what it is then: read now, it was overtaken once
                   // more (seed 4932 of the histories).
-                  if (core.now() - since > Constants.READ_LIFE_MS)
+                  if (core.now() - since > Constants.READ_LIFE_MS) {
                     reply.accept(later("recorded late, ask again"));
-                  else reply.accept(UserAnswer.state(201, j.id(), "pending", 0, 0));
+                  } else {
+                    reply.accept(UserAnswer.state(201, j.id(), "pending", 0, 0));
+                  }
                 }
                 case CONFLICT -> query(j.id(), reply);
                 default -> reply.accept(later("the job could not be recorded"));
               }
             });
-    if (!asked) reply.accept(later("too many requests are waiting"));
+    if (!asked) {
+      reply.accept(later("too many requests are waiting"));
+    }
   }
 
   /**
@@ -125,26 +131,35 @@
     fresh(
         id,
         g -> {
-          if (g.code() != Code.OK || g.item().value() == null) reply.accept(otherwise);
-          else reply.accept(answer((JobRec) g.item().value()));
+          if (g.code() != Code.OK || g.item().value() == null) {
+            reply.accept(otherwise);
+          } else {
+            reply.accept(answer((JobRec) g.item().value()));
+          }
         });
   }
 
   private String neverRuns(JobSpec j) {
     Team t = core.settings().teams().get(j.team());
-    if (t == null) return "unknown team " + j.team();
+    if (t == null) {
+      return "unknown team " + j.team();
+    }
     boolean any = false;
     for (MachineType m : core.types().values()) {
       any |= core.fits(j, m) && (j.zone() == null || m.zones().contains(j.zone()));
     }
-    if (!any) return "a task fits no allowed machine type";
+    if (!any) {
+      return "a task fits no allowed machine type";
+    }
     // replicas run all at once; a batch may run one task after the other
     int atOnce = j.service() ? j.tasks() : 1;
     String what = j.service() ? "all replicas together need" : "a task needs";
-    if (t.cpusMax() > 0 && atOnce * j.cpus() > t.cpusMax() + 1e-9)
+    if (t.cpusMax() > 0 && atOnce * j.cpus() > t.cpusMax() + 1e-9) {
       return what + " more cpus than the team's limit";
-    if (t.gpusMax() > 0 && atOnce * j.gpus() > t.gpusMax() + 1e-9)
+    }
+    if (t.gpusMax() > 0 && atOnce * j.gpus() > t.gpusMax() + 1e-9) {
       return what + " more gpus than the team's limit";
+    }
     return null;
   }
 
@@ -160,9 +175,13 @@
     fresh(
         id,
         g -> {
-          if (g.code() != Code.OK) reply.accept(later("no contact with the state service"));
-          else if (g.item().value() == null) reply.accept(UserAnswer.error(404, "no such job"));
-          else reply.accept(answer((JobRec) g.item().value()));
+          if (g.code() != Code.OK) {
+            reply.accept(later("no contact with the state service"));
+          } else if (g.item().value() == null) {
+            reply.accept(UserAnswer.error(404, "no such job"));
+          } else {
+            reply.accept(answer((JobRec) g.item().value()));
+          }
         });
   }
 
@@ -192,7 +211,9 @@
                     GetReply said = old ? new GetReply(Code.REFUSED, null) : g;
                     all.forEach(c -> c.accept(said));
                   });
-          if (!asked) all.forEach(c -> c.accept(new GetReply(Code.REFUSED, null)));
+          if (!asked) {
+            all.forEach(c -> c.accept(new GetReply(Code.REFUSED, null)));
+          }
         });
   }
 
@@ -204,10 +225,15 @@
     String id = read.spec().id();
     JobRec known = store.job(id);
     JobRec rec = known != null && known.over() ? known : read;
-    if (!rec.over() && core.cancellations().told(id)) rec = rec.withFinal(Final.CANCELLED);
-    if (rec.fin() == Final.DONE) return UserAnswer.state(200, id, "done", rec.spec().tasks(), 0);
-    if (rec.fin() == Final.CANCELLED)
+    if (!rec.over() && core.cancellations().told(id)) {
+      rec = rec.withFinal(Final.CANCELLED);
+    }
+    if (rec.fin() == Final.DONE) {
+      return UserAnswer.state(200, id, "done", rec.spec().tasks(), 0);
+    }
+    if (rec.fin() == Final.CANCELLED) {
       return UserAnswer.state(200, id, "cancelled", rec.doneCount(), 0);
+    }
     int running = core.running(id);
     return UserAnswer.state(200, id, running > 0 ? "running" : "pending", rec.doneCount(), running);
   }
@@ -245,11 +271,17 @@
                   Store.Urgency.USER,
                   new Txn(write.when(), write.puts(), List.of()),
                   r -> {
-                    if (r.code() == Code.OK) reply.accept(answer(cancelled));
-                    else if (r.code() == Code.CONFLICT && tries > 0) cancel(id, reply, tries - 1);
-                    else reply.accept(later("the cancellation could not be recorded"));
+                    if (r.code() == Code.OK) {
+                      reply.accept(answer(cancelled));
+                    } else if (r.code() == Code.CONFLICT && tries > 0) {
+                      cancel(id, reply, tries - 1);
+                    } else {
+                      reply.accept(later("the cancellation could not be recorded"));
+                    }
                   });
-          if (!asked) reply.accept(later("too many requests are waiting"));
+          if (!asked) {
+            reply.accept(later("too many requests are waiting"));
+          }
         });
   }
 }
--- a/src/main/java/mallowstall/core/ValueSize.java
+++ b/src/main/java/mallowstall/core/ValueSize.java
@@ -15,7 +15,9 @@
     List<T> some = all;
     while (some.size() > 1) {
       int bytes = size.applyAsInt(some);
-      if (bytes <= limitBytes) break;
+      if (bytes <= limitBytes) {
+        break;
+      }
       int share = (int) ((long) some.size() * limitBytes / bytes);
       some = some.subList(0, Math.max(1, Math.min(share, some.size() - 1)));
     }
--- a/src/main/java/mallowstall/core/View.java
+++ b/src/main/java/mallowstall/core/View.java
@@ -162,7 +162,9 @@
    */
   boolean roster(Roster r) {
     Peer p = peer(r.node());
-    if (r.incarnation() < p.incarnation) return false;
+    if (r.incarnation() < p.incarnation) {
+      return false;
+    }
     if (r.incarnation() > p.incarnation) {
       p.incarnation = r.incarnation();
       p.ackedConnection = 0;
@@ -172,7 +174,9 @@
       p.heardSerial = 0;
     }
     // statements count from 1, so a process that has none of this one's is told all
-    if (r.serial() <= p.serial || r.since() > p.serial) return false;
+    if (r.serial() <= p.serial || r.since() > p.serial) {
+      return false;
+    }
     p.serial = r.serial();
     p.heardSerial = r.serial();
     p.knows = r.heardIncarnation() == core.incarnation() ? r.heardSerial() : 0;
@@ -189,38 +193,62 @@
     Set<String> names = r.since() == 0 ? new HashSet<>() : null;
     for (RosterMachine m : r.machines()) {
       // returned: its record is dropped, only its owner hasn't heard of it yet
-      if (core.returned(m.machine(), m.version())) continue;
+      if (core.returned(m.machine(), m.version())) {
+        continue;
+      }
       Seen s = machines.computeIfAbsent(m.machine(), Seen::new);
-      if (s.m != null && s.m.token() > m.token()) continue;
-      if (names != null) names.add(m.machine());
-      if (s.owner != null && !s.owner.equals(r.node())) peer(s.owner).machines.remove(m.machine());
+      if (s.m != null && s.m.token() > m.token()) {
+        continue;
+      }
+      if (names != null) {
+        names.add(m.machine());
+      }
+      if (s.owner != null && !s.owner.equals(r.node())) {
+        peer(s.owner).machines.remove(m.machine());
+      }
       s.owner = r.node();
       s.ownerIncarnation = r.incarnation();
       s.at = now;
       count(s.m, -1);
       s.m = m;
       count(m, 1);
-      if (names == null) p.machines.add(m.machine());
+      if (names == null) {
+        p.machines.add(m.machine());
+      }
     }
-    for (String id : r.gone()) if (p.machines.remove(id)) disown(r.node(), id);
+    for (String id : r.gone())
+      if (p.machines.remove(id)) {
+        disown(r.node(), id);
+      }
     if (names != null) {
-      for (String id : p.machines) if (!names.contains(id)) disown(r.node(), id);
+      for (String id : p.machines)
+        if (!names.contains(id)) {
+          disown(r.node(), id);
+        }
       p.machines = names;
     }
     return true;
   }
 
   private void count(RosterMachine m, int by) {
-    if (m == null) return;
+    if (m == null) {
+      return;
+    }
     for (RosterTask t : m.tasks()) {
-      if (t.state() == TaskState.EXITED) continue;
+      if (t.state() == TaskState.EXITED) {
+        continue;
+      }
       count(placed, t.job(), by);
-      if (t.state() == TaskState.RUNNING) count(running, t.job(), by);
+      if (t.state() == TaskState.RUNNING) {
+        count(running, t.job(), by);
+      }
     }
   }
 
   private static void count(Object2IntOpenHashMap<String> of, String job, int by) {
-    if (of.addTo(job, by) + by == 0) of.removeInt(job);
+    if (of.addTo(job, by) + by == 0) {
+      of.removeInt(job);
+    }
   }
 
   /** Tasks of the job that are on machines, or were accepted there. */
@@ -234,15 +262,21 @@
 
   /** Brings what follows from the machine's tasks up to date with what its owner told last. */
   void derive(Seen s) {
-    if (s.derived == s.m) return;
+    if (s.derived == s.m) {
+      return;
+    }
     s.derived = s.m;
     Set<String> images = new LinkedHashSet<>(s.m.images());
     s.fetching = new ArrayList<>();
     for (RosterTask t : s.m.tasks()) {
       JobRec r = t.state() == TaskState.EXITED ? null : core.store().job(t.job());
-      if (r == null) continue;
+      if (r == null) {
+        continue;
+      }
       images.add(r.spec().image());
-      if (t.state() == null || t.state() == TaskState.FETCHING) s.fetching.add(r.spec().image());
+      if (t.state() == null || t.state() == TaskState.FETCHING) {
+        s.fetching.add(r.spec().image());
+      }
     }
     s.images = images.toArray(new String[0]);
   }
@@ -251,14 +285,18 @@
   boolean hostsReplicas(Seen s) {
     for (RosterTask t : s.m.tasks()) {
       JobRec r = t.state() == TaskState.EXITED ? null : core.store().job(t.job());
-      if (r != null && r.spec().service() && !r.over()) return true;
+      if (r != null && r.spec().service() && !r.over()) {
+        return true;
+      }
     }
     return false;
   }
 
   private void disown(String node, String machine) {
     Seen s = machines.get(machine);
-    if (s != null && node.equals(s.owner)) s.owner = null;
+    if (s != null && node.equals(s.owner)) {
+      s.owner = null;
+    }
   }
 
   /** When the machine's owner was last heard; what it has not changed since then still holds. */
@@ -268,8 +306,12 @@
 
   void gone(String machine) {
     Seen s = machines.remove(machine);
-    if (s != null) count(s.m, -1);
-    if (s != null && s.owner != null) peer(s.owner).machines.remove(machine);
+    if (s != null) {
+      count(s.m, -1);
+    }
+    if (s != null && s.owner != null) {
+      peer(s.owner).machines.remove(machine);
+    }
   }
 
   /**
--- a/src/main/java/mallowstall/net/HttpClient.java
+++ b/src/main/java/mallowstall/net/HttpClient.java
@@ -68,7 +68,9 @@
     }
 
     void finish(Reply r) {
-      if (over) return;
+      if (over) {
+        return;
+      }
       over = true;
       then.done(r);
     }
@@ -95,7 +97,9 @@
       // a call that waits too long for a connection was surely never sent
       loop.schedule(
           () -> {
-            if (queue.remove(c)) c.finish(Reply.UNSENT);
+            if (queue.remove(c)) {
+              c.finish(Reply.UNSENT);
+            }
           },
           timeoutMs,
           TimeUnit.MILLISECONDS);
@@ -142,9 +146,13 @@
   private void next() {
     while (!queue.isEmpty()) {
       Conn conn = idle.poll();
-      if (conn != null) conn.send(queue.poll());
-      else if (open < maxConnections) connect(queue.poll());
-      else return;
+      if (conn != null) {
+        conn.send(queue.poll());
+      } else if (open < maxConnections) {
+        connect(queue.poll());
+      } else {
+        return;
+      }
     }
   }
 
@@ -162,7 +170,9 @@
       DefaultFullHttpRequest q =
           new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, c.method, c.path, body);
       q.headers().set(HttpHeaderNames.HOST, host);
-      if (c.body != null) q.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+      if (c.body != null) {
+        q.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+      }
       q.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
       long left = Math.max(1, (c.deadline - System.nanoTime()) / 1_000_000);
       timer = loop.schedule(() -> channel.close(), left, TimeUnit.MILLISECONDS);
@@ -187,19 +197,26 @@
       byte[] b = new byte[m.content().readableBytes()];
       m.content().readBytes(b);
       boolean keep = HttpUtil.isKeepAlive(m);
-      if (keep && !retired) idle.push(this);
-      else ctx.close();
+      if (keep && !retired) {
+        idle.push(this);
+      } else {
+        ctx.close();
+      }
       next();
       c.finish(new Reply(m.status().code(), b));
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-      if (closed) return;
+      if (closed) {
+        return;
+      }
       closed = true;
       open--;
       idle.remove(this);
-      if (timer != null) timer.cancel(false);
+      if (timer != null) {
+        timer.cancel(false);
+      }
       if (current != null) {
         Call c = current;
         current = null;
--- a/src/main/java/mallowstall/net/HttpServer.java
+++ b/src/main/java/mallowstall/net/HttpServer.java
@@ -152,7 +152,9 @@
         since = System.nanoTime();
       } else if (!conn.busy
           && System.nanoTime() - since > TimeUnit.SECONDS.toNanos(Constants.SLOW_REQUEST_S)) {
-        if (m instanceof ByteBuf b) b.release();
+        if (m instanceof ByteBuf b) {
+          b.release();
+        }
         ctx.close();
         return;
       }
@@ -163,8 +165,9 @@
     public void userEventTriggered(ChannelHandlerContext ctx, Object e) {
       if (e instanceof IdleStateEvent && !conn.busy) {
         boolean partial = !conn.complete;
-        if (partial || ++idles * Constants.SLOW_REQUEST_S >= Constants.IDLE_CONNECTION_S)
+        if (partial || ++idles * Constants.SLOW_REQUEST_S >= Constants.IDLE_CONNECTION_S) {
           ctx.close();
+        }
       }
     }
   }
@@ -194,7 +197,9 @@
       handler.handle(
           new Request(q.method().name(), q.uri(), body),
           (status, json, retry) -> {
-            if (!busy) return;
+            if (!busy) {
+              return;
+            }
             busy = false;
             write(ctx, status, json, retry, keep);
           });
@@ -235,9 +240,15 @@
             HttpHeaderNames.CONTENT_TYPE,
             json.length > 0 && json[0] == '{' ? "application/json" : "text/plain");
     r.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, json.length);
-    if (retryAfterS > 0) r.headers().setInt(HttpHeaderNames.RETRY_AFTER, retryAfterS);
-    if (!keep) r.headers().set(HttpHeaderNames.CONNECTION, "close");
+    if (retryAfterS > 0) {
+      r.headers().setInt(HttpHeaderNames.RETRY_AFTER, retryAfterS);
+    }
+    if (!keep) {
+      r.headers().set(HttpHeaderNames.CONNECTION, "close");
+    }
     var f = ctx.writeAndFlush(r);
-    if (close) f.addListener(ChannelFutureListener.CLOSE);
+    if (close) {
+      f.addListener(ChannelFutureListener.CLOSE);
+    }
   }
 }
--- a/src/main/java/mallowstall/peers/PeerCodec.java
+++ b/src/main/java/mallowstall/peers/PeerCodec.java
@@ -122,7 +122,9 @@
   private static <T> List<T> list(BinaryDecoder d, Read<T> r) throws IOException {
     List<T> out = new ArrayList<>();
     for (long n = d.readArrayStart(); n != 0; n = d.arrayNext()) {
-      for (long i = 0; i < n; i++) out.add(r.from(d));
+      for (long i = 0; i < n; i++) {
+        out.add(r.from(d));
+      }
     }
     return out;
   }
@@ -239,8 +241,9 @@
     long attempt = d.readLong();
     int s = d.readEnum();
     int w = d.readEnum();
-    if (s < 0 || s > STATES.length || w < 0 || w > WHYS.length)
+    if (s < 0 || s > STATES.length || w < 0 || w > WHYS.length) {
       throw new IOException("unknown enum value");
+    }
     return new RosterTask(
         job, task, attempt, s == 0 ? null : STATES[s - 1], w == 0 ? null : WHYS[w - 1]);
   }
--- a/src/main/java/mallowstall/peers/PeersAdapter.java
+++ b/src/main/java/mallowstall/peers/PeersAdapter.java
@@ -91,16 +91,25 @@
 
   public void send(String node, PeerMessage m) {
     Link l = links.get(node);
-    if (l == null || l.channel == null || !l.channel.isActive()) return;
+    if (l == null || l.channel == null || !l.channel.isActive()) {
+      return;
+    }
     // a roster says everything anew, so one that can't leave yet is not worth keeping
-    if (m instanceof Roster && l.channel.bytesBeforeUnwritable() <= 0) return;
+    if (m instanceof Roster && l.channel.bytesBeforeUnwritable() <= 0) {
+      return;
+    }
     l.channel.writeAndFlush(Unpooled.wrappedBuffer(PeerCodec.encode(m)));
   }
 
   public void close() {
     closed = true;
-    if (listening != null) listening.close();
-    for (Link l : links.values()) if (l.channel != null) l.channel.close();
+    if (listening != null) {
+      listening.close();
+    }
+    for (Link l : links.values())
+      if (l.channel != null) {
+        l.channel.close();
+      }
   }
 
   private final class Hearing extends SimpleChannelInboundHandler<ByteBuf> {
@@ -140,7 +149,9 @@
     }
 
     void connect() {
-      if (closed) return;
+      if (closed) {
+        return;
+      }
       new Bootstrap()
           .group(loop)
           .channel(NioSocketChannel.class)
@@ -175,7 +186,9 @@
 
     private void again() {
       channel = null;
-      if (!closed) loop.schedule(this::connect, Constants.PEER_RETRY_MS, TimeUnit.MILLISECONDS);
+      if (!closed) {
+        loop.schedule(this::connect, Constants.PEER_RETRY_MS, TimeUnit.MILLISECONDS);
+      }
     }
   }
 }
--- a/src/main/java/mallowstall/policy/Lexer.java
+++ b/src/main/java/mallowstall/policy/Lexer.java
@@ -40,13 +40,19 @@
       } else if (Character.isWhitespace(c)) {
         i++;
       } else if (c == '#') {
-        while (i < s.length() && s.charAt(i) != '\n') i++;
+        while (i < s.length() && s.charAt(i) != '\n') {
+          i++;
+        }
       } else if (c >= '0' && c <= '9') {
         int from = i;
-        while (i < s.length() && (Character.isDigit(s.charAt(i)) || s.charAt(i) == '.')) i++;
+        while (i < s.length() && (Character.isDigit(s.charAt(i)) || s.charAt(i) == '.')) {
+          i++;
+        }
         String digits = s.substring(from, i);
         int unit = i;
-        while (i < s.length() && Character.isLetter(s.charAt(i))) i++;
+        while (i < s.length() && Character.isLetter(s.charAt(i))) {
+          i++;
+        }
         double v = 0;
         try {
           v = Double.parseDouble(digits);
@@ -57,16 +63,22 @@
             new Token(Kind.NUMBER, s.substring(from, i), v, s.substring(unit, i), line, column));
       } else if (c == '"') {
         int from = ++i;
-        while (i < s.length() && s.charAt(i) != '"' && s.charAt(i) != '\n') i++;
+        while (i < s.length() && s.charAt(i) != '"' && s.charAt(i) != '\n') {
+          i++;
+        }
         if (i >= s.length() || s.charAt(i) != '"') {
           faults.add(new Fault(line, column, true, "this text has no closing quote"));
         }
         out.add(new Token(Kind.TEXT, s.substring(from, i), 0, "", line, column));
-        if (i < s.length() && s.charAt(i) == '"') i++;
+        if (i < s.length() && s.charAt(i) == '"') {
+          i++;
+        }
       } else if (Character.isLetter(c) || c == '_') {
         int from = i;
         while (i < s.length()
-            && (Character.isLetterOrDigit(s.charAt(i)) || "._-".indexOf(s.charAt(i)) >= 0)) i++;
+            && (Character.isLetterOrDigit(s.charAt(i)) || "._-".indexOf(s.charAt(i)) >= 0)) {
+          i++;
+        }
         out.add(new Token(Kind.NAME, s.substring(from, i), 0, "", line, column));
       } else {
         String two = i + 1 < s.length() ? s.substring(i, i + 2) : "";
--- a/src/main/java/mallowstall/policy/Parser.java
+++ b/src/main/java/mallowstall/policy/Parser.java
@@ -40,7 +40,9 @@
 
     @Override
     public double score(Facts f) {
-      if (scoreExpr == null) return 0;
+      if (scoreExpr == null) {
+        return 0;
+      }
       double d = scoreExpr.number.applyAsDouble(f);
       return Double.isNaN(d) ? Double.MAX_VALUE : d;
     }
@@ -74,7 +76,9 @@
 
   private Token next() {
     Token t = tokens.get(at);
-    if (t.kind() != Kind.END) at++;
+    if (t.kind() != Kind.END) {
+      at++;
+    }
     return t;
   }
 
@@ -89,7 +93,9 @@
 
   private void expect(String sign) {
     Token t = look();
-    if (!t.is(sign)) throw stop(t, "expected '" + sign + "' but found " + t);
+    if (!t.is(sign)) {
+      throw stop(t, "expected '" + sign + "' but found " + t);
+    }
     next();
   }
 
@@ -98,7 +104,9 @@
     while (look().kind() != Kind.END) {
       Token t = look();
       try {
-        if (!t.is("class")) throw stop(t, "expected 'class' but found " + t);
+        if (!t.is("class")) {
+          throw stop(t, "expected 'class' but found " + t);
+        }
         next();
         policy();
       } catch (Stop e) {
@@ -112,35 +120,46 @@
 
   /** Goes on behind a fault, at the next place where reading makes sense again. */
   private void skipTo(String word) {
-    while (look().kind() != Kind.END && !look().is(word)) next();
+    while (look().kind() != Kind.END && !look().is(word)) {
+      next();
+    }
   }
 
   private void policy() {
     Token name = next();
-    if (name.kind() != Kind.NAME && name.kind() != Kind.TEXT)
+    if (name.kind() != Kind.NAME && name.kind() != Kind.TEXT) {
       throw stop(name, "expected the name of a class");
-    if (classes.containsKey(name.text()))
+    }
+    if (classes.containsKey(name.text())) {
       fault(name, "class '" + name.text() + "' is defined twice");
+    }
     expect("{");
     List<Policy.Block> blocks = new ArrayList<>();
     int begun = 0;
     while (!look().is("}")) {
       Token t = look();
-      if (t.kind() == Kind.END || t.is("class"))
+      if (t.kind() == Kind.END || t.is("class")) {
         throw stop(t, "class '" + name.text() + "' has no closing '}'");
+      }
       int from = at;
       begun++;
       try {
-        if (!t.is("block")) throw stop(t, "expected 'block' or '}' but found " + t);
+        if (!t.is("block")) {
+          throw stop(t, "expected 'block' or '}' but found " + t);
+        }
         next();
         Policy.Block b = block(t);
-        if (b != null) blocks.add(b);
+        if (b != null) {
+          blocks.add(b);
+        }
       } catch (Stop e) {
         skipBlock(from);
       }
     }
     next();
-    if (begun == 0) fault(name, "class '" + name.text() + "' has no block");
+    if (begun == 0) {
+      fault(name, "class '" + name.text() + "' has no block");
+    }
     classes.put(name.text(), new Named(name.text(), List.copyOf(blocks)));
   }
 
@@ -148,8 +167,12 @@
   private void skipBlock(int from) {
     int open = 0;
     for (int i = from; i < tokens.size() && !tokens.get(i).is("class"); i++) {
-      if (i > from && tokens.get(i).is("block")) break;
-      if (tokens.get(i).is("{")) open++;
+      if (i > from && tokens.get(i).is("block")) {
+        break;
+      }
+      if (tokens.get(i).is("{")) {
+        open++;
+      }
       if (tokens.get(i).is("}") && --open == 0) {
         at = i + 1;
         return;
@@ -169,23 +192,29 @@
     Policy.Strategy strategy = Policy.Strategy.RANDOM;
     while (!look().is("}")) {
       Token t = next();
-      if (t.kind() == Kind.END) throw stop(t, "this block has no closing '}'");
+      if (t.kind() == Kind.END) {
+        throw stop(t, "this block has no closing '}'");
+      }
       if (t.kind() != Kind.NAME || !(t.is("workers") || t.is("strategy") || t.is("invalidate"))) {
         throw stop(t, "expected workers, strategy, invalidate or '}' but found " + t);
       }
-      if (seen.put(t.text(), t) != null) fault(t, t.text() + " stands twice in this block");
+      if (seen.put(t.text(), t) != null) {
+        fault(t, t.text() + " stands twice in this block");
+      }
       expect(":");
       Token from = look();
       switch (t.text()) {
         case "workers" -> {
           workers = typed(from, expression(), Type.BOOL, "workers");
-          if (workers.constant && !workers.bool.test(new Facts()))
+          if (workers.constant && !workers.bool.test(new Facts())) {
             warn(from, "this block can never match: workers is always false");
+          }
         }
         case "invalidate" -> {
           invalidate = typed(from, expression(), Type.BOOL, "invalidate");
-          if (invalidate.constant && invalidate.bool.test(new Facts()))
+          if (invalidate.constant && invalidate.bool.test(new Facts())) {
             warn(from, "this block can never match: invalidate is always true");
+          }
         }
         default -> {
           Token s = next();
@@ -195,8 +224,9 @@
               strategy = s.is("lowest") ? Policy.Strategy.LOWEST : Policy.Strategy.HIGHEST;
               Token e = look();
               score = expression();
-              if (!score.type.numeric())
+              if (!score.type.numeric()) {
                 throw stop(e, s.text() + " needs a number but this is " + score.type.words);
+              }
             }
             default -> throw stop(s, "expected lowest, highest or random but found " + s);
           }
@@ -204,7 +234,9 @@
       }
     }
     next();
-    if (!seen.containsKey("strategy")) fault(start, "this block has no strategy");
+    if (!seen.containsKey("strategy")) {
+      fault(start, "this block has no strategy");
+    }
     return new Compiled(workers, invalidate, strategy, score);
   }
 
@@ -213,14 +245,17 @@
   }
 
   private Expr typed(Token t, Expr e, Type wanted, String what) {
-    if (e.type != wanted)
+    if (e.type != wanted) {
       throw stop(t, what + " needs " + wanted.words + " but this is " + e.type.words);
+    }
     return e;
   }
 
   // ---- expressions --------------------------------------------------------------------------
   private Expr expression() {
-    if (++depth > DEEPEST) throw stop(look(), "this expression is nested too deeply");
+    if (++depth > DEEPEST) {
+      throw stop(look(), "this expression is nested too deeply");
+    }
     try {
       return or();
     } finally {
@@ -265,7 +300,9 @@
     if (from.is("not")) {
       next();
       Token t = look();
-      if (++depth > DEEPEST) throw stop(t, "this expression is nested too deeply");
+      if (++depth > DEEPEST) {
+        throw stop(t, "this expression is nested too deeply");
+      }
       Expr e = typed(t, comparison(new HashMap<>()), Type.BOOL, "not");
       depth--;
       Predicate<Facts> x = e.bool;
@@ -273,8 +310,9 @@
     }
     Expr a = sum();
     Token op = look();
-    if (!(op.is("<") || op.is("<=") || op.is(">") || op.is(">=") || op.is("==") || op.is("!=")))
+    if (!(op.is("<") || op.is("<=") || op.is(">") || op.is(">=") || op.is("==") || op.is("!="))) {
       return a;
+    }
     next();
     Token to = look();
     Expr b = sum();
@@ -283,8 +321,9 @@
     }
     boolean constant = a.constant && b.constant;
     if (a.type == Type.TEXT || a.type == Type.BOOL) {
-      if (!op.is("==") && !op.is("!="))
+      if (!op.is("==") && !op.is("!=")) {
         throw stop(op, "'" + op.text() + "' can't compare " + a.type.words);
+      }
       boolean same = op.is("==");
       if (a.type == Type.BOOL) {
         Predicate<Facts> x = a.bool;
@@ -344,11 +383,16 @@
               && a.type != Type.PRIORITY
               && b.type != Type.PRIORITY;
       Type t = null;
-      if (ok && b.type == Type.NUMBER) t = a.type;
-      else if (ok && op.is("*") && a.type == Type.NUMBER) t = b.type;
-      else if (ok && op.is("/") && a.type == b.type) t = Type.NUMBER;
-      if (t == null)
+      if (ok && b.type == Type.NUMBER) {
+        t = a.type;
+      } else if (ok && op.is("*") && a.type == Type.NUMBER) {
+        t = b.type;
+      } else if (ok && op.is("/") && a.type == b.type) {
+        t = Type.NUMBER;
+      }
+      if (t == null) {
         throw stop(op, "'" + op.text() + "' can't join " + a.type.words + " and " + b.type.words);
+      }
       a = join(t, a, b, op.is("*") ? (x, y) -> x * y : (x, y) -> x / y);
     }
     return a;
@@ -362,11 +406,14 @@
       return e;
     }
     if (t.is("-")) {
-      if (++depth > DEEPEST) throw stop(t, "this expression is nested too deeply");
+      if (++depth > DEEPEST) {
+        throw stop(t, "this expression is nested too deeply");
+      }
       Expr e = unit();
       depth--;
-      if (!e.type.numeric() || e.type == Type.PRIORITY)
+      if (!e.type.numeric() || e.type == Type.PRIORITY) {
         throw stop(t, "'-' needs a number but this is " + e.type.words);
+      }
       ToDoubleFunction<Facts> x = e.number;
       return Expr.number(e.type, f -> -x.applyAsDouble(f), e.constant);
     }
@@ -374,11 +421,19 @@
       String s = t.text();
       return Expr.text(f -> s, true);
     }
-    if (t.kind() == Kind.NUMBER) return literal(t);
-    if (t.kind() != Kind.NAME) throw stop(t, "expected a value but found " + t);
-    if (t.is("if") || t.is("min") || t.is("max")) return function(t);
+    if (t.kind() == Kind.NUMBER) {
+      return literal(t);
+    }
+    if (t.kind() != Kind.NAME) {
+      throw stop(t, "expected a value but found " + t);
+    }
+    if (t.is("if") || t.is("min") || t.is("max")) {
+      return function(t);
+    }
     Expr v = Expr.variable(t.text());
-    if (v == null) throw stop(t, "unknown name '" + t.text() + "'");
+    if (v == null) {
+      throw stop(t, "unknown name '" + t.text() + "'");
+    }
     return v;
   }
 
--- a/src/main/java/mallowstall/state/StateAdapter.java
+++ b/src/main/java/mallowstall/state/StateAdapter.java
@@ -120,7 +120,9 @@
   }
 
   private Entry entry(String key, JsonNode v) {
-    if (v == null || v.isNull()) return null;
+    if (v == null || v.isNull()) {
+      return null;
+    }
     Class<? extends Entry> type =
         switch (key.length() < 4 ? "" : key.substring(0, 4)) {
           case "c/j/" -> JobRec.class;
@@ -136,7 +138,9 @@
                   ? DutyRec.class
                   : key.equals("c/incarnations") ? CounterRec.class : null;
         };
-    if (type == null) return null;
+    if (type == null) {
+      return null;
+    }
     try {
       return json.treeToValue(v, type);
     } catch (IOException e) {
@@ -169,12 +173,17 @@
           Code c = code(r.status());
           if (r.status() == 400) {
             String text = new String(r.body(), java.nio.charset.StandardCharsets.UTF_8);
-            if (text.contains("no such lease")) c = Code.NO_LEASE;
-            else LOG.error("the state service calls a transaction malformed: {}", text);
+            if (text.contains("no such lease")) {
+              c = Code.NO_LEASE;
+            } else {
+              LOG.error("the state service calls a transaction malformed: {}", text);
+            }
           }
           RevisionWire w =
               c == Code.OK || c == Code.CONFLICT ? read(r.body(), RevisionWire.class) : null;
-          if (w == null && c == Code.OK) c = Code.UNKNOWN;
+          if (w == null && c == Code.OK) {
+            c = Code.UNKNOWN;
+          }
           then.accept(new TxnReply(c, w == null ? 0 : w.revision()));
         });
   }
@@ -191,9 +200,11 @@
           }
           ItemWire w = r.status() == 200 ? read(r.body(), ItemWire.class) : null;
           Entry e = w == null ? null : entry(key, w.value());
-          if (e == null)
+          if (e == null) {
             then.accept(new GetReply(r.status() == 200 ? Code.REFUSED : code(r.status()), null));
-          else then.accept(new GetReply(Code.OK, new Item(key, e, w.version())));
+          } else {
+            then.accept(new GetReply(Code.OK, new Item(key, e, w.version())));
+          }
         });
   }
 
@@ -218,7 +229,9 @@
 
   private List<Item> items(List<ItemWire> in) {
     List<Item> out = new ArrayList<>();
-    if (in == null) return out;
+    if (in == null) {
+      return out;
+    }
     for (ItemWire i : in) {
       if (i.delete() != null) {
         out.add(new Item(i.delete(), null, i.version()));
@@ -226,7 +239,9 @@
       }
       String key = i.put() != null ? i.put() : i.key();
       Entry e = entry(key, i.value());
-      if (e != null) out.add(new Item(key, e, i.version()));
+      if (e != null) {
+        out.add(new Item(key, e, i.version()));
+      }
     }
     return out;
   }
@@ -241,11 +256,12 @@
             events.accept(
                 () -> {
                   WatchWire w = r.status() == 200 ? read(r.body(), WatchWire.class) : null;
-                  if (w != null)
+                  if (w != null) {
                     then.accept(new WatchReply(Code.OK, items(w.events()), w.revision()));
-                  else
+                  } else {
                     then.accept(
                         new WatchReply(r.status() == 410 ? Code.GONE : Code.REFUSED, List.of(), 0));
+                  }
                 }));
   }
 
--- a/src/main/java/mallowstall/users/UsersAdapter.java
+++ b/src/main/java/mallowstall/users/UsersAdapter.java
@@ -96,21 +96,30 @@
     try {
       spec = parse(q.body());
     } catch (Malformed e) {
-      if (e.id == null) error(r, 400, e.getMessage());
-      else core.refuse(e.id, e.getMessage(), a -> answer(a, r, true));
+      if (e.id == null) {
+        error(r, 400, e.getMessage());
+      } else {
+        core.refuse(e.id, e.getMessage(), a -> answer(a, r, true));
+      }
       return;
     }
     core.submit(spec, a -> answer(a, r, true));
   }
 
   public void query(String id, Responder r) {
-    if (!ID.matcher(id).matches()) error(r, 404, "no such job");
-    else core.query(id, a -> answer(a, r, false));
+    if (!ID.matcher(id).matches()) {
+      error(r, 404, "no such job");
+    } else {
+      core.query(id, a -> answer(a, r, false));
+    }
   }
 
   public void cancel(String id, Responder r) {
-    if (!ID.matcher(id).matches()) error(r, 404, "no such job");
-    else core.cancel(id, a -> answer(a, r, true));
+    if (!ID.matcher(id).matches()) {
+      error(r, 404, "no such job");
+    } else {
+      core.cancel(id, a -> answer(a, r, true));
+    }
   }
 
   /** Reads and checks a submission. */
@@ -126,9 +135,13 @@
     } catch (IOException e) {
       throw new Malformed("the body can't be read");
     }
-    if (w == null) throw new Malformed("the body is not an object");
+    if (w == null) {
+      throw new Malformed("the body is not an object");
+    }
     text("ref", w.id);
-    if (!ID.matcher(w.id).matches()) throw new Malformed("ref must look like wk-000412");
+    if (!ID.matcher(w.id).matches()) {
+      throw new Malformed("ref must look like wk-000412");
+    }
     try {
       return spec(w);
     } catch (Malformed e) {
@@ -141,31 +154,46 @@
     text("cuadrilla", w.team);
     text("oficio", w.kind);
     JobKind kind = KINDS.get(w.kind);
-    if (kind == null) throw new Malformed("oficio must be batch or daemon");
+    if (kind == null) {
+      throw new Malformed("oficio must be batch or daemon");
+    }
     text("urgencia", w.priority);
     Priority p = PRIORITIES.get(w.priority);
-    if (p == null) throw new Malformed("urgencia must be prod, high, standard or best_effort");
-    if (w.tasks == null) throw new Malformed("piezas is missing");
-    if (w.tasks < 1 || w.tasks > Constants.TASKS_MAX)
+    if (p == null) {
+      throw new Malformed("urgencia must be prod, high, standard or best_effort");
+    }
+    if (w.tasks == null) {
+      throw new Malformed("piezas is missing");
+    }
+    if (w.tasks < 1 || w.tasks > Constants.TASKS_MAX) {
       throw new Malformed("piezas must be 1 to " + Constants.TASKS_MAX);
+    }
     amount("vcpus", w.cpus);
     amount("gpus", w.gpus);
     amount("mem_gb", w.memoryGb);
-    if (w.cpus <= 0) throw new Malformed("vcpus must be above 0");
+    if (w.cpus <= 0) {
+      throw new Malformed("vcpus must be above 0");
+    }
     text("molde", w.image);
     amount("image_gb", w.imageGb);
     if (w.types != null) {
       for (String t : w.types) text("calibres", t);
-      if (w.types.isEmpty()) throw new Malformed("calibres must be null or name a machine type");
+      if (w.types.isEmpty()) {
+        throw new Malformed("calibres must be null or name a machine type");
+      }
+    }
+    if (w.zone != null) {
+      text("patio", w.zone);
     }
-    if (w.zone != null) text("patio", w.zone);
     flag("one_zone", w.oneZone);
     flag("scatter", w.spread);
     flag("prestados", w.spot);
     amount("aserrado_s", w.estimateS);
     amount("marca_s", w.checkpointS);
     amount("apilado_s", w.saveS);
-    if (w.deadlineS != null) amount("despacho_s", w.deadlineS);
+    if (w.deadlineS != null) {
+      amount("despacho_s", w.deadlineS);
+    }
     return new JobSpec(
         w.id,
         w.jobClass,
@@ -190,19 +218,27 @@
   }
 
   private static void text(String name, String v) throws Malformed {
-    if (v == null) throw new Malformed(name + " is missing");
-    if (v.isEmpty() || v.length() > 200)
+    if (v == null) {
+      throw new Malformed(name + " is missing");
+    }
+    if (v.isEmpty() || v.length() > 200) {
       throw new Malformed(name + " must have 1 to 200 characters");
+    }
   }
 
   private static void amount(String name, Double v) throws Malformed {
-    if (v == null) throw new Malformed(name + " is missing");
-    if (!Double.isFinite(v) || v < 0 || v > 1e9)
+    if (v == null) {
+      throw new Malformed(name + " is missing");
+    }
+    if (!Double.isFinite(v) || v < 0 || v > 1e9) {
       throw new Malformed(name + " must be a number from 0 to 1e9");
+    }
   }
 
   private static void flag(String name, Boolean v) throws Malformed {
-    if (v == null) throw new Malformed(name + " is missing");
+    if (v == null) {
+      throw new Malformed(name + " is missing");
+    }
   }
 
   private void error(Responder r, int status, String message) {
--- a/src/main/java/mallowstall/workers/WorkersAdapter.java
+++ b/src/main/java/mallowstall/workers/WorkersAdapter.java
@@ -105,7 +105,9 @@
       }
       // the longest unused one makes room: closing all at once, with calls under way on some,
       // left those open for good and made every other worker's next command connect anew
-      if (clients.size() >= maxClients) clients.removeFirst().retire();
+      if (clients.size() >= maxClients) {
+        clients.removeFirst().retire();
+      }
       clients.put(addr, c);
     }
     byte[] body;
@@ -130,7 +132,9 @@
           case -1 -> Code.REFUSED;
           default -> Code.UNKNOWN;
         };
-    if (r.status() != 200 && r.status() != 409) return new OrderReply(code, null);
+    if (r.status() != 200 && r.status() != 409) {
+      return new OrderReply(code, null);
+    }
     try {
       return new OrderReply(code, read(r.body()));
     } catch (IOException e) {
@@ -148,7 +152,9 @@
     if (w.tasks != null) {
       for (TaskWire t : w.tasks) {
         int slash = t.task == null ? -1 : t.task.lastIndexOf('/');
-        if (slash < 1) throw new IOException("a task has no valid name");
+        if (slash < 1) {
+          throw new IOException("a task has no valid name");
+        }
         int n;
         try {
           n = Integer.parseInt(t.task.substring(slash + 1));
@@ -174,7 +180,9 @@
   }
 
   private static Why why(TaskWire t) {
-    if (!"ended".equals(t.state)) return null;
+    if (!"ended".equals(t.state)) {
+      return null;
+    }
     return switch (t.why == null ? "" : t.why) {
       case "done" -> Why.DONE;
       case "stopped" -> Why.STOPPED;
--- a/src/test/java/mallowstall/core/HistoriesTest.java
+++ b/src/test/java/mallowstall/core/HistoriesTest.java
@@ -108,7 +108,9 @@
 
   @AfterAll
   static void everyTroubleStruck() {
-    if (met < MEETINGS) return; // only some of the seeds were asked for
+    if (met < MEETINGS) {
+      return; // only some of the seeds were asked for
+    }
     Set<String> missing = new TreeSet<>(TROUBLES);
     missing.removeAll(struck.keySet());
     assertEquals(Set.of(), missing, "never struck in any of the histories");
@@ -151,9 +153,12 @@
     // with a state service this slow a poll is overtaken by the cancellation at another controller
     s.rules.crossingsBreak = false;
     Troubles.work(s, 45, 105_000);
-    for (int i = 0; i < 8; i++) s.at(10_000 + s.rnd.nextInt(110_000), () -> Troubles.older(s));
-    for (int i = 0; i < 10; i++)
+    for (int i = 0; i < 8; i++) {
+      s.at(10_000 + s.rnd.nextInt(110_000), () -> Troubles.older(s));
+    }
+    for (int i = 0; i < 10; i++) {
       s.at(10_000 + s.rnd.nextInt(110_000), () -> Troubles.newer(s, 140_000));
+    }
     s.at(140_000, () -> s.loss = s.rosterChaos = s.lateCopies = s.lateWrites = s.cancelAtEnd = 0);
     s.rules.calmSince = 185_000; // the last trouble has begun by 120 s and lasts up to a minute
     s.run(400_000);
@@ -203,8 +208,9 @@
         s.rules.broken.toString());
     Rules r = new Rules(s.teams, 1_000);
     r.submitted(s.job("wk-000002", 9, 4, Priority.NORMAL, "tight", false, false, false, null));
-    for (int i = 0; i < 7; i++)
+    for (int i = 0; i < 7; i++) {
       r.started(1, new Rules.OnMachine("m" + i, "wk-000002", i, "t8", "a", false));
+    }
     assertTrue(r.broken.get(0).contains("quota"), r.broken.toString());
     r.broken.clear();
     r.told(2, "wk-000002", 200, "done");
--- a/src/test/java/mallowstall/core/JobEntriesTest.java
+++ b/src/test/java/mallowstall/core/JobEntriesTest.java
@@ -250,7 +250,9 @@
       int longest = 0;
       for (int n = 1; n < 900; n++) {
         JobSpec spec = spec(tasks, "x".repeat(n));
-        if (entries.fits(JobRec.accepted(spec, 1_700_000_000_000L, "n0", 3))) longest = n;
+        if (entries.fits(JobRec.accepted(spec, 1_700_000_000_000L, "n0", 3))) {
+          longest = n;
+        }
       }
       assertTrue(longest > 200, "names of " + longest);
       JobSpec spec = spec(tasks, "x".repeat(longest));
