--- a/src/test/java/mallowstall/core/MeetingsTest.java
+++ b/src/test/java/mallowstall/core/MeetingsTest.java
@@ -39,7 +39,9 @@
     Map<String, Integer> out = new TreeMap<>();
     for (Sim.Worker w : s.workers.values()) {
       for (Sim.Worker.T t : w.tasks.values())
-        if (t.job.equals(job) && t.state != TaskState.EXITED) out.merge(w.node, 1, Integer::sum);
+        if (t.job.equals(job) && t.state != TaskState.EXITED) {
+          out.merge(w.node, 1, Integer::sum);
+        }
     }
     return out;
   }
@@ -61,7 +63,9 @@
                   s.rules.told(s.now, id, a.status(), a.state());
                 }));
     long until = s.now + 3_000;
-    while (got.isEmpty() && s.now < until) s.run(s.now + 10);
+    while (got.isEmpty() && s.now < until) {
+      s.run(s.now + 10);
+    }
     return got.isEmpty() ? null : got.get(0);
   }
 
@@ -105,7 +109,10 @@
         // leading: who owns most of the machines that run it
         Map<String, Integer> on = running(s, VICTIM);
         String name = "n0";
-        for (String n : on.keySet()) if (on.get(n) > on.getOrDefault(name, 0)) name = n;
+        for (String n : on.keySet())
+          if (on.get(n) > on.getOrDefault(name, 0)) {
+            name = n;
+          }
         Sim.Node leader = s.nodes.get(name);
         Sim.Node confirmer = s.nodes.get(name.equals("n1") ? "n2" : "n1");
         leader.noState = true;
@@ -126,12 +133,18 @@
         } else {
           assertEquals("cancelled", cancelAt(s, confirmer, VICTIM).state());
           confirmed = s.now;
-          if (besides == Besides.CONFIRMER_BACK_AT_ONCE) confirmer.crash(150);
-          if (besides.name().endsWith("GONE")) confirmer.crash(500_000);
+          if (besides == Besides.CONFIRMER_BACK_AT_ONCE) {
+            confirmer.crash(150);
+          }
+          if (besides.name().endsWith("GONE")) {
+            confirmer.crash(500_000);
+          }
           if (besides == Besides.MACHINES_CANNOT_BE_ASKED) {
             int i = 0;
             for (Sim.Worker w : s.workers.values()) {
-              if (i++ % 2 != 0) continue;
+              if (i++ % 2 != 0) {
+                continue;
+              }
               w.cut = true;
               s.at(8_000, () -> w.cut = false);
             }
@@ -146,9 +159,13 @@
         s.run(confirmed + Sim.CANCEL - 100);
         assertEquals(0, count(running(s, VICTIM)), besides + ", gap " + gap + ", seed " + seed);
         boolean heard = besides == Besides.NOTHING || besides == Besides.TOLD_FROM_MEMORY;
-        if (heard) assertEquals(6, count(running(s, OTHER)), "unrelated tasks run on");
+        if (heard) {
+          assertEquals(6, count(running(s, OTHER)), "unrelated tasks run on");
+        }
         s.run(confirmed + Sim.CANCEL + 15_000);
-        if (heard) assertEquals(6, count(running(s, OTHER)), "unrelated tasks run on");
+        if (heard) {
+          assertEquals(6, count(running(s, OTHER)), "unrelated tasks run on");
+        }
         s.state.recover();
         leader.noState = false;
         confirmer.cut.clear();
@@ -174,7 +191,9 @@
     long former = n.core.incarnation();
     long lease = s.state.keys.get(Store.SESSIONS + "n1").lease();
     n.crash(150);
-    while (n.core.incarnation() == 0 || n.core.store().sessionLeft() <= 0) s.run(s.now + 10);
+    while (n.core.incarnation() == 0 || n.core.store().sessionLeft() <= 0) {
+      s.run(s.now + 10);
+    }
     assertTrue(s.state.leases.containsKey(lease), "the former lease hasn't ended yet");
     // as a former version would have asked for it, compared with nothing
     Effects.Put late = new Effects.Put(Store.SESSIONS + "n1", new SessionRec("n1", former), lease);
@@ -317,11 +336,16 @@
       s.run(8_000);
       s.submit(plain(s, VICTIM, 12));
       long until = s.now + 3_000;
-      while (s.now < until && count(running(s, VICTIM)) < 8) s.run(s.now + 20);
+      while (s.now < until && count(running(s, VICTIM)) < 8) {
+        s.run(s.now + 20);
+      }
       s.run(s.now + 250);
       assertEquals("cancelled", cancelAt(s, s.nodes.get("n" + seed % 3), VICTIM).state());
       for (Sim.Worker w : s.workers.values())
-        for (Sim.Worker.T t : w.tasks.values()) if (t.state == TaskState.FETCHING) waiting++;
+        for (Sim.Worker.T t : w.tasks.values())
+          if (t.state == TaskState.FETCHING) {
+            waiting++;
+          }
       s.run(s.now + 10_000);
       begun += s.rules.startsAfterCancel;
       assertEquals(List.of(), s.rules.broken);
@@ -337,9 +361,12 @@
       @Override
       boolean play(Sim s) {
         s.cancelAtEnd = 0.5;
-        for (int i = 10; i < 40; i++) s.submit(plain(s, "wk-0000" + i, 1 + i % 3));
-        for (int i = 0; i < 400; i++)
+        for (int i = 10; i < 40; i++) {
+          s.submit(plain(s, "wk-0000" + i, 1 + i % 3));
+        }
+        for (int i = 0; i < 400; i++) {
           s.at(i * 100L, () -> s.oddRequests(1)); // repeats submissions, cancels what is done
+        }
         s.run(s.now + 60_000);
         s.cancelAtEnd = 0;
         return s.struck.containsKey("cancelAtEnd")
@@ -356,12 +383,16 @@
         MachineRec before = s.machineRec(w.id);
         s.nodes.get(before.node()).crash(9_000);
         long until = s.now + 15_000;
-        while (s.now < until && s.machineRec(w.id).node().equals(before.node())) s.run(s.now + 50);
+        while (s.now < until && s.machineRec(w.id).node().equals(before.node())) {
+          s.run(s.now + 50);
+        }
         s.run(s.now + 2_000);
         MachineRec since = s.machineRec(w.id);
         boolean refused = true;
         for (Sim.Node n : s.nodes.values()) {
-          if (!n.up) continue;
+          if (!n.up) {
+            continue;
+          }
           List<ReportAnswer> got = new ArrayList<>();
           n.event(() -> n.core.report(held, got::add));
           s.run(s.now + 200);
@@ -419,15 +450,20 @@
     TEAM_AT_ITS_LIMIT {
       @Override
       boolean play(Sim s) {
-        for (int i = 1; i <= 4; i++) s.cancel("wk-00000" + i); // makes room for it
+        for (int i = 1; i <= 4; i++) {
+          s.cancel("wk-00000" + i); // makes room for it
+        }
         double used = 0;
-        for (long until = s.now + 20_000; used < 22 && s.now < until; s.run(s.now + 200))
+        for (long until = s.now + 20_000; used < 22 && s.now < until; s.run(s.now + 200)) {
           used = ((TeamRec) s.state.keys.get(Store.TEAMS + "tight").value()).cpus();
+        }
         Sim.Node h = s.nodes.get(s.entry("wk-000005").holder());
         h.crash(700);
         int i = 0;
         for (Sim.Worker w : s.workers.values()) {
-          if (i++ % 2 != 0) continue;
+          if (i++ % 2 != 0) {
+            continue;
+          }
           w.cut = true;
           s.at(15_000, () -> w.cut = false);
         }
@@ -477,12 +513,13 @@
           String id = "wk-0000" + i;
           s.at(i * 1_000L, () -> s.submit(plain(s, id, 4)));
         }
-        for (int i = 0; i < 20; i++)
+        for (int i = 0; i < 20; i++) {
           s.at(
               i * 2_500L,
               () -> {
                 for (Sim.Worker w : s.workers.values()) w.hang(s.rnd.nextInt(4_000));
               });
+        }
         s.at(14_000, () -> s.cancelNow(2, 8_000));
         s.run(s.now + 55_000);
         return s.struck.containsKey("hang, held orders executed");
@@ -509,8 +546,9 @@
       @Override
       boolean play(Sim s) {
         s.lateWrites = 0.3;
-        for (int i = 10; i < 20; i++)
+        for (int i = 10; i < 20; i++) {
           s.submit(s.job("wk-0000" + i, 4, 2, Priority.NORMAL, "tight", false, false, true, null));
+        }
         for (int i = 0; i < 4; i++) {
           s.run(s.now + 8_000);
           s.nodes.get(Sim.NODES.get(i % 3)).crash(200);
@@ -527,7 +565,9 @@
       boolean play(Sim s) {
         for (int j = 10; j < 16; j++) {
           String id = "wk-0000" + j;
-          for (int t = 0; t < 3; t++) s.runOf.put(id + "/" + t, 2_000L + t * 30_000L);
+          for (int t = 0; t < 3; t++) {
+            s.runOf.put(id + "/" + t, 2_000L + t * 30_000L);
+          }
           s.submit(plain(s, id, 2 + j % 2));
         }
         s.run(s.now + 24_000);
@@ -553,7 +593,9 @@
         s.run(s.now + 6_000);
         int lost = 0;
         for (Sim.Worker w : List.copyOf(s.workers.values())) {
-          if (!w.zone.equals("a") || w.tasks.isEmpty()) continue;
+          if (!w.zone.equals("a") || w.tasks.isEmpty()) {
+            continue;
+          }
           lost += w.tasks.size();
           s.killMachine(w.id);
         }
@@ -565,7 +607,9 @@
     TEN_LEADERS {
       @Override
       boolean play(Sim s) {
-        for (int i = 0; i < 10; i++) s.at(i * 11_000L, s::changeLeaders);
+        for (int i = 0; i < 10; i++) {
+          s.at(i * 11_000L, s::changeLeaders);
+        }
         s.at(38_000, () -> s.state.outage = true);
         s.at(70_000, s.state::recover);
         s.at(60_000, () -> s.cancel("wk-000003"));
@@ -582,7 +626,9 @@
         s.run(s.now + 300);
         String job = null;
         for (Sim.Worker w : s.workers.values())
-          if (w.zone.equals("b") && running(w) != null) job = running(w);
+          if (w.zone.equals("b") && running(w) != null) {
+            job = running(w);
+          }
         boolean inside = job != null && s.nodes.get("n1").up;
         assertEquals("cancelled", cancelAt(s, s.nodes.get("n0"), job).state());
         s.run(s.now + Sim.CANCEL + 5_000);
@@ -598,9 +644,14 @@
         Sim.Node h = s.nodes.get(s.machineRec(busiest(s).id).node());
         int i = 0;
         for (Sim.Worker w : s.workers.values()) {
-          if (!w.node.equals(h.name)) continue;
-          if (i++ % 2 == 0) w.cut = true;
-          else w.deaf = true;
+          if (!w.node.equals(h.name)) {
+            continue;
+          }
+          if (i++ % 2 == 0) {
+            w.cut = true;
+          } else {
+            w.deaf = true;
+          }
           s.at(22_000, () -> w.cut = w.deaf = false);
         }
         h.crash(30_000);
@@ -614,14 +665,19 @@
 
   /** A job of which a task runs there; null: none. */
   private static String running(Sim.Worker w) {
-    for (Sim.Worker.T t : w.tasks.values()) if (t.state == TaskState.RUNNING) return t.job;
+    for (Sim.Worker.T t : w.tasks.values())
+      if (t.state == TaskState.RUNNING) {
+        return t.job;
+      }
     return null;
   }
 
   private static Sim.Worker busiest(Sim s) {
     Sim.Worker most = null;
     for (Sim.Worker w : s.workers.values())
-      if (most == null || w.tasks.size() > most.tasks.size()) most = w;
+      if (most == null || w.tasks.size() > most.tasks.size()) {
+        most = w;
+      }
     return most;
   }
 
@@ -633,7 +689,7 @@
       Sim s = new Sim(200 + seed);
       s.runMs = 25_000;
       s.run(8_000);
-      for (int i = 1; i <= 6; i++)
+      for (int i = 1; i <= 6; i++) {
         s.submit(
             s.job(
                 "wk-00000" + i,
@@ -645,6 +701,7 @@
                 false,
                 true,
                 null));
+      }
       s.run(18_000);
       assertTrue(s.rules.starts > 8, "work is under way");
       assertTrue(meeting.play(s), meeting + " took place, seed " + seed);
--- a/src/test/java/mallowstall/core/ReplicasTest.java
+++ b/src/test/java/mallowstall/core/ReplicasTest.java
@@ -26,7 +26,9 @@
       s.run(8_000);
       s.submit(s.service(SERVICE, 3, 2, Priority.NORMAL, "tight", false, false, true, null));
       long until = s.now + 2_000;
-      while (s.now < until && !s.state.keys.containsKey(Store.JOBS + SERVICE)) s.run(s.now + 1);
+      while (s.now < until && !s.state.keys.containsKey(Store.JOBS + SERVICE)) {
+        s.run(s.now + 1);
+      }
       s.loss = 0.99;
       s.run(s.now + 1_000);
       s.loss = 0;
--- a/src/test/java/mallowstall/core/Rules.java
+++ b/src/test/java/mallowstall/core/Rules.java
@@ -97,37 +97,58 @@
         broken.add(now + " ran_twice: " + m + " while on " + o.machine);
       }
     }
-    if (!Owner.allowed(j, m.type, m.zone, m.spot)) broken.add(now + " wrong_place: " + m);
+    if (!Owner.allowed(j, m.type, m.zone, m.spot)) {
+      broken.add(now + " wrong_place: " + m);
+    }
     int zone = 1;
     for (OnMachine o : on) {
-      if (!o.job.equals(m.job)) continue;
-      if (j.oneZone() && !o.zone.equals(m.zone)) broken.add(now + " wrong_place, one zone: " + m);
-      if (o.zone.equals(m.zone)) zone++;
+      if (!o.job.equals(m.job)) {
+        continue;
+      }
+      if (j.oneZone() && !o.zone.equals(m.zone)) {
+        broken.add(now + " wrong_place, one zone: " + m);
+      }
+      if (o.zone.equals(m.zone)) {
+        zone++;
+      }
+    }
+    if (j.spread() && zone > (j.tasks() + 1) / 2) {
+      broken.add(now + " wrong_place, spread: " + m);
     }
-    if (j.spread() && zone > (j.tasks() + 1) / 2) broken.add(now + " wrong_place, spread: " + m);
     Long c = cancelledAt.get(m.job);
-    if (c != null && now - c > cancelMs) broken.add(now + " ran_cancelled: " + m);
-    else if (c != null) startsAfterCancel++;
+    if (c != null && now - c > cancelMs) {
+      broken.add(now + " ran_cancelled: " + m);
+    } else if (c != null) {
+      startsAfterCancel++;
+    }
     on.add(m);
     Team t = teams.get(j.team());
     double sum = used(j.team());
-    if (t.cpusMax() > 0 && sum > t.cpusMax() + 1e-6) broken.add(now + " quota: " + sum + " " + m);
+    if (t.cpusMax() > 0 && sum > t.cpusMax() + 1e-6) {
+      broken.add(now + " quota: " + sum + " " + m);
+    }
   }
 
   private double used(String team) {
     double sum = 0;
     for (OnMachine o : on) {
-      if (jobs.get(o.job).team().equals(team)) sum += jobs.get(o.job).cpus();
+      if (jobs.get(o.job).team().equals(team)) {
+        sum += jobs.get(o.job).cpus();
+      }
     }
     return sum;
   }
 
   void left(String machine, String job, int task, boolean completed) {
     on.removeIf(o -> o.machine.equals(machine) && o.job.equals(job) && o.task == task);
-    if (!completed) return;
-    if (service(job))
+    if (!completed) {
+      return;
+    }
+    if (service(job)) {
       resultsOn.computeIfAbsent(new Replica(job, task), k -> new HashSet<>()).add(machine);
-    else done.computeIfAbsent(job, k -> new HashSet<>()).add(task);
+    } else {
+      done.computeIfAbsent(job, k -> new HashSet<>()).add(task);
+    }
   }
 
   /** Whether the job is a service: a replica of it that completed has to run again. */
@@ -173,7 +194,9 @@
       }
     }
     for (JobSpec j : jobs.values()) {
-      if (j.service()) stepReplicas(now, j);
+      if (j.service()) {
+        stepReplicas(now, j);
+      }
     }
   }
 
@@ -199,7 +222,9 @@
 
   private boolean runs(Replica replica) {
     for (OnMachine o : on) {
-      if (o.job.equals(replica.job) && o.task == replica.number) return true;
+      if (o.job.equals(replica.job) && o.task == replica.number) {
+        return true;
+      }
     }
     return false;
   }
@@ -207,34 +232,55 @@
   /** How many replicas of the service are on machines. */
   int replicasOn(String service) {
     int count = 0;
-    for (OnMachine o : on) if (o.job.equals(service)) count++;
+    for (OnMachine o : on)
+      if (o.job.equals(service)) {
+        count++;
+      }
     return count;
   }
 
   /** Accepted, not over, on no machine, and there is room for a task. */
   private boolean waitsBesideRoom(JobSpec j) {
-    if (!wanted(j.id()) || tasksLeft(j.id()) == 0) return false;
-    for (OnMachine o : on) if (o.job.equals(j.id())) return false;
+    if (!wanted(j.id()) || tasksLeft(j.id()) == 0) {
+      return false;
+    }
+    for (OnMachine o : on)
+      if (o.job.equals(j.id())) {
+        return false;
+      }
     return roomFor(j, Set.of());
   }
 
   /** Accepted, not over, and nobody has asked to cancel it. */
   private boolean wanted(String job) {
     String last = told.get(job);
-    if (last == null || last.equals("done") || last.equals("cancelled")) return false;
+    if (last == null || last.equals("done") || last.equals("cancelled")) {
+      return false;
+    }
     return !wantsCancel.contains(job);
   }
 
   /** Whether the team is under its limit and some other machine may take one more of the tasks. */
   private boolean roomFor(JobSpec j, Set<String> excluded) {
     Team t = teams.get(j.team());
-    if (t.cpusMax() > 0 && used(j.team()) + j.cpus() > t.cpusMax() + 1e-6) return false;
+    if (t.cpusMax() > 0 && used(j.team()) + j.cpus() > t.cpusMax() + 1e-6) {
+      return false;
+    }
     for (Machine m : up.values()) {
-      if (!Owner.allowed(j, m.type, m.zone, m.spot) || !zoneAllowed(j, m.zone)) continue;
-      if (excluded.contains(m.id)) continue;
+      if (!Owner.allowed(j, m.type, m.zone, m.spot) || !zoneAllowed(j, m.zone)) {
+        continue;
+      }
+      if (excluded.contains(m.id)) {
+        continue;
+      }
       double free = m.cpus;
-      for (OnMachine o : on) if (o.machine.equals(m.id)) free -= jobs.get(o.job).cpus();
-      if (free >= j.cpus() - 1e-6) return true;
+      for (OnMachine o : on)
+        if (o.machine.equals(m.id)) {
+          free -= jobs.get(o.job).cpus();
+        }
+      if (free >= j.cpus() - 1e-6) {
+        return true;
+      }
     }
     return false;
   }
@@ -243,16 +289,24 @@
   private boolean zoneAllowed(JobSpec j, String zone) {
     int inZone = 1;
     for (OnMachine o : on) {
-      if (!o.job.equals(j.id())) continue;
-      if (j.oneZone() && !o.zone.equals(zone)) return false;
-      if (o.zone.equals(zone)) inZone++;
+      if (!o.job.equals(j.id())) {
+        continue;
+      }
+      if (j.oneZone() && !o.zone.equals(zone)) {
+        return false;
+      }
+      if (o.zone.equals(zone)) {
+        inZone++;
+      }
     }
     return !j.spread() || inZone <= (j.tasks() + 1) / 2;
   }
 
   /** A job that can never run was answered so: refused for good, or for now while undecided. */
   void toldImpossible(long now, String job, int status) {
-    if (status != 422 && status != 503) broken.add(now + " took_impossible: " + job + " " + status);
+    if (status != 422 && status != 503) {
+      broken.add(now + " took_impossible: " + job + " " + status);
+    }
   }
 
   int tasksLeft(String job) {
@@ -266,13 +320,19 @@
   /** Jobs of which something is on a machine and that nobody has called off. */
   Set<String> running() {
     Set<String> out = new TreeSet<>();
-    for (OnMachine o : on) if (!wantsCancel.contains(o.job)) out.add(o.job);
+    for (OnMachine o : on)
+      if (!wantsCancel.contains(o.job)) {
+        out.add(o.job);
+      }
     return out;
   }
 
   Set<String> machinesOf(String job) {
     Set<String> out = new TreeSet<>();
-    for (OnMachine o : on) if (o.job.equals(job)) out.add(o.machine);
+    for (OnMachine o : on)
+      if (o.job.equals(job)) {
+        out.add(o.machine);
+      }
     return out;
   }
 
@@ -284,36 +344,55 @@
   void told(long now, long asked, String job, int status, String state) {
     String before = told.get(job);
     if (!jobs.containsKey(job)) {
-      if (status == 200) broken.add(now + " invented: " + job);
+      if (status == 200) {
+        broken.add(now + " invented: " + job);
+      }
       return;
     }
     if (before != null && (status == 404 || status == 400 || status == 422)) {
       String what = now + " forgotten: " + job + " " + status + ", asked at " + asked;
       boolean crossing = status == 404 && asked < toldFirst.get(job) && now - asked <= POLL_MS;
-      if (crossing) crossed.add(what);
-      if (!crossing || crossingsBreak) broken.add(what);
+      if (crossing) {
+        crossed.add(what);
+      }
+      if (!crossing || crossingsBreak) {
+        broken.add(what);
+      }
+    }
+    if (state == null) {
+      return;
     }
-    if (state == null) return;
     answered.put(job, now);
     boolean fin = "done".equals(before) || "cancelled".equals(before);
     if (fin && !before.equals(state)) {
       String what = now + " went_back: " + job + " " + before + " " + state;
       what += " since " + finalAt.get(job) + ", asked at " + asked;
       boolean crossing = asked < finalAt.get(job) && now - asked <= POLL_MS;
-      if (crossing) crossed.add(what);
-      if (crossing && !crossingsBreak) return; // the user knows better already
+      if (crossing) {
+        crossed.add(what);
+      }
+      if (crossing && !crossingsBreak) {
+        return; // the user knows better already
+      }
       broken.add(what);
     }
-    if (state.equals("cancelled") && !wantsCancel.contains(job))
+    if (state.equals("cancelled") && !wantsCancel.contains(job)) {
       broken.add(now + " went_back: " + job);
-    if (state.equals("done") && service(job))
+    }
+    if (state.equals("done") && service(job)) {
       broken.add(now + " not_done: " + job + " is a service");
-    else if (state.equals("done")) {
+    } else if (state.equals("done")) {
       int n = done.getOrDefault(job, Set.of()).size();
-      if (n < jobs.get(job).tasks()) broken.add(now + " not_done: " + job + " has " + n);
+      if (n < jobs.get(job).tasks()) {
+        broken.add(now + " not_done: " + job + " has " + n);
+      }
+    }
+    if (state.equals("cancelled")) {
+      cancelledAt.putIfAbsent(job, now);
+    }
+    if (state.equals("done") || state.equals("cancelled")) {
+      finalAt.putIfAbsent(job, now);
     }
-    if (state.equals("cancelled")) cancelledAt.putIfAbsent(job, now);
-    if (state.equals("done") || state.equals("cancelled")) finalAt.putIfAbsent(job, now);
     toldFirst.putIfAbsent(job, now);
     told.put(job, state);
   }
--- a/src/test/java/mallowstall/core/SafetyCasesTest.java
+++ b/src/test/java/mallowstall/core/SafetyCasesTest.java
@@ -109,7 +109,9 @@
       Sim s = new Sim(33);
       s.run(6_000);
       s.submit(plain(s, "wk-000001", 10, "free"));
-      while (!s.state.keys.containsKey(Store.JOBS + "wk-000001")) s.run(s.now + 1);
+      while (!s.state.keys.containsKey(Store.JOBS + "wk-000001")) {
+        s.run(s.now + 1);
+      }
       s.run(s.now + after);
       holder(s, "wk-000001").crash(after % 2 == 0 ? 100 : 20_000);
       s.run(150_000);
@@ -121,14 +123,17 @@
   void aRestartWithinAFractionOfASecondKeepsTheRules() {
     Sim s = new Sim(34);
     s.run(6_000);
-    for (int i = 0; i < 8; i++)
+    for (int i = 0; i < 8; i++) {
       s.submit(plain(s, "wk-00000" + i, 6, i % 2 == 0 ? "free" : "tight"));
+    }
     for (int i = 0; i < 12; i++) {
       s.run(s.now + 900);
       s.nodes.get(Sim.NODES.get(i % 3)).crash(80);
     }
     s.run(200_000);
-    for (int i = 0; i < 8; i++) finished(s, "wk-00000" + i);
+    for (int i = 0; i < 8; i++) {
+      finished(s, "wk-00000" + i);
+    }
   }
 
   @Test
@@ -158,7 +163,9 @@
     s.run(8_000);
     Sim.Node h = holder(s, "wk-000001");
     for (Sim.Node n : s.nodes.values()) {
-      if (n == h) continue;
+      if (n == h) {
+        continue;
+      }
       h.cut.put(n.name, true);
       n.cut.put(h.name, true);
     }
@@ -200,7 +207,9 @@
       Sim s = new Sim(39);
       s.run(6_000);
       s.submit(plain(s, "wk-000001", 12, "tight"));
-      while (!s.state.keys.containsKey(Store.JOBS + "wk-000001")) s.run(s.now + 1);
+      while (!s.state.keys.containsKey(Store.JOBS + "wk-000001")) {
+        s.run(s.now + 1);
+      }
       s.run(s.now + after);
       s.cancel("wk-000001");
       s.run(90_000);
@@ -216,9 +225,13 @@
   void theQuotaHoldsAcrossControllers() {
     Sim s = new Sim(40);
     s.run(6_000);
-    for (int i = 0; i < 9; i++) s.submit(plain(s, "wk-00000" + i, 9, "tight"));
+    for (int i = 0; i < 9; i++) {
+      s.submit(plain(s, "wk-00000" + i, 9, "tight"));
+    }
     s.run(250_000);
-    for (int i = 0; i < 9; i++) finished(s, "wk-00000" + i);
+    for (int i = 0; i < 9; i++) {
+      finished(s, "wk-00000" + i);
+    }
     assertEquals(0, ((TeamRec) s.state.keys.get(Store.TEAMS + "tight").value()).cpus(), 1e-9);
   }
 
@@ -236,7 +249,9 @@
       s.submit(plain(s, "wk-000001", 14, "free"));
       s.run(14_000);
       Sim.Node claimant = s.nodes.get(name);
-      if (claimant == holder(s, "wk-000001")) continue;
+      if (claimant == holder(s, "wk-000001")) {
+        continue;
+      }
       claimant.lag = 900;
       // its claim is executed, the answer is lost, and its watch tells it late
       String key = Store.JOBS + "wk-000001";
@@ -273,7 +288,9 @@
     String dead = null;
     for (Sim.Worker w : s.workers.values()) {
       MachineRec v = s.machineRec(w.id);
-      if (v != null && v.node().equals(h.name)) dead = w.id;
+      if (v != null && v.node().equals(h.name)) {
+        dead = w.id;
+      }
     }
     assertNotNull(dead);
     s.workers.remove(dead).dead = true;
@@ -355,7 +372,10 @@
     s.submit(plain(s, "wk-000001", 12, "free"));
     s.run(11_000);
     Sim.Worker w = null;
-    for (Sim.Worker x : s.workers.values()) if (!x.tasks.isEmpty()) w = x;
+    for (Sim.Worker x : s.workers.values())
+      if (!x.tasks.isEmpty()) {
+        w = x;
+      }
     assertNotNull(w);
     w.deaf = true;
     s.run(11_000 + Sim.LEASE + 4_000);
@@ -421,7 +441,9 @@
     }
     // so new that its owner hasn't told of a newer one: sent to the owner, who is alive
     for (Sim.Node n : s.nodes.values()) {
-      if (n.name.equals(before.node())) continue;
+      if (n.name.equals(before.node())) {
+        continue;
+      }
       List<ReportAnswer> got = new ArrayList<>();
       n.event(() -> n.core.report(copy(w, w.session, w.seq + 1, w.token), got::add));
       s.run(s.now + 100);
@@ -484,18 +506,26 @@
   void controllersThatRefuseEachOtherGoOnWorking() {
     Sim s = new Sim(65);
     s.run(8_000);
-    for (int i = 0; i < 6; i++) s.submit(plain(s, "wk-00000" + i, 30, "free"));
+    for (int i = 0; i < 6; i++) {
+      s.submit(plain(s, "wk-00000" + i, 30, "free"));
+    }
     s.run(14_000);
     s.refusePeers();
     int before = 0;
-    for (int i = 0; i < 6; i++) before += s.entry("wk-00000" + i).doneCount();
+    for (int i = 0; i < 6; i++) {
+      before += s.entry("wk-00000" + i).doneCount();
+    }
     s.run(40_000);
     int after = 0;
-    for (int i = 0; i < 6; i++) after += s.entry("wk-00000" + i).doneCount();
+    for (int i = 0; i < 6; i++) {
+      after += s.entry("wk-00000" + i).doneCount();
+    }
     assertTrue(after > before + 10, "holders' own machines serve them: " + (after - before));
     s.rejoin();
     s.run(150_000);
-    for (int i = 0; i < 6; i++) finished(s, "wk-00000" + i);
+    for (int i = 0; i < 6; i++) {
+      finished(s, "wk-00000" + i);
+    }
   }
 
   /** All controllers end while the state service is down: jobs stay known and run on. */
@@ -503,7 +533,9 @@
   void allControllersEndInAnOutage() {
     Sim s = new Sim(66);
     s.run(8_000);
-    for (int i = 0; i < 6; i++) s.submit(plain(s, "wk-00000" + i, 6, "tight"));
+    for (int i = 0; i < 6; i++) {
+      s.submit(plain(s, "wk-00000" + i, 6, "tight"));
+    }
     s.run(12_000);
     s.state.outage = true;
     s.run(15_000);
@@ -518,7 +550,9 @@
       assertEquals(200, got.get(0).status(), "known at " + n.name);
     }
     s.run(200_000);
-    for (int i = 0; i < 6; i++) finished(s, "wk-00000" + i);
+    for (int i = 0; i < 6; i++) {
+      finished(s, "wk-00000" + i);
+    }
   }
 
   /**
@@ -571,7 +605,9 @@
     Sim s = new Sim(68);
     s.run(8_000);
     for (Sim.Worker w : List.copyOf(s.workers.values()))
-      if (w.zone.equals("a")) s.killMachine(w.id);
+      if (w.zone.equals("a")) {
+        s.killMachine(w.id);
+      }
     s.machine("t8", "a", true, 0);
     s.run(60_000);
     s.submit(s.job("wk-000001", 2, 2, Priority.NORMAL, "free", false, false, false, "a"));
@@ -586,7 +622,9 @@
   @Test
   void hundredsOfMachinesChangeOwnerWithinTheirLease() {
     Sim s = new Sim(69);
-    for (int i = 0; i < 300; i++) s.machine("t8", i % 2 == 0 ? "a" : "b", false, 0);
+    for (int i = 0; i < 300; i++) {
+      s.machine("t8", i % 2 == 0 ? "a" : "b", false, 0);
+    }
     s.run(20_000);
     long before = s.state.revision;
     for (Sim.Node n : s.nodes.values()) n.crash(2_000);
@@ -610,15 +648,20 @@
     Sim s = new Sim(80 + ms);
     s.runMs = 3_000;
     s.run(8_000);
-    for (int i = 0; i < 9; i++) s.submit(plain(s, "wk-00000" + i, 8, "tight"));
+    for (int i = 0; i < 9; i++) {
+      s.submit(plain(s, "wk-00000" + i, 8, "tight"));
+    }
     s.run(9_500);
     Sim.Node n = holder(s, "wk-000004");
     n.freezeFor = ms;
     s.run(9_500 + ms);
-    for (int i = 0; i < 9 && ms > 20_000; i++)
+    for (int i = 0; i < 9 && ms > 20_000; i++) {
       assertTrue(holder(s, "wk-00000" + i) != n, "others hold wk-00000" + i);
+    }
     s.run(200_000);
-    for (int i = 0; i < 9; i++) finished(s, "wk-00000" + i);
+    for (int i = 0; i < 9; i++) {
+      finished(s, "wk-00000" + i);
+    }
   }
 
   /**
@@ -645,7 +688,9 @@
   @Test
   void hundredsOfIdleMachinesGoBack() {
     Sim s = new Sim(94);
-    for (int i = 0; i < 900; i++) s.machine("t8", i % 2 == 0 ? "a" : "b", false, 0);
+    for (int i = 0; i < 900; i++) {
+      s.machine("t8", i % 2 == 0 ? "a" : "b", false, 0);
+    }
     s.run(130_000);
     assertTrue(s.workers.size() < 200, "still up: " + s.workers.size());
   }
@@ -685,7 +730,9 @@
   void aZoneThatIsCutOffWhileAControllerEnds() {
     Sim s = new Sim(90);
     s.run(8_000);
-    for (int i = 0; i < 4; i++) s.submit(plain(s, "wk-00000" + i, 8, "tight"));
+    for (int i = 0; i < 4; i++) {
+      s.submit(plain(s, "wk-00000" + i, 8, "tight"));
+    }
     s.run(10_000);
     s.cutOff("b");
     s.run(20_000);
@@ -700,7 +747,9 @@
     for (JobSpec j : outside) assertTrue(s.entry(j.id()).doneCount() > 0, j.id() + " is served");
     s.rejoin();
     s.run(200_000);
-    for (int i = 0; i < 8; i++) finished(s, "wk-00000" + i);
+    for (int i = 0; i < 8; i++) {
+      finished(s, "wk-00000" + i);
+    }
   }
 
   /**
@@ -711,9 +760,13 @@
   @Test
   void fifteenHundredMachinesOutliveTheirControllers() {
     Sim s = new Sim(91);
-    for (int i = 0; i < 1_462; i++) s.machine("t8", i % 2 == 0 ? "a" : "b", false, 0);
+    for (int i = 0; i < 1_462; i++) {
+      s.machine("t8", i % 2 == 0 ? "a" : "b", false, 0);
+    }
     s.run(20_000);
-    for (int i = 0; i < 6; i++) s.submit(plain(s, "wk-00000" + i, 700, "free"));
+    for (int i = 0; i < 6; i++) {
+      s.submit(plain(s, "wk-00000" + i, 700, "free"));
+    }
     s.run(24_000);
     long before = s.state.revision;
     for (Sim.Node n : s.nodes.values()) n.crash(2_000);
@@ -726,7 +779,9 @@
     s.state.recover();
     for (Sim.Node n : s.nodes.values()) n.crash(2_000);
     s.run(110_000);
-    for (int i = 0; i < 6; i++) finished(s, "wk-00000" + i);
+    for (int i = 0; i < 6; i++) {
+      finished(s, "wk-00000" + i);
+    }
   }
 
   /**
@@ -793,7 +848,9 @@
       n.crash(1_000);
       s.run(9_100);
       long first = n.core.startedAt();
-      while (s.now < 25_000 && !n.core.store().live(name, n.core.incarnation())) s.run(s.now + 50);
+      while (s.now < 25_000 && !n.core.store().live(name, n.core.incarnation())) {
+        s.run(s.now + 50);
+      }
       MachineRec mine = kept(s, n, w.id);
       GroupRec group =
           new GroupRec(
@@ -801,9 +858,10 @@
               other.core.incarnation(),
               List.of(new GroupMachine(w.id, "t8", w.zone, w.spot)));
       long revision = mine.token() - 1;
-      if (between)
+      if (between) {
         n.event(
             () -> n.core.store().apply(new Effects.Item(Store.GROUPS + "9-9", group, revision)));
+      }
       s.run(first + Sim.LEASE + 6_000);
       assertEquals(!between, n.core.view().machines.get(w.id).m.lost());
     }
@@ -827,10 +885,14 @@
     // it is back in an outage and has its mirror only when that lease is over
     s.state.outage = true;
     n.crash(200);
-    while (!n.up || n.core.startedAt() == 0) s.run(s.now + 20);
+    while (!n.up || n.core.startedAt() == 0) {
+      s.run(s.now + 20);
+    }
     s.run(n.core.startedAt() + Sim.LEASE + 3_000);
     s.state.recover();
-    while (!n.core.store().synced()) s.run(s.now + 1);
+    while (!n.core.store().synced()) {
+      s.run(s.now + 1);
+    }
     n.watchStopped = true;
     long revision = ++s.state.revision;
     GroupRec group =
@@ -841,12 +903,18 @@
     s.state.set(Store.GROUPS + "9-9", group, revision, 0);
     String key = Store.MACHINES + w.id;
     Sim.StateService.Val before = s.state.keys.get(key);
-    if (inFlight) n.recordsLate = 600;
-    while (s.now < 40_000 && s.state.keys.get(key) == before) s.run(s.now + 1);
+    if (inFlight) {
+      n.recordsLate = 600;
+    }
+    while (s.now < 40_000 && s.state.keys.get(key) == before) {
+      s.run(s.now + 1);
+    }
     MachineRec mine = (MachineRec) s.state.keys.get(key).value();
     assertEquals(n.core.incarnation(), mine.incarnation(), "kept from the former process");
     assertTrue(s.state.keys.get(key).version() > revision);
-    if (inFlight) n.watchStopped = false;
+    if (inFlight) {
+      n.watchStopped = false;
+    }
     s.run(s.now + 1_000);
     assertFalse(n.core.view().machines.get(w.id).m.lost(), "nobody knows what is on it");
     n.watchStopped = false;
@@ -893,7 +961,10 @@
     s.submit(plain(s, "wk-000001", 16, "free"));
     s.run(12_000);
     Sim.Worker w = null;
-    for (Sim.Worker x : s.workers.values()) if (x.tasks.size() == 4) w = x;
+    for (Sim.Worker x : s.workers.values())
+      if (x.tasks.size() == 4) {
+        w = x;
+      }
     assertNotNull(w);
     Sim.Worker mute = w;
     Sim.Node n = s.nodes.get(s.machineRec(w.id).node());
@@ -960,14 +1031,19 @@
               JobKind.BATCH));
       s.run(13_000);
       int machines = s.workers.size();
-      if (deadline == 72) assertTrue(machines >= 10, "for one wave of 20 tasks: " + machines);
-      else assertTrue(machines >= 5 && machines <= 7, "for two waves: " + machines);
+      if (deadline == 72) {
+        assertTrue(machines >= 10, "for one wave of 20 tasks: " + machines);
+      } else {
+        assertTrue(machines >= 5 && machines <= 7, "for two waves: " + machines);
+      }
     }
   }
 
   /** Runs until the job has another holder than this one; its epoch has been raised then. */
   private static Sim.Node claimed(Sim s, String id, Sim.Node before) {
-    while (holder(s, id) == before) s.run(s.now + 5);
+    while (holder(s, id) == before) {
+      s.run(s.now + 5);
+    }
     return holder(s, id);
   }
 
@@ -994,14 +1070,18 @@
   void aMirrorThatIsResetWhileClaimsAreOpenLosesNoJob() {
     Sim s = new Sim(73);
     s.run(8_000);
-    for (int i = 0; i < 8; i++) s.submit(plain(s, "wk-00000" + i, 8, "tight"));
+    for (int i = 0; i < 8; i++) {
+      s.submit(plain(s, "wk-00000" + i, 8, "tight"));
+    }
     s.run(12_000);
     Sim.Node h = holder(s, "wk-000001");
     h.crash(60_000);
     claimed(s, "wk-000001", h);
     for (Sim.Node n : s.nodes.values()) n.tooOld = true;
     s.run(250_000);
-    for (int i = 0; i < 8; i++) finished(s, "wk-00000" + i);
+    for (int i = 0; i < 8; i++) {
+      finished(s, "wk-00000" + i);
+    }
   }
 
   /**
@@ -1015,7 +1095,9 @@
       s.lateCopies = 0.2;
       s.loss = 0.03;
       s.run(8_000);
-      for (int i = 0; i < 6; i++) s.submit(plain(s, "wk-00000" + i, 8, "tight"));
+      for (int i = 0; i < 6; i++) {
+        s.submit(plain(s, "wk-00000" + i, 8, "tight"));
+      }
       s.run(12_000);
       for (int i = 0; i < 5; i++) {
         s.nodes.get(Sim.NODES.get(i % 3)).crash(4_000);
@@ -1025,20 +1107,30 @@
           s.run(s.now + 5);
           for (; from < s.state.changes.size() && claimant == null; from++) {
             Effects.Item c = s.state.changes.get(from);
-            if (!c.key().startsWith(prefix)) continue;
-            if (c.value() instanceof DutyRec d) claimant = d.node();
-            else if (c.value() instanceof JobRec j && j.epoch() > 1) claimant = j.holder();
-            else if (c.value() instanceof GroupRec g) claimant = g.node();
-            else if (c.value() instanceof MachineRec m) claimant = m.node();
+            if (!c.key().startsWith(prefix)) {
+              continue;
+            }
+            if (c.value() instanceof DutyRec d) {
+              claimant = d.node();
+            } else if (c.value() instanceof JobRec j && j.epoch() > 1) {
+              claimant = j.holder();
+            } else if (c.value() instanceof GroupRec g) {
+              claimant = g.node();
+            } else if (c.value() instanceof MachineRec m) {
+              claimant = m.node();
+            }
           }
         }
-        if (claimant != null && s.nodes.containsKey(claimant) && s.nodes.get(claimant).up)
+        if (claimant != null && s.nodes.containsKey(claimant) && s.nodes.get(claimant).up) {
           s.nodes.get(claimant).crash(150);
+        }
         s.run(12_000 + (i + 1) * 15_000L);
       }
       s.lateCopies = s.loss = 0;
       s.run(300_000);
-      for (int i = 0; i < 6; i++) finished(s, "wk-00000" + i);
+      for (int i = 0; i < 6; i++) {
+        finished(s, "wk-00000" + i);
+      }
     }
   }
 
@@ -1078,14 +1170,18 @@
     Sim.Node stays = s.nodes.get("n1");
     List<String> machines = new ArrayList<>();
     for (View.Seen seen : stays.core.view().machines.values()) {
-      if ("n0".equals(seen.owner) && seen.m.images().contains("wk-000001")) machines.add(seen.id);
+      if ("n0".equals(seen.owner) && seen.m.images().contains("wk-000001")) {
+        machines.add(seen.id);
+      }
     }
     assertFalse(machines.isEmpty(), "n0 owns machines that have the image");
     ends.crash(30_000);
     s.run(s.now + 15_000);
     for (String id : machines) {
       View.Seen seen = stays.core.view().machines.get(id);
-      if (seen == null) continue; // it was idle and has been returned
+      if (seen == null) {
+        continue; // it was idle and has been returned
+      }
       assertFalse("n0".equals(seen.owner), id);
       assertTrue(seen.m.images().contains("wk-000001"), id);
     }
--- a/src/test/java/mallowstall/core/SeedHunt.java
+++ b/src/test/java/mallowstall/core/SeedHunt.java
@@ -30,12 +30,15 @@
   void run(LongConsumer history, Supplier<String> summary) throws InterruptedException {
     long count = last - next.get() + 1;
     Thread beside = new Thread(() -> playAll(history));
-    if (count > 1) beside.start();
+    if (count > 1) {
+      beside.start();
+    }
     playAll(history);
     beside.join();
-    if (count > 1)
+    if (count > 1) {
       System.out.printf(
           "%d seeds, %d failed %s; %s%n", count, failed.size(), failed.keySet(), summary.get());
+    }
     assertEquals(Map.of(), failed);
   }
 
--- a/src/test/java/mallowstall/core/ServiceRulesTest.java
+++ b/src/test/java/mallowstall/core/ServiceRulesTest.java
@@ -46,8 +46,9 @@
 
   /** Steps the rules from then until just after the bound for replicas is over. */
   private static void stepPastTheBound(Rules rules, long from) {
-    for (long now = from; now <= from + Rules.REPLICA_MISSING_MS + 500; now += 500)
+    for (long now = from; now <= from + Rules.REPLICA_MISSING_MS + 500; now += 500) {
       step(rules, now);
+    }
   }
 
   private static void assertBroken(Rules rules, String check) {
@@ -74,8 +75,9 @@
   @Test
   void theRulesOfPlacementHoldForReplicas() {
     Rules rules = rules(plain(7, "tight"));
-    for (int replica = 0; replica < 6; replica++)
+    for (int replica = 0; replica < 6; replica++) {
       rules.started(2, on(machine("m" + replica, "a"), replica));
+    }
     assertEquals(List.of(), rules.broken);
     rules.started(3, on(machine("m7", "a"), 6));
     assertBroken(rules, "quota");
@@ -103,8 +105,12 @@
     Rules.Machine machine = machine("m1", "a");
     rules.machineUp(machine);
     rules.started(2, on(machine, 1));
-    for (long now = 500; now < CALM; now += 500) rules.step(now);
-    for (long now = CALM; now <= CALM + Rules.REPLICA_MISSING_MS; now += 500) rules.step(now);
+    for (long now = 500; now < CALM; now += 500) {
+      rules.step(now);
+    }
+    for (long now = CALM; now <= CALM + Rules.REPLICA_MISSING_MS; now += 500) {
+      rules.step(now);
+    }
     assertEquals(List.of(), rules.broken, "not before its time");
     rules.step(CALM + Rules.REPLICA_MISSING_MS + 1);
     assertBroken(rules, "replica_missing: Replica[job=wk-000001, number=0]");
@@ -118,7 +124,9 @@
     long now = CALM;
     for (int times = 0; times < 3; times++) {
       long back = now + Rules.REPLICA_MISSING_MS;
-      for (; now <= back; now += 500) step(rules, now);
+      for (; now <= back; now += 500) {
+        step(rules, now);
+      }
       rules.started(now, on(machine, 0));
       step(rules, now);
       rules.left("m1", SERVICE, 0, false);
--- a/src/test/java/mallowstall/core/Sim.java
+++ b/src/test/java/mallowstall/core/Sim.java
@@ -142,7 +142,9 @@
     this.kept = kept;
     rnd = new SplittableRandom(seed);
     for (String n : NODES) nodes.put(n, new Node(n, programVersion));
-    for (int i = 0; i < 4; i++) machine("t8", i % 2 == 0 ? "a" : "b", false, 0);
+    for (int i = 0; i < 4; i++) {
+      machine("t8", i % 2 == 0 ? "a" : "b", false, 0);
+    }
     at(0, this::watchRules);
   }
 
@@ -165,7 +167,10 @@
 
   private void watchRules() {
     rules.step(now);
-    for (Node n : nodes.values()) if (n.up) compare(n.core);
+    for (Node n : nodes.values())
+      if (n.up) {
+        compare(n.core);
+      }
     at(500, this::watchRules);
   }
 
@@ -178,16 +183,23 @@
     Map<String, Integer> placed = new HashMap<>();
     Map<String, Integer> running = new HashMap<>();
     for (View.Seen s : c.view().machines.values()) {
-      if (s.m == null) continue;
+      if (s.m == null) {
+        continue;
+      }
       for (RosterTask t : s.m.tasks()) {
-        if (t.state() != TaskState.EXITED) placed.merge(t.job(), 1, Integer::sum);
-        if (t.state() == TaskState.RUNNING) running.merge(t.job(), 1, Integer::sum);
+        if (t.state() != TaskState.EXITED) {
+          placed.merge(t.job(), 1, Integer::sum);
+        }
+        if (t.state() == TaskState.RUNNING) {
+          running.merge(t.job(), 1, Integer::sum);
+        }
       }
     }
     for (String id : jobs) {
       if (c.view().placed(id) != placed.getOrDefault(id, 0)
-          || c.view().running(id) != running.getOrDefault(id, 0))
+          || c.view().running(id) != running.getOrDefault(id, 0)) {
         rules.broken.add(now + " miscounted: " + id);
+      }
     }
   }
 
@@ -238,7 +250,9 @@
 
     /** Why the transaction exceeds the limits; OK: it doesn't. */
     private Effects.Code exceeds(Effects.Txn t) {
-      if (limits == null) return Effects.Code.OK;
+      if (limits == null) {
+        return Effects.Code.OK;
+      }
       int changes = t.puts().size() + t.drops().size();
       boolean large = changes > limits.txnOps() || t.when().size() > 4 * limits.txnOps();
       for (Effects.Put p : t.puts()) large |= size(p.value()) > limits.valueBytes();
@@ -262,7 +276,9 @@
 
     void set(String key, Entry v, long rev, long lease) {
       if (v == null) {
-        if (keys.remove(key) == null) return;
+        if (keys.remove(key) == null) {
+          return;
+        }
       } else {
         keys.put(key, new Val(v, rev, lease));
       }
@@ -270,9 +286,13 @@
     }
 
     void expire() {
-      if (outage) return;
+      if (outage) {
+        return;
+      }
       for (Long l : new ArrayList<>(leases.keySet())) {
-        if (leases.get(l) <= now) end(l);
+        if (leases.get(l) <= now) {
+          end(l);
+        }
       }
     }
 
@@ -281,9 +301,13 @@
       List<String> gone = new ArrayList<>();
       keys.forEach(
           (k, v) -> {
-            if (v.lease == l) gone.add(k);
+            if (v.lease == l) {
+              gone.add(k);
+            }
           });
-      if (gone.isEmpty()) return;
+      if (gone.isEmpty()) {
+        return;
+      }
       revision++;
       for (String k : gone) set(k, null, revision, 0);
     }
@@ -292,7 +316,9 @@
       expire();
       asked.add(t);
       Effects.Code exceeds = exceeds(t);
-      if (exceeds != Effects.Code.OK) return new Effects.TxnReply(exceeds, 0);
+      if (exceeds != Effects.Code.OK) {
+        return new Effects.TxnReply(exceeds, 0);
+      }
       for (Effects.Put p : t.puts()) {
         if (p.lease() != 0 && !leases.containsKey(p.lease())) {
           return new Effects.TxnReply(Effects.Code.NO_LEASE, revision);
@@ -433,34 +459,50 @@
      * entry of an open service, and take a cancelled one for that of a batch job.
      */
     private Entry read(Entry value) {
-      if (knowsServices() || !(value instanceof JobRec job)) return value;
-      if (job.fin() == Final.SERVING) return null;
+      if (knowsServices() || !(value instanceof JobRec job)) {
+        return value;
+      }
+      if (job.fin() == Final.SERVING) {
+        return null;
+      }
       return job.spec().service() ? asBatch(job) : job;
     }
 
     /** The items that its program sees in listings and watches. */
     private boolean sees(String key, Entry value) {
-      if (knowsServices()) return true;
-      if (key.startsWith(Store.VERSIONS)) return false;
+      if (knowsServices()) {
+        return true;
+      }
+      if (key.startsWith(Store.VERSIONS)) {
+        return false;
+      }
       return value == null || read(value) != null;
     }
 
     void tick(int l) {
-      if (l != life) return;
+      if (l != life) {
+        return;
+      }
       ticks++;
-      if (now >= frozenUntil) event(core::tick);
+      if (now >= frozenUntil) {
+        event(core::tick);
+      }
       at(Constants.TICK_MS, () -> tick(l));
     }
 
     void event(Runnable r) {
-      if (!up) return;
+      if (!up) {
+        return;
+      }
       int l = life;
       if (now < frozenUntil) {
         // lies unread until it wakes
         at(
             frozenUntil - now,
             () -> {
-              if (l == life) event(r);
+              if (l == life) {
+                event(r);
+              }
             });
         return;
       }
@@ -491,18 +533,24 @@
       at(
           delay,
           () -> {
-            if (l == life) event(r);
+            if (l == life) {
+              event(r);
+            }
           });
     }
 
     void connect(String peer) {
-      if (!up || connection.containsKey(peer)) return;
+      if (!up || connection.containsKey(peer)) {
+        return;
+      }
       if (Boolean.TRUE.equals(cut.get(peer)) || !nodes.containsKey(peer) || !nodes.get(peer).up) {
         int l = life;
         at(
             700,
             () -> {
-              if (l == life) connect(peer);
+              if (l == life) {
+                connect(peer);
+              }
             });
         return;
       }
@@ -517,14 +565,20 @@
       at(
           700,
           () -> {
-            if (l == life) connect(peer);
+            if (l == life) {
+              connect(peer);
+            }
           });
     }
 
     @Override
     public void send(String node, PeerMessage m) {
-      if (m instanceof Stops) stopsSent++;
-      if (!connection.containsKey(node)) return;
+      if (m instanceof Stops) {
+        stopsSent++;
+      }
+      if (!connection.containsKey(node)) {
+        return;
+      }
       Node other = nodes.get(node);
       int l = other.life;
       if (m instanceof Roster && rnd.nextDouble() < rosterChaos) {
@@ -532,20 +586,28 @@
         at(
             rnd.nextInt(6_000),
             () -> {
-              if (other.up && other.life == l) other.event(() -> other.core.message(m));
+              if (other.up && other.life == l) {
+                other.event(() -> other.core.message(m));
+              }
             });
-        if (lost) return;
+        if (lost) {
+          return;
+        }
       }
       // in order; behind a cut it is held and delivered late
       long when = Math.max(now + lateBy + delay() / 2, lastArrival.getOrDefault(node, 0L));
-      if (Boolean.TRUE.equals(cut.get(node)))
+      if (Boolean.TRUE.equals(cut.get(node))) {
         when = Math.max(when, now + (heldMs > 0 ? heldMs : 2_000 + rnd.nextInt(8_000)));
+      }
       lastArrival.put(node, when);
       at(
           when - now,
           () -> {
-            if (other.up && other.life == l) other.event(() -> other.core.message(m));
-            else if (connection.containsKey(node)) drop(node);
+            if (other.up && other.life == l) {
+              other.event(() -> other.core.message(m));
+            } else if (connection.containsKey(node)) {
+              drop(node);
+            }
           });
     }
 
@@ -582,7 +644,9 @@
             () -> {
               T t = exec.get();
               int still = life;
-              if (l == still) back(1 + lag, () -> then.accept(t));
+              if (l == still) {
+                back(1 + lag, () -> then.accept(t));
+              }
             });
       }
     }
@@ -593,13 +657,17 @@
       int whole = slowness();
       int l = life;
       boolean late = whole > Constants.STATE_TIMEOUT_MS;
-      if (late) back(Constants.STATE_TIMEOUT_MS, () -> then.accept(unknown));
+      if (late) {
+        back(Constants.STATE_TIMEOUT_MS, () -> then.accept(unknown));
+      }
       int before = rnd.nextInt(whole);
       at(
           before,
           () -> {
             T t = exec.get();
-            if (!late && l == life) back(whole - before, () -> then.accept(t));
+            if (!late && l == life) {
+              back(whole - before, () -> then.accept(t));
+            }
           });
     }
 
@@ -610,9 +678,11 @@
     @Override
     public void transact(Txn txn, Consumer<TxnReply> reply) {
       boolean record = txn.puts().stream().anyMatch(p -> p.value() instanceof MachineRec);
-      if (record && recordsLate > 0)
+      if (record && recordsLate > 0) {
         transactNow(txn, r -> back(recordsLate, () -> reply.accept(r)));
-      else transactNow(txn, reply);
+      } else {
+        transactNow(txn, reply);
+      }
     }
 
     private void transactNow(Txn txn, Consumer<TxnReply> then) {
@@ -628,8 +698,9 @@
         at(
             2_000 + rnd.nextInt(10_000),
             () -> {
-              if (!state.outage && state.transact(txn).code() == Code.OK)
+              if (!state.outage && state.transact(txn).code() == Code.OK) {
                 strike("lateWrites, applied");
+              }
             });
         back(Constants.STATE_TIMEOUT_MS, () -> then.accept(new TxnReply(Code.UNKNOWN, 0)));
         return;
@@ -644,10 +715,16 @@
     /** Whether the transaction takes over a job that another process holds. */
     private boolean claims(Txn txn) {
       for (Put put : txn.puts()) {
-        if (!(put.value() instanceof JobRec claimed)) continue;
+        if (!(put.value() instanceof JobRec claimed)) {
+          continue;
+        }
         StateService.Val present = state.keys.get(put.key());
-        if (present == null || !(present.value() instanceof JobRec before)) continue;
-        if (claimed.epoch() > before.epoch()) return true;
+        if (present == null || !(present.value() instanceof JobRec before)) {
+          continue;
+        }
+        if (claimed.epoch() > before.epoch()) {
+          return true;
+        }
       }
       return false;
     }
@@ -663,9 +740,13 @@
           () -> {
             state.expire();
             StateService.Val v = state.keys.get(key);
-            if (v == null) return new GetReply(Code.OK, new Item(key, null, 0));
+            if (v == null) {
+              return new GetReply(Code.OK, new Item(key, null, 0));
+            }
             Entry value = read(v.value());
-            if (value == null) return new GetReply(Code.REFUSED, null);
+            if (value == null) {
+              return new GetReply(Code.REFUSED, null);
+            }
             return new GetReply(Code.OK, new Item(key, value, v.version()));
           },
           new GetReply(Code.REFUSED, null),
@@ -682,7 +763,9 @@
             boolean more = false;
             for (Map.Entry<String, StateService.Val> e :
                 state.keys.tailMap(after == null ? "" : after, false).entrySet()) {
-              if (!sees(e.getKey(), e.getValue().value())) continue;
+              if (!sees(e.getKey(), e.getValue().value())) {
+                continue;
+              }
               if (out.size() == 7) { // small pages, so that changes come between them
                 more = true;
                 break;
@@ -705,7 +788,9 @@
     }
 
     private void look(long after, long until, int l, Consumer<WatchReply> then) {
-      if (l != life) return;
+      if (l != life) {
+        return;
+      }
       if (tooOld) {
         tooOld = false;
         back(1, () -> then.accept(new WatchReply(Code.GONE, List.of(), 0)));
@@ -718,7 +803,9 @@
             i >= 0 && state.changes.get(i).version() > after;
             i--) {
           Item change = state.changes.get(i);
-          if (!sees(change.key(), change.value())) continue;
+          if (!sees(change.key(), change.value())) {
+            continue;
+          }
           out.add(0, new Item(change.key(), read(change.value()), change.version()));
         }
         if (!out.isEmpty() || now >= until) {
@@ -757,7 +844,9 @@
       ask(
           () -> {
             state.expire();
-            if (!state.leases.containsKey(lease)) return new LeaseReply(Code.GONE, lease);
+            if (!state.leases.containsKey(lease)) {
+              return new LeaseReply(Code.GONE, lease);
+            }
             state.leases.put(lease, now + state.ttls.get(lease));
             return new LeaseReply(Code.OK, lease);
           },
@@ -809,9 +898,13 @@
               heldOrders(w, token, session, commands, l, then);
               return;
             }
-            if (w.mute) strike("mute, ordered");
+            if (w.mute) {
+              strike("mute, ordered");
+            }
             OrderReply r = w.orders(token, session, commands);
-            if (l == life) back(delay(), () -> then.accept(r));
+            if (l == life) {
+              back(delay(), () -> then.accept(r));
+            }
           });
     }
 
@@ -825,23 +918,32 @@
         Consumer<OrderReply> then) {
       strike("hang, ordered");
       boolean[] over = {false};
-      if (l == life)
+      if (l == life) {
         back(
             Constants.ORDER_TIMEOUT_MS,
             () -> {
-              if (over[0]) return;
+              if (over[0]) {
+                return;
+              }
               over[0] = true;
               then.accept(new OrderReply(Code.UNKNOWN, null));
             });
+      }
       w.whenAwake(
           () -> {
             OrderReply r = w.orders(token, session, commands);
-            if (r.code() == Code.OK) strike("hang, held orders executed");
-            if (l != life) return;
+            if (r.code() == Code.OK) {
+              strike("hang, held orders executed");
+            }
+            if (l != life) {
+              return;
+            }
             back(
                 delay(),
                 () -> {
-                  if (over[0]) return;
+                  if (over[0]) {
+                    return;
+                  }
                   over[0] = true;
                   then.accept(r);
                 });
@@ -864,7 +966,9 @@
               while (got.size() < q.count() && workers.size() < capacity) {
                 got.add(machine(q.type(), q.zone(), q.spot(), 2_000 + rnd.nextInt(6_000)));
               }
-              if (!got.isEmpty()) rentals.put(q.name(), got);
+              if (!got.isEmpty()) {
+                rentals.put(q.name(), got);
+              }
             }
             then.accept(new RentReply(got.isEmpty() ? 503 : 200, got));
           });
@@ -907,7 +1011,9 @@
   void upgrade(Node node, long downMs) {
     node.installed = ClusterVersion.CURRENT;
     strike(node.up ? "upgrade" : "upgrade, while down");
-    if (node.up) node.crash(downMs);
+    if (node.up) {
+      node.crash(downMs);
+    }
   }
 
   /** Whether every controller is up with the present version. */
@@ -924,7 +1030,9 @@
         bootMs,
         () -> {
           w.begin();
-          if (!w.dead) rules.machineUp(new Rules.Machine(id, t, zone, spot, type.cpus()));
+          if (!w.dead) {
+            rules.machineUp(new Rules.Machine(id, t, zone, spot, type.cpus()));
+          }
         });
     return id;
   }
@@ -932,22 +1040,34 @@
   /** Without state service and peers, but with its workers, until {@link #rejoin}. */
   void isolate(Node h) {
     h.noState = true;
-    for (Node n : nodes.values()) if (n != h) part(n, h);
+    for (Node n : nodes.values())
+      if (n != h) {
+        part(n, h);
+      }
   }
 
   /** The zone is cut off from everything, its controllers too, until {@link #rejoin}. */
   void cutOff(String zone) {
     cutZone = zone;
     for (Node n : nodes.values()) {
-      if (!n.zone().equals(zone)) continue;
+      if (!n.zone().equals(zone)) {
+        continue;
+      }
       n.noState = true;
-      for (Node o : nodes.values()) if (!o.zone().equals(zone)) part(n, o);
+      for (Node o : nodes.values())
+        if (!o.zone().equals(zone)) {
+          part(n, o);
+        }
     }
   }
 
   /** Controllers refuse each other's connections, all of them, until {@link #rejoin}. */
   void refusePeers() {
-    for (Node n : nodes.values()) for (Node o : nodes.values()) if (n != o) part(n, o);
+    for (Node n : nodes.values())
+      for (Node o : nodes.values())
+        if (n != o) {
+          part(n, o);
+        }
   }
 
   private static void part(Node a, Node b) {
@@ -958,7 +1078,9 @@
   }
 
   void rejoin() {
-    if (cutZone != null) for (Node n : nodes.values()) n.noState &= !n.zone().equals(cutZone);
+    if (cutZone != null) {
+      for (Node n : nodes.values()) n.noState &= !n.zone().equals(cutZone);
+    }
     cutZone = null;
     for (Node n : nodes.values()) n.cut.clear();
   }
@@ -980,7 +1102,10 @@
 
   /** The machine's record as the first controller that is up has it. */
   MachineRec machineRec(String id) {
-    for (Node n : nodes.values()) if (n.up) return n.core.store().machine(id);
+    for (Node n : nodes.values())
+      if (n.up) {
+        return n.core.store().machine(id);
+      }
     throw new IllegalStateException("no controller is up");
   }
 
@@ -988,7 +1113,9 @@
   boolean endReplica(String job, int number, Why why) {
     for (Worker w : workers.values()) {
       for (Worker.T t : w.tasks.values()) {
-        if (!t.job.equals(job) || t.task != number || t.state != TaskState.RUNNING) continue;
+        if (!t.job.equals(job) || t.task != number || t.state != TaskState.RUNNING) {
+          continue;
+        }
         w.exit(t, why);
         return true;
       }
@@ -998,7 +1125,9 @@
 
   void killMachine(String id) {
     Worker w = workers.remove(id);
-    if (w == null) return;
+    if (w == null) {
+      return;
+    }
     w.dead = true;
     rules.machineGone(id);
   }
@@ -1066,7 +1195,9 @@
 
     /** The cloud tells it that it will be gone after so long. */
     void notice(long ms) {
-      if (dead || goneAt != 0) return;
+      if (dead || goneAt != 0) {
+        return;
+      }
       strike("notice");
       goneAt = now + ms;
       changed = true;
@@ -1083,7 +1214,9 @@
      * unless its lease has run out.
      */
     void hang(long ms) {
-      if (dead) return;
+      if (dead) {
+        return;
+      }
       strike("hang");
       long more = Math.max(0, now + ms - Math.max(now, hangsUntil));
       hangsUntil = Math.max(hangsUntil, now + ms);
@@ -1096,9 +1229,13 @@
     }
 
     private void goOn() {
-      if (dead || hangs()) return;
+      if (dead || hangs()) {
+        return;
+      }
       judgeLease();
-      if (newSession) leaseFrom = now;
+      if (newSession) {
+        leaseFrom = now;
+      }
       newSession = false;
       List<Runnable> come = new ArrayList<>(held);
       held.clear();
@@ -1106,8 +1243,11 @@
     }
 
     void whenAwake(Runnable r) {
-      if (hangs()) held.add(r);
-      else r.run();
+      if (hangs()) {
+        held.add(r);
+      } else {
+        r.run();
+      }
     }
 
     /**
@@ -1115,8 +1255,12 @@
      * it can't go on with them any more.
      */
     private void judgeLease() {
-      if (now - leaseFrom <= LEASE || newSession) return;
-      if (hangs()) strike("hang, beyond its lease");
+      if (now - leaseFrom <= LEASE || newSession) {
+        return;
+      }
+      if (hangs()) {
+        strike("hang, beyond its lease");
+      }
       for (T t : tasks.values()) rules.left(id, t.job, t.task, false);
       tasks.clear();
       session++;
@@ -1126,7 +1270,9 @@
     }
 
     void loop() {
-      if (dead) return;
+      if (dead) {
+        return;
+      }
       judgeLease();
       if (hangs()) {
         at(100, this::loop);
@@ -1135,7 +1281,9 @@
       boolean due =
           now - lastReport >= REPORT * 3 / 4 + rnd.nextInt((int) REPORT / 2)
               || (changed && now - lastReport >= 500);
-      if (due && !inFlight) report();
+      if (due && !inFlight) {
+        report();
+      }
       at(100, this::loop);
     }
 
@@ -1160,7 +1308,9 @@
           () ->
               whenAwake(
                   () -> {
-                    if (flight == mine && inFlight) next();
+                    if (flight == mine && inFlight) {
+                      next();
+                    }
                   }));
       if (mute) {
         strike("mute");
@@ -1172,33 +1322,44 @@
         at(
             200 + rnd.nextInt(3 * (int) LEASE),
             () -> {
-              if (any.up) any.event(() -> any.core.report(r, a -> {}));
+              if (any.up) {
+                any.event(() -> any.core.report(r, a -> {}));
+              }
             });
       }
       if (cutFrom(n)) {
-        if (rnd.nextBoolean())
+        if (rnd.nextBoolean()) {
           at(
               1_000 + rnd.nextInt(20_000),
               () -> {
-                if (n.up) n.event(() -> n.core.report(r, a -> {}));
+                if (n.up) {
+                  n.event(() -> n.core.report(r, a -> {}));
+                }
               });
+        }
         return;
       }
       if (!n.up) {
         at(
             5,
             () -> {
-              if (flight == mine) next();
+              if (flight == mine) {
+                next();
+              }
             });
         return;
       }
-      if (rnd.nextDouble() < loss) return; // lost, or answered to nobody
+      if (rnd.nextDouble() < loss) {
+        return; // lost, or answered to nobody
+      }
       int l = n.life;
       at(
           delay(),
           () -> {
             if (!n.up || n.life != l) {
-              if (flight == mine) next();
+              if (flight == mine) {
+                next();
+              }
               return;
             }
             n.event(
@@ -1212,10 +1373,12 @@
                                     whenAwake(
                                         () -> {
                                           // given up on, though it hung then
-                                          if (now - sent > 4_000 && flight == mine && inFlight)
+                                          if (now - sent > 4_000 && flight == mine && inFlight) {
                                             next();
-                                          if (flight == mine && inFlight && !cutFrom(n) && !deaf)
+                                          }
+                                          if (flight == mine && inFlight && !cutFrom(n) && !deaf) {
                                             answer(a, sent, r.session());
+                                          }
                                         }))));
           });
     }
@@ -1232,7 +1395,9 @@
     }
 
     void answer(ReportAnswer a, long sent, long forSession) {
-      if (dead) return;
+      if (dead) {
+        return;
+      }
       inFlight = false;
       if (a.status() == 421 && a.reportTo() != null && !a.reportTo().equals(node)) {
         node = a.reportTo();
@@ -1243,7 +1408,9 @@
         next();
         return;
       }
-      if (a.token() < token || forSession != session) return;
+      if (a.token() < token || forSession != session) {
+        return;
+      }
       if (a.token() > token) {
         token = a.token();
         changed = true;
@@ -1253,9 +1420,12 @@
     }
 
     Effects.OrderReply orders(long tok, long ses, List<Command> commands) {
-      if (dead) return new Effects.OrderReply(Effects.Code.UNKNOWN, null);
-      if (tok < token || ses != session)
+      if (dead) {
+        return new Effects.OrderReply(Effects.Code.UNKNOWN, null);
+      }
+      if (tok < token || ses != session) {
         return new Effects.OrderReply(Effects.Code.CONFLICT, snapshot());
+      }
       if (tok > token) {
         token = tok;
         changed = true;
@@ -1269,7 +1439,9 @@
       T t = tasks.get(key);
       switch (c.kind()) {
         case START -> {
-          if (t != null) return;
+          if (t != null) {
+            return;
+          }
           t = new T();
           t.job = c.job();
           t.task = c.task();
@@ -1292,11 +1464,15 @@
               () -> running(x, key, step));
         }
         case STOP -> {
-          if (t == null || t.state == TaskState.EXITED) return;
+          if (t == null || t.state == TaskState.EXITED) {
+            return;
+          }
           exit(t, Why.STOPPED);
         }
         case FORGET -> {
-          if (t != null && t.state == TaskState.EXITED) tasks.remove(key);
+          if (t != null && t.state == TaskState.EXITED) {
+            tasks.remove(key);
+          }
         }
       }
     }
@@ -1307,12 +1483,17 @@
     }
 
     private void atDue(T t, Runnable then) {
-      if (now < t.due) at(t.due - now, () -> atDue(t, then));
-      else then.run();
+      if (now < t.due) {
+        at(t.due - now, () -> atDue(t, then));
+      } else {
+        then.run();
+      }
     }
 
     void running(T t, String key, int step) {
-      if (dead || tasks.get(key) != t || t.step != step || t.state != TaskState.FETCHING) return;
+      if (dead || tasks.get(key) != t || t.step != step || t.state != TaskState.FETCHING) {
+        return;
+      }
       images.put(t.job, now);
       if (completed.contains(t.job + "/" + t.task)) {
         strike("result kept");
@@ -1323,7 +1504,9 @@
       changed = true;
       rules.started(now, new Rules.OnMachine(id, t.job, t.task, "t8", zone, spot));
       if (rules.service(t.job) && !faulty) {
-        if (replicaEnds > 0 && rnd.nextDouble() < replicaEnds) endByChance(t, key);
+        if (replicaEnds > 0 && rnd.nextDouble() < replicaEnds) {
+          endByChance(t, key);
+        }
         return;
       }
       progress(t, faulty ? 1 : runs(t), () -> endItself(t, key, faulty ? Why.ERROR : Why.DONE));
@@ -1336,7 +1519,9 @@
     }
 
     private void endItself(T t, String key, Why why) {
-      if (dead || tasks.get(key) != t || t.state != TaskState.RUNNING) return;
+      if (dead || tasks.get(key) != t || t.state != TaskState.RUNNING) {
+        return;
+      }
       exit(t, why);
     }
 
@@ -1350,9 +1535,15 @@
       t.state = TaskState.EXITED;
       t.why = why;
       changed = true;
-      if (was) rules.left(id, t.job, t.task, why == Why.DONE);
-      if (why == Why.DONE) completed.add(t.job + "/" + t.task);
-      if (was && why == Why.DONE) cancelAtItsEnd(t.job);
+      if (was) {
+        rules.left(id, t.job, t.task, why == Why.DONE);
+      }
+      if (why == Why.DONE) {
+        completed.add(t.job + "/" + t.task);
+      }
+      if (was && why == Why.DONE) {
+        cancelAtItsEnd(t.job);
+      }
     }
   }
 
@@ -1433,9 +1624,11 @@
 
   /** Asks this controller, whose adapter refuses the kinds of jobs that its version lacks. */
   void submitAt(Node n, JobSpec j, Consumer<UserAnswer> reply) {
-    if (j.service() && !n.knowsServices())
+    if (j.service() && !n.knowsServices()) {
       n.event(() -> n.core.refuse(j.id(), "oficio must be batch", reply));
-    else n.event(() -> n.core.submit(j, reply));
+    } else {
+      n.event(() -> n.core.submit(j, reply));
+    }
   }
 
   void submit(JobSpec j) {
@@ -1445,7 +1638,9 @@
   }
 
   private void trySubmit(JobSpec j, long until) {
-    if (now > until) return;
+    if (now > until) {
+      return;
+    }
     Node n = nodes.get(NODES.get(rnd.nextInt(3)));
     long asked = now;
     boolean[] answered = {false};
@@ -1455,29 +1650,40 @@
           j,
           a -> {
             answered[0] = true;
-            if (rnd.nextDouble() < loss) answered[0] = false; // the user doesn't get it
-            else rules.told(now, asked, j.id(), a.status(), a.state());
-            if (answered[0] && a.state() != null) poll(j.id());
-            else at(1_000, () -> trySubmit(j, until));
+            if (rnd.nextDouble() < loss) {
+              answered[0] = false;
+            } // the user doesn't get it
+            else {
+              rules.told(now, asked, j.id(), a.status(), a.state());
+            }
+            if (answered[0] && a.state() != null) {
+              poll(j.id());
+            } else {
+              at(1_000, () -> trySubmit(j, until));
+            }
           });
     }
     at(
         5_000,
         () -> {
-          if (!answered[0] && now - asked >= 5_000 && rules.lastTold(j.id()) == null)
+          if (!answered[0] && now - asked >= 5_000 && rules.lastTold(j.id()) == null) {
             trySubmit(j, until);
+          }
         });
   }
 
   private void poll(String id) {
     String last = rules.lastTold(id);
     if ("done".equals(last) || "cancelled".equals(last)) {
-      if (rnd.nextInt(4) > 0) return;
+      if (rnd.nextInt(4) > 0) {
+        return;
+      }
     }
     Node n = nodes.get(NODES.get(rnd.nextInt(3)));
     long asked = now;
-    if (n.up)
+    if (n.up) {
       n.event(() -> n.core.query(id, a -> rules.told(now, asked, id, a.status(), a.state())));
+    }
     at(2_000 + rnd.nextInt(3_000), () -> poll(id));
   }
 
@@ -1495,24 +1701,34 @@
                 id,
                 a -> {
                   rules.told(now, asked, id, a.status(), a.state());
-                  if (a.state() == null && a.status() != 404) at(1_000, () -> cancel(id));
+                  if (a.state() == null && a.status() != 404) {
+                    at(1_000, () -> cancel(id));
+                  }
                 }));
   }
 
   private void cancelAtItsEnd(String job) {
-    if (cancelAtEnd <= 0) return;
+    if (cancelAtEnd <= 0) {
+      return;
+    }
     if (rules.service(job)) {
       cancelAtReplicasEnd(job);
       return;
     }
-    if (rules.tasksLeft(job) > 1) return;
-    if (rnd.nextDouble() >= cancelAtEnd) return;
+    if (rules.tasksLeft(job) > 1) {
+      return;
+    }
+    if (rnd.nextDouble() >= cancelAtEnd) {
+      return;
+    }
     strike(rules.tasksLeft(job) == 0 ? "cancelAtEnd" : "cancelAtEnd, one task short");
     at(0, () -> cancel(job));
   }
 
   private void cancelAtReplicasEnd(String service) {
-    if (rnd.nextDouble() >= cancelAtEnd / 4) return;
+    if (rnd.nextDouble() >= cancelAtEnd / 4) {
+      return;
+    }
     strike("cancelAtEnd, replica");
     at(0, () -> cancel(service));
   }
@@ -1527,11 +1743,15 @@
       theirs.addAll(rules.machinesOf(id));
       at(rnd.nextInt(200), () -> cancel(id));
     }
-    if (hangMs <= 0) return;
+    if (hangMs <= 0) {
+      return;
+    }
     int n = 0;
     for (String m : theirs) {
       Worker w = workers.get(m);
-      if (w == null || n++ >= 8) continue;
+      if (w == null || n++ >= 8) {
+        continue;
+      }
       strike("cancelNow, hang");
       w.hang(hangMs);
     }
@@ -1542,20 +1762,28 @@
    * over or not, cancellations of done jobs, questions about no job, jobs that can never run.
    */
   void oddRequests(int n) {
-    for (int i = 0; i < n; i++) at(rnd.nextInt(20_000), this::oddRequest);
+    for (int i = 0; i < n; i++) {
+      at(rnd.nextInt(20_000), this::oddRequest);
+    }
   }
 
   private void oddRequest() {
     List<String> told = new ArrayList<>();
     List<String> done = new ArrayList<>();
     for (String id : jobs) {
-      if (rules.lastTold(id) != null) told.add(id);
-      if ("done".equals(rules.lastTold(id))) done.add(id);
+      if (rules.lastTold(id) != null) {
+        told.add(id);
+      }
+      if ("done".equals(rules.lastTold(id))) {
+        done.add(id);
+      }
     }
     Node n = nodes.get(NODES.get(rnd.nextInt(3)));
     switch (rnd.nextInt(4)) {
       case 0 -> {
-        if (told.isEmpty() || !n.up) return;
+        if (told.isEmpty() || !n.up) {
+          return;
+        }
         String id = told.get(rnd.nextInt(told.size()));
         String last = rules.lastTold(id);
         boolean over = "done".equals(last) || "cancelled".equals(last);
@@ -1564,7 +1792,9 @@
         submitAt(n, rules.spec(id), a -> rules.told(now, asked, id, a.status(), a.state()));
       }
       case 1 -> {
-        if (done.isEmpty()) return;
+        if (done.isEmpty()) {
+          return;
+        }
         strike("oddRequests, cancel done");
         cancel(done.get(rnd.nextInt(done.size())));
       }
@@ -1573,7 +1803,9 @@
         askForNobody();
       }
       default -> {
-        if (!n.up) return;
+        if (!n.up) {
+          return;
+        }
         strike("oddRequests, impossible");
         boolean team = rnd.nextBoolean();
         String id = String.format("wk-9%05d", impossibleNo++);
@@ -1605,17 +1837,29 @@
     Map<String, Integer> owned = new TreeMap<>();
     Map<String, Integer> held = new TreeMap<>();
     for (StateService.Val v : state.keys.values()) {
-      if (v.value() instanceof MachineRec m) owned.merge(m.node(), 1, Integer::sum);
-      if (v.value() instanceof GroupRec g) owned.merge(g.node(), g.machines().size(), Integer::sum);
-      if (v.value() instanceof JobRec j && j.open()) held.merge(j.holder(), 1, Integer::sum);
+      if (v.value() instanceof MachineRec m) {
+        owned.merge(m.node(), 1, Integer::sum);
+      }
+      if (v.value() instanceof GroupRec g) {
+        owned.merge(g.node(), g.machines().size(), Integer::sum);
+      }
+      if (v.value() instanceof JobRec j && j.open()) {
+        held.merge(j.holder(), 1, Integer::sum);
+      }
     }
     for (Map<String, Integer> m : List.of(owned, held)) {
       Node most = null;
       for (Node n : nodes.values()) {
-        if (!n.up || !m.containsKey(n.name)) continue;
-        if (most == null || m.get(n.name) > m.get(most.name)) most = n;
+        if (!n.up || !m.containsKey(n.name)) {
+          continue;
+        }
+        if (most == null || m.get(n.name) > m.get(most.name)) {
+          most = n;
+        }
+      }
+      if (most == null) {
+        continue;
       }
-      if (most == null) continue;
       strike(state.outage ? "changeLeaders, in an outage" : "changeLeaders");
       most.crash(100 + rnd.nextInt(800));
     }
@@ -1637,7 +1881,9 @@
   /** A service of more replicas than its team may run at once is asked for. */
   void askForImpossibleService() {
     Node n = nodes.get(NODES.get(rnd.nextInt(3)));
-    if (!n.up) return;
+    if (!n.up) {
+      return;
+    }
     strike("impossible service");
     String id = String.format("wk-8%05d", impossibleNo++);
     JobSpec tooMany = service(id, 7, 4, Priority.NORMAL, "tight", false, false, true, null);
@@ -1650,7 +1896,9 @@
 
   private void askFor(String id) {
     Node n = nodes.get(NODES.get(rnd.nextInt(3)));
-    if (n.up) n.event(() -> n.core.query(id, a -> rules.told(now, id, a.status(), a.state())));
+    if (n.up) {
+      n.event(() -> n.core.query(id, a -> rules.told(now, id, a.status(), a.state())));
+    }
   }
 
   /** A small policy: any machine, the emptiest last. */
--- a/src/test/java/mallowstall/core/StateLimitsTest.java
+++ b/src/test/java/mallowstall/core/StateLimitsTest.java
@@ -80,11 +80,15 @@
     s.state.changed =
         t -> {
           for (String id : jobs) {
-            if (t.puts().stream().noneMatch(p -> p.key().contains(id))) continue;
+            if (t.puts().stream().noneMatch(p -> p.key().contains(id))) {
+              continue;
+            }
             BitSet now = s.doneBits(id);
             BitSet lost = before.put(id, now);
             lost.andNot(now);
-            if (!lost.isEmpty()) s.rules.broken.add(s.now + " lost: " + id + " " + lost);
+            if (!lost.isEmpty()) {
+              s.rules.broken.add(s.now + " lost: " + id + " " + lost);
+            }
           }
         };
   }
@@ -105,7 +109,9 @@
 
   private static Txn counters(int count, long value) {
     List<Put> puts = new ArrayList<>();
-    for (int i = 0; i < count; i++) puts.add(new Put("c/x/" + i, new CounterRec(value), 0));
+    for (int i = 0; i < count; i++) {
+      puts.add(new Put("c/x/" + i, new CounterRec(value), 0));
+    }
     return new Txn(List.of(), puts, List.of());
   }
 
@@ -128,13 +134,17 @@
     assertEquals(Code.MALFORMED, s.state.transact(bits(1_530)).code());
     assertEquals(Code.MALFORMED, s.state.transact(counters(9, 2)).code());
     List<Cond> conditions = new ArrayList<>();
-    for (int i = 0; i < 33; i++) conditions.add(new Cond("c/y/" + i, 0));
+    for (int i = 0; i < 33; i++) {
+      conditions.add(new Cond("c/y/" + i, 0));
+    }
     Txn manyConditions = new Txn(conditions, counters(1, 2).puts(), List.of());
     assertEquals(Code.MALFORMED, s.state.transact(manyConditions).code());
     assertEquals(revision, s.state.revision, "nothing was changed");
     assertEquals(3, s.struck.get(TOO_LARGE));
     assertEquals(Code.OK, s.state.transact(bits(1_527)).code());
-    for (int i = 0; i < 4; i++) assertEquals(Code.OK, s.state.transact(counters(8, 3)).code());
+    for (int i = 0; i < 4; i++) {
+      assertEquals(Code.OK, s.state.transact(counters(8, 3)).code());
+    }
     assertEquals(Code.REFUSED, s.state.transact(counters(8, 4)).code(), "40 in a second");
     assertEquals(1, s.struck.get(TOO_MANY));
     s.now += 100; // room for four more
@@ -153,7 +163,9 @@
   void theLimitsFallInTheMiddleOfATakeover(long after) {
     Sim s = new Sim(301 + after, AFTER);
     s.state.limitTo(BEFORE);
-    for (int i = 0; i < 300; i++) s.machine("t8", i % 2 == 0 ? "a" : "b", false, 0);
+    for (int i = 0; i < 300; i++) {
+      s.machine("t8", i % 2 == 0 ? "a" : "b", false, 0);
+    }
     s.run(20_000);
     s.submit(many(s, "wk-000001", "free"));
     s.submit(many(s, "wk-000002", "tight"));
@@ -169,7 +181,9 @@
     s.at(after, () -> s.state.limitTo(AFTER));
     s.run(65_000);
     for (Sim.Node n : s.nodes.values())
-      if (n != first) assertEquals(0, sessionChanges(s, n.name, revision), n.name);
+      if (n != first) {
+        assertEquals(0, sessionChanges(s, n.name, revision), n.name);
+      }
     Map<String, Integer> counts = new HashMap<>();
     for (String id : List.of("wk-000001", "wk-000002", "wk-000003")) {
       JobRec rec = s.entry(id);
@@ -229,7 +243,9 @@
     JobRec rec = JobRec.accepted(spec, 1_700_000_000_000L, holder.name, incarnation);
     s.rules.submitted(spec);
     s.jobs.add(spec.id());
-    for (int task = 0; task < 20_000; task++) s.rules.left("", spec.id(), task, true);
+    for (int task = 0; task < 20_000; task++) {
+      s.rules.left("", spec.id(), task, true);
+    }
     int starts = s.rules.starts;
     long revision = ++s.state.revision;
     JobRec partly = rec.withDone(new byte[0], 20_000, Final.NONE);
@@ -267,10 +283,13 @@
     int from = s.state.asked.size();
     long revision = s.state.revision;
     s.run(15_000);
-    for (int i = 3; i < 6; i++)
+    for (int i = 3; i < 6; i++) {
       s.submit(s.job("wk-00000" + i, 6, 2, Priority.HIGH, "tight", false, false, true, null));
+    }
     s.run(70_000);
-    for (int i = 3; i < 6; i++) assertEquals("done", s.rules.lastTold("wk-00000" + i));
+    for (int i = 3; i < 6; i++) {
+      assertEquals("done", s.rules.lastTold("wk-00000" + i));
+    }
     for (String id : List.of("wk-000001", "wk-000002")) {
       long tries = asked(s, from, JobEntries.jobKey(id));
       assertTrue(tries >= 2 && tries <= 12, id + " was tried " + tries + " times");
@@ -284,7 +303,9 @@
       assertTrue(tries >= 2 && tries <= 24, id + " was claimed " + tries + " times");
     }
     for (Sim.Node n : s.nodes.values())
-      if (n != holder) assertEquals(0, sessionChanges(s, n.name, revision), n.name);
+      if (n != holder) {
+        assertEquals(0, sessionChanges(s, n.name, revision), n.name);
+      }
     assertTrue(s.struck.get(TOO_LARGE) > 0);
     assertEquals(List.of(), s.rules.broken);
   }
@@ -338,7 +359,9 @@
 
   private static JobSpec withLongNames(JobSpec j) {
     List<String> types = new ArrayList<>(List.of("t8"));
-    for (int i = 0; i < 9; i++) types.add("t".repeat(199) + i);
+    for (int i = 0; i < 9; i++) {
+      types.add("t".repeat(199) + i);
+    }
     return new JobSpec(
         j.id(),
         j.jobClass(),
@@ -371,21 +394,31 @@
   void machinesChangeOwnerOnceThoughFewChangesAreAllowed() {
     Sim.StateLimits few = new Sim.StateLimits(2_048, 8, 12);
     Sim s = new Sim(320, few);
-    for (int i = 0; i < 500; i++) s.machine("t8", i % 2 == 0 ? "a" : "b", false, 0);
+    for (int i = 0; i < 500; i++) {
+      s.machine("t8", i % 2 == 0 ? "a" : "b", false, 0);
+    }
     s.run(25_000);
     s.state.limitTo(few);
     long before = s.state.revision;
     for (Sim.Node n : s.nodes.values()) n.crash(2_000);
     s.run(s.now + 12_000);
     Set<String> kept = new HashSet<>();
-    for (Sim.Worker w : s.workers.values()) if (w.session == 1) kept.add(w.id);
+    for (Sim.Worker w : s.workers.values())
+      if (w.session == 1) {
+        kept.add(w.id);
+      }
     assertTrue(kept.size() > s.workers.size() * 9 / 10, "kept: " + kept.size());
     assertTrue(s.state.keys.containsKey(Store.DUTY), "somebody rents and returns machines again");
     int adopted = 0;
     for (Effects.Item i : s.state.changes) {
-      if (i.version() <= before) continue;
-      if (i.value() instanceof GroupRec g) adopted += g.machines().size();
-      else if (i.value() instanceof MachineRec) adopted++;
+      if (i.version() <= before) {
+        continue;
+      }
+      if (i.value() instanceof GroupRec g) {
+        adopted += g.machines().size();
+      } else if (i.value() instanceof MachineRec) {
+        adopted++;
+      }
     }
     assertTrue(adopted < s.workers.size() * 5 / 4, "adopted: " + adopted);
   }
--- a/src/test/java/mallowstall/core/Troubles.java
+++ b/src/test/java/mallowstall/core/Troubles.java
@@ -35,10 +35,14 @@
                     spread && zone == null,
                     s.rnd.nextInt(3) > 0,
                     zone));
-            if (s.rnd.nextInt(5) == 0) s.at(1_000 + s.rnd.nextInt(15_000), () -> s.cancel(id));
+            if (s.rnd.nextInt(5) == 0) {
+              s.at(1_000 + s.rnd.nextInt(15_000), () -> s.cancel(id));
+            }
           });
     }
-    for (int i = 0; i < 20; i++) s.at(s.rnd.nextInt(120_000), s::askForNobody);
+    for (int i = 0; i < 20; i++) {
+      s.at(s.rnd.nextInt(120_000), s::askForNobody);
+    }
   }
 
   /** One of the older troubles at random. */
@@ -64,7 +68,9 @@
         s.at(3_000 + s.rnd.nextInt(20_000), () -> n.cut.put(other, false));
       }
       case 5 -> {
-        if (!s.workers.isEmpty()) s.killMachine(s.workers.keySet().iterator().next());
+        if (!s.workers.isEmpty()) {
+          s.killMachine(s.workers.keySet().iterator().next());
+        }
       }
       case 6 -> {
         s.refusePeers();
@@ -81,20 +87,26 @@
       }
       case 11 -> n.freezeFor = 2_000 + s.rnd.nextInt(28_000);
       case 12 -> {
-        if (s.cutZone != null) return;
+        if (s.cutZone != null) {
+          return;
+        }
         s.cutOff(s.rnd.nextBoolean() ? "a" : "b");
         s.at(5_000 + s.rnd.nextInt(40_000), s::rejoin);
       }
       case 8, 9 -> {
         List<Sim.Worker> ws = List.copyOf(s.workers.values());
-        if (ws.isEmpty()) return;
+        if (ws.isEmpty()) {
+          return;
+        }
         Sim.Worker w = ws.get(s.rnd.nextInt(ws.size()));
         w.deaf = true;
         s.at(2_000 + s.rnd.nextInt(60_000), () -> w.deaf = false);
       }
       default -> {
         List<Sim.Worker> ws = List.copyOf(s.workers.values());
-        if (ws.isEmpty()) return;
+        if (ws.isEmpty()) {
+          return;
+        }
         Sim.Worker w = ws.get(s.rnd.nextInt(ws.size()));
         w.cut = true;
         s.at(2_000 + s.rnd.nextInt(20_000), () -> w.cut = false);
@@ -113,15 +125,18 @@
       }
       case 1 -> {
         for (Sim.Worker w : ws) {
-          if (s.rnd.nextInt(3) > 0) continue;
+          if (s.rnd.nextInt(3) > 0) {
+            continue;
+          }
           w.mute = true;
           s.at(2_000 + s.rnd.nextInt(40_000), () -> w.mute = false);
         }
       }
       case 2 -> {
         for (Sim.Worker w : ws)
-          if (s.rnd.nextInt(3) == 0)
+          if (s.rnd.nextInt(3) == 0) {
             w.hang(1_000 + s.rnd.nextInt(s.rnd.nextBoolean() ? 9_000 : 25_000));
+          }
       }
       case 3 -> s.cancelNow(1 + s.rnd.nextInt(6), 0);
       case 4 -> s.cancelNow(1 + s.rnd.nextInt(6), 1_000 + s.rnd.nextInt(12_000));
@@ -129,14 +144,19 @@
       case 6 -> {
         // ten times in two minutes, or as many as there is time for
         long every = 12_000;
-        for (long at = 0; at < 10 * every && s.now + at < until; at += every)
+        for (long at = 0; at < 10 * every && s.now + at < until; at += every) {
           s.at(at, s::changeLeaders);
+        }
       }
       case 7 -> {
         s.refusedThenOutage(
             n, 3_000 + s.rnd.nextInt(7_000), Sim.CANCEL + 2_000 + s.rnd.nextInt(8_000));
-        if (s.rnd.nextBoolean()) s.at(s.rnd.nextInt(9_000), () -> s.cancelNow(3, 0));
-        if (s.rnd.nextBoolean()) s.at(12_000 + s.rnd.nextInt(20_000), s::changeLeaders);
+        if (s.rnd.nextBoolean()) {
+          s.at(s.rnd.nextInt(9_000), () -> s.cancelNow(3, 0));
+        }
+        if (s.rnd.nextBoolean()) {
+          s.at(12_000 + s.rnd.nextInt(20_000), s::changeLeaders);
+        }
       }
       default -> {
         s.strike("isolate");
--- a/src/test/java/mallowstall/core/UpgradeHistoriesTest.java
+++ b/src/test/java/mallowstall/core/UpgradeHistoriesTest.java
@@ -68,7 +68,9 @@
 
   @AfterAll
   static void everyMeetingTookPlace() {
-    if (played < HISTORIES) return; // only some of the seeds were asked for
+    if (played < HISTORIES) {
+      return; // only some of the seeds were asked for
+    }
     Set<String> missing = new TreeSet<>(MEETINGS);
     missing.removeAll(struck.keySet());
     assertEquals(Set.of(), missing, "took place in none of the histories");
@@ -107,13 +109,22 @@
     s.rules.crossingsBreak = false; // as in HistoriesTest: slow reads are overtaken
     Troubles.work(s, 35, 130_000);
     upgrades(s);
-    for (int i = 0; i < 10; i++) s.at(troubleTime(s), () -> Troubles.older(s));
-    for (int i = 0; i < 10; i++)
+    for (int i = 0; i < 10; i++) {
+      s.at(troubleTime(s), () -> Troubles.older(s));
+    }
+    for (int i = 0; i < 10; i++) {
       s.at(troubleTime(s), () -> Troubles.newer(s, FIRST_TROUBLE + TROUBLE_FOR));
-    for (int i = 0; i < 4; i++) s.at(troubleTime(s), () -> crashInClaim(s));
+    }
+    for (int i = 0; i < 4; i++) {
+      s.at(troubleTime(s), () -> crashInClaim(s));
+    }
     s.at(75_000, () -> submitServices(s));
-    for (int i = 0; i < 6; i++) s.at(90_000 + s.rnd.nextInt(90_000), () -> killMachineOfService(s));
-    for (int i = 0; i < 3; i++) s.at(90_000 + s.rnd.nextInt(90_000), () -> endMachineSoon(s));
+    for (int i = 0; i < 6; i++) {
+      s.at(90_000 + s.rnd.nextInt(90_000), () -> killMachineOfService(s));
+    }
+    for (int i = 0; i < 3; i++) {
+      s.at(90_000 + s.rnd.nextInt(90_000), () -> endMachineSoon(s));
+    }
     s.at(CHANCE_ENDS, () -> endChance(s));
     s.rules.calmSince = CALM;
     s.run(END);
@@ -139,12 +150,17 @@
     while (!waiting.isEmpty()) {
       Sim.Node n = s.nodes.get(waiting.remove(s.rnd.nextInt(waiting.size())));
       long downMs = s.rnd.nextBoolean() ? 50 + s.rnd.nextInt(900) : 1_000 + s.rnd.nextInt(8_000);
-      if (s.rnd.nextInt(4) == 0) s.at(turn, () -> upgradeInClaim(s, n, downMs));
-      else s.at(turn, () -> s.upgrade(n, downMs));
+      if (s.rnd.nextInt(4) == 0) {
+        s.at(turn, () -> upgradeInClaim(s, n, downMs));
+      } else {
+        s.at(turn, () -> s.upgrade(n, downMs));
+      }
       s.at(turn + 15_000, () -> upgradeAtLast(s, n));
       turn += untilNextTurn(s);
     }
-    for (int i = 0; i < 5; i++) s.at(8_000 + s.rnd.nextInt(55_000), () -> crash(s));
+    for (int i = 0; i < 5; i++) {
+      s.at(8_000 + s.rnd.nextInt(55_000), () -> crash(s));
+    }
   }
 
   private static long untilNextTurn(Sim s) {
@@ -173,7 +189,9 @@
 
   /** Whoever waits for a claim that doesn't come has its turn all the same. */
   private static void upgradeAtLast(Sim s, Sim.Node n) {
-    if (n.installed == ClusterVersion.CURRENT) return;
+    if (n.installed == ClusterVersion.CURRENT) {
+      return;
+    }
     n.atNextClaim = null;
     s.upgrade(n, 300);
   }
@@ -183,8 +201,12 @@
   }
 
   private static void crash(Sim s, Sim.Node n) {
-    if (!n.up) return;
-    if (n.installed != ClusterVersion.CURRENT) s.strike("came back old");
+    if (!n.up) {
+      return;
+    }
+    if (n.installed != ClusterVersion.CURRENT) {
+      s.strike("came back old");
+    }
     n.crash(s.rnd.nextBoolean() ? 50 + s.rnd.nextInt(900) : 1_000 + s.rnd.nextInt(8_000));
   }
 
@@ -210,9 +232,13 @@
       JobSpec service = randomService(s, String.format("wk-7%05d", i));
       int cpus = (int) (service.tasks() * service.cpus());
       boolean tight = service.team().equals("tight");
-      if (cpus > cpusLeft || tight && cpus > tightLeft) continue;
+      if (cpus > cpusLeft || tight && cpus > tightLeft) {
+        continue;
+      }
       cpusLeft -= cpus;
-      if (tight) tightLeft -= cpus;
+      if (tight) {
+        tightLeft -= cpus;
+      }
       s.at(s.rnd.nextInt(50_000), () -> submit(s, service));
     }
     s.at(s.rnd.nextInt(50_000), s::askForImpossibleService);
@@ -236,7 +262,9 @@
 
   private static void submit(Sim s, JobSpec service) {
     s.submit(service);
-    if (s.rnd.nextInt(4) > 0) return;
+    if (s.rnd.nextInt(4) > 0) {
+      return;
+    }
     s.at(s.rnd.nextInt(60_000), () -> cancel(s, service.id()));
   }
 
@@ -247,7 +275,9 @@
 
   private static void killMachineOfService(Sim s) {
     Sim.Worker w = machineOfService(s);
-    if (w == null) return;
+    if (w == null) {
+      return;
+    }
     s.strike("machine of a service killed");
     s.killMachine(w.id);
   }
@@ -255,7 +285,9 @@
   /** The cloud gives notice of the machine, or it begins to fail what is started there. */
   private static void endMachineSoon(Sim s) {
     Sim.Worker w = machineOfService(s);
-    if (w == null) return;
+    if (w == null) {
+      return;
+    }
     if (s.rnd.nextBoolean()) {
       w.notice(10_000 + s.rnd.nextInt(15_000));
       return;
@@ -267,7 +299,10 @@
   /** A machine with replicas; null: there is none. */
   private static Sim.Worker machineOfService(Sim s) {
     List<String> machines = new ArrayList<>();
-    for (String id : s.jobs) if (s.rules.service(id)) machines.addAll(s.rules.machinesOf(id));
+    for (String id : s.jobs)
+      if (s.rules.service(id)) {
+        machines.addAll(s.rules.machinesOf(id));
+      }
     return machines.isEmpty() ? null : s.workers.get(machines.get(s.rnd.nextInt(machines.size())));
   }
 
@@ -276,7 +311,10 @@
   private static void assertKept(Sim s) {
     assertEquals(List.of(), s.rules.broken);
     assertTrue(s.rules.starts > 40, "starts " + s.rules.starts);
-    for (String id : s.jobs) if (!s.rules.service(id)) assertOver(s, id);
+    for (String id : s.jobs)
+      if (!s.rules.service(id)) {
+        assertOver(s, id);
+      }
     for (String id : kept(s)) assertServed(s, id);
   }
 
@@ -297,7 +335,9 @@
     List<String> kept = new ArrayList<>();
     for (String id : s.jobs) {
       boolean accepted = s.rules.lastTold(id) != null && !s.rules.cancelAsked(id);
-      if (s.rules.service(id) && accepted) kept.add(id);
+      if (s.rules.service(id) && accepted) {
+        kept.add(id);
+      }
     }
     return kept;
   }
--- a/src/test/java/mallowstall/core/UpgradeTest.java
+++ b/src/test/java/mallowstall/core/UpgradeTest.java
@@ -37,7 +37,9 @@
     List<UserAnswer> got = new ArrayList<>();
     question.accept(got::add);
     long until = s.now + ANSWER_WITHIN_MS;
-    while (got.isEmpty() && s.now < until) s.run(s.now + 10);
+    while (got.isEmpty() && s.now < until) {
+      s.run(s.now + 10);
+    }
     UserAnswer answer = got.isEmpty() ? null : got.get(0);
     assertNotNull(answer, "no answer about " + job);
     s.rules.told(s.now, job, answer.status(), answer.state());
@@ -134,7 +136,9 @@
       s.run(s.now + RUNS_AGAIN_MS);
       assertEquals(503, queryAt(s, old, SERVICE).status());
       for (Sim.Node n : s.nodes.values())
-        if (n != old) assertEquals("running", queryAt(s, n, SERVICE).state(), n.name);
+        if (n != old) {
+          assertEquals("running", queryAt(s, n, SERVICE).state(), n.name);
+        }
       assertEquals(REPLICAS, s.rules.replicasOn(SERVICE), "old: " + name);
       assertEquals("done", s.rules.lastTold(BATCH));
       assertEquals(Final.SERVING, s.entry(SERVICE).fin());
@@ -172,7 +176,10 @@
     s.rules.asksToCancel(SERVICE);
     Sim.Node n = s.nodes.get("n2");
     answer(s, SERVICE, reply -> n.event(() -> n.core.cancel(SERVICE, reply)));
-    for (Sim.Node other : s.nodes.values()) if (other != old) other.crash(15_000);
+    for (Sim.Node other : s.nodes.values())
+      if (other != old) {
+        other.crash(15_000);
+      }
     s.run(s.now + 10_000);
     assertEquals("cancelled", queryAt(s, old, SERVICE).state());
     s.run(s.now + Sim.CANCEL);
--- a/src/test/java/mallowstall/net/HttpClientTest.java
+++ b/src/test/java/mallowstall/net/HttpClientTest.java
@@ -51,7 +51,9 @@
       for (int i = 0; i < 50 && status != 200; i++) {
         HttpClient second = new HttpClient(group.next(), server.address(), 1);
         status = call(group, second, "/other").get(5, TimeUnit.SECONDS);
-        if (status != 200) Thread.sleep(20);
+        if (status != 200) {
+          Thread.sleep(20);
+        }
       }
       assertEquals(200, status);
       server.close();
--- a/src/test/java/mallowstall/peers/PeerCodecTest.java
+++ b/src/test/java/mallowstall/peers/PeerCodecTest.java
@@ -137,7 +137,9 @@
     int refused = 0;
     for (int i = 0; i < 20_000; i++) {
       byte[] b = good.clone();
-      for (int n = rnd.nextInt(6); n >= 0; n--) b[rnd.nextInt(b.length)] = (byte) rnd.nextInt(256);
+      for (int n = rnd.nextInt(6); n >= 0; n--) {
+        b[rnd.nextInt(b.length)] = (byte) rnd.nextInt(256);
+      }
       try {
         PeerCodec.decode(b);
       } catch (IOException e) {
