--- a/src/main/java/mallowstall/Meters.java
+++ b/src/main/java/mallowstall/Meters.java
@@ -32,16 +32,16 @@
 
   String text() {
     StringBuilder b = new StringBuilder();
-    for (Map.Entry<String, Counter> e : counters.entrySet()) {
+    for (Map.Entry<String, Counter> entry : counters.entrySet()) {
       b.append("mallowstall_")
-          .append(e.getKey())
+          .append(entry.getKey())
           .append("_total ")
-          .append((long) e.getValue().count())
+          .append((long) entry.getValue().count())
           .append('\n');
     }
-    for (Map.Entry<String, Histogram> e : times.entrySet()) {
-      Histogram h = e.getValue();
-      String n = "mallowstall_" + e.getKey() + "_seconds";
+    for (Map.Entry<String, Histogram> mapEntry : times.entrySet()) {
+      Histogram h = mapEntry.getValue();
+      String n = "mallowstall_" + mapEntry.getKey() + "_seconds";
       for (double q : new double[] {0.5, 0.95, 0.99}) {
         b.append(n)
             .append("{quantile=\"")
--- a/src/main/java/mallowstall/Service.java
+++ b/src/main/java/mallowstall/Service.java
@@ -57,21 +57,27 @@
   private ScheduledFuture<?> wake;
   private long wakeAt = Long.MAX_VALUE;
 
-  public Service(Settings s, ObjectMapper json, Policy.Book policies) {
-    this.settings = s;
+  public Service(Settings settings, ObjectMapper json, Policy.Book policies) {
+    this.settings = settings;
     Consumer<Runnable> events = this::event;
     HttpClient stateCalls =
-        new HttpClient(loop, Settings.address(s.endpoints().state()), Constants.STATE_CONNECTIONS);
-    HttpClient watches = new HttpClient(loop, Settings.address(s.endpoints().state()), 2);
-    HttpClient cloudCalls = new HttpClient(loop, Settings.address(s.endpoints().cloud()), 2);
+        new HttpClient(
+            loop, Settings.address(settings.endpoints().state()), Constants.STATE_CONNECTIONS);
+    HttpClient watches = new HttpClient(loop, Settings.address(settings.endpoints().state()), 2);
+    HttpClient cloudCalls = new HttpClient(loop, Settings.address(settings.endpoints().cloud()), 2);
     this.state = new StateAdapter(json, stateCalls, watches, events);
     this.cloud = new CloudAdapter(json, cloudCalls, events);
     this.core =
-        new Core(coreSettings(s), new World(), policies, meters, s.node().hashCode() * 31L + 7);
+        new Core(
+            coreSettings(settings),
+            new World(),
+            policies,
+            meters,
+            settings.node().hashCode() * 31L + 7);
     int sockets =
-        s.facts().limits() == null || s.facts().limits().maxConnections() == null
+        settings.facts().limits() == null || settings.facts().limits().maxConnections() == null
             ? 500
-            : s.facts().limits().maxConnections();
+            : settings.facts().limits().maxConnections();
     this.peers = new PeersAdapter(loop, core, events, 16);
     this.users = new UsersAdapter(json, core);
     this.workers =
@@ -80,46 +86,48 @@
     this.server = new HttpServer(this::handle, (int) (sockets * Constants.SOCKET_SHARE));
   }
 
-  static CoreSettings coreSettings(Settings s) {
+  static CoreSettings coreSettings(Settings settings) {
     List<String> others = new ArrayList<>();
     Map<String, String> zones = new HashMap<>();
-    zones.put(s.node(), s.zone() == null ? "" : s.zone());
-    if (s.peers() != null) {
-      for (Settings.Peer p : s.peers()) {
-        others.add(p.node());
-        zones.put(p.node(), p.zone() == null ? "" : p.zone());
+    zones.put(settings.node(), settings.zone() == null ? "" : settings.zone());
+    if (settings.peers() != null) {
+      for (Settings.Peer peer : settings.peers()) {
+        others.add(peer.node());
+        zones.put(peer.node(), peer.zone() == null ? "" : peer.zone());
       }
     }
     Map<String, Team> teams = new HashMap<>();
-    for (Settings.Team t : s.facts().teams()) {
-      teams.put(t.name(), new Team(t.name(), t.cpus(), t.cpusMax(), t.gpus(), t.gpusMax()));
+    for (Settings.Team team : settings.facts().teams()) {
+      teams.put(
+          team.name(),
+          new Team(team.name(), team.cpus(), team.cpusMax(), team.gpus(), team.gpusMax()));
     }
     Map<String, Double> late = new HashMap<>();
-    if (s.facts().objectives() != null) {
-      for (Settings.Objective o : s.facts().objectives()) {
+    if (settings.facts().objectives() != null) {
+      for (Settings.Objective o : settings.facts().objectives()) {
         if ("deadline".equals(o.kind()) && o.jobClass() != null && o.times() != null) {
           late.merge(o.jobClass(), o.times(), Math::max);
         }
       }
     }
-    Settings.Facts f = s.facts();
+    Settings.Facts facts = settings.facts();
     // when the limits fall isn't known: the lower ones are kept from the start
-    Settings.State state = f.state().lowest();
+    Settings.State state = facts.state().lowest();
     return new CoreSettings(
-        s.node(),
+        settings.node(),
         others,
         zones,
         teams,
-        (long) (f.workers().reportS() * 1000),
-        (long) (f.workers().leaseS() * 1000),
-        (long) (f.workers().cancelS() * 1000),
-        (long) Math.ceil(f.skewMs()),
+        (long) (facts.workers().reportS() * 1000),
+        (long) (facts.workers().leaseS() * 1000),
+        (long) (facts.workers().cancelS() * 1000),
+        (long) Math.ceil(facts.skewMs()),
         state.rps(),
         state.writeRps(),
         state.txnOps(),
         (int) (state.valueKb() * 1024),
-        f.cloud().rps(),
-        (long) (f.cloud().listLagS() * 1000),
+        facts.cloud().rps(),
+        (long) (facts.cloud().listLagS() * 1000),
         late,
         ClusterVersion.CURRENT);
   }
@@ -130,8 +138,8 @@
     loop.execute(
         () -> {
           if (settings.peers() != null) {
-            for (Settings.Peer p : settings.peers())
-              peers.connect(p.node(), Settings.address(p.addr()));
+            for (Settings.Peer peer : settings.peers())
+              peers.connect(peer.node(), Settings.address(peer.addr()));
           }
           ticks = new Duty("tick", loop, Constants.TICK_MS, () -> event(core::tick));
         });
@@ -160,13 +168,13 @@
   }
 
   /** Runs one event of the core with the time set, then whatever became due. */
-  private void event(Runnable r) {
+  private void event(Runnable action) {
     core.time(System.nanoTime() / 1_000_000, System.currentTimeMillis());
     try {
-      r.run();
+      action.run();
       core.settle();
-    } catch (RuntimeException e) {
-      LOG.error("an event failed", e);
+    } catch (RuntimeException failure) {
+      LOG.error("an event failed", failure);
     }
     long next = core.nextTimer();
     if (next < wakeAt) {
@@ -186,80 +194,81 @@
   }
 
   // ---- routes -------------------------------------------------------------------------------
-  private void handle(Request q, Responder r) {
-    event(() -> route(q, r));
+  private void handle(Request request, Responder responder) {
+    event(() -> route(request, responder));
   }
 
-  private void route(Request q, Responder r) {
-    String path = q.path();
+  private void route(Request request, Responder responder) {
+    String path = request.path();
     int query = path.indexOf('?');
     if (query >= 0) {
       path = path.substring(0, query);
     }
     try {
       if (path.equals("/hello")) {
-        if (method(q, r, "POST")) {
+        if (method(request, responder, "POST")) {
           try {
-            workers.report(q, r);
-          } catch (IOException e) {
-            LOG.info("a report is refused: {}", e.getMessage());
-            error(r, 400, "not a valid report");
+            workers.report(request, responder);
+          } catch (IOException failure) {
+            LOG.info("a report is refused: {}", failure.getMessage());
+            error(responder, 400, "not a valid report");
           }
         }
       } else if (path.equals("/ready")) {
-        if (method(q, r, "GET")) {
+        if (method(request, responder, "GET")) {
           if (core.ready()) {
-            r.answer(200, "{\"ready\":true}".getBytes(StandardCharsets.UTF_8), 0);
+            responder.answer(200, "{\"ready\":true}".getBytes(StandardCharsets.UTF_8), 0);
           } else {
-            r.answer(503, "{\"ready\":false}".getBytes(StandardCharsets.UTF_8), 1);
+            responder.answer(503, "{\"ready\":false}".getBytes(StandardCharsets.UTF_8), 1);
           }
         }
       } else if (path.equals("/metrics")) {
-        if (method(q, r, "GET")) {
-          r.answer(200, meters.text().getBytes(StandardCharsets.UTF_8), 0);
+        if (method(request, responder, "GET")) {
+          responder.answer(200, meters.text().getBytes(StandardCharsets.UTF_8), 0);
         }
       } else if (path.equals("/submissions")) {
-        if (method(q, r, "POST")) {
+        if (method(request, responder, "POST")) {
           long t0 = System.nanoTime();
           users.submit(
-              q,
+              request,
               (status, json, retry) -> {
                 meters.timeNanos("submit", System.nanoTime() - t0);
-                r.answer(status, json, retry);
+                responder.answer(status, json, retry);
               });
         }
       } else if (path.startsWith("/submissions/")) {
         String rest = path.substring("/submissions/".length());
         if (rest.endsWith("/cancel") && rest.indexOf('/') == rest.length() - 7) {
-          if (method(q, r, "POST")) {
-            users.cancel(rest.substring(0, rest.length() - 7), r);
+          if (method(request, responder, "POST")) {
+            users.cancel(rest.substring(0, rest.length() - 7), responder);
           }
         } else if (rest.indexOf('/') < 0) {
-          if (method(q, r, "GET")) {
-            users.query(rest, r);
+          if (method(request, responder, "GET")) {
+            users.query(rest, responder);
           }
         } else {
-          error(r, 404, "no such path");
+          error(responder, 404, "no such path");
         }
       } else {
-        error(r, 404, "no such path");
+        error(responder, 404, "no such path");
       }
     } catch (RuntimeException e) {
-      LOG.error("a request failed: {} {}", q.method(), path, e);
-      error(r, 500, "internal error");
+      LOG.error("a request failed: {} {}", request.method(), path, e);
+      error(responder, 500, "internal error");
     }
   }
 
-  private static boolean method(Request q, Responder r, String wanted) {
-    if (q.method().equals(wanted)) {
+  private static boolean method(Request request, Responder responder, String wanted) {
+    if (request.method().equals(wanted)) {
       return true;
     }
-    error(r, 405, "the method must be " + wanted);
+    error(responder, 405, "the method must be " + wanted);
     return false;
   }
 
-  private static void error(Responder r, int status, String message) {
-    r.answer(status, ("{\"error\":\"" + message + "\"}").getBytes(StandardCharsets.UTF_8), 0);
+  private static void error(Responder responder, int status, String message) {
+    responder.answer(
+        status, ("{\"error\":\"" + message + "\"}").getBytes(StandardCharsets.UTF_8), 0);
   }
 
   /** The core's effects, each through its adapter. */
@@ -269,9 +278,9 @@
       long t0 = System.nanoTime();
       state.transact(
           txn,
-          r -> {
+          reply -> {
             meters.timeNanos("state_write", System.nanoTime() - t0);
-            then.accept(r);
+            then.accept(reply);
           });
     }
 
--- a/src/main/java/mallowstall/cli/Main.java
+++ b/src/main/java/mallowstall/cli/Main.java
@@ -43,18 +43,18 @@
 
     @Override
     public Integer call() {
-      Policies p;
+      Policies policies;
       try {
-        p = Policies.load(file);
-      } catch (IOException e) {
+        policies = Policies.load(file);
+      } catch (IOException failure) {
         System.err.println("mallowstall: " + file + " can't be read");
         return 1;
       }
-      for (Fault f : p.faults()) System.err.println(f.at(file.toString()));
-      if (p.usable()) {
+      for (Fault fault : policies.faults()) System.err.println(fault.at(file.toString()));
+      if (policies.usable()) {
         System.out.println(file + ": ok");
       }
-      return p.usable() ? 0 : 1;
+      return policies.usable() ? 0 : 1;
     }
   }
 
@@ -132,27 +132,27 @@
       return CommandLine.ExitCode.USAGE;
     }
     ObjectMapper json = json();
-    Settings s;
+    Settings settings;
     try {
-      s = Settings.load(config, json);
-    } catch (Settings.Invalid e) {
-      System.err.println("mallowstall: settings: " + e.getMessage());
+      settings = Settings.load(config, json);
+    } catch (Settings.Invalid invalid) {
+      System.err.println("mallowstall: settings: " + invalid.getMessage());
       return 1;
     }
     Policies book = Policies.bundled();
     if (policies != null) {
       try {
         book = Policies.load(policies);
-      } catch (IOException e) {
+      } catch (IOException failure) {
         System.err.println("mallowstall: " + policies + " can't be read");
         return 1;
       }
-      for (Fault f : book.faults()) System.err.println(f.at(policies.toString()));
+      for (Fault fault : book.faults()) System.err.println(fault.at(policies.toString()));
       if (!book.usable()) {
         return 1;
       }
     }
-    new Service(s, json, book).start();
+    new Service(settings, json, book).start();
     return SERVING;
   }
 }
--- a/src/main/java/mallowstall/cli/Rehearsal.java
+++ b/src/main/java/mallowstall/cli/Rehearsal.java
@@ -31,8 +31,8 @@
   private static final long ROUNDS = 12;
   private int revision = 1;
 
-  private void canned(HttpServer.Request q, HttpServer.Responder r) {
-    String p = q.path();
+  private void canned(HttpServer.Request request, HttpServer.Responder responder) {
+    String p = request.path();
     String body;
     int status = 200;
     if (p.equals("/multi")) {
@@ -60,7 +60,7 @@
     } else {
       body = "{\"sierras\":[]}";
     }
-    r.answer(status, body.getBytes(StandardCharsets.UTF_8), 0);
+    responder.answer(status, body.getBytes(StandardCharsets.UTF_8), 0);
   }
 
   @Override
@@ -115,7 +115,7 @@
                         call.get(1),
                         body,
                         2_000,
-                        r -> left.countDown()));
+                        reply -> left.countDown()));
       }
       Thread.sleep(150);
     }
--- a/src/main/java/mallowstall/cloud/CloudAdapter.java
+++ b/src/main/java/mallowstall/cloud/CloudAdapter.java
@@ -77,26 +77,26 @@
     byte[] b;
     try {
       b = body == null ? null : json.writeValueAsBytes(body);
-    } catch (IOException e) {
-      throw new IllegalStateException(e);
+    } catch (IOException failure) {
+      throw new IllegalStateException(failure);
     }
     http.call(
         m,
         path,
         b,
         Constants.CLOUD_TIMEOUT_MS,
-        r ->
+        reply ->
             events.accept(
                 () -> {
-                  T t = null;
-                  if (r.status() == 200 && type != null) {
+                  T task = null;
+                  if (reply.status() == 200 && type != null) {
                     try {
-                      t = json.readValue(r.body(), type);
-                    } catch (IOException e) {
-                      LOG.error("unreadable answer of the cloud: {}", e.getMessage());
+                      task = json.readValue(reply.body(), type);
+                    } catch (IOException error) {
+                      LOG.error("unreadable answer of the cloud: {}", error.getMessage());
                     }
                   }
-                  then.accept(r.status(), t);
+                  then.accept(reply.status(), task);
                 }));
   }
 
@@ -130,11 +130,12 @@
         });
   }
 
-  public void rent(RentRequest q, Consumer<RentReply> then) {
+  public void rent(RentRequest request, Consumer<RentReply> then) {
     call(
         HttpMethod.POST,
         "/machines",
-        new RentWire(q.name(), q.type(), q.zone(), q.spot(), q.count()),
+        new RentWire(
+            request.name(), request.type(), request.zone(), request.spot(), request.count()),
         NamesWire.class,
         (status, w) ->
             then.accept(
--- a/src/main/java/mallowstall/config/Settings.java
+++ b/src/main/java/mallowstall/config/Settings.java
@@ -106,16 +106,16 @@
     byte[] b;
     try {
       b = Files.readAllBytes(file);
-    } catch (IOException e) {
+    } catch (IOException failure) {
       throw new Invalid(file + " can't be read");
     }
     return parse(b, json);
   }
 
   public static Settings parse(byte[] b, ObjectMapper json) throws Invalid {
-    Settings s;
+    Settings settings;
     try {
-      s = json.readValue(b, Settings.class);
+      settings = json.readValue(b, Settings.class);
     } catch (JsonMappingException e) {
       StringBuilder path = new StringBuilder();
       for (JsonMappingException.Reference r : e.getPath()) {
@@ -126,21 +126,21 @@
         }
       }
       throw new Invalid((path.length() == 0 ? "the file" : path) + " has the wrong type");
-    } catch (JsonProcessingException e) {
+    } catch (JsonProcessingException failure) {
       throw new Invalid(
           "not JSON (line "
-              + e.getLocation().getLineNr()
+              + failure.getLocation().getLineNr()
               + ", column "
-              + e.getLocation().getColumnNr()
+              + failure.getLocation().getColumnNr()
               + ")");
-    } catch (IOException e) {
+    } catch (IOException error) {
       throw new Invalid("can't be read");
     }
-    if (s == null) {
+    if (settings == null) {
       throw new Invalid("the file holds no object");
     }
-    s.check();
-    return s;
+    settings.check();
+    return settings;
   }
 
   private void check() throws Invalid {
--- a/src/main/java/mallowstall/core/Cancellations.java
+++ b/src/main/java/mallowstall/core/Cancellations.java
@@ -21,8 +21,10 @@
 final class Cancellations {
   private record Cancelled(long version, String job) implements Comparable<Cancelled> {
     @Override
-    public int compareTo(Cancelled o) {
-      return version != o.version ? Long.compare(version, o.version) : job.compareTo(o.job);
+    public int compareTo(Cancelled cancelled) {
+      return version != cancelled.version
+          ? Long.compare(version, cancelled.version)
+          : job.compareTo(cancelled.job);
     }
   }
 
@@ -58,7 +60,8 @@
   /** Jobs cancelled after this revision. */
   List<String> since(long revision) {
     List<String> out = new ArrayList<>();
-    for (Cancelled c : recorded.tailSet(new Cancelled(revision + 1, ""))) out.add(c.job());
+    for (Cancelled cancelled : recorded.tailSet(new Cancelled(revision + 1, "")))
+      out.add(cancelled.job());
     return out;
   }
 
@@ -66,8 +69,8 @@
   boolean heard(List<String> jobs, Consumer<String> news) {
     boolean all = true;
     for (String id : jobs) {
-      JobRec j = store.job(id);
-      if (j != null && j.over()) {
+      JobRec job = store.job(id);
+      if (job != null && job.over()) {
         continue;
       }
       if (told.contains(id)) {
--- a/src/main/java/mallowstall/core/Core.java
+++ b/src/main/java/mallowstall/core/Core.java
@@ -49,7 +49,7 @@
   }
 
   private final CoreSettings settings;
-  private final Effects fx;
+  private final Effects effects;
   private final Policy.Book policies;
   private final Metrics metrics;
   private final Store store;
@@ -81,16 +81,18 @@
   private final JobEntries jobEntries;
   private final RetryDelay digestRetry = new RetryDelay();
 
-  public Core(CoreSettings settings, Effects fx, Policy.Book policies, Metrics metrics, long seed) {
+  public Core(
+      CoreSettings settings, Effects effects, Policy.Book policies, Metrics metrics, long seed) {
     this.settings = settings;
-    this.fx = fx;
+    this.effects = effects;
     this.policies = policies;
     this.metrics = metrics;
-    this.store = new Store(this, fx, new Changes(), settings);
+    this.store = new Store(this, effects, new Changes(), settings);
     this.cancellations = new Cancellations(store);
     this.clusterVersion = new ClusterVersion(this, store);
     this.jobEntries =
-        new JobEntries(settings, fx::encodedSize, clusterVersion::allowsSmallPieces, store::held);
+        new JobEntries(
+            settings, effects::encodedSize, clusterVersion::allowsSmallPieces, store::held);
     this.view = new View(this);
     this.owner = new Owner(this, store);
     this.holder = new Holder(this, store);
@@ -114,8 +116,8 @@
     return wall;
   }
 
-  void after(long ms, Runnable r) {
-    timers.add(new Timer(now + ms, timerOrder++, r));
+  void after(long ms, Runnable action) {
+    timers.add(new Timer(now + ms, timerOrder++, action));
   }
 
   /** Runs what is due; the caller calls again after every event and at least every tick. */
@@ -164,14 +166,14 @@
 
   private void askTypes() {
     askingTypes = true;
-    fx.types(
+    effects.types(
         list -> {
           askingTypes = false;
           nextTypes = now + (list == null || list.isEmpty() ? 1_000 : 60_000);
           if (list == null) {
             return;
           }
-          for (MachineType t : list) types.put(t.name(), t);
+          for (MachineType type : list) types.put(type.name(), type);
           fleet.typesChanged();
         });
   }
@@ -182,9 +184,9 @@
     }
     nextDigest = now + Constants.DIGEST_EVERY_MS;
     double pending = 0;
-    for (Holder.Held h : holder.jobs())
-      if (!h.over()) {
-        pending += h.pending() * h.spec.cpus();
+    for (Holder.Held held : holder.jobs())
+      if (!held.over()) {
+        pending += held.pending() * held.spec.cpus();
       }
     store.transact(
         Store.Urgency.BACKGROUND,
@@ -192,8 +194,8 @@
             List.of(),
             List.of(new Effects.Put(Store.DIGESTS + node(), digestRec(pending), store.leaseId())),
             List.of()),
-        r -> {
-          digestRetry.answered(now, r.code());
+        reply -> {
+          digestRetry.answered(now, reply.code());
           nextDigest = Math.max(nextDigest, digestRetry.until());
         });
   }
@@ -204,19 +206,19 @@
     List<Room> rooms =
         ValueSize.fitting(
             owner.rooms(),
-            some -> fx.encodedSize(new DigestRec(incarnation, some, pendingCpus)),
+            some -> effects.encodedSize(new DigestRec(incarnation, some, pendingCpus)),
             settings.valueBytes());
     return new DigestRec(incarnation, rooms, pendingCpus);
   }
 
   // ---- events -------------------------------------------------------------------------------
-  public void report(Report r, Consumer<ReportAnswer> reply) {
-    owner.report(r, reply);
+  public void report(Report report, Consumer<ReportAnswer> reply) {
+    owner.report(report, reply);
     settle();
   }
 
-  public void submit(JobSpec j, Consumer<UserAnswer> reply) {
-    users.submit(j, reply);
+  public void submit(JobSpec spec, Consumer<UserAnswer> reply) {
+    users.submit(spec, reply);
     settle();
   }
 
@@ -242,32 +244,33 @@
 
   /** A new connection to a peer stands; numbers only grow within a process. */
   public void connected(String node, long connection) {
-    View.Peer p = view.peer(node);
-    p.connection = connection;
+    View.Peer peer = view.peer(node);
+    peer.connection = connection;
     // perhaps another process, which knows nothing yet
-    p.knows = 0;
+    peer.knows = 0;
     // says which connection counts from now on, so that starts lost with the last one are resolved
-    fx.send(node, new Starts(node(), store.incarnation(), connection, p.nextSeq++, List.of()));
+    effects.send(
+        node, new Starts(node(), store.incarnation(), connection, peer.nextSeq++, List.of()));
   }
 
-  public void message(PeerMessage m) {
-    if (m instanceof Roster r) {
-      rosterFrom(r);
-    } else if (m instanceof Starts s) {
-      startsFrom(s);
-    } else if (m instanceof Stops s) {
-      owner.stops(s);
+  public void message(PeerMessage message) {
+    if (message instanceof Roster roster) {
+      rosterFrom(roster);
+    } else if (message instanceof Starts starts) {
+      startsFrom(starts);
+    } else if (message instanceof Stops stops) {
+      owner.stops(stops);
     }
     settle();
   }
 
-  void rosterFrom(Roster r) {
-    hearCancellations(r);
-    if (!view.roster(r)) {
+  void rosterFrom(Roster roster) {
+    hearCancellations(roster);
+    if (!view.roster(roster)) {
       return;
     }
-    holder.roster(r);
-    if (r.machines().isEmpty() && r.refusals().isEmpty()) {
+    holder.roster(roster);
+    if (roster.machines().isEmpty() && roster.refusals().isEmpty()) {
       return;
     }
     roomNews++;
@@ -275,48 +278,49 @@
   }
 
   /** Cancellations count whether the statement's machines can be taken in or not. */
-  private void hearCancellations(Roster r) {
-    boolean all = cancellations.heard(r.cancelled(), owner::cancelled);
-    if (!all || r.heardIncarnation() != incarnation()) {
+  private void hearCancellations(Roster roster) {
+    boolean all = cancellations.heard(roster.cancelled(), owner::cancelled);
+    if (!all || roster.heardIncarnation() != incarnation()) {
       return;
     }
-    View.Peer p = view.peer(r.node());
-    p.cancelsKnownAt = Math.max(p.cancelsKnownAt, owner.statementSentAt(r.heardSerial()));
+    View.Peer peer = view.peer(roster.node());
+    peer.cancelsKnownAt =
+        Math.max(peer.cancelsKnownAt, owner.statementSentAt(roster.heardSerial()));
   }
 
-  private void startsFrom(Starts s) {
-    View.Peer p = view.peer(s.node());
-    if (s.incarnation() < p.gotIncarnation) {
+  private void startsFrom(Starts starts) {
+    View.Peer peer = view.peer(starts.node());
+    if (starts.incarnation() < peer.gotIncarnation) {
       return;
     }
-    if (s.incarnation() > p.gotIncarnation) {
-      p.gotIncarnation = s.incarnation();
-      p.gotConnection = 0;
-      p.gotSeq = 0;
+    if (starts.incarnation() > peer.gotIncarnation) {
+      peer.gotIncarnation = starts.incarnation();
+      peer.gotConnection = 0;
+      peer.gotSeq = 0;
     }
     // what an older connection still delivers was already answered as never arrived
-    if (s.connection() < p.gotConnection) {
+    if (starts.connection() < peer.gotConnection) {
       return;
     }
-    if (s.connection() == p.gotConnection && s.seq() <= p.gotSeq) {
+    if (starts.connection() == peer.gotConnection && starts.seq() <= peer.gotSeq) {
       return;
     }
-    p.gotConnection = s.connection();
-    p.gotSeq = s.seq();
-    owner.starts(s);
+    peer.gotConnection = starts.connection();
+    peer.gotSeq = starts.seq();
+    owner.starts(starts);
   }
 
   // ---- between the parts --------------------------------------------------------------------
-  void sendStarts(String node, Starts s) {
+  void sendStarts(String node, Starts starts) {
     if (node.equals(node())) {
-      startsFrom(s);
+      startsFrom(starts);
     } else {
-      fx.send(node, s);
+      effects.send(node, starts);
     }
   }
 
-  void stop(String node, StopOrder o) {
-    stops(node, new Stops(node(), store.incarnation(), List.of(o), List.of()));
+  void stop(String node, StopOrder stop) {
+    stops(node, new Stops(node(), store.incarnation(), List.of(stop), List.of()));
   }
 
   void drain(String node, List<String> machines) {
@@ -324,11 +328,11 @@
     stops(node, new Stops(node(), store.incarnation(), List.of(), machines));
   }
 
-  private void stops(String node, Stops s) {
+  private void stops(String node, Stops stops) {
     if (node.equals(node())) {
-      owner.stops(s);
+      owner.stops(stops);
     } else {
-      fx.send(node, s);
+      effects.send(node, stops);
     }
   }
 
@@ -351,7 +355,7 @@
   }
 
   Effects effects() {
-    return fx;
+    return effects;
   }
 
   Policy.Book policies() {
@@ -403,8 +407,8 @@
   }
 
   /** Whether nothing of the job may be started and all of it must be stopped. */
-  boolean over(String id, JobRec j) {
-    return j != null && j.over() || cancellations.told(id);
+  boolean over(String id, JobRec job) {
+    return job != null && job.over() || cancellations.told(id);
   }
 
   long roomNews() {
@@ -415,21 +419,21 @@
     return images.getOrDefault(image, 1.0);
   }
 
-  boolean fits(JobSpec j, MachineType t) {
-    return (j.types() == null || j.types().contains(t.name()))
-        && j.cpus() <= t.cpus() + 1e-9
-        && j.gpus() <= t.gpus() + 1e-9
-        && j.memoryGb() <= t.memoryGb() + 1e-9;
+  boolean fits(JobSpec spec, MachineType type) {
+    return (spec.types() == null || spec.types().contains(type.name()))
+        && spec.cpus() <= type.cpus() + 1e-9
+        && spec.gpus() <= type.gpus() + 1e-9
+        && spec.memoryGb() <= type.memoryGb() + 1e-9;
   }
 
   boolean jobAtFault(String id) {
-    Holder.Held h = holder.job(id);
-    return h != null && h.errorsOn.size() >= Constants.JOB_FAULT_MACHINES;
+    Holder.Held held = holder.job(id);
+    return held != null && held.errorsOn.size() >= Constants.JOB_FAULT_MACHINES;
   }
 
   /** Whether the task's done bit stands in the state service. */
-  boolean recordedDone(JobRec j, int task) {
-    return jobEntries.recorded(j, task);
+  boolean recordedDone(JobRec job, int task) {
+    return jobEntries.recorded(job, task);
   }
 
   /** Controllers with a session, sorted; this one is among them once its own stands. */
@@ -507,20 +511,20 @@
 
   /** Whether this controller holds the job and may place its tasks. */
   boolean latched(String id) {
-    Holder.Held h = holder.job(id);
-    return h != null && h.latched;
+    Holder.Held held = holder.job(id);
+    return held != null && held.latched;
   }
 
   /** Tasks of the job that rosters show as running. */
   int running(String id) {
-    Holder.Held h = holder.job(id);
-    return h != null ? h.running() : view.running(id);
+    Holder.Held held = holder.job(id);
+    return held != null ? held.running() : view.running(id);
   }
 
   private final class Changes implements Store.Listener {
     @Override
-    public void overtaken(String machine, MachineRec rec) {
-      owner.overtaken(machine, rec);
+    public void overtaken(String machine, MachineRec record) {
+      owner.overtaken(machine, record);
     }
 
     @Override
@@ -533,27 +537,27 @@
         store.ownSession((SessionRec) after);
       }
       if (key.startsWith(Store.JOBS)) {
-        JobRec rec = (JobRec) after;
-        if (rec == null) {
+        JobRec job = (JobRec) after;
+        if (job == null) {
           return;
         }
-        images.put(rec.spec().image(), rec.spec().imageGb());
-        String id = rec.spec().id();
-        if (rec.open()) {
-          open.put(id, rec);
+        images.put(job.spec().image(), job.spec().imageGb());
+        String id = job.spec().id();
+        if (job.open()) {
+          open.put(id, job);
         } else {
           open.remove(id);
         }
-        if (rec.fin() == Final.CANCELLED
+        if (job.fin() == Final.CANCELLED
             && (before == null || ((JobRec) before).fin() != Final.CANCELLED)) {
           cancellations.recorded(id, store.version(key));
           owner.cancelled(id);
         }
-        users.jobChanged(id, rec);
+        users.jobChanged(id, job);
         if (before == null) {
           owner.jobKnown(id);
         }
-        holder.jobChanged(id, rec);
+        holder.jobChanged(id, job);
       } else if (key.startsWith(Store.BITS)) {
         if (after != null) {
           holder.bitsChanged(JobEntries.jobOf(key));
--- a/src/main/java/mallowstall/core/Fleet.java
+++ b/src/main/java/mallowstall/core/Fleet.java
@@ -92,41 +92,42 @@
   private long lastDemand;
   private int counter;
 
-  Fleet(Core core, Store store, CoreSettings s) {
+  Fleet(Core core, Store store, CoreSettings settings) {
     this.stranded = new StrandedJobs(core);
     this.core = core;
     this.store = store;
     this.calls =
         new Budget(
-            s.cloudRps() * Constants.BUDGET_SHARE, s.cloudRps() * 2 * Constants.BUDGET_SHARE);
+            settings.cloudRps() * Constants.BUDGET_SHARE,
+            settings.cloudRps() * 2 * Constants.BUDGET_SHARE);
   }
 
   boolean onDuty() {
-    Store.Held h = store.held(Store.DUTY);
-    if (h == null || !store.sessionGood()) {
+    Store.Held stored = store.held(Store.DUTY);
+    if (stored == null || !store.sessionGood()) {
       return false;
     }
-    DutyRec d = (DutyRec) h.value();
-    return d.node().equals(core.node()) && d.incarnation() == store.incarnation();
+    DutyRec duty = (DutyRec) stored.value();
+    return duty.node().equals(core.node()) && duty.incarnation() == store.incarnation();
   }
 
   /** Whether a machine of this type is larger than the job needs while others need that type. */
-  boolean scarce(JobSpec j, String type) {
-    String min = minimalType(j);
+  boolean scarce(JobSpec spec, String type) {
+    String min = minimalType(spec);
     return min != null && !min.equals(type) && needed.contains(type);
   }
 
-  String minimalType(JobSpec j) {
-    String known = minimal.get(j.id());
+  String minimalType(JobSpec spec) {
+    String known = minimal.get(spec.id());
     if (known != null) {
       return known;
     }
     if (minimal.size() > Constants.NEEDS_CACHED) {
       minimal.clear();
     }
-    String found = smallest(j);
+    String found = smallest(spec);
     if (found != null) {
-      minimal.put(j.id(), found);
+      minimal.put(spec.id(), found);
     }
     return found;
   }
@@ -136,16 +137,16 @@
     minimal.clear();
   }
 
-  private String smallest(JobSpec j) {
+  private String smallest(JobSpec spec) {
     MachineType best = null;
-    for (MachineType t : core.types().values()) {
-      if (!core.fits(j, t)) {
+    for (MachineType type : core.types().values()) {
+      if (!core.fits(spec, type)) {
         continue;
       }
       if (best == null
-          || t.cpus() < best.cpus()
-          || (t.cpus() == best.cpus() && t.price() < best.price())) {
-        best = t;
+          || type.cpus() < best.cpus()
+          || (type.cpus() == best.cpus() && type.price() < best.price())) {
+        best = type;
       }
     }
     return best == null ? null : best.name();
@@ -195,10 +196,10 @@
                         new DutyRec(core.node(), store.incarnation()),
                         store.leaseId())),
                 List.of()),
-            r -> {
+            reply -> {
               claiming = false;
-              claimRetry.answered(core.now(), r.code());
-              if (r.code() == Code.OK) {
+              claimRetry.answered(core.now(), reply.code());
+              if (reply.code() == Code.OK) {
                 LOG.info("cloud duty taken");
               }
             });
@@ -211,71 +212,71 @@
   private void demand(long now) {
     needed.clear();
     Map<String, Double> urgent = new HashMap<>();
-    for (Demand d : demands.values()) {
-      d.machines = 0;
-      d.spotAllowed = false;
-      d.pinned.clear();
-      d.pinnedOrdinary.clear();
-      d.ordinary = 0;
+    for (Demand demand : demands.values()) {
+      demand.machines = 0;
+      demand.spotAllowed = false;
+      demand.pinned.clear();
+      demand.pinnedOrdinary.clear();
+      demand.ordinary = 0;
     }
     Map<String, Double> teamLeft = new HashMap<>();
-    for (Team t : core.settings().teams().values()) {
-      teamLeft.put(t.name(), t.cpusMax() > 0 ? t.cpusMax() : Double.MAX_VALUE);
+    for (Team team : core.settings().teams().values()) {
+      teamLeft.put(team.name(), team.cpusMax() > 0 ? team.cpusMax() : Double.MAX_VALUE);
     }
-    for (JobRec rec : core.openJobs()) {
-      if (rec.over()) {
+    for (JobRec job : core.openJobs()) {
+      if (job.over()) {
         continue;
       }
-      JobSpec j = rec.spec();
-      String name = minimalType(j);
+      JobSpec spec = job.spec();
+      String name = minimalType(spec);
       if (name == null) {
         continue;
       }
-      MachineType t = core.types().get(name);
-      double tasks = j.tasks() - rec.doneCount();
-      double left = teamLeft.getOrDefault(j.team(), Double.MAX_VALUE);
-      if (j.cpus() > 0) {
-        tasks = Math.min(tasks, Math.floor(left / j.cpus()));
+      MachineType type = core.types().get(name);
+      double tasks = spec.tasks() - job.doneCount();
+      double left = teamLeft.getOrDefault(spec.team(), Double.MAX_VALUE);
+      if (spec.cpus() > 0) {
+        tasks = Math.min(tasks, Math.floor(left / spec.cpus()));
       }
       if (tasks <= 0) {
         continue;
       }
-      teamLeft.put(j.team(), left - tasks * j.cpus());
+      teamLeft.put(spec.team(), left - tasks * spec.cpus());
       needed.add(name);
       double per =
           Math.min(
-              j.cpus() > 0 ? Math.floor(t.cpus() / j.cpus()) : 1e9,
+              spec.cpus() > 0 ? Math.floor(type.cpus() / spec.cpus()) : 1e9,
               Math.min(
-                  j.memoryGb() > 0 ? Math.floor(t.memoryGb() / j.memoryGb()) : 1e9,
-                  j.gpus() > 0 ? Math.floor(t.gpus() / j.gpus()) : 1e9));
+                  spec.memoryGb() > 0 ? Math.floor(type.memoryGb() / spec.memoryGb()) : 1e9,
+                  spec.gpus() > 0 ? Math.floor(type.gpus() / spec.gpus()) : 1e9));
       if (per < 1) {
         continue;
       }
-      if (j.priority().ordinal() >= Priority.HIGH.ordinal()) {
+      if (spec.priority().ordinal() >= Priority.HIGH.ordinal()) {
         urgent.merge(name, tasks / per, Double::sum);
       }
-      double share = shareOfBoot(j, t);
-      Demand d = demands.computeIfAbsent(name, k -> new Demand());
-      d.machines += tasks / per * share / waves(rec, t);
-      d.spotAllowed |= j.spot();
-      if (!j.spot()) {
-        d.ordinary += tasks / per;
+      double share = shareOfBoot(spec, type);
+      Demand typeDemand = demands.computeIfAbsent(name, k -> new Demand());
+      typeDemand.machines += tasks / per * share / waves(job, type);
+      typeDemand.spotAllowed |= spec.spot();
+      if (!spec.spot()) {
+        typeDemand.ordinary += tasks / per;
       }
-      Map<String, Double> pinned = j.spot() ? d.pinned : d.pinnedOrdinary;
-      if (j.zone() != null) {
-        pinned.merge(j.zone(), tasks / per, Double::sum);
+      Map<String, Double> pinned = spec.spot() ? typeDemand.pinned : typeDemand.pinnedOrdinary;
+      if (spec.zone() != null) {
+        pinned.merge(spec.zone(), tasks / per, Double::sum);
       }
       // at most half of a spread job may be in one zone: it needs another
-      if (j.spread()) {
-        for (String z : t.zones()) pinned.merge(z, 0.01, Double::sum);
+      if (spec.spread()) {
+        for (String zone : type.zones()) pinned.merge(zone, 0.01, Double::sum);
       }
     }
     double w = lastDemand == 0 ? 1 : 1 - Math.exp(-(now - lastDemand) / Constants.USAGE_TAU_MS);
     lastDemand = now;
-    for (Map.Entry<String, Demand> e : demands.entrySet()) {
-      Demand d = e.getValue();
+    for (Map.Entry<String, Demand> entry : demands.entrySet()) {
+      Demand d = entry.getValue();
       d.average += (d.machines - d.average) * w;
-      d.urgent += (urgent.getOrDefault(e.getKey(), 0.0) - d.urgent) * w;
+      d.urgent += (urgent.getOrDefault(entry.getKey(), 0.0) - d.urgent) * w;
     }
     reserve();
   }
@@ -284,12 +285,12 @@
    * The part of its own machines that a task is worth: what is over before one has booted needs
    * none. A service has no estimate and stands for good.
    */
-  private static double shareOfBoot(JobSpec j, MachineType t) {
-    if (j.service()) {
+  private static double shareOfBoot(JobSpec spec, MachineType type) {
+    if (spec.service()) {
       return 1;
     }
-    double life = j.estimateS() + j.imageGb() / Math.max(1e-3, t.fetchGbPerS());
-    return Math.min(1, life / Math.max(20, 0.8 * t.bootS()));
+    double life = spec.estimateS() + spec.imageGb() / Math.max(1e-3, type.fetchGbPerS());
+    return Math.min(1, life / Math.max(20, 0.8 * type.bootS()));
   }
 
   /**
@@ -298,14 +299,14 @@
    * with minutes to spare cost more than it was worth. Whole ones only: a wave and a half rented
    * too few machines for jobs of which only one wave is on time.
    */
-  private double waves(JobRec rec, MachineType t) {
-    JobSpec j = rec.spec();
-    if (j.deadlineS() == null || j.priority().ordinal() >= Priority.HIGH.ordinal()) {
+  private double waves(JobRec job, MachineType type) {
+    JobSpec spec = job.spec();
+    if (spec.deadlineS() == null || spec.priority().ordinal() >= Priority.HIGH.ordinal()) {
       return 1;
     }
-    double left = j.deadlineS() - (core.wall() - rec.submittedMs()) / 1000.0;
-    double ready = t.bootS() + j.imageGb() / Math.max(1e-3, t.fetchGbPerS());
-    double each = Math.max(1, j.estimateS() * Constants.ESTIMATE_MARGIN);
+    double left = spec.deadlineS() - (core.wall() - job.submittedMs()) / 1000.0;
+    double ready = type.bootS() + spec.imageGb() / Math.max(1e-3, type.fetchGbPerS());
+    double each = Math.max(1, spec.estimateS() * Constants.ESTIMATE_MARGIN);
     return Math.max(1, Math.min(Constants.WAVES_MOST, Math.floor((left - ready) / each)));
   }
 
@@ -317,22 +318,24 @@
   private void reserve() {
     reserved.clear();
     List<View.Seen> up = new ArrayList<>();
-    for (View.Seen s : core.view().machines.values())
-      if (s.takes()) {
-        up.add(s);
-      }
-    up.sort(Comparator.comparing((View.Seen s) -> s.m.spot()).thenComparing(s -> s.id));
-    for (Map.Entry<String, Demand> e : demands.entrySet()) {
-      long all = up.stream().filter(s -> s.m.type().equals(e.getKey())).count();
+    for (View.Seen machine : core.view().machines.values())
+      if (machine.takes()) {
+        up.add(machine);
+      }
+    up.sort(
+        Comparator.comparing((View.Seen seen) -> seen.state.spot())
+            .thenComparing(candidate -> candidate.id));
+    for (Map.Entry<String, Demand> entry : demands.entrySet()) {
+      long all = up.stream().filter(s -> s.state.type().equals(entry.getKey())).count();
       long n =
           Math.min(
-              (long) Math.ceil(e.getValue().urgent * Constants.RESERVE_FACTOR),
+              (long) Math.ceil(entry.getValue().urgent * Constants.RESERVE_FACTOR),
               (long) (all * Constants.RESERVE_MOST));
       for (View.Seen s : up) {
         if (n <= 0) {
           break;
         }
-        if (!s.m.type().equals(e.getKey())) {
+        if (!s.state.type().equals(entry.getKey())) {
           continue;
         }
         reserved.add(s.id);
@@ -356,42 +359,44 @@
     int silent = 0;
     long lease = core.settings().leaseMs();
     long comesBack = Constants.COMES_BACK_MS + core.settings().reportMs() * 3 / 2;
-    for (Map.Entry<String, Store.Held> e : store.under(Store.MACHINES).entrySet()) {
-      MachineRec rec = (MachineRec) e.getValue().value();
-      String id = e.getKey().substring(Store.MACHINES.length());
+    for (Map.Entry<String, Store.Held> entry : store.under(Store.MACHINES).entrySet()) {
+      MachineRec record = (MachineRec) entry.getValue().value();
+      String id = entry.getKey().substring(Store.MACHINES.length());
       known.add(id);
       coming.remove(id);
-      View.Seen s = core.view().machines.get(id);
-      boolean accounted = core.view().accounted(id, rec);
-      boolean ownerLive = store.live(rec.node(), rec.incarnation());
-      if (accounted && ownerLive && now - core.view().heardAt(s) < 2 * Constants.ROSTER_STALE_MS) {
+      View.Seen machine = core.view().machines.get(id);
+      boolean accounted = core.view().accounted(id, record);
+      boolean ownerLive = store.live(record.node(), record.incarnation());
+      if (accounted
+          && ownerLive
+          && now - core.view().heardAt(machine) < 2 * Constants.ROSTER_STALE_MS) {
         unaccountedSince.remove(id);
-        if (s.m.silent()) {
-          if (taken(s, now) || s.idleMs(now) > lease + Constants.SILENT_RETURN_MS) {
+        if (machine.state.silent()) {
+          if (taken(machine, now) || machine.idleMs(now) > lease + Constants.SILENT_RETURN_MS) {
             back.add(id);
             continue;
           }
           silent++;
-          if (s.idleMs(now) > silentHostMs() && core.view().hostsReplicas(s)) {
+          if (machine.idleMs(now) > silentHostMs() && core.view().hostsReplicas(machine)) {
             silentHosts.add(id);
           }
           continue;
         }
-        if (s.m.replace()) {
-          if (!core.view().hostsReplicas(s) || replaceLate(id, now)) {
+        if (machine.state.replace()) {
+          if (!core.view().hostsReplicas(machine) || replaceLate(id, now)) {
             back.add(id);
           }
           continue;
         }
-        if (s.m.noticeS() < 0) {
-          have.merge(rec.type(), 1, Integer::sum);
-          up.add(s);
+        if (machine.state.noticeS() < 0) {
+          have.merge(record.type(), 1, Integer::sum);
+          up.add(machine);
         }
       } else if (ownerLive
-          && !rec.node().equals(core.node())
-          && now - core.view().peer(rec.node()).rosterAt > Constants.ROSTER_STALE_MS) {
+          && !record.node().equals(core.node())
+          && now - core.view().peer(record.node()).rosterAt > Constants.ROSTER_STALE_MS) {
         // its owner lives and only isn't heard here
-        have.merge(rec.type(), 1, Integer::sum);
+        have.merge(record.type(), 1, Integer::sum);
       } else {
         long since = unaccountedSince.computeIfAbsent(id, k -> now);
         if (now - since > lease + 2 * Constants.SILENT_RETURN_MS) {
@@ -399,7 +404,7 @@
         } else if (!ownerLive && now - since > comesBack) {
           orphans.add(id);
         } else {
-          have.merge(rec.type(), 1, Integer::sum);
+          have.merge(record.type(), 1, Integer::sum);
         }
       }
     }
@@ -421,36 +426,38 @@
     if (LOG.isDebugEnabled()) {
       logUse(up);
     }
-    for (Listed l : listed.values()) {
-      if (known.contains(l.id()) || returning.contains(l.id())) {
+    for (Listed listing : listed.values()) {
+      if (known.contains(listing.id()) || returning.contains(listing.id())) {
         continue;
       }
-      if (now - returned.getOrDefault(l.id(), Long.MIN_VALUE / 2) < Constants.RETURNED_MS) {
+      if (now - returned.getOrDefault(listing.id(), Long.MIN_VALUE / 2) < Constants.RETURNED_MS) {
         continue;
       }
-      MachineType t = core.types().get(l.type());
-      double age = l.ageS() + (now - listedAt) / 1000.0;
-      if (l.state().equals("failed")) {
-        back.add(l.id());
-      } else if (t != null && age > bootLimitS(t)) {
-        back.add(l.id());
-      } else if (!coming.containsKey(l.id())) {
-        coming.put(l.id(), new Rented(l.type(), l.zone(), l.spot(), now - (long) (age * 1000)));
-      }
-    }
-    for (Map.Entry<String, Rented> e : new ArrayList<>(coming.entrySet())) {
-      Rented r = e.getValue();
-      MachineType t = core.types().get(r.type);
-      double limit = t == null ? 120 : bootLimitS(t);
+      MachineType type = core.types().get(listing.type());
+      double age = listing.ageS() + (now - listedAt) / 1000.0;
+      if (listing.state().equals("failed")) {
+        back.add(listing.id());
+      } else if (type != null && age > bootLimitS(type)) {
+        back.add(listing.id());
+      } else if (!coming.containsKey(listing.id())) {
+        coming.put(
+            listing.id(),
+            new Rented(listing.type(), listing.zone(), listing.spot(), now - (long) (age * 1000)));
+      }
+    }
+    for (Map.Entry<String, Rented> mapEntry : new ArrayList<>(coming.entrySet())) {
+      Rented rented = mapEntry.getValue();
+      MachineType machineType = core.types().get(rented.type);
+      double limit = machineType == null ? 120 : bootLimitS(machineType);
       boolean vanished =
-          now - r.at > 4 * core.settings().listLagMs()
-              && listedAt > r.at + 3 * core.settings().listLagMs()
-              && !listed.containsKey(e.getKey());
-      if (now - r.at > limit * 1000 || vanished) {
-        coming.remove(e.getKey());
-        back.add(e.getKey());
+          now - rented.at > 4 * core.settings().listLagMs()
+              && listedAt > rented.at + 3 * core.settings().listLagMs()
+              && !listed.containsKey(mapEntry.getKey());
+      if (now - rented.at > limit * 1000 || vanished) {
+        coming.remove(mapEntry.getKey());
+        back.add(mapEntry.getKey());
       } else {
-        have.merge(r.type, 1, Integer::sum);
+        have.merge(rented.type, 1, Integer::sum);
       }
     }
     for (String t : core.types().keySet()) planType(t, have.getOrDefault(t, 0), up, now);
@@ -465,9 +472,9 @@
    * Silent at the end of its notice: the cloud has it back, and a return proves at once what its
    * lease would prove only later.
    */
-  private static boolean taken(View.Seen s, long now) {
-    double left = s.m.noticeS() - (now - s.at) / 1000.0;
-    return s.m.noticeS() >= 0 && left < Constants.NOTICE_OVER_S;
+  private static boolean taken(View.Seen machine, long now) {
+    double left = machine.state.noticeS() - (now - machine.at) / 1000.0;
+    return machine.state.noticeS() >= 0 && left < Constants.NOTICE_OVER_S;
   }
 
   /** Some reports later than where a machine counts as silent. */
@@ -481,8 +488,8 @@
   }
 
   /** After so many seconds a machine that isn't up is taken for one that never boots. */
-  private static double bootLimitS(MachineType t) {
-    return Math.max(60, Constants.BOOT_GIVE_UP * t.bootS());
+  private static double bootLimitS(MachineType type) {
+    return Math.max(60, Constants.BOOT_GIVE_UP * type.bootS());
   }
 
   /** Where the rented processors go: the first thing to look at when jobs wait. */
@@ -491,19 +498,19 @@
     double fetching = 0;
     double booked = 0;
     double free = 0;
-    for (View.Seen s : up) {
-      free += s.m.freeCpus();
-      for (RosterTask t : s.m.tasks()) {
-        JobRec j = store.job(t.job());
-        if (j == null || t.state() == TaskState.EXITED) {
+    for (View.Seen machine : up) {
+      free += machine.state.freeCpus();
+      for (RosterTask task : machine.state.tasks()) {
+        JobRec job = store.job(task.job());
+        if (job == null || task.state() == TaskState.EXITED) {
           continue;
         }
-        if (t.state() == null) {
-          booked += j.spec().cpus();
-        } else if (t.state() == TaskState.FETCHING) {
-          fetching += j.spec().cpus();
+        if (task.state() == null) {
+          booked += job.spec().cpus();
+        } else if (task.state() == TaskState.FETCHING) {
+          fetching += job.spec().cpus();
         } else {
-          running += j.spec().cpus();
+          running += job.spec().cpus();
         }
       }
     }
@@ -517,25 +524,25 @@
   }
 
   private void planType(String type, int have, List<View.Seen> up, long now) {
-    Demand d = demands.get(type);
-    double need = d == null ? 0 : d.machines;
-    double floor = d == null ? 0 : d.average;
+    Demand demand = demands.get(type);
+    double need = demand == null ? 0 : demand.machines;
+    double floor = demand == null ? 0 : demand.average;
     int want = (int) Math.ceil(Math.max(need * 1.1, floor) - 0.05);
-    if (d != null && !renting && calls.has(now, 1, 0) && constrained(type, d, up, now)) {
+    if (demand != null && !renting && calls.has(now, 1, 0) && constrained(type, demand, up, now)) {
       return;
     }
     if (want > have) {
       if (!renting && calls.has(now, 1, 0)) {
-        rent(type, want - have, have, want, d == null || d.spotAllowed, now);
+        rent(type, want - have, have, want, demand == null || demand.spotAllowed, now);
       }
       return;
     }
-    if (d != null && !renting && calls.has(now, 1, 0) && rentForStranded(type, up, now)) {
+    if (demand != null && !renting && calls.has(now, 1, 0) && rentForStranded(type, up, now)) {
       return;
     }
     int keep = (int) Math.ceil(Math.max(need * 1.2, floor * 1.15));
     // dear machines are kept for what there is to do more than for what there was
-    double urgent = d == null ? 0 : d.urgent * Constants.RESERVE_FACTOR;
+    double urgent = demand == null ? 0 : demand.urgent * Constants.RESERVE_FACTOR;
     double was = Math.max(urgent, floor * Constants.ORDINARY_FLOOR);
     int keepOrdinary = Math.min(keep, (int) Math.ceil(Math.max(need * 1.2, was)));
     if (have <= keepOrdinary) {
@@ -543,15 +550,17 @@
     }
     List<View.Seen> idle = new ArrayList<>();
     List<String> ready = new ArrayList<>();
-    for (View.Seen s : up) {
-      if (!s.m.type().equals(type) || !s.m.tasks().isEmpty() || returning.contains(s.id)) {
+    for (View.Seen machine : up) {
+      if (!machine.state.type().equals(type)
+          || !machine.state.tasks().isEmpty()
+          || returning.contains(machine.id)) {
         continue;
       }
-      if (s.m.draining()) {
-        ready.add(s.id);
-      } else if (s.idleMs(now)
-          > (s.m.spot() ? Constants.IDLE_RETURN_MS : Constants.IDLE_ORDINARY_MS)) {
-        idle.add(s);
+      if (machine.state.draining()) {
+        ready.add(machine.id);
+      } else if (machine.idleMs(now)
+          > (machine.state.spot() ? Constants.IDLE_RETURN_MS : Constants.IDLE_ORDINARY_MS)) {
+        idle.add(machine);
       }
     }
     if (!ready.isEmpty()) {
@@ -559,12 +568,14 @@
       return;
     }
     // the dear ones first, then those that have waited longest
-    idle.sort(Comparator.comparing((View.Seen s) -> s.m.spot()).thenComparing(s -> -s.idleMs(now)));
+    idle.sort(
+        Comparator.comparing((View.Seen seen) -> seen.state.spot())
+            .thenComparing(candidate -> -candidate.idleMs(now)));
     int most = Math.max(1, have / 6);
     int left = have;
     Map<String, List<String>> drains = new HashMap<>();
     for (View.Seen s : idle) {
-      if (have - left >= most || left <= (s.m.spot() ? keep : keepOrdinary)) {
+      if (have - left >= most || left <= (s.state.spot() ? keep : keepOrdinary)) {
         break;
       }
       left--;
@@ -578,54 +589,55 @@
    * elsewhere are of no use to them. Counting them by type alone once left such a job waiting for
    * good.
    */
-  private boolean constrained(String type, Demand d, List<View.Seen> up, long now) {
+  private boolean constrained(String type, Demand demand, List<View.Seen> up, long now) {
     Map<String, Integer> perZone = new HashMap<>();
     Map<String, Integer> ordinaryIn = new HashMap<>();
-    for (View.Seen s : up) {
-      if (!s.m.type().equals(type)) {
+    for (View.Seen machine : up) {
+      if (!machine.state.type().equals(type)) {
         continue;
       }
-      perZone.merge(s.m.zone(), 1, Integer::sum);
-      if (!s.m.spot()) {
-        ordinaryIn.merge(s.m.zone(), 1, Integer::sum);
+      perZone.merge(machine.state.zone(), 1, Integer::sum);
+      if (!machine.state.spot()) {
+        ordinaryIn.merge(machine.state.zone(), 1, Integer::sum);
       }
     }
-    for (Rented r : coming.values()) {
-      if (!r.type.equals(type)) {
+    for (Rented rented : coming.values()) {
+      if (!rented.type.equals(type)) {
         continue;
       }
-      perZone.merge(r.zone, 1, Integer::sum);
-      if (!r.spot) {
-        ordinaryIn.merge(r.zone, 1, Integer::sum);
+      perZone.merge(rented.zone, 1, Integer::sum);
+      if (!rented.spot) {
+        ordinaryIn.merge(rented.zone, 1, Integer::sum);
       }
     }
-    for (Map.Entry<String, Double> e : d.pinned.entrySet()) {
-      int missing = (int) Math.ceil(e.getValue()) - perZone.getOrDefault(e.getKey(), 0);
+    for (Map.Entry<String, Double> entry : demand.pinned.entrySet()) {
+      int missing = (int) Math.ceil(entry.getValue()) - perZone.getOrDefault(entry.getKey(), 0);
       if (missing <= 0) {
         continue;
       }
-      if (tryZone(type, e.getKey(), true, missing, now)) {
+      if (tryZone(type, entry.getKey(), true, missing, now)) {
         return true;
       }
-      if (tryZone(type, e.getKey(), false, missing, now)) {
+      if (tryZone(type, entry.getKey(), false, missing, now)) {
         return true;
       }
     }
     // A spot machine in the zone and an ordinary one elsewhere once passed for what such a job
     // needs.
-    for (Map.Entry<String, Double> e : d.pinnedOrdinary.entrySet()) {
-      int missing = (int) Math.ceil(e.getValue()) - ordinaryIn.getOrDefault(e.getKey(), 0);
-      if (missing > 0 && tryZone(type, e.getKey(), false, missing, now)) {
+    for (Map.Entry<String, Double> mapEntry : demand.pinnedOrdinary.entrySet()) {
+      int missing =
+          (int) Math.ceil(mapEntry.getValue()) - ordinaryIn.getOrDefault(mapEntry.getKey(), 0);
+      if (missing > 0 && tryZone(type, mapEntry.getKey(), false, missing, now)) {
         return true;
       }
     }
     int ordinary = ordinaryIn.values().stream().mapToInt(Integer::intValue).sum();
-    int missing = (int) Math.ceil(d.ordinary) - ordinary;
+    int missing = (int) Math.ceil(demand.ordinary) - ordinary;
     if (missing <= 0) {
       return false;
     }
-    for (String z : core.types().get(type).zones()) {
-      if (tryZone(type, z, false, missing, now)) {
+    for (String zone : core.types().get(type).zones()) {
+      if (tryZone(type, zone, false, missing, now)) {
         return true;
       }
     }
@@ -637,16 +649,17 @@
    * replica that the others of its zone left no room for once waited for good, and so did a batch.
    */
   private boolean rentForStranded(String type, List<View.Seen> up, long now) {
-    if (core.openJobs().stream().noneMatch(rec -> rec.spec().service() && !rec.over())) {
+    if (core.openJobs().stream()
+        .noneMatch(jobRecord -> jobRecord.spec().service() && !jobRecord.over())) {
       return false;
     }
     stranded.retain(core.openJobs());
-    for (JobRec rec : core.openJobs()) {
-      JobSpec job = rec.spec();
-      if (rec.over() || !type.equals(minimalType(job))) {
+    for (JobRec record : core.openJobs()) {
+      JobSpec job = record.spec();
+      if (record.over() || !type.equals(minimalType(job))) {
         continue;
       }
-      for (String zone : stranded.zonesMissing(rec, core.types().get(type), up, now)) {
+      for (String zone : stranded.zonesMissing(record, core.types().get(type), up, now)) {
         if (!rentOne(type, zone, job.spot(), now)) {
           continue;
         }
@@ -659,8 +672,8 @@
 
   /** Whether one has been asked for; not while a machine that may serve is coming. */
   private boolean rentOne(String type, String zone, boolean spotAllowed, long now) {
-    for (Rented r : coming.values()) {
-      if (r.type.equals(type) && r.zone.equals(zone) && (spotAllowed || !r.spot)) {
+    for (Rented rented : coming.values()) {
+      if (rented.type.equals(type) && rented.zone.equals(zone) && (spotAllowed || !rented.spot)) {
         return false;
       }
     }
@@ -684,19 +697,19 @@
   }
 
   private void rent(String type, int missing, int have, int want, boolean spotAllowed, long now) {
-    MachineType t = core.types().get(type);
+    MachineType machineType = core.types().get(type);
     Map<String, Integer> perZone = new HashMap<>();
-    for (View.Seen s : core.view().machines.values()) {
-      if (s.m != null && s.m.type().equals(type)) {
-        perZone.merge(s.m.zone(), 1, Integer::sum);
+    for (View.Seen machine : core.view().machines.values()) {
+      if (machine.state != null && machine.state.type().equals(type)) {
+        perZone.merge(machine.state.zone(), 1, Integer::sum);
       }
     }
-    for (Rented r : coming.values())
-      if (r.type.equals(type)) {
-        perZone.merge(r.zone, 1, Integer::sum);
+    for (Rented rented : coming.values())
+      if (rented.type.equals(type)) {
+        perZone.merge(rented.zone, 1, Integer::sum);
       }
-    List<String> zones = new ArrayList<>(t.zones());
-    zones.sort(Comparator.comparingInt(z -> perZone.getOrDefault(z, 0)));
+    List<String> zones = new ArrayList<>(machineType.zones());
+    zones.sort(Comparator.comparingInt(zone -> perZone.getOrDefault(zone, 0)));
     for (int kind = spotAllowed ? 0 : 1; kind < 2; kind++) {
       boolean spot = kind == 0;
       if (!spot && spotAllowed && missing < 0.15 * want) {
@@ -711,32 +724,36 @@
     }
   }
 
-  private void ask(RentRequest q, String key) {
+  private void ask(RentRequest request, String key) {
     renting = true;
     calls.spend(core.now(), 1);
     LOG.info(
         "rent {} {} in {}{} as {}",
-        q.count(),
-        q.type(),
-        q.zone(),
-        q.spot() ? ", spot" : "",
-        q.name());
+        request.count(),
+        request.type(),
+        request.zone(),
+        request.spot() ? ", spot" : "",
+        request.name());
     core.effects()
         .rent(
-            q,
+            request,
             r -> {
               renting = false;
               long now = core.now();
               if (r.status() == 200) {
                 for (String m : r.machines())
-                  coming.put(m, new Rented(q.type(), q.zone(), q.spot(), now));
-                LOG.info("rented {} of {} asked as {}", r.machines().size(), q.count(), q.name());
-                if (r.machines().size() < q.count()) {
+                  coming.put(m, new Rented(request.type(), request.zone(), request.spot(), now));
+                LOG.info(
+                    "rented {} of {} asked as {}",
+                    r.machines().size(),
+                    request.count(),
+                    request.name());
+                if (r.machines().size() < request.count()) {
                   refusedUntil.put(key, now + Constants.REFUSED_WAIT_MS);
                 }
               } else if (r.status() == 503) {
                 refusedUntil.put(key, now + Constants.REFUSED_WAIT_MS);
-                LOG.info("refused {}", q.name());
+                LOG.info("refused {}", request.name());
               }
               nextPlan = Math.min(nextPlan, now + 300);
             });
@@ -802,9 +819,9 @@
         store.transact(
             Store.Urgency.MACHINE,
             new Txn(List.of(), ends, drops),
-            r -> {
-              dropRetry.answered(core.now(), r.code());
-              if (r.code() != Code.OK) {
+            reply -> {
+              dropRetry.answered(core.now(), reply.code());
+              if (reply.code() != Code.OK) {
                 again.run();
               }
             });
@@ -830,9 +847,9 @@
                 return;
               }
               String last = after;
-              for (Listed l : r.machines()) {
-                sofar.put(l.id(), l);
-                last = l.id();
+              for (Listed listedMachine : r.machines()) {
+                sofar.put(listedMachine.id(), listedMachine);
+                last = listedMachine.id();
               }
               if (r.more() && last != null) {
                 page(last, sofar);
--- a/src/main/java/mallowstall/core/Holder.java
+++ b/src/main/java/mallowstall/core/Holder.java
@@ -98,7 +98,7 @@
     final Int2ObjectOpenHashMap<Active> active = new Int2ObjectOpenHashMap<>();
     final IntArrayFIFOQueue again = new IntArrayFIFOQueue();
     final Set<Integer> dirtyPieces = new TreeSet<>();
-    JobRec rec;
+    JobRec job;
     long version;
     int next;
     int doneCount;
@@ -154,13 +154,13 @@
     }
 
     boolean over() {
-      return rec.over();
+      return job.over();
     }
 
     int running() {
       int n = 0;
-      for (Active a : active.values())
-        if (a.seen && a.state == TaskState.RUNNING) {
+      for (Active placed : active.values())
+        if (placed.seen && placed.state == TaskState.RUNNING) {
           n++;
         }
       return n;
@@ -222,53 +222,53 @@
   }
 
   boolean anyService() {
-    for (Held h : jobs.values())
-      if (h.spec.service()) {
+    for (Held held : jobs.values())
+      if (held.spec.service()) {
         return true;
       }
     return false;
   }
 
-  boolean limited(JobSpec s) {
-    Team t = core.settings().teams().get(s.team());
-    return t != null && t.limited();
+  boolean limited(JobSpec spec) {
+    Team team = core.settings().teams().get(spec.team());
+    return team != null && team.limited();
   }
 
   // ---- entries ------------------------------------------------------------------------------
-  void jobChanged(String id, JobRec rec) {
-    Held h = jobs.get(id);
+  void jobChanged(String id, JobRec job) {
+    Held held = jobs.get(id);
     boolean mine =
-        rec.holder().equals(core.node()) && rec.incarnation() == store.incarnation() && rec.open();
+        job.holder().equals(core.node()) && job.incarnation() == store.incarnation() && job.open();
     if (!mine) {
-      if (h != null) {
-        drop(h);
+      if (held != null) {
+        drop(held);
       }
       return;
     }
     long version = store.version(Store.JOBS + id);
-    boolean taken = h == null || h.rec.epoch() != rec.epoch();
+    boolean taken = held == null || held.job.epoch() != job.epoch();
     if (taken) {
-      if (h != null) {
-        drop(h);
+      if (held != null) {
+        drop(held);
       }
-      h = new Held(id, rec.spec());
-      h.heldSince = core.now();
-      h.claimRevision = version;
-      h.rostersBefore = core.view().received;
+      held = new Held(id, job.spec());
+      held.heldSince = core.now();
+      held.claimRevision = version;
+      held.rostersBefore = core.view().received;
       // the first epoch of this very process: nobody can have started anything before
-      h.latched = rec.epoch() == 1;
-      load(h, rec);
-      jobs.put(id, h);
+      held.latched = job.epoch() == 1;
+      load(held, job);
+      jobs.put(id, held);
     }
-    if (version > h.version) {
-      h.uncertain = false;
+    if (version > held.version) {
+      held.uncertain = false;
     }
-    if (h.rec != null && rec.grant() > h.rec.grant()) {
-      h.grantIdleSince = core.now();
+    if (held.job != null && job.grant() > held.job.grant()) {
+      held.grantIdleSince = core.now();
     }
-    h.rec = rec;
-    h.version = version;
-    if (taken && !h.latched) {
+    held.job = job;
+    held.version = version;
+    if (taken && !held.latched) {
       find(id);
     }
     core.wake();
@@ -279,270 +279,305 @@
    * has changed, so a task that this passed over would be placed once more.
    */
   private void find(String id) {
-    for (View.Seen s : core.view().machines.values()) {
-      if (s.m == null || s.owner == null) {
+    for (View.Seen machine : core.view().machines.values()) {
+      if (machine.state == null || machine.owner == null) {
         continue; // its next owner tells it all
       }
-      for (RosterTask t : s.m.tasks()) {
-        if (t.job().equals(id)) {
-          task(s.owner, s.ownerIncarnation, s.m, t);
+      for (RosterTask rosterTask : machine.state.tasks()) {
+        if (rosterTask.job().equals(id)) {
+          task(machine.owner, machine.ownerIncarnation, machine.state, rosterTask);
         }
       }
     }
   }
 
-  private void load(Held h, JobRec rec) {
-    h.done.or(core.jobEntries().done(rec));
-    h.doneCount = h.done.cardinality();
+  private void load(Held held, JobRec job) {
+    held.done.or(core.jobEntries().done(job));
+    held.doneCount = held.done.cardinality();
   }
 
   /** Bits of the job that came after its entry, which may have been read on its own. */
   void bitsChanged(String id) {
-    Held h = jobs.get(id);
-    if (h != null) {
-      load(h, h.rec);
+    Held held = jobs.get(id);
+    if (held != null) {
+      load(held, held.job);
     }
   }
 
-  private void drop(Held h) {
-    jobs.remove(h.id);
-    for (Active a : h.active.values()) unlink(a);
+  private void drop(Held held) {
+    jobs.remove(held.id);
+    for (Active active : held.active.values()) unlink(active);
   }
 
-  private void unlink(Active a) {
-    unseen.remove(a);
-    Set<Active> s = byMachine.get(a.machine);
-    if (s == null) {
+  private void unlink(Active active) {
+    unseen.remove(active);
+    Set<Active> set = byMachine.get(active.machine);
+    if (set == null) {
       return;
     }
-    s.remove(a);
-    if (s.isEmpty()) {
-      byMachine.remove(a.machine);
+    set.remove(active);
+    if (set.isEmpty()) {
+      byMachine.remove(active.machine);
     }
   }
 
-  void place(Active a) {
-    a.job.active.put(a.task, a);
-    a.since = core.now();
-    if (!a.seen) {
-      unseen.add(a);
+  void place(Active active) {
+    active.job.active.put(active.task, active);
+    active.since = core.now();
+    if (!active.seen) {
+      unseen.add(active);
     }
-    byMachine.computeIfAbsent(a.machine, k -> new LinkedHashSet<>()).add(a);
+    byMachine.computeIfAbsent(active.machine, key -> new LinkedHashSet<>()).add(active);
   }
 
-  private void free(Active a, boolean retry) {
-    if (a.job.active.get(a.task) == a) {
-      a.job.active.remove(a.task);
+  private void free(Active active, boolean retry) {
+    if (active.job.active.get(active.task) == active) {
+      active.job.active.remove(active.task);
     }
-    unlink(a);
-    if (a.job.active.isEmpty() || a.job.grantIdleSince == 0) {
-      a.job.grantIdleSince = core.now();
+    unlink(active);
+    if (active.job.active.isEmpty() || active.job.grantIdleSince == 0) {
+      active.job.grantIdleSince = core.now();
     }
-    if (retry && !a.job.done.get(a.task)) {
-      a.job.putBack(a.task);
+    if (retry && !active.job.done.get(active.task)) {
+      active.job.putBack(active.task);
     }
     core.wake();
   }
 
   // ---- rosters ------------------------------------------------------------------------------
-  void roster(Roster r) {
-    for (Refusal f : r.refusals()) refused(f);
-    for (RosterMachine m : r.machines()) {
-      View.Seen seen = core.view().machines.get(m.machine());
-      if (seen == null || seen.m != m) {
+  void roster(Roster roster) {
+    for (Refusal refusal : roster.refusals()) refused(refusal);
+    for (RosterMachine state : roster.machines()) {
+      View.Seen seen = core.view().machines.get(state.machine());
+      if (seen == null || seen.state != state) {
         continue; // a larger term is known
       }
-      Set<Active> here = byMachine.get(m.machine());
+      Set<Active> here = byMachine.get(state.machine());
       if (here != null) {
-        for (Active a : here) a.listed = false;
+        for (Active active : here) active.listed = false;
       }
-      for (RosterTask t : m.tasks()) task(r.node(), r.incarnation(), m, t);
+      for (RosterTask rosterTask : state.tasks())
+        task(roster.node(), roster.incarnation(), state, rosterTask);
       if (here == null) {
         continue;
       }
-      for (Active a : new ArrayList<>(here)) {
-        if (a.listed) {
+      for (Active placed : new ArrayList<>(here)) {
+        if (placed.listed) {
           continue;
         }
         // a later session of the machine has none of an earlier one's tasks, whoever owns it
-        if (a.seen && (m.confirmed() || m.session() > a.session)) {
-          gone(a);
+        if (placed.seen && (state.confirmed() || state.session() > placed.session)) {
+          gone(placed);
         }
       }
     }
     // Of a start that wasn't seen yet, a statement tells by its acknowledgement too, which comes
     // without anything new on the machine if the start never arrived.
-    View.Peer p = core.view().peer(r.node());
-    for (Active a : new ArrayList<>(unseen)) {
-      if (a.listed) {
+    View.Peer peer = core.view().peer(roster.node());
+    for (Active running : new ArrayList<>(unseen)) {
+      if (running.listed) {
         continue;
       }
-      View.Seen s = core.view().machines.get(a.machine);
-      if (s == null || s.m == null || !r.node().equals(s.owner) || !s.m.confirmed()) {
+      View.Seen machine = core.view().machines.get(running.machine);
+      if (machine == null
+          || machine.state == null
+          || !roster.node().equals(machine.owner)
+          || !machine.state.confirmed()) {
         continue;
       }
-      if (resolved(a, r, p)) {
-        gone(a);
+      if (resolved(running, roster, peer)) {
+        gone(running);
       }
     }
   }
 
-  private void gone(Active a) {
-    LOG.info("task {}/{} attempt {} is no longer on {}", a.job.id, a.task, a.attempt, a.machine);
-    free(a, true);
+  private void gone(Active active) {
+    LOG.info(
+        "task {}/{} attempt {} is no longer on {}",
+        active.job.id,
+        active.task,
+        active.attempt,
+        active.machine);
+    free(active, true);
   }
 
   /** Whether this roster already tells the outcome of a start that was only sent. */
-  private boolean resolved(Active a, Roster r, View.Peer p) {
-    if (!a.owner.equals(r.node())) {
+  private boolean resolved(Active active, Roster roster, View.Peer peer) {
+    if (!active.owner.equals(roster.node())) {
       // The machine has moved, but the start may still be on its way to the owner it was sent to,
       // which may own the machine again by the time it arrives.
-      p = core.view().peer(a.owner);
-      if (core.now() - a.since > Constants.START_LIFE_MS + Constants.START_SLACK_MS) {
+      peer = core.view().peer(active.owner);
+      if (core.now() - active.since > Constants.START_LIFE_MS + Constants.START_SLACK_MS) {
         return true;
       }
     }
-    if (p.incarnation > a.ownerIncarnation) {
+    if (peer.incarnation > active.ownerIncarnation) {
       return true;
     }
-    return p.ackedConnection > a.connection
-        || (p.ackedConnection == a.connection && p.ackedSeq >= a.seq);
+    return peer.ackedConnection > active.connection
+        || (peer.ackedConnection == active.connection && peer.ackedSeq >= active.seq);
   }
 
-  private void refused(Refusal f) {
-    Held h = jobs.get(f.job());
-    if (h == null) {
+  private void refused(Refusal refusal) {
+    Held held = jobs.get(refusal.job());
+    if (held == null) {
       return;
     }
-    Active a = h.active.get(f.task());
-    if (a == null || a.attempt != f.attempt() || a.seen) {
+    Active active = held.active.get(refusal.task());
+    if (active == null || active.attempt != refusal.attempt() || active.seen) {
       return;
     }
-    boolean soon = f.reason().equals(Owner.NOT_KNOWN);
-    h.avoid.put(
-        f.machine(), core.now() + (soon ? Constants.LAG_RETRY_MS : Constants.REFUSED_RETRY_MS));
-    free(a, true);
+    boolean soon = refusal.reason().equals(Owner.NOT_KNOWN);
+    held.avoid.put(
+        refusal.machine(),
+        core.now() + (soon ? Constants.LAG_RETRY_MS : Constants.REFUSED_RETRY_MS));
+    free(active, true);
   }
 
-  private void task(String owner, long incarnation, RosterMachine m, RosterTask t) {
-    Held h = jobs.get(t.job());
-    if (h == null || t.task() >= h.spec.tasks()) {
+  private void task(String owner, long incarnation, RosterMachine state, RosterTask rosterTask) {
+    Held held = jobs.get(rosterTask.job());
+    if (held == null || rosterTask.task() >= held.spec.tasks()) {
       return;
     }
-    Active a = h.active.get(t.task());
-    boolean same = a != null && a.attempt == t.attempt() && a.machine.equals(m.machine());
+    Active active = held.active.get(rosterTask.task());
+    boolean same =
+        active != null
+            && active.attempt == rosterTask.attempt()
+            && active.machine.equals(state.machine());
     if (same) {
-      a.listed = true;
+      active.listed = true;
     }
-    if (t.state() == TaskState.RUNNING || t.why() == Why.DONE) {
-      h.lastRan = core.now();
+    if (rosterTask.state() == TaskState.RUNNING || rosterTask.why() == Why.DONE) {
+      held.lastRan = core.now();
     }
-    if (t.state() == TaskState.EXITED) {
-      if (h.spec.service()) {
+    if (rosterTask.state() == TaskState.EXITED) {
+      if (held.spec.service()) {
         if (same) {
-          replicaEnded(a, m.machine(), t.why());
+          replicaEnded(active, state.machine(), rosterTask.why());
         }
-      } else if (t.why() == Why.DONE) {
-        if (!h.done.get(t.task())) {
-          h.done.set(t.task());
-          h.doneCount++;
-          h.dirtyPieces.add(JobEntries.pieceOf(t.task()));
-          h.errorsOn.clear();
+      } else if (rosterTask.why() == Why.DONE) {
+        if (!held.done.get(rosterTask.task())) {
+          held.done.set(rosterTask.task());
+          held.doneCount++;
+          held.dirtyPieces.add(JobEntries.pieceOf(rosterTask.task()));
+          held.errorsOn.clear();
         }
         if (same) {
-          free(a, false);
+          free(active, false);
         }
       } else if (same) {
-        endedInVain(a, t.why());
-        free(a, true);
+        endedInVain(active, rosterTask.why());
+        free(active, true);
       }
       return;
     }
     if (same) {
-      if (t.state() == TaskState.RUNNING && a.runningSince == 0) {
-        a.runningSince = core.now();
+      if (rosterTask.state() == TaskState.RUNNING && active.runningSince == 0) {
+        active.runningSince = core.now();
       }
-      if (t.state() != null) {
+      if (rosterTask.state() != null) {
         // from now on only its owner's list says where it is
-        a.seen = true;
-        a.session = m.session();
-        unseen.remove(a);
+        active.seen = true;
+        active.session = state.session();
+        unseen.remove(active);
       }
-      a.state = t.state() == null ? a.state : t.state();
+      active.state = rosterTask.state() == null ? active.state : rosterTask.state();
       return;
     }
-    if (h.done.get(t.task())) {
+    if (held.done.get(rosterTask.task())) {
       return; // its owner stops it once the bit is recorded
     }
-    if (a == null) {
+    if (active == null) {
       Active found =
           new Active(
-              h, t.task(), t.attempt(), m.machine(), m.zone(), m.type(), owner, incarnation, 0, 0);
+              held,
+              rosterTask.task(),
+              rosterTask.attempt(),
+              state.machine(),
+              state.zone(),
+              state.type(),
+              owner,
+              incarnation,
+              0,
+              0);
       found.seen = true;
-      found.state = t.state();
+      found.state = rosterTask.state();
       found.listed = true;
-      found.session = m.session();
-      if (t.state() == TaskState.RUNNING) {
+      found.session = state.session();
+      if (rosterTask.state() == TaskState.RUNNING) {
         found.runningSince = core.now();
       }
       place(found);
-      LOG.info("task {}/{} attempt {} found on {}", h.id, t.task(), t.attempt(), m.machine());
-    } else if (t.attempt() > a.attempt) {
+      LOG.info(
+          "task {}/{} attempt {} found on {}",
+          held.id,
+          rosterTask.task(),
+          rosterTask.attempt(),
+          state.machine());
+    } else if (rosterTask.attempt() > active.attempt) {
       // both are on machines: the task isn't free before the later one is gone too
-      free(a, false);
-      task(owner, incarnation, m, t);
-    } else if (t.attempt() < a.attempt && m.confirmed() && store.sessionGood()) {
+      free(active, false);
+      task(owner, incarnation, state, rosterTask);
+    } else if (rosterTask.attempt() < active.attempt && state.confirmed() && store.sessionGood()) {
       // without a session what is known here may be old: a controller cut off from the state
       // service called tasks doubled that were on a machine returned meanwhile
       LOG.error(
           "task {}/{} attempt {} is on {} beside attempt {} on {}",
-          h.id,
-          t.task(),
-          t.attempt(),
-          m.machine(),
-          a.attempt,
-          a.machine);
-      core.stop(owner, new StopOrder(m.machine(), h.id, t.task(), t.attempt(), 0));
+          held.id,
+          rosterTask.task(),
+          rosterTask.attempt(),
+          state.machine(),
+          active.attempt,
+          active.machine);
+      core.stop(
+          owner,
+          new StopOrder(state.machine(), held.id, rosterTask.task(), rosterTask.attempt(), 0));
     }
   }
 
   /** A task has ended and must run again: remembers where it shouldn't be tried. */
-  private void endedInVain(Active a, Why why) {
+  private void endedInVain(Active active, Why why) {
     if (why == Why.ERROR) {
-      error(a.job, a.machine);
+      error(active.job, active.machine);
     } else if (why == Why.NO_ROOM) {
-      a.job.avoid.put(a.machine, core.now() + Constants.NO_ROOM_AVOIDS_MS);
-    }
-    LOG.info("task {}/{} attempt {} ended on {}: {}", a.job.id, a.task, a.attempt, a.machine, why);
+      active.job.avoid.put(active.machine, core.now() + Constants.NO_ROOM_AVOIDS_MS);
+    }
+    LOG.info(
+        "task {}/{} attempt {} ended on {}: {}",
+        active.job.id,
+        active.task,
+        active.attempt,
+        active.machine,
+        why);
   }
 
   /** Whatever a replica says of its end, it must run again until its job is cancelled. */
-  private void replicaEnded(Active a, String machine, Why why) {
-    Held h = a.job;
-    long ranMs = a.runningSince == 0 ? 0 : core.now() - a.runningSince;
+  private void replicaEnded(Active active, String machine, Why why) {
+    Held held = active.job;
+    long ranMs = active.runningSince == 0 ? 0 : core.now() - active.runningSince;
     // errors of long ago, each on another machine, don't make it the job's own fault
     if (ranMs >= Constants.REPLICA_STABLE_MS) {
-      h.errorsOn.clear();
+      held.errorsOn.clear();
     }
-    endedInVain(a, why);
+    endedInVain(active, why);
     // its result is kept there; for longer than it waits, so that it is tried elsewhere
     if (why == Why.DONE) {
-      h.avoid.put(machine, core.now() + Constants.JOB_AVOIDS_MS);
+      held.avoid.put(machine, core.now() + Constants.JOB_AVOIDS_MS);
     }
     boolean refused = why == Why.STOPPED || why == Why.NO_ROOM || why == Why.BUSY;
-    boolean startable = refused || h.restarts.ended(a.task, ranMs, core.now());
-    free(a, startable);
+    boolean startable = refused || held.restarts.ended(active.task, ranMs, core.now());
+    free(active, startable);
   }
 
-  private void error(Held h, String machine) {
+  private void error(Held held, String machine) {
     long now = core.now();
-    h.errorsOn.add(machine);
-    h.avoid.put(machine, now + Constants.JOB_AVOIDS_MS);
+    held.errorsOn.add(machine);
+    held.avoid.put(machine, now + Constants.JOB_AVOIDS_MS);
     // replicas wait one by one: the others may be well
-    if (h.errorsOn.size() >= Constants.JOB_FAULT_MACHINES && !h.spec.service()) {
-      h.notBefore = now + Constants.JOB_FAULT_WAIT_MS;
+    if (held.errorsOn.size() >= Constants.JOB_FAULT_MACHINES && !held.spec.service()) {
+      held.notBefore = now + Constants.JOB_FAULT_WAIT_MS;
       LOG.info(
-          "job {} fails on every machine, next try in {} ms", h.id, Constants.JOB_FAULT_WAIT_MS);
+          "job {} fails on every machine, next try in {} ms", held.id, Constants.JOB_FAULT_WAIT_MS);
     }
   }
 
@@ -552,9 +587,10 @@
     if (here == null) {
       return;
     }
-    for (Active a : new ArrayList<>(here)) {
-      LOG.info("task {}/{} attempt {} is gone with {}", a.job.id, a.task, a.attempt, id);
-      free(a, true);
+    for (Active active : new ArrayList<>(here)) {
+      LOG.info(
+          "task {}/{} attempt {} is gone with {}", active.job.id, active.task, active.attempt, id);
+      free(active, true);
     }
   }
 
@@ -566,7 +602,7 @@
   private void leaveReturnedMachines() {
     for (String id : new ArrayList<>(byMachine.keySet())) {
       View.Seen seen = core.view().machines.get(id);
-      if (seen == null || seen.m == null || !core.returned(id, seen.m.version())) {
+      if (seen == null || seen.state == null || !core.returned(id, seen.state.version())) {
         continue;
       }
       core.view().gone(id);
@@ -582,12 +618,12 @@
     leaveReturnedMachines();
     latch();
     adopt();
-    for (Held h : new ArrayList<>(jobs.values())) {
-      if (h.spec.service()) {
-        h.restarts.release(core.now(), h::putBack);
+    for (Held held : new ArrayList<>(jobs.values())) {
+      if (held.spec.service()) {
+        held.restarts.release(core.now(), held::putBack);
       }
       // a service has no bits, but a change of unknown outcome is resolved by the next write
-      write(h);
+      write(held);
     }
     if (core.now() >= nextYielding) {
       nextYielding = core.now() + Constants.ADOPT_EVERY_MS;
@@ -602,7 +638,7 @@
    */
   private void latch() {
     boolean any = false;
-    for (Held h : jobs.values()) any |= !h.latched;
+    for (Held held : jobs.values()) any |= !held.latched;
     if (!any) {
       return;
     }
@@ -610,33 +646,36 @@
     long upTo = Long.MAX_VALUE;
     long oldest = Long.MAX_VALUE;
     String worst = null;
-    for (Map.Entry<String, Store.Held> e : store.under(Store.MACHINES).entrySet()) {
-      MachineRec rec = (MachineRec) e.getValue().value();
-      String id = e.getKey().substring(Store.MACHINES.length());
-      View.Seen s = core.view().machines.get(id);
-      View.Peer p = core.view().peer(rec.node());
-      long rev = core.view().accounted(id, rec) ? p.rosterRevision : -1;
+    for (Map.Entry<String, Store.Held> entry : store.under(Store.MACHINES).entrySet()) {
+      MachineRec record = (MachineRec) entry.getValue().value();
+      String id = entry.getKey().substring(Store.MACHINES.length());
+      View.Seen machine = core.view().machines.get(id);
+      View.Peer peer = core.view().peer(record.node());
+      long rev = core.view().accounted(id, record) ? peer.rosterRevision : -1;
       if (rev >= 0) {
-        oldest = Math.min(oldest, p.received);
+        oldest = Math.min(oldest, peer.received);
       }
       if (rev < upTo) {
         upTo = rev;
         worst = id;
       }
     }
-    for (Held h : jobs.values()) {
-      if (h.latched || h.claimRevision > store.revision()) {
+    for (Held heldJob : jobs.values()) {
+      if (heldJob.latched || heldJob.claimRevision > store.revision()) {
         continue;
       }
       // A roster may know of the claim before its claimant does, whose own answer was slow. Its
       // tasks went unnoticed then, and one was started twice: only rosters received since count.
-      if (upTo >= h.claimRevision && oldest > h.rostersBefore) {
-        h.latched = true;
+      if (upTo >= heldJob.claimRevision && oldest > heldJob.rostersBefore) {
+        heldJob.latched = true;
         LOG.info(
-            "job {} epoch {} rebuilt: {} tasks on machines", h.id, h.rec.epoch(), h.active.size());
+            "job {} epoch {} rebuilt: {} tasks on machines",
+            heldJob.id,
+            heldJob.job.epoch(),
+            heldJob.active.size());
         core.wake();
       } else {
-        LOG.debug("job {} waits for machine {}", h.id, worst);
+        LOG.debug("job {} waits for machine {}", heldJob.id, worst);
       }
     }
   }
@@ -649,14 +688,14 @@
     nextAdopt = now + Constants.ADOPT_EVERY_MS;
     List<String> live = core.liveNodes();
     int n = 0;
-    for (JobRec rec : new ArrayList<>(core.openJobs())) {
-      String id = rec.spec().id();
-      if (store.live(rec.holder(), rec.incarnation())) {
+    for (JobRec job : new ArrayList<>(core.openJobs())) {
+      String id = job.spec().id();
+      if (store.live(job.holder(), job.incarnation())) {
         orphanSince.remove(id);
         claimRetries.remove(id);
         continue;
       }
-      long since = orphanSince.computeIfAbsent(id, k -> now);
+      long since = orphanSince.computeIfAbsent(id, key -> now);
       String first =
           live.isEmpty() ? core.node() : live.get(Math.floorMod(id.hashCode(), live.size()));
       if (!first.equals(core.node()) && now - since < 2_000) {
@@ -674,17 +713,17 @@
         break;
       }
       claiming.put(id, now);
-      JobRec mine = rec.withHolder(core.node(), store.incarnation());
+      JobRec mine = job.withHolder(core.node(), store.incarnation());
       JobEntries.Write claim = core.jobEntries().keepingBits(mine, store.version(Store.JOBS + id));
       boolean asked =
           store.transact(
               Store.Urgency.JOB,
               new Txn(claim.when(), claim.puts(), List.of()),
-              r -> {
+              reply -> {
                 claiming.remove(id);
-                retry.answered(core.now(), r.code());
-                if (r.code() == Code.OK) {
-                  LOG.info("job {} taken over from {}, epoch {}", id, rec.holder(), mine.epoch());
+                retry.answered(core.now(), reply.code());
+                if (reply.code() == Code.OK) {
+                  LOG.info("job {} taken over from {}, epoch {}", id, job.holder(), mine.epoch());
                 }
               });
       if (!asked) {
@@ -693,55 +732,58 @@
     }
   }
 
-  private void write(Held h) {
+  private void write(Held held) {
     long now = core.now();
-    boolean all = !h.spec.service() && h.doneCount == h.spec.tasks() && !h.over();
-    boolean moves = core.jobEntries().outOfPlace(h.rec);
-    if (h.dirtyPieces.isEmpty() && !all && !h.uncertain && !moves) {
+    boolean all = !held.spec.service() && held.doneCount == held.spec.tasks() && !held.over();
+    boolean moves = core.jobEntries().outOfPlace(held.job);
+    if (held.dirtyPieces.isEmpty() && !all && !held.uncertain && !moves) {
       return;
     }
-    if (!h.writeRetry.due(now) || !bitsKnown(h)) {
+    if (!held.writeRetry.due(now) || !bitsKnown(held)) {
       return;
     }
-    if (h.writing || h.granting || (!all && now - h.lastWrite < Constants.JOB_WRITE_GAP_MS)) {
+    if (held.writing
+        || held.granting
+        || (!all && now - held.lastWrite < Constants.JOB_WRITE_GAP_MS)) {
       return;
     }
-    if (h.over() && h.rec.fin() == Final.CANCELLED) {
-      h.dirtyPieces.clear();
-      if (!h.uncertain && !moves) {
+    if (held.over() && held.job.fin() == Final.CANCELLED) {
+      held.dirtyPieces.clear();
+      if (!held.uncertain && !moves) {
         return;
       }
     }
-    JobEntries.Write write = core.jobEntries().recording(h.rec, h.version, h.done, h.dirtyPieces);
-    List<Integer> pieces = new ArrayList<>(h.dirtyPieces);
+    JobEntries.Write write =
+        core.jobEntries().recording(held.job, held.version, held.done, held.dirtyPieces);
+    List<Integer> pieces = new ArrayList<>(held.dirtyPieces);
     pieces.retainAll(write.pieces());
-    h.writing = true;
-    h.lastWrite = now;
-    h.dirtyPieces.removeAll(pieces);
+    held.writing = true;
+    held.lastWrite = now;
+    held.dirtyPieces.removeAll(pieces);
     boolean asked =
         store.transact(
             Store.Urgency.JOB,
             new Txn(write.when(), write.puts(), List.of()),
-            r -> {
-              h.writing = false;
-              h.writeRetry.answered(core.now(), r.code());
-              if (r.code() == Code.OK) {
+            reply -> {
+              held.writing = false;
+              held.writeRetry.answered(core.now(), reply.code());
+              if (reply.code() == Code.OK) {
                 return;
               }
               // not known to be recorded: the next write says all of it again
-              h.dirtyPieces.addAll(pieces);
-              if (r.code() == Code.UNKNOWN) {
-                h.uncertain = true;
+              held.dirtyPieces.addAll(pieces);
+              if (reply.code() == Code.UNKNOWN) {
+                held.uncertain = true;
               }
-              if (r.code() == Code.CONFLICT) {
-                reread(h);
+              if (reply.code() == Code.CONFLICT) {
+                reread(held);
               } else {
-                h.lastWrite = core.now() + Constants.STATE_RETRY_MS;
+                held.lastWrite = core.now() + Constants.STATE_RETRY_MS;
               }
             });
     if (!asked) {
-      h.writing = false;
-      h.dirtyPieces.addAll(pieces);
+      held.writing = false;
+      held.dirtyPieces.addAll(pieces);
     }
   }
 
@@ -749,23 +791,23 @@
    * Whether the mirror holds all bits that were recorded before this holding. The entry may have
    * been read on its own, and pieces written without them would take bits back.
    */
-  private boolean bitsKnown(Held h) {
-    return JobEntries.inline(h.spec) || h.claimRevision <= store.revision();
+  private boolean bitsKnown(Held held) {
+    return JobEntries.inline(held.spec) || held.claimRevision <= store.revision();
   }
 
   /** After a failed comparison the mirror may lag: learn the entry before the next try. */
-  private void reread(Held h) {
-    h.writing = true;
+  private void reread(Held held) {
+    held.writing = true;
     boolean asked =
         store.read(
             Store.Urgency.JOB,
-            Store.JOBS + h.id,
-            g -> {
-              h.writing = false;
-              h.lastWrite = core.now();
+            Store.JOBS + held.id,
+            reply -> {
+              held.writing = false;
+              held.lastWrite = core.now();
             });
     if (!asked) {
-      h.writing = false;
+      held.writing = false;
     }
   }
 
@@ -775,26 +817,26 @@
   private void grants() {
     long now = core.now();
     Map<String, List<Held>> byTeam = new LinkedHashMap<>();
-    for (Held h : jobs.values()) {
-      if (!limited(h.spec) || h.writing || h.granting || h.uncertain) {
+    for (Held held : jobs.values()) {
+      if (!limited(held.spec) || held.writing || held.granting || held.uncertain) {
         continue;
       }
       // its own next write brings the entry into its present layout first
-      if (!h.grantRetry.due(now) || core.jobEntries().outOfPlace(h.rec)) {
+      if (!held.grantRetry.due(now) || core.jobEntries().outOfPlace(held.job)) {
         continue;
       }
-      if (delta(h, now) != 0) {
-        byTeam.computeIfAbsent(h.spec.team(), k -> new ArrayList<>()).add(h);
+      if (delta(held, now) != 0) {
+        byTeam.computeIfAbsent(held.spec.team(), k -> new ArrayList<>()).add(held);
       }
     }
-    for (Map.Entry<String, List<Held>> e : byTeam.entrySet()) {
-      String team = e.getKey();
+    for (Map.Entry<String, List<Held>> entry : byTeam.entrySet()) {
+      String team = entry.getKey();
       if (teamBusy.contains(team) || now < teamNext.getOrDefault(team, 0L)) {
         continue;
       }
-      List<Held> hs = e.getValue();
+      List<Held> hs = entry.getValue();
       hs.sort(core.placement()::order);
-      Team t = core.settings().teams().get(team);
+      Team jobTeam = core.settings().teams().get(team);
       Store.Held sum = store.held(Store.TEAMS + team);
       TeamRec old = sum == null ? new TeamRec(0, 0) : (TeamRec) sum.value();
       double cpus = old.cpus();
@@ -804,34 +846,34 @@
       List<Held> in = new ArrayList<>();
       int room = Math.min(core.settings().txnOps() - 1, 10);
       for (int pass = 0; pass < 2; pass++) {
-        for (Held h : hs) {
-          int d = delta(h, now);
+        for (Held heldJob : hs) {
+          int d = delta(heldJob, now);
           if ((pass == 0) != (d < 0) || in.size() >= room) {
             continue;
           }
           // one that may be refused for its size is tried alone, so that it delays no other job
-          boolean alone = !core.jobEntries().fitsNow(h.rec);
+          boolean alone = !core.jobEntries().fitsNow(heldJob.job);
           if (alone && !in.isEmpty()) {
             continue;
           }
-          if (d > 0 && !h.spec.service()) {
+          if (d > 0 && !heldJob.spec.service()) {
             // what isn't asked for by placement must leave the team far from its limit: else it
             // was given and taken back by turns, with every change, and served nobody
-            int early = Math.min(d, room(t, h.spec, cpus, gpus, Constants.ROOMY));
-            d = Math.max(early, Math.min(d, h.wantsGrant));
+            int early = Math.min(d, room(jobTeam, heldJob.spec, cpus, gpus, Constants.ROOMY));
+            d = Math.max(early, Math.min(d, heldJob.wantsGrant));
           }
           if (d > 0) {
-            d = Math.min(d, room(t, h.spec, cpus, gpus, 1));
+            d = Math.min(d, room(jobTeam, heldJob.spec, cpus, gpus, 1));
           }
           if (d == 0) {
             continue;
           }
-          cpus += d * h.spec.cpus();
-          gpus += d * h.spec.gpus();
-          String key = Store.JOBS + h.id;
-          when.add(new Cond(key, h.version));
-          puts.add(new Put(key, h.rec.withGrant(h.rec.grant() + d), 0));
-          in.add(h);
+          cpus += d * heldJob.spec.cpus();
+          gpus += d * heldJob.spec.gpus();
+          String key = Store.JOBS + heldJob.id;
+          when.add(new Cond(key, heldJob.version));
+          puts.add(new Put(key, heldJob.job.withGrant(heldJob.job.grant() + d), 0));
+          in.add(heldJob);
           if (alone) {
             room = 1;
           }
@@ -849,32 +891,32 @@
           store.transact(
               Store.Urgency.JOB,
               new Txn(when, puts, List.of()),
-              r -> {
+              reply -> {
                 teamBusy.remove(team);
                 RetryDelay teamRetry = teamRetries.computeIfAbsent(team, k -> new RetryDelay());
-                if (r.code() != Code.MALFORMED) {
-                  teamRetry.answered(core.now(), r.code());
+                if (reply.code() != Code.MALFORMED) {
+                  teamRetry.answered(core.now(), reply.code());
                 }
                 for (Held h : in) {
                   h.granting = false;
-                  if (r.code() != Code.REFUSED) {
-                    h.grantRetry.answered(core.now(), r.code());
+                  if (reply.code() != Code.REFUSED) {
+                    h.grantRetry.answered(core.now(), reply.code());
                   }
-                  if (r.code() == Code.OK) {
+                  if (reply.code() == Code.OK) {
                     h.wantsGrant = 0;
-                  } else if (r.code() == Code.UNKNOWN) {
+                  } else if (reply.code() == Code.UNKNOWN) {
                     h.uncertain = true;
-                  } else if (r.code() == Code.CONFLICT && r.revision() > store.revision()) {
+                  } else if (reply.code() == Code.CONFLICT && reply.revision() > store.revision()) {
                     reread(h);
                   }
                 }
-                if (r.code() == Code.CONFLICT) {
+                if (reply.code() == Code.CONFLICT) {
                   teamBusy.add(team);
                   if (!store.read(
-                      Store.Urgency.JOB, Store.TEAMS + team, g -> teamBusy.remove(team))) {
+                      Store.Urgency.JOB, Store.TEAMS + team, read -> teamBusy.remove(team))) {
                     teamBusy.remove(team);
                   }
-                } else if (r.code() != Code.OK) {
+                } else if (reply.code() != Code.OK) {
                   long next = core.now() + Constants.STATE_RETRY_MS;
                   teamNext.put(team, Math.max(next, teamRetry.until()));
                 }
@@ -892,31 +934,31 @@
    * is far from its limit a job gets at once what all its tasks need and keeps it: changing the
    * grant with every few tasks took a third of the state service's changes, and starts waited.
    */
-  private int delta(Held h, long now) {
-    int spare = h.rec.grant() - h.active.size();
-    if (!h.latched) {
+  private int delta(Held held, long now) {
+    int spare = held.job.grant() - held.active.size();
+    if (!held.latched) {
       return 0;
     }
     // replicas start again and again: what they need stays granted until the job is cancelled
-    if (h.spec.service() && !h.over()) {
-      return Math.max(0, h.spec.tasks() - h.rec.grant());
+    if (held.spec.service() && !held.over()) {
+      return Math.max(0, held.spec.tasks() - held.job.grant());
     }
-    if (h.over() || yields(h)) {
+    if (held.over() || yields(held)) {
       return -Math.max(0, spare);
     }
-    int pending = h.pending();
-    boolean roomy = roomy(h.spec.team());
-    if (spare - pending > (roomy ? h.rec.grant() / 2 : 0)) {
+    int pending = held.pending();
+    boolean roomy = roomy(held.spec.team());
+    if (spare - pending > (roomy ? held.job.grant() / 2 : 0)) {
       return -(spare - pending);
     }
-    int wanted = roomy ? pending : h.wantsGrant;
+    int wanted = roomy ? pending : held.wantsGrant;
     if (wanted > 0) {
       return Math.min(wanted, Math.max(0, pending - spare));
     }
     if (!roomy
         && spare > 0
-        && h.grantIdleSince > 0
-        && now - h.grantIdleSince > Constants.GRANT_IDLE_MS) {
+        && held.grantIdleSince > 0
+        && now - held.grantIdleSince > Constants.GRANT_IDLE_MS) {
       return -spare;
     }
     return 0;
@@ -927,30 +969,30 @@
    * the team has had none for long, and of those that have some this one has most. A large job with
    * tasks waiting would otherwise use its grant again and again, and nobody else get any.
    */
-  boolean yields(Held h) {
-    return h.id.equals(yielding.get(h.spec.team()));
+  boolean yields(Held held) {
+    return held.id.equals(yielding.get(held.spec.team()));
   }
 
   private void findYielding() {
     yielding.clear();
     Map<String, JobRec> most = new HashMap<>();
     Set<String> starved = new HashSet<>();
-    for (JobRec r : core.openJobs()) {
-      if (r.over() || !limited(r.spec())) {
+    for (JobRec job : core.openJobs()) {
+      if (job.over() || !limited(job.spec())) {
         continue;
       }
-      String team = r.spec().team();
-      boolean service = r.spec().service();
-      if (service ? r.grant() < r.spec().tasks() : r.grant() == 0) {
+      String team = job.spec().team();
+      boolean service = job.spec().service();
+      if (service ? job.grant() < job.spec().tasks() : job.grant() == 0) {
         TeamRec sum = teamSum(team);
         boolean full =
-            room(core.settings().teams().get(team), r.spec(), sum.cpus(), sum.gpus(), 1) == 0;
+            room(core.settings().teams().get(team), job.spec(), sum.cpus(), sum.gpus(), 1) == 0;
         long patience = service ? Constants.PREEMPT_AFTER_MS : Constants.STARVES_MS;
-        if (full && core.wall() - r.submittedMs() > patience) {
+        if (full && core.wall() - job.submittedMs() > patience) {
           starved.add(team);
         }
       } else if (!service) {
-        most.merge(team, r, (a, b) -> weight(a) >= weight(b) ? a : b);
+        most.merge(team, job, (a, b) -> weight(a) >= weight(b) ? a : b);
       }
     }
     for (String team : starved)
@@ -959,8 +1001,8 @@
       }
   }
 
-  private static double weight(JobRec r) {
-    return r.grant() * (r.spec().cpus() + 1e-3 * r.spec().gpus());
+  private static double weight(JobRec job) {
+    return job.grant() * (job.spec().cpus() + 1e-3 * job.spec().gpus());
   }
 
   private TeamRec teamSum(String team) {
@@ -969,22 +1011,22 @@
   }
 
   /** How many more tasks like these keep the team's sums within this fraction of its limits. */
-  private static int room(Team t, JobSpec j, double cpus, double gpus, double fraction) {
+  private static int room(Team team, JobSpec spec, double cpus, double gpus, double fraction) {
     double n = Integer.MAX_VALUE;
-    if (t.cpusMax() > 0 && j.cpus() > 0) {
-      n = (t.cpusMax() * fraction - cpus) / j.cpus();
+    if (team.cpusMax() > 0 && spec.cpus() > 0) {
+      n = (team.cpusMax() * fraction - cpus) / spec.cpus();
     }
-    if (t.gpusMax() > 0 && j.gpus() > 0) {
-      n = Math.min(n, (t.gpusMax() * fraction - gpus) / j.gpus());
+    if (team.gpusMax() > 0 && spec.gpus() > 0) {
+      n = Math.min(n, (team.gpusMax() * fraction - gpus) / spec.gpus());
     }
     return (int) Math.max(0, Math.floor(n + 1e-9));
   }
 
   /** Whether all running grants of the team are at most half of what it may use. */
   private boolean roomy(String team) {
-    Team t = core.settings().teams().get(team);
+    Team jobTeam = core.settings().teams().get(team);
     TeamRec sum = teamSum(team);
-    return (t.cpusMax() <= 0 || sum.cpus() <= t.cpusMax() * Constants.ROOMY)
-        && (t.gpusMax() <= 0 || sum.gpus() <= t.gpusMax() * Constants.ROOMY);
+    return (jobTeam.cpusMax() <= 0 || sum.cpus() <= jobTeam.cpusMax() * Constants.ROOMY)
+        && (jobTeam.gpusMax() <= 0 || sum.gpus() <= jobTeam.gpusMax() * Constants.ROOMY);
   }
 }
--- a/src/main/java/mallowstall/core/JobEntries.java
+++ b/src/main/java/mallowstall/core/JobEntries.java
@@ -104,18 +104,18 @@
 
   // ---- reading ------------------------------------------------------------------------------
   /** All tasks that are recorded as done. */
-  BitSet done(JobRec rec) {
-    return done(rec, stored);
+  BitSet done(JobRec job) {
+    return done(job, stored);
   }
 
   /** All tasks that are recorded as done by what stands under the keys. */
-  static BitSet done(JobRec rec, Function<String, Store.Held> stored) {
-    BitSet done = BitSet.valueOf(rec.done());
-    if (inline(rec.spec())) {
+  static BitSet done(JobRec jobRecord, Function<String, Store.Held> stored) {
+    BitSet done = BitSet.valueOf(jobRecord.done());
+    if (inline(jobRecord.spec())) {
       return done;
     }
-    int tasks = rec.spec().tasks();
-    String job = rec.spec().id();
+    int tasks = jobRecord.spec().tasks();
+    String job = jobRecord.spec().id();
     for (int c = 1; c * Constants.BITS_PER_CHUNK < tasks; c++) {
       addBits(done, stored.apply(chunkKey(job, c)), c * Constants.BITS_PER_CHUNK);
     }
@@ -133,14 +133,14 @@
   }
 
   /** Whether the task is recorded as done. */
-  boolean recorded(JobRec rec, int task) {
-    if (bit(rec.done(), task)) {
+  boolean recorded(JobRec jobRecord, int task) {
+    if (bit(jobRecord.done(), task)) {
       return true;
     }
-    if (inline(rec.spec())) {
+    if (inline(jobRecord.spec())) {
       return false;
     }
-    String job = rec.spec().id();
+    String job = jobRecord.spec().id();
     int chunk = task / Constants.BITS_PER_CHUNK;
     if (chunk > 0 && bit(bytes(chunkKey(job, chunk)), task % Constants.BITS_PER_CHUNK)) {
       return true;
@@ -162,34 +162,34 @@
 
   // ---- sizes --------------------------------------------------------------------------------
   /** Whether the job's entry stays within the value limit whatever becomes of the job. */
-  boolean fits(JobRec rec) {
-    int bits = inline(rec.spec()) ? rec.spec().tasks() : 0;
-    return encodedSize.applyAsInt(largest(rec, bits)) <= valueBytes;
+  boolean fits(JobRec job) {
+    int bits = inline(job.spec()) ? job.spec().tasks() : 0;
+    return encodedSize.applyAsInt(largest(job, bits)) <= valueBytes;
   }
 
   /** Whether the entry as it is stays within the value limit. */
-  boolean fitsNow(JobRec rec) {
-    return encodedSize.applyAsInt(rec) <= valueBytes;
+  boolean fitsNow(JobRec job) {
+    return encodedSize.applyAsInt(job) <= valueBytes;
   }
 
   /** Whether the compact layout is written for this job. */
-  boolean compact(JobRec rec) {
-    if (inline(rec.spec()) || !allReadPieces.getAsBoolean()) {
+  boolean compact(JobRec job) {
+    if (inline(job.spec()) || !allReadPieces.getAsBoolean()) {
       return false;
     }
     // a chunk is smaller than the entry of a job that has chunks
-    int bits = Math.min(rec.spec().tasks(), Constants.BITS_PER_CHUNK);
-    return encodedSize.applyAsInt(largest(rec, bits)) > valueBytes;
+    int bits = Math.min(job.spec().tasks(), Constants.BITS_PER_CHUNK);
+    return encodedSize.applyAsInt(largest(job, bits)) > valueBytes;
   }
 
   /** The entry with so many done bits and each number and name at its longest. */
-  private JobRec largest(JobRec rec, int bits) {
+  private JobRec largest(JobRec job, int bits) {
     byte[] done = new byte[(bits + 7) / 8];
     Arrays.fill(done, (byte) 0xFF);
-    int tasks = rec.spec().tasks();
+    int tasks = job.spec().tasks();
     return new JobRec(
-        rec.spec(),
-        rec.submittedMs(),
+        job.spec(),
+        job.submittedMs(),
         longestNode,
         Long.MAX_VALUE,
         Long.MAX_VALUE,
@@ -204,15 +204,15 @@
    * Whether bits stand where the present layout doesn't have them: in the entry of a job that is to
    * be compact, or in pieces only while a controller may not read these.
    */
-  boolean outOfPlace(JobRec rec) {
-    if (inline(rec.spec())) {
+  boolean outOfPlace(JobRec job) {
+    if (inline(job.spec())) {
       return false;
     }
-    if (compact(rec)) {
-      return rec.done().length > 0;
+    if (compact(job)) {
+      return job.done().length > 0;
     }
-    for (int p = 0; p * Constants.BITS_PER_PIECE < rec.spec().tasks(); p++) {
-      if (pieceAhead(rec, p)) {
+    for (int p = 0; p * Constants.BITS_PER_PIECE < job.spec().tasks(); p++) {
+      if (pieceAhead(job, p)) {
         return true;
       }
     }
@@ -220,13 +220,13 @@
   }
 
   /** Whether a piece holds bits that the first layout doesn't. */
-  private boolean pieceAhead(JobRec rec, int piece) {
-    BitSet bits = BitSet.valueOf(bytes(pieceKey(rec.spec().id(), piece)));
+  private boolean pieceAhead(JobRec job, int piece) {
+    BitSet bits = BitSet.valueOf(bytes(pieceKey(job.spec().id(), piece)));
     if (bits.isEmpty()) {
       return false;
     }
     int chunk = piece / PIECES_PER_CHUNK;
-    byte[] first = chunk == 0 ? rec.done() : bytes(chunkKey(rec.spec().id(), chunk));
+    byte[] first = chunk == 0 ? job.done() : bytes(chunkKey(job.spec().id(), chunk));
     int from = piece % PIECES_PER_CHUNK * Constants.BITS_PER_PIECE;
     bits.andNot(BitSet.valueOf(first).get(from, from + Constants.BITS_PER_PIECE));
     return !bits.isEmpty();
@@ -236,11 +236,11 @@
    * A change of the entry by somebody who knows of no new done tasks. The pieces that it must write
    * for bits that leave the entry are compared, since its view of them may be older than the entry.
    */
-  Write keepingBits(JobRec rec, long version) {
-    if (!compact(rec)) {
-      return write(rec, version, List.of(), Set.of());
+  Write keepingBits(JobRec job, long version) {
+    if (!compact(job)) {
+      return write(job, version, List.of(), Set.of());
     }
-    return compactWrite(rec, rec, version, done(rec), List.of(), true);
+    return compactWrite(job, job, version, done(job), List.of(), true);
   }
 
   /**
@@ -252,15 +252,15 @@
     int count = done.cardinality();
     boolean all = !old.spec().service() && count == old.spec().tasks() && !old.over();
     // what was told of a job that is over doesn't change
-    JobRec rec = old.over() ? old : old.withDone(old.done(), count, all ? Final.DONE : old.fin());
+    JobRec job = old.over() ? old : old.withDone(old.done(), count, all ? Final.DONE : old.fin());
     if (compact(old)) {
-      return compactWrite(old, rec, version, done, dirty, false);
+      return compactWrite(old, job, version, done, dirty, false);
     }
-    return chunkWrite(old, rec, version, done, dirty);
+    return chunkWrite(old, job, version, done, dirty);
   }
 
   private Write chunkWrite(
-      JobRec old, JobRec rec, long version, BitSet done, Collection<Integer> dirty) {
+      JobRec old, JobRec job, long version, BitSet done, Collection<Integer> dirty) {
     TreeSet<Integer> chunks = new TreeSet<>();
     for (int piece : dirty) chunks.add(piece / PIECES_PER_CHUNK);
     int pieces = inline(old.spec()) ? 0 : pieceOf(old.spec().tasks() - 1) + 1;
@@ -283,7 +283,7 @@
       addPieces(written, chunk);
     }
     int first = Math.min(old.spec().tasks(), Constants.BITS_PER_CHUNK);
-    JobRec told = written.containsAll(dirty) ? rec : old;
+    JobRec told = written.containsAll(dirty) ? job : old;
     JobRec entry = told.withDone(done.get(0, first).toByteArray(), told.doneCount(), told.fin());
     return write(entry, version, puts, written);
   }
@@ -296,7 +296,7 @@
 
   private Write compactWrite(
       JobRec old,
-      JobRec rec,
+      JobRec job,
       long version,
       BitSet done,
       Collection<Integer> dirty,
@@ -319,7 +319,7 @@
       int from = piece * Constants.BITS_PER_PIECE;
       puts.add(bitsPut(pieceKey(old.spec().id(), piece), done, from, Constants.BITS_PER_PIECE));
     }
-    JobRec told = pieces.containsAll(dirty) ? rec : old;
+    JobRec told = pieces.containsAll(dirty) ? job : old;
     JobRec entry = told.withDone(kept.toByteArray(), told.doneCount(), told.fin());
     Write write = write(entry, version, puts, pieces);
     if (!compare) {
--- a/src/main/java/mallowstall/core/Model.java
+++ b/src/main/java/mallowstall/core/Model.java
@@ -311,24 +311,24 @@
       List<String> images,
       List<RosterTask> tasks) {
     /** Whether both say the same, but for what drifts with time alone. */
-    boolean sameAs(RosterMachine o) {
-      return token == o.token
-          && java.util.Objects.equals(addr, o.addr)
-          && version == o.version
-          && session == o.session
-          && confirmed == o.confirmed
-          && usable == o.usable
-          && draining == o.draining
-          && replace == o.replace
-          && silent == o.silent
-          && lost == o.lost
-          && (noticeS < 0) == (o.noticeS < 0)
-          && freeCpus == o.freeCpus
-          && freeGpus == o.freeGpus
-          && freeMemoryGb == o.freeMemoryGb
-          && (idleMs == 0) == (o.idleMs == 0)
-          && images.equals(o.images)
-          && tasks.equals(o.tasks);
+    boolean sameAs(RosterMachine state) {
+      return token == state.token
+          && java.util.Objects.equals(addr, state.addr)
+          && version == state.version
+          && session == state.session
+          && confirmed == state.confirmed
+          && usable == state.usable
+          && draining == state.draining
+          && replace == state.replace
+          && silent == state.silent
+          && lost == state.lost
+          && (noticeS < 0) == (state.noticeS < 0)
+          && freeCpus == state.freeCpus
+          && freeGpus == state.freeGpus
+          && freeMemoryGb == state.freeMemoryGb
+          && (idleMs == 0) == (state.idleMs == 0)
+          && images.equals(state.images)
+          && tasks.equals(state.tasks);
     }
   }
 
--- a/src/main/java/mallowstall/core/Owner.java
+++ b/src/main/java/mallowstall/core/Owner.java
@@ -218,13 +218,15 @@
    */
   void cancelled(String job) {
     dirty = true; // peers hear of it soon
-    for (Owned o : owned.values()) {
-      for (TaskReport t : o.tasks.values()) {
-        if (t.state() != TaskState.FETCHING || !t.job().equals(job)) {
+    for (Owned machine : owned.values()) {
+      for (TaskReport task : machine.tasks.values()) {
+        if (task.state() != TaskState.FETCHING || !task.job().equals(job)) {
           continue;
         }
-        o.stops.put(new Key(job, t.task()), new StopOrder(o.id, job, t.task(), t.attempt(), 0));
-        toPush.add(o);
+        machine.stops.put(
+            new Key(job, task.task()),
+            new StopOrder(machine.id, job, task.task(), task.attempt(), 0));
+        toPush.add(machine);
       }
     }
   }
@@ -235,12 +237,12 @@
    * free.
    */
   void jobKnown(String id) {
-    for (Owned o : owned.values()) {
-      for (TaskReport t : o.tasks.values()) {
-        if (!t.job().equals(id)) {
+    for (Owned machine : owned.values()) {
+      for (TaskReport task : machine.tasks.values()) {
+        if (!task.job().equals(id)) {
           continue;
         }
-        o.touched = true;
+        machine.touched = true;
         dirty = true;
         break;
       }
@@ -248,7 +250,7 @@
   }
 
   // ---- reports ------------------------------------------------------------------------------
-  void report(Report r, Consumer<ReportAnswer> reply) {
+  void report(Report report, Consumer<ReportAnswer> reply) {
     long now = core.now();
     if (!store.synced()
         || store.incarnation() == 0
@@ -262,43 +264,44 @@
       reply.accept(ReportAnswer.elsewhere(core.servedPeer()));
       return;
     }
-    Owned o = owned.get(r.machine());
-    if (o != null && r.token() <= o.token) {
-      if (o.lost && r.session() <= o.session) {
+    Owned machine = owned.get(report.machine());
+    if (machine != null && report.token() <= machine.token) {
+      if (machine.lost && report.session() <= machine.session) {
         // sent before its lease ran out and delivered late: the tasks it lists are gone for certain
         reply.accept(ReportAnswer.unable());
         return;
       }
-      if (r.session() < o.session || (r.session() == o.session && r.seq() <= o.reported)) {
+      if (report.session() < machine.session
+          || (report.session() == machine.session && report.seq() <= machine.reported)) {
         // A late copy: reports of a worker come one at a time. It renews nothing.
         reply.accept(ReportAnswer.unable());
         return;
       }
-      if (r.session() == o.session && r.seq() <= o.seq) {
+      if (report.session() == machine.session && report.seq() <= machine.seq) {
         // Overtaken by the answer of a direct command: it says nothing new. To refuse it would
         // send a healthy worker to another controller.
-        o.reported = r.seq();
-        o.lastOk = now;
-        reply.accept(ReportAnswer.ok(o.token, List.of()));
+        machine.reported = report.seq();
+        machine.lastOk = now;
+        reply.accept(ReportAnswer.ok(machine.token, List.of()));
         return;
       }
-      take(o, r, true);
-      reply.accept(answer(o));
+      take(machine, report, true);
+      reply.accept(answer(machine));
       return;
     }
-    adopt(r, reply);
+    adopt(report, reply);
   }
 
   /** Makes this controller the machine's recorded owner; false: refused for the backlog. */
   private boolean record(
       String id, String type, String zone, boolean spot, Consumer<TxnReply> then) {
     String key = Store.MACHINES + id;
-    MachineRec rec = new MachineRec(core.node(), store.incarnation(), 0, type, zone, spot);
+    MachineRec record = new MachineRec(core.node(), store.incarnation(), 0, type, zone, spot);
     return store.transact(
         Store.Urgency.MACHINE,
         new Txn(
             List.of(new Cond(key, store.version(key)), session()),
-            List.of(new Put(key, rec, 0)),
+            List.of(new Put(key, record, 0)),
             List.of()),
         then);
   }
@@ -314,19 +317,21 @@
    * a newer one. Taking it for the worker itself would take the machine from its live owner, or
    * bring back a machine that was returned.
    */
-  private boolean stale(Report r) {
+  private boolean stale(Report report) {
     // Records are made before the first token is shown and dropped once the machine is returned.
-    if (r.token() > 0 && store.machine(r.machine()) == null) {
+    if (report.token() > 0 && store.machine(report.machine()) == null) {
       return true;
     }
-    if (returned.contains(r.machine())) {
+    if (returned.contains(report.machine())) {
       return true;
     }
-    View.Seen s = core.view().machines.get(r.machine());
-    if (s == null || s.m == null || r.session() > s.m.session()) {
+    View.Seen machine = core.view().machines.get(report.machine());
+    if (machine == null || machine.state == null || report.session() > machine.state.session()) {
       return false;
     }
-    return r.session() < s.m.session() || s.m.lost() || r.seq() <= s.m.seq();
+    return report.session() < machine.state.session()
+        || machine.state.lost()
+        || report.seq() <= machine.state.seq();
   }
 
   /**
@@ -334,51 +339,51 @@
    * told: the report may be a late copy that is newer than the last statement. Only once in a
    * while, so that a worker that can't reach its owner any more is soon taken over.
    */
-  private String liveOwner(Report r, long now) {
-    MachineRec old = store.machine(r.machine());
-    View.Seen s = core.view().machines.get(r.machine());
-    if (old == null || s == null || s.m == null || old.node().equals(core.node())) {
+  private String liveOwner(Report report, long now) {
+    MachineRec old = store.machine(report.machine());
+    View.Seen machine = core.view().machines.get(report.machine());
+    if (old == null || machine == null || machine.state == null || old.node().equals(core.node())) {
       return null;
     }
-    View.Peer p = core.view().peer(old.node());
+    View.Peer peer = core.view().peer(old.node());
     boolean heard =
         store.live(old.node(), old.incarnation())
-            && old.node().equals(s.owner)
-            && s.m.token() == old.token()
-            && s.m.confirmed()
-            && !s.m.silent()
-            && now - p.rosterAt < Constants.ROSTER_EVERY_MS + Constants.ROSTER_LATE_MS
-            && now - p.mirrorFreshAt < Constants.CUT_OFF_MS + Constants.WATCH_HOLD_MS;
-    Long before = sentBack.get(r.machine());
+            && old.node().equals(machine.owner)
+            && machine.state.token() == old.token()
+            && machine.state.confirmed()
+            && !machine.state.silent()
+            && now - peer.rosterAt < Constants.ROSTER_EVERY_MS + Constants.ROSTER_LATE_MS
+            && now - peer.mirrorFreshAt < Constants.CUT_OFF_MS + Constants.WATCH_HOLD_MS;
+    Long before = sentBack.get(report.machine());
     return heard && (before == null || now - before > Constants.REDIRECT_AGAIN_MS)
         ? old.node()
         : null;
   }
 
   /** Makes this controller the recorded owner, under a larger token, before the first 200. */
-  private void adopt(Report r, Consumer<ReportAnswer> reply) {
+  private void adopt(Report report, Consumer<ReportAnswer> reply) {
     long now = core.now();
-    MachineType type = core.types().get(r.type());
+    MachineType type = core.types().get(report.type());
     if (type == null) {
       reply.accept(ReportAnswer.unable());
       return;
     }
-    if (stale(r)) {
+    if (stale(report)) {
       reply.accept(ReportAnswer.unable());
       return;
     }
-    String owner = liveOwner(r, now);
+    String owner = liveOwner(report, now);
     if (owner != null) {
-      sentBack.put(r.machine(), now);
+      sentBack.put(report.machine(), now);
       reply.accept(ReportAnswer.elsewhere(owner));
       return;
     }
-    if (r.token() == 0) {
-      String better = core.preferredOwner(r.machine(), r.zone());
-      Long before = redirected.get(r.machine());
+    if (report.token() == 0) {
+      String better = core.preferredOwner(report.machine(), report.zone());
+      Long before = redirected.get(report.machine());
       if (!better.equals(core.node())
           && (before == null || now - before > Constants.REDIRECT_AGAIN_MS)) {
-        redirected.put(r.machine(), now);
+        redirected.put(report.machine(), now);
         if (redirected.size() > 2_000) {
           redirected.clear();
         }
@@ -386,7 +391,7 @@
         return;
       }
     }
-    Long since = adopting.get(r.machine());
+    Long since = adopting.get(report.machine());
     if (since != null && now - since < 3 * Constants.STATE_TIMEOUT_MS) {
       reply.accept(ReportAnswer.unable());
       return;
@@ -395,8 +400,8 @@
       reply.accept(ReportAnswer.unable());
       return;
     }
-    adopting.put(r.machine(), now);
-    arriving.add(new Arriving(r, type, reply));
+    adopting.put(report.machine(), now);
+    arriving.add(new Arriving(report, type, reply));
     planBatch();
   }
 
@@ -436,13 +441,13 @@
       List<Arriving> these = part;
       adoptionsOpen++;
       Consumer<TxnReply> then =
-          res -> {
+          reply -> {
             adoptionsOpen--;
-            these.forEach(a -> adopted(a, res));
+            these.forEach(arrival -> adopted(arrival, reply));
           };
       if (part.size() == 1) {
-        Report r = part.get(0).report;
-        asked = record(r.machine(), r.type(), r.zone(), r.spot(), then);
+        Report report = part.get(0).report;
+        asked = record(report.machine(), report.type(), report.zone(), report.spot(), then);
       } else {
         String key = Store.GROUPS + store.incarnation() + "-" + ++groups;
         Put put = new Put(key, group(part), 0);
@@ -466,234 +471,257 @@
 
   private GroupRec group(List<Arriving> part) {
     List<GroupMachine> machines = new ArrayList<>();
-    for (Arriving a : part) {
-      Report r = a.report;
-      machines.add(new GroupMachine(r.machine(), r.type(), r.zone(), r.spot()));
+    for (Arriving arrival : part) {
+      Report report = arrival.report;
+      machines.add(new GroupMachine(report.machine(), report.type(), report.zone(), report.spot()));
     }
     return new GroupRec(core.node(), store.incarnation(), machines);
   }
 
   /** This controller's from the change of that revision on, which is its term too. */
   private Owned own(String id, MachineType type, String zone, boolean spot, long revision) {
-    Owned o = new Owned(id, type, zone, spot, revision, revision);
-    o.idleSince = core.now();
+    Owned machine = new Owned(id, type, zone, spot, revision, revision);
+    machine.idleSince = core.now();
     // reports don't name images: without what its last owner told of them, tasks were sent to
     // machines that had to fetch theirs, each time that machines changed owner
     View.Seen seen = core.view().machines.get(id);
-    if (seen != null && seen.m != null) {
-      o.images.addAll(seen.m.images());
+    if (seen != null && seen.state != null) {
+      machine.images.addAll(seen.state.images());
     }
-    owned.put(id, o);
+    owned.put(id, machine);
     gone.remove(id);
-    return o;
+    return machine;
   }
 
-  private void adopted(Arriving a, TxnReply res) {
-    Report r = a.report;
-    adopting.remove(r.machine());
-    Store.Held now = store.held(Store.MACHINES + r.machine());
-    if (res.code() != Code.OK || now == null || now.version() != res.revision()) {
+  private void adopted(Arriving arrival, TxnReply reply) {
+    Report report = arrival.report;
+    adopting.remove(report.machine());
+    Store.Held now = store.held(Store.MACHINES + report.machine());
+    if (reply.code() != Code.OK || now == null || now.version() != reply.revision()) {
       // not written, or somebody has written since
-      a.reply.accept(ReportAnswer.unable());
+      arrival.reply.accept(ReportAnswer.unable());
       return;
     }
-    Owned before = owned.get(r.machine());
-    Owned o = own(r.machine(), a.type, r.zone(), r.spot(), res.revision());
+    Owned before = owned.get(report.machine());
+    Owned machine =
+        own(report.machine(), arrival.type, report.zone(), report.spot(), reply.revision());
     if (before != null) {
-      o.images.addAll(before.images);
+      machine.images.addAll(before.images);
     }
     LOG.info(
         "machine {} ({}, {}) adopted under term {} (reported {})",
-        o.id,
-        r.type(),
-        r.zone(),
-        o.token,
-        r.token());
-    take(o, r, true);
-    a.reply.accept(answer(o));
+        machine.id,
+        report.type(),
+        report.zone(),
+        machine.token,
+        report.token());
+    take(machine, report, true);
+    arrival.reply.accept(answer(machine));
   }
 
   /**
    * {@code byReport}: the worker sent it by itself, so earlier responses to its reports are dead.
    */
-  private void take(Owned o, Report r, boolean byReport) {
+  private void take(Owned machine, Report report, boolean byReport) {
     long now = core.now();
-    if (r.session() > o.session) {
-      o.told.clear();
-      clearOrdered(o); // the worker refuses commands for an earlier session
-      o.reported = 0;
-      if (o.session != 0 && o.confirmed && now - o.lastOk < core.settings().leaseMs() / 2) {
+    if (report.session() > machine.session) {
+      machine.told.clear();
+      clearOrdered(machine); // the worker refuses commands for an earlier session
+      machine.reported = 0;
+      if (machine.session != 0
+          && machine.confirmed
+          && now - machine.lastOk < core.settings().leaseMs() / 2) {
         // Its lease ran out although it was answered: it doesn't hear. It gets no task before it
         // has shown a new term; once a deaf machine drew start after start.
-        LOG.info("machine {} lost its lease although it was answered", o.id);
-        o.dangling = true;
-        raise(o);
+        LOG.info("machine {} lost its lease although it was answered", machine.id);
+        machine.dangling = true;
+        raise(machine);
       }
       // Its lease counts from when the session began, which may be known from a direct command's
       // answer alone: counted from the former session's last report, a machine that reaches no
       // controller was written off with tasks that it had just got.
-      o.lastOk = Math.max(o.lastOk, now);
+      machine.lastOk = Math.max(machine.lastOk, now);
     }
-    o.touched = true;
+    machine.touched = true;
     if (byReport) {
-      o.reported = r.seq();
-    }
-    if (o.dangling && !o.raising && r.token() >= o.token && o.raised) {
-      clearOrdered(o);
-    }
-    o.session = r.session();
-    o.seq = r.seq();
-    o.heardAt = now;
-    o.addr = r.addr();
-    o.lost = false;
-    if (r.token() >= o.token) {
-      o.confirmed = true;
-    }
-    o.noticeUntil = r.noticeS() == null ? Long.MAX_VALUE : now + (long) (r.noticeS() * 1000);
-    Map<Attempt, TaskReport> before = new HashMap<>(o.tasks);
-    o.tasks.clear();
-    for (TaskReport t : r.tasks()) {
-      Attempt k = new Attempt(t.job(), t.task(), t.attempt());
-      o.tasks.put(k, t);
-      TaskReport b = before.get(k);
-      boolean changed = b == null || b.state() != t.state();
+      machine.reported = report.seq();
+    }
+    if (machine.dangling && !machine.raising && report.token() >= machine.token && machine.raised) {
+      clearOrdered(machine);
+    }
+    machine.session = report.session();
+    machine.seq = report.seq();
+    machine.heardAt = now;
+    machine.addr = report.addr();
+    machine.lost = false;
+    if (report.token() >= machine.token) {
+      machine.confirmed = true;
+    }
+    machine.noticeUntil =
+        report.noticeS() == null ? Long.MAX_VALUE : now + (long) (report.noticeS() * 1000);
+    Map<Attempt, TaskReport> before = new HashMap<>(machine.tasks);
+    machine.tasks.clear();
+    for (TaskReport task : report.tasks()) {
+      Attempt attempt = new Attempt(task.job(), task.task(), task.attempt());
+      machine.tasks.put(attempt, task);
+      TaskReport b = before.get(attempt);
+      boolean changed = b == null || b.state() != task.state();
       if (!changed) {
         continue;
       }
-      JobRec j = store.job(t.job());
-      if (j != null && (t.state() == TaskState.RUNNING || t.why() == Why.DONE)) {
-        image(o, j.spec());
+      JobRec job = store.job(task.job());
+      if (job != null && (task.state() == TaskState.RUNNING || task.why() == Why.DONE)) {
+        image(machine, job.spec());
       }
-      if (t.state() == TaskState.EXITED) {
-        ended(o, t);
+      if (task.state() == TaskState.EXITED) {
+        ended(machine, task);
       }
     }
-    o.replaced.retainAll(o.tasks.keySet());
-    Iterator<Booked> it = o.booked.values().iterator();
+    machine.replaced.retainAll(machine.tasks.keySet());
+    Iterator<Booked> it = machine.booked.values().iterator();
     while (it.hasNext()) {
-      Booked b = it.next();
-      Key k = new Key(b.order.job(), b.order.task());
-      if (o.tasks.containsKey(new Attempt(k.job(), k.task(), b.order.attempt()))) {
+      Booked booked = it.next();
+      Key key = new Key(booked.order.job(), booked.order.task());
+      if (machine.tasks.containsKey(new Attempt(key.job(), key.task(), booked.order.attempt()))) {
         it.remove();
-      } else if (!byReport || o.ordered.containsKey(k)) {
+      } else if (!byReport || machine.ordered.containsKey(key)) {
         continue; // may still arrive at the worker
-      } else if (core.wall() > b.order.expiryWallMs()) {
+      } else if (core.wall() > booked.order.expiryWallMs()) {
         // sent or not: a response is never executed once a later report was sent, and this is one
         it.remove();
       }
     }
-    if (o.tasks.isEmpty() && o.booked.isEmpty()) {
-      if (o.idleSince == 0) {
-        o.idleSince = now;
+    if (machine.tasks.isEmpty() && machine.booked.isEmpty()) {
+      if (machine.idleSince == 0) {
+        machine.idleSince = now;
       }
     } else {
-      o.idleSince = 0;
+      machine.idleSince = 0;
     }
     dirty = true;
   }
 
-  private void image(Owned o, JobSpec j) {
-    if (j.image() == null) {
+  private void image(Owned machine, JobSpec spec) {
+    if (spec.image() == null) {
       return;
     }
-    o.images.remove(j.image());
-    o.images.add(j.image());
+    machine.images.remove(spec.image());
+    machine.images.add(spec.image());
     double sum = 0;
-    List<String> newestFirst = new ArrayList<>(o.images);
+    List<String> newestFirst = new ArrayList<>(machine.images);
     java.util.Collections.reverse(newestFirst);
     for (String i : newestFirst) {
       sum += core.imageGb(i);
-      if (sum > o.type.cacheGb() && !i.equals(j.image())) {
-        o.images.remove(i);
+      if (sum > machine.type.cacheGb() && !i.equals(spec.image())) {
+        machine.images.remove(i);
       }
     }
   }
 
-  private void ended(Owned o, TaskReport t) {
-    if (t.why() == Why.DONE) {
-      o.errorsInRow = 0;
-    } else if (t.why() == Why.ERROR && !core.jobAtFault(t.job())) {
-      o.errorsInRow++;
-      LOG.info("task {}/{} failed on {}, {} in a row", t.job(), t.task(), o.id, o.errorsInRow);
-      if (o.errorsInRow >= Constants.FAULTY_ERRORS) {
-        o.quarantineUntil = core.now() + Constants.QUARANTINE_MS;
-        if (o.errorsInRow >= Constants.BROKEN_ERRORS) {
-          o.replace = true;
+  private void ended(Owned machine, TaskReport task) {
+    if (task.why() == Why.DONE) {
+      machine.errorsInRow = 0;
+    } else if (task.why() == Why.ERROR && !core.jobAtFault(task.job())) {
+      machine.errorsInRow++;
+      LOG.info(
+          "task {}/{} failed on {}, {} in a row",
+          task.job(),
+          task.task(),
+          machine.id,
+          machine.errorsInRow);
+      if (machine.errorsInRow >= Constants.FAULTY_ERRORS) {
+        machine.quarantineUntil = core.now() + Constants.QUARANTINE_MS;
+        if (machine.errorsInRow >= Constants.BROKEN_ERRORS) {
+          machine.replace = true;
         }
       }
     }
   }
 
   /** Whether the task runs again after this end, whose only trace is what statements tell of it. */
-  private boolean runsAgain(TaskReport t) {
-    if (t.why() != Why.DONE) {
+  private boolean runsAgain(TaskReport task) {
+    if (task.why() != Why.DONE) {
       return true;
     }
-    JobRec j = store.job(t.job());
-    return j != null && j.spec().service();
+    JobRec job = store.job(task.job());
+    return job != null && job.spec().service();
   }
 
-  private ReportAnswer answer(Owned o) {
+  private ReportAnswer answer(Owned machine) {
     long now = core.now();
-    o.touched = true; // what it refuses below is booked no longer
+    machine.touched = true; // what it refuses below is booked no longer
     List<Command> stops = new ArrayList<>();
     List<Command> forgets = new ArrayList<>();
-    for (TaskReport t : o.tasks.values()) {
-      Key k = new Key(t.job(), t.task());
-      JobRec j = store.job(t.job());
-      boolean done = j != null && core.recordedDone(j, t.task());
-      if (t.state() == TaskState.EXITED) {
+    for (TaskReport task : machine.tasks.values()) {
+      Key key = new Key(task.job(), task.task());
+      JobRec job = store.job(task.job());
+      boolean done = job != null && core.recordedDone(job, task.task());
+      if (task.state() == TaskState.EXITED) {
         boolean forget =
-            j != null
-                && (core.over(t.job(), j)
+            job != null
+                && (core.over(task.job(), job)
                     || done
-                    || (runsAgain(t) && o.told.getLong(k) == t.attempt()));
-        if (forget && !o.ordered.containsKey(k)) {
-          forgets.add(new Command(CommandKind.FORGET, t.job(), t.task(), t.attempt(), 0));
+                    || (runsAgain(task) && machine.told.getLong(key) == task.attempt()));
+        if (forget && !machine.ordered.containsKey(key)) {
+          forgets.add(new Command(CommandKind.FORGET, task.job(), task.task(), task.attempt(), 0));
         }
-        o.stops.remove(k);
-      } else if (core.over(t.job(), j) || done) {
-        stops.add(new Command(CommandKind.STOP, t.job(), t.task(), t.attempt(), 0));
+        machine.stops.remove(key);
+      } else if (core.over(task.job(), job) || done) {
+        stops.add(new Command(CommandKind.STOP, task.job(), task.task(), task.attempt(), 0));
       } else {
-        StopOrder s = o.stops.get(k);
-        if (s != null && s.attempt() == t.attempt()) {
-          if (t.state() != TaskState.SAVING) {
-            stops.add(new Command(CommandKind.STOP, t.job(), t.task(), t.attempt(), s.graceS()));
+        StopOrder stop = machine.stops.get(key);
+        if (stop != null && stop.attempt() == task.attempt()) {
+          if (task.state() != TaskState.SAVING) {
+            stops.add(
+                new Command(
+                    CommandKind.STOP, task.job(), task.task(), task.attempt(), stop.graceS()));
           }
-        } else if (j != null
-            && o.noticeUntil != Long.MAX_VALUE
-            && t.state() == TaskState.RUNNING
-            && j.spec().checkpointS() > 0
-            && o.noticeUntil - now < (j.spec().saveS() + 4) * 1000) {
+        } else if (job != null
+            && machine.noticeUntil != Long.MAX_VALUE
+            && task.state() == TaskState.RUNNING
+            && job.spec().checkpointS() > 0
+            && machine.noticeUntil - now < (job.spec().saveS() + 4) * 1000) {
           stops.add(
-              new Command(CommandKind.STOP, t.job(), t.task(), t.attempt(), j.spec().saveS() + 1));
+              new Command(
+                  CommandKind.STOP,
+                  task.job(),
+                  task.task(),
+                  task.attempt(),
+                  job.spec().saveS() + 1));
         }
       }
     }
-    o.stops.keySet().removeIf(k -> !here(o, k));
+    machine.stops.keySet().removeIf(taskKey -> !here(machine, taskKey));
     List<Command> all = new ArrayList<>(forgets);
     all.addAll(stops);
-    Iterator<Booked> it = o.booked.values().iterator();
+    Iterator<Booked> it = machine.booked.values().iterator();
     while (it.hasNext() && all.size() < Constants.COMMANDS_MAX) {
-      Booked b = it.next();
-      JobRec j = store.job(b.order.job());
-      Key k = new Key(b.order.job(), b.order.task());
-      if (o.ordered.containsKey(k)) {
+      Booked booked = it.next();
+      JobRec jobRecord = store.job(booked.order.job());
+      Key k = new Key(booked.order.job(), booked.order.task());
+      if (machine.ordered.containsKey(k)) {
         continue;
       }
       boolean unwanted =
-          core.over(b.order.job(), j) || j != null && core.recordedDone(j, b.order.task());
-      if (unwanted || o.stops.containsKey(k) || core.wall() > b.order.expiryWallMs()) {
+          core.over(booked.order.job(), jobRecord)
+              || jobRecord != null && core.recordedDone(jobRecord, booked.order.task());
+      if (unwanted || machine.stops.containsKey(k) || core.wall() > booked.order.expiryWallMs()) {
         // every earlier response is dead by now (this answers a later report), so it never runs
         it.remove();
-        refuse(b.order, unwanted ? "not wanted any more" : "too late");
+        refuse(booked.order, unwanted ? "not wanted any more" : "too late");
         continue;
       }
-      b.sent = true;
-      all.add(new Command(CommandKind.START, b.order.job(), b.order.task(), b.order.attempt(), 0));
-    }
-    o.lastOk = now;
-    return ReportAnswer.ok(o.token, all);
+      booked.sent = true;
+      all.add(
+          new Command(
+              CommandKind.START,
+              booked.order.job(),
+              booked.order.task(),
+              booked.order.attempt(),
+              0));
+    }
+    machine.lastOk = now;
+    return ReportAnswer.ok(machine.token, all);
   }
 
   // ---- commands to the worker's own address --------------------------------------------------
@@ -704,221 +732,254 @@
     }
     List<Owned> now = new ArrayList<>(toPush);
     toPush.clear();
-    for (Owned o : now) {
-      if (owned.get(o.id) != o || o.stops.isEmpty() && o.booked.isEmpty()) {
+    for (Owned machine : now) {
+      if (owned.get(machine.id) != machine || machine.stops.isEmpty() && machine.booked.isEmpty()) {
         continue;
       }
-      if (core.now() - o.orderedAt < Constants.ORDER_GAP_MS) {
-        toPush.add(o);
+      if (core.now() - machine.orderedAt < Constants.ORDER_GAP_MS) {
+        toPush.add(machine);
       } else {
-        push(o);
+        push(machine);
       }
     }
   }
 
-  private void push(Owned o) {
+  private void push(Owned machine) {
     long now = core.now();
-    if (o.ordering || o.dangling || o.raising || o.addr == null || o.session == 0 || !o.confirmed) {
+    if (machine.ordering
+        || machine.dangling
+        || machine.raising
+        || machine.addr == null
+        || machine.session == 0
+        || !machine.confirmed) {
       return;
     }
-    if (silent(o) || !core.mayKeepAlive()) {
+    if (silent(machine) || !core.mayKeepAlive()) {
       return;
     }
     List<Command> out = new ArrayList<>();
     List<Booked> starts = new ArrayList<>();
-    for (Map.Entry<Key, StopOrder> e : o.stops.entrySet()) {
-      Key k = e.getKey();
-      TaskReport t = o.tasks.get(new Attempt(k.job(), k.task(), e.getValue().attempt()));
-      if (t == null || t.state() == TaskState.EXITED || t.state() == TaskState.SAVING) {
+    for (Map.Entry<Key, StopOrder> entry : machine.stops.entrySet()) {
+      Key key = entry.getKey();
+      TaskReport task =
+          machine.tasks.get(new Attempt(key.job(), key.task(), entry.getValue().attempt()));
+      if (task == null || task.state() == TaskState.EXITED || task.state() == TaskState.SAVING) {
         continue;
       }
-      out.add(new Command(CommandKind.STOP, t.job(), t.task(), t.attempt(), e.getValue().graceS()));
-    }
-    for (Booked b : o.booked.values()) {
-      Key k = new Key(b.order.job(), b.order.task());
-      JobRec j = store.job(b.order.job());
-      if (b.sent || o.stops.containsKey(k) || j == null || core.over(k.job(), j)) {
+      out.add(
+          new Command(
+              CommandKind.STOP,
+              task.job(),
+              task.task(),
+              task.attempt(),
+              entry.getValue().graceS()));
+    }
+    for (Booked booked : machine.booked.values()) {
+      Key taskKey = new Key(booked.order.job(), booked.order.task());
+      JobRec job = store.job(booked.order.job());
+      if (booked.sent
+          || machine.stops.containsKey(taskKey)
+          || job == null
+          || core.over(taskKey.job(), job)) {
         continue;
       }
-      if (core.wall() > b.order.expiryWallMs() || out.size() >= Constants.COMMANDS_MAX) {
+      if (core.wall() > booked.order.expiryWallMs() || out.size() >= Constants.COMMANDS_MAX) {
         continue;
       }
-      out.add(new Command(CommandKind.START, b.order.job(), b.order.task(), b.order.attempt(), 0));
-      starts.add(b);
+      out.add(
+          new Command(
+              CommandKind.START,
+              booked.order.job(),
+              booked.order.task(),
+              booked.order.attempt(),
+              0));
+      starts.add(booked);
     }
     if (out.isEmpty()) {
       return;
     }
-    for (Booked b : starts) {
-      b.sent = true;
-      o.ordered.put(new Key(b.order.job(), b.order.task()), b.order.attempt());
+    for (Booked reservation : starts) {
+      reservation.sent = true;
+      machine.ordered.put(
+          new Key(reservation.order.job(), reservation.order.task()), reservation.order.attempt());
     }
-    o.ordering = true;
-    o.orderedAt = now;
-    long session = o.session;
+    machine.ordering = true;
+    machine.orderedAt = now;
+    long session = machine.session;
     core.effects()
         .order(
-            o.addr,
-            o.token,
+            machine.addr,
+            machine.token,
             session,
             out,
-            r -> {
-              o.ordering = false;
-              if (owned.get(o.id) != o || o.session != session) {
+            reply -> {
+              machine.ordering = false;
+              if (owned.get(machine.id) != machine || machine.session != session) {
                 return;
               }
-              if (r.code() == Code.UNKNOWN) {
-                if (o.ordered.isEmpty()) {
+              if (reply.code() == Code.UNKNOWN) {
+                if (machine.ordered.isEmpty()) {
                   return;
                 }
-                LOG.info("commands to {} went astray: raising its term", o.id);
-                o.dangling = true;
-                raise(o);
+                LOG.info("commands to {} went astray: raising its term", machine.id);
+                machine.dangling = true;
+                raise(machine);
                 return;
               }
-              clearOrdered(o);
-              Report rep = r.report();
-              if (rep != null
-                  && !o.lost
-                  && rep.machine().equals(o.id)
-                  && (rep.session() > o.session
-                      || (rep.session() == o.session && rep.seq() > o.seq))) {
-                take(o, rep, false);
+              clearOrdered(machine);
+              Report report = reply.report();
+              if (report != null
+                  && !machine.lost
+                  && report.machine().equals(machine.id)
+                  && (report.session() > machine.session
+                      || (report.session() == machine.session && report.seq() > machine.seq))) {
+                take(machine, report, false);
               }
-              toPush.add(o);
+              toPush.add(machine);
             });
   }
 
-  private static void clearOrdered(Owned o) {
-    o.ordered.clear();
-    o.dangling = false;
-    o.raised = false;
+  private static void clearOrdered(Owned machine) {
+    machine.ordered.clear();
+    machine.dangling = false;
+    machine.raised = false;
   }
 
   /**
    * Once the worker has shown a larger term, commands that went astray under the old one are dead.
    */
-  private void raise(Owned o) {
-    if (o.raising || o.raised) {
+  private void raise(Owned machine) {
+    if (machine.raising || machine.raised) {
       return;
     }
-    o.raising = true;
+    machine.raising = true;
     boolean asked =
         record(
-            o.id,
-            o.type.name(),
-            o.zone,
-            o.spot,
-            r -> {
-              o.raising = false;
-              if (r.code() != Code.OK || owned.get(o.id) != o) {
+            machine.id,
+            machine.type.name(),
+            machine.zone,
+            machine.spot,
+            reply -> {
+              machine.raising = false;
+              if (reply.code() != Code.OK || owned.get(machine.id) != machine) {
                 return;
               }
-              o.token = r.revision();
-              o.version = r.revision();
-              o.confirmed = false;
-              o.raised = true;
-              o.touched = true;
+              machine.token = reply.revision();
+              machine.version = reply.revision();
+              machine.confirmed = false;
+              machine.raised = true;
+              machine.touched = true;
               dirty = true;
             });
     if (!asked) {
-      o.raising = false;
+      machine.raising = false;
     }
   }
 
   // ---- orders from holders ------------------------------------------------------------------
   /** Starts from a holder; each is booked or refused. */
-  void starts(Starts s) {
-    for (StartOrder o : s.starts()) {
-      String no = vet(s, o);
+  void starts(Starts starts) {
+    for (StartOrder start : starts.starts()) {
+      String no = vet(starts, start);
       if (no == null) {
-        Owned m = owned.get(o.machine());
-        m.booked.put(new Key(o.job(), o.task()), new Booked(o, store.job(o.job()).spec()));
-        for (TaskRef t : o.instead()) {
-          Attempt a = new Attempt(t.job(), t.task(), t.attempt());
-          if (!m.tasks.containsKey(a) || !m.replaced.add(a)) {
+        Owned machine = owned.get(start.machine());
+        machine.booked.put(
+            new Key(start.job(), start.task()), new Booked(start, store.job(start.job()).spec()));
+        for (TaskRef ref : start.instead()) {
+          Attempt attempt = new Attempt(ref.job(), ref.task(), ref.attempt());
+          if (!machine.tasks.containsKey(attempt) || !machine.replaced.add(attempt)) {
             continue;
           }
-          LOG.info("{}/{} stops {}/{} on {}", o.job(), o.task(), t.job(), t.task(), m.id);
+          LOG.info(
+              "{}/{} stops {}/{} on {}",
+              start.job(),
+              start.task(),
+              ref.job(),
+              ref.task(),
+              machine.id);
           core.metrics().count("preemptions");
-          StopOrder stop = new StopOrder(m.id, t.job(), t.task(), t.attempt(), 0);
-          m.stops.put(new Key(t.job(), t.task()), stop);
+          StopOrder stop = new StopOrder(machine.id, ref.job(), ref.task(), ref.attempt(), 0);
+          machine.stops.put(new Key(ref.job(), ref.task()), stop);
         }
-        m.idleSince = 0;
-        m.touched = true;
-        toPush.add(m);
+        machine.idleSince = 0;
+        machine.touched = true;
+        toPush.add(machine);
         LOG.debug(
-            "start {}/{} attempt {} booked on {}", o.job(), o.task(), o.attempt(), o.machine());
+            "start {}/{} attempt {} booked on {}",
+            start.job(),
+            start.task(),
+            start.attempt(),
+            start.machine());
       } else {
-        refuse(o, no);
+        refuse(start, no);
       }
     }
     dirty = true;
   }
 
-  private void refuse(StartOrder o, String why) {
+  private void refuse(StartOrder start, String why) {
     LOG.debug(
         "not possible: {}/{} attempt {} on {}: {}",
-        o.job(),
-        o.task(),
-        o.attempt(),
-        o.machine(),
+        start.job(),
+        start.task(),
+        start.attempt(),
+        start.machine(),
         why);
     core.metrics().count("refusals");
-    refusals.add(new Refusal(o.machine(), o.job(), o.task(), o.attempt(), why));
+    refusals.add(new Refusal(start.machine(), start.job(), start.task(), start.attempt(), why));
     dirty = true;
   }
 
-  private String vet(Starts s, StartOrder o) {
-    Owned m = owned.get(o.machine());
-    if (m == null || m.version > store.revision()) {
+  private String vet(Starts starts, StartOrder start) {
+    Owned machine = owned.get(start.machine());
+    if (machine == null || machine.version > store.revision()) {
       return "not the owner";
     }
     if (!core.mayKeepAlive()) {
       return "cut off";
     }
-    JobRec j = store.job(o.job());
-    if (j == null) {
+    JobRec job = store.job(start.job());
+    if (job == null) {
       return NOT_KNOWN;
     }
-    if (core.over(o.job(), j)) {
+    if (core.over(start.job(), job)) {
       return "job is over";
     }
-    if (o.epoch() < j.epoch()) {
+    if (start.epoch() < job.epoch()) {
       return "older epoch";
     }
-    if (!store.live(s.node(), s.incarnation())) {
+    if (!store.live(starts.node(), starts.incarnation())) {
       return "holder's session is gone";
     }
-    if (core.wall() > o.expiryWallMs()) {
+    if (core.wall() > start.expiryWallMs()) {
       return "expired";
     }
-    JobSpec spec = j.spec();
-    if (core.recordedDone(j, o.task())) {
+    JobSpec spec = job.spec();
+    if (core.recordedDone(job, start.task())) {
       return "done already";
     }
-    if (!allowed(spec, m.type.name(), m.zone, m.spot)) {
+    if (!allowed(spec, machine.type.name(), machine.zone, machine.spot)) {
       return "machine not allowed";
     }
-    if (!m.confirmed) {
+    if (!machine.confirmed) {
       return "machine doesn't show that it hears";
     }
-    if (!usable(m) || m.drainUntil > core.now()) {
+    if (!usable(machine) || machine.drainUntil > core.now()) {
       return "machine set aside";
     }
-    Key k = new Key(o.job(), o.task());
-    if (here(m, k)) {
+    Key key = new Key(start.job(), start.task());
+    if (here(machine, key)) {
       return "task is here already";
     }
-    double[] free = free(m);
-    for (TaskRef t : o.instead()) {
-      TaskReport r = m.tasks.get(new Attempt(t.job(), t.task(), t.attempt()));
-      JobRec other = store.job(t.job());
+    double[] free = free(machine);
+    for (TaskRef ref : start.instead()) {
+      TaskReport r = machine.tasks.get(new Attempt(ref.job(), ref.task(), ref.attempt()));
+      JobRec other = store.job(ref.job());
       if (r == null || r.state() == TaskState.EXITED || other == null) {
         continue; // its room is free
         // what is replaced already is counted as free room, and only once
       }
-      if (!m.replaced.contains(new Attempt(t.job(), t.task(), t.attempt()))) {
+      if (!machine.replaced.contains(new Attempt(ref.job(), ref.task(), ref.attempt()))) {
         minus(free, other.spec(), -1);
       }
     }
@@ -930,33 +991,33 @@
     return null;
   }
 
-  private static boolean here(Owned m, Key k) {
-    if (m.booked.containsKey(k)) {
+  private static boolean here(Owned machine, Key key) {
+    if (machine.booked.containsKey(key)) {
       return true;
     }
-    for (Attempt a : m.tasks.keySet()) {
-      if (a.task() == k.task() && a.job().equals(k.job())) {
+    for (Attempt attempt : machine.tasks.keySet()) {
+      if (attempt.task() == key.task() && attempt.job().equals(key.job())) {
         return true;
       }
     }
     return false;
   }
 
-  static boolean allowed(JobSpec j, String type, String zone, boolean spot) {
-    return (j.types() == null || j.types().contains(type))
-        && (j.zone() == null || j.zone().equals(zone))
-        && (!spot || j.spot());
+  static boolean allowed(JobSpec spec, String type, String zone, boolean spot) {
+    return (spec.types() == null || spec.types().contains(type))
+        && (spec.zone() == null || spec.zone().equals(zone))
+        && (!spot || spec.spot());
   }
 
   /** A machine whose reports come to nobody answers commands, but loses its tasks each lease. */
-  private boolean usable(Owned m) {
+  private boolean usable(Owned machine) {
     long now = core.now();
-    return !m.lost
-        && !m.replace
-        && m.noticeUntil == Long.MAX_VALUE
-        && m.quarantineUntil <= now
-        && !silent(m)
-        && now - m.lastOk <= silenceMs();
+    return !machine.lost
+        && !machine.replace
+        && machine.noticeUntil == Long.MAX_VALUE
+        && machine.quarantineUntil <= now
+        && !silent(machine)
+        && now - machine.lastOk <= silenceMs();
   }
 
   /** A machine not heard for so long gets no tasks. */
@@ -964,56 +1025,56 @@
     return Math.max(Constants.SILENT_MS, core.settings().reportMs() * 2);
   }
 
-  private boolean silent(Owned m) {
-    return core.now() - m.heardAt > silenceMs();
+  private boolean silent(Owned machine) {
+    return core.now() - machine.heardAt > silenceMs();
   }
 
-  private double[] free(Owned m) {
-    double[] f = {m.type.cpus(), m.type.gpus(), m.type.memoryGb()};
-    for (TaskReport t : m.tasks.values()) {
-      if (t.state() == TaskState.EXITED) {
+  private double[] free(Owned machine) {
+    double[] f = {machine.type.cpus(), machine.type.gpus(), machine.type.memoryGb()};
+    for (TaskReport task : machine.tasks.values()) {
+      if (task.state() == TaskState.EXITED) {
         continue;
       }
-      if (m.replaced.contains(new Attempt(t.job(), t.task(), t.attempt()))) {
+      if (machine.replaced.contains(new Attempt(task.job(), task.task(), task.attempt()))) {
         continue;
       }
-      JobRec j = store.job(t.job());
-      if (j != null) {
-        minus(f, j.spec(), 1);
+      JobRec job = store.job(task.job());
+      if (job != null) {
+        minus(f, job.spec(), 1);
       }
     }
-    for (Booked b : m.booked.values()) minus(f, b.spec, 1);
+    for (Booked booked : machine.booked.values()) minus(f, booked.spec, 1);
     return f;
   }
 
-  private static void minus(double[] f, JobSpec s, int times) {
-    f[0] -= times * s.cpus();
-    f[1] -= times * s.gpus();
-    f[2] -= times * s.memoryGb();
+  private static void minus(double[] f, JobSpec spec, int times) {
+    f[0] -= times * spec.cpus();
+    f[1] -= times * spec.gpus();
+    f[2] -= times * spec.memoryGb();
   }
 
-  void stops(Stops s) {
-    for (StopOrder o : s.stops()) {
-      Owned m = owned.get(o.machine());
-      if (m == null) {
+  void stops(Stops stops) {
+    for (StopOrder stop : stops.stops()) {
+      Owned machine = owned.get(stop.machine());
+      if (machine == null) {
         continue;
       }
-      Key k = new Key(o.job(), o.task());
-      Booked b = m.booked.get(k);
-      if (m.tasks.containsKey(new Attempt(o.job(), o.task(), o.attempt()))
-          || (b != null && b.order.attempt() == o.attempt())) {
+      Key key = new Key(stop.job(), stop.task());
+      Booked booked = machine.booked.get(key);
+      if (machine.tasks.containsKey(new Attempt(stop.job(), stop.task(), stop.attempt()))
+          || (booked != null && booked.order.attempt() == stop.attempt())) {
         LOG.info(
             "stop {}/{} attempt {} on {} asked by {}",
-            o.job(),
-            o.task(),
-            o.attempt(),
-            o.machine(),
-            s.node());
-        m.stops.put(k, o);
-        toPush.add(m);
+            stop.job(),
+            stop.task(),
+            stop.attempt(),
+            stop.machine(),
+            stops.node());
+        machine.stops.put(key, stop);
+        toPush.add(machine);
       }
     }
-    for (String d : s.drains()) {
+    for (String d : stops.drains()) {
       Owned m = owned.get(d);
       if (m != null) {
         m.drainUntil = core.now() + Constants.DRAIN_LIFE_MS;
@@ -1023,28 +1084,28 @@
   }
 
   // ---- mirror -------------------------------------------------------------------------------
-  void machineChanged(String id, MachineRec rec) {
-    if (rec == null) {
+  void machineChanged(String id, MachineRec record) {
+    if (record == null) {
       returned.add(id);
       if (returned.size() > Constants.GONE_KEPT) {
         returned.remove(returned.iterator().next());
       }
     } else {
-      ownedBetween(id, rec);
+      ownedBetween(id, record);
     }
-    Owned o = owned.get(id);
-    if (o == null) {
+    Owned machine = owned.get(id);
+    if (machine == null) {
       return;
     }
-    if (rec == null) {
+    if (record == null) {
       disown(id);
-    } else if (rec.node().equals(core.node()) && rec.incarnation() == store.incarnation()) {
+    } else if (record.node().equals(core.node()) && record.incarnation() == store.incarnation()) {
       // this controller's own raise or adoption, seen before its answer is handled
-      if (!o.raising && rec.token() > o.token) {
+      if (!machine.raising && record.token() > machine.token) {
         disown(id);
       }
-    } else if (rec.token() > o.token) {
-      LOG.info("machine {} is now owned by {} under term {}", id, rec.node(), rec.token());
+    } else if (record.token() > machine.token) {
+      LOG.info("machine {} is now owned by {} under term {}", id, record.node(), record.token());
       disown(id);
     }
   }
@@ -1054,17 +1115,17 @@
    * process and its own. That one may have answered the worker since, so the lease doesn't count
    * from the former process's end: the machine can't be written off before it is confirmed.
    */
-  void overtaken(String id, MachineRec rec) {
-    ownedBetween(id, rec);
-    Owned o = owned.get(id);
-    if (o != null && o.reclaimed && !rec.node().equals(core.node())) {
-      o.disputed = true;
+  void overtaken(String id, MachineRec record) {
+    ownedBetween(id, record);
+    Owned machine = owned.get(id);
+    if (machine != null && machine.reclaimed && !record.node().equals(core.node())) {
+      machine.disputed = true;
     }
   }
 
   /** The same, told while the record is still being asked for. */
-  private void ownedBetween(String id, MachineRec rec) {
-    if (!rec.node().equals(core.node())) {
+  private void ownedBetween(String id, MachineRec record) {
+    if (!record.node().equals(core.node())) {
       reclaiming.computeIfPresent(id, (k, v) -> true);
     }
   }
@@ -1075,14 +1136,15 @@
    * the latest before the write-off.
    */
   void reclaim() {
-    for (Map.Entry<String, Store.Held> e :
+    for (Map.Entry<String, Store.Held> entry :
         new ArrayList<>(store.under(Store.MACHINES).entrySet())) {
-      MachineRec rec = (MachineRec) e.getValue().value();
-      if (!rec.node().equals(core.node()) || rec.incarnation() == store.incarnation()) {
+      MachineRec machineRecord = (MachineRec) entry.getValue().value();
+      if (!machineRecord.node().equals(core.node())
+          || machineRecord.incarnation() == store.incarnation()) {
         continue;
       }
-      String id = e.getKey().substring(Store.MACHINES.length());
-      MachineType type = core.types().get(rec.type());
+      String id = entry.getKey().substring(Store.MACHINES.length());
+      MachineType type = core.types().get(machineRecord.type());
       if (type == null || owned.containsKey(id) || adopting.containsKey(id)) {
         continue;
       }
@@ -1091,22 +1153,23 @@
       boolean asked =
           record(
               id,
-              rec.type(),
-              rec.zone(),
-              rec.spot(),
-              r -> {
+              machineRecord.type(),
+              machineRecord.zone(),
+              machineRecord.spot(),
+              reply -> {
                 adopting.remove(id);
                 boolean between = reclaiming.remove(id);
-                if (r.code() != Code.OK || owned.containsKey(id)) {
+                if (reply.code() != Code.OK || owned.containsKey(id)) {
                   return;
                 }
-                Owned o = own(id, type, rec.zone(), rec.spot(), r.revision());
-                o.reclaimed = true;
-                o.disputed = between;
+                Owned machine =
+                    own(id, type, machineRecord.zone(), machineRecord.spot(), reply.revision());
+                machine.reclaimed = true;
+                machine.disputed = between;
                 // the former process may have answered until just before this one began
-                o.lastOk = core.startedAt();
-                o.heardAt = core.now() - Constants.SILENT_MS;
-                LOG.info("machine {} kept from the former process, term {}", id, o.token);
+                machine.lastOk = core.startedAt();
+                machine.heardAt = core.now() - Constants.SILENT_MS;
+                LOG.info("machine {} kept from the former process, term {}", id, machine.token);
                 dirty = true;
               });
       if (!asked) {
@@ -1130,41 +1193,42 @@
     nextSeize = now + Constants.SEIZE_EVERY_MS;
     Set<String> orphans = new HashSet<>();
     int most = Constants.SEIZE_MOST;
-    for (Map.Entry<String, Store.Held> e : store.under(Store.MACHINES).entrySet()) {
-      MachineRec rec = (MachineRec) e.getValue().value();
-      if (store.live(rec.node(), rec.incarnation())) {
+    for (Map.Entry<String, Store.Held> entry : store.under(Store.MACHINES).entrySet()) {
+      MachineRec record = (MachineRec) entry.getValue().value();
+      if (store.live(record.node(), record.incarnation())) {
         continue;
       }
-      String id = e.getKey().substring(Store.MACHINES.length());
+      String id = entry.getKey().substring(Store.MACHINES.length());
       orphans.add(id);
       long since = orphanSince.computeIfAbsent(id, k -> now);
-      View.Seen s = core.view().machines.get(id);
-      if (now - since < Constants.SEIZE_AFTER_MS || s == null || s.m == null) {
+      View.Seen machine = core.view().machines.get(id);
+      if (now - since < Constants.SEIZE_AFTER_MS || machine == null || machine.state == null) {
         continue;
       }
-      if (s.m.addr() == null || adopting.containsKey(id) || most <= 0) {
+      if (machine.state.addr() == null || adopting.containsKey(id) || most <= 0) {
         continue;
       }
       if (now - asked.getOrDefault(id, Long.MIN_VALUE / 2) < Constants.SEIZE_AGAIN_MS) {
         continue;
       }
-      if (!core.preferredOwner(id, rec.zone()).equals(core.node())) {
+      if (!core.preferredOwner(id, record.zone()).equals(core.node())) {
         continue;
       }
       most--;
       asked.put(id, now);
       // no session is 0, so this is refused, with the worker's report
-      core.effects().order(s.m.addr(), 0, 0, List.of(), r -> seize(id, rec, r.report()));
+      core.effects()
+          .order(machine.state.addr(), 0, 0, List.of(), reply -> seize(id, record, reply.report()));
     }
     sentBack.values().removeIf(at -> now - at > Constants.REDIRECT_AGAIN_MS);
     orphanSince.keySet().retainAll(orphans);
     asked.keySet().retainAll(orphans);
   }
 
-  private void seize(String id, MachineRec old, Report r) {
+  private void seize(String id, MachineRec old, Report report) {
     MachineType type = core.types().get(old.type());
     MachineRec now = store.machine(id);
-    if (r == null || !r.machine().equals(id) || type == null || !old.equals(now)) {
+    if (report == null || !report.machine().equals(id) || type == null || !old.equals(now)) {
       return;
     }
     if (adopting.containsKey(id) || owned.containsKey(id)) {
@@ -1177,17 +1241,21 @@
             old.type(),
             old.zone(),
             old.spot(),
-            res -> {
+            reply -> {
               adopting.remove(id);
-              if (res.code() != Code.OK || owned.containsKey(id)) {
+              if (reply.code() != Code.OK || owned.containsKey(id)) {
                 return;
               }
-              Owned o = own(id, type, old.zone(), old.spot(), res.revision());
+              Owned machine = own(id, type, old.zone(), old.spot(), reply.revision());
               // until it shows the new term, its former owner may renew its lease
-              o.lastOk = core.now();
-              take(o, r, false);
-              LOG.info("machine {} taken from {}, which is gone, term {}", id, old.node(), o.token);
-              show(o);
+              machine.lastOk = core.now();
+              take(machine, report, false);
+              LOG.info(
+                  "machine {} taken from {}, which is gone, term {}",
+                  id,
+                  old.node(),
+                  machine.token);
+              show(machine);
             });
     if (!wrote) {
       adopting.remove(id);
@@ -1195,20 +1263,23 @@
   }
 
   /** Shows the worker the term without any command. */
-  private void show(Owned o) {
+  private void show(Owned machine) {
     core.effects()
         .order(
-            o.addr,
-            o.token,
-            o.session,
+            machine.addr,
+            machine.token,
+            machine.session,
             List.of(),
-            r -> {
-              if (owned.get(o.id) != o || r.code() != Code.OK || r.report() == null) {
+            reply -> {
+              if (owned.get(machine.id) != machine
+                  || reply.code() != Code.OK
+                  || reply.report() == null) {
                 return;
               }
-              o.lastOk = core.now();
-              if (r.report().session() > o.session || r.report().seq() > o.seq) {
-                take(o, r.report(), false);
+              machine.lastOk = core.now();
+              if (reply.report().session() > machine.session
+                  || reply.report().seq() > machine.seq) {
+                take(machine, reply.report(), false);
               }
             });
   }
@@ -1220,38 +1291,40 @@
     long writeOff =
         (long) (core.settings().leaseMs() * (1 + 2 * Constants.DRIFT))
             + Constants.WRITE_OFF_MARGIN_MS;
-    for (Owned o : owned.values()) {
-      if (o.dangling && !o.raised) {
-        raise(o);
+    for (Owned machine : owned.values()) {
+      if (machine.dangling && !machine.raised) {
+        raise(machine);
       }
-      if (o.lost || now - o.lastOk <= writeOff) {
+      if (machine.lost || now - machine.lastOk <= writeOff) {
         continue;
       }
       // unconfirmed: a former owner may still be answering it, unless it was our own former process
       // (a late copy of a report to that one may have told a session: that changes nothing)
-      if (!o.confirmed && (!o.reclaimed || o.disputed)) {
+      if (!machine.confirmed && (!machine.reclaimed || machine.disputed)) {
         continue;
       }
       // Who owned it between the former process and this one may still be unknown here: a group's
       // record isn't compared with. Written off then, its tasks were started a second time.
-      if (o.reclaimed && o.version > store.revision()) {
+      if (machine.reclaimed && machine.version > store.revision()) {
         continue;
       }
       // the mirror has passed the end of the lease and still names this controller
-      if (store.freshAt() <= o.lastOk + writeOff) {
+      if (store.freshAt() <= machine.lastOk + writeOff) {
         continue;
       }
       LOG.info(
-          "machine {} written off with {} tasks: silent beyond its lease", o.id, o.tasks.size());
-      o.lost = true;
-      o.confirmed = true;
-      o.tasks.clear();
-      o.booked.clear();
-      o.stops.clear();
-      o.replaced.clear();
-      clearOrdered(o);
-      o.idleSince = now;
-      o.touched = true;
+          "machine {} written off with {} tasks: silent beyond its lease",
+          machine.id,
+          machine.tasks.size());
+      machine.lost = true;
+      machine.confirmed = true;
+      machine.tasks.clear();
+      machine.booked.clear();
+      machine.stops.clear();
+      machine.replaced.clear();
+      clearOrdered(machine);
+      machine.idleSince = now;
+      machine.touched = true;
       dirty = true;
     }
     sweep(now);
@@ -1273,13 +1346,14 @@
     }
     nextSweep = now + Constants.SWEEP_EVERY_MS;
     for (String key : store.spentGroups()) {
-      GroupRec g = (GroupRec) store.held(key).value();
-      boolean mine = g.node().equals(core.node()) || !store.live(g.node(), g.incarnation());
+      GroupRec group = (GroupRec) store.held(key).value();
+      boolean mine =
+          group.node().equals(core.node()) || !store.live(group.node(), group.incarnation());
       if (!mine) {
         continue;
       }
       store.transact(
-          Store.Urgency.BACKGROUND, new Txn(List.of(), List.of(), List.of(key)), r -> {});
+          Store.Urgency.BACKGROUND, new Txn(List.of(), List.of(), List.of(key)), reply -> {});
       return;
     }
   }
@@ -1303,51 +1377,51 @@
       View.Peer peer = core.view().peer(p);
       core.effects().send(p, roster(peer, now - store.freshAt(), no));
     }
-    View.Peer me = core.view().peer(core.node());
+    View.Peer sender = core.view().peer(core.node());
     List<RosterMachine> mine = new ArrayList<>();
-    for (Owned o : changed) mine.add(o.said);
+    for (Owned machine : changed) mine.add(machine.said);
     core.rosterFrom(
         new Roster(
             core.node(),
             store.incarnation(),
             serial,
-            me.serial,
+            sender.serial,
             store.incarnation(),
             serial,
             store.revision(),
-            me.gotIncarnation,
-            me.gotConnection,
-            me.gotSeq,
+            sender.gotIncarnation,
+            sender.gotConnection,
+            sender.gotSeq,
             0,
             List.of(),
             mine,
-            goneSince(me.serial),
+            goneSince(sender.serial),
             no));
   }
 
   /** What the peer doesn't know for certain yet, or all if it can't be told as a difference. */
-  private Roster roster(View.Peer p, long sinceMirror, List<Refusal> no) {
-    long since = p.knows >= forgotten ? p.knows : 0;
+  private Roster roster(View.Peer peer, long sinceMirror, List<Refusal> no) {
+    long since = peer.knows >= forgotten ? peer.knows : 0;
     List<RosterMachine> ms = new ArrayList<>();
-    for (Owned o : owned.values())
-      if (o.saidIn > since) {
-        ms.add(o.said);
+    for (Owned machine : owned.values())
+      if (machine.saidIn > since) {
+        ms.add(machine.said);
       }
     // to acknowledge what it said would vouch for all cancellations newer than its mirror
-    boolean vouches = p.rosterRevision > 0 && core.cancellations().keeps(p.rosterRevision);
+    boolean vouches = peer.rosterRevision > 0 && core.cancellations().keeps(peer.rosterRevision);
     return new Roster(
         core.node(),
         store.incarnation(),
         serial,
         since,
-        vouches ? p.heardIncarnation : 0,
-        vouches ? p.heardSerial : 0,
+        vouches ? peer.heardIncarnation : 0,
+        vouches ? peer.heardSerial : 0,
         store.revision(),
-        p.gotIncarnation,
-        p.gotConnection,
-        p.gotSeq,
+        peer.gotIncarnation,
+        peer.gotConnection,
+        peer.gotSeq,
         sinceMirror,
-        vouches ? core.cancellations().since(p.rosterRevision) : List.of(),
+        vouches ? core.cancellations().since(peer.rosterRevision) : List.of(),
         ms,
         since == 0 ? List.of() : goneSince(since),
         no);
@@ -1384,23 +1458,23 @@
   /** Makes the new statement: every machine of which something else is to be said than before. */
   private List<Owned> state(long now) {
     List<Owned> changed = new ArrayList<>();
-    for (Owned o : owned.values()) {
-      boolean lately = o.said != null && now - o.saidAt < Constants.RESTATE_MS;
-      if (lately && !o.touched && !drifted(o, now)) {
+    for (Owned machine : owned.values()) {
+      boolean lately = machine.said != null && now - machine.saidAt < Constants.RESTATE_MS;
+      if (lately && !machine.touched && !drifted(machine, now)) {
         continue;
       }
-      o.touched = false;
-      RosterMachine m = tell(o, now);
-      if (lately && m.sameAs(o.said)) {
+      machine.touched = false;
+      RosterMachine state = tell(machine, now);
+      if (lately && state.sameAs(machine.said)) {
         continue;
       }
-      o.said = m;
-      o.saidIn = serial;
-      o.saidAt = now;
-      changed.add(o);
-      for (TaskReport t : o.tasks.values()) {
-        if (t.state() == TaskState.EXITED && runsAgain(t)) {
-          o.told.put(new Key(t.job(), t.task()), t.attempt());
+      machine.said = state;
+      machine.saidIn = serial;
+      machine.saidAt = now;
+      changed.add(machine);
+      for (TaskReport task : machine.tasks.values()) {
+        if (task.state() == TaskState.EXITED && runsAgain(task)) {
+          machine.told.put(new Key(task.job(), task.task()), task.attempt());
         }
       }
     }
@@ -1408,10 +1482,10 @@
   }
 
   /** Whether time alone has changed what is to be said of a machine. */
-  private boolean drifted(Owned o, long now) {
-    return usable(o) != o.said.usable()
-        || silent(o) != o.said.silent()
-        || (o.drainUntil > now) != o.said.draining();
+  private boolean drifted(Owned machine, long now) {
+    return usable(machine) != machine.said.usable()
+        || silent(machine) != machine.said.silent()
+        || (machine.drainUntil > now) != machine.said.draining();
   }
 
   /**
@@ -1422,63 +1496,67 @@
   List<String> untold() {
     List<String> out = new ArrayList<>();
     long now = core.now();
-    for (Owned o : owned.values()) {
-      if (o.said == null || o.touched || drifted(o, now)) {
+    for (Owned machine : owned.values()) {
+      if (machine.said == null || machine.touched || drifted(machine, now)) {
         continue;
       }
-      if (!tell(o, now).sameAs(o.said)) {
-        out.add(o.id);
+      if (!tell(machine, now).sameAs(machine.said)) {
+        out.add(machine.id);
       }
     }
     return out;
   }
 
-  private RosterMachine tell(Owned o, long now) {
-    List<RosterTask> ts = new ArrayList<>(o.tasks.size() + o.booked.size());
-    for (TaskReport t : o.tasks.values()) {
-      ts.add(new RosterTask(t.job(), t.task(), t.attempt(), t.state(), t.why()));
+  private RosterMachine tell(Owned machine, long now) {
+    List<RosterTask> ts = new ArrayList<>(machine.tasks.size() + machine.booked.size());
+    for (TaskReport task : machine.tasks.values()) {
+      ts.add(new RosterTask(task.job(), task.task(), task.attempt(), task.state(), task.why()));
     }
-    for (Booked b : o.booked.values()) {
-      ts.add(new RosterTask(b.order.job(), b.order.task(), b.order.attempt(), null, null));
+    for (Booked booked : machine.booked.values()) {
+      ts.add(
+          new RosterTask(
+              booked.order.job(), booked.order.task(), booked.order.attempt(), null, null));
     }
-    double[] f = free(o);
-    boolean idle = o.tasks.isEmpty() && o.booked.isEmpty();
+    double[] f = free(machine);
+    boolean idle = machine.tasks.isEmpty() && machine.booked.isEmpty();
     return new RosterMachine(
-        o.id,
-        o.addr,
-        o.token,
-        o.version,
-        o.session,
-        o.seq,
-        o.confirmed,
-        usable(o),
-        o.drainUntil > now,
-        o.replace,
-        silent(o),
-        o.lost,
-        o.type.name(),
-        o.zone,
-        o.spot,
-        o.noticeUntil == Long.MAX_VALUE ? -1 : Math.max(0, (o.noticeUntil - now) / 1000.0),
+        machine.id,
+        machine.addr,
+        machine.token,
+        machine.version,
+        machine.session,
+        machine.seq,
+        machine.confirmed,
+        usable(machine),
+        machine.drainUntil > now,
+        machine.replace,
+        silent(machine),
+        machine.lost,
+        machine.type.name(),
+        machine.zone,
+        machine.spot,
+        machine.noticeUntil == Long.MAX_VALUE
+            ? -1
+            : Math.max(0, (machine.noticeUntil - now) / 1000.0),
         f[0],
         f[1],
         f[2],
-        o.lost || silent(o)
-            ? Math.max(1, now - o.heardAt)
-            : idle && o.idleSince > 0 ? Math.max(1, now - o.idleSince) : 0,
-        List.copyOf(o.images),
+        machine.lost || silent(machine)
+            ? Math.max(1, now - machine.heardAt)
+            : idle && machine.idleSince > 0 ? Math.max(1, now - machine.idleSince) : 0,
+        List.copyOf(machine.images),
         ts);
   }
 
   /** The roomiest machines, as many as fit into one value of the state service. */
   List<Room> rooms() {
     List<Room> out = new ArrayList<>();
-    for (Owned o : owned.values()) {
-      if (!usable(o)) {
+    for (Owned machine : owned.values()) {
+      if (!usable(machine)) {
         continue;
       }
-      double[] f = free(o);
-      out.add(new Room(o.id, f[0], f[1], f[2]));
+      double[] f = free(machine);
+      out.add(new Room(machine.id, f[0], f[1], f[2]));
     }
     // two hundred machines once made a value that the state service refused
     int most = Math.max(1, core.settings().valueBytes() / Constants.ROOM_BYTES - 2);
