--- a/src/main/java/mallowstall/core/Placement.java
+++ b/src/main/java/mallowstall/core/Placement.java
@@ -67,12 +67,12 @@
    * and hope, it is next, with a tenth of its tasks. Smaller and still hopeful jobs before it would
    * otherwise keep it waiting as long as the overload lasts.
    */
-  private boolean starves(Held h) {
-    return h.active.isEmpty()
-        && h.pending() > 0
-        && core.wall() - h.rec.submittedMs() > Constants.STARVES_MS
+  private boolean starves(Held held) {
+    return held.active.isEmpty()
+        && held.pending() > 0
+        && core.wall() - held.job.submittedMs() > Constants.STARVES_MS
         // not since the last try: a start that an owner refused once cost the job another wait
-        && (h.lastRan == 0 || core.now() - h.lastRan > Constants.STARVES_MS);
+        && (held.lastRan == 0 || core.now() - held.lastRan > Constants.STARVES_MS);
   }
 
   /**
@@ -87,42 +87,43 @@
       return c;
     }
     if (starves(a)) {
-      return Long.compare(a.rec.submittedMs(), b.rec.submittedMs());
+      return Long.compare(a.job.submittedMs(), b.job.submittedMs());
     }
     c = Integer.compare(b.spec.priority().ordinal(), a.spec.priority().ordinal());
     if (c != 0) {
       return c;
     }
-    c = Integer.compare(tier(a.rec, a.spec), tier(b.rec, b.spec));
+    c = Integer.compare(tier(a.job, a.spec), tier(b.job, b.spec));
     if (c != 0) {
       return c;
     }
     c = Double.compare(urgency(a), urgency(b));
-    return c != 0 ? c : Long.compare(a.rec.submittedMs(), b.rec.submittedMs());
+    return c != 0 ? c : Long.compare(a.job.submittedMs(), b.job.submittedMs());
   }
 
   /** 0: the deadline can be met; 1: only a later one that the operators count; 2: neither. */
-  private int tier(JobRec rec, JobSpec j) {
-    if (j.deadlineS() == null) {
+  private int tier(JobRec job, JobSpec spec) {
+    if (spec.deadlineS() == null) {
       return 0;
     }
-    double end = (core.wall() - rec.submittedMs()) / 1000.0 + j.estimateS() * Constants.HOPE_FACTOR;
-    if (end <= j.deadlineS()) {
+    double end =
+        (core.wall() - job.submittedMs()) / 1000.0 + spec.estimateS() * Constants.HOPE_FACTOR;
+    if (end <= spec.deadlineS()) {
       return 0;
     }
-    double times = core.settings().lateTimes().getOrDefault(j.jobClass(), 1.0);
-    return end <= j.deadlineS() * times ? 1 : 2;
+    double times = core.settings().lateTimes().getOrDefault(spec.jobClass(), 1.0);
+    return end <= spec.deadlineS() * times ? 1 : 2;
   }
 
-  private double urgency(Held h) {
-    JobSpec j = h.spec;
+  private double urgency(Held held) {
+    JobSpec spec = held.spec;
     double slots =
-        Math.max(1, roomOf.getDouble(core.fleet().minimalType(j)) / Math.max(0.01, j.cpus()));
-    double work = h.pending() * j.estimateS() / slots;
+        Math.max(1, roomOf.getDouble(core.fleet().minimalType(spec)) / Math.max(0.01, spec.cpus()));
+    double work = held.pending() * spec.estimateS() / slots;
     double slack =
-        j.deadlineS() == null
-            ? 600 + (h.rec.submittedMs() - core.wall()) / 1000.0
-            : j.deadlineS() - (core.wall() - h.rec.submittedMs()) / 1000.0 - j.estimateS();
+        spec.deadlineS() == null
+            ? 600 + (held.job.submittedMs() - core.wall()) / 1000.0
+            : spec.deadlineS() - (core.wall() - held.job.submittedMs()) / 1000.0 - spec.estimateS();
     return slack + Constants.WORK_WEIGHT * work;
   }
 
@@ -132,12 +133,12 @@
     }
     long now = core.now();
     List<Held> wait = new ArrayList<>();
-    for (Held h : holder.jobs()) {
-      if (h.spec.service()) {
-        h.moves.expire(now);
+    for (Held held : holder.jobs()) {
+      if (held.spec.service()) {
+        held.moves.expire(now);
       }
-      if (h.latched && !h.over() && h.pending() > 0 && now >= h.notBefore) {
-        wait.add(h);
+      if (held.latched && !held.over() && held.pending() > 0 && now >= held.notBefore) {
+        wait.add(held);
       }
     }
     boolean anyService = holder.anyService();
@@ -148,11 +149,11 @@
     countEntitled();
     wait.sort(this::order);
     List<View.Seen> machines = new ArrayList<>();
-    for (View.Seen s : core.view().machines.values()) {
-      if (s.takes()
-          && now - core.view().heardAt(s) < Constants.ROSTER_STALE_MS
-          && s.freeCpus() > 0.01) {
-        machines.add(s);
+    for (View.Seen machine : core.view().machines.values()) {
+      if (machine.takes()
+          && now - core.view().heardAt(machine) < Constants.ROSTER_STALE_MS
+          && machine.freeCpus() > 0.01) {
+        machines.add(machine);
       }
     }
     countSent();
@@ -172,22 +173,22 @@
               && wait.get(from).spec.priority() == priority
               && starves(wait.get(from)) == starving;
           from++) {
-        Try t = new Try(wait.get(from), machines);
-        if (t.backOff.waits(now, core.roomNews())) {
+        Try attempt = new Try(wait.get(from), machines);
+        if (attempt.backOff.waits(now, core.roomNews())) {
           continue;
         }
-        if (!starving && !t.h.spec.service() && outranked(t.h, now)) {
+        if (!starving && !attempt.held.spec.service() && outranked(attempt.held, now)) {
           continue;
         }
-        tries.add(t);
-        blocks = Math.max(blocks, t.policy.blocks().size());
+        tries.add(attempt);
+        blocks = Math.max(blocks, attempt.policy.blocks().size());
       }
       for (int i = 0; i < blocks; i++) {
-        for (Try t : tries) {
-          if (i >= t.policy.blocks().size() || budget <= 0) {
+        for (Try attempted : tries) {
+          if (i >= attempted.policy.blocks().size() || budget <= 0) {
             continue;
           }
-          budget -= t.block(t.policy.blocks().get(i), machines, budget, now);
+          budget -= attempted.block(attempted.policy.blocks().get(i), machines, budget, now);
         }
       }
       for (Try t : tries) t.end(now);
@@ -200,7 +201,7 @@
 
   /** One job's part in a placement round. Mutable. */
   private final class Try {
-    final Held h;
+    final Held held;
     final Policy policy;
     final BackOff backOff;
     final boolean limited;
@@ -221,50 +222,54 @@
     /** Tasks that would have been placed if their team's grant allowed it. */
     int possible;
 
-    Try(Held h, List<View.Seen> machines) {
-      this.h = h;
-      JobSpec j = h.spec;
-      policy = core.policies().forClass(j.jobClass());
+    Try(Held held, List<View.Seen> machines) {
+      this.held = held;
+      JobSpec spec = held.spec;
+      policy = core.policies().forClass(spec.jobClass());
       backOff =
-          j.service() ? h.backOff : backOffs.computeIfAbsent(policy.name(), k -> new BackOff());
-      want = h.pending();
-      if (starves(h) && !j.service()) {
-        want = Math.min(want, Math.max(1, j.tasks() / 10));
-      }
-      limited = holder.limited(j);
+          spec.service()
+              ? held.backOff
+              : backOffs.computeIfAbsent(policy.name(), k -> new BackOff());
+      want = held.pending();
+      if (starves(held) && !spec.service()) {
+        want = Math.min(want, Math.max(1, spec.tasks() / 10));
+      }
+      limited = holder.limited(spec);
       // a change of the grant that is under way or in doubt: what it will be isn't known
       spare =
           !limited
               ? Integer.MAX_VALUE
-              : h.granting || h.uncertain || holder.yields(h) ? 0 : h.rec.grant() - h.active.size();
-      for (Active a : h.active.values()) {
-        oneZone = a.zone;
-        perZone.merge(a.zone, 1, Integer::sum);
-        if (j.service()) {
-          perMachine.merge(a.machine, 1, Integer::sum);
+              : held.granting || held.uncertain || holder.yields(held)
+                  ? 0
+                  : held.job.grant() - held.active.size();
+      for (Active active : held.active.values()) {
+        oneZone = active.zone;
+        perZone.merge(active.zone, 1, Integer::sum);
+        if (spec.service()) {
+          perMachine.merge(active.machine, 1, Integer::sum);
         }
       }
-      if (j.oneZone() && oneZone == null) {
-        oneZone = roomiestZone(j, machines);
+      if (spec.oneZone() && oneZone == null) {
+        oneZone = roomiestZone(spec, machines);
       }
-      zoneMax = j.spread() ? (j.tasks() + 1) / 2 : Integer.MAX_VALUE;
+      zoneMax = spec.spread() ? (spec.tasks() + 1) / 2 : Integer.MAX_VALUE;
     }
 
     /** Places what this block allows; returns the number of starts. */
-    int block(Policy.Block b, List<View.Seen> machines, int budget, long now) {
-      JobSpec j = h.spec;
+    int block(Policy.Block block, List<View.Seen> machines, int budget, long now) {
+      JobSpec spec = held.spec;
       if (want <= 0) {
         return 0;
       }
-      List<Choice> choices = choices(b, machines, now);
-      if (!j.service()) {
-        return take(b, choices, Integer.MAX_VALUE, budget, now);
+      List<Choice> choices = choices(block, machines, now);
+      if (!spec.service()) {
+        return take(block, choices, Integer.MAX_VALUE, budget, now);
       }
       int started = 0;
       // one failure takes few replicas if each machine gets a second one only after all have one
-      for (int most = 1; most <= j.tasks() && want > 0 && started < budget; most++) {
+      for (int most = 1; most <= spec.tasks() && want > 0 && started < budget; most++) {
         int before = want;
-        started += take(b, choices, most, budget - started, now);
+        started += take(block, choices, most, budget - started, now);
         if (want == before && most > mostOnOneMachine()) {
           break;
         }
@@ -279,68 +284,69 @@
     }
 
     /** The machines that this block takes, best first. */
-    private List<Choice> choices(Policy.Block b, List<View.Seen> machines, long now) {
-      JobSpec j = h.spec;
+    private List<Choice> choices(Policy.Block block, List<View.Seen> machines, long now) {
+      JobSpec spec = held.spec;
       List<Choice> choices = new ArrayList<>();
-      for (View.Seen s : machines) {
-        if (!Owner.allowed(j, s.m.type(), s.m.zone(), s.m.spot())) {
+      for (View.Seen machine : machines) {
+        if (!Owner.allowed(
+            spec, machine.state.type(), machine.state.zone(), machine.state.spot())) {
           continue;
         }
-        if (j.oneZone() && !s.m.zone().equals(oneZone)) {
+        if (spec.oneZone() && !machine.state.zone().equals(oneZone)) {
           continue;
         }
-        if (fits(s, j) <= 0) {
+        if (fits(machine, spec) <= 0) {
           continue;
         }
-        Long avoid = h.avoid.get(s.id);
+        Long avoid = held.avoid.get(machine.id);
         if (avoid != null && avoid > now) {
           continue;
         }
-        fill(s, h, now);
-        if (!b.workers(facts) || b.invalidate(facts)) {
+        fill(machine, held, now);
+        if (!block.workers(facts) || block.invalidate(facts)) {
           refused++;
           continue;
         }
         double score =
-            switch (b.strategy()) {
-              case LOWEST -> b.score(facts);
-              case HIGHEST -> -b.score(facts);
+            switch (block.strategy()) {
+              case LOWEST -> block.score(facts);
+              case HIGHEST -> -block.score(facts);
               case RANDOM -> 0;
             };
-        choices.add(new Choice(s, score + random.nextDouble() * 0.5));
+        choices.add(new Choice(machine, score + random.nextDouble() * 0.5));
       }
       choices.sort(Comparator.comparingDouble(Choice::score));
       return choices;
     }
 
     /** Starts tasks on these machines, at most so many of the job on each; returns how many. */
-    private int take(Policy.Block b, List<Choice> choices, int most, int budget, long now) {
-      JobSpec j = h.spec;
+    private int take(Policy.Block block, List<Choice> choices, int most, int budget, long now) {
+      JobSpec spec = held.spec;
       int started = 0;
-      for (Choice c : choices) {
-        int n = Math.min(want, fits(c.s, j));
-        if (j.service()) {
-          n = Math.min(n, most - perMachine.getOrDefault(c.s.id, 0));
+      for (Choice choice : choices) {
+        int n = Math.min(want, fits(choice.s, spec));
+        if (spec.service()) {
+          n = Math.min(n, most - perMachine.getOrDefault(choice.s.id, 0));
         }
-        n = Math.min(n, zoneMax - perZone.getOrDefault(c.s.m.zone(), 0));
+        n = Math.min(n, zoneMax - perZone.getOrDefault(choice.s.state.zone(), 0));
         if (n <= 0) {
           continue;
         }
-        if (!c.s.m.images().contains(j.image())) {
+        if (!choice.s.state.images().contains(spec.image())) {
           // each cold machine adds its slots to those that will serve the image's other tasks
-          fill(c.s, h, now);
-          if (b.invalidate(facts)) {
+          fill(choice.s, held, now);
+          if (block.invalidate(facts)) {
             break;
           }
-          warm.mergeDouble(j.image(), slots(c.s, j), Double::sum);
+          warm.mergeDouble(spec.image(), slots(choice.s, spec), Double::sum);
         }
         int go = Math.min(n, Math.min(spare, budget - started));
         for (int i = 0; i < go; i++) {
-          int task = h.take();
+          int task = held.take();
           if (task < 0) {
             return started;
           }
-          start(h, task, c.s, List.of());
+          start(held, task, choice.s, List.of());
           started++;
           placed++;
           want--;
@@ -348,10 +354,10 @@
         }
         possible += n - go;
         want -= n - go;
-        book(c.s, j, n - go);
-        perZone.merge(c.s.m.zone(), n, Integer::sum);
-        if (j.service()) {
-          perMachine.merge(c.s.id, n, Integer::sum);
+        book(choice.s, spec, n - go);
+        perZone.merge(choice.s.state.zone(), n, Integer::sum);
+        if (spec.service()) {
+          perMachine.merge(choice.s.id, n, Integer::sum);
         }
         if (want <= 0 || started >= budget) {
           break;
@@ -362,18 +368,18 @@
 
     void end(long now) {
       if (limited && possible > 0) {
-        h.wantsGrant = Math.max(h.wantsGrant, possible);
+        held.wantsGrant = Math.max(held.wantsGrant, possible);
       }
       if (placed > 0) {
-        h.grantIdleSince = 0;
+        held.grantIdleSince = 0;
         backOff.reset();
       } else if (possible == 0) {
         // exhausted every block: wait, unless a roster tells of new room before
         LOG.debug(
             "job {} finds no room: {} wait, {} on machines, {} machines with room refused",
-            h.id,
+            held.id,
             want,
-            h.active.size(),
+            held.active.size(),
             refused);
         core.metrics().count("backoffs");
         backOff.failed(now, core.roomNews());
@@ -387,79 +393,83 @@
      * freed room that nobody used, over and over.
      */
     private void preempt(long now) {
-      JobSpec j = h.spec;
-      boolean urgent = j.priority().ordinal() >= Priority.HIGH.ordinal();
-      boolean owed = entitled.contains(h.id) && now - h.heldSince > Constants.GUARANTEE_AFTER_MS;
+      JobSpec spec = held.spec;
+      boolean urgent = spec.priority().ordinal() >= Priority.HIGH.ordinal();
+      boolean owed =
+          entitled.contains(held.id) && now - held.heldSince > Constants.GUARANTEE_AFTER_MS;
       if (!urgent && !owed) {
         return;
       }
-      if (now - h.heldSince < Constants.PREEMPT_AFTER_MS
-          || now - h.lastPreempt < Constants.PREEMPT_GAP_MS) {
+      if (now - held.heldSince < Constants.PREEMPT_AFTER_MS
+          || now - held.lastPreempt < Constants.PREEMPT_GAP_MS) {
         return;
       }
       if (spare <= 0) {
-        h.wantsGrant = Math.max(h.wantsGrant, Math.min(want, Constants.PREEMPT_MOST));
+        held.wantsGrant = Math.max(held.wantsGrant, Math.min(want, Constants.PREEMPT_MOST));
         return;
       }
-      h.lastPreempt = now;
+      held.lastPreempt = now;
       record Exchange(View.Seen s, List<RosterTask> victims, double cost) {}
       List<Exchange> choices = new ArrayList<>();
-      for (View.Seen s : core.view().machines.values()) {
-        if (!s.takes() || now - core.view().heardAt(s) >= Constants.ROSTER_STALE_MS) {
+      for (View.Seen machine : core.view().machines.values()) {
+        if (!machine.takes() || now - core.view().heardAt(machine) >= Constants.ROSTER_STALE_MS) {
           continue;
         }
-        if (!Owner.allowed(j, s.m.type(), s.m.zone(), s.m.spot())) {
+        if (!Owner.allowed(
+            spec, machine.state.type(), machine.state.zone(), machine.state.spot())) {
           continue;
         }
-        if (j.oneZone() && oneZone != null && !s.m.zone().equals(oneZone)) {
+        if (spec.oneZone() && oneZone != null && !machine.state.zone().equals(oneZone)) {
           continue;
         }
-        if (core.fleet().scarce(j, s.m.type()) || h.avoid.getOrDefault(s.id, 0L) > now) {
+        if (core.fleet().scarce(spec, machine.state.type())
+            || held.avoid.getOrDefault(machine.id, 0L) > now) {
           continue;
         }
-        List<RosterTask> victims = victims(s, urgent, owed, now);
+        List<RosterTask> victims = victims(machine, urgent, owed, now);
         if (victims.isEmpty()) {
           continue;
         }
-        fill(s, h, now);
+        fill(machine, held, now);
         boolean taken = false;
-        for (Policy.Block b : policy.blocks()) taken |= b.workers(facts) && !b.invalidate(facts);
+        for (Policy.Block block : policy.blocks())
+          taken |= block.workers(facts) && !block.invalidate(facts);
         if (!taken) {
           continue;
         }
         double cost = facts.fetchS;
-        for (RosterTask t : victims) cost += loss(t);
-        choices.add(new Exchange(s, victims, cost));
+        for (RosterTask rosterTask : victims) cost += loss(rosterTask);
+        choices.add(new Exchange(machine, victims, cost));
       }
       choices.sort(Comparator.comparingDouble(Exchange::cost));
       int left = Constants.PREEMPT_MOST;
-      for (Exchange c : choices) {
+      for (Exchange exchange : choices) {
         // with no room anywhere the first start names the zone: two zones were once taken
-        if (j.oneZone() && oneZone != null && !c.s.m.zone().equals(oneZone)) {
+        if (spec.oneZone() && oneZone != null && !exchange.s.state.zone().equals(oneZone)) {
           continue;
         }
-        if (zoneMax <= perZone.getOrDefault(c.s.m.zone(), 0)) {
+        if (zoneMax <= perZone.getOrDefault(exchange.s.state.zone(), 0)) {
           continue;
         }
-        for (RosterTask t : c.victims) {
-          JobSpec o = store.job(t.job()).spec();
-          book(c.s, o, -1);
-          c.s.replaced.put(ref(t), now + Constants.PREEMPT_GAP_MS);
+        for (RosterTask t : exchange.victims) {
+          JobSpec jobSpec = store.job(t.job()).spec();
+          book(exchange.s, jobSpec, -1);
+          exchange.s.replaced.put(ref(t), now + Constants.PREEMPT_GAP_MS);
         }
-        int n = Math.min(Math.min(want, fits(c.s, j)), Math.min(spare, left));
-        n = Math.min(n, zoneMax - perZone.getOrDefault(c.s.m.zone(), 0));
+        int n = Math.min(Math.min(want, fits(exchange.s, spec)), Math.min(spare, left));
+        n = Math.min(n, zoneMax - perZone.getOrDefault(exchange.s.state.zone(), 0));
         for (int i = 0; i < n; i++) {
-          int task = h.take();
+          int task = held.take();
           if (task < 0) {
             return;
           }
           List<TaskRef> instead = new ArrayList<>();
           if (i == 0) {
-            for (RosterTask t : c.victims) instead.add(ref(t));
+            for (RosterTask t : exchange.victims) instead.add(ref(t));
           }
-          start(h, task, c.s, instead);
-          perZone.merge(c.s.m.zone(), 1, Integer::sum);
-          oneZone = c.s.m.zone();
+          start(held, task, exchange.s, instead);
+          perZone.merge(exchange.s.state.zone(), 1, Integer::sum);
+          oneZone = exchange.s.state.zone();
           want--;
           spare--;
           left--;
@@ -471,34 +481,36 @@
     }
 
     /** The fewest lower tasks on the machine that make room for one of this job; none: empty. */
-    private List<RosterTask> victims(View.Seen s, boolean urgent, boolean owed, long now) {
-      s.replaced.values().removeIf(until -> until <= now);
+    private List<RosterTask> victims(View.Seen machine, boolean urgent, boolean owed, long now) {
+      machine.replaced.values().removeIf(until -> until <= now);
       List<RosterTask> lower = new ArrayList<>();
-      for (RosterTask t : s.m.tasks()) {
-        JobRec o = t.state() == null ? null : store.job(t.job());
-        if (o == null || t.state() == TaskState.EXITED || t.state() == TaskState.SAVING) {
+      for (RosterTask task : machine.state.tasks()) {
+        JobRec job = task.state() == null ? null : store.job(task.job());
+        if (job == null || task.state() == TaskState.EXITED || task.state() == TaskState.SAVING) {
           continue;
         }
-        if (s.replaced.containsKey(ref(t)) || spared(o)) {
+        if (machine.replaced.containsKey(ref(task)) || spared(job)) {
           continue;
         }
-        boolean below = urgent && o.spec().priority().ordinal() < h.spec.priority().ordinal();
+        boolean below = urgent && job.spec().priority().ordinal() < held.spec.priority().ordinal();
         boolean borrowed =
-            owed && !o.spec().team().equals(h.spec.team()) && !entitled.contains(o.spec().id());
+            owed
+                && !job.spec().team().equals(held.spec.team())
+                && !entitled.contains(job.spec().id());
         if (below || borrowed) {
-          lower.add(t);
+          lower.add(task);
         }
       }
       lower.sort(Comparator.comparingDouble(Placement.this::loss));
-      double cpus = s.freeCpus();
-      double gpus = s.freeGpus();
-      double memory = s.freeMemory();
+      double cpus = machine.freeCpus();
+      double gpus = machine.freeGpus();
+      double memory = machine.freeMemory();
       for (int i = 0; i < lower.size(); i++) {
-        JobSpec o = store.job(lower.get(i).job()).spec();
-        cpus += o.cpus();
-        gpus += o.gpus();
-        memory += o.memoryGb();
-        if (howMany(cpus, gpus, memory, h.spec) > 0) {
+        JobSpec spec = store.job(lower.get(i).job()).spec();
+        cpus += spec.cpus();
+        gpus += spec.gpus();
+        memory += spec.memoryGb();
+        if (howMany(cpus, gpus, memory, held.spec) > 0) {
           return lower.subList(0, i + 1);
         }
       }
@@ -507,26 +519,26 @@
   }
 
   /** What has just begun after starving keeps its few tasks, or it would starve on. */
-  private boolean spared(JobRec o) {
-    return core.wall() - o.submittedMs() > Constants.STARVES_MS
-        && core.view().placed(o.spec().id()) <= Math.max(1, o.spec().tasks() / 10);
+  private boolean spared(JobRec job) {
+    return core.wall() - job.submittedMs() > Constants.STARVES_MS
+        && core.view().placed(job.spec().id()) <= Math.max(1, job.spec().tasks() / 10);
   }
 
-  private static TaskRef ref(RosterTask t) {
-    return new TaskRef(t.job(), t.task(), t.attempt());
+  private static TaskRef ref(RosterTask task) {
+    return new TaskRef(task.job(), task.task(), task.attempt());
   }
 
   /** Seconds of work that are about lost when the task is stopped; little while it fetches. */
-  private double loss(RosterTask t) {
-    if (t.state() == TaskState.FETCHING) {
+  private double loss(RosterTask task) {
+    if (task.state() == TaskState.FETCHING) {
       return 1;
     }
-    JobSpec j = store.job(t.job()).spec();
-    if (j.service()) {
+    JobSpec spec = store.job(task.job()).spec();
+    if (spec.service()) {
       return Constants.REPLICA_LOSS_S;
     }
-    double half = j.estimateS() / 2;
-    return j.checkpointS() > 0 ? Math.min(half, j.checkpointS()) : half;
+    double half = spec.estimateS() / 2;
+    return spec.checkpointS() > 0 ? Math.min(half, spec.checkpointS()) : half;
   }
 
   /**
@@ -539,28 +551,30 @@
       return; // nobody to borrow from
     }
     List<JobRec> open = new ArrayList<>();
-    for (JobRec rec : core.openJobs()) {
-      if (!rec.over()) {
-        open.add(rec);
+    for (JobRec job : core.openJobs()) {
+      if (!job.over()) {
+        open.add(job);
       }
     }
-    open.sort(Comparator.comparingLong(JobRec::submittedMs).thenComparing(r -> r.spec().id()));
+    open.sort(
+        Comparator.comparingLong(JobRec::submittedMs)
+            .thenComparing(jobRecord -> jobRecord.spec().id()));
     Object2DoubleOpenHashMap<String> cpus = new Object2DoubleOpenHashMap<>();
     Object2DoubleOpenHashMap<String> gpus = new Object2DoubleOpenHashMap<>();
-    for (JobRec rec : open) {
-      JobSpec j = rec.spec();
-      Team t = core.settings().teams().get(j.team());
-      if (t == null) {
+    for (JobRec record : open) {
+      JobSpec spec = record.spec();
+      Team team = core.settings().teams().get(spec.team());
+      if (team == null) {
         continue;
       }
-      int left = j.tasks() - rec.doneCount();
-      cpus.addTo(j.team(), left * j.cpus());
-      gpus.addTo(j.team(), left * j.gpus());
+      int left = spec.tasks() - record.doneCount();
+      cpus.addTo(spec.team(), left * spec.cpus());
+      gpus.addTo(spec.team(), left * spec.gpus());
       boolean fits =
-          cpus.getDouble(j.team()) <= t.cpus() + 1e-9
-              && gpus.getDouble(j.team()) <= t.gpus() + 1e-9;
+          cpus.getDouble(spec.team()) <= team.cpus() + 1e-9
+              && gpus.getDouble(spec.team()) <= team.gpus() + 1e-9;
       if (fits) {
-        entitled.add(j.id());
+        entitled.add(spec.id());
       }
     }
   }
@@ -569,16 +583,16 @@
   private void countRoom() {
     roomOf.clear();
     freeOf.clear();
-    for (View.Seen s : core.view().machines.values()) {
-      if (!s.takes()) {
+    for (View.Seen machine : core.view().machines.values()) {
+      if (!machine.takes()) {
         continue;
       }
-      MachineType t = core.types().get(s.m.type());
-      if (t == null) {
+      MachineType type = core.types().get(machine.state.type());
+      if (type == null) {
         continue;
       }
-      roomOf.addTo(t.name(), t.cpus());
-      freeOf.addTo(t.name(), Math.max(0, s.freeCpus()));
+      roomOf.addTo(type.name(), type.cpus());
+      freeOf.addTo(type.name(), Math.max(0, machine.freeCpus()));
     }
   }
 
@@ -586,19 +600,22 @@
    * Whether the free room is owed to waiting tasks of other controllers' jobs that come first. It
    * holds a job back only for a while, since those may have reasons of their own to wait.
    */
-  private boolean outranked(Held h, long now) {
-    String type = core.fleet().minimalType(h.spec);
+  private boolean outranked(Held held, long now) {
+    String type = core.fleet().minimalType(held.spec);
     if (type == null) {
       return false;
     }
-    int mine = rank(h.rec, h.spec);
+    int mine = rank(held.job, held.spec);
     // by turns, since it may have reasons of its own to wait
     double starving = 0;
-    for (Ahead a : aheads) {
-      long since = a.rank > 0 ? now : starvingSince.getOrDefault(a.job, now);
+    for (Ahead waitingWork : aheads) {
+      long since = waitingWork.rank > 0 ? now : starvingSince.getOrDefault(waitingWork.job, now);
       boolean turn = (now - since) % (4 * Constants.YIELD_MS) < Constants.YIELD_MS;
-      if (a.rank == 0 && turn && type.equals(a.type) && !core.node().equals(a.holder)) {
-        starving += a.cpus;
+      if (waitingWork.rank == 0
+          && turn
+          && type.equals(waitingWork.type)
+          && !core.node().equals(waitingWork.holder)) {
+        starving += waitingWork.cpus;
       }
     }
     if (starving > 0 && starving >= freeOf.getDouble(type)) {
@@ -611,17 +628,17 @@
       }
     }
     if (ahead <= 0 || ahead < freeOf.getDouble(type)) {
-      h.outrankedSince = 0;
+      held.outrankedSince = 0;
       return false;
     }
-    if (h.outrankedSince == 0) {
-      h.outrankedSince = now;
+    if (held.outrankedSince == 0) {
+      held.outrankedSince = now;
     }
-    return now - h.outrankedSince < Constants.OUTRANKED_MS;
+    return now - held.outrankedSince < Constants.OUTRANKED_MS;
   }
 
-  private int rank(JobRec rec, JobSpec j) {
-    return (Priority.values().length - j.priority().ordinal()) * 4 + tier(rec, j);
+  private int rank(JobRec job, JobSpec spec) {
+    return (Priority.values().length - spec.priority().ordinal()) * 4 + tier(job, spec);
   }
 
   /**
@@ -633,65 +650,67 @@
     warm.clear();
     starvingSince.keySet().removeIf(id -> store.job(id) == null || store.job(id).over());
     Map<String, JobSpec> sample = new HashMap<>();
-    for (JobRec rec : core.openJobs()) {
-      if (rec.over()) {
+    for (JobRec job : core.openJobs()) {
+      if (job.over()) {
         continue;
       }
-      JobSpec j = rec.spec();
-      sample.put(j.image(), j);
-      int n = Math.max(0, j.tasks() - rec.doneCount() - core.view().placed(j.id()));
-      if (n > 0 && store.live(rec.holder(), rec.incarnation())) {
+      JobSpec spec = job.spec();
+      sample.put(spec.image(), spec);
+      int n = Math.max(0, spec.tasks() - job.doneCount() - core.view().placed(spec.id()));
+      if (n > 0 && store.live(job.holder(), job.incarnation())) {
         boolean starves =
-            core.view().placed(j.id()) == 0
-                && core.wall() - rec.submittedMs() > Constants.STARVES_MS;
+            core.view().placed(spec.id()) == 0
+                && core.wall() - job.submittedMs() > Constants.STARVES_MS;
         if (starves) {
-          starvingSince.putIfAbsent(j.id(), core.now());
+          starvingSince.putIfAbsent(spec.id(), core.now());
         } else {
-          starvingSince.remove(j.id());
+          starvingSince.remove(spec.id());
         }
-        double cpus = (starves ? Math.max(1, j.tasks() / 10) : n) * j.cpus();
+        double cpus = (starves ? Math.max(1, spec.tasks() / 10) : n) * spec.cpus();
         aheads.add(
             new Ahead(
-                j.id(),
-                starves ? 0 : rank(rec, j),
-                core.fleet().minimalType(j),
-                rec.holder(),
+                spec.id(),
+                starves ? 0 : rank(job, spec),
+                core.fleet().minimalType(spec),
+                job.holder(),
                 cpus));
       }
-      if (n > 0 && j.estimateS() > 0) {
-        waiting.addTo(j.image(), n * j.estimateS());
+      if (n > 0 && spec.estimateS() > 0) {
+        waiting.addTo(spec.image(), n * spec.estimateS());
       }
     }
-    for (View.Seen s : core.view().machines.values()) {
-      if (!s.takes()) {
+    for (View.Seen machine : core.view().machines.values()) {
+      if (!machine.takes()) {
         continue;
       }
-      core.view().derive(s);
+      core.view().derive(machine);
       // a machine with several images that are waited for serves each of them only in part
       int wanted = 0;
-      for (String image : s.images)
+      for (String image : machine.images)
         if (waiting.containsKey(image)) {
           wanted++;
         }
       if (wanted == 0) {
         continue;
       }
-      for (String image : s.images) {
-        JobSpec j = waiting.containsKey(image) ? sample.get(image) : null;
-        if (j != null && Owner.allowed(j, s.m.type(), s.m.zone(), s.m.spot())) {
-          warm.addTo(image, slots(s, j) / wanted);
+      for (String image : machine.images) {
+        JobSpec jobSpec = waiting.containsKey(image) ? sample.get(image) : null;
+        if (jobSpec != null
+            && Owner.allowed(
+                jobSpec, machine.state.type(), machine.state.zone(), machine.state.spot())) {
+          warm.addTo(image, slots(machine, jobSpec) / wanted);
         }
       }
     }
   }
 
   /** How many tasks like this one an empty machine would hold. */
-  private double slots(View.Seen s, JobSpec j) {
-    MachineType t = core.types().get(s.m.type());
-    if (t == null) {
+  private double slots(View.Seen machine, JobSpec spec) {
+    MachineType type = core.types().get(machine.state.type());
+    if (type == null) {
       return 0;
     }
-    return howMany(t.cpus(), t.gpus(), t.memoryGb(), j);
+    return howMany(type.cpus(), type.gpus(), type.memoryGb(), spec);
   }
 
   /**
@@ -699,259 +718,268 @@
    * the replica is stopped, and it starts there as soon as its end is proven.
    */
   private void moveReplicas(List<View.Seen> machines, long now) {
-    for (Held h : holder.jobs()) {
-      if (!h.spec.service() || !h.latched || h.over()) {
+    for (Held held : holder.jobs()) {
+      if (!held.spec.service() || !held.latched || held.over()) {
         continue;
       }
-      for (int replica : h.moves.replicas()) startMoved(h, replica, now);
-      if (h.uncertain) {
+      for (int replica : held.moves.replicas()) startMoved(held, replica, now);
+      if (held.uncertain) {
         continue;
       }
-      for (Active a : new ArrayList<>(h.active.values())) {
-        if (!a.seen || h.moves.underWay(a.task)) {
+      for (Active active : new ArrayList<>(held.active.values())) {
+        if (!active.seen || held.moves.underWay(active.task)) {
           continue;
         }
-        View.Seen from = core.view().machines.get(a.machine);
+        View.Seen from = core.view().machines.get(active.machine);
         if (from == null || !from.leaves()) {
           continue;
         }
-        View.Seen to = placeToMove(h, a, machines, now);
-        if (to == null) {
+        View.Seen machine = placeToMove(held, active, machines, now);
+        if (machine == null) {
           continue;
         }
-        LOG.info("replica {}/{} moves from {} to {}", h.id, a.task, a.machine, to.id);
-        h.moves.begin(a.task, to.id, now);
-        book(to, h.spec, 1);
+        LOG.info(
+            "replica {}/{} moves from {} to {}", held.id, active.task, active.machine, machine.id);
+        held.moves.begin(active.task, machine.id, now);
+        book(machine, held.spec, 1);
         core.stop(
-            from.owner, new StopOrder(a.machine, h.id, a.task, a.attempt, h.spec.saveS() + 1));
+            from.owner,
+            new StopOrder(
+                active.machine, held.id, active.task, active.attempt, held.spec.saveS() + 1));
       }
     }
   }
 
   /** Starts a replica where its move leads, once it is proven to run nowhere. */
-  private void startMoved(Held h, int replica, long now) {
-    if (h.active.containsKey(replica) || h.granting || h.uncertain) {
+  private void startMoved(Held held, int replica, long now) {
+    if (held.active.containsKey(replica) || held.granting || held.uncertain) {
       return;
     }
-    View.Seen to = core.view().machines.get(h.moves.target(replica));
-    h.moves.end(replica);
-    if (to == null) {
+    View.Seen machine = core.view().machines.get(held.moves.target(replica));
+    held.moves.end(replica);
+    if (machine == null) {
       return;
     }
-    book(to, h.spec, -1);
-    boolean granted = !holder.limited(h.spec) || h.rec.grant() > h.active.size();
-    boolean heard = to.takes() && now - core.view().heardAt(to) < Constants.ROSTER_STALE_MS;
-    if (granted && heard && allowsMove(h, replica, to)) {
-      start(h, replica, to, List.of());
+    book(machine, held.spec, -1);
+    boolean granted = !holder.limited(held.spec) || held.job.grant() > held.active.size();
+    boolean heard =
+        machine.takes() && now - core.view().heardAt(machine) < Constants.ROSTER_STALE_MS;
+    if (granted && heard && allowsMove(held, replica, machine)) {
+      start(held, replica, machine, List.of());
     }
   }
 
-  private View.Seen placeToMove(Held h, Active moving, List<View.Seen> machines, long now) {
+  private View.Seen placeToMove(Held held, Active moving, List<View.Seen> machines, long now) {
     Map<String, Integer> perMachine = new HashMap<>();
-    for (Active a : h.active.values()) perMachine.merge(a.machine, 1, Integer::sum);
-    Policy policy = core.policies().forClass(h.spec.jobClass());
+    for (Active active : held.active.values()) perMachine.merge(active.machine, 1, Integer::sum);
+    Policy policy = core.policies().forClass(held.spec.jobClass());
     View.Seen best = null;
     double bestCost = Double.MAX_VALUE;
-    for (View.Seen s : machines) {
-      if (h.avoid.getOrDefault(s.id, 0L) > now || !allowsMove(h, moving.task, s)) {
+    for (View.Seen machine : machines) {
+      if (held.avoid.getOrDefault(machine.id, 0L) > now
+          || !allowsMove(held, moving.task, machine)) {
         continue;
       }
-      fill(s, h, now);
+      fill(machine, held, now);
       boolean taken = false;
-      for (Policy.Block b : policy.blocks()) taken |= b.workers(facts) && !b.invalidate(facts);
-      double cost = facts.fetchS + perMachine.getOrDefault(s.id, 0);
+      for (Policy.Block block : policy.blocks())
+        taken |= block.workers(facts) && !block.invalidate(facts);
+      double cost = facts.fetchS + perMachine.getOrDefault(machine.id, 0);
       if (!taken || cost >= bestCost) {
         continue;
       }
-      best = s;
+      best = machine;
       bestCost = cost;
     }
     return best;
   }
 
   /** Whether the replica may run there, given where the job's others are. */
-  private boolean allowsMove(Held h, int replica, View.Seen to) {
-    JobSpec j = h.spec;
-    if (!Owner.allowed(j, to.m.type(), to.m.zone(), to.m.spot()) || fits(to, j) <= 0) {
+  private boolean allowsMove(Held held, int replica, View.Seen machine) {
+    JobSpec spec = held.spec;
+    if (!Owner.allowed(spec, machine.state.type(), machine.state.zone(), machine.state.spot())
+        || fits(machine, spec) <= 0) {
       return false;
     }
     int there = 1;
-    for (Active a : h.active.values()) {
-      if (a.task == replica) {
+    for (Active active : held.active.values()) {
+      if (active.task == replica) {
         continue;
       }
-      if (j.oneZone() && !a.zone.equals(to.m.zone())) {
+      if (spec.oneZone() && !active.zone.equals(machine.state.zone())) {
         return false;
       }
-      if (a.zone.equals(to.m.zone())) {
+      if (active.zone.equals(machine.state.zone())) {
         there++;
       }
     }
-    return !j.spread() || there <= (j.tasks() + 1) / 2;
+    return !spec.spread() || there <= (spec.tasks() + 1) / 2;
   }
 
   private void countSent() {
-    for (View.Seen s : core.view().machines.values()) s.sentCpus = s.sentGpus = s.sentMemory = 0;
-    for (Held h : holder.jobs()) {
-      for (Map.Entry<String, Integer> e : h.moves.targets().entrySet()) {
-        View.Seen s = core.view().machines.get(e.getKey());
-        if (s != null) {
-          book(s, h.spec, e.getValue());
+    for (View.Seen machine : core.view().machines.values())
+      machine.sentCpus = machine.sentGpus = machine.sentMemory = 0;
+    for (Held held : holder.jobs()) {
+      for (Map.Entry<String, Integer> entry : held.moves.targets().entrySet()) {
+        View.Seen seen = core.view().machines.get(entry.getKey());
+        if (seen != null) {
+          book(seen, held.spec, entry.getValue());
         }
       }
-      for (Active a : h.active.values()) {
-        if (a.seen || a.listed) {
+      for (Active active : held.active.values()) {
+        if (active.seen || active.listed) {
           continue;
         }
-        View.Seen s = core.view().machines.get(a.machine);
-        if (s != null) {
-          book(s, h.spec, 1);
+        View.Seen candidate = core.view().machines.get(active.machine);
+        if (candidate != null) {
+          book(candidate, held.spec, 1);
         }
       }
     }
   }
 
-  private static void book(View.Seen s, JobSpec j, int n) {
-    s.sentCpus += n * j.cpus();
-    s.sentGpus += n * j.gpus();
-    s.sentMemory += n * j.memoryGb();
+  private static void book(View.Seen machine, JobSpec spec, int n) {
+    machine.sentCpus += n * spec.cpus();
+    machine.sentGpus += n * spec.gpus();
+    machine.sentMemory += n * spec.memoryGb();
   }
 
-  private String roomiestZone(JobSpec j, List<View.Seen> machines) {
+  private String roomiestZone(JobSpec spec, List<View.Seen> machines) {
     Map<String, Integer> room = new HashMap<>();
-    for (View.Seen s : machines) {
-      if (Owner.allowed(j, s.m.type(), s.m.zone(), s.m.spot())) {
-        room.merge(s.m.zone(), fits(s, j), Integer::sum);
+    for (View.Seen machine : machines) {
+      if (Owner.allowed(spec, machine.state.type(), machine.state.zone(), machine.state.spot())) {
+        room.merge(machine.state.zone(), fits(machine, spec), Integer::sum);
       }
     }
     String best = null;
-    for (Map.Entry<String, Integer> e : room.entrySet()) {
-      if (best == null || e.getValue() > room.get(best)) {
-        best = e.getKey();
+    for (Map.Entry<String, Integer> entry : room.entrySet()) {
+      if (best == null || entry.getValue() > room.get(best)) {
+        best = entry.getKey();
       }
     }
     return best;
   }
 
-  static int fits(View.Seen s, JobSpec j) {
-    return howMany(s.freeCpus(), s.freeGpus(), s.freeMemory(), j);
+  static int fits(View.Seen machine, JobSpec spec) {
+    return howMany(machine.freeCpus(), machine.freeGpus(), machine.freeMemory(), spec);
   }
 
-  private static int howMany(double cpus, double gpus, double memoryGb, JobSpec j) {
+  private static int howMany(double cpus, double gpus, double memoryGb, JobSpec spec) {
     double n = 1000;
-    if (j.cpus() > 0) {
-      n = Math.min(n, cpus / j.cpus());
+    if (spec.cpus() > 0) {
+      n = Math.min(n, cpus / spec.cpus());
     }
-    if (j.gpus() > 0) {
-      n = Math.min(n, gpus / j.gpus());
+    if (spec.gpus() > 0) {
+      n = Math.min(n, gpus / spec.gpus());
     }
-    if (j.memoryGb() > 0) {
-      n = Math.min(n, memoryGb / j.memoryGb());
+    if (spec.memoryGb() > 0) {
+      n = Math.min(n, memoryGb / spec.memoryGb());
     }
     return (int) Math.floor(n + 1e-9);
   }
 
-  private void fill(View.Seen s, Held h, long now) {
-    JobSpec j = h.spec;
-    MachineType t = core.types().get(s.m.type());
-    Policy.Facts f = facts;
-    f.zone = s.m.zone();
-    f.type = s.m.type();
-    f.image = j.image();
-    f.spot = s.m.spot();
-    f.own = core.node().equals(s.owner);
-    f.freeCpus = s.freeCpus();
-    f.freeGpus = s.freeGpus();
-    f.freeMemory = s.freeMemory();
-    f.used = t == null || t.cpus() <= 0 ? 0 : 1 - s.freeCpus() / t.cpus();
-    f.imagePresent = s.m.images().contains(j.image());
+  private void fill(View.Seen machine, Held held, long now) {
+    JobSpec spec = held.spec;
+    MachineType type = core.types().get(machine.state.type());
+    Policy.Facts pair = facts;
+    pair.zone = machine.state.zone();
+    pair.type = machine.state.type();
+    pair.image = spec.image();
+    pair.spot = machine.state.spot();
+    pair.own = core.node().equals(machine.owner);
+    pair.freeCpus = machine.freeCpus();
+    pair.freeGpus = machine.freeGpus();
+    pair.freeMemory = machine.freeMemory();
+    pair.used = type == null || type.cpus() <= 0 ? 0 : 1 - machine.freeCpus() / type.cpus();
+    pair.imagePresent = machine.state.images().contains(spec.image());
     int fetching = 0;
     boolean same = false;
-    core.view().derive(s);
-    for (String other : s.fetching) {
-      if (other.equals(j.image())) {
+    core.view().derive(machine);
+    for (String other : machine.fetching) {
+      if (other.equals(spec.image())) {
         same = true;
-      } else if (!s.m.images().contains(other)) {
+      } else if (!machine.state.images().contains(other)) {
         fetching++;
       }
     }
-    f.fetches = fetching;
-    double rate = t == null ? 1 : Math.max(1e-3, t.fetchGbPerS());
-    f.fetchS = f.imagePresent ? 0 : j.imageGb() / rate * (same ? 0.6 : 1 + fetching);
-    double w = warm.getDouble(j.image());
-    f.drainS = w <= 0 ? 1e9 : waiting.getDouble(j.image()) / w;
-    f.otherDrainS = 0;
-    for (String other : s.m.images()) {
+    pair.fetches = fetching;
+    double rate = type == null ? 1 : Math.max(1e-3, type.fetchGbPerS());
+    pair.fetchS = pair.imagePresent ? 0 : spec.imageGb() / rate * (same ? 0.6 : 1 + fetching);
+    double w = warm.getDouble(spec.image());
+    pair.drainS = w <= 0 ? 1e9 : waiting.getDouble(spec.image()) / w;
+    pair.otherDrainS = 0;
+    for (String other : machine.state.images()) {
       double ow = warm.getDouble(other);
-      if (ow > 0 && !other.equals(j.image())) {
-        f.otherDrainS = Math.max(f.otherDrainS, waiting.getDouble(other) / ow);
-      }
-    }
-    f.reserved = core.fleet().reserved(s.id);
-    f.scarce = core.fleet().scarce(j, s.m.type());
-    f.taskCpus = j.cpus();
-    f.taskGpus = j.gpus();
-    f.taskMemory = j.memoryGb();
-    f.waitedS = waitedS(h, now);
-    f.slackS =
-        j.deadlineS() == null
+      if (ow > 0 && !other.equals(spec.image())) {
+        pair.otherDrainS = Math.max(pair.otherDrainS, waiting.getDouble(other) / ow);
+      }
+    }
+    pair.reserved = core.fleet().reserved(machine.id);
+    pair.scarce = core.fleet().scarce(spec, machine.state.type());
+    pair.taskCpus = spec.cpus();
+    pair.taskGpus = spec.gpus();
+    pair.taskMemory = spec.memoryGb();
+    pair.waitedS = waitedS(held, now);
+    pair.slackS =
+        spec.deadlineS() == null
             ? 1e9
-            : j.deadlineS() - j.estimateS() - (core.wall() - h.rec.submittedMs()) / 1000.0;
-    f.estimateS = j.estimateS();
-    f.priority = j.priority().ordinal();
-    f.pending = h.pending();
-    f.price = t == null ? 0 : s.m.spot() ? t.spotPrice() : t.price();
+            : spec.deadlineS() - spec.estimateS() - (core.wall() - held.job.submittedMs()) / 1000.0;
+    pair.estimateS = spec.estimateS();
+    pair.priority = spec.priority().ordinal();
+    pair.pending = held.pending();
+    pair.price = type == null ? 0 : machine.state.spot() ? type.spotPrice() : type.price();
   }
 
   /**
    * Since the job was submitted, or since a task of it was started last: what is being served,
    * however slowly, doesn't starve.
    */
-  private double waitedS(Held h, long now) {
-    double age = (core.wall() - h.rec.submittedMs()) / 1000.0;
-    return h.lastStart == 0 ? age : Math.min(age, (now - h.lastStart) / 1000.0);
+  private double waitedS(Held held, long now) {
+    double age = (core.wall() - held.job.submittedMs()) / 1000.0;
+    return held.lastStart == 0 ? age : Math.min(age, (now - held.lastStart) / 1000.0);
   }
 
-  private void start(Held h, int task, View.Seen s, List<TaskRef> instead) {
-    View.Peer p = core.view().peer(s.owner);
-    long attempt = (h.rec.epoch() << Constants.ATTEMPT_BITS) + ++h.counter;
+  private void start(Held held, int task, View.Seen machine, List<TaskRef> instead) {
+    View.Peer peer = core.view().peer(machine.owner);
+    long attempt = (held.job.epoch() << Constants.ATTEMPT_BITS) + ++held.counter;
     long life = Math.min(Constants.START_LIFE_MS, store.sessionLeft());
     long expiry = core.wall() + life - 2 * core.settings().skewMs();
-    if (h.active.isEmpty() && h.doneCount == 0) {
-      core.metrics().time("job_wait", core.wall() - h.rec.submittedMs());
+    if (held.active.isEmpty() && held.doneCount == 0) {
+      core.metrics().time("job_wait", core.wall() - held.job.submittedMs());
     }
     holder.place(
         new Active(
-            h,
+            held,
             task,
             attempt,
-            s.id,
-            s.m.zone(),
-            s.m.type(),
-            s.owner,
-            s.ownerIncarnation,
-            p.connection,
-            p.nextSeq));
-    h.lastStart = core.now();
-    book(s, h.spec, 1);
-    out.computeIfAbsent(s.owner, k -> new ArrayList<>())
-        .add(new StartOrder(s.id, h.id, task, attempt, h.rec.epoch(), expiry, instead));
+            machine.id,
+            machine.state.zone(),
+            machine.state.type(),
+            machine.owner,
+            machine.ownerIncarnation,
+            peer.connection,
+            peer.nextSeq));
+    held.lastStart = core.now();
+    book(machine, held.spec, 1);
+    out.computeIfAbsent(machine.owner, k -> new ArrayList<>())
+        .add(new StartOrder(machine.id, held.id, task, attempt, held.job.epoch(), expiry, instead));
     LOG.debug(
         "start {}/{} attempt {} on {} through {}, image {}",
-        h.id,
+        held.id,
         task,
         attempt,
-        s.id,
-        s.owner,
-        s.m.images().contains(h.spec.image()) ? "there" : "missing");
+        machine.id,
+        machine.owner,
+        machine.state.images().contains(held.spec.image()) ? "there" : "missing");
   }
 
   private void send() {
-    for (Map.Entry<String, List<StartOrder>> e : out.entrySet()) {
-      View.Peer p = core.view().peer(e.getKey());
+    for (Map.Entry<String, List<StartOrder>> entry : out.entrySet()) {
+      View.Peer peer = core.view().peer(entry.getKey());
       core.sendStarts(
-          e.getKey(),
-          new Starts(core.node(), store.incarnation(), p.connection, p.nextSeq++, e.getValue()));
+          entry.getKey(),
+          new Starts(
+              core.node(), store.incarnation(), peer.connection, peer.nextSeq++, entry.getValue()));
     }
     out.clear();
   }
--- a/src/main/java/mallowstall/core/Policy.java
+++ b/src/main/java/mallowstall/core/Policy.java
@@ -56,13 +56,13 @@
   }
 
   interface Block {
-    boolean workers(Facts f);
+    boolean workers(Facts facts);
 
-    boolean invalidate(Facts f);
+    boolean invalidate(Facts facts);
 
     Strategy strategy();
 
-    double score(Facts f);
+    double score(Facts facts);
   }
 
   List<Block> blocks();
--- a/src/main/java/mallowstall/core/Store.java
+++ b/src/main/java/mallowstall/core/Store.java
@@ -63,7 +63,7 @@
 
   interface Listener {
     /** A machine had this record for a while, before the one that the mirror holds already. */
-    void overtaken(String machine, MachineRec rec);
+    void overtaken(String machine, MachineRec record);
 
     /** A key changed; {@code now} null when deleted. */
     void changed(String key, Entry before, Entry now);
@@ -75,7 +75,7 @@
   private record Waiting(double reads, double writes, Runnable go) {}
 
   private final Core core;
-  private final Effects fx;
+  private final Effects effects;
   private final Listener listener;
   private final TreeMap<String, Held> mirror = new TreeMap<>();
 
@@ -118,13 +118,13 @@
   private long nextSessionTry;
   private long lastRenew;
 
-  Store(Core core, Effects fx, Listener listener, CoreSettings s) {
+  Store(Core core, Effects effects, Listener listener, CoreSettings settings) {
     this.core = core;
-    this.fx = fx;
+    this.effects = effects;
     this.listener = listener;
-    this.nodes = s.peers().size() + 1;
-    this.requestRate = s.stateRps() * Constants.BUDGET_SHARE;
-    this.writeRate = s.stateWriteRps() * Constants.BUDGET_SHARE;
+    this.nodes = settings.peers().size() + 1;
+    this.requestRate = settings.stateRps() * Constants.BUDGET_SHARE;
+    this.writeRate = settings.stateWriteRps() * Constants.BUDGET_SHARE;
     this.requests = new Budget(requestRate / nodes, requestRate / nodes);
     this.writes = new Budget(writeRate / nodes, writeRate / nodes);
     for (int i = 0; i < Urgency.values().length; i++) {
@@ -167,15 +167,15 @@
     if (key.startsWith(MACHINES)) {
       return single.getOrDefault(key, 0L);
     }
-    Held h = mirror.get(key);
-    return h == null ? 0 : h.version();
+    Held stored = mirror.get(key);
+    return stored == null ? 0 : stored.version();
   }
 
   /** Whether a group names the machine: then its end must be written, not only dropped. */
   boolean grouped(String id) {
-    for (Held h : under(GROUPS).values()) {
-      for (GroupMachine m : ((GroupRec) h.value()).machines())
-        if (m.id().equals(id)) {
+    for (Held stored : under(GROUPS).values()) {
+      for (GroupMachine member : ((GroupRec) stored.value()).machines())
+        if (member.id().equals(id)) {
           return true;
         }
     }
@@ -187,10 +187,10 @@
     List<String> out = new ArrayList<>();
     under(GROUPS)
         .forEach(
-            (key, h) -> {
-              for (GroupMachine m : ((GroupRec) h.value()).machines()) {
-                Held now = mirror.get(MACHINES + m.id());
-                if (now != null && now.version() <= h.version()) {
+            (key, stored) -> {
+              for (GroupMachine member : ((GroupRec) stored.value()).machines()) {
+                Held now = mirror.get(MACHINES + member.id());
+                if (now != null && now.version() <= stored.version()) {
                   return;
                 }
               }
@@ -204,8 +204,8 @@
   }
 
   boolean live(String node, long inc) {
-    Held h = mirror.get(SESSIONS + node);
-    return h != null && ((SessionRec) h.value()).incarnation() == inc;
+    Held stored = mirror.get(SESSIONS + node);
+    return stored != null && ((SessionRec) stored.value()).incarnation() == inc;
   }
 
   boolean live(String node) {
@@ -246,7 +246,7 @@
   /** Requests waiting, for the Retry-After of refusals. */
   int backlog() {
     int n = 0;
-    for (ArrayDeque<Waiting> q : queues) n += q.size();
+    for (ArrayDeque<Waiting> queue : queues) n += queue.size();
     return n;
   }
 
@@ -255,70 +255,72 @@
     return Math.min(Constants.RETRY_MAX_S, s);
   }
 
-  private boolean admit(Urgency u, double reads, double puts, Runnable go) {
-    if (u != Urgency.SESSION && backlog() >= Constants.STATE_BACKLOG) {
+  private boolean admit(Urgency urgency, double reads, double puts, Runnable go) {
+    if (urgency != Urgency.SESSION && backlog() >= Constants.STATE_BACKLOG) {
       return false;
     }
-    queues.get(u.ordinal()).add(new Waiting(reads, puts, go));
+    queues.get(urgency.ordinal()).add(new Waiting(reads, puts, go));
     pump();
     return true;
   }
 
   void pump() {
     long now = core.now();
-    for (Urgency u : Urgency.values()) {
-      ArrayDeque<Waiting> q = queues.get(u.ordinal());
-      double reserve = u == Urgency.SESSION ? -100 : u == Urgency.BACKGROUND ? 4 : 0;
+    for (Urgency urgency : Urgency.values()) {
+      ArrayDeque<Waiting> queue = queues.get(urgency.ordinal());
+      double reserve = urgency == Urgency.SESSION ? -100 : urgency == Urgency.BACKGROUND ? 4 : 0;
       // a large transaction may have overdrawn a low rate for seconds: sessions don't wait for that
-      double writeReserve = u == Urgency.SESSION ? -100 : u == Urgency.BACKGROUND ? 3 : 0;
-      while (!q.isEmpty()) {
-        Waiting w = q.peek();
-        if (!requests.has(now, w.reads, reserve)) {
+      double writeReserve =
+          urgency == Urgency.SESSION ? -100 : urgency == Urgency.BACKGROUND ? 3 : 0;
+      while (!queue.isEmpty()) {
+        Waiting waiting = queue.peek();
+        if (!requests.has(now, waiting.reads, reserve)) {
           return;
         }
-        if (w.writes > 0 && !writes.has(now, w.writes, writeReserve)) {
+        if (waiting.writes > 0 && !writes.has(now, waiting.writes, writeReserve)) {
           break;
         }
-        q.poll();
-        requests.spend(now, w.reads);
-        if (w.writes > 0) {
-          writes.spend(now, w.writes);
+        queue.poll();
+        requests.spend(now, waiting.reads);
+        if (waiting.writes > 0) {
+          writes.spend(now, waiting.writes);
         }
-        w.go.run();
+        waiting.go.run();
       }
     }
   }
 
   /** A transaction whose success is taken into the mirror at once. */
-  boolean transact(Urgency u, Txn txn, Consumer<TxnReply> then) {
+  boolean transact(Urgency urgency, Txn txn, Consumer<TxnReply> then) {
     double n = txn.puts().size() + txn.drops().size();
     return admit(
-        u,
+        urgency,
         1,
         n,
         () -> {
           long sent = core.now();
-          fx.transact(
+          effects.transact(
               txn,
-              r -> {
-                contact(r.code(), sent);
-                if (r.code() == Code.OK) {
-                  for (Put p : txn.puts()) apply(new Item(p.key(), p.value(), r.revision()));
-                  for (String k : txn.drops()) apply(new Item(k, null, r.revision()));
+              reply -> {
+                contact(reply.code(), sent);
+                if (reply.code() == Code.OK) {
+                  for (Put put : txn.puts())
+                    apply(new Item(put.key(), put.value(), reply.revision()));
+                  for (String k : txn.drops()) apply(new Item(k, null, reply.revision()));
                 }
-                then.accept(r);
+                then.accept(reply);
               });
         });
   }
 
   /** A read made after this call; the mirror learns from it. */
-  boolean read(Urgency u, String key, Consumer<GetReply> then) {
+  boolean read(Urgency urgency, String key, Consumer<GetReply> then) {
     return admit(
-        u,
+        urgency,
         1,
         0,
         () ->
-            fx.get(
+            effects.get(
                 key,
                 r -> {
                   contact(r.code(), core.now());
@@ -329,43 +331,49 @@
                 }));
   }
 
-  private void contact(Code c, long at) {
-    if (c == Code.OK || c == Code.CONFLICT || c == Code.NO_LEASE || c == Code.GONE) {
+  private void contact(Code code, long at) {
+    if (code == Code.OK || code == Code.CONFLICT || code == Code.NO_LEASE || code == Code.GONE) {
       contactAt = at;
     }
   }
 
   // ---- mirror -------------------------------------------------------------------------------
-  void apply(Item e) {
-    if (e.value() instanceof GroupRec g) {
-      for (GroupMachine m : g.machines()) {
-        MachineRec rec =
-            new MachineRec(g.node(), g.incarnation(), e.version(), m.type(), m.zone(), m.spot());
-        put(MACHINES + m.id(), rec, e.version());
+  void apply(Item item) {
+    if (item.value() instanceof GroupRec group) {
+      for (GroupMachine member : group.machines()) {
+        MachineRec record =
+            new MachineRec(
+                group.node(),
+                group.incarnation(),
+                item.version(),
+                member.type(),
+                member.zone(),
+                member.spot());
+        put(MACHINES + member.id(), record, item.version());
       }
-    } else if (e.key().startsWith(MACHINES)) {
-      long known = single.getOrDefault(e.key(), 0L);
-      if (e.version() <= known) {
+    } else if (item.key().startsWith(MACHINES)) {
+      long known = single.getOrDefault(item.key(), 0L);
+      if (item.version() <= known) {
         return;
       }
-      if (e.value() == null) {
-        single.remove(e.key());
+      if (item.value() == null) {
+        single.remove(item.key());
       } else {
-        single.put(e.key(), (Long) e.version());
+        single.put(item.key(), (Long) item.version());
       }
-      MachineRec rec = (MachineRec) e.value();
-      boolean returned = rec == null || rec.node().isEmpty();
-      put(e.key(), returned ? null : rec.withToken(e.version()), e.version());
+      MachineRec machineRecord = (MachineRec) item.value();
+      boolean returned = machineRecord == null || machineRecord.node().isEmpty();
+      put(item.key(), returned ? null : machineRecord.withToken(item.version()), item.version());
       return;
     }
-    put(e.key(), e.value(), e.version());
+    put(item.key(), item.value(), item.version());
   }
 
   private void put(String key, Entry value, long version) {
     Held old = mirror.get(key);
     if (old != null && old.version() >= version) {
-      if (old.version() > version && value instanceof MachineRec m) {
-        listener.overtaken(key.substring(MACHINES.length()), m);
+      if (old.version() > version && value instanceof MachineRec record) {
+        listener.overtaken(key.substring(MACHINES.length()), record);
       }
       return;
     }
@@ -390,10 +398,10 @@
       return;
     }
     mirror.put(key, new Held(value, version));
-    if (value instanceof JobRec j) {
-      jobs.put(key.substring(JOBS.length()), j);
-    } else if (value instanceof MachineRec m) {
-      machines.put(key.substring(MACHINES.length()), m);
+    if (value instanceof JobRec job) {
+      jobs.put(key.substring(JOBS.length()), job);
+    } else if (value instanceof MachineRec machineRecord) {
+      machines.put(key.substring(MACHINES.length()), machineRecord);
     }
     listener.changed(key, old == null ? null : old.value(), value);
   }
@@ -409,7 +417,7 @@
   private void listFrom(
       String after, long firstRevision, java.util.HashSet<String> seen, long began) {
     requests.spend(core.now(), 1);
-    fx.list(
+    effects.list(
         after,
         r -> {
           contact(r.code(), core.now());
@@ -419,13 +427,13 @@
           }
           long first = after == null ? r.revision() : firstRevision;
           String last = after;
-          for (Item i : r.items()) {
-            apply(i);
-            seen.add(i.key());
-            if (i.value() instanceof GroupRec g) {
-              for (GroupMachine m : g.machines()) seen.add(MACHINES + m.id());
+          for (Item item : r.items()) {
+            apply(item);
+            seen.add(item.key());
+            if (item.value() instanceof GroupRec group) {
+              for (GroupMachine member : group.machines()) seen.add(MACHINES + member.id());
             }
-            last = i.key();
+            last = item.key();
           }
           if (r.more() && last != null) {
             listFrom(last, first, seen, began);
@@ -449,7 +457,7 @@
   private void watchOn() {
     long sent = core.now();
     requests.spend(sent, 1);
-    fx.watch(
+    effects.watch(
         revision,
         Constants.WATCH_HOLD_MS,
         r -> {
@@ -463,7 +471,7 @@
             core.after(Constants.STATE_RETRY_MS, this::watchOn);
             return;
           }
-          for (Item i : r.events()) apply(i);
+          for (Item item : r.events()) apply(item);
           revision = Math.max(revision, r.revision());
           freshAt = Math.max(freshAt, sent);
           listener.changed(null, null, null);
@@ -507,20 +515,23 @@
     read(
         Urgency.SESSION,
         COUNTER,
-        g -> {
-          if (g.code() != Code.OK) {
+        getReply -> {
+          if (getReply.code() != Code.OK) {
             failed();
             return;
           }
-          long next = g.item().value() == null ? 1 : ((CounterRec) g.item().value()).value() + 1;
+          long next =
+              getReply.item().value() == null
+                  ? 1
+                  : ((CounterRec) getReply.item().value()).value() + 1;
           transact(
               Urgency.SESSION,
               new Txn(
-                  List.of(new Cond(COUNTER, g.item().version())),
+                  List.of(new Cond(COUNTER, getReply.item().version())),
                   List.of(new Put(COUNTER, new CounterRec(next), 0)),
                   List.of()),
-              r -> {
-                if (r.code() != Code.OK) {
+              reply -> {
+                if (reply.code() != Code.OK) {
                   failed();
                   return;
                 }
@@ -535,15 +546,15 @@
     renewing = true;
     long sent = core.now();
     requests.spend(sent, 1);
-    fx.grantLease(
+    effects.grantLease(
         Constants.SESSION_TTL_MS,
-        r -> {
-          contact(r.code(), sent);
-          if (r.code() != Code.OK) {
+        reply -> {
+          contact(reply.code(), sent);
+          if (reply.code() != Code.OK) {
             failed();
             return;
           }
-          lease = r.lease();
+          lease = reply.lease();
           lastRenew = sent;
           good(sent);
           renewing = false;
@@ -567,9 +578,9 @@
     read(
         Urgency.SESSION,
         SESSIONS + core.node(),
-        g -> {
-          if (g.code() == Code.OK) {
-            putSession(g.item().version());
+        reply -> {
+          if (reply.code() == Code.OK) {
+            putSession(reply.item().version());
           } else {
             failed();
           }
@@ -587,13 +598,13 @@
     transact(
         Urgency.SESSION,
         new Txn(List.of(new Cond(SESSIONS + core.node(), version)), puts, List.of()),
-        r -> {
-          if (r.code() == Code.NO_LEASE) {
+        reply -> {
+          if (reply.code() == Code.NO_LEASE) {
             lease = 0;
             failed();
             return;
           }
-          if (r.code() != Code.OK) {
+          if (reply.code() != Code.OK) {
             failed();
             return;
           }
@@ -610,15 +621,15 @@
     renewing = true;
     long sent = core.now();
     requests.spend(sent, 1);
-    fx.renewLease(
+    effects.renewLease(
         lease,
-        r -> {
-          contact(r.code(), sent);
+        reply -> {
+          contact(reply.code(), sent);
           renewing = false;
-          if (r.code() == Code.OK) {
+          if (reply.code() == Code.OK) {
             lastRenew = sent;
             good(sent);
-          } else if (r.code() == Code.GONE) {
+          } else if (reply.code() == Code.GONE) {
             LOG.info("session lost, incarnation {}", incarnation);
             lease = 0;
             sessionPut = false;
--- a/src/main/java/mallowstall/core/StrandedJobs.java
+++ b/src/main/java/mallowstall/core/StrandedJobs.java
@@ -30,9 +30,9 @@
   /** Drops what is remembered of jobs that are over. */
   void retain(Iterable<JobRec> open) {
     Set<String> ids = new HashSet<>();
-    for (JobRec rec : open)
-      if (!rec.over()) {
-        ids.add(rec.spec().id());
+    for (JobRec job : open)
+      if (!job.over()) {
+        ids.add(job.spec().id());
       }
     since.keySet().retainAll(ids);
   }
@@ -41,9 +41,9 @@
    * The zones of the type in which a machine would help the job; none while one may have room, or
    * hasn't been missing for long.
    */
-  List<String> zonesMissing(JobRec rec, MachineType type, List<View.Seen> up, long now) {
-    JobSpec job = rec.spec();
-    List<String> zones = waits(rec) ? zonesAllowed(job, type, up) : List.of();
+  List<String> zonesMissing(JobRec jobRecord, MachineType type, List<View.Seen> up, long now) {
+    JobSpec job = jobRecord.spec();
+    List<String> zones = waits(jobRecord) ? zonesAllowed(job, type, up) : List.of();
     if (zones.isEmpty() || roomIn(job, zones, up)) {
       since.remove(job.id());
       return List.of();
@@ -54,11 +54,11 @@
   }
 
   /** A replica runs nowhere, or no task of a batch does, and not for its team's limit. */
-  private boolean waits(JobRec rec) {
-    JobSpec job = rec.spec();
+  private boolean waits(JobRec jobRecord) {
+    JobSpec job = jobRecord.spec();
     int placed = core.view().placed(job.id());
     boolean missing = job.service() ? placed < job.tasks() : placed == 0;
-    return missing && (rec.grant() > placed || !teamAtLimit(job));
+    return missing && (jobRecord.grant() > placed || !teamAtLimit(job));
   }
 
   private boolean teamAtLimit(JobSpec job) {
@@ -85,9 +85,9 @@
     }
     int there = 0;
     int elsewhere = 0;
-    for (View.Seen s : up) {
-      int tasks = tasksOn(s, job.id());
-      if (s.m.zone().equals(zone)) {
+    for (View.Seen machine : up) {
+      int tasks = tasksOn(machine, job.id());
+      if (machine.state.zone().equals(zone)) {
         there += tasks;
       } else {
         elsewhere += tasks;
@@ -99,25 +99,25 @@
     return !job.spread() || there < (job.tasks() + 1) / 2;
   }
 
-  private static int tasksOn(View.Seen s, String job) {
+  private static int tasksOn(View.Seen machine, String job) {
     int tasks = 0;
-    for (RosterTask t : s.m.tasks())
-      if (t.job().equals(job) && t.state() != TaskState.EXITED) {
+    for (RosterTask task : machine.state.tasks())
+      if (task.job().equals(job) && task.state() != TaskState.EXITED) {
         tasks++;
       }
     return tasks;
   }
 
   private static boolean roomIn(JobSpec job, List<String> zones, List<View.Seen> up) {
-    for (View.Seen s : up) {
-      if (!Owner.allowed(job, s.m.type(), s.m.zone(), s.m.spot())) {
+    for (View.Seen machine : up) {
+      if (!Owner.allowed(job, machine.state.type(), machine.state.zone(), machine.state.spot())) {
         continue;
       }
       boolean fits =
-          s.m.freeCpus() >= job.cpus() - 1e-9
-              && s.m.freeGpus() >= job.gpus() - 1e-9
-              && s.m.freeMemoryGb() >= job.memoryGb() - 1e-9;
-      if (fits && zones.contains(s.m.zone())) {
+          machine.state.freeCpus() >= job.cpus() - 1e-9
+              && machine.state.freeGpus() >= job.gpus() - 1e-9
+              && machine.state.freeMemoryGb() >= job.memoryGb() - 1e-9;
+      if (fits && zones.contains(machine.state.zone())) {
         return true;
       }
     }
--- a/src/main/java/mallowstall/core/Users.java
+++ b/src/main/java/mallowstall/core/Users.java
@@ -27,7 +27,7 @@
   private final Map<String, JobRec> finals =
       new LinkedHashMap<>(64, 0.75f, true) {
         @Override
-        protected boolean removeEldestEntry(Map.Entry<String, JobRec> e) {
+        protected boolean removeEldestEntry(Map.Entry<String, JobRec> entry) {
           return size() > Constants.FINAL_CACHE;
         }
       };
@@ -37,9 +37,9 @@
     this.store = store;
   }
 
-  void jobChanged(String id, JobRec rec) {
-    if (rec.over()) {
-      finals.put(id, rec);
+  void jobChanged(String id, JobRec job) {
+    if (job.over()) {
+      finals.put(id, job);
     }
   }
 
@@ -54,43 +54,43 @@
     return UserAnswer.later(why, store.retryAfterS());
   }
 
-  void submit(JobSpec j, Consumer<UserAnswer> reply) {
-    JobRec known = store.job(j.id());
+  void submit(JobSpec spec, Consumer<UserAnswer> reply) {
+    JobRec known = store.job(spec.id());
     if (known != null) {
-      query(j.id(), reply);
+      query(spec.id(), reply);
       return;
     }
-    JobRec rec = JobRec.accepted(j, core.wall(), core.node(), store.incarnation());
-    if (!core.jobEntries().fits(rec)) {
-      refuse(j.id(), 400, "the description is too large", reply);
+    JobRec job = JobRec.accepted(spec, core.wall(), core.node(), store.incarnation());
+    if (!core.jobEntries().fits(job)) {
+      refuse(spec.id(), 400, "the description is too large", reply);
       return;
     }
     if (core.types().isEmpty()) {
       reply.accept(later("the machine types are not known yet"));
       return;
     }
-    String never = neverRuns(j);
+    String never = neverRuns(spec);
     if (never != null) {
-      refuse(j.id(), 422, never, reply);
+      refuse(spec.id(), 422, never, reply);
       return;
     }
     if (!store.synced() || !store.sessionGood()) {
       reply.accept(later("no contact with the state service"));
       return;
     }
-    if (j.service() && !core.clusterVersion().allowsServices()) {
+    if (spec.service() && !core.clusterVersion().allowsServices()) {
       UserAnswer notYet = later("a controller runs a version without services");
-      unlessAccepted(j.id(), notYet, reply);
+      unlessAccepted(spec.id(), notYet, reply);
       return;
     }
-    String key = Store.JOBS + j.id();
+    String key = Store.JOBS + spec.id();
     long since = core.now();
     boolean asked =
         store.transact(
             Store.Urgency.USER,
-            new Txn(List.of(new Cond(key, 0)), List.of(new Put(key, rec, 0)), List.of()),
-            r -> {
-              switch (r.code()) {
+            new Txn(List.of(new Cond(key, 0)), List.of(new Put(key, job, 0)), List.of()),
+            result -> {
+              switch (result.code()) {
                 case OK -> {
                   // A controller that stood still meanwhile called a job pending that was over. The
                   // user asks again and is told what it is then: read now, it was overtaken once
@@ -98,10 +98,10 @@
                   if (core.now() - since > Constants.READ_LIFE_MS) {
                     reply.accept(later("recorded late, ask again"));
                   } else {
-                    reply.accept(UserAnswer.state(201, j.id(), "pending", 0, 0));
+                    reply.accept(UserAnswer.state(201, spec.id(), "pending", 0, 0));
                   }
                 }
-                case CONFLICT -> query(j.id(), reply);
+                case CONFLICT -> query(spec.id(), reply);
                 default -> reply.accept(later("the job could not be recorded"));
               }
             });
@@ -130,34 +130,34 @@
     }
     fresh(
         id,
-        g -> {
-          if (g.code() != Code.OK || g.item().value() == null) {
+        read -> {
+          if (read.code() != Code.OK || read.item().value() == null) {
             reply.accept(otherwise);
           } else {
-            reply.accept(answer((JobRec) g.item().value()));
+            reply.accept(answer((JobRec) read.item().value()));
           }
         });
   }
 
-  private String neverRuns(JobSpec j) {
-    Team t = core.settings().teams().get(j.team());
-    if (t == null) {
-      return "unknown team " + j.team();
+  private String neverRuns(JobSpec spec) {
+    Team team = core.settings().teams().get(spec.team());
+    if (team == null) {
+      return "unknown team " + spec.team();
     }
     boolean any = false;
     for (MachineType m : core.types().values()) {
-      any |= core.fits(j, m) && (j.zone() == null || m.zones().contains(j.zone()));
+      any |= core.fits(spec, m) && (spec.zone() == null || m.zones().contains(spec.zone()));
     }
     if (!any) {
       return "a task fits no allowed machine type";
     }
     // replicas run all at once; a batch may run one task after the other
-    int atOnce = j.service() ? j.tasks() : 1;
-    String what = j.service() ? "all replicas together need" : "a task needs";
-    if (t.cpusMax() > 0 && atOnce * j.cpus() > t.cpusMax() + 1e-9) {
+    int atOnce = spec.service() ? spec.tasks() : 1;
+    String what = spec.service() ? "all replicas together need" : "a task needs";
+    if (team.cpusMax() > 0 && atOnce * spec.cpus() > team.cpusMax() + 1e-9) {
       return what + " more cpus than the team's limit";
     }
-    if (t.gpusMax() > 0 && atOnce * j.gpus() > t.gpusMax() + 1e-9) {
+    if (team.gpusMax() > 0 && atOnce * spec.gpus() > team.gpusMax() + 1e-9) {
       return what + " more gpus than the team's limit";
     }
     return null;
@@ -174,13 +174,13 @@
     }
     fresh(
         id,
-        g -> {
-          if (g.code() != Code.OK) {
+        read -> {
+          if (read.code() != Code.OK) {
             reply.accept(later("no contact with the state service"));
-          } else if (g.item().value() == null) {
+          } else if (read.item().value() == null) {
             reply.accept(UserAnswer.error(404, "no such job"));
           } else {
-            reply.accept(answer((JobRec) g.item().value()));
+            reply.accept(answer((JobRec) read.item().value()));
           }
         });
   }
@@ -204,12 +204,12 @@
               store.read(
                   Store.Urgency.USER,
                   Store.JOBS + id,
-                  g -> {
+                  reply -> {
                     // A controller that stood still would tell what it read before: a job that
                     // others had called done meanwhile was called running again.
                     boolean old = core.now() - since > Constants.READ_LIFE_MS;
-                    GetReply said = old ? new GetReply(Code.REFUSED, null) : g;
-                    all.forEach(c -> c.accept(said));
+                    GetReply said = old ? new GetReply(Code.REFUSED, null) : reply;
+                    all.forEach(callback -> callback.accept(said));
                   });
           if (!asked) {
             all.forEach(c -> c.accept(new GetReply(Code.REFUSED, null)));
@@ -224,18 +224,18 @@
   private UserAnswer answer(JobRec read) {
     String id = read.spec().id();
     JobRec known = store.job(id);
-    JobRec rec = known != null && known.over() ? known : read;
-    if (!rec.over() && core.cancellations().told(id)) {
-      rec = rec.withFinal(Final.CANCELLED);
+    JobRec job = known != null && known.over() ? known : read;
+    if (!job.over() && core.cancellations().told(id)) {
+      job = job.withFinal(Final.CANCELLED);
     }
-    if (rec.fin() == Final.DONE) {
-      return UserAnswer.state(200, id, "done", rec.spec().tasks(), 0);
+    if (job.fin() == Final.DONE) {
+      return UserAnswer.state(200, id, "done", job.spec().tasks(), 0);
     }
-    if (rec.fin() == Final.CANCELLED) {
-      return UserAnswer.state(200, id, "cancelled", rec.doneCount(), 0);
+    if (job.fin() == Final.CANCELLED) {
+      return UserAnswer.state(200, id, "cancelled", job.doneCount(), 0);
     }
     int running = core.running(id);
-    return UserAnswer.state(200, id, running > 0 ? "running" : "pending", rec.doneCount(), running);
+    return UserAnswer.state(200, id, running > 0 ? "running" : "pending", job.doneCount(), running);
   }
 
   void cancel(String id, Consumer<UserAnswer> reply) {
@@ -250,30 +250,30 @@
     }
     fresh(
         id,
-        g -> {
-          if (g.code() != Code.OK) {
+        read -> {
+          if (read.code() != Code.OK) {
             reply.accept(later("no contact with the state service"));
             return;
           }
-          if (g.item().value() == null) {
+          if (read.item().value() == null) {
             reply.accept(UserAnswer.error(404, "no such job"));
             return;
           }
-          JobRec rec = (JobRec) g.item().value();
-          if (rec.over()) {
-            reply.accept(answer(rec));
+          JobRec job = (JobRec) read.item().value();
+          if (job.over()) {
+            reply.accept(answer(job));
             return;
           }
-          JobRec cancelled = rec.withFinal(Final.CANCELLED);
-          JobEntries.Write write = core.jobEntries().keepingBits(cancelled, g.item().version());
+          JobRec cancelled = job.withFinal(Final.CANCELLED);
+          JobEntries.Write write = core.jobEntries().keepingBits(cancelled, read.item().version());
           boolean asked =
               store.transact(
                   Store.Urgency.USER,
                   new Txn(write.when(), write.puts(), List.of()),
-                  r -> {
-                    if (r.code() == Code.OK) {
+                  result -> {
+                    if (result.code() == Code.OK) {
                       reply.accept(answer(cancelled));
-                    } else if (r.code() == Code.CONFLICT && tries > 0) {
+                    } else if (result.code() == Code.CONFLICT && tries > 0) {
                       cancel(id, reply, tries - 1);
                     } else {
                       reply.accept(later("the cancellation could not be recorded"));
--- a/src/main/java/mallowstall/core/View.java
+++ b/src/main/java/mallowstall/core/View.java
@@ -31,7 +31,7 @@
     /** When {@link #m} was told. */
     long at;
 
-    RosterMachine m;
+    RosterMachine state;
 
     /** Room taken by starts sent from here and not yet in the owner's roster. */
     double sentCpus;
@@ -55,35 +55,35 @@
     }
 
     double freeCpus() {
-      return m.freeCpus() - sentCpus;
+      return state.freeCpus() - sentCpus;
     }
 
     double freeGpus() {
-      return m.freeGpus() - sentGpus;
+      return state.freeGpus() - sentGpus;
     }
 
     double freeMemory() {
-      return m.freeMemoryGb() - sentMemory;
+      return state.freeMemoryGb() - sentMemory;
     }
 
     boolean takes() {
-      return m != null
+      return state != null
           && owner != null
-          && m.confirmed()
-          && m.usable()
-          && !m.draining()
-          && !m.silent()
-          && !m.replace();
+          && state.confirmed()
+          && state.usable()
+          && !state.draining()
+          && !state.silent()
+          && !state.replace();
     }
 
     /** Whether it will be gone before long, by the cloud's notice or since it fails its tasks. */
     boolean leaves() {
-      return m != null && owner != null && (m.noticeS() >= 0 || m.replace());
+      return state != null && owner != null && (state.noticeS() >= 0 || state.replace());
     }
 
     /** For how long it has been idle, or silent; what was told then has gone on since. */
     long idleMs(long now) {
-      return m.idleMs() == 0 ? 0 : m.idleMs() + now - at;
+      return state.idleMs() == 0 ? 0 : state.idleMs() + now - at;
     }
   }
 
@@ -160,87 +160,87 @@
    * Takes in a roster; returns false if it is older than what is known, or builds on a statement
    * that never came. The sender then goes on from the last one that did, so nothing need be asked.
    */
-  boolean roster(Roster r) {
-    Peer p = peer(r.node());
-    if (r.incarnation() < p.incarnation) {
+  boolean roster(Roster roster) {
+    Peer sender = peer(roster.node());
+    if (roster.incarnation() < sender.incarnation) {
       return false;
     }
-    if (r.incarnation() > p.incarnation) {
-      p.incarnation = r.incarnation();
-      p.ackedConnection = 0;
-      p.ackedSeq = 0;
-      p.serial = 0;
-      p.heardIncarnation = r.incarnation();
-      p.heardSerial = 0;
+    if (roster.incarnation() > sender.incarnation) {
+      sender.incarnation = roster.incarnation();
+      sender.ackedConnection = 0;
+      sender.ackedSeq = 0;
+      sender.serial = 0;
+      sender.heardIncarnation = roster.incarnation();
+      sender.heardSerial = 0;
     }
     // statements count from 1, so a process that has none of this one's is told all
-    if (r.serial() <= p.serial || r.since() > p.serial) {
+    if (roster.serial() <= sender.serial || roster.since() > sender.serial) {
       return false;
     }
-    p.serial = r.serial();
-    p.heardSerial = r.serial();
-    p.knows = r.heardIncarnation() == core.incarnation() ? r.heardSerial() : 0;
-    p.received = ++received;
+    sender.serial = roster.serial();
+    sender.heardSerial = roster.serial();
+    sender.knows = roster.heardIncarnation() == core.incarnation() ? roster.heardSerial() : 0;
+    sender.received = ++received;
     long now = core.now();
-    p.rosterAt = now;
-    p.rosterRevision = r.mirrorRevision();
+    sender.rosterAt = now;
+    sender.rosterRevision = roster.mirrorRevision();
     // Connections are numbered anew by each process: what the peer acknowledges of a former one
     // says nothing of this one's starts. Taking it for an answer once started a task twice.
-    boolean mine = r.ackedIncarnation() == core.incarnation();
-    p.ackedConnection = mine ? r.ackedConnection() : 0;
-    p.ackedSeq = mine ? r.ackedSeq() : 0;
-    p.mirrorFreshAt = now - r.sinceMirrorMs();
-    Set<String> names = r.since() == 0 ? new HashSet<>() : null;
-    for (RosterMachine m : r.machines()) {
+    boolean mine = roster.ackedIncarnation() == core.incarnation();
+    sender.ackedConnection = mine ? roster.ackedConnection() : 0;
+    sender.ackedSeq = mine ? roster.ackedSeq() : 0;
+    sender.mirrorFreshAt = now - roster.sinceMirrorMs();
+    Set<String> names = roster.since() == 0 ? new HashSet<>() : null;
+    for (RosterMachine state : roster.machines()) {
       // returned: its record is dropped, only its owner hasn't heard of it yet
-      if (core.returned(m.machine(), m.version())) {
+      if (core.returned(state.machine(), state.version())) {
         continue;
       }
-      Seen s = machines.computeIfAbsent(m.machine(), Seen::new);
-      if (s.m != null && s.m.token() > m.token()) {
+      Seen machine = machines.computeIfAbsent(state.machine(), Seen::new);
+      if (machine.state != null && machine.state.token() > state.token()) {
         continue;
       }
       if (names != null) {
-        names.add(m.machine());
+        names.add(state.machine());
       }
-      if (s.owner != null && !s.owner.equals(r.node())) {
-        peer(s.owner).machines.remove(m.machine());
+      if (machine.owner != null && !machine.owner.equals(roster.node())) {
+        peer(machine.owner).machines.remove(state.machine());
       }
-      s.owner = r.node();
-      s.ownerIncarnation = r.incarnation();
-      s.at = now;
-      count(s.m, -1);
-      s.m = m;
-      count(m, 1);
+      machine.owner = roster.node();
+      machine.ownerIncarnation = roster.incarnation();
+      machine.at = now;
+      count(machine.state, -1);
+      machine.state = state;
+      count(state, 1);
       if (names == null) {
-        p.machines.add(m.machine());
+        sender.machines.add(state.machine());
       }
     }
-    for (String id : r.gone())
-      if (p.machines.remove(id)) {
-        disown(r.node(), id);
+    for (String id : roster.gone())
+      if (sender.machines.remove(id)) {
+        disown(roster.node(), id);
       }
     if (names != null) {
-      for (String id : p.machines)
+      for (String id : sender.machines)
         if (!names.contains(id)) {
-          disown(r.node(), id);
+          disown(roster.node(), id);
         }
-      p.machines = names;
+      sender.machines = names;
     }
     return true;
   }
 
-  private void count(RosterMachine m, int by) {
-    if (m == null) {
+  private void count(RosterMachine state, int by) {
+    if (state == null) {
       return;
     }
-    for (RosterTask t : m.tasks()) {
-      if (t.state() == TaskState.EXITED) {
+    for (RosterTask task : state.tasks()) {
+      if (task.state() == TaskState.EXITED) {
         continue;
       }
-      count(placed, t.job(), by);
-      if (t.state() == TaskState.RUNNING) {
-        count(running, t.job(), by);
+      count(placed, task.job(), by);
+      if (task.state() == TaskState.RUNNING) {
+        count(running, task.job(), by);
       }
     }
   }
@@ -261,31 +261,31 @@
   }
 
   /** Brings what follows from the machine's tasks up to date with what its owner told last. */
-  void derive(Seen s) {
-    if (s.derived == s.m) {
+  void derive(Seen machine) {
+    if (machine.derived == machine.state) {
       return;
     }
-    s.derived = s.m;
-    Set<String> images = new LinkedHashSet<>(s.m.images());
-    s.fetching = new ArrayList<>();
-    for (RosterTask t : s.m.tasks()) {
-      JobRec r = t.state() == TaskState.EXITED ? null : core.store().job(t.job());
-      if (r == null) {
+    machine.derived = machine.state;
+    Set<String> images = new LinkedHashSet<>(machine.state.images());
+    machine.fetching = new ArrayList<>();
+    for (RosterTask task : machine.state.tasks()) {
+      JobRec job = task.state() == TaskState.EXITED ? null : core.store().job(task.job());
+      if (job == null) {
         continue;
       }
-      images.add(r.spec().image());
-      if (t.state() == null || t.state() == TaskState.FETCHING) {
-        s.fetching.add(r.spec().image());
+      images.add(job.spec().image());
+      if (task.state() == null || task.state() == TaskState.FETCHING) {
+        machine.fetching.add(job.spec().image());
       }
     }
-    s.images = images.toArray(new String[0]);
+    machine.images = images.toArray(new String[0]);
   }
 
   /** Whether replicas of services are on the machine, as its owner last told. */
-  boolean hostsReplicas(Seen s) {
-    for (RosterTask t : s.m.tasks()) {
-      JobRec r = t.state() == TaskState.EXITED ? null : core.store().job(t.job());
-      if (r != null && r.spec().service() && !r.over()) {
+  boolean hostsReplicas(Seen machine) {
+    for (RosterTask task : machine.state.tasks()) {
+      JobRec job = task.state() == TaskState.EXITED ? null : core.store().job(task.job());
+      if (job != null && job.spec().service() && !job.over()) {
         return true;
       }
     }
@@ -293,24 +293,24 @@
   }
 
   private void disown(String node, String machine) {
-    Seen s = machines.get(machine);
-    if (s != null && node.equals(s.owner)) {
-      s.owner = null;
+    Seen seen = machines.get(machine);
+    if (seen != null && node.equals(seen.owner)) {
+      seen.owner = null;
     }
   }
 
   /** When the machine's owner was last heard; what it has not changed since then still holds. */
-  long heardAt(Seen s) {
-    return s.owner == null ? Long.MIN_VALUE / 2 : peer(s.owner).rosterAt;
+  long heardAt(Seen machine) {
+    return machine.owner == null ? Long.MIN_VALUE / 2 : peer(machine.owner).rosterAt;
   }
 
   void gone(String machine) {
-    Seen s = machines.remove(machine);
-    if (s != null) {
-      count(s.m, -1);
+    Seen seen = machines.remove(machine);
+    if (seen != null) {
+      count(seen.state, -1);
     }
-    if (s != null && s.owner != null) {
-      peer(s.owner).machines.remove(machine);
+    if (seen != null && seen.owner != null) {
+      peer(seen.owner).machines.remove(machine);
     }
   }
 
@@ -318,14 +318,14 @@
    * Whether the machine's recorded owner has told all that is on it, with commands of former owners
    * dead. The roster's revision then says up to where no start of an older epoch can reach it.
    */
-  boolean accounted(String machine, MachineRec rec) {
-    Seen s = machines.get(machine);
-    return s != null
-        && s.owner != null
-        && s.m != null
-        && s.owner.equals(rec.node())
-        && s.ownerIncarnation == rec.incarnation()
-        && s.m.token() == rec.token()
-        && s.m.confirmed();
+  boolean accounted(String machine, MachineRec record) {
+    Seen seen = machines.get(machine);
+    return seen != null
+        && seen.owner != null
+        && seen.state != null
+        && seen.owner.equals(record.node())
+        && seen.ownerIncarnation == record.incarnation()
+        && seen.state.token() == record.token()
+        && seen.state.confirmed();
   }
 }
--- a/src/main/java/mallowstall/net/Duty.java
+++ b/src/main/java/mallowstall/net/Duty.java
@@ -19,8 +19,8 @@
             () -> {
               try {
                 body.run();
-              } catch (RuntimeException e) {
-                LOG.error("duty {} failed", name, e);
+              } catch (RuntimeException failure) {
+                LOG.error("duty {} failed", name, failure);
               }
             },
             0,
--- a/src/main/java/mallowstall/net/HttpClient.java
+++ b/src/main/java/mallowstall/net/HttpClient.java
@@ -35,7 +35,7 @@
 
   /** Receives the reply on the event loop. */
   public interface Callback {
-    void done(Reply r);
+    void done(Reply reply);
   }
 
   private static final int MAX_RESPONSE = 8 << 20;
@@ -67,12 +67,12 @@
       this.then = then;
     }
 
-    void finish(Reply r) {
+    void finish(Reply reply) {
       if (over) {
         return;
       }
       over = true;
-      then.done(r);
+      then.done(reply);
     }
   }
 
@@ -84,21 +84,21 @@
   }
 
   public void call(HttpMethod method, String path, byte[] body, long timeoutMs, Callback then) {
-    Call c = new Call(method, path, body, System.nanoTime() + timeoutMs * 1_000_000, then);
+    Call call = new Call(method, path, body, System.nanoTime() + timeoutMs * 1_000_000, then);
     Conn conn = idle.poll();
     if (conn != null) {
-      conn.send(c);
+      conn.send(call);
     } else if (open < maxConnections) {
-      connect(c);
+      connect(call);
     } else if (queue.size() >= MAX_QUEUE) {
-      loop.execute(() -> c.finish(Reply.UNSENT));
+      loop.execute(() -> call.finish(Reply.UNSENT));
     } else {
-      queue.add(c);
+      queue.add(call);
       // a call that waits too long for a connection was surely never sent
       loop.schedule(
           () -> {
-            if (queue.remove(c)) {
-              c.finish(Reply.UNSENT);
+            if (queue.remove(call)) {
+              call.finish(Reply.UNSENT);
             }
           },
           timeoutMs,
@@ -112,9 +112,9 @@
     for (Conn c : new ArrayDeque<>(idle)) c.channel.close();
   }
 
-  private void connect(Call c) {
+  private void connect(Call call) {
     open++;
-    long left = Math.max(1, (c.deadline - System.nanoTime()) / 1_000_000);
+    long left = Math.max(1, (call.deadline - System.nanoTime()) / 1_000_000);
     Conn conn = new Conn();
     new Bootstrap()
         .group(loop)
@@ -125,19 +125,20 @@
         .handler(
             new ChannelInitializer<SocketChannel>() {
               @Override
-              protected void initChannel(SocketChannel ch) {
-                ch.pipeline()
+              protected void initChannel(SocketChannel channel) {
+                channel
+                    .pipeline()
                     .addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_RESPONSE), conn);
               }
             })
         .connect(address)
         .addListener(
-            f -> {
-              if (f.isSuccess()) {
-                conn.send(c);
+            future -> {
+              if (future.isSuccess()) {
+                conn.send(call);
               } else {
                 open--;
-                c.finish(Reply.UNSENT);
+                call.finish(Reply.UNSENT);
                 next();
               }
             });
@@ -163,18 +164,18 @@
     private ScheduledFuture<?> timer;
     private boolean closed;
 
-    void send(Call c) {
-      current = c;
-      c.sent = true;
-      ByteBuf body = c.body == null ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(c.body);
+    void send(Call call) {
+      current = call;
+      call.sent = true;
+      ByteBuf body = call.body == null ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(call.body);
       DefaultFullHttpRequest q =
-          new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, c.method, c.path, body);
+          new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, call.method, call.path, body);
       q.headers().set(HttpHeaderNames.HOST, host);
-      if (c.body != null) {
+      if (call.body != null) {
         q.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
       }
       q.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
-      long left = Math.max(1, (c.deadline - System.nanoTime()) / 1_000_000);
+      long left = Math.max(1, (call.deadline - System.nanoTime()) / 1_000_000);
       timer = loop.schedule(() -> channel.close(), left, TimeUnit.MILLISECONDS);
       channel.writeAndFlush(q);
     }
@@ -187,8 +188,8 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse m) {
-      Call c = current;
-      if (c == null) {
+      Call call = current;
+      if (call == null) {
         ctx.close();
         return;
       }
@@ -203,7 +204,7 @@
         ctx.close();
       }
       next();
-      c.finish(new Reply(m.status().code(), b));
+      call.finish(new Reply(m.status().code(), b));
     }
 
     @Override
@@ -218,15 +219,15 @@
         timer.cancel(false);
       }
       if (current != null) {
-        Call c = current;
+        Call call = current;
         current = null;
-        c.finish(Reply.UNKNOWN);
+        call.finish(Reply.UNKNOWN);
       }
       next();
     }
 
     @Override
-    public void exceptionCaught(ChannelHandlerContext ctx, Throwable e) {
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable failure) {
       ctx.close();
     }
   }
--- a/src/main/java/mallowstall/net/HttpServer.java
+++ b/src/main/java/mallowstall/net/HttpServer.java
@@ -44,7 +44,7 @@
   }
 
   public interface Handler {
-    void handle(Request q, Responder r);
+    void handle(Request request, Responder responder);
   }
 
   private final Handler handler;
@@ -69,13 +69,14 @@
             .childHandler(
                 new ChannelInitializer<SocketChannel>() {
                   @Override
-                  protected void initChannel(SocketChannel ch) {
+                  protected void initChannel(SocketChannel channel) {
                     if (open >= maxConnections) {
-                      ch.close();
+                      channel.close();
                       return;
                     }
                     Conn c = new Conn();
-                    ch.pipeline()
+                    channel
+                        .pipeline()
                         .addLast(
                             new IdleStateHandler(Constants.SLOW_REQUEST_S, 0, 0),
                             new Guard(c),
@@ -206,8 +207,8 @@
     }
 
     @Override
-    public void exceptionCaught(ChannelHandlerContext ctx, Throwable e) {
-      if (e instanceof TooLongFrameException) {
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable failure) {
+      if (failure instanceof TooLongFrameException) {
         write(
             ctx,
             400,
--- a/src/main/java/mallowstall/peers/PeerCodec.java
+++ b/src/main/java/mallowstall/peers/PeerCodec.java
@@ -29,11 +29,11 @@
  */
 public final class PeerCodec {
   private interface Write<T> {
-    void to(BinaryEncoder e, T v) throws IOException;
+    void to(BinaryEncoder encoder, T v) throws IOException;
   }
 
   private interface Read<T> {
-    T from(BinaryDecoder d) throws IOException;
+    T from(BinaryDecoder decoder) throws IOException;
   }
 
   private static final int CONFIRMED = 1;
@@ -54,28 +54,28 @@
 
   private PeerCodec() {}
 
-  public static byte[] encode(PeerMessage m) {
+  public static byte[] encode(PeerMessage message) {
     ByteArrayOutputStream out = new ByteArrayOutputStream(1024);
-    BinaryEncoder e = EncoderFactory.get().binaryEncoder(out, null);
+    BinaryEncoder encoder = EncoderFactory.get().binaryEncoder(out, null);
     try {
-      if (m instanceof Roster r) {
-        e.writeIndex(0);
-        roster(e, r);
-      } else if (m instanceof Starts s) {
-        e.writeIndex(1);
-        e.writeString(s.node());
-        e.writeLong(s.incarnation());
-        e.writeLong(s.connection());
-        e.writeLong(s.seq());
-        list(e, s.starts(), PeerCodec::start);
-      } else if (m instanceof Stops s) {
-        e.writeIndex(2);
-        e.writeString(s.node());
-        e.writeLong(s.incarnation());
-        list(e, s.stops(), PeerCodec::stop);
-        list(e, s.drains(), BinaryEncoder::writeString);
+      if (message instanceof Roster statement) {
+        encoder.writeIndex(0);
+        roster(encoder, statement);
+      } else if (message instanceof Starts starts) {
+        encoder.writeIndex(1);
+        encoder.writeString(starts.node());
+        encoder.writeLong(starts.incarnation());
+        encoder.writeLong(starts.connection());
+        encoder.writeLong(starts.seq());
+        list(encoder, starts.starts(), PeerCodec::start);
+      } else if (message instanceof Stops stops) {
+        encoder.writeIndex(2);
+        encoder.writeString(stops.node());
+        encoder.writeLong(stops.incarnation());
+        list(encoder, stops.stops(), PeerCodec::stop);
+        list(encoder, stops.drains(), BinaryEncoder::writeString);
       }
-      e.flush();
+      encoder.flush();
     } catch (IOException x) {
       throw new IllegalStateException(x);
     }
@@ -86,122 +86,126 @@
   public static PeerMessage decode(byte[] b) throws IOException {
     try {
       return message(b);
-    } catch (RuntimeException e) {
-      throw new IOException("malformed message", e);
+    } catch (RuntimeException failure) {
+      throw new IOException("malformed message", failure);
     }
   }
 
   private static PeerMessage message(byte[] b) throws IOException {
-    BinaryDecoder d = DecoderFactory.get().binaryDecoder(b, null);
-    int kind = d.readIndex();
+    BinaryDecoder decoder = DecoderFactory.get().binaryDecoder(b, null);
+    int kind = decoder.readIndex();
     return switch (kind) {
-      case 0 -> roster(d);
+      case 0 -> roster(decoder);
       case 1 ->
           new Starts(
-              d.readString(), d.readLong(), d.readLong(), d.readLong(), list(d, PeerCodec::start));
+              decoder.readString(),
+              decoder.readLong(),
+              decoder.readLong(),
+              decoder.readLong(),
+              list(decoder, PeerCodec::start));
       case 2 ->
           new Stops(
-              d.readString(),
-              d.readLong(),
-              list(d, PeerCodec::stop),
-              list(d, BinaryDecoder::readString));
+              decoder.readString(),
+              decoder.readLong(),
+              list(decoder, PeerCodec::stop),
+              list(decoder, BinaryDecoder::readString));
       default -> throw new IOException("unknown message kind " + kind);
     };
   }
 
-  private static <T> void list(BinaryEncoder e, List<T> l, Write<T> w) throws IOException {
-    e.writeArrayStart();
-    e.setItemCount(l.size());
-    for (T t : l) {
-      e.startItem();
-      w.to(e, t);
+  private static <T> void list(BinaryEncoder encoder, List<T> l, Write<T> w) throws IOException {
+    encoder.writeArrayStart();
+    encoder.setItemCount(l.size());
+    for (T task : l) {
+      encoder.startItem();
+      w.to(encoder, task);
     }
-    e.writeArrayEnd();
+    encoder.writeArrayEnd();
   }
 
-  private static <T> List<T> list(BinaryDecoder d, Read<T> r) throws IOException {
+  private static <T> List<T> list(BinaryDecoder decoder, Read<T> r) throws IOException {
     List<T> out = new ArrayList<>();
-    for (long n = d.readArrayStart(); n != 0; n = d.arrayNext()) {
+    for (long n = decoder.readArrayStart(); n != 0; n = decoder.arrayNext()) {
       for (long i = 0; i < n; i++) {
-        out.add(r.from(d));
+        out.add(r.from(decoder));
       }
     }
     return out;
   }
 
-  private static void roster(BinaryEncoder e, Roster r) throws IOException {
-    e.writeString(r.node());
-    e.writeLong(r.incarnation());
-    e.writeLong(r.serial());
-    e.writeLong(r.since());
-    e.writeLong(r.heardIncarnation());
-    e.writeLong(r.heardSerial());
-    e.writeLong(r.mirrorRevision());
-    e.writeLong(r.ackedIncarnation());
-    e.writeLong(r.ackedConnection());
-    e.writeLong(r.ackedSeq());
-    e.writeLong(r.sinceMirrorMs());
-    list(e, r.cancelled(), BinaryEncoder::writeString);
-    list(e, r.machines(), PeerCodec::machine);
-    list(e, r.gone(), BinaryEncoder::writeString);
-    list(e, r.refusals(), PeerCodec::refusal);
+  private static void roster(BinaryEncoder encoder, Roster roster) throws IOException {
+    encoder.writeString(roster.node());
+    encoder.writeLong(roster.incarnation());
+    encoder.writeLong(roster.serial());
+    encoder.writeLong(roster.since());
+    encoder.writeLong(roster.heardIncarnation());
+    encoder.writeLong(roster.heardSerial());
+    encoder.writeLong(roster.mirrorRevision());
+    encoder.writeLong(roster.ackedIncarnation());
+    encoder.writeLong(roster.ackedConnection());
+    encoder.writeLong(roster.ackedSeq());
+    encoder.writeLong(roster.sinceMirrorMs());
+    list(encoder, roster.cancelled(), BinaryEncoder::writeString);
+    list(encoder, roster.machines(), PeerCodec::machine);
+    list(encoder, roster.gone(), BinaryEncoder::writeString);
+    list(encoder, roster.refusals(), PeerCodec::refusal);
   }
 
-  private static Roster roster(BinaryDecoder d) throws IOException {
+  private static Roster roster(BinaryDecoder decoder) throws IOException {
     return new Roster(
-        d.readString(),
-        d.readLong(),
-        d.readLong(),
-        d.readLong(),
-        d.readLong(),
-        d.readLong(),
-        d.readLong(),
-        d.readLong(),
-        d.readLong(),
-        d.readLong(),
-        d.readLong(),
-        list(d, BinaryDecoder::readString),
-        list(d, PeerCodec::machine),
-        list(d, BinaryDecoder::readString),
-        list(d, PeerCodec::refusal));
+        decoder.readString(),
+        decoder.readLong(),
+        decoder.readLong(),
+        decoder.readLong(),
+        decoder.readLong(),
+        decoder.readLong(),
+        decoder.readLong(),
+        decoder.readLong(),
+        decoder.readLong(),
+        decoder.readLong(),
+        decoder.readLong(),
+        list(decoder, BinaryDecoder::readString),
+        list(decoder, PeerCodec::machine),
+        list(decoder, BinaryDecoder::readString),
+        list(decoder, PeerCodec::refusal));
   }
 
-  private static void machine(BinaryEncoder e, RosterMachine m) throws IOException {
-    e.writeString(m.machine());
-    e.writeString(m.addr() == null ? "" : m.addr());
-    e.writeLong(m.token());
-    e.writeLong(m.version());
-    e.writeLong(m.session());
-    e.writeLong(m.seq());
-    e.writeInt(
-        (m.confirmed() ? CONFIRMED : 0)
-            | (m.usable() ? USABLE : 0)
-            | (m.draining() ? DRAINING : 0)
-            | (m.replace() ? REPLACE : 0)
-            | (m.silent() ? SILENT : 0)
-            | (m.spot() ? SPOT : 0)
-            | (m.lost() ? LOST : 0));
-    e.writeString(m.type());
-    e.writeString(m.zone());
-    e.writeDouble(m.noticeS());
-    e.writeDouble(m.freeCpus());
-    e.writeDouble(m.freeGpus());
-    e.writeDouble(m.freeMemoryGb());
-    e.writeLong(m.idleMs());
-    list(e, m.images(), BinaryEncoder::writeString);
-    list(e, m.tasks(), PeerCodec::task);
+  private static void machine(BinaryEncoder encoder, RosterMachine state) throws IOException {
+    encoder.writeString(state.machine());
+    encoder.writeString(state.addr() == null ? "" : state.addr());
+    encoder.writeLong(state.token());
+    encoder.writeLong(state.version());
+    encoder.writeLong(state.session());
+    encoder.writeLong(state.seq());
+    encoder.writeInt(
+        (state.confirmed() ? CONFIRMED : 0)
+            | (state.usable() ? USABLE : 0)
+            | (state.draining() ? DRAINING : 0)
+            | (state.replace() ? REPLACE : 0)
+            | (state.silent() ? SILENT : 0)
+            | (state.spot() ? SPOT : 0)
+            | (state.lost() ? LOST : 0));
+    encoder.writeString(state.type());
+    encoder.writeString(state.zone());
+    encoder.writeDouble(state.noticeS());
+    encoder.writeDouble(state.freeCpus());
+    encoder.writeDouble(state.freeGpus());
+    encoder.writeDouble(state.freeMemoryGb());
+    encoder.writeLong(state.idleMs());
+    list(encoder, state.images(), BinaryEncoder::writeString);
+    list(encoder, state.tasks(), PeerCodec::task);
   }
 
-  private static RosterMachine machine(BinaryDecoder d) throws IOException {
-    String id = d.readString();
-    String addr = d.readString();
-    long token = d.readLong();
-    long version = d.readLong();
-    long session = d.readLong();
-    long seq = d.readLong();
-    int f = d.readInt();
-    String type = d.readString();
-    String zone = d.readString();
+  private static RosterMachine machine(BinaryDecoder decoder) throws IOException {
+    String id = decoder.readString();
+    String addr = decoder.readString();
+    long token = decoder.readLong();
+    long version = decoder.readLong();
+    long session = decoder.readLong();
+    long seq = decoder.readLong();
+    int f = decoder.readInt();
+    String type = decoder.readString();
+    String zone = decoder.readString();
     return new RosterMachine(
         id,
         addr.isEmpty() ? null : addr,
@@ -218,29 +222,29 @@
         type,
         zone,
         (f & SPOT) != 0,
-        d.readDouble(),
-        d.readDouble(),
-        d.readDouble(),
-        d.readDouble(),
-        d.readLong(),
-        list(d, BinaryDecoder::readString),
-        list(d, PeerCodec::task));
+        decoder.readDouble(),
+        decoder.readDouble(),
+        decoder.readDouble(),
+        decoder.readDouble(),
+        decoder.readLong(),
+        list(decoder, BinaryDecoder::readString),
+        list(decoder, PeerCodec::task));
   }
 
-  private static void task(BinaryEncoder e, RosterTask t) throws IOException {
-    e.writeString(t.job());
-    e.writeInt(t.task());
-    e.writeLong(t.attempt());
-    e.writeEnum(t.state() == null ? 0 : t.state().ordinal() + 1);
-    e.writeEnum(t.why() == null ? 0 : t.why().ordinal() + 1);
+  private static void task(BinaryEncoder encoder, RosterTask task) throws IOException {
+    encoder.writeString(task.job());
+    encoder.writeInt(task.task());
+    encoder.writeLong(task.attempt());
+    encoder.writeEnum(task.state() == null ? 0 : task.state().ordinal() + 1);
+    encoder.writeEnum(task.why() == null ? 0 : task.why().ordinal() + 1);
   }
 
-  private static RosterTask task(BinaryDecoder d) throws IOException {
-    String job = d.readString();
-    int task = d.readInt();
-    long attempt = d.readLong();
-    int s = d.readEnum();
-    int w = d.readEnum();
+  private static RosterTask task(BinaryDecoder decoder) throws IOException {
+    String job = decoder.readString();
+    int task = decoder.readInt();
+    long attempt = decoder.readLong();
+    int s = decoder.readEnum();
+    int w = decoder.readEnum();
     if (s < 0 || s > STATES.length || w < 0 || w > WHYS.length) {
       throw new IOException("unknown enum value");
     }
@@ -248,58 +252,68 @@
         job, task, attempt, s == 0 ? null : STATES[s - 1], w == 0 ? null : WHYS[w - 1]);
   }
 
-  private static void refusal(BinaryEncoder e, Refusal r) throws IOException {
-    e.writeString(r.machine());
-    e.writeString(r.job());
-    e.writeInt(r.task());
-    e.writeLong(r.attempt());
-    e.writeString(r.reason());
+  private static void refusal(BinaryEncoder encoder, Refusal r) throws IOException {
+    encoder.writeString(r.machine());
+    encoder.writeString(r.job());
+    encoder.writeInt(r.task());
+    encoder.writeLong(r.attempt());
+    encoder.writeString(r.reason());
   }
 
-  private static Refusal refusal(BinaryDecoder d) throws IOException {
-    return new Refusal(d.readString(), d.readString(), d.readInt(), d.readLong(), d.readString());
+  private static Refusal refusal(BinaryDecoder decoder) throws IOException {
+    return new Refusal(
+        decoder.readString(),
+        decoder.readString(),
+        decoder.readInt(),
+        decoder.readLong(),
+        decoder.readString());
   }
 
-  private static void start(BinaryEncoder e, StartOrder o) throws IOException {
-    e.writeString(o.machine());
-    e.writeString(o.job());
-    e.writeInt(o.task());
-    e.writeLong(o.attempt());
-    e.writeLong(o.epoch());
-    e.writeLong(o.expiryWallMs());
-    list(e, o.instead(), PeerCodec::ref);
+  private static void start(BinaryEncoder encoder, StartOrder start) throws IOException {
+    encoder.writeString(start.machine());
+    encoder.writeString(start.job());
+    encoder.writeInt(start.task());
+    encoder.writeLong(start.attempt());
+    encoder.writeLong(start.epoch());
+    encoder.writeLong(start.expiryWallMs());
+    list(encoder, start.instead(), PeerCodec::ref);
   }
 
-  private static void ref(BinaryEncoder e, TaskRef t) throws IOException {
-    e.writeString(t.job());
-    e.writeInt(t.task());
-    e.writeLong(t.attempt());
+  private static void ref(BinaryEncoder encoder, TaskRef ref) throws IOException {
+    encoder.writeString(ref.job());
+    encoder.writeInt(ref.task());
+    encoder.writeLong(ref.attempt());
   }
 
-  private static TaskRef ref(BinaryDecoder d) throws IOException {
-    return new TaskRef(d.readString(), d.readInt(), d.readLong());
+  private static TaskRef ref(BinaryDecoder decoder) throws IOException {
+    return new TaskRef(decoder.readString(), decoder.readInt(), decoder.readLong());
   }
 
-  private static StartOrder start(BinaryDecoder d) throws IOException {
+  private static StartOrder start(BinaryDecoder decoder) throws IOException {
     return new StartOrder(
-        d.readString(),
-        d.readString(),
-        d.readInt(),
-        d.readLong(),
-        d.readLong(),
-        d.readLong(),
-        list(d, PeerCodec::ref));
+        decoder.readString(),
+        decoder.readString(),
+        decoder.readInt(),
+        decoder.readLong(),
+        decoder.readLong(),
+        decoder.readLong(),
+        list(decoder, PeerCodec::ref));
   }
 
-  private static void stop(BinaryEncoder e, StopOrder o) throws IOException {
-    e.writeString(o.machine());
-    e.writeString(o.job());
-    e.writeInt(o.task());
-    e.writeLong(o.attempt());
-    e.writeDouble(o.graceS());
+  private static void stop(BinaryEncoder encoder, StopOrder stop) throws IOException {
+    encoder.writeString(stop.machine());
+    encoder.writeString(stop.job());
+    encoder.writeInt(stop.task());
+    encoder.writeLong(stop.attempt());
+    encoder.writeDouble(stop.graceS());
   }
 
-  private static StopOrder stop(BinaryDecoder d) throws IOException {
-    return new StopOrder(d.readString(), d.readString(), d.readInt(), d.readLong(), d.readDouble());
+  private static StopOrder stop(BinaryDecoder decoder) throws IOException {
+    return new StopOrder(
+        decoder.readString(),
+        decoder.readString(),
+        decoder.readInt(),
+        decoder.readLong(),
+        decoder.readDouble());
   }
 }
--- a/src/main/java/mallowstall/peers/PeersAdapter.java
+++ b/src/main/java/mallowstall/peers/PeersAdapter.java
@@ -65,14 +65,15 @@
             .childHandler(
                 new ChannelInitializer<SocketChannel>() {
                   @Override
-                  protected void initChannel(SocketChannel ch) {
+                  protected void initChannel(SocketChannel channel) {
                     if (inbound >= maxInbound) {
-                      ch.close();
+                      channel.close();
                       return;
                     }
                     inbound++;
-                    ch.closeFuture().addListener(f -> inbound--);
-                    ch.pipeline()
+                    channel.closeFuture().addListener(future -> inbound--);
+                    channel
+                        .pipeline()
                         .addLast(
                             new LengthFieldBasedFrameDecoder(Constants.PEER_FRAME_MAX, 0, 4, 0, 4),
                             new Hearing());
@@ -84,21 +85,21 @@
   }
 
   public void connect(String node, InetSocketAddress at) {
-    Link l = new Link(node, at);
-    links.put(node, l);
-    l.connect();
+    Link link = new Link(node, at);
+    links.put(node, link);
+    link.connect();
   }
 
-  public void send(String node, PeerMessage m) {
-    Link l = links.get(node);
-    if (l == null || l.channel == null || !l.channel.isActive()) {
+  public void send(String node, PeerMessage message) {
+    Link link = links.get(node);
+    if (link == null || link.channel == null || !link.channel.isActive()) {
       return;
     }
     // a roster says everything anew, so one that can't leave yet is not worth keeping
-    if (m instanceof Roster && l.channel.bytesBeforeUnwritable() <= 0) {
+    if (message instanceof Roster && link.channel.bytesBeforeUnwritable() <= 0) {
       return;
     }
-    l.channel.writeAndFlush(Unpooled.wrappedBuffer(PeerCodec.encode(m)));
+    link.channel.writeAndFlush(Unpooled.wrappedBuffer(PeerCodec.encode(message)));
   }
 
   public void close() {
@@ -106,9 +107,9 @@
     if (listening != null) {
       listening.close();
     }
-    for (Link l : links.values())
-      if (l.channel != null) {
-        l.channel.close();
+    for (Link link : links.values())
+      if (link.channel != null) {
+        link.channel.close();
       }
   }
 
@@ -117,13 +118,13 @@
     protected void channelRead0(ChannelHandlerContext ctx, ByteBuf b) throws IOException {
       byte[] bytes = new byte[b.readableBytes()];
       b.readBytes(bytes);
-      PeerMessage m = PeerCodec.decode(bytes);
-      events.accept(() -> core.message(m));
+      PeerMessage message = PeerCodec.decode(bytes);
+      events.accept(() -> core.message(message));
     }
 
     @Override
-    public void exceptionCaught(ChannelHandlerContext ctx, Throwable e) {
-      LOG.info("connection from {} ends: {}", ctx.channel().remoteAddress(), e.toString());
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable failure) {
+      LOG.info("connection from {} ends: {}", ctx.channel().remoteAddress(), failure.toString());
       ctx.close();
     }
   }
@@ -131,8 +132,8 @@
   /** Nothing comes back on this connection but its end. */
   private static final class Speaking extends ChannelInboundHandlerAdapter {
     @Override
-    public void exceptionCaught(ChannelHandlerContext ctx, Throwable e) {
-      LOG.debug("connection to a peer ends: {}", e.toString());
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable failure) {
+      LOG.debug("connection to a peer ends: {}", failure.toString());
       ctx.close();
     }
   }
@@ -165,18 +166,18 @@
           .handler(
               new ChannelInitializer<SocketChannel>() {
                 @Override
-                protected void initChannel(SocketChannel ch) {
-                  ch.pipeline().addLast(new LengthFieldPrepender(4), new Speaking());
+                protected void initChannel(SocketChannel channel) {
+                  channel.pipeline().addLast(new LengthFieldPrepender(4), new Speaking());
                 }
               })
           .connect(at)
           .addListener(
-              f -> {
-                if (!f.isSuccess()) {
+              future -> {
+                if (!future.isSuccess()) {
                   again();
                   return;
                 }
-                channel = ((io.netty.channel.ChannelFuture) f).channel();
+                channel = ((io.netty.channel.ChannelFuture) future).channel();
                 long n = ++connections;
                 LOG.info("connected to {}", node);
                 channel.closeFuture().addListener(c -> again());
--- a/src/main/java/mallowstall/policy/Expr.java
+++ b/src/main/java/mallowstall/policy/Expr.java
@@ -32,7 +32,7 @@
 
   /** Reads a text; null when the fact is unknown. */
   interface TextOf {
-    String of(Facts f);
+    String of(Facts facts);
   }
 
   final Type type;
@@ -71,8 +71,8 @@
   /** The variables of the language. */
   static Expr variable(String name) {
     return switch (name) {
-      case "machine.zone" -> text(f -> f.zone, false);
-      case "machine.type" -> text(f -> f.type, false);
+      case "machine.zone" -> text(facts -> facts.zone, false);
+      case "machine.type" -> text(pair -> pair.type, false);
       case "machine.spot" -> bool(f -> f.spot, false);
       case "machine.own" -> bool(f -> f.own, false);
       case "machine.image" -> bool(f -> f.imagePresent, false);
--- a/src/main/java/mallowstall/policy/Parser.java
+++ b/src/main/java/mallowstall/policy/Parser.java
@@ -29,21 +29,21 @@
       Expr workersExpr, Expr invalidateExpr, Policy.Strategy strategy, Expr scoreExpr)
       implements Policy.Block {
     @Override
-    public boolean workers(Facts f) {
-      return workersExpr.bool.test(f);
+    public boolean workers(Facts facts) {
+      return workersExpr.bool.test(facts);
     }
 
     @Override
-    public boolean invalidate(Facts f) {
-      return invalidateExpr.bool.test(f);
+    public boolean invalidate(Facts facts) {
+      return invalidateExpr.bool.test(facts);
     }
 
     @Override
-    public double score(Facts f) {
+    public double score(Facts facts) {
       if (scoreExpr == null) {
         return 0;
       }
-      double d = scoreExpr.number.applyAsDouble(f);
+      double d = scoreExpr.number.applyAsDouble(facts);
       return Double.isNaN(d) ? Double.MAX_VALUE : d;
     }
   }
@@ -75,26 +75,26 @@
   }
 
   private Token next() {
-    Token t = tokens.get(at);
-    if (t.kind() != Kind.END) {
+    Token token = tokens.get(at);
+    if (token.kind() != Kind.END) {
       at++;
     }
-    return t;
+    return token;
   }
 
-  private void fault(Token t, String m) {
-    faults.add(new Fault(t.line(), t.column(), true, m));
+  private void fault(Token token, String m) {
+    faults.add(new Fault(token.line(), token.column(), true, m));
   }
 
-  private Stop stop(Token t, String m) {
-    fault(t, m);
+  private Stop stop(Token token, String m) {
+    fault(token, m);
     return new Stop();
   }
 
   private void expect(String sign) {
-    Token t = look();
-    if (!t.is(sign)) {
-      throw stop(t, "expected '" + sign + "' but found " + t);
+    Token token = look();
+    if (!token.is(sign)) {
+      throw stop(token, "expected '" + sign + "' but found " + token);
     }
     next();
   }
@@ -102,10 +102,10 @@
   // ---- structure ----------------------------------------------------------------------------
   private void file() {
     while (look().kind() != Kind.END) {
-      Token t = look();
+      Token token = look();
       try {
-        if (!t.is("class")) {
-          throw stop(t, "expected 'class' but found " + t);
+        if (!token.is("class")) {
+          throw stop(token, "expected 'class' but found " + token);
         }
         next();
         policy();
@@ -137,20 +137,20 @@
     List<Policy.Block> blocks = new ArrayList<>();
     int begun = 0;
     while (!look().is("}")) {
-      Token t = look();
-      if (t.kind() == Kind.END || t.is("class")) {
-        throw stop(t, "class '" + name.text() + "' has no closing '}'");
+      Token token = look();
+      if (token.kind() == Kind.END || token.is("class")) {
+        throw stop(token, "class '" + name.text() + "' has no closing '}'");
       }
       int from = at;
       begun++;
       try {
-        if (!t.is("block")) {
-          throw stop(t, "expected 'block' or '}' but found " + t);
+        if (!token.is("block")) {
+          throw stop(token, "expected 'block' or '}' but found " + token);
         }
         next();
-        Policy.Block b = block(t);
-        if (b != null) {
-          blocks.add(b);
+        Policy.Block policyBlock = block(token);
+        if (policyBlock != null) {
+          blocks.add(policyBlock);
         }
       } catch (Stop e) {
         skipBlock(from);
@@ -186,24 +186,25 @@
   private Policy.Block block(Token start) {
     expect("{");
     Map<String, Token> seen = new HashMap<>();
-    Expr workers = Expr.bool(f -> true, true);
-    Expr invalidate = Expr.bool(f -> false, true);
+    Expr workers = Expr.bool(facts -> true, true);
+    Expr invalidate = Expr.bool(pair -> false, true);
     Expr score = null;
     Policy.Strategy strategy = Policy.Strategy.RANDOM;
     while (!look().is("}")) {
-      Token t = next();
-      if (t.kind() == Kind.END) {
-        throw stop(t, "this block has no closing '}'");
+      Token token = next();
+      if (token.kind() == Kind.END) {
+        throw stop(token, "this block has no closing '}'");
       }
-      if (t.kind() != Kind.NAME || !(t.is("workers") || t.is("strategy") || t.is("invalidate"))) {
-        throw stop(t, "expected workers, strategy, invalidate or '}' but found " + t);
+      if (token.kind() != Kind.NAME
+          || !(token.is("workers") || token.is("strategy") || token.is("invalidate"))) {
+        throw stop(token, "expected workers, strategy, invalidate or '}' but found " + token);
       }
-      if (seen.put(t.text(), t) != null) {
-        fault(t, t.text() + " stands twice in this block");
+      if (seen.put(token.text(), token) != null) {
+        fault(token, token.text() + " stands twice in this block");
       }
       expect(":");
       Token from = look();
-      switch (t.text()) {
+      switch (token.text()) {
         case "workers" -> {
           workers = typed(from, expression(), Type.BOOL, "workers");
           if (workers.constant && !workers.bool.test(new Facts())) {
@@ -240,15 +241,15 @@
     return new Compiled(workers, invalidate, strategy, score);
   }
 
-  private void warn(Token t, String m) {
-    faults.add(new Fault(t.line(), t.column(), false, m));
+  private void warn(Token token, String m) {
+    faults.add(new Fault(token.line(), token.column(), false, m));
   }
 
-  private Expr typed(Token t, Expr e, Type wanted, String what) {
-    if (e.type != wanted) {
-      throw stop(t, what + " needs " + wanted.words + " but this is " + e.type.words);
+  private Expr typed(Token token, Expr expression, Type wanted, String what) {
+    if (expression.type != wanted) {
+      throw stop(token, what + " needs " + wanted.words + " but this is " + expression.type.words);
     }
-    return e;
+    return expression;
   }
 
   // ---- expressions --------------------------------------------------------------------------
@@ -265,31 +266,35 @@
 
   private Expr or() {
     Token from = look();
-    Expr a = and();
+    Expr left = and();
     while (look().is("or")) {
       next();
-      Token t = look();
-      Predicate<Facts> x = typed(from, a, Type.BOOL, "or").bool;
-      Expr b = typed(t, and(), Type.BOOL, "or");
-      Predicate<Facts> y = b.bool;
-      a = Expr.bool(f -> x.test(f) || y.test(f), a.constant && b.constant);
-    }
-    return a;
+      Token token = look();
+      Predicate<Facts> first = typed(from, left, Type.BOOL, "or").bool;
+      Expr right = typed(token, and(), Type.BOOL, "or");
+      Predicate<Facts> second = right.bool;
+      left =
+          Expr.bool(
+              facts -> first.test(facts) || second.test(facts), left.constant && right.constant);
+    }
+    return left;
   }
 
   private Expr and() {
     Token from = look();
     Map<String, String> equal = new HashMap<>();
-    Expr a = comparison(equal);
+    Expr left = comparison(equal);
     while (look().is("and")) {
       next();
-      Token t = look();
-      Predicate<Facts> x = typed(from, a, Type.BOOL, "and").bool;
-      Expr b = typed(t, comparison(equal), Type.BOOL, "and");
-      Predicate<Facts> y = b.bool;
-      a = Expr.bool(f -> x.test(f) && y.test(f), a.constant && b.constant);
-    }
-    return a;
+      Token token = look();
+      Predicate<Facts> first = typed(from, left, Type.BOOL, "and").bool;
+      Expr right = typed(token, comparison(equal), Type.BOOL, "and");
+      Predicate<Facts> second = right.bool;
+      left =
+          Expr.bool(
+              facts -> first.test(facts) && second.test(facts), left.constant && right.constant);
+    }
+    return left;
   }
 
   /**
@@ -299,36 +304,37 @@
     Token from = look();
     if (from.is("not")) {
       next();
-      Token t = look();
+      Token token = look();
       if (++depth > DEEPEST) {
-        throw stop(t, "this expression is nested too deeply");
+        throw stop(token, "this expression is nested too deeply");
       }
-      Expr e = typed(t, comparison(new HashMap<>()), Type.BOOL, "not");
+      Expr expression = typed(token, comparison(new HashMap<>()), Type.BOOL, "not");
       depth--;
-      Predicate<Facts> x = e.bool;
-      return Expr.bool(f -> !x.test(f), e.constant);
+      Predicate<Facts> left = expression.bool;
+      return Expr.bool(facts -> !left.test(facts), expression.constant);
     }
-    Expr a = sum();
+    Expr first = sum();
     Token op = look();
     if (!(op.is("<") || op.is("<=") || op.is(">") || op.is(">=") || op.is("==") || op.is("!="))) {
-      return a;
+      return first;
     }
     next();
     Token to = look();
-    Expr b = sum();
-    if (a.type != b.type) {
-      throw stop(op, "'" + op.text() + "' compares " + a.type.words + " with " + b.type.words);
+    Expr right = sum();
+    if (first.type != right.type) {
+      throw stop(
+          op, "'" + op.text() + "' compares " + first.type.words + " with " + right.type.words);
     }
-    boolean constant = a.constant && b.constant;
-    if (a.type == Type.TEXT || a.type == Type.BOOL) {
+    boolean constant = first.constant && right.constant;
+    if (first.type == Type.TEXT || first.type == Type.BOOL) {
       if (!op.is("==") && !op.is("!=")) {
-        throw stop(op, "'" + op.text() + "' can't compare " + a.type.words);
+        throw stop(op, "'" + op.text() + "' can't compare " + first.type.words);
       }
       boolean same = op.is("==");
-      if (a.type == Type.BOOL) {
-        Predicate<Facts> x = a.bool;
-        Predicate<Facts> y = b.bool;
-        return Expr.bool(f -> (x.test(f) == y.test(f)) == same, constant);
+      if (first.type == Type.BOOL) {
+        Predicate<Facts> x = first.bool;
+        Predicate<Facts> second = right.bool;
+        return Expr.bool(pair -> (x.test(pair) == second.test(pair)) == same, constant);
       }
       if (same && from.kind() == Kind.NAME && to.kind() == Kind.TEXT) {
         String before = equal.put(from.text(), to.text());
@@ -336,12 +342,12 @@
           warn(op, "this can never hold: " + from.text() + " is also to be \"" + before + "\"");
         }
       }
-      Expr.TextOf x = a.text;
-      Expr.TextOf y = b.text;
+      Expr.TextOf x = first.text;
+      Expr.TextOf y = right.text;
       return Expr.bool(f -> java.util.Objects.equals(x.of(f), y.of(f)) == same, constant);
     }
-    ToDoubleFunction<Facts> x = a.number;
-    ToDoubleFunction<Facts> y = b.number;
+    ToDoubleFunction<Facts> x = first.number;
+    ToDoubleFunction<Facts> y = right.number;
     return switch (op.text()) {
       case "<" -> Expr.bool(f -> x.applyAsDouble(f) < y.applyAsDouble(f), constant);
       case "<=" -> Expr.bool(f -> x.applyAsDouble(f) <= y.applyAsDouble(f), constant);
@@ -353,100 +359,105 @@
   }
 
   private Expr sum() {
-    Expr a = product();
+    Expr left = product();
     while (look().is("+") || look().is("-")) {
       Token op = next();
-      Expr b = product();
-      if (!a.type.numeric() || a.type != b.type || a.type == Type.PRIORITY) {
-        throw stop(op, "'" + op.text() + "' can't join " + a.type.words + " and " + b.type.words);
+      Expr right = product();
+      if (!left.type.numeric() || left.type != right.type || left.type == Type.PRIORITY) {
+        throw stop(
+            op, "'" + op.text() + "' can't join " + left.type.words + " and " + right.type.words);
       }
-      a = join(a.type, a, b, op.is("+") ? (x, y) -> x + y : (x, y) -> x - y);
+      left = join(left.type, left, right, op.is("+") ? (x, y) -> x + y : (x, y) -> x - y);
     }
-    return a;
+    return left;
   }
 
-  private static Expr join(Type t, Expr a, Expr b, DoubleBinaryOperator op) {
-    ToDoubleFunction<Facts> x = a.number;
-    ToDoubleFunction<Facts> y = b.number;
+  private static Expr join(Type t, Expr left, Expr right, DoubleBinaryOperator op) {
+    ToDoubleFunction<Facts> first = left.number;
+    ToDoubleFunction<Facts> second = right.number;
     return Expr.number(
-        t, f -> op.applyAsDouble(x.applyAsDouble(f), y.applyAsDouble(f)), a.constant && b.constant);
+        t,
+        facts -> op.applyAsDouble(first.applyAsDouble(facts), second.applyAsDouble(facts)),
+        left.constant && right.constant);
   }
 
   private Expr product() {
-    Expr a = unit();
+    Expr left = unit();
     while (look().is("*") || look().is("/")) {
       Token op = next();
-      Expr b = unit();
+      Expr right = unit();
       boolean ok =
-          a.type.numeric()
-              && b.type.numeric()
-              && a.type != Type.PRIORITY
-              && b.type != Type.PRIORITY;
+          left.type.numeric()
+              && right.type.numeric()
+              && left.type != Type.PRIORITY
+              && right.type != Type.PRIORITY;
       Type t = null;
-      if (ok && b.type == Type.NUMBER) {
-        t = a.type;
-      } else if (ok && op.is("*") && a.type == Type.NUMBER) {
-        t = b.type;
-      } else if (ok && op.is("/") && a.type == b.type) {
+      if (ok && right.type == Type.NUMBER) {
+        t = left.type;
+      } else if (ok && op.is("*") && left.type == Type.NUMBER) {
+        t = right.type;
+      } else if (ok && op.is("/") && left.type == right.type) {
         t = Type.NUMBER;
       }
       if (t == null) {
-        throw stop(op, "'" + op.text() + "' can't join " + a.type.words + " and " + b.type.words);
+        throw stop(
+            op, "'" + op.text() + "' can't join " + left.type.words + " and " + right.type.words);
       }
-      a = join(t, a, b, op.is("*") ? (x, y) -> x * y : (x, y) -> x / y);
+      left = join(t, left, right, op.is("*") ? (x, y) -> x * y : (x, y) -> x / y);
     }
-    return a;
+    return left;
   }
 
   private Expr unit() {
-    Token t = next();
-    if (t.is("(")) {
-      Expr e = expression();
+    Token token = next();
+    if (token.is("(")) {
+      Expr inner = expression();
       expect(")");
-      return e;
+      return inner;
     }
-    if (t.is("-")) {
+    if (token.is("-")) {
       if (++depth > DEEPEST) {
-        throw stop(t, "this expression is nested too deeply");
+        throw stop(token, "this expression is nested too deeply");
       }
       Expr e = unit();
       depth--;
       if (!e.type.numeric() || e.type == Type.PRIORITY) {
-        throw stop(t, "'-' needs a number but this is " + e.type.words);
+        throw stop(token, "'-' needs a number but this is " + e.type.words);
       }
-      ToDoubleFunction<Facts> x = e.number;
-      return Expr.number(e.type, f -> -x.applyAsDouble(f), e.constant);
+      ToDoubleFunction<Facts> left = e.number;
+      return Expr.number(e.type, facts -> -left.applyAsDouble(facts), e.constant);
     }
-    if (t.kind() == Kind.TEXT) {
-      String s = t.text();
-      return Expr.text(f -> s, true);
+    if (token.kind() == Kind.TEXT) {
+      String s = token.text();
+      return Expr.text(pair -> s, true);
     }
-    if (t.kind() == Kind.NUMBER) {
-      return literal(t);
+    if (token.kind() == Kind.NUMBER) {
+      return literal(token);
     }
-    if (t.kind() != Kind.NAME) {
-      throw stop(t, "expected a value but found " + t);
+    if (token.kind() != Kind.NAME) {
+      throw stop(token, "expected a value but found " + token);
     }
-    if (t.is("if") || t.is("min") || t.is("max")) {
-      return function(t);
+    if (token.is("if") || token.is("min") || token.is("max")) {
+      return function(token);
     }
-    Expr v = Expr.variable(t.text());
+    Expr v = Expr.variable(token.text());
     if (v == null) {
-      throw stop(t, "unknown name '" + t.text() + "'");
+      throw stop(token, "unknown name '" + token.text() + "'");
     }
     return v;
   }
 
-  private Expr literal(Token t) {
-    double v = t.value();
-    return switch (t.unit()) {
-      case "" -> Expr.number(Type.NUMBER, f -> v, true);
-      case "s" -> Expr.number(Type.SECONDS, f -> v, true);
+  private Expr literal(Token token) {
+    double v = token.value();
+    return switch (token.unit()) {
+      case "" -> Expr.number(Type.NUMBER, facts -> v, true);
+      case "s" -> Expr.number(Type.SECONDS, pair -> v, true);
       case "ms" -> Expr.number(Type.SECONDS, f -> v / 1000, true);
       case "min" -> Expr.number(Type.SECONDS, f -> v * 60, true);
       case "GB" -> Expr.number(Type.GIGABYTES, f -> v, true);
       case "cpus" -> Expr.number(Type.CPUS, f -> v, true);
-      default -> throw stop(t, "unknown unit '" + t.unit() + "': expected ms, s, min, GB or cpus");
+      default ->
+          throw stop(token, "unknown unit '" + token.unit() + "': expected ms, s, min, GB or cpus");
     };
   }
 
@@ -454,33 +465,33 @@
     expect("(");
     Expr c = null;
     if (name.is("if")) {
-      Token t = look();
-      c = typed(t, expression(), Type.BOOL, "the condition of if");
+      Token token = look();
+      c = typed(token, expression(), Type.BOOL, "the condition of if");
       expect(",");
     }
-    Expr a = expression();
+    Expr left = expression();
     expect(",");
     Token t = look();
-    Expr b = expression();
+    Expr right = expression();
     expect(")");
-    if (a.type != b.type || !a.type.numeric()) {
+    if (left.type != right.type || !left.type.numeric()) {
       throw stop(
           t,
           name.text()
               + " needs two numbers of one kind, not "
-              + a.type.words
+              + left.type.words
               + " and "
-              + b.type.words);
+              + right.type.words);
     }
     if (c != null) {
       Predicate<Facts> p = c.bool;
-      ToDoubleFunction<Facts> x = a.number;
-      ToDoubleFunction<Facts> y = b.number;
+      ToDoubleFunction<Facts> first = left.number;
+      ToDoubleFunction<Facts> second = right.number;
       return Expr.number(
-          a.type,
-          f -> p.test(f) ? x.applyAsDouble(f) : y.applyAsDouble(f),
-          c.constant && a.constant && b.constant);
+          left.type,
+          facts -> p.test(facts) ? first.applyAsDouble(facts) : second.applyAsDouble(facts),
+          c.constant && left.constant && right.constant);
     }
-    return join(a.type, a, b, name.is("min") ? Math::min : Math::max);
+    return join(left.type, left, right, name.is("min") ? Math::min : Math::max);
   }
 }
--- a/src/main/java/mallowstall/policy/Policies.java
+++ b/src/main/java/mallowstall/policy/Policies.java
@@ -38,8 +38,8 @@
   public static Policies bundled() {
     try (InputStream in = Policies.class.getResourceAsStream(BUNDLED)) {
       return of(new String(in.readAllBytes(), StandardCharsets.UTF_8));
-    } catch (IOException e) {
-      throw new IllegalStateException(e);
+    } catch (IOException failure) {
+      throw new IllegalStateException(failure);
     }
   }
 
--- a/src/main/java/mallowstall/state/StateAdapter.java
+++ b/src/main/java/mallowstall/state/StateAdapter.java
@@ -104,17 +104,18 @@
     byte[] b;
     try {
       b = body == null ? null : json.writeValueAsBytes(body);
-    } catch (IOException e) {
-      throw new IllegalStateException(e);
+    } catch (IOException failure) {
+      throw new IllegalStateException(failure);
     }
-    calls.call(m, path, b, Constants.STATE_TIMEOUT_MS, r -> events.accept(() -> then.accept(r)));
+    calls.call(
+        m, path, b, Constants.STATE_TIMEOUT_MS, reply -> events.accept(() -> then.accept(reply)));
   }
 
   private <T> T read(byte[] b, Class<T> type) {
     try {
       return json.readValue(b, type);
-    } catch (IOException e) {
-      LOG.error("unreadable answer of the state service: {}", e.getMessage());
+    } catch (IOException failure) {
+      LOG.error("unreadable answer of the state service: {}", failure.getMessage());
       return null;
     }
   }
@@ -143,8 +144,8 @@
     }
     try {
       return json.treeToValue(v, type);
-    } catch (IOException e) {
-      LOG.error("unreadable value of {}: {}", key, e.getMessage());
+    } catch (IOException failure) {
+      LOG.error("unreadable value of {}: {}", key, failure.getMessage());
       return null;
     }
   }
@@ -153,26 +154,27 @@
   public int encodedSize(Entry value) {
     try {
       return json.writeValueAsBytes(value).length;
-    } catch (IOException e) {
-      throw new IllegalStateException(e);
+    } catch (IOException failure) {
+      throw new IllegalStateException(failure);
     }
   }
 
-  public void transact(Txn t, Consumer<TxnReply> then) {
+  public void transact(Txn transaction, Consumer<TxnReply> then) {
     List<CondWire> when = new ArrayList<>();
-    for (Cond c : t.when()) when.add(new CondWire(c.key(), c.version()));
+    for (Cond condition : transaction.when())
+      when.add(new CondWire(condition.key(), condition.version()));
     List<OpWire> ops = new ArrayList<>();
-    for (Put p : t.puts())
-      ops.add(new OpWire(p.key(), p.value(), p.lease() == 0 ? null : p.lease(), null));
-    for (String k : t.drops()) ops.add(new OpWire(null, null, null, k));
+    for (Put put : transaction.puts())
+      ops.add(new OpWire(put.key(), put.value(), put.lease() == 0 ? null : put.lease(), null));
+    for (String k : transaction.drops()) ops.add(new OpWire(null, null, null, k));
     call(
         HttpMethod.POST,
         "/multi",
         new TxnWire(when, ops),
-        r -> {
-          Code c = code(r.status());
-          if (r.status() == 400) {
-            String text = new String(r.body(), java.nio.charset.StandardCharsets.UTF_8);
+        reply -> {
+          Code c = code(reply.status());
+          if (reply.status() == 400) {
+            String text = new String(reply.body(), java.nio.charset.StandardCharsets.UTF_8);
             if (text.contains("no such lease")) {
               c = Code.NO_LEASE;
             } else {
@@ -180,7 +182,7 @@
             }
           }
           RevisionWire w =
-              c == Code.OK || c == Code.CONFLICT ? read(r.body(), RevisionWire.class) : null;
+              c == Code.OK || c == Code.CONFLICT ? read(reply.body(), RevisionWire.class) : null;
           if (w == null && c == Code.OK) {
             c = Code.UNKNOWN;
           }
@@ -193,15 +195,16 @@
         HttpMethod.GET,
         "/keys/" + key,
         null,
-        r -> {
-          if (r.status() == 404) {
+        reply -> {
+          if (reply.status() == 404) {
             then.accept(new GetReply(Code.OK, new Item(key, null, 0)));
             return;
           }
-          ItemWire w = r.status() == 200 ? read(r.body(), ItemWire.class) : null;
+          ItemWire w = reply.status() == 200 ? read(reply.body(), ItemWire.class) : null;
           Entry e = w == null ? null : entry(key, w.value());
           if (e == null) {
-            then.accept(new GetReply(r.status() == 200 ? Code.REFUSED : code(r.status()), null));
+            then.accept(
+                new GetReply(reply.status() == 200 ? Code.REFUSED : code(reply.status()), null));
           } else {
             then.accept(new GetReply(Code.OK, new Item(key, e, w.version())));
           }
@@ -217,8 +220,8 @@
             + "&page="
             + Constants.LIST_PAGE,
         null,
-        r -> {
-          ListWire w = r.status() == 200 ? read(r.body(), ListWire.class) : null;
+        reply -> {
+          ListWire w = reply.status() == 200 ? read(reply.body(), ListWire.class) : null;
           if (w == null) {
             then.accept(new ListReply(Code.REFUSED, List.of(), false, 0));
             return;
@@ -252,15 +255,16 @@
         "/changes?under=" + PREFIX + "&after=" + after + "&hold_ms=" + holdMs,
         null,
         holdMs + Constants.STATE_TIMEOUT_MS,
-        r ->
+        reply ->
             events.accept(
                 () -> {
-                  WatchWire w = r.status() == 200 ? read(r.body(), WatchWire.class) : null;
+                  WatchWire w = reply.status() == 200 ? read(reply.body(), WatchWire.class) : null;
                   if (w != null) {
                     then.accept(new WatchReply(Code.OK, items(w.events()), w.revision()));
                   } else {
                     then.accept(
-                        new WatchReply(r.status() == 410 ? Code.GONE : Code.REFUSED, List.of(), 0));
+                        new WatchReply(
+                            reply.status() == 410 ? Code.GONE : Code.REFUSED, List.of(), 0));
                   }
                 }));
   }
@@ -270,8 +274,8 @@
         HttpMethod.POST,
         "/leases",
         new TtlWire(ttlMs),
-        r -> {
-          LeaseWire w = r.status() == 200 ? read(r.body(), LeaseWire.class) : null;
+        reply -> {
+          LeaseWire w = reply.status() == 200 ? read(reply.body(), LeaseWire.class) : null;
           then.accept(
               new LeaseReply(w == null ? Code.REFUSED : Code.OK, w == null ? 0 : w.lease()));
         });
@@ -282,10 +286,12 @@
         HttpMethod.POST,
         "/leases/" + lease + "/renew",
         null,
-        r ->
+        reply ->
             then.accept(
                 new LeaseReply(
-                    r.status() == 404 ? Code.GONE : r.status() == 200 ? Code.OK : Code.REFUSED,
+                    reply.status() == 404
+                        ? Code.GONE
+                        : reply.status() == 200 ? Code.OK : Code.REFUSED,
                     lease)));
   }
 }
--- a/src/main/java/mallowstall/users/UsersAdapter.java
+++ b/src/main/java/mallowstall/users/UsersAdapter.java
@@ -91,129 +91,132 @@
     this.core = core;
   }
 
-  public void submit(Request q, Responder r) {
+  public void submit(Request request, Responder responder) {
     JobSpec spec;
     try {
-      spec = parse(q.body());
-    } catch (Malformed e) {
-      if (e.id == null) {
-        error(r, 400, e.getMessage());
+      spec = parse(request.body());
+    } catch (Malformed malformed) {
+      if (malformed.id == null) {
+        error(responder, 400, malformed.getMessage());
       } else {
-        core.refuse(e.id, e.getMessage(), a -> answer(a, r, true));
+        core.refuse(
+            malformed.id,
+            malformed.getMessage(),
+            userAnswer -> answer(userAnswer, responder, true));
       }
       return;
     }
-    core.submit(spec, a -> answer(a, r, true));
+    core.submit(spec, a -> answer(a, responder, true));
   }
 
-  public void query(String id, Responder r) {
+  public void query(String id, Responder responder) {
     if (!ID.matcher(id).matches()) {
-      error(r, 404, "no such job");
+      error(responder, 404, "no such job");
     } else {
-      core.query(id, a -> answer(a, r, false));
+      core.query(id, userAnswer -> answer(userAnswer, responder, false));
     }
   }
 
-  public void cancel(String id, Responder r) {
+  public void cancel(String id, Responder responder) {
     if (!ID.matcher(id).matches()) {
-      error(r, 404, "no such job");
+      error(responder, 404, "no such job");
     } else {
-      core.cancel(id, a -> answer(a, r, true));
+      core.cancel(id, userAnswer -> answer(userAnswer, responder, true));
     }
   }
 
   /** Reads and checks a submission. */
   JobSpec parse(byte[] body) throws Malformed {
-    JobWire w;
+    JobWire job;
     try {
-      w = json.readValue(body, JobWire.class);
+      job = json.readValue(body, JobWire.class);
     } catch (JsonMappingException e) {
       String path = e.getPath().isEmpty() ? "the body" : e.getPath().get(0).getFieldName();
       throw new Malformed(path + " has the wrong type or is out of range");
-    } catch (JsonProcessingException e) {
+    } catch (JsonProcessingException failure) {
       throw new Malformed("the body is not JSON");
-    } catch (IOException e) {
+    } catch (IOException error) {
       throw new Malformed("the body can't be read");
     }
-    if (w == null) {
+    if (job == null) {
       throw new Malformed("the body is not an object");
     }
-    text("ref", w.id);
-    if (!ID.matcher(w.id).matches()) {
+    text("ref", job.id);
+    if (!ID.matcher(job.id).matches()) {
       throw new Malformed("ref must look like wk-000412");
     }
     try {
-      return spec(w);
-    } catch (Malformed e) {
-      throw new Malformed(e.getMessage(), w.id);
+      return spec(job);
+    } catch (Malformed malformed) {
+      throw new Malformed(malformed.getMessage(), job.id);
     }
   }
 
-  private static JobSpec spec(JobWire w) throws Malformed {
-    text("lote", w.jobClass);
-    text("cuadrilla", w.team);
-    text("oficio", w.kind);
-    JobKind kind = KINDS.get(w.kind);
+  private static JobSpec spec(JobWire job) throws Malformed {
+    text("lote", job.jobClass);
+    text("cuadrilla", job.team);
+    text("oficio", job.kind);
+    JobKind kind = KINDS.get(job.kind);
     if (kind == null) {
       throw new Malformed("oficio must be batch or daemon");
     }
-    text("urgencia", w.priority);
-    Priority p = PRIORITIES.get(w.priority);
-    if (p == null) {
+    text("urgencia", job.priority);
+    Priority priority = PRIORITIES.get(job.priority);
+    if (priority == null) {
       throw new Malformed("urgencia must be prod, high, standard or best_effort");
     }
-    if (w.tasks == null) {
+    if (job.tasks == null) {
       throw new Malformed("piezas is missing");
     }
-    if (w.tasks < 1 || w.tasks > Constants.TASKS_MAX) {
+    if (job.tasks < 1 || job.tasks > Constants.TASKS_MAX) {
       throw new Malformed("piezas must be 1 to " + Constants.TASKS_MAX);
     }
-    amount("vcpus", w.cpus);
-    amount("gpus", w.gpus);
-    amount("mem_gb", w.memoryGb);
-    if (w.cpus <= 0) {
+    amount("vcpus", job.cpus);
+    amount("gpus", job.gpus);
+    amount("mem_gb", job.memoryGb);
+    if (job.cpus <= 0) {
       throw new Malformed("vcpus must be above 0");
     }
-    text("molde", w.image);
-    amount("image_gb", w.imageGb);
-    if (w.types != null) {
-      for (String t : w.types) text("calibres", t);
-      if (w.types.isEmpty()) {
+    text("molde", job.image);
+    amount("image_gb", job.imageGb);
+    if (job.types != null) {
+      for (String t : job.types) text("calibres", t);
+      if (job.types.isEmpty()) {
         throw new Malformed("calibres must be null or name a machine type");
       }
     }
-    if (w.zone != null) {
-      text("patio", w.zone);
+    if (job.zone != null) {
+      text("patio", job.zone);
     }
-    flag("one_zone", w.oneZone);
-    flag("scatter", w.spread);
-    flag("prestados", w.spot);
-    amount("aserrado_s", w.estimateS);
-    amount("marca_s", w.checkpointS);
-    amount("apilado_s", w.saveS);
-    if (w.deadlineS != null) {
-      amount("despacho_s", w.deadlineS);
+    flag("one_zone", job.oneZone);
+    flag("scatter", job.spread);
+    flag("prestados", job.spot);
+    amount("aserrado_s", job.estimateS);
+    amount("marca_s", job.checkpointS);
+    amount("apilado_s", job.saveS);
+    if (job.deadlineS != null) {
+      amount("despacho_s", job.deadlineS);
     }
     return new JobSpec(
-        w.id,
-        w.jobClass,
-        w.team,
-        p,
-        w.tasks,
-        w.cpus,
-        w.gpus,
-        w.memoryGb,
-        w.image,
-        w.imageGb,
-        w.types,
-        w.zone,
-        w.oneZone,
-        w.spread,
-        w.spot,
-        w.estimateS,
-        w.checkpointS,
-        w.saveS,
-        w.deadlineS,
+        job.id,
+        job.jobClass,
+        job.team,
+        priority,
+        job.tasks,
+        job.cpus,
+        job.gpus,
+        job.memoryGb,
+        job.image,
+        job.imageGb,
+        job.types,
+        job.zone,
+        job.oneZone,
+        job.spread,
+        job.spot,
+        job.estimateS,
+        job.checkpointS,
+        job.saveS,
+        job.deadlineS,
         kind);
   }
 
@@ -241,29 +244,32 @@
     }
   }
 
-  private void error(Responder r, int status, String message) {
+  private void error(Responder responder, int status, String message) {
     try {
-      r.answer(status, json.writeValueAsBytes(new ErrorWire(message)), 0);
-    } catch (JsonProcessingException e) {
-      throw new IllegalStateException(e);
+      responder.answer(status, json.writeValueAsBytes(new ErrorWire(message)), 0);
+    } catch (JsonProcessingException failure) {
+      throw new IllegalStateException(failure);
     }
   }
 
-  private void answer(UserAnswer a, Responder r, boolean brief) {
+  private void answer(UserAnswer answer, Responder responder, boolean brief) {
     try {
-      if (a.state() == null) {
-        r.answer(a.status(), json.writeValueAsBytes(new ErrorWire(a.message())), a.retryAfterS());
+      if (answer.state() == null) {
+        responder.answer(
+            answer.status(),
+            json.writeValueAsBytes(new ErrorWire(answer.message())),
+            answer.retryAfterS());
       } else {
         StateWire w =
             new StateWire(
-                a.id(),
-                a.state(),
-                brief ? null : (Integer) a.done(),
-                brief ? null : (Integer) a.running());
-        r.answer(a.status(), json.writeValueAsBytes(w), 0);
+                answer.id(),
+                answer.state(),
+                brief ? null : (Integer) answer.done(),
+                brief ? null : (Integer) answer.running());
+        responder.answer(answer.status(), json.writeValueAsBytes(w), 0);
       }
-    } catch (JsonProcessingException e) {
-      throw new IllegalStateException(e);
+    } catch (JsonProcessingException failure) {
+      throw new IllegalStateException(failure);
     }
   }
 }
--- a/src/main/java/mallowstall/workers/WorkersAdapter.java
+++ b/src/main/java/mallowstall/workers/WorkersAdapter.java
@@ -88,8 +88,8 @@
     this.events = events;
   }
 
-  public void report(Request q, Responder r) throws IOException {
-    core.report(read(q.body()), a -> answer(a, r));
+  public void report(Request request, Responder responder) throws IOException {
+    core.report(read(request.body()), reportAnswer -> answer(reportAnswer, responder));
   }
 
   /** Commands to the worker's own address. */
@@ -113,32 +113,32 @@
     byte[] body;
     try {
       body = json.writeValueAsBytes(new OrdersWire(token, session, wire(commands)));
-    } catch (IOException e) {
-      throw new IllegalStateException(e);
+    } catch (IOException failure) {
+      throw new IllegalStateException(failure);
     }
     c.call(
         HttpMethod.POST,
         "/orders",
         body,
         Constants.ORDER_TIMEOUT_MS,
-        r -> events.accept(() -> then.accept(orderReply(r))));
+        reply -> events.accept(() -> then.accept(orderReply(reply))));
   }
 
-  private OrderReply orderReply(HttpClient.Reply r) {
+  private OrderReply orderReply(HttpClient.Reply reply) {
     Code code =
-        switch (r.status()) {
+        switch (reply.status()) {
           case 200 -> Code.OK;
           case 409, 400 -> Code.CONFLICT;
           case -1 -> Code.REFUSED;
           default -> Code.UNKNOWN;
         };
-    if (r.status() != 200 && r.status() != 409) {
+    if (reply.status() != 200 && reply.status() != 409) {
       return new OrderReply(code, null);
     }
     try {
-      return new OrderReply(code, read(r.body()));
-    } catch (IOException e) {
-      LOG.error("unreadable report in a worker's answer: {}", e.getMessage());
+      return new OrderReply(code, read(reply.body()));
+    } catch (IOException failure) {
+      LOG.error("unreadable report in a worker's answer: {}", failure.getMessage());
       return new OrderReply(code, null);
     }
   }
@@ -150,20 +150,25 @@
     }
     List<TaskReport> tasks = new ArrayList<>();
     if (w.tasks != null) {
-      for (TaskWire t : w.tasks) {
-        int slash = t.task == null ? -1 : t.task.lastIndexOf('/');
+      for (TaskWire task : w.tasks) {
+        int slash = task.task == null ? -1 : task.task.lastIndexOf('/');
         if (slash < 1) {
           throw new IOException("a task has no valid name");
         }
         int n;
         try {
-          n = Integer.parseInt(t.task.substring(slash + 1));
+          n = Integer.parseInt(task.task.substring(slash + 1));
         } catch (NumberFormatException e) {
           throw new IOException("a task has no valid name", e);
         }
         tasks.add(
             new TaskReport(
-                t.task.substring(0, slash), n, t.attempt, state(t.state), why(t), t.saved));
+                task.task.substring(0, slash),
+                n,
+                task.attempt,
+                state(task.state),
+                why(task),
+                task.saved));
       }
     }
     return new Report(
@@ -179,11 +184,11 @@
     };
   }
 
-  private static Why why(TaskWire t) {
-    if (!"ended".equals(t.state)) {
+  private static Why why(TaskWire task) {
+    if (!"ended".equals(task.state)) {
       return null;
     }
-    return switch (t.why == null ? "" : t.why) {
+    return switch (task.why == null ? "" : task.why) {
       case "done" -> Why.DONE;
       case "stopped" -> Why.STOPPED;
       case "full" -> Why.NO_ROOM;
@@ -193,26 +198,26 @@
     };
   }
 
-  private void answer(ReportAnswer a, Responder r) {
+  private void answer(ReportAnswer answer, Responder responder) {
     try {
-      if (a.status() == 421) {
-        r.answer(421, json.writeValueAsBytes(new ElsewhereWire(a.reportTo())), 0);
-      } else if (a.status() != 200) {
-        r.answer(a.status(), new byte[] {'{', '}'}, 1);
+      if (answer.status() == 421) {
+        responder.answer(421, json.writeValueAsBytes(new ElsewhereWire(answer.reportTo())), 0);
+      } else if (answer.status() != 200) {
+        responder.answer(answer.status(), new byte[] {'{', '}'}, 1);
       } else {
-        List<CommandWire> out = wire(a.commands());
-        r.answer(200, json.writeValueAsBytes(new AnswerWire(a.token(), out)), 0);
+        List<CommandWire> out = wire(answer.commands());
+        responder.answer(200, json.writeValueAsBytes(new AnswerWire(answer.token(), out)), 0);
       }
-    } catch (IOException e) {
-      throw new IllegalStateException(e);
+    } catch (IOException failure) {
+      throw new IllegalStateException(failure);
     }
   }
 
   private static List<CommandWire> wire(List<Command> commands) {
     List<CommandWire> out = new ArrayList<>();
-    for (Command c : commands) {
+    for (Command command : commands) {
       String op =
-          switch (c.kind()) {
+          switch (command.kind()) {
             case START -> "run";
             case STOP -> "kill";
             case FORGET -> "reap";
@@ -220,9 +225,9 @@
       out.add(
           new CommandWire(
               op,
-              c.job() + "/" + c.task(),
-              c.attempt(),
-              c.kind() == CommandKind.STOP ? c.graceS() : null));
+              command.job() + "/" + command.task(),
+              command.attempt(),
+              command.kind() == CommandKind.STOP ? command.graceS() : null));
     }
     return out;
   }
--- a/src/test/java/mallowstall/ServiceTest.java
+++ b/src/test/java/mallowstall/ServiceTest.java
@@ -71,13 +71,13 @@
   @Test
   void theCoreKeepsToTheSmallerLimits() throws Exception {
     String next = ",\"next\":{\"value_kb\":2.0,\"txn_ops\":8,\"write_rps\":90.0}";
-    Settings s =
+    Settings settings =
         Settings.parse(
             SETTINGS
                 .replace("\"txn_ops\":24", "\"txn_ops\":24" + next)
                 .getBytes(StandardCharsets.UTF_8),
             Main.json());
-    mallowstall.core.Model.CoreSettings core = Service.coreSettings(s);
+    mallowstall.core.Model.CoreSettings core = Service.coreSettings(settings);
     assertEquals(2_048, core.valueBytes());
     assertEquals(8, core.txnOps());
     assertEquals(60.0, core.stateWriteRps());
@@ -106,9 +106,11 @@
       {"POST", "/hello", "{}", 400, "not a valid report"},
     };
     for (Object[] c : cases) {
-      HttpResponse<String> r = call((String) c[0], (String) c[1], (String) c[2]);
-      assertEquals(c[3], r.statusCode(), c[0] + " " + c[1]);
-      assertTrue(r.body().startsWith("{\"error\":") && r.body().contains((String) c[4]), r.body());
+      HttpResponse<String> response = call((String) c[0], (String) c[1], (String) c[2]);
+      assertEquals(c[3], response.statusCode(), c[0] + " " + c[1]);
+      assertTrue(
+          response.body().startsWith("{\"error\":") && response.body().contains((String) c[4]),
+          response.body());
     }
   }
 
@@ -127,9 +129,9 @@
           {"POST", "/submissions/wk-000412/cancel", ""},
         }) {
       long t0 = System.nanoTime();
-      HttpResponse<String> r = call(c[0], c[1], c[2]);
-      assertEquals(503, r.statusCode(), c[1]);
-      assertTrue(Integer.parseInt(r.headers().firstValue("retry-after").orElseThrow()) >= 1);
+      HttpResponse<String> response = call(c[0], c[1], c[2]);
+      assertEquals(503, response.statusCode(), c[1]);
+      assertTrue(Integer.parseInt(response.headers().firstValue("retry-after").orElseThrow()) >= 1);
       assertTrue(System.nanoTime() - t0 < 2_500_000_000L, c[1]);
     }
     assertEquals(503, call("GET", "/ready", null).statusCode());
--- a/src/test/java/mallowstall/config/SettingsTest.java
+++ b/src/test/java/mallowstall/config/SettingsTest.java
@@ -26,9 +26,9 @@
 
   @Test
   void unknownFieldsAreIgnored() throws Settings.Invalid {
-    Settings s = parse(GOOD);
-    assertEquals("n1", s.peers().get(0).node());
-    assertEquals(10.0, s.facts().workers().leaseS());
+    Settings settings = parse(GOOD);
+    assertEquals("n1", settings.peers().get(0).node());
+    assertEquals(10.0, settings.facts().workers().leaseS());
   }
 
   private static String withNext(String next) {
@@ -67,8 +67,9 @@
       {"[]", "facts.state.next has the wrong type"},
     };
     for (String[] c : cases) {
-      Settings.Invalid e = assertThrows(Settings.Invalid.class, () -> parse(withNext(c[0])), c[0]);
-      assertEquals(c[1], e.getMessage(), c[0]);
+      Settings.Invalid invalid =
+          assertThrows(Settings.Invalid.class, () -> parse(withNext(c[0])), c[0]);
+      assertEquals(c[1], invalid.getMessage(), c[0]);
     }
   }
 
@@ -83,9 +84,9 @@
       {"{\"node\"", "{node", "not JSON (line 1"},
     };
     for (String[] c : cases) {
-      Settings.Invalid e =
+      Settings.Invalid invalid =
           assertThrows(Settings.Invalid.class, () -> parse(GOOD.replace(c[0], c[1])), c[1]);
-      assertTrue(e.getMessage().startsWith(c[2]), e.getMessage());
+      assertTrue(invalid.getMessage().startsWith(c[2]), invalid.getMessage());
     }
   }
 }
--- a/src/test/java/mallowstall/core/HistoriesTest.java
+++ b/src/test/java/mallowstall/core/HistoriesTest.java
@@ -21,21 +21,21 @@
 
 /** Seeded random histories of three cores against the plain model of the rules. */
 class HistoriesTest {
-  private static void allOver(Sim s) {
-    assertEquals(List.of(), s.rules.broken);
-    for (String id : s.jobs) {
-      String last = s.rules.lastTold(id);
+  private static void allOver(Sim sim) {
+    assertEquals(List.of(), sim.rules.broken);
+    for (String id : sim.jobs) {
+      String last = sim.rules.lastTold(id);
       assertTrue("done".equals(last) || "cancelled".equals(last), id + " is " + last);
     }
   }
 
   @Test
   void aQuietDayGetsEverythingDone() {
-    Sim s = new Sim(1);
-    Troubles.work(s, 25);
-    s.run(200_000);
-    allOver(s);
-    assertTrue(s.rules.starts > 60, "starts " + s.rules.starts);
+    Sim sim = new Sim(1);
+    Troubles.work(sim, 25);
+    sim.run(200_000);
+    allOver(sim);
+    assertTrue(sim.rules.starts > 60, "starts " + sim.rules.starts);
   }
 
   /**
@@ -46,19 +46,19 @@
   @ParameterizedTest
   @ValueSource(longs = {11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 1303, 1694, 21124})
   void roughDaysKeepEveryRule(long seed) {
-    Sim s = new Sim(seed);
-    s.loss = 0.02;
-    s.rosterChaos = seed % 2 == 0 ? 0.2 : 0;
-    s.lateCopies = seed % 3 == 0 ? 0.2 : 0;
-    Troubles.work(s, 25);
+    Sim sim = new Sim(seed);
+    sim.loss = 0.02;
+    sim.rosterChaos = seed % 2 == 0 ? 0.2 : 0;
+    sim.lateCopies = seed % 3 == 0 ? 0.2 : 0;
+    Troubles.work(sim, 25);
     for (int i = 0; i < 14; i++) {
-      s.at(10_000 + s.rnd.nextInt(110_000), () -> Troubles.older(s));
+      sim.at(10_000 + sim.rnd.nextInt(110_000), () -> Troubles.older(sim));
     }
-    s.at(140_000, () -> s.loss = s.rosterChaos = s.lateCopies = 0);
-    s.rules.calmSince = 185_000; // the last trouble has begun by 120 s and lasts up to a minute
-    s.run(330_000);
-    allOver(s);
-    assertTrue(s.rules.starts > 40, "starts " + s.rules.starts);
+    sim.at(140_000, () -> sim.loss = sim.rosterChaos = sim.lateCopies = 0);
+    sim.rules.calmSince = 185_000; // the last trouble has begun by 120 s and lasts up to a minute
+    sim.run(330_000);
+    allOver(sim);
+    assertTrue(sim.rules.starts > 40, "starts " + sim.rules.starts);
   }
 
   private static final Set<String> TROUBLES =
@@ -98,12 +98,12 @@
   @ParameterizedTest
   @ValueSource(longs = {101, 102, 103, 104, 105, 106, 107, 108, 1188, 1753})
   void meetingsOfTroublesKeepEveryRule(long seed) {
-    Sim s = meetings(seed);
-    s.struck.forEach((k, v) -> struck.merge(k, v, Integer::sum));
+    Sim sim = meetings(seed);
+    sim.struck.forEach((k, v) -> struck.merge(k, v, Integer::sum));
     met++;
-    assertEquals(List.of(), s.rules.broken);
-    overForUsers(s);
-    assertTrue(s.rules.starts > 40, "starts " + s.rules.starts);
+    assertEquals(List.of(), sim.rules.broken);
+    overForUsers(sim);
+    assertTrue(sim.rules.starts > 40, "starts " + sim.rules.starts);
   }
 
   @AfterAll
@@ -129,13 +129,13 @@
     new SeedHunt()
         .run(
             seed -> {
-              Sim s = meetings(seed);
-              starts.addAndGet(s.rules.starts);
-              crossed.addAndGet(s.rules.crossed.size());
-              startsAfterCancel.addAndGet(s.rules.startsAfterCancel);
-              assertEquals(List.of(), s.rules.broken);
-              overForUsers(s);
-              assertTrue(s.rules.starts > 0, "nothing_ran");
+              Sim sim = meetings(seed);
+              starts.addAndGet(sim.rules.starts);
+              crossed.addAndGet(sim.rules.crossed.size());
+              startsAfterCancel.addAndGet(sim.rules.startsAfterCancel);
+              assertEquals(List.of(), sim.rules.broken);
+              overForUsers(sim);
+              assertTrue(sim.rules.starts > 0, "nothing_ran");
             },
             () ->
                 String.format(
@@ -144,31 +144,33 @@
   }
 
   private static Sim meetings(long seed) {
-    Sim s = new Sim(seed);
-    s.loss = seed % 4 == 0 ? 0.02 : 0;
-    s.rosterChaos = seed % 2 == 0 ? 0.2 : 0;
-    s.lateCopies = seed % 3 == 0 ? 0.2 : 0;
-    s.lateWrites = seed % 5 == 0 ? 0.1 : 0.01;
-    s.cancelAtEnd = 0.2;
+    Sim sim = new Sim(seed);
+    sim.loss = seed % 4 == 0 ? 0.02 : 0;
+    sim.rosterChaos = seed % 2 == 0 ? 0.2 : 0;
+    sim.lateCopies = seed % 3 == 0 ? 0.2 : 0;
+    sim.lateWrites = seed % 5 == 0 ? 0.1 : 0.01;
+    sim.cancelAtEnd = 0.2;
     // with a state service this slow a poll is overtaken by the cancellation at another controller
-    s.rules.crossingsBreak = false;
-    Troubles.work(s, 45, 105_000);
+    sim.rules.crossingsBreak = false;
+    Troubles.work(sim, 45, 105_000);
     for (int i = 0; i < 8; i++) {
-      s.at(10_000 + s.rnd.nextInt(110_000), () -> Troubles.older(s));
+      sim.at(10_000 + sim.rnd.nextInt(110_000), () -> Troubles.older(sim));
     }
     for (int i = 0; i < 10; i++) {
-      s.at(10_000 + s.rnd.nextInt(110_000), () -> Troubles.newer(s, 140_000));
+      sim.at(10_000 + sim.rnd.nextInt(110_000), () -> Troubles.newer(sim, 140_000));
     }
-    s.at(140_000, () -> s.loss = s.rosterChaos = s.lateCopies = s.lateWrites = s.cancelAtEnd = 0);
-    s.rules.calmSince = 185_000; // the last trouble has begun by 120 s and lasts up to a minute
-    s.run(400_000);
-    return s;
+    sim.at(
+        140_000,
+        () -> sim.loss = sim.rosterChaos = sim.lateCopies = sim.lateWrites = sim.cancelAtEnd = 0);
+    sim.rules.calmSince = 185_000; // the last trouble has begun by 120 s and lasts up to a minute
+    sim.run(400_000);
+    return sim;
   }
 
   /** A user may have given up before any controller could take the job: then it was never told. */
-  private static void overForUsers(Sim s) {
-    for (String id : s.jobs) {
-      String last = s.rules.lastTold(id);
+  private static void overForUsers(Sim sim) {
+    for (String id : sim.jobs) {
+      String last = sim.rules.lastTold(id);
       assertTrue(
           last == null || "done".equals(last) || "cancelled".equals(last), id + " is " + last);
     }
@@ -177,145 +179,148 @@
   /** Runs or stays known: the check of it can fail too, and not before its time. */
   @Test
   void theModelSeesAJobNobodyAnswersFor() {
-    Sim s = new Sim(6);
-    Rules r = new Rules(s.teams, 1_000);
-    r.submitted(s.job("wk-000003", 1, 4, Priority.NORMAL, "free", false, false, false, null));
-    r.calmSince = 10_000;
-    r.told(9_000, "wk-000003", 201, "pending");
-    r.told(60_000, "wk-000003", 503, null);
-    r.step(84_000);
-    assertEquals(List.of(), r.broken);
-    r.step(85_500);
-    assertTrue(r.broken.get(0).contains("forgotten"), r.broken.toString());
+    Sim sim = new Sim(6);
+    Rules rules = new Rules(sim.teams, 1_000);
+    rules.submitted(sim.job("wk-000003", 1, 4, Priority.NORMAL, "free", false, false, false, null));
+    rules.calmSince = 10_000;
+    rules.told(9_000, "wk-000003", 201, "pending");
+    rules.told(60_000, "wk-000003", 503, null);
+    rules.step(84_000);
+    assertEquals(List.of(), rules.broken);
+    rules.step(85_500);
+    assertTrue(rules.broken.get(0).contains("forgotten"), rules.broken.toString());
   }
 
   /** The checks can fail: rogue commands and answers are each called by their rule's name. */
   @Test
   void theModelSeesBrokenRules() {
-    Sim s = new Sim(5);
-    s.run(5_000);
-    JobSpec j = s.job("wk-000001", 2, 4, Priority.NORMAL, "tight", true, false, false, null);
-    s.rules.submitted(j);
-    List<Sim.Worker> ws = List.copyOf(s.workers.values());
+    Sim sim = new Sim(5);
+    sim.run(5_000);
+    JobSpec spec = sim.job("wk-000001", 2, 4, Priority.NORMAL, "tight", true, false, false, null);
+    sim.rules.submitted(spec);
+    List<Sim.Worker> ws = List.copyOf(sim.workers.values());
     Command run = new Command(CommandKind.START, "wk-000001", 0, 1, 0);
     ws.get(0).execute(run);
     ws.get(1).execute(run);
-    s.run(8_000);
+    sim.run(8_000);
     assertTrue(
-        s.rules.broken.stream().anyMatch(b -> b.contains("ran_twice")), s.rules.broken.toString());
+        sim.rules.broken.stream().anyMatch(b -> b.contains("ran_twice")),
+        sim.rules.broken.toString());
     assertTrue(
-        s.rules.broken.stream().anyMatch(b -> b.contains("wrong_place")),
-        s.rules.broken.toString());
-    Rules r = new Rules(s.teams, 1_000);
-    r.submitted(s.job("wk-000002", 9, 4, Priority.NORMAL, "tight", false, false, false, null));
+        sim.rules.broken.stream().anyMatch(b -> b.contains("wrong_place")),
+        sim.rules.broken.toString());
+    Rules rules = new Rules(sim.teams, 1_000);
+    rules.submitted(
+        sim.job("wk-000002", 9, 4, Priority.NORMAL, "tight", false, false, false, null));
     for (int i = 0; i < 7; i++) {
-      r.started(1, new Rules.OnMachine("m" + i, "wk-000002", i, "t8", "a", false));
+      rules.started(1, new Rules.OnMachine("m" + i, "wk-000002", i, "t8", "a", false));
     }
-    assertTrue(r.broken.get(0).contains("quota"), r.broken.toString());
-    r.broken.clear();
-    r.told(2, "wk-000002", 200, "done");
-    assertTrue(r.broken.get(0).contains("not_done"), r.broken.toString());
-    r.broken.clear();
-    r.asksToCancel("wk-000002");
-    r.told(3, "wk-000002", 200, "cancelled");
-    assertTrue(r.broken.get(0).contains("went_back"), r.broken.toString());
-    r.broken.clear();
-    r.step(2_000);
-    assertTrue(r.broken.get(0).contains("ran_cancelled"), r.broken.toString());
-    r.broken.clear();
-    r.told(4, "wk-000002", 404, null);
-    r.told(4, "wk-000777", 200, "pending");
-    assertFalse(r.broken.get(0).contains("invented"));
+    assertTrue(rules.broken.get(0).contains("quota"), rules.broken.toString());
+    rules.broken.clear();
+    rules.told(2, "wk-000002", 200, "done");
+    assertTrue(rules.broken.get(0).contains("not_done"), rules.broken.toString());
+    rules.broken.clear();
+    rules.asksToCancel("wk-000002");
+    rules.told(3, "wk-000002", 200, "cancelled");
+    assertTrue(rules.broken.get(0).contains("went_back"), rules.broken.toString());
+    rules.broken.clear();
+    rules.step(2_000);
+    assertTrue(rules.broken.get(0).contains("ran_cancelled"), rules.broken.toString());
+    rules.broken.clear();
+    rules.told(4, "wk-000002", 404, null);
+    rules.told(4, "wk-000777", 200, "pending");
+    assertFalse(rules.broken.get(0).contains("invented"));
     assertTrue(
-        r.broken.get(0).contains("forgotten") && r.broken.get(1).contains("invented"),
-        r.broken.toString());
+        rules.broken.get(0).contains("forgotten") && rules.broken.get(1).contains("invented"),
+        rules.broken.toString());
   }
 
   /** The newer checks can fail too, and not before their time. */
   @Test
   void theModelSeesLateStartsAndForgottenRoom() {
-    Sim s = new Sim(7);
-    Rules r = new Rules(s.teams, 1_000);
-    r.submitted(s.job("wk-000004", 2, 4, Priority.NORMAL, "tight", false, false, false, "a"));
-    r.told(1, "wk-000004", 201, "pending");
-    r.calmSince = 1_000;
-    r.machineUp(new Rules.Machine("m1", "t8", "b", false, 8)); // not allowed
-    r.step(2_000);
-    r.machineUp(new Rules.Machine("m2", "t8", "a", false, 8));
+    Sim sim = new Sim(7);
+    Rules rules = new Rules(sim.teams, 1_000);
+    rules.submitted(sim.job("wk-000004", 2, 4, Priority.NORMAL, "tight", false, false, false, "a"));
+    rules.told(1, "wk-000004", 201, "pending");
+    rules.calmSince = 1_000;
+    rules.machineUp(new Rules.Machine("m1", "t8", "b", false, 8)); // not allowed
+    rules.step(2_000);
+    rules.machineUp(new Rules.Machine("m2", "t8", "a", false, 8));
     for (long t = 3_000; t <= 3_000 + Rules.WAITS_MS; t += 30_000) {
-      r.told(t, "wk-000004", 200, "pending");
-      r.step(t);
+      rules.told(t, "wk-000004", 200, "pending");
+      rules.step(t);
     }
-    assertEquals(List.of(), r.broken);
-    r.step(3_500 + Rules.WAITS_MS);
-    assertTrue(r.broken.get(0).contains("never_started"), r.broken.toString());
-    r.broken.clear();
-    r.asksToCancel("wk-000004");
-    r.told(100_000, "wk-000004", 200, "cancelled");
-    r.started(100_900, new Rules.OnMachine("m2", "wk-000004", 0, "t8", "a", false));
-    assertEquals(List.of(), r.broken);
-    assertEquals(1, r.startsAfterCancel);
-    r.started(101_100, new Rules.OnMachine("m2", "wk-000004", 1, "t8", "a", false));
-    assertTrue(r.broken.get(0).contains("ran_cancelled"), r.broken.toString());
-    assertEquals(1, r.startsAfterCancel);
-    r.broken.clear();
-    r.toldImpossible(1, "wk-900000", 422);
-    r.toldImpossible(1, "wk-900000", 503);
-    assertEquals(List.of(), r.broken);
-    r.toldImpossible(1, "wk-900000", 201);
-    assertTrue(r.broken.get(0).contains("took_impossible"), r.broken.toString());
-    r.broken.clear();
-    r.told(103_000, 99_999, "wk-000004", 200, "running"); // nobody waits that long
-    assertTrue(r.broken.get(0).contains("went_back"), r.broken.toString());
-    r.broken.clear();
-    r.told(101_500, "wk-000004", 200, "cancelled");
-    r.told(101_500, 99_999, "wk-000004", 200, "running");
-    assertTrue(r.broken.get(0).contains("went_back"), r.broken.toString());
-    r.broken.clear();
-    r.told(101_500, "wk-000004", 200, "cancelled");
-    r.crossingsBreak = false;
-    r.told(101_500, 99_999, "wk-000004", 200, "running");
-    assertEquals(List.of(), r.broken);
-    assertEquals(2, r.crossed.size());
-    r.told(101_600, 100_001, "wk-000004", 200, "running");
-    assertTrue(r.broken.get(0).contains("went_back"), r.broken.toString());
+    assertEquals(List.of(), rules.broken);
+    rules.step(3_500 + Rules.WAITS_MS);
+    assertTrue(rules.broken.get(0).contains("never_started"), rules.broken.toString());
+    rules.broken.clear();
+    rules.asksToCancel("wk-000004");
+    rules.told(100_000, "wk-000004", 200, "cancelled");
+    rules.started(100_900, new Rules.OnMachine("m2", "wk-000004", 0, "t8", "a", false));
+    assertEquals(List.of(), rules.broken);
+    assertEquals(1, rules.startsAfterCancel);
+    rules.started(101_100, new Rules.OnMachine("m2", "wk-000004", 1, "t8", "a", false));
+    assertTrue(rules.broken.get(0).contains("ran_cancelled"), rules.broken.toString());
+    assertEquals(1, rules.startsAfterCancel);
+    rules.broken.clear();
+    rules.toldImpossible(1, "wk-900000", 422);
+    rules.toldImpossible(1, "wk-900000", 503);
+    assertEquals(List.of(), rules.broken);
+    rules.toldImpossible(1, "wk-900000", 201);
+    assertTrue(rules.broken.get(0).contains("took_impossible"), rules.broken.toString());
+    rules.broken.clear();
+    rules.told(103_000, 99_999, "wk-000004", 200, "running"); // nobody waits that long
+    assertTrue(rules.broken.get(0).contains("went_back"), rules.broken.toString());
+    rules.broken.clear();
+    rules.told(101_500, "wk-000004", 200, "cancelled");
+    rules.told(101_500, 99_999, "wk-000004", 200, "running");
+    assertTrue(rules.broken.get(0).contains("went_back"), rules.broken.toString());
+    rules.broken.clear();
+    rules.told(101_500, "wk-000004", 200, "cancelled");
+    rules.crossingsBreak = false;
+    rules.told(101_500, 99_999, "wk-000004", 200, "running");
+    assertEquals(List.of(), rules.broken);
+    assertEquals(2, rules.crossed.size());
+    rules.told(101_600, 100_001, "wk-000004", 200, "running");
+    assertTrue(rules.broken.get(0).contains("went_back"), rules.broken.toString());
     for (int status : new int[] {400, 404, 422}) {
-      r.broken.clear();
-      r.told(101_000, "wk-000004", status, null);
-      assertTrue(r.broken.get(0).contains("forgotten"), r.broken.toString());
+      rules.broken.clear();
+      rules.told(101_000, "wk-000004", status, null);
+      assertTrue(rules.broken.get(0).contains("forgotten"), rules.broken.toString());
     }
   }
 
   /** A hung machine goes on with its tasks within its lease, and with none beyond it. */
   @Test
   void aHungMachineGoesOnWithinItsLeaseOnly() {
-    Sim s = new Sim(8);
-    s.runMs = 20_000;
-    s.run(5_000);
-    s.rules.submitted(s.job("wk-000005", 2, 4, Priority.NORMAL, "free", false, false, false, null));
-    List<Sim.Worker> ws = List.copyOf(s.workers.values());
+    Sim sim = new Sim(8);
+    sim.runMs = 20_000;
+    sim.run(5_000);
+    sim.rules.submitted(
+        sim.job("wk-000005", 2, 4, Priority.NORMAL, "free", false, false, false, null));
+    List<Sim.Worker> ws = List.copyOf(sim.workers.values());
     Sim.Worker brief = ws.get(0);
     Sim.Worker long_ = ws.get(1);
     brief.execute(new Command(CommandKind.START, "wk-000005", 0, 1, 0));
     long_.execute(new Command(CommandKind.START, "wk-000005", 1, 1, 0));
-    s.run(8_000);
-    assertEquals(2, s.rules.machinesOf("wk-000005").size());
-    s.rules.asksToCancel("wk-000005");
-    s.rules.told(s.now - Sim.CANCEL + 3_000, "wk-000005", 200, "cancelled");
+    sim.run(8_000);
+    assertEquals(2, sim.rules.machinesOf("wk-000005").size());
+    sim.rules.asksToCancel("wk-000005");
+    sim.rules.told(sim.now - Sim.CANCEL + 3_000, "wk-000005", 200, "cancelled");
     long session = long_.session;
     brief.hang(6_000);
     long_.hang(14_000);
-    s.run(13_000);
+    sim.run(13_000);
     assertTrue(
-        s.rules.broken.stream().anyMatch(b -> b.contains("ran_cancelled")),
-        s.rules.broken.toString());
+        sim.rules.broken.stream().anyMatch(b -> b.contains("ran_cancelled")),
+        sim.rules.broken.toString());
     assertTrue(brief.hangs());
-    s.run(15_000);
+    sim.run(15_000);
     assertEquals(1, brief.tasks.size());
-    s.run(20_500);
+    sim.run(20_500);
     assertTrue(long_.hangs());
-    assertEquals(Set.of(brief.id), s.rules.machinesOf("wk-000005"));
-    s.run(23_000);
+    assertEquals(Set.of(brief.id), sim.rules.machinesOf("wk-000005"));
+    sim.run(23_000);
     assertEquals(session + 1, long_.session);
     assertEquals(List.of(), List.copyOf(long_.tasks.values()));
   }
--- a/src/test/java/mallowstall/core/JobEntriesTest.java
+++ b/src/test/java/mallowstall/core/JobEntriesTest.java
@@ -96,7 +96,7 @@
 
   private void store(List<Put> puts) {
     version++;
-    for (Put p : puts) stored.put(p.key(), new Store.Held(p.value(), version));
+    for (Put put : puts) stored.put(put.key(), new Store.Held(put.value(), version));
   }
 
   private JobRec entry() {
@@ -111,24 +111,24 @@
   private void apply(JobEntries.Write write, int valueBytes, int txnOps) {
     assertTrue(write.puts().size() <= txnOps, "operations: " + write.puts().size());
     assertTrue(write.when().size() <= 4 * txnOps, "conditions: " + write.when().size());
-    for (Put p : write.puts())
-      assertTrue(Sim.size(p.value()) <= valueBytes, p.key() + " has " + Sim.size(p.value()));
-    for (Cond c : write.when()) {
-      Store.Held held = stored.get(c.key());
-      assertEquals(held == null ? 0 : held.version(), c.version(), c.key());
+    for (Put put : write.puts())
+      assertTrue(Sim.size(put.value()) <= valueBytes, put.key() + " has " + Sim.size(put.value()));
+    for (Cond condition : write.when()) {
+      Store.Held held = stored.get(condition.key());
+      assertEquals(held == null ? 0 : held.version(), condition.version(), condition.key());
     }
     store(write.puts());
   }
 
   /** All bits of the job as the version in production stores them. */
   private void storeInProductionsLayout(BitSet done) {
-    JobRec rec = accepted(MANY);
+    JobRec job = accepted(MANY);
     int chunk = Constants.BITS_PER_CHUNK;
     store(
         List.of(
             new Put(
                 JobEntries.jobKey(JOB),
-                rec.withDone(done.get(0, chunk).toByteArray(), done.cardinality(), Final.NONE),
+                job.withDone(done.get(0, chunk).toByteArray(), done.cardinality(), Final.NONE),
                 0)));
     for (int c = 1; c * chunk < done.length(); c++) {
       BitsRec bits = new BitsRec(done.get(c * chunk, (c + 1) * chunk).toByteArray());
@@ -140,15 +140,15 @@
   void aJobThatFitsIsWrittenAsInProduction() {
     for (int tasks : new int[] {1, 2_048, MANY}) {
       JobEntries entries = entries(8_192, 24);
-      JobRec rec = accepted(tasks);
+      JobRec job = accepted(tasks);
       BitSet done = bits(0, tasks / 2, tasks - 1);
-      JobEntries.Write write = entries.recording(rec, 0, done, pieces(done));
+      JobEntries.Write write = entries.recording(job, 0, done, pieces(done));
       Put last = write.puts().get(write.puts().size() - 1);
       assertEquals(JobEntries.jobKey(JOB), last.key());
       int first = Math.min(tasks, Constants.BITS_PER_CHUNK);
       assertArrayEquals(done.get(0, first).toByteArray(), ((JobRec) last.value()).done());
-      for (Put p : write.puts().subList(0, write.puts().size() - 1))
-        assertTrue(p.key().matches("c/b/wk-000001/[0-9]+"), p.key());
+      for (Put put : write.puts().subList(0, write.puts().size() - 1))
+        assertTrue(put.key().matches("c/b/wk-000001/[0-9]+"), put.key());
       assertEquals(tasks == MANY ? 3 : 1, write.puts().size());
     }
   }
@@ -270,7 +270,7 @@
               tasks,
               Final.NONE);
       List<Put> puts = entries.recording(old, 0, done, List.of(0)).puts();
-      for (Put p : puts) assertTrue(Sim.size(p.value()) <= 2_048, p.key());
+      for (Put put : puts) assertTrue(Sim.size(put.value()) <= 2_048, put.key());
     }
     assertFalse(entries.fits(JobRec.accepted(spec(10, "x".repeat(1_000)), 0, "n0", 3)));
   }
--- a/src/test/java/mallowstall/core/Rules.java
+++ b/src/test/java/mallowstall/core/Rules.java
@@ -72,8 +72,8 @@
     this.cancelMs = cancelMs;
   }
 
-  void submitted(JobSpec j) {
-    jobs.put(j.id(), j);
+  void submitted(JobSpec spec) {
+    jobs.put(spec.id(), spec);
   }
 
   void asksToCancel(String job) {
@@ -87,32 +87,32 @@
 
   void started(long now, OnMachine m) {
     starts++;
-    JobSpec j = jobs.get(m.job);
-    if (j == null) {
+    JobSpec spec = jobs.get(m.job);
+    if (spec == null) {
       broken.add(now + " invented: " + m);
       return;
     }
-    for (OnMachine o : on) {
-      if (o.job.equals(m.job) && o.task == m.task && !o.machine.equals(m.machine)) {
-        broken.add(now + " ran_twice: " + m + " while on " + o.machine);
+    for (OnMachine task : on) {
+      if (task.job.equals(m.job) && task.task == m.task && !task.machine.equals(m.machine)) {
+        broken.add(now + " ran_twice: " + m + " while on " + task.machine);
       }
     }
-    if (!Owner.allowed(j, m.type, m.zone, m.spot)) {
+    if (!Owner.allowed(spec, m.type, m.zone, m.spot)) {
       broken.add(now + " wrong_place: " + m);
     }
     int zone = 1;
-    for (OnMachine o : on) {
-      if (!o.job.equals(m.job)) {
+    for (OnMachine onMachine : on) {
+      if (!onMachine.job.equals(m.job)) {
         continue;
       }
-      if (j.oneZone() && !o.zone.equals(m.zone)) {
+      if (spec.oneZone() && !onMachine.zone.equals(m.zone)) {
         broken.add(now + " wrong_place, one zone: " + m);
       }
-      if (o.zone.equals(m.zone)) {
+      if (onMachine.zone.equals(m.zone)) {
         zone++;
       }
     }
-    if (j.spread() && zone > (j.tasks() + 1) / 2) {
+    if (spec.spread() && zone > (spec.tasks() + 1) / 2) {
       broken.add(now + " wrong_place, spread: " + m);
     }
     Long c = cancelledAt.get(m.job);
@@ -122,30 +122,34 @@
       startsAfterCancel++;
     }
     on.add(m);
-    Team t = teams.get(j.team());
-    double sum = used(j.team());
-    if (t.cpusMax() > 0 && sum > t.cpusMax() + 1e-6) {
+    Team team = teams.get(spec.team());
+    double sum = used(spec.team());
+    if (team.cpusMax() > 0 && sum > team.cpusMax() + 1e-6) {
       broken.add(now + " quota: " + sum + " " + m);
     }
   }
 
   private double used(String team) {
     double sum = 0;
-    for (OnMachine o : on) {
-      if (jobs.get(o.job).team().equals(team)) {
-        sum += jobs.get(o.job).cpus();
+    for (OnMachine task : on) {
+      if (jobs.get(task.job).team().equals(team)) {
+        sum += jobs.get(task.job).cpus();
       }
     }
     return sum;
   }
 
   void left(String machine, String job, int task, boolean completed) {
-    on.removeIf(o -> o.machine.equals(machine) && o.job.equals(job) && o.task == task);
+    on.removeIf(
+        onMachine ->
+            onMachine.machine.equals(machine)
+                && onMachine.job.equals(job)
+                && onMachine.task == task);
     if (!completed) {
       return;
     }
     if (service(job)) {
-      resultsOn.computeIfAbsent(new Replica(job, task), k -> new HashSet<>()).add(machine);
+      resultsOn.computeIfAbsent(new Replica(job, task), replica -> new HashSet<>()).add(machine);
     } else {
       done.computeIfAbsent(job, k -> new HashSet<>()).add(task);
     }
@@ -157,45 +161,45 @@
     return spec != null && spec.service();
   }
 
-  void machineUp(Machine m) {
-    up.put(m.id, m);
+  void machineUp(Machine machine) {
+    up.put(machine.id, machine);
   }
 
   void machineGone(String machine) {
     up.remove(machine);
-    on.removeIf(o -> o.machine.equals(machine));
+    on.removeIf(task -> task.machine.equals(machine));
   }
 
   void step(long now) {
-    for (Map.Entry<String, Long> e : answered.entrySet()) {
-      String last = told.get(e.getKey());
+    for (Map.Entry<String, Long> entry : answered.entrySet()) {
+      String last = told.get(entry.getKey());
       boolean over = "done".equals(last) || "cancelled".equals(last);
-      if (!over && now - 75_000 > Math.max(calmSince, e.getValue())) {
-        broken.add(now + " forgotten: no question about " + e.getKey() + " is answered");
-        e.setValue(now);
+      if (!over && now - 75_000 > Math.max(calmSince, entry.getValue())) {
+        broken.add(now + " forgotten: no question about " + entry.getKey() + " is answered");
+        entry.setValue(now);
       }
     }
-    for (OnMachine o : on) {
-      Long c = cancelledAt.get(o.job);
+    for (OnMachine task : on) {
+      Long c = cancelledAt.get(task.job);
       if (c != null && now - c > cancelMs) {
-        broken.add(now + " ran_cancelled: " + o);
-        cancelledAt.put(o.job, now);
+        broken.add(now + " ran_cancelled: " + task);
+        cancelledAt.put(task.job, now);
       }
     }
-    for (JobSpec j : jobs.values()) {
-      if (now < calmSince || !waitsBesideRoom(j)) {
-        waitsSince.remove(j.id());
+    for (JobSpec spec : jobs.values()) {
+      if (now < calmSince || !waitsBesideRoom(spec)) {
+        waitsSince.remove(spec.id());
         continue;
       }
-      long since = waitsSince.computeIfAbsent(j.id(), k -> now);
+      long since = waitsSince.computeIfAbsent(spec.id(), k -> now);
       if (now - since > WAITS_MS) {
-        broken.add(now + " never_started: " + j.id() + " beside room since " + since);
-        waitsSince.put(j.id(), now);
+        broken.add(now + " never_started: " + spec.id() + " beside room since " + since);
+        waitsSince.put(spec.id(), now);
       }
     }
-    for (JobSpec j : jobs.values()) {
-      if (j.service()) {
-        stepReplicas(now, j);
+    for (JobSpec jobSpec : jobs.values()) {
+      if (jobSpec.service()) {
+        stepReplicas(now, jobSpec);
       }
     }
   }
@@ -221,8 +225,8 @@
   }
 
   private boolean runs(Replica replica) {
-    for (OnMachine o : on) {
-      if (o.job.equals(replica.job) && o.task == replica.number) {
+    for (OnMachine task : on) {
+      if (task.job.equals(replica.job) && task.task == replica.number) {
         return true;
       }
     }
@@ -232,23 +236,23 @@
   /** How many replicas of the service are on machines. */
   int replicasOn(String service) {
     int count = 0;
-    for (OnMachine o : on)
-      if (o.job.equals(service)) {
+    for (OnMachine task : on)
+      if (task.job.equals(service)) {
         count++;
       }
     return count;
   }
 
   /** Accepted, not over, on no machine, and there is room for a task. */
-  private boolean waitsBesideRoom(JobSpec j) {
-    if (!wanted(j.id()) || tasksLeft(j.id()) == 0) {
+  private boolean waitsBesideRoom(JobSpec spec) {
+    if (!wanted(spec.id()) || tasksLeft(spec.id()) == 0) {
       return false;
     }
-    for (OnMachine o : on)
-      if (o.job.equals(j.id())) {
+    for (OnMachine task : on)
+      if (task.job.equals(spec.id())) {
         return false;
       }
-    return roomFor(j, Set.of());
+    return roomFor(spec, Set.of());
   }
 
   /** Accepted, not over, and nobody has asked to cancel it. */
@@ -261,24 +265,25 @@
   }
 
   /** Whether the team is under its limit and some other machine may take one more of the tasks. */
-  private boolean roomFor(JobSpec j, Set<String> excluded) {
-    Team t = teams.get(j.team());
-    if (t.cpusMax() > 0 && used(j.team()) + j.cpus() > t.cpusMax() + 1e-6) {
+  private boolean roomFor(JobSpec spec, Set<String> excluded) {
+    Team team = teams.get(spec.team());
+    if (team.cpusMax() > 0 && used(spec.team()) + spec.cpus() > team.cpusMax() + 1e-6) {
       return false;
     }
-    for (Machine m : up.values()) {
-      if (!Owner.allowed(j, m.type, m.zone, m.spot) || !zoneAllowed(j, m.zone)) {
+    for (Machine machine : up.values()) {
+      if (!Owner.allowed(spec, machine.type, machine.zone, machine.spot)
+          || !zoneAllowed(spec, machine.zone)) {
         continue;
       }
-      if (excluded.contains(m.id)) {
+      if (excluded.contains(machine.id)) {
         continue;
       }
-      double free = m.cpus;
-      for (OnMachine o : on)
-        if (o.machine.equals(m.id)) {
-          free -= jobs.get(o.job).cpus();
+      double free = machine.cpus;
+      for (OnMachine task : on)
+        if (task.machine.equals(machine.id)) {
+          free -= jobs.get(task.job).cpus();
         }
-      if (free >= j.cpus() - 1e-6) {
+      if (free >= spec.cpus() - 1e-6) {
         return true;
       }
     }
@@ -286,20 +291,20 @@
   }
 
   /** Whether one more task of the job may run in the zone beside those that do. */
-  private boolean zoneAllowed(JobSpec j, String zone) {
+  private boolean zoneAllowed(JobSpec spec, String zone) {
     int inZone = 1;
-    for (OnMachine o : on) {
-      if (!o.job.equals(j.id())) {
+    for (OnMachine task : on) {
+      if (!task.job.equals(spec.id())) {
         continue;
       }
-      if (j.oneZone() && !o.zone.equals(zone)) {
+      if (spec.oneZone() && !task.zone.equals(zone)) {
         return false;
       }
-      if (o.zone.equals(zone)) {
+      if (task.zone.equals(zone)) {
         inZone++;
       }
     }
-    return !j.spread() || inZone <= (j.tasks() + 1) / 2;
+    return !spec.spread() || inZone <= (spec.tasks() + 1) / 2;
   }
 
   /** A job that can never run was answered so: refused for good, or for now while undecided. */
@@ -320,18 +325,18 @@
   /** Jobs of which something is on a machine and that nobody has called off. */
   Set<String> running() {
     Set<String> out = new TreeSet<>();
-    for (OnMachine o : on)
-      if (!wantsCancel.contains(o.job)) {
-        out.add(o.job);
+    for (OnMachine task : on)
+      if (!wantsCancel.contains(task.job)) {
+        out.add(task.job);
       }
     return out;
   }
 
   Set<String> machinesOf(String job) {
     Set<String> out = new TreeSet<>();
-    for (OnMachine o : on)
-      if (o.job.equals(job)) {
-        out.add(o.machine);
+    for (OnMachine task : on)
+      if (task.job.equals(job)) {
+        out.add(task.machine);
       }
     return out;
   }
