--- a/src/test/java/mallowstall/core/SafetyCasesTest.java
+++ b/src/test/java/mallowstall/core/SafetyCasesTest.java
@@ -35,204 +35,205 @@
 
 /** One case of what keeps the rules each, on simulated time. */
 class SafetyCasesTest {
-  private static JobSpec plain(Sim s, String id, int tasks, String team) {
-    return s.job(id, tasks, 2, Priority.NORMAL, team, false, false, true, null);
+  private static JobSpec plain(Sim sim, String id, int tasks, String team) {
+    return sim.job(id, tasks, 2, Priority.NORMAL, team, false, false, true, null);
   }
 
-  private static Sim.Node holder(Sim s, String id) {
-    return s.nodes.get(s.entry(id).holder());
+  private static Sim.Node holder(Sim sim, String id) {
+    return sim.nodes.get(sim.entry(id).holder());
   }
 
   /** Runs until the controller has the machine from its former process; its record of it. */
-  private static MachineRec kept(Sim s, Sim.Node n, String id) {
-    MachineRec mine = n.core.store().machine(id);
-    while (s.now < 25_000 && (mine == null || mine.incarnation() != n.core.incarnation())) {
-      s.run(s.now + 50);
-      mine = n.core.store().machine(id);
+  private static MachineRec kept(Sim sim, Sim.Node node, String id) {
+    MachineRec mine = node.core.store().machine(id);
+    while (sim.now < 25_000 && (mine == null || mine.incarnation() != node.core.incarnation())) {
+      sim.run(sim.now + 50);
+      mine = node.core.store().machine(id);
     }
-    assertEquals(n.core.incarnation(), mine.incarnation(), "kept from the former process");
+    assertEquals(node.core.incarnation(), mine.incarnation(), "kept from the former process");
     return mine;
   }
 
-  private static void finished(Sim s, String id) {
-    assertEquals(List.of(), s.rules.broken);
-    assertEquals("done", s.rules.lastTold(id));
-    JobRec r = s.entry(id);
-    assertEquals(r.spec().tasks(), r.doneCount());
+  private static void finished(Sim sim, String id) {
+    assertEquals(List.of(), sim.rules.broken);
+    assertEquals("done", sim.rules.lastTold(id));
+    JobRec job = sim.entry(id);
+    assertEquals(job.spec().tasks(), job.doneCount());
   }
 
   /** Changes of machines' owners since that revision. */
-  private static long adoptions(Sim s, long since) {
-    return s.state.changes.stream()
-        .filter(i -> i.version() > since)
+  private static long adoptions(Sim sim, long since) {
+    return sim.state.changes.stream()
+        .filter(item -> item.version() > since)
         .filter(i -> i.key().startsWith(Store.GROUPS) || i.key().startsWith(Store.MACHINES))
         .count();
   }
 
   @Test
   void aCommandThatArrivesLateStartsNothingTwice() {
-    Sim s = new Sim(31);
-    s.run(6_000);
-    s.strayOrders = true; // every direct command is executed up to 20 s late, its answer is lost
-    s.submit(plain(s, "wk-000001", 12, "free"));
-    s.run(25_000);
-    s.strayOrders = false;
-    s.run(120_000);
-    assertTrue(s.strayed > 0);
-    finished(s, "wk-000001");
+    Sim sim = new Sim(31);
+    sim.run(6_000);
+    sim.strayOrders = true; // every direct command is executed up to 20 s late, its answer is lost
+    sim.submit(plain(sim, "wk-000001", 12, "free"));
+    sim.run(25_000);
+    sim.strayOrders = false;
+    sim.run(120_000);
+    assertTrue(sim.strayed > 0);
+    finished(sim, "wk-000001");
   }
 
   @Test
   void aTransactionAppliedLateUndoesNothing() {
-    Sim s = new Sim(32);
-    s.run(6_000);
-    s.submit(plain(s, "wk-000001", 6, "tight"));
-    s.run(7_000);
-    JobRec before = s.entry("wk-000001");
-    long version = s.state.keys.get(Store.JOBS + "wk-000001").version();
-    s.run(60_000);
-    finished(s, "wk-000001");
+    Sim sim = new Sim(32);
+    sim.run(6_000);
+    sim.submit(plain(sim, "wk-000001", 6, "tight"));
+    sim.run(7_000);
+    JobRec before = sim.entry("wk-000001");
+    long version = sim.state.keys.get(Store.JOBS + "wk-000001").version();
+    sim.run(60_000);
+    finished(sim, "wk-000001");
     Effects.TxnReply late =
-        s.state.transact(
+        sim.state.transact(
             new Effects.Txn(
                 List.of(new Effects.Cond(Store.JOBS + "wk-000001", version)),
                 List.of(new Effects.Put(Store.JOBS + "wk-000001", before, 0)),
                 List.of()));
     assertEquals(Effects.Code.CONFLICT, late.code());
-    s.run(70_000);
-    finished(s, "wk-000001");
+    sim.run(70_000);
+    finished(sim, "wk-000001");
   }
 
   @Test
   void aHolderThatEndsBetweenStartAndAnswerLeavesNoDoubt() {
     for (int after = 1; after < 60; after += 7) {
-      Sim s = new Sim(33);
-      s.run(6_000);
-      s.submit(plain(s, "wk-000001", 10, "free"));
-      while (!s.state.keys.containsKey(Store.JOBS + "wk-000001")) {
-        s.run(s.now + 1);
+      Sim sim = new Sim(33);
+      sim.run(6_000);
+      sim.submit(plain(sim, "wk-000001", 10, "free"));
+      while (!sim.state.keys.containsKey(Store.JOBS + "wk-000001")) {
+        sim.run(sim.now + 1);
       }
-      s.run(s.now + after);
-      holder(s, "wk-000001").crash(after % 2 == 0 ? 100 : 20_000);
-      s.run(150_000);
-      finished(s, "wk-000001");
+      sim.run(sim.now + after);
+      holder(sim, "wk-000001").crash(after % 2 == 0 ? 100 : 20_000);
+      sim.run(150_000);
+      finished(sim, "wk-000001");
     }
   }
 
   @Test
   void aRestartWithinAFractionOfASecondKeepsTheRules() {
-    Sim s = new Sim(34);
-    s.run(6_000);
+    Sim sim = new Sim(34);
+    sim.run(6_000);
     for (int i = 0; i < 8; i++) {
-      s.submit(plain(s, "wk-00000" + i, 6, i % 2 == 0 ? "free" : "tight"));
+      sim.submit(plain(sim, "wk-00000" + i, 6, i % 2 == 0 ? "free" : "tight"));
     }
     for (int i = 0; i < 12; i++) {
-      s.run(s.now + 900);
-      s.nodes.get(Sim.NODES.get(i % 3)).crash(80);
+      sim.run(sim.now + 900);
+      sim.nodes.get(Sim.NODES.get(i % 3)).crash(80);
     }
-    s.run(200_000);
+    sim.run(200_000);
     for (int i = 0; i < 8; i++) {
-      finished(s, "wk-00000" + i);
+      finished(sim, "wk-00000" + i);
     }
   }
 
   @Test
   void aControllerCutOffFromTheStateServiceLosesItsJobsSafely() {
-    Sim s = new Sim(35);
-    s.run(6_000);
-    s.submit(plain(s, "wk-000001", 30, "free"));
-    s.run(8_000);
-    Sim.Node h = holder(s, "wk-000001");
-    h.noState = true;
-    s.run(20_000);
-    assertFalse(h.name.equals(s.entry("wk-000001").holder()));
-    assertFalse(h.core.ready());
-    for (Sim.Worker w : s.workers.values())
-      assertFalse(w.node.equals(h.name), "its machines move to served peers");
-    s.run(60_000);
-    h.noState = false;
-    s.run(150_000);
-    finished(s, "wk-000001");
+    Sim sim = new Sim(35);
+    sim.run(6_000);
+    sim.submit(plain(sim, "wk-000001", 30, "free"));
+    sim.run(8_000);
+    Sim.Node node = holder(sim, "wk-000001");
+    node.noState = true;
+    sim.run(20_000);
+    assertFalse(node.name.equals(sim.entry("wk-000001").holder()));
+    assertFalse(node.core.ready());
+    for (Sim.Worker worker : sim.workers.values())
+      assertFalse(worker.node.equals(node.name), "its machines move to served peers");
+    sim.run(60_000);
+    node.noState = false;
+    sim.run(150_000);
+    finished(sim, "wk-000001");
   }
 
   @Test
   void aControllerCutOffFromItsPeersKeepsTheRules() {
-    Sim s = new Sim(36);
-    s.run(6_000);
-    s.submit(plain(s, "wk-000001", 30, "free"));
-    s.run(8_000);
-    Sim.Node h = holder(s, "wk-000001");
-    for (Sim.Node n : s.nodes.values()) {
-      if (n == h) {
+    Sim sim = new Sim(36);
+    sim.run(6_000);
+    sim.submit(plain(sim, "wk-000001", 30, "free"));
+    sim.run(8_000);
+    Sim.Node node = holder(sim, "wk-000001");
+    for (Sim.Node controller : sim.nodes.values()) {
+      if (controller == node) {
         continue;
       }
-      h.cut.put(n.name, true);
-      n.cut.put(h.name, true);
+      node.cut.put(controller.name, true);
+      controller.cut.put(node.name, true);
     }
-    s.run(30_000);
-    s.rejoin();
-    s.run(150_000);
-    finished(s, "wk-000001");
+    sim.run(30_000);
+    sim.rejoin();
+    sim.run(150_000);
+    finished(sim, "wk-000001");
   }
 
   @Test
   void anOutageLongerThanALeaseLetsWorkGoOn() {
-    Sim s = new Sim(37);
-    s.run(6_000);
-    s.submit(plain(s, "wk-000001", 8, "free"));
-    s.run(8_000);
-    s.state.outage = true;
-    s.run(48_000);
-    long kept = s.workers.values().stream().filter(w -> w.session == 1).count();
-    assertEquals(s.workers.size(), kept, "no worker's lease may run out: no cancellation was told");
-    s.state.recover();
-    s.run(120_000);
-    finished(s, "wk-000001");
+    Sim sim = new Sim(37);
+    sim.run(6_000);
+    sim.submit(plain(sim, "wk-000001", 8, "free"));
+    sim.run(8_000);
+    sim.state.outage = true;
+    sim.run(48_000);
+    long kept = sim.workers.values().stream().filter(worker -> worker.session == 1).count();
+    assertEquals(
+        sim.workers.size(), kept, "no worker's lease may run out: no cancellation was told");
+    sim.state.recover();
+    sim.run(120_000);
+    finished(sim, "wk-000001");
   }
 
   @Test
   void allControllersEndTogether() {
-    Sim s = new Sim(38);
-    s.run(6_000);
-    s.submit(plain(s, "wk-000001", 20, "tight"));
-    s.run(9_000);
-    for (Sim.Node n : s.nodes.values()) n.crash(4_000);
-    s.run(150_000);
-    finished(s, "wk-000001");
+    Sim sim = new Sim(38);
+    sim.run(6_000);
+    sim.submit(plain(sim, "wk-000001", 20, "tight"));
+    sim.run(9_000);
+    for (Sim.Node node : sim.nodes.values()) node.crash(4_000);
+    sim.run(150_000);
+    finished(sim, "wk-000001");
   }
 
   @Test
   void aCancellationWithAStartInFlightStopsEverything() {
     for (int after = 0; after < 40; after += 5) {
-      Sim s = new Sim(39);
-      s.run(6_000);
-      s.submit(plain(s, "wk-000001", 12, "tight"));
-      while (!s.state.keys.containsKey(Store.JOBS + "wk-000001")) {
-        s.run(s.now + 1);
+      Sim sim = new Sim(39);
+      sim.run(6_000);
+      sim.submit(plain(sim, "wk-000001", 12, "tight"));
+      while (!sim.state.keys.containsKey(Store.JOBS + "wk-000001")) {
+        sim.run(sim.now + 1);
       }
-      s.run(s.now + after);
-      s.cancel("wk-000001");
-      s.run(90_000);
-      assertEquals(List.of(), s.rules.broken);
-      assertEquals("cancelled", s.rules.lastTold("wk-000001"));
-      assertEquals(0, s.entry("wk-000001").grant(), "the grant is given back");
-      Sim.StateService.Val sum = s.state.keys.get(Store.TEAMS + "tight");
+      sim.run(sim.now + after);
+      sim.cancel("wk-000001");
+      sim.run(90_000);
+      assertEquals(List.of(), sim.rules.broken);
+      assertEquals("cancelled", sim.rules.lastTold("wk-000001"));
+      assertEquals(0, sim.entry("wk-000001").grant(), "the grant is given back");
+      Sim.StateService.Val sum = sim.state.keys.get(Store.TEAMS + "tight");
       assertEquals(0, sum == null ? 0 : ((TeamRec) sum.value()).cpus(), 1e-9);
     }
   }
 
   @Test
   void theQuotaHoldsAcrossControllers() {
-    Sim s = new Sim(40);
-    s.run(6_000);
+    Sim sim = new Sim(40);
+    sim.run(6_000);
     for (int i = 0; i < 9; i++) {
-      s.submit(plain(s, "wk-00000" + i, 9, "tight"));
+      sim.submit(plain(sim, "wk-00000" + i, 9, "tight"));
     }
-    s.run(250_000);
+    sim.run(250_000);
     for (int i = 0; i < 9; i++) {
-      finished(s, "wk-00000" + i);
+      finished(sim, "wk-00000" + i);
     }
-    assertEquals(0, ((TeamRec) s.state.keys.get(Store.TEAMS + "tight").value()).cpus(), 1e-9);
+    assertEquals(0, ((TeamRec) sim.state.keys.get(Store.TEAMS + "tight").value()).cpus(), 1e-9);
   }
 
   /**
@@ -243,34 +244,34 @@
   @Test
   void aClaimantThatHearsLateOfItsClaimMissesNoTask() {
     for (String name : Sim.NODES) {
-      Sim s = new Sim(51);
-      s.runMs = 25_000;
-      s.run(8_000);
-      s.submit(plain(s, "wk-000001", 14, "free"));
-      s.run(14_000);
-      Sim.Node claimant = s.nodes.get(name);
-      if (claimant == holder(s, "wk-000001")) {
+      Sim sim = new Sim(51);
+      sim.runMs = 25_000;
+      sim.run(8_000);
+      sim.submit(plain(sim, "wk-000001", 14, "free"));
+      sim.run(14_000);
+      Sim.Node claimant = sim.nodes.get(name);
+      if (claimant == holder(sim, "wk-000001")) {
         continue;
       }
       claimant.lag = 900;
       // its claim is executed, the answer is lost, and its watch tells it late
       String key = Store.JOBS + "wk-000001";
-      JobRec mine = s.entry("wk-000001").withHolder(name, claimant.core.incarnation());
-      long version = s.state.keys.get(key).version();
+      JobRec mine = sim.entry("wk-000001").withHolder(name, claimant.core.incarnation());
+      long version = sim.state.keys.get(key).version();
       assertEquals(
           Effects.Code.OK,
-          s.state
+          sim.state
               .transact(
                   new Effects.Txn(
                       List.of(new Effects.Cond(key, version)),
                       List.of(new Effects.Put(key, mine, 0)),
                       List.of()))
               .code());
-      s.run(18_000);
-      assertEquals(List.of(), s.rules.broken);
+      sim.run(18_000);
+      assertEquals(List.of(), sim.rules.broken);
       claimant.lag = 0;
-      s.run(200_000);
-      finished(s, "wk-000001");
+      sim.run(200_000);
+      finished(sim, "wk-000001");
     }
   }
 
@@ -280,28 +281,28 @@
    */
   @Test
   void aMachineThatDiesWithItsOwnerHoldsNobodyUpForLong() {
-    Sim s = new Sim(44);
-    s.run(8_000);
-    s.submit(plain(s, "wk-000001", 60, "free"));
-    s.run(12_000);
-    Sim.Node h = holder(s, "wk-000001");
+    Sim sim = new Sim(44);
+    sim.run(8_000);
+    sim.submit(plain(sim, "wk-000001", 60, "free"));
+    sim.run(12_000);
+    Sim.Node node = holder(sim, "wk-000001");
     String dead = null;
-    for (Sim.Worker w : s.workers.values()) {
-      MachineRec v = s.machineRec(w.id);
-      if (v != null && v.node().equals(h.name)) {
-        dead = w.id;
+    for (Sim.Worker worker : sim.workers.values()) {
+      MachineRec v = sim.machineRec(worker.id);
+      if (v != null && v.node().equals(node.name)) {
+        dead = worker.id;
       }
     }
     assertNotNull(dead);
-    s.workers.remove(dead).dead = true;
-    s.rules.machineGone(dead);
-    h.crash(60_000);
-    s.run(12_000 + 5_500 + 9_000 + 4_000);
-    Sim.Node next = holder(s, "wk-000001");
-    assertFalse(next == h);
+    sim.workers.remove(dead).dead = true;
+    sim.rules.machineGone(dead);
+    node.crash(60_000);
+    sim.run(12_000 + 5_500 + 9_000 + 4_000);
+    Sim.Node next = holder(sim, "wk-000001");
+    assertFalse(next == node);
     assertTrue(next.core.latched("wk-000001"));
-    s.run(160_000);
-    finished(s, "wk-000001");
+    sim.run(160_000);
+    finished(sim, "wk-000001");
   }
 
   /**
@@ -310,53 +311,53 @@
    */
   @Test
   void acknowledgementsOfAFormerProcessCountForNothing() {
-    Sim s = new Sim(41);
-    s.run(6_000);
-    Sim.Node n = s.nodes.get("n0");
-    long mine = n.core.incarnation();
-    n.event(
+    Sim sim = new Sim(41);
+    sim.run(6_000);
+    Sim.Node node = sim.nodes.get("n0");
+    long mine = node.core.incarnation();
+    node.event(
         () ->
-            n.core.message(
+            node.core.message(
                 new Roster(
                     "n1", 1_000, 1, 0, 0, 0, 1, mine - 1, 99, 99, 0, List.of(), List.of(),
                     List.of(), List.of())));
-    assertEquals(0, n.core.view().peer("n1").ackedConnection);
-    n.event(
+    assertEquals(0, node.core.view().peer("n1").ackedConnection);
+    node.event(
         () ->
-            n.core.message(
+            node.core.message(
                 new Roster(
                     "n1", 1_000, 2, 0, 0, 0, 1, mine, 99, 99, 0, List.of(), List.of(), List.of(),
                     List.of())));
-    assertEquals(99, n.core.view().peer("n1").ackedConnection);
+    assertEquals(99, node.core.view().peer("n1").ackedConnection);
   }
 
   /** A report from before the write-off, delivered after it, must not bring its tasks back. */
   @Test
   void aLateReportDoesNotReviveAWrittenOffSession() {
-    Sim s = new Sim(42);
-    s.run(6_000);
-    Sim.Worker w = s.workers.values().iterator().next();
-    Sim.Node owner = s.nodes.get(s.machineRec(w.id).node());
+    Sim sim = new Sim(42);
+    sim.run(6_000);
+    Sim.Worker worker = sim.workers.values().iterator().next();
+    Sim.Node owner = sim.nodes.get(sim.machineRec(worker.id).node());
     Report old =
         new Report(
-            w.id,
-            w.id,
+            worker.id,
+            worker.id,
             "t8",
-            w.zone,
-            w.spot,
-            w.session,
-            w.seq + 50,
-            w.token,
+            worker.zone,
+            worker.spot,
+            worker.session,
+            worker.seq + 50,
+            worker.token,
             null,
             List.of(new TaskReport("wk-000009", 0, 1, TaskState.RUNNING, null, false)));
-    s.killMachine(w.id);
-    s.run(s.now + 12_500 + Constants.WATCH_HOLD_MS);
+    sim.killMachine(worker.id);
+    sim.run(sim.now + 12_500 + Constants.WATCH_HOLD_MS);
     List<ReportAnswer> got = new ArrayList<>();
     owner.event(() -> owner.core.report(old, got::add));
     assertEquals(503, got.get(0).status());
-    View.Seen seen = owner.core.view().machines.get(w.id);
+    View.Seen seen = owner.core.view().machines.get(worker.id);
     assertNotNull(seen);
-    assertEquals(List.of(), seen.m.tasks());
+    assertEquals(List.of(), seen.state.tasks());
   }
 
   /**
@@ -366,55 +367,55 @@
    */
   @Test
   void aDeafMachineGetsNoTasksAndLosesItsOwnToOthers() {
-    Sim s = new Sim(61);
-    s.runMs = 14_000;
-    s.run(8_000);
-    s.submit(plain(s, "wk-000001", 12, "free"));
-    s.run(11_000);
-    Sim.Worker w = null;
-    for (Sim.Worker x : s.workers.values())
-      if (!x.tasks.isEmpty()) {
-        w = x;
+    Sim sim = new Sim(61);
+    sim.runMs = 14_000;
+    sim.run(8_000);
+    sim.submit(plain(sim, "wk-000001", 12, "free"));
+    sim.run(11_000);
+    Sim.Worker worker = null;
+    for (Sim.Worker simWorker : sim.workers.values())
+      if (!simWorker.tasks.isEmpty()) {
+        worker = simWorker;
       }
-    assertNotNull(w);
-    w.deaf = true;
-    s.run(11_000 + Sim.LEASE + 4_000);
-    assertTrue(w.session > 1, "its lease ran out although its reports were answered");
-    for (Sim.Node n : s.nodes.values()) {
-      View.Seen seen = n.core.view().machines.get(w.id);
+    assertNotNull(worker);
+    worker.deaf = true;
+    sim.run(11_000 + Sim.LEASE + 4_000);
+    assertTrue(worker.session > 1, "its lease ran out although its reports were answered");
+    for (Sim.Node node : sim.nodes.values()) {
+      View.Seen seen = node.core.view().machines.get(worker.id);
       assertFalse(seen != null && seen.takes(), "no start goes to a machine that doesn't hear");
     }
-    s.run(75_000);
-    finished(s, "wk-000001");
+    sim.run(75_000);
+    finished(sim, "wk-000001");
     // whether it was replaced meanwhile or not, a machine that hears again serves again
-    w.deaf = false;
-    s.submit(plain(s, "wk-000002", 30, "free"));
-    s.run(200_000);
-    finished(s, "wk-000002");
+    worker.deaf = false;
+    sim.submit(plain(sim, "wk-000002", 30, "free"));
+    sim.run(200_000);
+    finished(sim, "wk-000002");
   }
 
   /** The same with a cancellation: it holds on a machine that never hears of it. */
   @Test
   void aCancellationHoldsOnADeafMachine() {
-    Sim s = new Sim(62);
-    s.runMs = 100_000;
-    s.run(8_000);
-    s.submit(plain(s, "wk-000001", 12, "free"));
-    s.run(12_000);
-    for (Sim.Worker w : s.workers.values()) w.deaf = true;
-    s.cancel("wk-000001");
-    s.run(70_000);
-    assertEquals("cancelled", s.rules.lastTold("wk-000001"));
-    assertEquals(List.of(), s.rules.broken);
+    Sim sim = new Sim(62);
+    sim.runMs = 100_000;
+    sim.run(8_000);
+    sim.submit(plain(sim, "wk-000001", 12, "free"));
+    sim.run(12_000);
+    for (Sim.Worker worker : sim.workers.values()) worker.deaf = true;
+    sim.cancel("wk-000001");
+    sim.run(70_000);
+    assertEquals("cancelled", sim.rules.lastTold("wk-000001"));
+    assertEquals(List.of(), sim.rules.broken);
   }
 
-  private static Report copy(Sim.Worker w, long session, long seq, long token) {
+  private static Report copy(Sim.Worker worker, long session, long seq, long token) {
     return new Report(
-        w.id,
-        w.id,
+        worker.id,
+        worker.id,
         "t8",
-        w.zone,
-        w.spot,
+        worker.zone,
+        worker.spot,
         session,
         seq,
         token,
@@ -428,49 +429,52 @@
    */
   @Test
   void lateCopiesOfReportsChangeNothing() {
-    Sim s = new Sim(63);
-    s.run(12_000);
-    Sim.Worker w = s.workers.values().iterator().next();
-    MachineRec before = s.machineRec(w.id);
-    Report old = copy(w, w.session, w.seq - 3, w.token);
-    for (Sim.Node n : s.nodes.values()) {
+    Sim sim = new Sim(63);
+    sim.run(12_000);
+    Sim.Worker worker = sim.workers.values().iterator().next();
+    MachineRec before = sim.machineRec(worker.id);
+    Report old = copy(worker, worker.session, worker.seq - 3, worker.token);
+    for (Sim.Node node : sim.nodes.values()) {
       List<ReportAnswer> got = new ArrayList<>();
-      n.event(() -> n.core.report(old, got::add));
-      s.run(s.now + 100);
-      assertEquals(503, got.get(0).status(), n.name);
+      node.event(() -> node.core.report(old, got::add));
+      sim.run(sim.now + 100);
+      assertEquals(503, got.get(0).status(), node.name);
     }
     // so new that its owner hasn't told of a newer one: sent to the owner, who is alive
-    for (Sim.Node n : s.nodes.values()) {
-      if (n.name.equals(before.node())) {
+    for (Sim.Node controller : sim.nodes.values()) {
+      if (controller.name.equals(before.node())) {
         continue;
       }
       List<ReportAnswer> got = new ArrayList<>();
-      n.event(() -> n.core.report(copy(w, w.session, w.seq + 1, w.token), got::add));
-      s.run(s.now + 100);
-      assertEquals(421, got.get(0).status(), n.name);
+      controller.event(
+          () ->
+              controller.core.report(
+                  copy(worker, worker.session, worker.seq + 1, worker.token), got::add));
+      sim.run(sim.now + 100);
+      assertEquals(421, got.get(0).status(), controller.name);
       assertEquals(before.node(), got.get(0).reportTo());
     }
-    s.run(s.now + 3_000);
-    assertEquals(before, s.machineRec(w.id));
-    for (Sim.Node n : s.nodes.values())
-      assertEquals(List.of(), n.core.view().machines.get(w.id).m.tasks());
+    sim.run(sim.now + 3_000);
+    assertEquals(before, sim.machineRec(worker.id));
+    for (Sim.Node n : sim.nodes.values())
+      assertEquals(List.of(), n.core.view().machines.get(worker.id).state.tasks());
     // returned: by the cloud and in the records
-    s.killMachine(w.id);
-    s.state.transact(
+    sim.killMachine(worker.id);
+    sim.state.transact(
         new Effects.Txn(
             List.of(),
-            List.of(new Effects.Put(Store.MACHINES + w.id, MachineRec.returned(), 0)),
+            List.of(new Effects.Put(Store.MACHINES + worker.id, MachineRec.returned(), 0)),
             List.of()));
-    s.run(s.now + 3_000);
-    for (long token : new long[] {0, w.token}) {
-      for (Sim.Node n : s.nodes.values()) {
+    sim.run(sim.now + 3_000);
+    for (long token : new long[] {0, worker.token}) {
+      for (Sim.Node n : sim.nodes.values()) {
         List<ReportAnswer> got = new ArrayList<>();
-        n.event(() -> n.core.report(copy(w, w.session, w.seq + 9, token), got::add));
-        s.run(s.now + 200);
+        n.event(() -> n.core.report(copy(worker, worker.session, worker.seq + 9, token), got::add));
+        sim.run(sim.now + 200);
         assertEquals(503, got.get(0).status(), n.name);
       }
     }
-    assertEquals(null, s.machineRec(w.id));
+    assertEquals(null, sim.machineRec(worker.id));
   }
 
   /**
@@ -479,79 +483,79 @@
    */
   @Test
   void machinesOfAControllerCutOffFromAllButThemAreTakenOver() {
-    Sim s = new Sim(64);
-    s.runMs = 60_000;
-    s.run(8_000);
-    s.submit(plain(s, "wk-000001", 40, "free"));
-    s.run(14_000);
-    Sim.Node h = holder(s, "wk-000001");
-    s.isolate(h);
-    s.run(14_000 + Constants.SESSION_TTL_MS + Constants.SEIZE_AFTER_MS + 4_000);
-    Sim.Node next = holder(s, "wk-000001");
-    assertFalse(next == h);
+    Sim sim = new Sim(64);
+    sim.runMs = 60_000;
+    sim.run(8_000);
+    sim.submit(plain(sim, "wk-000001", 40, "free"));
+    sim.run(14_000);
+    Sim.Node node = holder(sim, "wk-000001");
+    sim.isolate(node);
+    sim.run(14_000 + Constants.SESSION_TTL_MS + Constants.SEIZE_AFTER_MS + 4_000);
+    Sim.Node next = holder(sim, "wk-000001");
+    assertFalse(next == node);
     assertTrue(next.core.latched("wk-000001"), "the job goes on while the cut lasts");
-    for (Sim.Worker w : s.workers.values()) {
-      assertFalse(w.node.equals(h.name), "its workers have turned to the others");
-      assertEquals(1, w.session, "and kept their tasks");
+    for (Sim.Worker worker : sim.workers.values()) {
+      assertFalse(worker.node.equals(node.name), "its workers have turned to the others");
+      assertEquals(1, worker.session, "and kept their tasks");
     }
-    s.run(45_000);
-    h.noState = false;
-    s.rejoin();
-    s.run(330_000);
-    finished(s, "wk-000001");
+    sim.run(45_000);
+    node.noState = false;
+    sim.rejoin();
+    sim.run(330_000);
+    finished(sim, "wk-000001");
   }
 
   /** All connections between controllers are refused: work goes on and recovers at once. */
   @Test
   void controllersThatRefuseEachOtherGoOnWorking() {
-    Sim s = new Sim(65);
-    s.run(8_000);
+    Sim sim = new Sim(65);
+    sim.run(8_000);
     for (int i = 0; i < 6; i++) {
-      s.submit(plain(s, "wk-00000" + i, 30, "free"));
+      sim.submit(plain(sim, "wk-00000" + i, 30, "free"));
     }
-    s.run(14_000);
-    s.refusePeers();
+    sim.run(14_000);
+    sim.refusePeers();
     int before = 0;
     for (int i = 0; i < 6; i++) {
-      before += s.entry("wk-00000" + i).doneCount();
+      before += sim.entry("wk-00000" + i).doneCount();
     }
-    s.run(40_000);
+    sim.run(40_000);
     int after = 0;
     for (int i = 0; i < 6; i++) {
-      after += s.entry("wk-00000" + i).doneCount();
+      after += sim.entry("wk-00000" + i).doneCount();
     }
     assertTrue(after > before + 10, "holders' own machines serve them: " + (after - before));
-    s.rejoin();
-    s.run(150_000);
+    sim.rejoin();
+    sim.run(150_000);
     for (int i = 0; i < 6; i++) {
-      finished(s, "wk-00000" + i);
+      finished(sim, "wk-00000" + i);
     }
   }
 
   /** All controllers end while the state service is down: jobs stay known and run on. */
   @Test
   void allControllersEndInAnOutage() {
-    Sim s = new Sim(66);
-    s.run(8_000);
+    Sim sim = new Sim(66);
+    sim.run(8_000);
     for (int i = 0; i < 6; i++) {
-      s.submit(plain(s, "wk-00000" + i, 6, "tight"));
+      sim.submit(plain(sim, "wk-00000" + i, 6, "tight"));
     }
-    s.run(12_000);
-    s.state.outage = true;
-    s.run(15_000);
-    for (Sim.Node n : s.nodes.values()) n.crash(n.name.equals("n1") ? 200 : 4_000);
-    s.run(32_000);
-    s.state.recover();
-    s.run(45_000);
-    for (Sim.Node n : s.nodes.values()) {
+    sim.run(12_000);
+    sim.state.outage = true;
+    sim.run(15_000);
+    for (Sim.Node node : sim.nodes.values()) node.crash(node.name.equals("n1") ? 200 : 4_000);
+    sim.run(32_000);
+    sim.state.recover();
+    sim.run(45_000);
+    for (Sim.Node controller : sim.nodes.values()) {
       List<UserAnswer> got = new ArrayList<>();
-      n.event(() -> n.core.query("wk-000003", got::add));
-      s.run(s.now + 1_000);
-      assertEquals(200, got.get(0).status(), "known at " + n.name);
+      controller.event(() -> controller.core.query("wk-000003", got::add));
+      sim.run(sim.now + 1_000);
+      assertEquals(200, got.get(0).status(), "known at " + controller.name);
     }
-    s.run(200_000);
+    sim.run(200_000);
     for (int i = 0; i < 6; i++) {
-      finished(s, "wk-00000" + i);
+      finished(sim, "wk-00000" + i);
     }
   }
 
@@ -561,24 +565,24 @@
    */
   @Test
   void aStatementWithAGapIsNotTakenIn() {
-    Sim s = new Sim(67);
-    s.run(6_000);
-    Sim.Node n = s.nodes.get("n0");
-    View.Peer p = n.core.view().peer("n9");
-    RosterMachine m = machine("m-900001", 1);
-    n.event(() -> n.core.message(roster(1, 0, List.of(m), List.of())));
-    assertEquals(1, p.serial);
-    assertTrue(p.machines.contains("m-900001"));
-    n.event(() -> n.core.message(roster(4, 3, List.of(), List.of("m-900001"))));
-    assertEquals(1, p.serial, "builds on the third, which never came");
-    assertTrue(p.machines.contains("m-900001"));
-    n.event(() -> n.core.message(roster(5, 1, List.of(machine("m-900002", 1)), List.of())));
-    assertEquals(5, p.serial);
-    n.event(() -> n.core.message(roster(4, 1, List.of(), List.of("m-900002"))));
-    assertTrue(p.machines.contains("m-900002"), "an older one comes late");
-    n.event(() -> n.core.message(roster(6, 5, List.of(), List.of("m-900001"))));
-    assertFalse(p.machines.contains("m-900001"));
-    assertTrue(p.machines.contains("m-900002"), "what isn't said anew still holds");
+    Sim sim = new Sim(67);
+    sim.run(6_000);
+    Sim.Node node = sim.nodes.get("n0");
+    View.Peer peer = node.core.view().peer("n9");
+    RosterMachine state = machine("m-900001", 1);
+    node.event(() -> node.core.message(roster(1, 0, List.of(state), List.of())));
+    assertEquals(1, peer.serial);
+    assertTrue(peer.machines.contains("m-900001"));
+    node.event(() -> node.core.message(roster(4, 3, List.of(), List.of("m-900001"))));
+    assertEquals(1, peer.serial, "builds on the third, which never came");
+    assertTrue(peer.machines.contains("m-900001"));
+    node.event(() -> node.core.message(roster(5, 1, List.of(machine("m-900002", 1)), List.of())));
+    assertEquals(5, peer.serial);
+    node.event(() -> node.core.message(roster(4, 1, List.of(), List.of("m-900002"))));
+    assertTrue(peer.machines.contains("m-900002"), "an older one comes late");
+    node.event(() -> node.core.message(roster(6, 5, List.of(), List.of("m-900001"))));
+    assertFalse(peer.machines.contains("m-900001"));
+    assertTrue(peer.machines.contains("m-900002"), "what isn't said anew still holds");
   }
 
   private static Roster roster(long serial, long since, List<RosterMachine> ms, List<String> gone) {
@@ -602,17 +606,17 @@
    */
   @Test
   void aJobForOrdinaryMachinesOfOneZoneIsServed() {
-    Sim s = new Sim(68);
-    s.run(8_000);
-    for (Sim.Worker w : List.copyOf(s.workers.values()))
-      if (w.zone.equals("a")) {
-        s.killMachine(w.id);
+    Sim sim = new Sim(68);
+    sim.run(8_000);
+    for (Sim.Worker worker : List.copyOf(sim.workers.values()))
+      if (worker.zone.equals("a")) {
+        sim.killMachine(worker.id);
       }
-    s.machine("t8", "a", true, 0);
-    s.run(60_000);
-    s.submit(s.job("wk-000001", 2, 2, Priority.NORMAL, "free", false, false, false, "a"));
-    s.run(150_000);
-    finished(s, "wk-000001");
+    sim.machine("t8", "a", true, 0);
+    sim.run(60_000);
+    sim.submit(sim.job("wk-000001", 2, 2, Priority.NORMAL, "free", false, false, false, "a"));
+    sim.run(150_000);
+    finished(sim, "wk-000001");
   }
 
   /**
@@ -621,20 +625,20 @@
    */
   @Test
   void hundredsOfMachinesChangeOwnerWithinTheirLease() {
-    Sim s = new Sim(69);
+    Sim sim = new Sim(69);
     for (int i = 0; i < 300; i++) {
-      s.machine("t8", i % 2 == 0 ? "a" : "b", false, 0);
+      sim.machine("t8", i % 2 == 0 ? "a" : "b", false, 0);
     }
-    s.run(20_000);
-    long before = s.state.revision;
-    for (Sim.Node n : s.nodes.values()) n.crash(2_000);
-    s.run(32_000);
-    for (Sim.Worker w : s.workers.values()) assertEquals(1, w.session, w.id);
-    long adoptions = adoptions(s, before);
+    sim.run(20_000);
+    long before = sim.state.revision;
+    for (Sim.Node node : sim.nodes.values()) node.crash(2_000);
+    sim.run(32_000);
+    for (Sim.Worker worker : sim.workers.values()) assertEquals(1, worker.session, worker.id);
+    long adoptions = adoptions(sim, before);
     assertTrue(adoptions < 150, "changes for 304 machines: " + adoptions);
-    s.submit(plain(s, "wk-000001", 40, "free"));
-    s.run(90_000);
-    finished(s, "wk-000001");
+    sim.submit(plain(sim, "wk-000001", 40, "free"));
+    sim.run(90_000);
+    finished(sim, "wk-000001");
   }
 
   /**
@@ -645,22 +649,22 @@
   @ParameterizedTest
   @ValueSource(longs = {4_000, 12_000, 28_000})
   void aControllerThatStandsStillActsOnNothingOld(long ms) {
-    Sim s = new Sim(80 + ms);
-    s.runMs = 3_000;
-    s.run(8_000);
+    Sim sim = new Sim(80 + ms);
+    sim.runMs = 3_000;
+    sim.run(8_000);
     for (int i = 0; i < 9; i++) {
-      s.submit(plain(s, "wk-00000" + i, 8, "tight"));
+      sim.submit(plain(sim, "wk-00000" + i, 8, "tight"));
     }
-    s.run(9_500);
-    Sim.Node n = holder(s, "wk-000004");
-    n.freezeFor = ms;
-    s.run(9_500 + ms);
+    sim.run(9_500);
+    Sim.Node node = holder(sim, "wk-000004");
+    node.freezeFor = ms;
+    sim.run(9_500 + ms);
     for (int i = 0; i < 9 && ms > 20_000; i++) {
-      assertTrue(holder(s, "wk-00000" + i) != n, "others hold wk-00000" + i);
+      assertTrue(holder(sim, "wk-00000" + i) != node, "others hold wk-00000" + i);
     }
-    s.run(200_000);
+    sim.run(200_000);
     for (int i = 0; i < 9; i++) {
-      finished(s, "wk-00000" + i);
+      finished(sim, "wk-00000" + i);
     }
   }
 
@@ -670,16 +674,16 @@
    */
   @Test
   void whatWasReadLongAgoIsNotTold() {
-    Sim s = new Sim(93);
-    s.run(8_000);
-    s.submit(plain(s, "wk-000001", 4, "free"));
-    s.run(9_000);
-    Sim.Node n = s.nodes.get("n1");
+    Sim sim = new Sim(93);
+    sim.run(8_000);
+    sim.submit(plain(sim, "wk-000001", 4, "free"));
+    sim.run(9_000);
+    Sim.Node node = sim.nodes.get("n1");
     for (long lag : new long[] {200, 1_200, 2_500}) {
-      n.lag = lag;
+      node.lag = lag;
       List<UserAnswer> got = new ArrayList<>();
-      n.event(() -> n.core.query("wk-000001", got::add));
-      s.run(s.now + 3_000);
+      node.event(() -> node.core.query("wk-000001", got::add));
+      sim.run(sim.now + 3_000);
       assertEquals(lag < 1_000 ? 200 : 503, got.get(0).status());
     }
   }
@@ -687,12 +691,12 @@
   /** A fleet without work goes back, though more machines are idle than one request may name. */
   @Test
   void hundredsOfIdleMachinesGoBack() {
-    Sim s = new Sim(94);
+    Sim sim = new Sim(94);
     for (int i = 0; i < 900; i++) {
-      s.machine("t8", i % 2 == 0 ? "a" : "b", false, 0);
+      sim.machine("t8", i % 2 == 0 ? "a" : "b", false, 0);
     }
-    s.run(130_000);
-    assertTrue(s.workers.size() < 200, "still up: " + s.workers.size());
+    sim.run(130_000);
+    assertTrue(sim.workers.size() < 200, "still up: " + sim.workers.size());
   }
 
   /**
@@ -702,22 +706,22 @@
   @Test
   void aHolderWithoutSessionCallsNoTaskDoubled() {
     for (boolean session : new boolean[] {true, false}) {
-      Sim s = new Sim(92);
-      s.runMs = 60_000;
-      s.run(8_000);
-      s.submit(plain(s, "wk-000001", 1, "tight"));
-      s.run(13_000);
-      Sim.Node n = holder(s, "wk-000001");
+      Sim sim = new Sim(92);
+      sim.runMs = 60_000;
+      sim.run(8_000);
+      sim.submit(plain(sim, "wk-000001", 1, "tight"));
+      sim.run(13_000);
+      Sim.Node node = holder(sim, "wk-000001");
       long attempt = 0;
-      for (Sim.Worker w : s.workers.values())
-        for (Sim.Worker.T t : w.tasks.values()) attempt = t.attempt;
-      n.noState = !session;
-      s.run(20_000);
+      for (Sim.Worker worker : sim.workers.values())
+        for (Sim.Worker.T task : worker.tasks.values()) attempt = task.attempt;
+      node.noState = !session;
+      sim.run(20_000);
       RosterTask older = new RosterTask("wk-000001", 0, attempt - 1, TaskState.RUNNING, null);
-      RosterMachine m = machine("m-900001", 1, List.of(older));
-      n.stopsSent = 0;
-      n.event(() -> n.core.message(roster(1, 0, List.of(m), List.of())));
-      assertEquals(session ? 1 : 0, n.stopsSent);
+      RosterMachine state = machine("m-900001", 1, List.of(older));
+      node.stopsSent = 0;
+      node.event(() -> node.core.message(roster(1, 0, List.of(state), List.of())));
+      assertEquals(session ? 1 : 0, node.stopsSent);
     }
   }
 
@@ -728,27 +732,28 @@
    */
   @Test
   void aZoneThatIsCutOffWhileAControllerEnds() {
-    Sim s = new Sim(90);
-    s.run(8_000);
+    Sim sim = new Sim(90);
+    sim.run(8_000);
     for (int i = 0; i < 4; i++) {
-      s.submit(plain(s, "wk-00000" + i, 8, "tight"));
+      sim.submit(plain(sim, "wk-00000" + i, 8, "tight"));
     }
-    s.run(10_000);
-    s.cutOff("b");
-    s.run(20_000);
-    s.nodes.get("n2").crash(4_000);
-    s.run(24_000);
+    sim.run(10_000);
+    sim.cutOff("b");
+    sim.run(20_000);
+    sim.nodes.get("n2").crash(4_000);
+    sim.run(24_000);
     List<JobSpec> outside = new ArrayList<>();
     for (int i = 4; i < 8; i++) {
-      outside.add(s.job("wk-00000" + i, 4, 2, Priority.HIGH, "free", false, false, true, "a"));
-      s.submit(outside.get(outside.size() - 1));
+      outside.add(sim.job("wk-00000" + i, 4, 2, Priority.HIGH, "free", false, false, true, "a"));
+      sim.submit(outside.get(outside.size() - 1));
     }
-    s.run(55_000);
-    for (JobSpec j : outside) assertTrue(s.entry(j.id()).doneCount() > 0, j.id() + " is served");
-    s.rejoin();
-    s.run(200_000);
+    sim.run(55_000);
+    for (JobSpec spec : outside)
+      assertTrue(sim.entry(spec.id()).doneCount() > 0, spec.id() + " is served");
+    sim.rejoin();
+    sim.run(200_000);
     for (int i = 0; i < 8; i++) {
-      finished(s, "wk-00000" + i);
+      finished(sim, "wk-00000" + i);
     }
   }
 
@@ -759,28 +764,28 @@
    */
   @Test
   void fifteenHundredMachinesOutliveTheirControllers() {
-    Sim s = new Sim(91);
+    Sim sim = new Sim(91);
     for (int i = 0; i < 1_462; i++) {
-      s.machine("t8", i % 2 == 0 ? "a" : "b", false, 0);
+      sim.machine("t8", i % 2 == 0 ? "a" : "b", false, 0);
     }
-    s.run(20_000);
+    sim.run(20_000);
     for (int i = 0; i < 6; i++) {
-      s.submit(plain(s, "wk-00000" + i, 700, "free"));
+      sim.submit(plain(sim, "wk-00000" + i, 700, "free"));
     }
-    s.run(24_000);
-    long before = s.state.revision;
-    for (Sim.Node n : s.nodes.values()) n.crash(2_000);
-    s.run(36_000);
-    for (Sim.Worker w : s.workers.values()) assertEquals(1, w.session, w.id);
-    long adoptions = adoptions(s, before);
+    sim.run(24_000);
+    long before = sim.state.revision;
+    for (Sim.Node node : sim.nodes.values()) node.crash(2_000);
+    sim.run(36_000);
+    for (Sim.Worker worker : sim.workers.values()) assertEquals(1, worker.session, worker.id);
+    long adoptions = adoptions(sim, before);
     assertTrue(adoptions < 500, "changes for 1,466 machines: " + adoptions);
-    s.state.outage = true;
-    s.run(40_000);
-    s.state.recover();
-    for (Sim.Node n : s.nodes.values()) n.crash(2_000);
-    s.run(110_000);
+    sim.state.outage = true;
+    sim.run(40_000);
+    sim.state.recover();
+    for (Sim.Node controller : sim.nodes.values()) controller.crash(2_000);
+    sim.run(110_000);
     for (int i = 0; i < 6; i++) {
-      finished(s, "wk-00000" + i);
+      finished(sim, "wk-00000" + i);
     }
   }
 
@@ -793,41 +798,41 @@
   @ParameterizedTest
   @ValueSource(longs = {70, 71, 72, 79})
   void aLargeRoutineJobBeginsInAnOverloadOfUrgentOnes(long seed) {
-    Sim s = new Sim(seed);
-    s.runMs = 20_000;
-    s.run(8_000);
+    Sim sim = new Sim(seed);
+    sim.runMs = 20_000;
+    sim.run(8_000);
     for (int i = 0; i < 400; i++) {
       String id = String.format("wk-1%05d", i);
-      s.at(
+      sim.at(
           i * 700L,
-          () -> s.submit(s.job(id, 4, 4, Priority.HIGH, "free", false, false, true, null)));
+          () -> sim.submit(sim.job(id, 4, 4, Priority.HIGH, "free", false, false, true, null)));
     }
-    s.run(30_000);
-    s.submit(s.job("wk-000001", 40, 4, Priority.NORMAL, "free", true, false, true, null));
-    s.submit(s.job("wk-000002", 40, 4, Priority.LOW, "free", false, true, true, null));
+    sim.run(30_000);
+    sim.submit(sim.job("wk-000001", 40, 4, Priority.NORMAL, "free", true, false, true, null));
+    sim.submit(sim.job("wk-000002", 40, 4, Priority.LOW, "free", false, true, true, null));
     Set<String> begun = new HashSet<>();
-    while (s.now < 230_000) {
-      s.run(s.now + 5_000);
-      for (Sim.Worker w : s.workers.values())
-        for (Sim.Worker.T t : w.tasks.values()) begun.add(t.job);
+    while (sim.now < 230_000) {
+      sim.run(sim.now + 5_000);
+      for (Sim.Worker worker : sim.workers.values())
+        for (Sim.Worker.T task : worker.tasks.values()) begun.add(task.job);
     }
     assertTrue(begun.containsAll(List.of("wk-000001", "wk-000002")), "both have begun");
-    assertEquals(List.of(), s.rules.broken);
+    assertEquals(List.of(), sim.rules.broken);
   }
 
   /** The same within one team's limit: a job that uses its grant again and again gives some up. */
   @Test
   void aTeamsLargestJobDoesNotKeepAllItsGrants() {
-    Sim s = new Sim(71);
-    s.runMs = 8_000;
-    s.run(8_000);
-    s.submit(s.job("wk-000001", 400, 2, Priority.HIGH, "tight", false, false, true, null));
-    s.run(15_000);
-    s.submit(s.job("wk-000002", 10, 2, Priority.NORMAL, "tight", false, false, true, null));
-    s.run(180_000);
-    assertTrue(s.entry("wk-000001").doneCount() < 400, "there is more to do than can be");
-    assertTrue(s.entry("wk-000002").doneCount() > 0, "and still the other has begun");
-    assertEquals(List.of(), s.rules.broken);
+    Sim sim = new Sim(71);
+    sim.runMs = 8_000;
+    sim.run(8_000);
+    sim.submit(sim.job("wk-000001", 400, 2, Priority.HIGH, "tight", false, false, true, null));
+    sim.run(15_000);
+    sim.submit(sim.job("wk-000002", 10, 2, Priority.NORMAL, "tight", false, false, true, null));
+    sim.run(180_000);
+    assertTrue(sim.entry("wk-000001").doneCount() < 400, "there is more to do than can be");
+    assertTrue(sim.entry("wk-000002").doneCount() > 0, "and still the other has begun");
+    assertEquals(List.of(), sim.rules.broken);
   }
 
   /**
@@ -838,32 +843,32 @@
   @Test
   void aMachineThatAnotherOwnedInBetweenIsNotWrittenOff() {
     for (boolean between : new boolean[] {false, true}) {
-      Sim s = new Sim(75);
-      s.run(8_000);
-      Sim.Worker w = s.workers.values().iterator().next();
-      String name = s.machineRec(w.id).node();
-      Sim.Node n = s.nodes.get(name);
-      Sim.Node other = s.nodes.get(name.equals("n1") ? "n2" : "n1");
-      s.workers.remove(w.id).dead = true; // silent; whether it is gone nobody knows
-      n.crash(1_000);
-      s.run(9_100);
-      long first = n.core.startedAt();
-      while (s.now < 25_000 && !n.core.store().live(name, n.core.incarnation())) {
-        s.run(s.now + 50);
+      Sim sim = new Sim(75);
+      sim.run(8_000);
+      Sim.Worker worker = sim.workers.values().iterator().next();
+      String name = sim.machineRec(worker.id).node();
+      Sim.Node node = sim.nodes.get(name);
+      Sim.Node other = sim.nodes.get(name.equals("n1") ? "n2" : "n1");
+      sim.workers.remove(worker.id).dead = true; // silent; whether it is gone nobody knows
+      node.crash(1_000);
+      sim.run(9_100);
+      long first = node.core.startedAt();
+      while (sim.now < 25_000 && !node.core.store().live(name, node.core.incarnation())) {
+        sim.run(sim.now + 50);
       }
-      MachineRec mine = kept(s, n, w.id);
+      MachineRec mine = kept(sim, node, worker.id);
       GroupRec group =
           new GroupRec(
               other.name,
               other.core.incarnation(),
-              List.of(new GroupMachine(w.id, "t8", w.zone, w.spot)));
+              List.of(new GroupMachine(worker.id, "t8", worker.zone, worker.spot)));
       long revision = mine.token() - 1;
       if (between) {
-        n.event(
-            () -> n.core.store().apply(new Effects.Item(Store.GROUPS + "9-9", group, revision)));
+        node.event(
+            () -> node.core.store().apply(new Effects.Item(Store.GROUPS + "9-9", group, revision)));
       }
-      s.run(first + Sim.LEASE + 6_000);
-      assertEquals(!between, n.core.view().machines.get(w.id).m.lost());
+      sim.run(first + Sim.LEASE + 6_000);
+      assertEquals(!between, node.core.view().machines.get(worker.id).state.lost());
     }
   }
 
@@ -875,52 +880,53 @@
   @ParameterizedTest
   @ValueSource(booleans = {false, true})
   void aMachineAnotherOwnedUnknownHereIsNotWrittenOff(boolean inFlight) {
-    Sim s = new Sim(78);
-    s.run(8_000);
-    Sim.Worker w = s.workers.values().iterator().next();
-    String name = s.machineRec(w.id).node();
-    Sim.Node n = s.nodes.get(name);
-    Sim.Node other = s.nodes.get(name.equals("n1") ? "n2" : "n1");
-    s.workers.remove(w.id).dead = true;
+    Sim sim = new Sim(78);
+    sim.run(8_000);
+    Sim.Worker worker = sim.workers.values().iterator().next();
+    String name = sim.machineRec(worker.id).node();
+    Sim.Node node = sim.nodes.get(name);
+    Sim.Node other = sim.nodes.get(name.equals("n1") ? "n2" : "n1");
+    sim.workers.remove(worker.id).dead = true;
     // it is back in an outage and has its mirror only when that lease is over
-    s.state.outage = true;
-    n.crash(200);
-    while (!n.up || n.core.startedAt() == 0) {
-      s.run(s.now + 20);
+    sim.state.outage = true;
+    node.crash(200);
+    while (!node.up || node.core.startedAt() == 0) {
+      sim.run(sim.now + 20);
     }
-    s.run(n.core.startedAt() + Sim.LEASE + 3_000);
-    s.state.recover();
-    while (!n.core.store().synced()) {
-      s.run(s.now + 1);
+    sim.run(node.core.startedAt() + Sim.LEASE + 3_000);
+    sim.state.recover();
+    while (!node.core.store().synced()) {
+      sim.run(sim.now + 1);
     }
-    n.watchStopped = true;
-    long revision = ++s.state.revision;
+    node.watchStopped = true;
+    long revision = ++sim.state.revision;
     GroupRec group =
         new GroupRec(
             other.name,
             other.core.incarnation(),
-            List.of(new GroupMachine(w.id, "t8", w.zone, w.spot)));
-    s.state.set(Store.GROUPS + "9-9", group, revision, 0);
-    String key = Store.MACHINES + w.id;
-    Sim.StateService.Val before = s.state.keys.get(key);
+            List.of(new GroupMachine(worker.id, "t8", worker.zone, worker.spot)));
+    sim.state.set(Store.GROUPS + "9-9", group, revision, 0);
+    String key = Store.MACHINES + worker.id;
+    Sim.StateService.Val before = sim.state.keys.get(key);
     if (inFlight) {
-      n.recordsLate = 600;
+      node.recordsLate = 600;
     }
-    while (s.now < 40_000 && s.state.keys.get(key) == before) {
-      s.run(s.now + 1);
+    while (sim.now < 40_000 && sim.state.keys.get(key) == before) {
+      sim.run(sim.now + 1);
     }
-    MachineRec mine = (MachineRec) s.state.keys.get(key).value();
-    assertEquals(n.core.incarnation(), mine.incarnation(), "kept from the former process");
-    assertTrue(s.state.keys.get(key).version() > revision);
+    MachineRec mine = (MachineRec) sim.state.keys.get(key).value();
+    assertEquals(node.core.incarnation(), mine.incarnation(), "kept from the former process");
+    assertTrue(sim.state.keys.get(key).version() > revision);
     if (inFlight) {
-      n.watchStopped = false;
+      node.watchStopped = false;
     }
-    s.run(s.now + 1_000);
-    assertFalse(n.core.view().machines.get(w.id).m.lost(), "nobody knows what is on it");
-    n.watchStopped = false;
-    s.run(s.now + 6_000);
-    View.Seen seen = n.core.view().machines.get(w.id);
-    assertTrue(seen == null || !seen.m.lost(), "it must be confirmed, or returned, first");
+    sim.run(sim.now + 1_000);
+    assertFalse(
+        node.core.view().machines.get(worker.id).state.lost(), "nobody knows what is on it");
+    node.watchStopped = false;
+    sim.run(sim.now + 6_000);
+    View.Seen seen = node.core.view().machines.get(worker.id);
+    assertTrue(seen == null || !seen.state.lost(), "it must be confirmed, or returned, first");
   }
 
   /**
@@ -930,22 +936,22 @@
    */
   @Test
   void aLateCopyDoesNotKeepADeadMachineFromBeingWrittenOff() {
-    Sim s = new Sim(77);
-    s.run(8_000);
-    Sim.Worker w = s.workers.values().iterator().next();
-    String name = s.machineRec(w.id).node();
-    Sim.Node n = s.nodes.get(name);
-    Report late = copy(w, w.session, w.seq, w.token);
-    s.workers.remove(w.id).dead = true;
-    n.crash(200);
-    s.run(8_300);
-    kept(s, n, w.id);
+    Sim sim = new Sim(77);
+    sim.run(8_000);
+    Sim.Worker worker = sim.workers.values().iterator().next();
+    String name = sim.machineRec(worker.id).node();
+    Sim.Node node = sim.nodes.get(name);
+    Report late = copy(worker, worker.session, worker.seq, worker.token);
+    sim.workers.remove(worker.id).dead = true;
+    node.crash(200);
+    sim.run(8_300);
+    kept(sim, node, worker.id);
     List<ReportAnswer> got = new ArrayList<>();
-    n.event(() -> n.core.report(late, got::add));
+    node.event(() -> node.core.report(late, got::add));
     assertEquals(200, got.get(0).status(), "taken for the worker's own");
-    s.run(s.now + Sim.LEASE + 4_000);
-    View.Seen seen = n.core.view().machines.get(w.id);
-    assertTrue(seen == null || seen.m.lost());
+    sim.run(sim.now + Sim.LEASE + 4_000);
+    View.Seen seen = node.core.view().machines.get(worker.id);
+    assertTrue(seen == null || seen.state.lost());
   }
 
   /**
@@ -955,47 +961,47 @@
    */
   @Test
   void aSessionKnownFromACommandAloneHasItsWholeLease() {
-    Sim s = new Sim(79);
-    s.runMs = 60_000;
-    s.run(8_000);
-    s.submit(plain(s, "wk-000001", 16, "free"));
-    s.run(12_000);
-    Sim.Worker w = null;
-    for (Sim.Worker x : s.workers.values())
-      if (x.tasks.size() == 4) {
-        w = x;
+    Sim sim = new Sim(79);
+    sim.runMs = 60_000;
+    sim.run(8_000);
+    sim.submit(plain(sim, "wk-000001", 16, "free"));
+    sim.run(12_000);
+    Sim.Worker worker = null;
+    for (Sim.Worker simWorker : sim.workers.values())
+      if (simWorker.tasks.size() == 4) {
+        worker = simWorker;
       }
-    assertNotNull(w);
-    Sim.Worker mute = w;
-    Sim.Node n = s.nodes.get(s.machineRec(w.id).node());
+    assertNotNull(worker);
+    Sim.Worker mute = worker;
+    Sim.Node node = sim.nodes.get(sim.machineRec(worker.id).node());
     List<StopOrder> stops = new ArrayList<>();
-    for (Sim.Worker.T t : w.tasks.values())
-      stops.add(new StopOrder(w.id, t.job, t.task, t.attempt, 0));
-    w.mute = true;
-    long from = w.leaseFrom;
+    for (Sim.Worker.T task : worker.tasks.values())
+      stops.add(new StopOrder(worker.id, task.job, task.task, task.attempt, 0));
+    worker.mute = true;
+    long from = worker.leaseFrom;
     for (int i = 0; i < 4; i++) {
       // the last one comes in the next session, which the answer tells
-      s.run(i < 3 ? from + 3_000 * (i + 1) : from + Sim.LEASE + 150);
+      sim.run(i < 3 ? from + 3_000 * (i + 1) : from + Sim.LEASE + 150);
       StopOrder stop = stops.get(i);
-      n.event(() -> n.core.stop(n.name, stop));
+      node.event(() -> node.core.stop(node.name, stop));
       if (i == 1) {
-        View.Seen seen = n.core.view().machines.get(mute.id);
+        View.Seen seen = node.core.view().machines.get(mute.id);
         assertFalse(seen.takes(), "it answers commands, but loses its tasks each lease");
-        assertFalse(seen.m.silent());
+        assertFalse(seen.state.silent());
       }
     }
-    s.run(s.now + 400);
-    assertEquals(2, w.session);
-    View.Seen seen = n.core.view().machines.get(w.id);
-    assertEquals(2, seen.m.session(), "known from the answer");
-    long known = s.now;
-    while (s.now < known + Sim.LEASE - 600) {
-      s.run(s.now + 200);
-      assertFalse(n.core.view().machines.get(w.id).m.lost(), "at " + (s.now - known));
+    sim.run(sim.now + 400);
+    assertEquals(2, worker.session);
+    View.Seen seen = node.core.view().machines.get(worker.id);
+    assertEquals(2, seen.state.session(), "known from the answer");
+    long known = sim.now;
+    while (sim.now < known + Sim.LEASE - 600) {
+      sim.run(sim.now + 200);
+      assertFalse(node.core.view().machines.get(worker.id).state.lost(), "at " + (sim.now - known));
     }
-    s.run(known + Sim.LEASE + 4_000);
-    seen = n.core.view().machines.get(w.id);
-    assertTrue(seen == null || seen.m.lost(), "and not a longer one");
+    sim.run(known + Sim.LEASE + 4_000);
+    seen = node.core.view().machines.get(worker.id);
+    assertTrue(seen == null || seen.state.lost(), "and not a longer one");
   }
 
   /**
@@ -1005,9 +1011,9 @@
   @Test
   void machinesArePlannedForWholeWaves() {
     for (double deadline : new double[] {72, 200}) {
-      Sim s = new Sim(76);
-      s.run(8_000);
-      s.submit(
+      Sim sim = new Sim(76);
+      sim.run(8_000);
+      sim.submit(
           new JobSpec(
               "wk-000001",
               "c",
@@ -1029,8 +1035,8 @@
               0,
               deadline,
               JobKind.BATCH));
-      s.run(13_000);
-      int machines = s.workers.size();
+      sim.run(13_000);
+      int machines = sim.workers.size();
       if (deadline == 72) {
         assertTrue(machines >= 10, "for one wave of 20 tasks: " + machines);
       } else {
@@ -1040,47 +1046,48 @@
   }
 
   /** Runs until the job has another holder than this one; its epoch has been raised then. */
-  private static Sim.Node claimed(Sim s, String id, Sim.Node before) {
-    while (holder(s, id) == before) {
-      s.run(s.now + 5);
+  private static Sim.Node claimed(Sim sim, String id, Sim.Node before) {
+    while (holder(sim, id) == before) {
+      sim.run(sim.now + 5);
     }
-    return holder(s, id);
+    return holder(sim, id);
   }
 
   @Test
   void aSessionThatEndsBetweenClaimAndRebuildLosesNoJob() {
-    Sim s = new Sim(72);
-    s.run(8_000);
-    s.submit(plain(s, "wk-000001", 40, "free"));
-    s.run(12_000);
-    Sim.Node h = holder(s, "wk-000001");
-    h.crash(60_000);
-    Sim.Node next = claimed(s, "wk-000001", h);
+    Sim sim = new Sim(72);
+    sim.run(8_000);
+    sim.submit(plain(sim, "wk-000001", 40, "free"));
+    sim.run(12_000);
+    Sim.Node node = holder(sim, "wk-000001");
+    node.crash(60_000);
+    Sim.Node next = claimed(sim, "wk-000001", node);
     assertFalse(next.core.latched("wk-000001"));
-    long lease = s.state.keys.get(Store.SESSIONS + next.name).lease();
-    s.state.end(lease);
-    s.run(s.now + 75_000);
-    boolean over = s.entry("wk-000001").fin() == Final.DONE;
-    assertTrue(over || holder(s, "wk-000001").core.latched("wk-000001"), "known and looked after");
-    s.run(250_000);
-    finished(s, "wk-000001");
+    long lease = sim.state.keys.get(Store.SESSIONS + next.name).lease();
+    sim.state.end(lease);
+    sim.run(sim.now + 75_000);
+    boolean over = sim.entry("wk-000001").fin() == Final.DONE;
+    assertTrue(
+        over || holder(sim, "wk-000001").core.latched("wk-000001"), "known and looked after");
+    sim.run(250_000);
+    finished(sim, "wk-000001");
   }
 
   @Test
   void aMirrorThatIsResetWhileClaimsAreOpenLosesNoJob() {
-    Sim s = new Sim(73);
-    s.run(8_000);
+    Sim sim = new Sim(73);
+    sim.run(8_000);
     for (int i = 0; i < 8; i++) {
-      s.submit(plain(s, "wk-00000" + i, 8, "tight"));
+      sim.submit(plain(sim, "wk-00000" + i, 8, "tight"));
     }
-    s.run(12_000);
-    Sim.Node h = holder(s, "wk-000001");
-    h.crash(60_000);
-    claimed(s, "wk-000001", h);
-    for (Sim.Node n : s.nodes.values()) n.tooOld = true;
-    s.run(250_000);
+    sim.run(12_000);
+    Sim.Node node = holder(sim, "wk-000001");
+    node.crash(60_000);
+    claimed(sim, "wk-000001", node);
+    for (Sim.Node controller : sim.nodes.values()) controller.tooOld = true;
+    sim.run(250_000);
     for (int i = 0; i < 8; i++) {
-      finished(s, "wk-00000" + i);
+      finished(sim, "wk-00000" + i);
     }
   }
 
@@ -1091,45 +1098,45 @@
   @Test
   void aProcessBackAtOnceInTheMiddleOfAClaimKeepsTheRules() {
     for (String prefix : List.of(Store.DUTY, Store.JOBS, Store.GROUPS, Store.MACHINES)) {
-      Sim s = new Sim(74);
-      s.lateCopies = 0.2;
-      s.loss = 0.03;
-      s.run(8_000);
+      Sim sim = new Sim(74);
+      sim.lateCopies = 0.2;
+      sim.loss = 0.03;
+      sim.run(8_000);
       for (int i = 0; i < 6; i++) {
-        s.submit(plain(s, "wk-00000" + i, 8, "tight"));
+        sim.submit(plain(sim, "wk-00000" + i, 8, "tight"));
       }
-      s.run(12_000);
+      sim.run(12_000);
       for (int i = 0; i < 5; i++) {
-        s.nodes.get(Sim.NODES.get(i % 3)).crash(4_000);
-        int from = s.state.changes.size();
+        sim.nodes.get(Sim.NODES.get(i % 3)).crash(4_000);
+        int from = sim.state.changes.size();
         String claimant = null;
-        while (claimant == null && s.now < 12_000 + (i + 1) * 15_000L) {
-          s.run(s.now + 5);
-          for (; from < s.state.changes.size() && claimant == null; from++) {
-            Effects.Item c = s.state.changes.get(from);
+        while (claimant == null && sim.now < 12_000 + (i + 1) * 15_000L) {
+          sim.run(sim.now + 5);
+          for (; from < sim.state.changes.size() && claimant == null; from++) {
+            Effects.Item c = sim.state.changes.get(from);
             if (!c.key().startsWith(prefix)) {
               continue;
             }
-            if (c.value() instanceof DutyRec d) {
-              claimant = d.node();
-            } else if (c.value() instanceof JobRec j && j.epoch() > 1) {
-              claimant = j.holder();
-            } else if (c.value() instanceof GroupRec g) {
-              claimant = g.node();
-            } else if (c.value() instanceof MachineRec m) {
-              claimant = m.node();
+            if (c.value() instanceof DutyRec duty) {
+              claimant = duty.node();
+            } else if (c.value() instanceof JobRec job && job.epoch() > 1) {
+              claimant = job.holder();
+            } else if (c.value() instanceof GroupRec group) {
+              claimant = group.node();
+            } else if (c.value() instanceof MachineRec record) {
+              claimant = record.node();
             }
           }
         }
-        if (claimant != null && s.nodes.containsKey(claimant) && s.nodes.get(claimant).up) {
-          s.nodes.get(claimant).crash(150);
+        if (claimant != null && sim.nodes.containsKey(claimant) && sim.nodes.get(claimant).up) {
+          sim.nodes.get(claimant).crash(150);
         }
-        s.run(12_000 + (i + 1) * 15_000L);
+        sim.run(12_000 + (i + 1) * 15_000L);
       }
-      s.lateCopies = s.loss = 0;
-      s.run(300_000);
+      sim.lateCopies = sim.loss = 0;
+      sim.run(300_000);
       for (int i = 0; i < 6; i++) {
-        finished(s, "wk-00000" + i);
+        finished(sim, "wk-00000" + i);
       }
     }
   }
@@ -1137,22 +1144,23 @@
   /** Cost follows groups and machines: a large job is decided as one, in chunks of its bitmap. */
   @Test
   void aJobOfAHundredThousandTasksIsDecidedAsOne() {
-    Sim s = new Sim(43);
-    s.run(6_000);
-    s.submit(s.job("wk-000001", 100_000, 1, Priority.NORMAL, "free", false, false, true, null));
-    s.evaluations = 0;
-    long rounds = s.ticks;
-    s.run(30_000);
-    rounds = s.ticks - rounds;
+    Sim sim = new Sim(43);
+    sim.run(6_000);
+    sim.submit(sim.job("wk-000001", 100_000, 1, Priority.NORMAL, "free", false, false, true, null));
+    sim.evaluations = 0;
+    long rounds = sim.ticks;
+    sim.run(30_000);
+    rounds = sim.ticks - rounds;
     assertTrue(
-        s.evaluations < rounds * 12 * 8, s.evaluations + " evaluations in " + rounds + " ticks");
-    JobRec r = s.entry("wk-000001");
-    assertTrue(r.doneCount() > 50, "done " + r.doneCount());
-    holder(s, "wk-000001").crash(30_000);
-    s.run(60_000);
-    assertTrue(s.entry("wk-000001").epoch() > 1);
-    assertTrue(s.entry("wk-000001").doneCount() > r.doneCount());
-    assertEquals(List.of(), s.rules.broken);
+        sim.evaluations < rounds * 12 * 8,
+        sim.evaluations + " evaluations in " + rounds + " ticks");
+    JobRec job = sim.entry("wk-000001");
+    assertTrue(job.doneCount() > 50, "done " + job.doneCount());
+    holder(sim, "wk-000001").crash(30_000);
+    sim.run(60_000);
+    assertTrue(sim.entry("wk-000001").epoch() > 1);
+    assertTrue(sim.entry("wk-000001").doneCount() > job.doneCount());
+    assertEquals(List.of(), sim.rules.broken);
   }
 
   /**
@@ -1161,29 +1169,29 @@
    */
   @Test
   void imagesStayKnownWhenAMachineChangesOwner() {
-    Sim s = new Sim(93);
-    s.run(6_000);
-    s.submit(plain(s, "wk-000001", 16, "free"));
-    s.run(30_000);
-    finished(s, "wk-000001");
-    Sim.Node ends = s.nodes.get("n0");
-    Sim.Node stays = s.nodes.get("n1");
+    Sim sim = new Sim(93);
+    sim.run(6_000);
+    sim.submit(plain(sim, "wk-000001", 16, "free"));
+    sim.run(30_000);
+    finished(sim, "wk-000001");
+    Sim.Node ends = sim.nodes.get("n0");
+    Sim.Node stays = sim.nodes.get("n1");
     List<String> machines = new ArrayList<>();
     for (View.Seen seen : stays.core.view().machines.values()) {
-      if ("n0".equals(seen.owner) && seen.m.images().contains("wk-000001")) {
+      if ("n0".equals(seen.owner) && seen.state.images().contains("wk-000001")) {
         machines.add(seen.id);
       }
     }
     assertFalse(machines.isEmpty(), "n0 owns machines that have the image");
     ends.crash(30_000);
-    s.run(s.now + 15_000);
+    sim.run(sim.now + 15_000);
     for (String id : machines) {
       View.Seen seen = stays.core.view().machines.get(id);
       if (seen == null) {
         continue; // it was idle and has been returned
       }
       assertFalse("n0".equals(seen.owner), id);
-      assertTrue(seen.m.images().contains("wk-000001"), id);
+      assertTrue(seen.state.images().contains("wk-000001"), id);
     }
   }
 }
--- a/src/test/java/mallowstall/core/ServiceRulesTest.java
+++ b/src/test/java/mallowstall/core/ServiceRulesTest.java
@@ -218,51 +218,51 @@
 
   @Test
   void aReplicaRunsOnUntilItIsStoppedOrEnds() {
-    Sim s = new Sim(5);
-    s.run(5_000);
-    s.rules.submitted(plain(2, "free"));
-    Sim.Worker worker = List.copyOf(s.workers.values()).get(0);
+    Sim sim = new Sim(5);
+    sim.run(5_000);
+    sim.rules.submitted(plain(2, "free"));
+    Sim.Worker worker = List.copyOf(sim.workers.values()).get(0);
     worker.execute(new Command(CommandKind.START, SERVICE, 0, 1, 0));
     worker.execute(new Command(CommandKind.START, SERVICE, 1, 1, 0));
-    s.run(8_000);
-    assertEquals(2, s.rules.replicasOn(SERVICE));
-    s.run(9_000);
+    sim.run(8_000);
+    assertEquals(2, sim.rules.replicasOn(SERVICE));
+    sim.run(9_000);
     worker.execute(new Command(CommandKind.STOP, SERVICE, 1, 1, 0));
-    assertEquals(1, s.rules.replicasOn(SERVICE));
-    assertTrue(s.endReplica(SERVICE, 0, Why.DONE));
-    assertEquals(0, s.rules.replicasOn(SERVICE));
+    assertEquals(1, sim.rules.replicasOn(SERVICE));
+    assertTrue(sim.endReplica(SERVICE, 0, Why.DONE));
+    assertEquals(0, sim.rules.replicasOn(SERVICE));
   }
 
   /** Started again where it completed, a replica ends at once; elsewhere it runs. */
   @Test
   void aWorkerKeepsTheResultOfAReplicaThatCompleted() {
-    Sim s = new Sim(5);
-    s.run(5_000);
-    s.rules.submitted(plain(1, "free"));
-    List<Sim.Worker> workers = List.copyOf(s.workers.values());
+    Sim sim = new Sim(5);
+    sim.run(5_000);
+    sim.rules.submitted(plain(1, "free"));
+    List<Sim.Worker> workers = List.copyOf(sim.workers.values());
     workers.get(0).execute(new Command(CommandKind.START, SERVICE, 0, 1, 0));
-    s.run(8_000);
-    assertTrue(s.endReplica(SERVICE, 0, Why.DONE));
+    sim.run(8_000);
+    assertTrue(sim.endReplica(SERVICE, 0, Why.DONE));
     workers.get(0).execute(new Command(CommandKind.START, SERVICE, 0, 2, 0));
-    s.run(8_100);
-    assertEquals(0, s.rules.replicasOn(SERVICE));
-    assertEquals(1, s.struck.get("result kept"));
+    sim.run(8_100);
+    assertEquals(0, sim.rules.replicasOn(SERVICE));
+    assertEquals(1, sim.struck.get("result kept"));
     workers.get(1).execute(new Command(CommandKind.START, SERVICE, 0, 3, 0));
-    s.run(12_000);
-    assertEquals(1, s.rules.replicasOn(SERVICE));
+    sim.run(12_000);
+    assertEquals(1, sim.rules.replicasOn(SERVICE));
   }
 
   @Test
   void aFaultyMachineFailsReplicas() {
-    Sim s = new Sim(5);
-    s.run(5_000);
-    s.rules.submitted(plain(1, "free"));
-    Sim.Worker worker = List.copyOf(s.workers.values()).get(0);
+    Sim sim = new Sim(5);
+    sim.run(5_000);
+    sim.rules.submitted(plain(1, "free"));
+    Sim.Worker worker = List.copyOf(sim.workers.values()).get(0);
     worker.faulty = true;
     worker.execute(new Command(CommandKind.START, SERVICE, 0, 1, 0));
     Sim.Worker.T replica = worker.tasks.values().iterator().next();
-    s.run(8_000);
-    assertEquals(0, s.rules.replicasOn(SERVICE));
+    sim.run(8_000);
+    assertEquals(0, sim.rules.replicasOn(SERVICE));
     assertEquals(Why.ERROR, replica.why);
   }
 }
--- a/src/test/java/mallowstall/core/Sim.java
+++ b/src/test/java/mallowstall/core/Sim.java
@@ -148,8 +148,8 @@
     at(0, this::watchRules);
   }
 
-  void at(long delay, Runnable r) {
-    queue.add(new Ev(now + Math.max(0, delay), order++, r));
+  void at(long delay, Runnable action) {
+    queue.add(new Ev(now + Math.max(0, delay), order++, action));
   }
 
   void run(long until) {
@@ -167,9 +167,9 @@
 
   private void watchRules() {
     rules.step(now);
-    for (Node n : nodes.values())
-      if (n.up) {
-        compare(n.core);
+    for (Node node : nodes.values())
+      if (node.up) {
+        compare(node.core);
       }
     at(500, this::watchRules);
   }
@@ -182,16 +182,16 @@
     for (String id : c.owner().untold()) rules.broken.add(now + " untold: " + id);
     Map<String, Integer> placed = new HashMap<>();
     Map<String, Integer> running = new HashMap<>();
-    for (View.Seen s : c.view().machines.values()) {
-      if (s.m == null) {
+    for (View.Seen machine : c.view().machines.values()) {
+      if (machine.state == null) {
         continue;
       }
-      for (RosterTask t : s.m.tasks()) {
-        if (t.state() != TaskState.EXITED) {
-          placed.merge(t.job(), 1, Integer::sum);
+      for (RosterTask task : machine.state.tasks()) {
+        if (task.state() != TaskState.EXITED) {
+          placed.merge(task.job(), 1, Integer::sum);
         }
-        if (t.state() == TaskState.RUNNING) {
-          running.merge(t.job(), 1, Integer::sum);
+        if (task.state() == TaskState.RUNNING) {
+          running.merge(task.job(), 1, Integer::sum);
         }
       }
     }
@@ -214,8 +214,8 @@
   static int size(Entry value) {
     try {
       return JSON.writeValueAsBytes(value).length;
-    } catch (JsonProcessingException e) {
-      throw new IllegalStateException(e);
+    } catch (JsonProcessingException failure) {
+      throw new IllegalStateException(failure);
     }
   }
 
@@ -239,7 +239,7 @@
     private long changesLeftAt;
 
     /** Given each transaction right after it was carried out. */
-    Consumer<Effects.Txn> changed = t -> {};
+    Consumer<Effects.Txn> changed = transaction -> {};
 
     /** From now on these limits hold, without notice. */
     void limitTo(StateLimits now) {
@@ -249,13 +249,13 @@
     }
 
     /** Why the transaction exceeds the limits; OK: it doesn't. */
-    private Effects.Code exceeds(Effects.Txn t) {
+    private Effects.Code exceeds(Effects.Txn transaction) {
       if (limits == null) {
         return Effects.Code.OK;
       }
-      int changes = t.puts().size() + t.drops().size();
-      boolean large = changes > limits.txnOps() || t.when().size() > 4 * limits.txnOps();
-      for (Effects.Put p : t.puts()) large |= size(p.value()) > limits.valueBytes();
+      int changes = transaction.puts().size() + transaction.drops().size();
+      boolean large = changes > limits.txnOps() || transaction.when().size() > 4 * limits.txnOps();
+      for (Effects.Put put : transaction.puts()) large |= size(put.value()) > limits.valueBytes();
       if (large) {
         strike("limits, too large");
         return Effects.Code.MALFORMED;
@@ -300,8 +300,8 @@
       leases.remove(l);
       List<String> gone = new ArrayList<>();
       keys.forEach(
-          (k, v) -> {
-            if (v.lease == l) {
+          (k, value) -> {
+            if (value.lease == l) {
               gone.add(k);
             }
           });
@@ -312,28 +312,28 @@
       for (String k : gone) set(k, null, revision, 0);
     }
 
-    Effects.TxnReply transact(Effects.Txn t) {
+    Effects.TxnReply transact(Effects.Txn transaction) {
       expire();
-      asked.add(t);
-      Effects.Code exceeds = exceeds(t);
+      asked.add(transaction);
+      Effects.Code exceeds = exceeds(transaction);
       if (exceeds != Effects.Code.OK) {
         return new Effects.TxnReply(exceeds, 0);
       }
-      for (Effects.Put p : t.puts()) {
-        if (p.lease() != 0 && !leases.containsKey(p.lease())) {
+      for (Effects.Put put : transaction.puts()) {
+        if (put.lease() != 0 && !leases.containsKey(put.lease())) {
           return new Effects.TxnReply(Effects.Code.NO_LEASE, revision);
         }
       }
-      for (Effects.Cond c : t.when()) {
-        Val v = keys.get(c.key());
-        if ((v == null ? 0 : v.version) != c.version()) {
+      for (Effects.Cond condition : transaction.when()) {
+        Val value = keys.get(condition.key());
+        if ((value == null ? 0 : value.version) != condition.version()) {
           return new Effects.TxnReply(Effects.Code.CONFLICT, revision);
         }
       }
       revision++;
-      for (Effects.Put p : t.puts()) set(p.key(), p.value(), revision, p.lease());
-      for (String k : t.drops()) set(k, null, revision, 0);
-      changed.accept(t);
+      for (Effects.Put p : transaction.puts()) set(p.key(), p.value(), revision, p.lease());
+      for (String k : transaction.drops()) set(k, null, revision, 0);
+      changed.accept(transaction);
       return new Effects.TxnReply(Effects.Code.OK, revision);
     }
 
@@ -490,7 +490,7 @@
       at(Constants.TICK_MS, () -> tick(l));
     }
 
-    void event(Runnable r) {
+    void event(Runnable action) {
       if (!up) {
         return;
       }
@@ -501,7 +501,7 @@
             frozenUntil - now,
             () -> {
               if (l == life) {
-                event(r);
+                event(action);
               }
             });
         return;
@@ -513,7 +513,7 @@
         freezeFor = 0;
       }
       core.time((long) (now * (1 + drift)), 1_700_000_000_000L + now + skew);
-      r.run();
+      action.run();
       core.settle();
       lateBy = 0;
       if (core.nextTimer() != Long.MAX_VALUE) {
@@ -528,13 +528,13 @@
       }
     }
 
-    private void back(long delay, Runnable r) {
+    private void back(long delay, Runnable action) {
       int l = life;
       at(
           delay,
           () -> {
             if (l == life) {
-              event(r);
+              event(action);
             }
           });
     }
@@ -572,8 +572,8 @@
     }
 
     @Override
-    public void send(String node, PeerMessage m) {
-      if (m instanceof Stops) {
+    public void send(String node, PeerMessage message) {
+      if (message instanceof Stops) {
         stopsSent++;
       }
       if (!connection.containsKey(node)) {
@@ -581,13 +581,13 @@
       }
       Node other = nodes.get(node);
       int l = other.life;
-      if (m instanceof Roster && rnd.nextDouble() < rosterChaos) {
+      if (message instanceof Roster && rnd.nextDouble() < rosterChaos) {
         boolean lost = rnd.nextBoolean();
         at(
             rnd.nextInt(6_000),
             () -> {
               if (other.up && other.life == l) {
-                other.event(() -> other.core.message(m));
+                other.event(() -> other.core.message(message));
               }
             });
         if (lost) {
@@ -604,7 +604,7 @@
           when - now,
           () -> {
             if (other.up && other.life == l) {
-              other.event(() -> other.core.message(m));
+              other.event(() -> other.core.message(message));
             } else if (connection.containsKey(node)) {
               drop(node);
             }
@@ -642,10 +642,10 @@
         at(
             d,
             () -> {
-              T t = exec.get();
+              T task = exec.get();
               int still = life;
               if (l == still) {
-                back(1 + lag, () -> then.accept(t));
+                back(1 + lag, () -> then.accept(task));
               }
             });
       }
@@ -664,9 +664,9 @@
       at(
           before,
           () -> {
-            T t = exec.get();
+            T task = exec.get();
             if (!late && l == life) {
-              back(whole - before, () -> then.accept(t));
+              back(whole - before, () -> then.accept(task));
             }
           });
     }
@@ -677,9 +677,9 @@
 
     @Override
     public void transact(Txn txn, Consumer<TxnReply> reply) {
-      boolean record = txn.puts().stream().anyMatch(p -> p.value() instanceof MachineRec);
+      boolean record = txn.puts().stream().anyMatch(put -> put.value() instanceof MachineRec);
       if (record && recordsLate > 0) {
-        transactNow(txn, r -> back(recordsLate, () -> reply.accept(r)));
+        transactNow(txn, result -> back(recordsLate, () -> reply.accept(result)));
       } else {
         transactNow(txn, reply);
       }
@@ -739,15 +739,15 @@
       ask(
           () -> {
             state.expire();
-            StateService.Val v = state.keys.get(key);
-            if (v == null) {
+            StateService.Val stored = state.keys.get(key);
+            if (stored == null) {
               return new GetReply(Code.OK, new Item(key, null, 0));
             }
-            Entry value = read(v.value());
+            Entry value = read(stored.value());
             if (value == null) {
               return new GetReply(Code.REFUSED, null);
             }
-            return new GetReply(Code.OK, new Item(key, value, v.version()));
+            return new GetReply(Code.OK, new Item(key, value, stored.version()));
           },
           new GetReply(Code.REFUSED, null),
           new GetReply(Code.UNKNOWN, null),
@@ -761,17 +761,17 @@
             state.expire();
             List<Item> out = new ArrayList<>();
             boolean more = false;
-            for (Map.Entry<String, StateService.Val> e :
+            for (Map.Entry<String, StateService.Val> entry :
                 state.keys.tailMap(after == null ? "" : after, false).entrySet()) {
-              if (!sees(e.getKey(), e.getValue().value())) {
+              if (!sees(entry.getKey(), entry.getValue().value())) {
                 continue;
               }
               if (out.size() == 7) { // small pages, so that changes come between them
                 more = true;
                 break;
               }
-              Entry value = read(e.getValue().value());
-              out.add(new Item(e.getKey(), value, e.getValue().version()));
+              Entry value = read(entry.getValue().value());
+              out.add(new Item(entry.getKey(), value, entry.getValue().version()));
             }
             return new ListReply(Code.OK, out, more, state.revision);
           },
@@ -858,23 +858,24 @@
     @Override
     public void order(
         String addr, long token, long session, List<Command> commands, Consumer<OrderReply> then) {
-      Worker w = workers.get(addr);
-      if (lateBy > 0 && w != null) {
-        at(lateBy, () -> w.whenAwake(() -> w.orders(token, session, commands)));
+      Worker worker = workers.get(addr);
+      if (lateBy > 0 && worker != null) {
+        at(lateBy, () -> worker.whenAwake(() -> worker.orders(token, session, commands)));
         back(lateBy, () -> then.accept(new OrderReply(Code.UNKNOWN, null)));
         return;
       }
-      if (w == null || w.cutFrom(this) || w.deaf) {
-        if (w != null && w.cutFrom(this) && rnd.nextBoolean()) {
+      if (worker == null || worker.cutFrom(this) || worker.deaf) {
+        if (worker != null && worker.cutFrom(this) && rnd.nextBoolean()) {
           // held by the cut, executed late
           at(
               1_000 + rnd.nextInt(15_000),
-              () -> w.whenAwake(() -> w.orders(token, session, commands)));
+              () -> worker.whenAwake(() -> worker.orders(token, session, commands)));
           back(Constants.ORDER_TIMEOUT_MS, () -> then.accept(new OrderReply(Code.UNKNOWN, null)));
         } else {
           back(
               Constants.ORDER_TIMEOUT_MS,
-              () -> then.accept(new OrderReply(w == null ? Code.REFUSED : Code.UNKNOWN, null)));
+              () ->
+                  then.accept(new OrderReply(worker == null ? Code.REFUSED : Code.UNKNOWN, null)));
         }
         return;
       }
@@ -886,7 +887,7 @@
       if (dice < loss || strayOrders) {
         at(
             !strayOrders && dice < loss / 2 ? delay() : 500 + rnd.nextInt(20_000),
-            () -> w.whenAwake(() -> w.orders(token, session, commands)));
+            () -> worker.whenAwake(() -> worker.orders(token, session, commands)));
         back(Constants.ORDER_TIMEOUT_MS, () -> then.accept(new OrderReply(Code.UNKNOWN, null)));
         return;
       }
@@ -894,23 +895,23 @@
       at(
           delay(),
           () -> {
-            if (w.hangs()) {
-              heldOrders(w, token, session, commands, l, then);
+            if (worker.hangs()) {
+              heldOrders(worker, token, session, commands, l, then);
               return;
             }
-            if (w.mute) {
+            if (worker.mute) {
               strike("mute, ordered");
             }
-            OrderReply r = w.orders(token, session, commands);
+            OrderReply reply = worker.orders(token, session, commands);
             if (l == life) {
-              back(delay(), () -> then.accept(r));
+              back(delay(), () -> then.accept(reply));
             }
           });
     }
 
     /** Executed when the machine goes on, perhaps long after it was given up on. */
     private void heldOrders(
-        Worker w,
+        Worker worker,
         long token,
         long session,
         List<Command> commands,
@@ -929,10 +930,10 @@
               then.accept(new OrderReply(Code.UNKNOWN, null));
             });
       }
-      w.whenAwake(
+      worker.whenAwake(
           () -> {
-            OrderReply r = w.orders(token, session, commands);
-            if (r.code() == Code.OK) {
+            OrderReply reply = worker.orders(token, session, commands);
+            if (reply.code() == Code.OK) {
               strike("hang, held orders executed");
             }
             if (l != life) {
@@ -945,7 +946,7 @@
                     return;
                   }
                   over[0] = true;
-                  then.accept(r);
+                  then.accept(reply);
                 });
           });
     }
@@ -956,18 +957,23 @@
     }
 
     @Override
-    public void rent(RentRequest q, Consumer<RentReply> then) {
+    public void rent(RentRequest request, Consumer<RentReply> then) {
       back(
           30,
           () -> {
-            List<String> got = rentals.get(q.name());
+            List<String> got = rentals.get(request.name());
             if (got == null) {
               got = new ArrayList<>();
-              while (got.size() < q.count() && workers.size() < capacity) {
-                got.add(machine(q.type(), q.zone(), q.spot(), 2_000 + rnd.nextInt(6_000)));
+              while (got.size() < request.count() && workers.size() < capacity) {
+                got.add(
+                    machine(
+                        request.type(),
+                        request.zone(),
+                        request.spot(),
+                        2_000 + rnd.nextInt(6_000)));
               }
               if (!got.isEmpty()) {
-                rentals.put(q.name(), got);
+                rentals.put(request.name(), got);
               }
             }
             then.accept(new RentReply(got.isEmpty() ? 503 : 200, got));
@@ -987,8 +993,15 @@
     @Override
     public void listMachines(String after, Consumer<ListedReply> then) {
       List<Listed> out = new ArrayList<>();
-      for (Worker w : workers.values())
-        out.add(new Listed(w.id, "t8", w.zone, w.spot, "running", (now - w.born) / 1000.0));
+      for (Worker worker : workers.values())
+        out.add(
+            new Listed(
+                worker.id,
+                "t8",
+                worker.zone,
+                worker.spot,
+                "running",
+                (now - worker.born) / 1000.0));
       at(2_000, () -> {});
       back(2_000, () -> then.accept(new ListedReply(true, out, false)));
     }
@@ -1018,19 +1031,20 @@
 
   /** Whether every controller is up with the present version. */
   boolean allUpgraded() {
-    return nodes.values().stream().allMatch(n -> n.up && n.running == ClusterVersion.CURRENT);
+    return nodes.values().stream()
+        .allMatch(node -> node.up && node.running == ClusterVersion.CURRENT);
   }
 
   // ---- workers ------------------------------------------------------------------------------
   String machine(String t, String zone, boolean spot, long bootMs) {
     String id = String.format("m-%06d", machineNo++);
-    Worker w = new Worker(id, zone, spot);
-    workers.put(id, w);
+    Worker worker = new Worker(id, zone, spot);
+    workers.put(id, worker);
     at(
         bootMs,
         () -> {
-          w.begin();
-          if (!w.dead) {
+          worker.begin();
+          if (!worker.dead) {
             rules.machineUp(new Rules.Machine(id, t, zone, spot, type.cpus()));
           }
         });
@@ -1038,35 +1052,35 @@
   }
 
   /** Without state service and peers, but with its workers, until {@link #rejoin}. */
-  void isolate(Node h) {
-    h.noState = true;
-    for (Node n : nodes.values())
-      if (n != h) {
-        part(n, h);
+  void isolate(Node node) {
+    node.noState = true;
+    for (Node controller : nodes.values())
+      if (controller != node) {
+        part(controller, node);
       }
   }
 
   /** The zone is cut off from everything, its controllers too, until {@link #rejoin}. */
   void cutOff(String zone) {
     cutZone = zone;
-    for (Node n : nodes.values()) {
-      if (!n.zone().equals(zone)) {
+    for (Node node : nodes.values()) {
+      if (!node.zone().equals(zone)) {
         continue;
       }
-      n.noState = true;
-      for (Node o : nodes.values())
-        if (!o.zone().equals(zone)) {
-          part(n, o);
+      node.noState = true;
+      for (Node controller : nodes.values())
+        if (!controller.zone().equals(zone)) {
+          part(node, controller);
         }
     }
   }
 
   /** Controllers refuse each other's connections, all of them, until {@link #rejoin}. */
   void refusePeers() {
-    for (Node n : nodes.values())
-      for (Node o : nodes.values())
-        if (n != o) {
-          part(n, o);
+    for (Node node : nodes.values())
+      for (Node controller : nodes.values())
+        if (node != controller) {
+          part(node, controller);
         }
   }
 
@@ -1079,10 +1093,10 @@
 
   void rejoin() {
     if (cutZone != null) {
-      for (Node n : nodes.values()) n.noState &= !n.zone().equals(cutZone);
+      for (Node node : nodes.values()) node.noState &= !node.zone().equals(cutZone);
     }
     cutZone = null;
-    for (Node n : nodes.values()) n.cut.clear();
+    for (Node controller : nodes.values()) controller.cut.clear();
   }
 
   /** The job's entry in the state service. */
@@ -1095,28 +1109,28 @@
     return JobEntries.done(
         entry(id),
         key -> {
-          StateService.Val v = state.keys.get(key);
-          return v == null ? null : new Store.Held(v.value(), v.version());
+          StateService.Val value = state.keys.get(key);
+          return value == null ? null : new Store.Held(value.value(), value.version());
         });
   }
 
   /** The machine's record as the first controller that is up has it. */
   MachineRec machineRec(String id) {
-    for (Node n : nodes.values())
-      if (n.up) {
-        return n.core.store().machine(id);
+    for (Node node : nodes.values())
+      if (node.up) {
+        return node.core.store().machine(id);
       }
     throw new IllegalStateException("no controller is up");
   }
 
   /** Ends a running replica as if by itself; false: it runs nowhere. */
   boolean endReplica(String job, int number, Why why) {
-    for (Worker w : workers.values()) {
-      for (Worker.T t : w.tasks.values()) {
-        if (!t.job.equals(job) || t.task != number || t.state != TaskState.RUNNING) {
+    for (Worker worker : workers.values()) {
+      for (Worker.T task : worker.tasks.values()) {
+        if (!task.job.equals(job) || task.task != number || task.state != TaskState.RUNNING) {
           continue;
         }
-        w.exit(t, why);
+        worker.exit(task, why);
         return true;
       }
     }
@@ -1124,11 +1138,11 @@
   }
 
   void killMachine(String id) {
-    Worker w = workers.remove(id);
-    if (w == null) {
+    Worker worker = workers.remove(id);
+    if (worker == null) {
       return;
     }
-    w.dead = true;
+    worker.dead = true;
     rules.machineGone(id);
   }
 
@@ -1220,7 +1234,7 @@
       strike("hang");
       long more = Math.max(0, now + ms - Math.max(now, hangsUntil));
       hangsUntil = Math.max(hangsUntil, now + ms);
-      for (T t : tasks.values()) t.due += more;
+      for (T task : tasks.values()) task.due += more;
       at(ms, this::goOn);
     }
 
@@ -1239,14 +1253,14 @@
       newSession = false;
       List<Runnable> come = new ArrayList<>(held);
       held.clear();
-      for (Runnable r : come) r.run();
+      for (Runnable action : come) action.run();
     }
 
-    void whenAwake(Runnable r) {
+    void whenAwake(Runnable action) {
       if (hangs()) {
-        held.add(r);
+        held.add(action);
       } else {
-        r.run();
+        action.run();
       }
     }
 
@@ -1261,7 +1275,7 @@
       if (hangs()) {
         strike("hang, beyond its lease");
       }
-      for (T t : tasks.values()) rules.left(id, t.job, t.task, false);
+      for (T task : tasks.values()) rules.left(id, task.job, task.task, false);
       tasks.clear();
       session++;
       leaseFrom = now;
@@ -1289,8 +1303,8 @@
 
     Report snapshot() {
       List<TaskReport> l = new ArrayList<>();
-      for (T t : tasks.values())
-        l.add(new TaskReport(t.job, t.task, t.attempt, t.state, t.why, false));
+      for (T task : tasks.values())
+        l.add(new TaskReport(task.job, task.task, task.attempt, task.state, task.why, false));
       Double noticeS = goneAt == 0 ? null : (Double) ((goneAt - now) / 1000.0);
       return new Report(id, id, "t8", zone, spot, session, ++seq, token, noticeS, l);
     }
@@ -1301,8 +1315,8 @@
       lastReport = now;
       long mine = ++flight;
       long sent = now;
-      Report r = snapshot();
-      Node n = nodes.get(node);
+      Report report = snapshot();
+      Node controller = nodes.get(node);
       at(
           4_000,
           () ->
@@ -1323,23 +1337,23 @@
             200 + rnd.nextInt(3 * (int) LEASE),
             () -> {
               if (any.up) {
-                any.event(() -> any.core.report(r, a -> {}));
+                any.event(() -> any.core.report(report, reportAnswer -> {}));
               }
             });
       }
-      if (cutFrom(n)) {
+      if (cutFrom(controller)) {
         if (rnd.nextBoolean()) {
           at(
               1_000 + rnd.nextInt(20_000),
               () -> {
-                if (n.up) {
-                  n.event(() -> n.core.report(r, a -> {}));
+                if (controller.up) {
+                  controller.event(() -> controller.core.report(report, a -> {}));
                 }
               });
         }
         return;
       }
-      if (!n.up) {
+      if (!controller.up) {
         at(
             5,
             () -> {
@@ -1352,23 +1366,23 @@
       if (rnd.nextDouble() < loss) {
         return; // lost, or answered to nobody
       }
-      int l = n.life;
+      int l = controller.life;
       at(
           delay(),
           () -> {
-            if (!n.up || n.life != l) {
+            if (!controller.up || controller.life != l) {
               if (flight == mine) {
                 next();
               }
               return;
             }
-            n.event(
+            controller.event(
                 () ->
-                    n.core.report(
-                        r,
+                    controller.core.report(
+                        report,
                         a ->
                             at(
-                                delay() + n.lateBy,
+                                delay() + controller.lateBy,
                                 () ->
                                     whenAwake(
                                         () -> {
@@ -1376,15 +1390,18 @@
                                           if (now - sent > 4_000 && flight == mine && inFlight) {
                                             next();
                                           }
-                                          if (flight == mine && inFlight && !cutFrom(n) && !deaf) {
-                                            answer(a, sent, r.session());
+                                          if (flight == mine
+                                              && inFlight
+                                              && !cutFrom(controller)
+                                              && !deaf) {
+                                            answer(a, sent, report.session());
                                           }
                                         }))));
           });
     }
 
-    boolean cutFrom(Node n) {
-      return cut || cutZone != null && zone.equals(cutZone) != n.zone().equals(cutZone);
+    boolean cutFrom(Node node) {
+      return cut || cutZone != null && zone.equals(cutZone) != node.zone().equals(cutZone);
     }
 
     private void next() {
@@ -1394,29 +1411,29 @@
       lastReport = now + 1_000 - REPORT * 5 / 4;
     }
 
-    void answer(ReportAnswer a, long sent, long forSession) {
+    void answer(ReportAnswer answer, long sent, long forSession) {
       if (dead) {
         return;
       }
       inFlight = false;
-      if (a.status() == 421 && a.reportTo() != null && !a.reportTo().equals(node)) {
-        node = a.reportTo();
+      if (answer.status() == 421 && answer.reportTo() != null && !answer.reportTo().equals(node)) {
+        node = answer.reportTo();
         lastReport = -10_000;
         return;
       }
-      if (a.status() != 200) {
+      if (answer.status() != 200) {
         next();
         return;
       }
-      if (a.token() < token || forSession != session) {
+      if (answer.token() < token || forSession != session) {
         return;
       }
-      if (a.token() > token) {
-        token = a.token();
+      if (answer.token() > token) {
+        token = answer.token();
         changed = true;
       }
       leaseFrom = sent;
-      for (Command c : a.commands()) execute(c);
+      for (Command command : answer.commands()) execute(command);
     }
 
     Effects.OrderReply orders(long tok, long ses, List<Command> commands) {
@@ -1430,119 +1447,123 @@
         token = tok;
         changed = true;
       }
-      for (Command c : commands) execute(c);
+      for (Command command : commands) execute(command);
       return new Effects.OrderReply(Effects.Code.OK, snapshot());
     }
 
-    void execute(Command c) {
-      String key = c.job() + "/" + c.task() + "#" + c.attempt();
-      T t = tasks.get(key);
-      switch (c.kind()) {
+    void execute(Command command) {
+      String key = command.job() + "/" + command.task() + "#" + command.attempt();
+      T task = tasks.get(key);
+      switch (command.kind()) {
         case START -> {
-          if (t != null) {
+          if (task != null) {
             return;
           }
-          t = new T();
-          t.job = c.job();
-          t.task = c.task();
-          t.attempt = c.attempt();
-          tasks.put(key, t);
+          task = new T();
+          task.job = command.job();
+          task.task = command.task();
+          task.attempt = command.attempt();
+          tasks.put(key, task);
           changed = true;
           for (T o : tasks.values()) {
-            if (o != t && o.job.equals(t.job) && o.task == t.task && o.state != TaskState.EXITED) {
-              t.state = TaskState.EXITED;
-              t.why = Why.BUSY;
+            if (o != task
+                && o.job.equals(task.job)
+                && o.task == task.task
+                && o.state != TaskState.EXITED) {
+              task.state = TaskState.EXITED;
+              task.why = Why.BUSY;
               return;
             }
           }
-          t.state = TaskState.FETCHING;
-          T x = t;
-          int step = ++t.step;
+          task.state = TaskState.FETCHING;
+          T x = task;
+          int step = ++task.step;
           progress(
               x,
-              images.containsKey(c.job()) ? 1 : 500 + rnd.nextInt(2_000),
+              images.containsKey(command.job()) ? 1 : 500 + rnd.nextInt(2_000),
               () -> running(x, key, step));
         }
         case STOP -> {
-          if (t == null || t.state == TaskState.EXITED) {
+          if (task == null || task.state == TaskState.EXITED) {
             return;
           }
-          exit(t, Why.STOPPED);
+          exit(task, Why.STOPPED);
         }
         case FORGET -> {
-          if (t != null && t.state == TaskState.EXITED) {
+          if (task != null && task.state == TaskState.EXITED) {
             tasks.remove(key);
           }
         }
       }
     }
 
-    private void progress(T t, long ms, Runnable then) {
-      t.due = now + ms;
-      at(ms, () -> atDue(t, then));
+    private void progress(T task, long ms, Runnable then) {
+      task.due = now + ms;
+      at(ms, () -> atDue(task, then));
     }
 
-    private void atDue(T t, Runnable then) {
-      if (now < t.due) {
-        at(t.due - now, () -> atDue(t, then));
+    private void atDue(T task, Runnable then) {
+      if (now < task.due) {
+        at(task.due - now, () -> atDue(task, then));
       } else {
         then.run();
       }
     }
 
-    void running(T t, String key, int step) {
-      if (dead || tasks.get(key) != t || t.step != step || t.state != TaskState.FETCHING) {
+    void running(T task, String key, int step) {
+      if (dead || tasks.get(key) != task || task.step != step || task.state != TaskState.FETCHING) {
         return;
       }
-      images.put(t.job, now);
-      if (completed.contains(t.job + "/" + t.task)) {
+      images.put(task.job, now);
+      if (completed.contains(task.job + "/" + task.task)) {
         strike("result kept");
-        exit(t, Why.DONE);
+        exit(task, Why.DONE);
         return;
       }
-      t.state = TaskState.RUNNING;
+      task.state = TaskState.RUNNING;
       changed = true;
-      rules.started(now, new Rules.OnMachine(id, t.job, t.task, "t8", zone, spot));
-      if (rules.service(t.job) && !faulty) {
+      rules.started(now, new Rules.OnMachine(id, task.job, task.task, "t8", zone, spot));
+      if (rules.service(task.job) && !faulty) {
         if (replicaEnds > 0 && rnd.nextDouble() < replicaEnds) {
-          endByChance(t, key);
+          endByChance(task, key);
         }
         return;
       }
-      progress(t, faulty ? 1 : runs(t), () -> endItself(t, key, faulty ? Why.ERROR : Why.DONE));
+      progress(
+          task, faulty ? 1 : runs(task), () -> endItself(task, key, faulty ? Why.ERROR : Why.DONE));
     }
 
-    private void endByChance(T t, String key) {
+    private void endByChance(T task, String key) {
       Why why = rnd.nextBoolean() ? Why.DONE : Why.ERROR;
       strike("replica ended: " + why);
-      progress(t, rnd.nextInt(20_000), () -> endItself(t, key, why));
+      progress(task, rnd.nextInt(20_000), () -> endItself(task, key, why));
     }
 
-    private void endItself(T t, String key, Why why) {
-      if (dead || tasks.get(key) != t || t.state != TaskState.RUNNING) {
+    private void endItself(T task, String key, Why why) {
+      if (dead || tasks.get(key) != task || task.state != TaskState.RUNNING) {
         return;
       }
-      exit(t, why);
+      exit(task, why);
     }
 
-    private long runs(T t) {
-      Long own = runOf.get(t.job + "/" + t.task);
+    private long runs(T task) {
+      Long own = runOf.get(task.job + "/" + task.task);
       return own != null ? own : runMs > 0 ? runMs : 1_000 + rnd.nextInt(6_000);
     }
 
-    void exit(T t, Why why) {
-      boolean was = t.state == TaskState.RUNNING;
-      t.state = TaskState.EXITED;
-      t.why = why;
+    void exit(T task, Why why) {
+      boolean was = task.state == TaskState.RUNNING;
+      task.state = TaskState.EXITED;
+      task.why = why;
       changed = true;
       if (was) {
-        rules.left(id, t.job, t.task, why == Why.DONE);
+        rules.left(id, task.job, task.task, why == Why.DONE);
       }
       if (why == Why.DONE) {
-        completed.add(t.job + "/" + t.task);
+        completed.add(task.job + "/" + task.task);
       }
       if (was && why == Why.DONE) {
-        cancelAtItsEnd(t.job);
+        cancelAtItsEnd(task.job);
       }
     }
   }
@@ -1554,7 +1575,7 @@
       String id,
       int tasks,
       double cpus,
-      Priority p,
+      Priority priority,
       String team,
       boolean oneZone,
       boolean spread,
@@ -1562,9 +1583,9 @@
       String zone) {
     return new JobSpec(
         id,
-        "c-" + p,
+        "c-" + priority,
         team,
-        p,
+        priority,
         tasks,
         cpus,
         0,
@@ -1588,13 +1609,13 @@
       String id,
       int replicas,
       double cpus,
-      Priority p,
+      Priority priority,
       String team,
       boolean oneZone,
       boolean spread,
       boolean spot,
       String zone) {
-    JobSpec batch = job(id, replicas, cpus, p, team, oneZone, spread, spot, zone);
+    JobSpec batch = job(id, replicas, cpus, priority, team, oneZone, spread, spot, zone);
     return withKind(batch, JobKind.SERVICE);
   }
 
@@ -1623,51 +1644,51 @@
   }
 
   /** Asks this controller, whose adapter refuses the kinds of jobs that its version lacks. */
-  void submitAt(Node n, JobSpec j, Consumer<UserAnswer> reply) {
-    if (j.service() && !n.knowsServices()) {
-      n.event(() -> n.core.refuse(j.id(), "oficio must be batch", reply));
+  void submitAt(Node node, JobSpec spec, Consumer<UserAnswer> reply) {
+    if (spec.service() && !node.knowsServices()) {
+      node.event(() -> node.core.refuse(spec.id(), "oficio must be batch", reply));
     } else {
-      n.event(() -> n.core.submit(j, reply));
+      node.event(() -> node.core.submit(spec, reply));
     }
   }
 
-  void submit(JobSpec j) {
-    rules.submitted(j);
-    jobs.add(j.id());
-    trySubmit(j, now + 60_000);
+  void submit(JobSpec spec) {
+    rules.submitted(spec);
+    jobs.add(spec.id());
+    trySubmit(spec, now + 60_000);
   }
 
-  private void trySubmit(JobSpec j, long until) {
+  private void trySubmit(JobSpec spec, long until) {
     if (now > until) {
       return;
     }
-    Node n = nodes.get(NODES.get(rnd.nextInt(3)));
+    Node node = nodes.get(NODES.get(rnd.nextInt(3)));
     long asked = now;
     boolean[] answered = {false};
-    if (n.up) {
+    if (node.up) {
       submitAt(
-          n,
-          j,
-          a -> {
+          node,
+          spec,
+          answer -> {
             answered[0] = true;
             if (rnd.nextDouble() < loss) {
               answered[0] = false;
             } // the user doesn't get it
             else {
-              rules.told(now, asked, j.id(), a.status(), a.state());
+              rules.told(now, asked, spec.id(), answer.status(), answer.state());
             }
-            if (answered[0] && a.state() != null) {
-              poll(j.id());
+            if (answered[0] && answer.state() != null) {
+              poll(spec.id());
             } else {
-              at(1_000, () -> trySubmit(j, until));
+              at(1_000, () -> trySubmit(spec, until));
             }
           });
     }
     at(
         5_000,
         () -> {
-          if (!answered[0] && now - asked >= 5_000 && rules.lastTold(j.id()) == null) {
-            trySubmit(j, until);
+          if (!answered[0] && now - asked >= 5_000 && rules.lastTold(spec.id()) == null) {
+            trySubmit(spec, until);
           }
         });
   }
@@ -1679,29 +1700,32 @@
         return;
       }
     }
-    Node n = nodes.get(NODES.get(rnd.nextInt(3)));
+    Node node = nodes.get(NODES.get(rnd.nextInt(3)));
     long asked = now;
-    if (n.up) {
-      n.event(() -> n.core.query(id, a -> rules.told(now, asked, id, a.status(), a.state())));
+    if (node.up) {
+      node.event(
+          () ->
+              node.core.query(
+                  id, answer -> rules.told(now, asked, id, answer.status(), answer.state())));
     }
     at(2_000 + rnd.nextInt(3_000), () -> poll(id));
   }
 
   void cancel(String id) {
     rules.asksToCancel(id);
-    Node n = nodes.get(NODES.get(rnd.nextInt(3)));
-    if (!n.up) {
+    Node node = nodes.get(NODES.get(rnd.nextInt(3)));
+    if (!node.up) {
       at(1_000, () -> cancel(id));
       return;
     }
     long asked = now;
-    n.event(
+    node.event(
         () ->
-            n.core.cancel(
+            node.core.cancel(
                 id,
-                a -> {
-                  rules.told(now, asked, id, a.status(), a.state());
-                  if (a.state() == null && a.status() != 404) {
+                answer -> {
+                  rules.told(now, asked, id, answer.status(), answer.state());
+                  if (answer.state() == null && answer.status() != 404) {
                     at(1_000, () -> cancel(id));
                   }
                 }));
@@ -1748,12 +1772,12 @@
     }
     int n = 0;
     for (String m : theirs) {
-      Worker w = workers.get(m);
-      if (w == null || n++ >= 8) {
+      Worker worker = workers.get(m);
+      if (worker == null || n++ >= 8) {
         continue;
       }
       strike("cancelNow, hang");
-      w.hang(hangMs);
+      worker.hang(hangMs);
     }
   }
 
@@ -1778,10 +1802,10 @@
         done.add(id);
       }
     }
-    Node n = nodes.get(NODES.get(rnd.nextInt(3)));
+    Node node = nodes.get(NODES.get(rnd.nextInt(3)));
     switch (rnd.nextInt(4)) {
       case 0 -> {
-        if (told.isEmpty() || !n.up) {
+        if (told.isEmpty() || !node.up) {
           return;
         }
         String id = told.get(rnd.nextInt(told.size()));
@@ -1789,7 +1813,10 @@
         boolean over = "done".equals(last) || "cancelled".equals(last);
         strike(over ? "oddRequests, over again" : "oddRequests, again");
         long asked = now;
-        submitAt(n, rules.spec(id), a -> rules.told(now, asked, id, a.status(), a.state()));
+        submitAt(
+            node,
+            rules.spec(id),
+            answer -> rules.told(now, asked, id, answer.status(), answer.state()));
       }
       case 1 -> {
         if (done.isEmpty()) {
@@ -1803,13 +1830,13 @@
         askForNobody();
       }
       default -> {
-        if (!n.up) {
+        if (!node.up) {
           return;
         }
         strike("oddRequests, impossible");
         boolean team = rnd.nextBoolean();
         String id = String.format("wk-9%05d", impossibleNo++);
-        JobSpec j =
+        JobSpec spec =
             job(
                 id,
                 1 + rnd.nextInt(4),
@@ -1820,12 +1847,12 @@
                 false,
                 true,
                 null);
-        n.event(
+        node.event(
             () ->
-                n.core.submit(
-                    j,
-                    a -> {
-                      rules.toldImpossible(now, id, a.status());
+                node.core.submit(
+                    spec,
+                    userAnswer -> {
+                      rules.toldImpossible(now, id, userAnswer.status());
                       at(500, () -> askFor(id));
                     }));
       }
@@ -1836,25 +1863,25 @@
   void changeLeaders() {
     Map<String, Integer> owned = new TreeMap<>();
     Map<String, Integer> held = new TreeMap<>();
-    for (StateService.Val v : state.keys.values()) {
-      if (v.value() instanceof MachineRec m) {
-        owned.merge(m.node(), 1, Integer::sum);
+    for (StateService.Val value : state.keys.values()) {
+      if (value.value() instanceof MachineRec record) {
+        owned.merge(record.node(), 1, Integer::sum);
       }
-      if (v.value() instanceof GroupRec g) {
-        owned.merge(g.node(), g.machines().size(), Integer::sum);
+      if (value.value() instanceof GroupRec group) {
+        owned.merge(group.node(), group.machines().size(), Integer::sum);
       }
-      if (v.value() instanceof JobRec j && j.open()) {
-        held.merge(j.holder(), 1, Integer::sum);
+      if (value.value() instanceof JobRec job && job.open()) {
+        held.merge(job.holder(), 1, Integer::sum);
       }
     }
     for (Map<String, Integer> m : List.of(owned, held)) {
       Node most = null;
-      for (Node n : nodes.values()) {
-        if (!n.up || !m.containsKey(n.name)) {
+      for (Node node : nodes.values()) {
+        if (!node.up || !m.containsKey(node.name)) {
           continue;
         }
-        if (most == null || m.get(n.name) > m.get(most.name)) {
-          most = n;
+        if (most == null || m.get(node.name) > m.get(most.name)) {
+          most = node;
         }
       }
       if (most == null) {
@@ -1866,13 +1893,13 @@
   }
 
   /** The state service refuses one controller alone, and right after it all of them. */
-  void refusedThenOutage(Node n, long aloneMs, long outageMs) {
+  void refusedThenOutage(Node node, long aloneMs, long outageMs) {
     strike("refusedThenOutage");
-    n.noState = true;
+    node.noState = true;
     at(
         aloneMs,
         () -> {
-          n.noState = false;
+          node.noState = false;
           state.outage = true;
           at(outageMs, state::recover);
         });
@@ -1880,14 +1907,14 @@
 
   /** A service of more replicas than its team may run at once is asked for. */
   void askForImpossibleService() {
-    Node n = nodes.get(NODES.get(rnd.nextInt(3)));
-    if (!n.up) {
+    Node node = nodes.get(NODES.get(rnd.nextInt(3)));
+    if (!node.up) {
       return;
     }
     strike("impossible service");
     String id = String.format("wk-8%05d", impossibleNo++);
     JobSpec tooMany = service(id, 7, 4, Priority.NORMAL, "tight", false, false, true, null);
-    submitAt(n, tooMany, a -> rules.toldImpossible(now, id, a.status()));
+    submitAt(node, tooMany, answer -> rules.toldImpossible(now, id, answer.status()));
   }
 
   void askForNobody() {
@@ -1895,9 +1922,11 @@
   }
 
   private void askFor(String id) {
-    Node n = nodes.get(NODES.get(rnd.nextInt(3)));
-    if (n.up) {
-      n.event(() -> n.core.query(id, a -> rules.told(now, id, a.status(), a.state())));
+    Node node = nodes.get(NODES.get(rnd.nextInt(3)));
+    if (node.up) {
+      node.event(
+          () ->
+              node.core.query(id, answer -> rules.told(now, id, answer.status(), answer.state())));
     }
   }
 
@@ -1908,13 +1937,13 @@
       return List.of(
           new Block() {
             @Override
-            public boolean workers(Facts f) {
+            public boolean workers(Facts facts) {
               seen.run();
               return true;
             }
 
             @Override
-            public boolean invalidate(Facts f) {
+            public boolean invalidate(Facts facts) {
               return false;
             }
 
@@ -1924,8 +1953,8 @@
             }
 
             @Override
-            public double score(Facts f) {
-              return 1 - f.used;
+            public double score(Facts facts) {
+              return 1 - facts.used;
             }
           });
     }
--- a/src/test/java/mallowstall/core/Troubles.java
+++ b/src/test/java/mallowstall/core/Troubles.java
@@ -8,165 +8,165 @@
   private Troubles() {}
 
   /** So many random batch jobs within 70 s, some of them cancelled. */
-  static void work(Sim s, int jobs) {
-    work(s, jobs, 70_000);
+  static void work(Sim sim, int jobs) {
+    work(sim, jobs, 70_000);
   }
 
   /** So many random batch jobs within this time, some of them cancelled. */
-  static void work(Sim s, int jobs, int forMs) {
+  static void work(Sim sim, int jobs, int forMs) {
     for (int i = 0; i < jobs; i++) {
       int n = i;
-      s.at(
-          3_000 + s.rnd.nextInt(forMs),
+      sim.at(
+          3_000 + sim.rnd.nextInt(forMs),
           () -> {
             String id = String.format("wk-%06d", n);
-            Priority p = Priority.values()[s.rnd.nextInt(3)];
-            boolean oneZone = s.rnd.nextInt(5) == 0;
-            boolean spread = !oneZone && s.rnd.nextInt(5) == 0;
-            String zone = s.rnd.nextInt(8) == 0 ? "a" : null;
-            s.submit(
-                s.job(
+            Priority priority = Priority.values()[sim.rnd.nextInt(3)];
+            boolean oneZone = sim.rnd.nextInt(5) == 0;
+            boolean spread = !oneZone && sim.rnd.nextInt(5) == 0;
+            String zone = sim.rnd.nextInt(8) == 0 ? "a" : null;
+            sim.submit(
+                sim.job(
                     id,
-                    1 + s.rnd.nextInt(9),
-                    1 + s.rnd.nextInt(4),
-                    p,
-                    s.rnd.nextBoolean() ? "free" : "tight",
+                    1 + sim.rnd.nextInt(9),
+                    1 + sim.rnd.nextInt(4),
+                    priority,
+                    sim.rnd.nextBoolean() ? "free" : "tight",
                     oneZone,
                     spread && zone == null,
-                    s.rnd.nextInt(3) > 0,
+                    sim.rnd.nextInt(3) > 0,
                     zone));
-            if (s.rnd.nextInt(5) == 0) {
-              s.at(1_000 + s.rnd.nextInt(15_000), () -> s.cancel(id));
+            if (sim.rnd.nextInt(5) == 0) {
+              sim.at(1_000 + sim.rnd.nextInt(15_000), () -> sim.cancel(id));
             }
           });
     }
     for (int i = 0; i < 20; i++) {
-      s.at(s.rnd.nextInt(120_000), s::askForNobody);
+      sim.at(sim.rnd.nextInt(120_000), sim::askForNobody);
     }
   }
 
   /** One of the older troubles at random. */
-  static void older(Sim s) {
-    Sim.Node n = s.nodes.get(Sim.NODES.get(s.rnd.nextInt(3)));
-    switch (s.rnd.nextInt(13)) {
-      case 0 -> n.crash(s.rnd.nextBoolean() ? 200 : 5_000);
+  static void older(Sim sim) {
+    Sim.Node node = sim.nodes.get(Sim.NODES.get(sim.rnd.nextInt(3)));
+    switch (sim.rnd.nextInt(13)) {
+      case 0 -> node.crash(sim.rnd.nextBoolean() ? 200 : 5_000);
       case 1 -> {
-        for (Sim.Node x : s.nodes.values()) x.crash(300 + s.rnd.nextInt(5_000));
+        for (Sim.Node x : sim.nodes.values()) x.crash(300 + sim.rnd.nextInt(5_000));
       }
       case 2 -> {
-        s.state.outage = true;
-        s.at(2_000 + s.rnd.nextInt(15_000), s.state::recover);
+        sim.state.outage = true;
+        sim.at(2_000 + sim.rnd.nextInt(15_000), sim.state::recover);
       }
       case 3 -> {
-        n.noState = true;
-        s.at(3_000 + s.rnd.nextInt(25_000), () -> n.noState = false);
+        node.noState = true;
+        sim.at(3_000 + sim.rnd.nextInt(25_000), () -> node.noState = false);
       }
       case 4 -> {
-        String other = Sim.NODES.get(s.rnd.nextInt(3));
-        n.cut.put(other, true);
-        n.drop(other);
-        s.at(3_000 + s.rnd.nextInt(20_000), () -> n.cut.put(other, false));
+        String other = Sim.NODES.get(sim.rnd.nextInt(3));
+        node.cut.put(other, true);
+        node.drop(other);
+        sim.at(3_000 + sim.rnd.nextInt(20_000), () -> node.cut.put(other, false));
       }
       case 5 -> {
-        if (!s.workers.isEmpty()) {
-          s.killMachine(s.workers.keySet().iterator().next());
+        if (!sim.workers.isEmpty()) {
+          sim.killMachine(sim.workers.keySet().iterator().next());
         }
       }
       case 6 -> {
-        s.refusePeers();
-        s.at(3_000 + s.rnd.nextInt(25_000), s::rejoin);
+        sim.refusePeers();
+        sim.at(3_000 + sim.rnd.nextInt(25_000), sim::rejoin);
       }
       case 7 -> {
-        s.isolate(n);
-        s.at(
-            3_000 + s.rnd.nextInt(40_000),
+        sim.isolate(node);
+        sim.at(
+            3_000 + sim.rnd.nextInt(40_000),
             () -> {
-              n.noState = false;
-              s.rejoin();
+              node.noState = false;
+              sim.rejoin();
             });
       }
-      case 11 -> n.freezeFor = 2_000 + s.rnd.nextInt(28_000);
+      case 11 -> node.freezeFor = 2_000 + sim.rnd.nextInt(28_000);
       case 12 -> {
-        if (s.cutZone != null) {
+        if (sim.cutZone != null) {
           return;
         }
-        s.cutOff(s.rnd.nextBoolean() ? "a" : "b");
-        s.at(5_000 + s.rnd.nextInt(40_000), s::rejoin);
+        sim.cutOff(sim.rnd.nextBoolean() ? "a" : "b");
+        sim.at(5_000 + sim.rnd.nextInt(40_000), sim::rejoin);
       }
       case 8, 9 -> {
-        List<Sim.Worker> ws = List.copyOf(s.workers.values());
+        List<Sim.Worker> ws = List.copyOf(sim.workers.values());
         if (ws.isEmpty()) {
           return;
         }
-        Sim.Worker w = ws.get(s.rnd.nextInt(ws.size()));
-        w.deaf = true;
-        s.at(2_000 + s.rnd.nextInt(60_000), () -> w.deaf = false);
+        Sim.Worker worker = ws.get(sim.rnd.nextInt(ws.size()));
+        worker.deaf = true;
+        sim.at(2_000 + sim.rnd.nextInt(60_000), () -> worker.deaf = false);
       }
       default -> {
-        List<Sim.Worker> ws = List.copyOf(s.workers.values());
+        List<Sim.Worker> ws = List.copyOf(sim.workers.values());
         if (ws.isEmpty()) {
           return;
         }
-        Sim.Worker w = ws.get(s.rnd.nextInt(ws.size()));
-        w.cut = true;
-        s.at(2_000 + s.rnd.nextInt(20_000), () -> w.cut = false);
+        Sim.Worker simWorker = ws.get(sim.rnd.nextInt(ws.size()));
+        simWorker.cut = true;
+        sim.at(2_000 + sim.rnd.nextInt(20_000), () -> simWorker.cut = false);
       }
     }
   }
 
   /** One of the newer troubles at random; none of them begins anything new later than then. */
-  static void newer(Sim s, long until) {
-    Sim.Node n = s.nodes.get(Sim.NODES.get(s.rnd.nextInt(3)));
-    List<Sim.Worker> ws = List.copyOf(s.workers.values());
-    switch (s.rnd.nextInt(9)) {
+  static void newer(Sim sim, long until) {
+    Sim.Node node = sim.nodes.get(Sim.NODES.get(sim.rnd.nextInt(3)));
+    List<Sim.Worker> ws = List.copyOf(sim.workers.values());
+    switch (sim.rnd.nextInt(9)) {
       case 0 -> {
-        s.slowState = 600 + s.rnd.nextInt(1_900);
-        s.at(3_000 + s.rnd.nextInt(20_000), () -> s.slowState = 0);
+        sim.slowState = 600 + sim.rnd.nextInt(1_900);
+        sim.at(3_000 + sim.rnd.nextInt(20_000), () -> sim.slowState = 0);
       }
       case 1 -> {
-        for (Sim.Worker w : ws) {
-          if (s.rnd.nextInt(3) > 0) {
+        for (Sim.Worker worker : ws) {
+          if (sim.rnd.nextInt(3) > 0) {
             continue;
           }
-          w.mute = true;
-          s.at(2_000 + s.rnd.nextInt(40_000), () -> w.mute = false);
+          worker.mute = true;
+          sim.at(2_000 + sim.rnd.nextInt(40_000), () -> worker.mute = false);
         }
       }
       case 2 -> {
-        for (Sim.Worker w : ws)
-          if (s.rnd.nextInt(3) == 0) {
-            w.hang(1_000 + s.rnd.nextInt(s.rnd.nextBoolean() ? 9_000 : 25_000));
+        for (Sim.Worker simWorker : ws)
+          if (sim.rnd.nextInt(3) == 0) {
+            simWorker.hang(1_000 + sim.rnd.nextInt(sim.rnd.nextBoolean() ? 9_000 : 25_000));
           }
       }
-      case 3 -> s.cancelNow(1 + s.rnd.nextInt(6), 0);
-      case 4 -> s.cancelNow(1 + s.rnd.nextInt(6), 1_000 + s.rnd.nextInt(12_000));
-      case 5 -> s.oddRequests(10 + s.rnd.nextInt(30));
+      case 3 -> sim.cancelNow(1 + sim.rnd.nextInt(6), 0);
+      case 4 -> sim.cancelNow(1 + sim.rnd.nextInt(6), 1_000 + sim.rnd.nextInt(12_000));
+      case 5 -> sim.oddRequests(10 + sim.rnd.nextInt(30));
       case 6 -> {
         // ten times in two minutes, or as many as there is time for
         long every = 12_000;
-        for (long at = 0; at < 10 * every && s.now + at < until; at += every) {
-          s.at(at, s::changeLeaders);
+        for (long at = 0; at < 10 * every && sim.now + at < until; at += every) {
+          sim.at(at, sim::changeLeaders);
         }
       }
       case 7 -> {
-        s.refusedThenOutage(
-            n, 3_000 + s.rnd.nextInt(7_000), Sim.CANCEL + 2_000 + s.rnd.nextInt(8_000));
-        if (s.rnd.nextBoolean()) {
-          s.at(s.rnd.nextInt(9_000), () -> s.cancelNow(3, 0));
+        sim.refusedThenOutage(
+            node, 3_000 + sim.rnd.nextInt(7_000), Sim.CANCEL + 2_000 + sim.rnd.nextInt(8_000));
+        if (sim.rnd.nextBoolean()) {
+          sim.at(sim.rnd.nextInt(9_000), () -> sim.cancelNow(3, 0));
         }
-        if (s.rnd.nextBoolean()) {
-          s.at(12_000 + s.rnd.nextInt(20_000), s::changeLeaders);
+        if (sim.rnd.nextBoolean()) {
+          sim.at(12_000 + sim.rnd.nextInt(20_000), sim::changeLeaders);
         }
       }
       default -> {
-        s.strike("isolate");
-        s.isolate(n);
-        s.at(s.rnd.nextInt(4_000), () -> s.cancelNow(3, s.rnd.nextBoolean() ? 0 : 6_000));
-        s.at(
-            3_000 + s.rnd.nextInt(45_000),
+        sim.strike("isolate");
+        sim.isolate(node);
+        sim.at(sim.rnd.nextInt(4_000), () -> sim.cancelNow(3, sim.rnd.nextBoolean() ? 0 : 6_000));
+        sim.at(
+            3_000 + sim.rnd.nextInt(45_000),
             () -> {
-              n.noState = false;
-              s.rejoin();
+              node.noState = false;
+              sim.rejoin();
             });
       }
     }
--- a/src/test/java/mallowstall/core/UpgradeHistoriesTest.java
+++ b/src/test/java/mallowstall/core/UpgradeHistoriesTest.java
@@ -60,10 +60,10 @@
   @ParameterizedTest
   @ValueSource(longs = {1, 2, 3, 4})
   void anUpgradeAmidTroublesKeepsEveryRule(long seed) {
-    Sim s = history(seed);
-    s.struck.forEach((trouble, times) -> struck.merge(trouble, times, Integer::sum));
+    Sim sim = history(seed);
+    sim.struck.forEach((trouble, times) -> struck.merge(trouble, times, Integer::sum));
     played++;
-    assertKept(s);
+    assertKept(sim);
   }
 
   @AfterAll
@@ -88,10 +88,10 @@
     new SeedHunt()
         .run(
             seed -> {
-              Sim s = history(seed);
-              starts.addAndGet(s.rules.starts);
-              services.addAndGet(kept(s).size());
-              assertKept(s);
+              Sim sim = history(seed);
+              starts.addAndGet(sim.rules.starts);
+              services.addAndGet(kept(sim).size());
+              assertKept(sim);
             },
             () ->
                 String.format(
@@ -99,137 +99,139 @@
   }
 
   private static Sim history(long seed) {
-    Sim s = new Sim(seed, ClusterVersion.UNKNOWN);
-    s.loss = seed % 4 == 0 ? 0.02 : 0;
-    s.rosterChaos = seed % 2 == 0 ? 0.2 : 0;
-    s.lateCopies = seed % 3 == 0 ? 0.2 : 0;
-    s.lateWrites = seed % 5 == 0 ? 0.1 : 0.01;
-    s.cancelAtEnd = 0.1;
-    s.replicaEnds = 0.2;
-    s.rules.crossingsBreak = false; // as in HistoriesTest: slow reads are overtaken
-    Troubles.work(s, 35, 130_000);
-    upgrades(s);
+    Sim sim = new Sim(seed, ClusterVersion.UNKNOWN);
+    sim.loss = seed % 4 == 0 ? 0.02 : 0;
+    sim.rosterChaos = seed % 2 == 0 ? 0.2 : 0;
+    sim.lateCopies = seed % 3 == 0 ? 0.2 : 0;
+    sim.lateWrites = seed % 5 == 0 ? 0.1 : 0.01;
+    sim.cancelAtEnd = 0.1;
+    sim.replicaEnds = 0.2;
+    sim.rules.crossingsBreak = false; // as in HistoriesTest: slow reads are overtaken
+    Troubles.work(sim, 35, 130_000);
+    upgrades(sim);
     for (int i = 0; i < 10; i++) {
-      s.at(troubleTime(s), () -> Troubles.older(s));
+      sim.at(troubleTime(sim), () -> Troubles.older(sim));
     }
     for (int i = 0; i < 10; i++) {
-      s.at(troubleTime(s), () -> Troubles.newer(s, FIRST_TROUBLE + TROUBLE_FOR));
+      sim.at(troubleTime(sim), () -> Troubles.newer(sim, FIRST_TROUBLE + TROUBLE_FOR));
     }
     for (int i = 0; i < 4; i++) {
-      s.at(troubleTime(s), () -> crashInClaim(s));
+      sim.at(troubleTime(sim), () -> crashInClaim(sim));
     }
-    s.at(75_000, () -> submitServices(s));
+    sim.at(75_000, () -> submitServices(sim));
     for (int i = 0; i < 6; i++) {
-      s.at(90_000 + s.rnd.nextInt(90_000), () -> killMachineOfService(s));
+      sim.at(90_000 + sim.rnd.nextInt(90_000), () -> killMachineOfService(sim));
     }
     for (int i = 0; i < 3; i++) {
-      s.at(90_000 + s.rnd.nextInt(90_000), () -> endMachineSoon(s));
+      sim.at(90_000 + sim.rnd.nextInt(90_000), () -> endMachineSoon(sim));
     }
-    s.at(CHANCE_ENDS, () -> endChance(s));
-    s.rules.calmSince = CALM;
-    s.run(END);
-    return s;
+    sim.at(CHANCE_ENDS, () -> endChance(sim));
+    sim.rules.calmSince = CALM;
+    sim.run(END);
+    return sim;
   }
 
-  private static long troubleTime(Sim s) {
-    return FIRST_TROUBLE + s.rnd.nextInt(TROUBLE_FOR);
+  private static long troubleTime(Sim sim) {
+    return FIRST_TROUBLE + sim.rnd.nextInt(TROUBLE_FOR);
   }
 
-  private static void endChance(Sim s) {
-    s.loss = s.rosterChaos = s.lateCopies = s.lateWrites = s.cancelAtEnd = s.replicaEnds = 0;
-    for (Sim.Node n : s.nodes.values()) n.atNextClaim = null;
+  private static void endChance(Sim sim) {
+    sim.loss =
+        sim.rosterChaos = sim.lateCopies = sim.lateWrites = sim.cancelAtEnd = sim.replicaEnds = 0;
+    for (Sim.Node node : sim.nodes.values()) node.atNextClaim = null;
   }
 
   /**
    * One controller after the other, at times far apart, within a takeover or within a fraction of a
    * second. Those that die before their turn come back old.
    */
-  private static void upgrades(Sim s) {
+  private static void upgrades(Sim sim) {
     List<String> waiting = new ArrayList<>(Sim.NODES);
-    long turn = 12_000 + s.rnd.nextInt(28_000);
+    long turn = 12_000 + sim.rnd.nextInt(28_000);
     while (!waiting.isEmpty()) {
-      Sim.Node n = s.nodes.get(waiting.remove(s.rnd.nextInt(waiting.size())));
-      long downMs = s.rnd.nextBoolean() ? 50 + s.rnd.nextInt(900) : 1_000 + s.rnd.nextInt(8_000);
-      if (s.rnd.nextInt(4) == 0) {
-        s.at(turn, () -> upgradeInClaim(s, n, downMs));
+      Sim.Node node = sim.nodes.get(waiting.remove(sim.rnd.nextInt(waiting.size())));
+      long downMs =
+          sim.rnd.nextBoolean() ? 50 + sim.rnd.nextInt(900) : 1_000 + sim.rnd.nextInt(8_000);
+      if (sim.rnd.nextInt(4) == 0) {
+        sim.at(turn, () -> upgradeInClaim(sim, node, downMs));
       } else {
-        s.at(turn, () -> s.upgrade(n, downMs));
+        sim.at(turn, () -> sim.upgrade(node, downMs));
       }
-      s.at(turn + 15_000, () -> upgradeAtLast(s, n));
-      turn += untilNextTurn(s);
+      sim.at(turn + 15_000, () -> upgradeAtLast(sim, node));
+      turn += untilNextTurn(sim);
     }
     for (int i = 0; i < 5; i++) {
-      s.at(8_000 + s.rnd.nextInt(55_000), () -> crash(s));
+      sim.at(8_000 + sim.rnd.nextInt(55_000), () -> crash(sim));
     }
   }
 
-  private static long untilNextTurn(Sim s) {
-    return switch (s.rnd.nextInt(4)) {
-      case 0 -> s.rnd.nextInt(900);
-      case 1 -> 1_000 + s.rnd.nextInt(6_000);
-      default -> 6_000 + s.rnd.nextInt(11_000);
+  private static long untilNextTurn(Sim sim) {
+    return switch (sim.rnd.nextInt(4)) {
+      case 0 -> sim.rnd.nextInt(900);
+      case 1 -> 1_000 + sim.rnd.nextInt(6_000);
+      default -> 6_000 + sim.rnd.nextInt(11_000);
     };
   }
 
-  private static void upgradeInClaim(Sim s, Sim.Node n, long downMs) {
-    endInClaim(s, n, () -> s.upgrade(n, downMs));
+  private static void upgradeInClaim(Sim sim, Sim.Node node, long downMs) {
+    endInClaim(sim, node, () -> sim.upgrade(node, downMs));
   }
 
   /** Some moment after it has asked for its next claim. */
-  private static void endInClaim(Sim s, Sim.Node n, Runnable end) {
-    n.atNextClaim =
+  private static void endInClaim(Sim sim, Sim.Node node, Runnable end) {
+    node.atNextClaim =
         () ->
-            s.at(
-                s.rnd.nextInt(30),
+            sim.at(
+                sim.rnd.nextInt(30),
                 () -> {
-                  s.strike("claim, crashed");
+                  sim.strike("claim, crashed");
                   end.run();
                 });
   }
 
   /** Whoever waits for a claim that doesn't come has its turn all the same. */
-  private static void upgradeAtLast(Sim s, Sim.Node n) {
-    if (n.installed == ClusterVersion.CURRENT) {
+  private static void upgradeAtLast(Sim sim, Sim.Node node) {
+    if (node.installed == ClusterVersion.CURRENT) {
       return;
     }
-    n.atNextClaim = null;
-    s.upgrade(n, 300);
+    node.atNextClaim = null;
+    sim.upgrade(node, 300);
   }
 
-  private static void crash(Sim s) {
-    crash(s, s.nodes.get(Sim.NODES.get(s.rnd.nextInt(3))));
+  private static void crash(Sim sim) {
+    crash(sim, sim.nodes.get(Sim.NODES.get(sim.rnd.nextInt(3))));
   }
 
-  private static void crash(Sim s, Sim.Node n) {
-    if (!n.up) {
+  private static void crash(Sim sim, Sim.Node node) {
+    if (!node.up) {
       return;
     }
-    if (n.installed != ClusterVersion.CURRENT) {
-      s.strike("came back old");
+    if (node.installed != ClusterVersion.CURRENT) {
+      sim.strike("came back old");
     }
-    n.crash(s.rnd.nextBoolean() ? 50 + s.rnd.nextInt(900) : 1_000 + s.rnd.nextInt(8_000));
+    node.crash(sim.rnd.nextBoolean() ? 50 + sim.rnd.nextInt(900) : 1_000 + sim.rnd.nextInt(8_000));
   }
 
   /** A holder ends; whoever claims its jobs ends in the middle of that. */
-  private static void crashInClaim(Sim s) {
-    for (Sim.Node n : s.nodes.values()) {
-      endInClaim(s, n, () -> crash(s, n));
+  private static void crashInClaim(Sim sim) {
+    for (Sim.Node node : sim.nodes.values()) {
+      endInClaim(sim, node, () -> crash(sim, node));
     }
-    s.changeLeaders();
+    sim.changeLeaders();
   }
 
   // ---- services -----------------------------------------------------------------------------
 
   /** Asked for only when all controllers are of the present version. */
-  private static void submitServices(Sim s) {
-    if (!s.allUpgraded()) {
-      s.at(200, () -> submitServices(s));
+  private static void submitServices(Sim sim) {
+    if (!sim.allUpgraded()) {
+      sim.at(200, () -> submitServices(sim));
       return;
     }
     int cpusLeft = SERVICE_CPUS;
     int tightLeft = TIGHT_CPUS;
     for (int i = 0; i < 8; i++) {
-      JobSpec service = randomService(s, String.format("wk-7%05d", i));
+      JobSpec service = randomService(sim, String.format("wk-7%05d", i));
       int cpus = (int) (service.tasks() * service.cpus());
       boolean tight = service.team().equals("tight");
       if (cpus > cpusLeft || tight && cpus > tightLeft) {
@@ -239,103 +241,105 @@
       if (tight) {
         tightLeft -= cpus;
       }
-      s.at(s.rnd.nextInt(50_000), () -> submit(s, service));
+      sim.at(sim.rnd.nextInt(50_000), () -> submit(sim, service));
     }
-    s.at(s.rnd.nextInt(50_000), s::askForImpossibleService);
+    sim.at(sim.rnd.nextInt(50_000), sim::askForImpossibleService);
   }
 
-  private static JobSpec randomService(Sim s, String id) {
-    boolean oneZone = s.rnd.nextInt(5) == 0;
-    boolean spread = !oneZone && s.rnd.nextInt(4) == 0;
-    String zone = !oneZone && !spread && s.rnd.nextInt(6) == 0 ? "a" : null;
-    return s.service(
+  private static JobSpec randomService(Sim sim, String id) {
+    boolean oneZone = sim.rnd.nextInt(5) == 0;
+    boolean spread = !oneZone && sim.rnd.nextInt(4) == 0;
+    String zone = !oneZone && !spread && sim.rnd.nextInt(6) == 0 ? "a" : null;
+    return sim.service(
         id,
-        1 + s.rnd.nextInt(5),
-        1 + s.rnd.nextInt(3),
-        Priority.values()[s.rnd.nextInt(4)],
-        s.rnd.nextInt(3) == 0 ? "tight" : "free",
+        1 + sim.rnd.nextInt(5),
+        1 + sim.rnd.nextInt(3),
+        Priority.values()[sim.rnd.nextInt(4)],
+        sim.rnd.nextInt(3) == 0 ? "tight" : "free",
         oneZone,
         spread,
-        s.rnd.nextInt(3) > 0,
+        sim.rnd.nextInt(3) > 0,
         zone);
   }
 
-  private static void submit(Sim s, JobSpec service) {
-    s.submit(service);
-    if (s.rnd.nextInt(4) > 0) {
+  private static void submit(Sim sim, JobSpec service) {
+    sim.submit(service);
+    if (sim.rnd.nextInt(4) > 0) {
       return;
     }
-    s.at(s.rnd.nextInt(60_000), () -> cancel(s, service.id()));
+    sim.at(sim.rnd.nextInt(60_000), () -> cancel(sim, service.id()));
   }
 
-  private static void cancel(Sim s, String service) {
-    s.strike("service cancelled");
-    s.cancel(service);
+  private static void cancel(Sim sim, String service) {
+    sim.strike("service cancelled");
+    sim.cancel(service);
   }
 
-  private static void killMachineOfService(Sim s) {
-    Sim.Worker w = machineOfService(s);
-    if (w == null) {
+  private static void killMachineOfService(Sim sim) {
+    Sim.Worker worker = machineOfService(sim);
+    if (worker == null) {
       return;
     }
-    s.strike("machine of a service killed");
-    s.killMachine(w.id);
+    sim.strike("machine of a service killed");
+    sim.killMachine(worker.id);
   }
 
   /** The cloud gives notice of the machine, or it begins to fail what is started there. */
-  private static void endMachineSoon(Sim s) {
-    Sim.Worker w = machineOfService(s);
-    if (w == null) {
+  private static void endMachineSoon(Sim sim) {
+    Sim.Worker worker = machineOfService(sim);
+    if (worker == null) {
       return;
     }
-    if (s.rnd.nextBoolean()) {
-      w.notice(10_000 + s.rnd.nextInt(15_000));
+    if (sim.rnd.nextBoolean()) {
+      worker.notice(10_000 + sim.rnd.nextInt(15_000));
       return;
     }
-    s.strike("faulty");
-    w.faulty = true;
+    sim.strike("faulty");
+    worker.faulty = true;
   }
 
   /** A machine with replicas; null: there is none. */
-  private static Sim.Worker machineOfService(Sim s) {
+  private static Sim.Worker machineOfService(Sim sim) {
     List<String> machines = new ArrayList<>();
-    for (String id : s.jobs)
-      if (s.rules.service(id)) {
-        machines.addAll(s.rules.machinesOf(id));
+    for (String id : sim.jobs)
+      if (sim.rules.service(id)) {
+        machines.addAll(sim.rules.machinesOf(id));
       }
-    return machines.isEmpty() ? null : s.workers.get(machines.get(s.rnd.nextInt(machines.size())));
+    return machines.isEmpty()
+        ? null
+        : sim.workers.get(machines.get(sim.rnd.nextInt(machines.size())));
   }
 
   // ---- what must hold -----------------------------------------------------------------------
 
-  private static void assertKept(Sim s) {
-    assertEquals(List.of(), s.rules.broken);
-    assertTrue(s.rules.starts > 40, "starts " + s.rules.starts);
-    for (String id : s.jobs)
-      if (!s.rules.service(id)) {
-        assertOver(s, id);
+  private static void assertKept(Sim sim) {
+    assertEquals(List.of(), sim.rules.broken);
+    assertTrue(sim.rules.starts > 40, "starts " + sim.rules.starts);
+    for (String id : sim.jobs)
+      if (!sim.rules.service(id)) {
+        assertOver(sim, id);
       }
-    for (String id : kept(s)) assertServed(s, id);
+    for (String id : kept(sim)) assertServed(sim, id);
   }
 
   /** A user may have given up before any controller could take the job: then it was never told. */
-  private static void assertOver(Sim s, String batch) {
-    String last = s.rules.lastTold(batch);
+  private static void assertOver(Sim sim, String batch) {
+    String last = sim.rules.lastTold(batch);
     boolean over = last == null || last.equals("done") || last.equals("cancelled");
     assertTrue(over, batch + " is " + last);
   }
 
-  private static void assertServed(Sim s, String service) {
-    assertEquals("running", s.rules.lastTold(service), service);
-    assertEquals(s.rules.spec(service).tasks(), s.rules.replicasOn(service), "of " + service);
+  private static void assertServed(Sim sim, String service) {
+    assertEquals("running", sim.rules.lastTold(service), service);
+    assertEquals(sim.rules.spec(service).tasks(), sim.rules.replicasOn(service), "of " + service);
   }
 
   /** The services that were accepted and that nobody has asked to cancel. */
-  private static List<String> kept(Sim s) {
+  private static List<String> kept(Sim sim) {
     List<String> kept = new ArrayList<>();
-    for (String id : s.jobs) {
-      boolean accepted = s.rules.lastTold(id) != null && !s.rules.cancelAsked(id);
-      if (s.rules.service(id) && accepted) {
+    for (String id : sim.jobs) {
+      boolean accepted = sim.rules.lastTold(id) != null && !sim.rules.cancelAsked(id);
+      if (sim.rules.service(id) && accepted) {
         kept.add(id);
       }
     }
--- a/src/test/java/mallowstall/core/ViewTest.java
+++ b/src/test/java/mallowstall/core/ViewTest.java
@@ -12,7 +12,7 @@
   private static View.Seen machine(double noticeS, boolean replace, List<String> images) {
     View.Seen seen = new View.Seen("m-000001");
     seen.owner = "n0";
-    seen.m =
+    seen.state =
         new RosterMachine(
             "m-000001",
             "a:1",
--- a/src/test/java/mallowstall/net/HttpClientTest.java
+++ b/src/test/java/mallowstall/net/HttpClientTest.java
@@ -26,12 +26,12 @@
       CompletableFuture<Void> came = new CompletableFuture<>();
       HttpServer server =
           new HttpServer(
-              (q, r) -> {
-                if (q.path().equals("/held")) {
-                  held.add(r);
+              (request, responder) -> {
+                if (request.path().equals("/held")) {
+                  held.add(responder);
                   came.complete(null);
                 } else {
-                  r.answer(200, new byte[] {'{', '}'}, 0);
+                  responder.answer(200, new byte[] {'{', '}'}, 0);
                 }
               },
               1);
--- a/src/test/java/mallowstall/peers/PeerCodecTest.java
+++ b/src/test/java/mallowstall/peers/PeerCodecTest.java
@@ -90,8 +90,8 @@
     Stops stops =
         new Stops(
             "n1", 3, List.of(new StopOrder("m-000007", "wk-000002", 1, 99, 4.5)), List.of("m-1"));
-    for (PeerMessage m : List.of(ROSTER, starts, stops)) {
-      assertEquals(m, PeerCodec.decode(PeerCodec.encode(m)));
+    for (PeerMessage message : List.of(ROSTER, starts, stops)) {
+      assertEquals(message, PeerCodec.decode(PeerCodec.encode(message)));
     }
   }
 
@@ -142,7 +142,7 @@
       }
       try {
         PeerCodec.decode(b);
-      } catch (IOException e) {
+      } catch (IOException failure) {
         refused++;
       }
     }
--- a/src/test/java/mallowstall/policy/PoliciesTest.java
+++ b/src/test/java/mallowstall/policy/PoliciesTest.java
@@ -20,21 +20,21 @@
 
   @Test
   void expressionsFollowPrecedenceAndUnits() {
-    Policies p =
+    Policies policies =
         Policies.of(
             "class default { block { strategy: lowest 1 + 2 * 3 - -4\n"
                 + "workers: machine.fetch < 2min and not machine.spot or machine.zone == \"b\" } }");
-    assertEquals(List.of(), p.faults());
-    Policy.Block b = p.forClass("any").blocks().get(0);
-    Policy.Facts f = new Policy.Facts();
-    assertEquals(11, b.score(f));
-    f.fetchS = 119;
-    f.zone = "a";
-    assertTrue(b.workers(f));
-    f.fetchS = 120;
-    assertFalse(b.workers(f));
-    f.zone = "b";
-    assertTrue(b.workers(f));
+    assertEquals(List.of(), policies.faults());
+    Policy.Block block = policies.forClass("any").blocks().get(0);
+    Policy.Facts facts = new Policy.Facts();
+    assertEquals(11, block.score(facts));
+    facts.fetchS = 119;
+    facts.zone = "a";
+    assertTrue(block.workers(facts));
+    facts.fetchS = 120;
+    assertFalse(block.workers(facts));
+    facts.zone = "b";
+    assertTrue(block.workers(facts));
   }
 
   @Test
@@ -53,18 +53,19 @@
       {"pick: 1", "4:3: expected workers, strategy, invalidate or '}' but found 'pick'"},
     };
     for (String[] c : cases) {
-      Policies p = Policies.of(wrap(c[0]));
-      assertFalse(p.usable(), c[0]);
-      assertEquals("f:" + c[1], p.faults().get(0).at("f"), c[0]);
+      Policies policies = Policies.of(wrap(c[0]));
+      assertFalse(policies.usable(), c[0]);
+      assertEquals("f:" + c[1], policies.faults().get(0).at("f"), c[0]);
     }
   }
 
   @Test
   void faultsOfSeveralClassesAreAllFound() {
-    Policies p =
+    Policies policies =
         Policies.of(
             "class a { block { strategy: best } }\nclass a { block { workers: nope } }\nclass b { }\n");
-    List<String> all = p.faults().stream().map(f -> f.line() + " " + f.message()).toList();
+    List<String> all =
+        policies.faults().stream().map(fault -> fault.line() + " " + fault.message()).toList();
     assertTrue(
         all.contains("1 expected lowest, highest or random but found 'best'"), all.toString());
     assertTrue(all.contains("2 unknown name 'nope'"), all.toString());
@@ -75,7 +76,7 @@
   /** One fault inside a block isn't followed by others that it only caused. */
   @Test
   void readingGoesOnBehindAFaultyBlock() {
-    Policies p =
+    Policies policies =
         Policies.of(
             "class default { block { workers: nope strategy: random }\n"
                 + "block { strategy: random } }\nclass b { block { strategy: x } block { strategy: random } }");
@@ -83,7 +84,7 @@
         List.of(
             "f:1:34: unknown name 'nope'",
             "f:3:29: expected lowest, highest or random but found 'x'"),
-        p.faults().stream().map(f -> f.at("f")).toList());
+        policies.faults().stream().map(fault -> fault.at("f")).toList());
   }
 
   @Test
@@ -93,10 +94,10 @@
             "workers: 1 > 2",
             "invalidate: true",
             "workers: machine.zone == \"a\" and machine.zone == \"b\"")) {
-      Policies p = Policies.of(wrap(s));
-      assertTrue(p.usable(), s);
-      assertEquals(1, p.faults().size(), s);
-      assertTrue(p.faults().get(0).at("f").contains("warning: "), s);
+      Policies policies = Policies.of(wrap(s));
+      assertTrue(policies.usable(), s);
+      assertEquals(1, policies.faults().size(), s);
+      assertTrue(policies.faults().get(0).at("f").contains("warning: "), s);
     }
     assertFalse(Policies.of(wrap("workers: " + "(".repeat(500) + "true")).usable());
   }
--- a/src/test/java/mallowstall/state/ProductionFixturesTest.java
+++ b/src/test/java/mallowstall/state/ProductionFixturesTest.java
@@ -72,10 +72,10 @@
 
   @Test
   void valuesAreReadAndWrittenByteForByteTheSame() throws IOException {
-    for (Map.Entry<String, Class<? extends Entry>> e : VALUES.entrySet()) {
-      String written = text(e.getKey());
-      Entry value = json.readValue(written, e.getValue());
-      assertEquals(written, json.writeValueAsString(value), e.getKey());
+    for (Map.Entry<String, Class<? extends Entry>> entry : VALUES.entrySet()) {
+      String written = text(entry.getKey());
+      Entry value = json.readValue(written, entry.getValue());
+      assertEquals(written, json.writeValueAsString(value), entry.getKey());
     }
   }
 
@@ -95,14 +95,14 @@
 
   @Test
   void messagesBetweenControllersAreReadAndWrittenByteForByteTheSame() throws IOException {
-    for (Map.Entry<String, Class<? extends PeerMessage>> e : MESSAGES.entrySet()) {
-      byte[] sent = HexFormat.of().parseHex(text(e.getKey()));
+    for (Map.Entry<String, Class<? extends PeerMessage>> entry : MESSAGES.entrySet()) {
+      byte[] sent = HexFormat.of().parseHex(text(entry.getKey()));
       PeerMessage message = PeerCodec.decode(sent);
-      assertEquals(e.getValue(), message.getClass(), e.getKey());
+      assertEquals(entry.getValue(), message.getClass(), entry.getKey());
       assertEquals(
           HexFormat.of().formatHex(sent),
           HexFormat.of().formatHex(PeerCodec.encode(message)),
-          e.getKey());
+          entry.getKey());
     }
   }
 }
--- a/src/test/java/mallowstall/users/SubmissionTest.java
+++ b/src/test/java/mallowstall/users/SubmissionTest.java
@@ -27,11 +27,11 @@
 
   @Test
   void aSubmissionIsRead() throws UsersAdapter.Malformed {
-    JobSpec j = parse(GOOD);
-    assertEquals(16, j.tasks());
-    assertEquals(Priority.HIGH, j.priority());
-    assertNull(j.zone());
-    assertEquals(900.0, j.deadlineS());
+    JobSpec spec = parse(GOOD);
+    assertEquals(16, spec.tasks());
+    assertEquals(Priority.HIGH, spec.priority());
+    assertNull(spec.zone());
+    assertEquals(900.0, spec.deadlineS());
     assertNull(parse(GOOD.replace("\"calibres\":[\"g8\"],", "")).types());
   }
 
@@ -42,10 +42,10 @@
         GOOD.replace("\"batch\"", "\"daemon\"")
             .replace("\"aserrado_s\":240.0", "\"aserrado_s\":0")
             .replace("\"despacho_s\":900.0", "\"despacho_s\":null");
-    JobSpec j = parse(daemon);
-    assertEquals(JobKind.SERVICE, j.kind());
-    assertEquals(0, j.estimateS());
-    assertNull(j.deadlineS());
+    JobSpec spec = parse(daemon);
+    assertEquals(JobKind.SERVICE, spec.kind());
+    assertEquals(0, spec.estimateS());
+    assertNull(spec.deadlineS());
     assertEquals(JobKind.BATCH, parse(GOOD).kind());
     assertThrows(
         UsersAdapter.Malformed.class,
@@ -76,10 +76,10 @@
       {"[\"g8\"]", "[null]", "calibres is missing"},
     };
     for (String[] c : cases) {
-      UsersAdapter.Malformed e =
+      UsersAdapter.Malformed malformed =
           assertThrows(
               UsersAdapter.Malformed.class, () -> parse(GOOD.replace(c[0], c[1])), c[0] + c[1]);
-      assertTrue(e.getMessage().startsWith(c[2]), c[1] + " -> " + e.getMessage());
+      assertTrue(malformed.getMessage().startsWith(c[2]), c[1] + " -> " + malformed.getMessage());
     }
   }
 }
