Placement: services take larger machines at once instead of after 12 s

Ruled out: preemption (the small machines held other replicas), the cloud's refusals, the fleet's speed (a small machine boots in 40 s).

New in the policy language: job.service. The other sites have no services or one machine type.

--- a/src/main/java/mallowstall/core/Placement.java
+++ b/src/main/java/mallowstall/core/Placement.java
@@ -927,6 +927,7 @@
     pair.estimateS = spec.estimateS();
     pair.priority = spec.priority().ordinal();
     pair.pending = held.pending();
+    pair.service = spec.service();
     pair.price = type == null ? 0 : machine.state.spot() ? type.spotPrice() : type.price();
   }
 
--- a/src/main/java/mallowstall/core/Policy.java
+++ b/src/main/java/mallowstall/core/Policy.java
@@ -47,6 +47,9 @@
     public double priority;
     public double pending;
     public double price;
+
+    /** The job is a service: its replicas stand until it is cancelled. */
+    public boolean service;
   }
 
   enum Strategy {
--- a/src/main/java/mallowstall/policy/Expr.java
+++ b/src/main/java/mallowstall/policy/Expr.java
@@ -93,6 +93,7 @@
       case "job.priority" -> number(Type.PRIORITY, f -> f.priority, false);
       case "job.waited" -> number(Type.SECONDS, f -> f.waitedS, false);
       case "job.slack" -> number(Type.SECONDS, f -> f.slackS, false);
+      case "job.service" -> bool(f -> f.service, false);
       case "job.pending" -> number(Type.NUMBER, f -> f.pending, false);
       case "image.drain" -> number(Type.SECONDS, f -> f.drainS, false);
       case "true" -> bool(f -> true, true);
--- a/src/test/java/mallowstall/policy/PoliciesTest.java
+++ b/src/test/java/mallowstall/policy/PoliciesTest.java
@@ -18,6 +18,26 @@
     assertEquals(List.of(), Policies.bundled().faults());
   }
 
+  /** Replicas once waited 12 s for a small machine while larger ones stood idle. */
+  @Test
+  void servicesUseScarceMachinesAtOnceAndBatchJobsAfterAWait() {
+    Policy policy = Policies.bundled().forClass("any");
+    Policy.Facts facts = new Policy.Facts();
+    facts.scarce = true;
+    facts.priority = 3;
+    assertFalse(takes(policy, facts), "batch job that has just come");
+    facts.service = true;
+    assertTrue(takes(policy, facts), "service that has just come");
+    facts.service = false;
+    facts.waitedS = 13;
+    assertTrue(takes(policy, facts), "batch job that has waited");
+  }
+
+  private static boolean takes(Policy policy, Policy.Facts facts) {
+    return policy.blocks().stream()
+        .anyMatch(block -> block.workers(facts) && !block.invalidate(facts));
+  }
+
   @Test
   void expressionsFollowPrecedenceAndUnits() {
     Policies policies =
