--- a/src/main/java/mallowstall/Constants.java
+++ b/src/main/java/mallowstall/Constants.java
@@ -311,6 +311,39 @@
   /** ms. After a capacity refusal that type, zone and kind is not asked for again for so long. */
   public static final long REFUSED_WAIT_MS = 15_000;
 
+  /** ms. After a rental is answered the next plan follows so soon, as more may be missing. */
+  public static final long PLAN_SOON_MS = 300;
+
+  /** Factor. Machines rented per machine needed: some boot late, or never. */
+  public static final double RENT_MARGIN = 1.1;
+
+  /** Machines. A need is rounded up only if it is above a whole number by this. */
+  public static final double RENT_ROUNDING = 0.05;
+
+  /** Factor. Machines kept per machine needed now. */
+  public static final double KEEP_MARGIN = 1.2;
+
+  /** Factor. Machines kept per machine needed on average. */
+  public static final double KEEP_AVERAGE_MARGIN = 1.15;
+
+  /** Fraction of the need that must be missing before ordinary machines replace spot ones. */
+  public static final double ORDINARY_INSTEAD_SHARE = 0.15;
+
+  /** Count. One of so many machines of a type may be drained by one plan. */
+  public static final int DRAINED_AT_ONCE_PART = 6;
+
+  /** Machines. A trace of demand: rounded up, it asks for one machine. */
+  public static final double DEMAND_TRACE = 0.01;
+
+  /** Tasks that a machine holds by a resource of which they take nothing. */
+  public static final double TASKS_UNLIMITED = 1e9;
+
+  /** Fraction of the boot time: tasks of a shorter life need less than their own machines. */
+  public static final double SHORT_LIFE = 0.8;
+
+  /** s. The shortest such life, whatever the boot time. */
+  public static final double SHORT_LIFE_LEAST_S = 20;
+
   /** Count. Most machines per rental (protocol). */
   public static final int RENT_MAX = 50;
 
@@ -344,6 +377,12 @@
   /** Factor on the usual boot time after which a machine is taken for one that never boots. */
   public static final double BOOT_GIVE_UP = 4.0;
 
+  /** s. No machine is given up sooner, however short the boot time of its type. */
+  public static final double BOOT_GIVE_UP_LEAST_S = 60;
+
+  /** s. When a machine of an unknown type is given up. */
+  public static final double BOOT_UNKNOWN_S = 120;
+
   /**
    * ms. Added to the report interval: a machine with replicas that is silent for longer is
    * returned, as the proof that they are gone. Its tasks would be lost with its lease some seconds
--- a/src/main/java/mallowstall/core/Core.java
+++ b/src/main/java/mallowstall/core/Core.java
@@ -57,6 +57,7 @@
   private final Owner owner;
   private final Holder holder;
   private final Placement placement;
+  private final MachineDemand demand;
   private final Fleet fleet;
   private final Users users;
   private final PriorityQueue<Timer> timers =
@@ -97,7 +98,8 @@
     this.owner = new Owner(this, store);
     this.holder = new Holder(this, store);
     this.placement = new Placement(this, store, holder, new SplittableRandom(seed));
-    this.fleet = new Fleet(this, store, settings);
+    this.demand = new MachineDemand(this);
+    this.fleet = new Fleet(this, store, demand, settings);
     this.users = new Users(this, store);
   }
 
@@ -174,7 +176,7 @@
             return;
           }
           for (MachineType type : list) types.put(type.name(), type);
-          fleet.typesChanged();
+          demand.typesChanged();
         });
   }
 
@@ -382,8 +384,8 @@
     return placement;
   }
 
-  Fleet fleet() {
-    return fleet;
+  MachineDemand demand() {
+    return demand;
   }
 
   String node() {
--- a/src/main/java/mallowstall/core/Placement.java
+++ b/src/main/java/mallowstall/core/Placement.java
@@ -118,7 +118,8 @@
   private double urgency(Held held) {
     JobSpec spec = held.spec;
     double slots =
-        Math.max(1, roomOf.getDouble(core.fleet().minimalType(spec)) / Math.max(0.01, spec.cpus()));
+        Math.max(
+            1, roomOf.getDouble(core.demand().minimalType(spec)) / Math.max(0.01, spec.cpus()));
     double work = held.pending() * spec.estimateS() / slots;
     double slack =
         spec.deadlineS() == null
@@ -422,7 +423,7 @@
         if (spec.oneZone() && oneZone != null && !machine.state.zone().equals(oneZone)) {
           continue;
         }
-        if (core.fleet().scarce(spec, machine.state.type())
+        if (core.demand().scarce(spec, machine.state.type())
             || held.avoid.getOrDefault(machine.id, 0L) > now) {
           continue;
         }
@@ -601,7 +602,7 @@
    * holds a job back only for a while, since those may have reasons of their own to wait.
    */
   private boolean outranked(Held held, long now) {
-    String type = core.fleet().minimalType(held.spec);
+    String type = core.demand().minimalType(held.spec);
     if (type == null) {
       return false;
     }
@@ -671,7 +672,7 @@
             new Ahead(
                 spec.id(),
                 starves ? 0 : rank(job, spec),
-                core.fleet().minimalType(spec),
+                core.demand().minimalType(spec),
                 job.holder(),
                 cpus));
       }
@@ -914,8 +915,8 @@
         pair.otherDrainS = Math.max(pair.otherDrainS, waiting.getDouble(other) / ow);
       }
     }
-    pair.reserved = core.fleet().reserved(machine.id);
-    pair.scarce = core.fleet().scarce(spec, machine.state.type());
+    pair.reserved = core.demand().reserved(machine.id);
+    pair.scarce = core.demand().scarce(spec, machine.state.type());
     pair.taskCpus = spec.cpus();
     pair.taskGpus = spec.gpus();
     pair.taskMemory = spec.memoryGb();
