Placement: services fill up larger machines in use before empty ones

Ruled out: renting more of that type (the cloud has 33), moving replicas back (a move costs 2 to 3 s of a replica's time, more than an aim of 99.5% allows).

--- a/src/test/java/mallowstall/policy/PoliciesTest.java
+++ b/src/test/java/mallowstall/policy/PoliciesTest.java
@@ -33,6 +33,28 @@
     assertTrue(takes(policy, facts), "batch job that has waited");
   }
 
+  /** Spread over empty machines, they left none of them room for two large tasks. */
+  @Test
+  void servicesFillUpScarceMachinesThatAreInUse() {
+    Policy policy = Policies.bundled().forClass("any");
+    Policy.Facts facts = new Policy.Facts();
+    facts.scarce = true;
+    facts.service = true;
+    facts.priority = 3;
+    Policy.Block block =
+        policy.blocks().stream()
+            .filter(some -> some.workers(facts) && !some.invalidate(facts))
+            .findFirst()
+            .orElseThrow();
+    facts.used = 0;
+    facts.imagePresent = true;
+    double empty = block.score(facts);
+    facts.used = 0.5;
+    facts.imagePresent = false;
+    facts.fetchS = 5;
+    assertTrue(block.score(facts) < empty, "half used beats an image that is there");
+  }
+
   private static boolean takes(Policy policy, Policy.Facts facts) {
     return policy.blocks().stream()
         .anyMatch(block -> block.workers(facts) && !block.invalidate(facts));
