Owner split: reports, adoption, statements, vetting, direct commands and records are modules

Machines that come back to this controller are left out of what a statement calls gone when it is made, instead of being removed from that list.

--- a/src/main/java/mallowstall/Constants.java
+++ b/src/main/java/mallowstall/Constants.java
@@ -344,6 +344,18 @@
   /** s. The shortest such life, whatever the boot time. */
   public static final double SHORT_LIFE_LEAST_S = 20;
 
+  /** Amounts that differ by less are equal, whatever their unit: sums of decimals are inexact. */
+  public static final double ROUNDING = 1e-6;
+
+  /** Count. New machines sent to another controller that are remembered. */
+  public static final int REDIRECTS_KEPT = 2_000;
+
+  /** s. What a stopped task gets beyond the time that it needs to save. */
+  public static final double SAVE_SLACK_S = 1;
+
+  /** s. A task is stopped to save when its machine goes so long after it could have saved. */
+  public static final double NOTICE_SAVE_S = 4;
+
   /** Count. Most machines per rental (protocol). */
   public static final int RENT_MAX = 50;
 
--- a/src/main/java/mallowstall/core/Holder.java
+++ b/src/main/java/mallowstall/core/Holder.java
@@ -427,7 +427,7 @@
     if (active == null || active.attempt != refusal.attempt() || active.seen) {
       return;
     }
-    boolean soon = refusal.reason().equals(Owner.NOT_KNOWN);
+    boolean soon = refusal.reason().equals(StartVetting.NOT_KNOWN);
     held.avoid.put(
         refusal.machine(),
         core.now() + (soon ? Constants.LAG_RETRY_MS : Constants.REFUSED_RETRY_MS));
--- a/src/main/java/mallowstall/core/Placement.java
+++ b/src/main/java/mallowstall/core/Placement.java
@@ -289,7 +289,7 @@
       JobSpec spec = held.spec;
       List<Choice> choices = new ArrayList<>();
       for (View.Seen machine : machines) {
-        if (!Owner.allowed(
+        if (!OwnedMachines.allowed(
             spec, machine.state.type(), machine.state.zone(), machine.state.spot())) {
           continue;
         }
@@ -416,7 +416,7 @@
         if (!machine.takes() || now - core.view().heardAt(machine) >= Constants.ROSTER_STALE_MS) {
           continue;
         }
-        if (!Owner.allowed(
+        if (!OwnedMachines.allowed(
             spec, machine.state.type(), machine.state.zone(), machine.state.spot())) {
           continue;
         }
@@ -697,7 +697,7 @@
       for (String image : machine.images) {
         JobSpec jobSpec = waiting.containsKey(image) ? sample.get(image) : null;
         if (jobSpec != null
-            && Owner.allowed(
+            && OwnedMachines.allowed(
                 jobSpec, machine.state.type(), machine.state.zone(), machine.state.spot())) {
           warm.addTo(image, slots(machine, jobSpec) / wanted);
         }
@@ -798,7 +798,8 @@
   /** Whether the replica may run there, given where the job's others are. */
   private boolean allowsMove(Held held, int replica, View.Seen machine) {
     JobSpec spec = held.spec;
-    if (!Owner.allowed(spec, machine.state.type(), machine.state.zone(), machine.state.spot())
+    if (!OwnedMachines.allowed(
+            spec, machine.state.type(), machine.state.zone(), machine.state.spot())
         || fits(machine, spec) <= 0) {
       return false;
     }
@@ -848,7 +849,8 @@
   private String roomiestZone(JobSpec spec, List<View.Seen> machines) {
     Map<String, Integer> room = new HashMap<>();
     for (View.Seen machine : machines) {
-      if (Owner.allowed(spec, machine.state.type(), machine.state.zone(), machine.state.spot())) {
+      if (OwnedMachines.allowed(
+          spec, machine.state.type(), machine.state.zone(), machine.state.spot())) {
         room.merge(machine.state.zone(), fits(machine, spec), Integer::sum);
       }
     }
--- /dev/null
+++ b/src/main/java/mallowstall/core/ReclaimedMachines.java
@@ -0,0 +1,112 @@
+package mallowstall.core;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import mallowstall.Constants;
+import mallowstall.core.Effects.Code;
+import mallowstall.core.Effects.TxnReply;
+import mallowstall.core.Model.MachineRec;
+import mallowstall.core.Model.MachineType;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Machines that a new process of this controller takes over from its former one, which is dead.
+ * Mutable.
+ */
+final class ReclaimedMachines {
+  private static final Logger LOG = LoggerFactory.getLogger("mallowstall.owner");
+
+  private final Core core;
+  private final Store store;
+  private final OwnedMachines machines;
+  private final MachineRecords records;
+  private final RosterPublisher publisher;
+
+  /** Machines being asked for, and whether another controller has owned them since. */
+  private final Map<String, Boolean> reclaiming = new HashMap<>();
+
+  ReclaimedMachines(
+      Core core,
+      Store store,
+      OwnedMachines machines,
+      MachineRecords records,
+      RosterPublisher publisher) {
+    this.core = core;
+    this.store = store;
+    this.machines = machines;
+    this.records = records;
+    this.publisher = publisher;
+  }
+
+  /**
+   * Another controller owned the machine between the record that this one took over from its former
+   * process and its own. That one may have answered the worker since, so the lease doesn't count
+   * from the former process's end: the machine can't be written off before it is confirmed.
+   */
+  void overtaken(String id, MachineRec record) {
+    ownedBetween(id, record);
+    OwnedMachine machine = machines.get(id);
+    if (machine != null && machine.reclaimed && !record.node().equals(core.node())) {
+      machine.disputed = true;
+    }
+  }
+
+  /** The same, told while the record is still being asked for. */
+  void ownedBetween(String id, MachineRec record) {
+    if (!record.node().equals(core.node())) {
+      reclaiming.computeIfPresent(id, (k, v) -> true);
+    }
+  }
+
+  /**
+   * Records that name a former process of this controller: that process is dead, so nobody answers
+   * those machines unless they have gone to another controller, which {@link #overtaken} tells at
+   * the latest before the write-off.
+   */
+  void reclaim() {
+    for (Map.Entry<String, Store.Held> entry :
+        new ArrayList<>(store.under(Store.MACHINES).entrySet())) {
+      MachineRec record = (MachineRec) entry.getValue().value();
+      if (!record.node().equals(core.node()) || record.incarnation() == store.incarnation()) {
+        continue;
+      }
+      String id = entry.getKey().substring(Store.MACHINES.length());
+      MachineType type = core.types().get(record.type());
+      if (type != null && !machines.contains(id) && !records.underWay(id)) {
+        reclaim(id, type, record);
+      }
+    }
+  }
+
+  private void reclaim(String id, MachineType type, MachineRec record) {
+    records.begin(id, core.now());
+    reclaiming.put(id, false);
+    Consumer<TxnReply> then =
+        reply -> {
+          records.end(id);
+          boolean between = reclaiming.remove(id);
+          if (reply.code() == Code.OK && !machines.contains(id)) {
+            reclaimed(id, type, record, reply.revision(), between);
+          }
+        };
+    if (!records.write(id, record.type(), record.zone(), record.spot(), then)) {
+      records.end(id);
+      reclaiming.remove(id);
+    }
+  }
+
+  private void reclaimed(
+      String id, MachineType type, MachineRec record, long revision, boolean disputed) {
+    OwnedMachine machine = machines.add(id, type, record.zone(), record.spot(), revision);
+    machine.reclaimed = true;
+    machine.disputed = disputed;
+    // the former process may have answered until just before this one began
+    machine.lastOk = core.startedAt();
+    machine.heardAt = core.now() - Constants.SILENT_MS;
+    LOG.info("machine {} kept from the former process, term {}", id, machine.token);
+    publisher.touch();
+  }
+}
--- /dev/null
+++ b/src/main/java/mallowstall/core/RosterPublisher.java
@@ -0,0 +1,272 @@
+package mallowstall.core;
+
+import it.unimi.dsi.fastutil.longs.Long2LongLinkedOpenHashMap;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import mallowstall.Constants;
+import mallowstall.core.Model.Refusal;
+import mallowstall.core.Model.Roster;
+import mallowstall.core.Model.RosterMachine;
+import mallowstall.core.Model.RosterTask;
+import mallowstall.core.Model.StartOrder;
+import mallowstall.core.Model.TaskReport;
+import mallowstall.core.Model.TaskState;
+import mallowstall.core.OwnedMachine.Reservation;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Tells every peer, and this controller's own view, what is on its machines: numbered statements of
+ * which each carries what has changed since the last that the receiver has taken in. Mutable.
+ */
+final class RosterPublisher {
+  private static final Logger LOG = LoggerFactory.getLogger("mallowstall.owner");
+
+  private final Core core;
+  private final Store store;
+  private final OwnedMachines machines;
+
+  /** Refusals that the next statement tells. */
+  private final List<Refusal> refusals = new ArrayList<>();
+
+  /** Whether something is to be told soon. */
+  private boolean dirty;
+
+  private long lastRoster;
+  private long serial;
+
+  /** When the newest statements were made. */
+  private final Long2LongLinkedOpenHashMap madeAt = new Long2LongLinkedOpenHashMap();
+
+  /** Machines no longer owned, with the statement that said so. */
+  private final Map<String, Long> gone = new LinkedHashMap<>();
+
+  /** Statements up to this one can't be built upon: what went since then is forgotten. */
+  private long forgotten;
+
+  RosterPublisher(Core core, Store store, OwnedMachines machines) {
+    this.core = core;
+    this.store = store;
+    this.machines = machines;
+  }
+
+  /** Something has changed that is to be told soon. */
+  void touch() {
+    dirty = true;
+  }
+
+  /** The next statement refuses the start by name. */
+  void refuse(StartOrder start, String why) {
+    LOG.debug(
+        "not possible: {}/{} attempt {} on {}: {}",
+        start.job(),
+        start.task(),
+        start.attempt(),
+        start.machine(),
+        why);
+    core.metrics().count("refusals");
+    refusals.add(new Refusal(start.machine(), start.job(), start.task(), start.attempt(), why));
+    dirty = true;
+  }
+
+  /** Publishes when something has changed, and at least once in a while. */
+  void tick(long now) {
+    long since = now - lastRoster;
+    if ((dirty && since >= Constants.ROSTER_GAP_MS) || since >= Constants.ROSTER_EVERY_MS) {
+      publish();
+    }
+  }
+
+  private void publish() {
+    if (store.incarnation() == 0 || !store.synced()) {
+      return;
+    }
+    dirty = false;
+    long now = core.now();
+    lastRoster = now;
+    serial++;
+    madeAt.put(serial, now);
+    if (madeAt.size() > Constants.STATEMENTS_DATED) {
+      madeAt.removeFirstLong();
+    }
+    List<OwnedMachine> changed = state(now);
+    List<Refusal> no = new ArrayList<>(refusals);
+    refusals.clear();
+    for (String p : core.settings().peers()) {
+      View.Peer peer = core.view().peer(p);
+      core.effects().send(p, roster(peer, now - store.freshAt(), no));
+    }
+    View.Peer sender = core.view().peer(core.node());
+    List<RosterMachine> mine = new ArrayList<>();
+    for (OwnedMachine machine : changed) mine.add(machine.said);
+    core.rosterFrom(
+        new Roster(
+            core.node(),
+            store.incarnation(),
+            serial,
+            sender.serial,
+            store.incarnation(),
+            serial,
+            store.revision(),
+            sender.gotIncarnation,
+            sender.gotConnection,
+            sender.gotSeq,
+            0,
+            List.of(),
+            mine,
+            goneSince(sender.serial),
+            no));
+  }
+
+  /** What the peer doesn't know for certain yet, or all if it can't be told as a difference. */
+  private Roster roster(View.Peer peer, long sinceMirror, List<Refusal> no) {
+    long since = peer.knows >= forgotten ? peer.knows : 0;
+    List<RosterMachine> ms = new ArrayList<>();
+    for (OwnedMachine machine : machines.all())
+      if (machine.saidIn > since) {
+        ms.add(machine.said);
+      }
+    // to acknowledge what it said would vouch for all cancellations newer than its mirror
+    boolean vouches = peer.rosterRevision > 0 && core.cancellations().keeps(peer.rosterRevision);
+    return new Roster(
+        core.node(),
+        store.incarnation(),
+        serial,
+        since,
+        vouches ? peer.heardIncarnation : 0,
+        vouches ? peer.heardSerial : 0,
+        store.revision(),
+        peer.gotIncarnation,
+        peer.gotConnection,
+        peer.gotSeq,
+        sinceMirror,
+        vouches ? core.cancellations().since(peer.rosterRevision) : List.of(),
+        ms,
+        since == 0 ? List.of() : goneSince(since),
+        no);
+  }
+
+  /** When this statement was made; never, if it is forgotten or unknown. */
+  long statementSentAt(long serial) {
+    return madeAt.getOrDefault(serial, Long.MIN_VALUE / 2);
+  }
+
+  private List<String> goneSince(long since) {
+    List<String> out = new ArrayList<>();
+    gone.forEach(
+        (id, in) -> {
+          if (in > since && !machines.contains(id)) {
+            out.add(id);
+          }
+        });
+    return out;
+  }
+
+  /** The machine is no longer this controller's, which the next statement says. */
+  void disown(String id) {
+    if (!machines.remove(id)) {
+      return;
+    }
+    gone.put(id, serial + 1);
+    dirty = true;
+    if (gone.size() > Constants.GONE_KEPT) {
+      forgotten = serial + 1;
+      gone.clear();
+    }
+  }
+
+  /** Makes the new statement: every machine of which something else is to be said than before. */
+  private List<OwnedMachine> state(long now) {
+    List<OwnedMachine> changed = new ArrayList<>();
+    for (OwnedMachine machine : machines.all()) {
+      boolean lately = machine.said != null && now - machine.saidAt < Constants.RESTATE_MS;
+      if (lately && !machine.touched && !drifted(machine, now)) {
+        continue;
+      }
+      machine.touched = false;
+      RosterMachine state = tell(machine, now);
+      if (lately && state.sameAs(machine.said)) {
+        continue;
+      }
+      machine.said = state;
+      machine.saidIn = serial;
+      machine.saidAt = now;
+      changed.add(machine);
+      for (TaskReport task : machine.tasks.values()) {
+        if (task.state() == TaskState.EXITED && machines.runsAgain(task)) {
+          machine.told.put(TaskAttempt.of(task).key(), task.attempt());
+        }
+      }
+    }
+    return changed;
+  }
+
+  /** Whether time alone has changed what is to be said of a machine. */
+  private boolean drifted(OwnedMachine machine, long now) {
+    return machines.usable(machine) != machine.said.usable()
+        || machines.silent(machine) != machine.said.silent()
+        || (machine.drainUntil > now) != machine.said.draining();
+  }
+
+  /**
+   * The machines of which the last statement says something else than what is known, although
+   * nothing marks them to be told anew; none, or a start could pass for one that never arrived. For
+   * comparison with the slow way, which is to tell all each time.
+   */
+  List<String> untold() {
+    List<String> out = new ArrayList<>();
+    long now = core.now();
+    for (OwnedMachine machine : machines.all()) {
+      if (machine.said == null || machine.touched || drifted(machine, now)) {
+        continue;
+      }
+      if (!tell(machine, now).sameAs(machine.said)) {
+        out.add(machine.id);
+      }
+    }
+    return out;
+  }
+
+  private RosterMachine tell(OwnedMachine machine, long now) {
+    List<RosterTask> ts = new ArrayList<>(machine.tasks.size() + machine.booked.size());
+    for (TaskReport task : machine.tasks.values()) {
+      ts.add(new RosterTask(task.job(), task.task(), task.attempt(), task.state(), task.why()));
+    }
+    for (Reservation booked : machine.booked.values()) {
+      ts.add(
+          new RosterTask(
+              booked.order.job(), booked.order.task(), booked.order.attempt(), null, null));
+    }
+    double[] free = machines.free(machine);
+    boolean idle = machine.idle();
+    return new RosterMachine(
+        machine.id,
+        machine.addr,
+        machine.token,
+        machine.version,
+        machine.session,
+        machine.seq,
+        machine.confirmed,
+        machines.usable(machine),
+        machine.drainUntil > now,
+        machine.replace,
+        machines.silent(machine),
+        machine.lost,
+        machine.type.name(),
+        machine.zone,
+        machine.spot,
+        machine.noticeUntil == Long.MAX_VALUE
+            ? -1
+            : Math.max(0, (machine.noticeUntil - now) / 1000.0),
+        free[0],
+        free[1],
+        free[2],
+        machine.lost || machines.silent(machine)
+            ? Math.max(1, now - machine.heardAt)
+            : idle && machine.idleSince > 0 ? Math.max(1, now - machine.idleSince) : 0,
+        List.copyOf(machine.images),
+        ts);
+  }
+}
--- a/src/main/java/mallowstall/core/StrandedJobs.java
+++ b/src/main/java/mallowstall/core/StrandedJobs.java
@@ -110,7 +110,8 @@
 
   private static boolean roomIn(JobSpec job, List<String> zones, List<View.Seen> up) {
     for (View.Seen machine : up) {
-      if (!Owner.allowed(job, machine.state.type(), machine.state.zone(), machine.state.spot())) {
+      if (!OwnedMachines.allowed(
+          job, machine.state.type(), machine.state.zone(), machine.state.spot())) {
         continue;
       }
       boolean fits =
--- /dev/null
+++ b/src/main/java/mallowstall/core/WorkerReports.java
@@ -0,0 +1,253 @@
+package mallowstall.core;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalDouble;
+import mallowstall.Constants;
+import mallowstall.core.Model.Command;
+import mallowstall.core.Model.CommandKind;
+import mallowstall.core.Model.JobRec;
+import mallowstall.core.Model.JobSpec;
+import mallowstall.core.Model.Report;
+import mallowstall.core.Model.ReportAnswer;
+import mallowstall.core.Model.StartOrder;
+import mallowstall.core.Model.StopOrder;
+import mallowstall.core.Model.TaskReport;
+import mallowstall.core.Model.TaskState;
+import mallowstall.core.Model.Why;
+import mallowstall.core.OwnedMachine.Reservation;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Takes in reports of the machines owned here, and answers them with commands. */
+final class WorkerReports {
+  private static final Logger LOG = LoggerFactory.getLogger("mallowstall.owner");
+
+  private final Core core;
+  private final Store store;
+  private final OwnedMachines machines;
+  private final RosterPublisher publisher;
+  private final Terms terms;
+
+  WorkerReports(
+      Core core, Store store, OwnedMachines machines, RosterPublisher publisher, Terms terms) {
+    this.core = core;
+    this.store = store;
+    this.machines = machines;
+    this.publisher = publisher;
+    this.terms = terms;
+  }
+
+  /** Takes in a report that a worker sent by itself, and answers it. */
+  ReportAnswer handle(OwnedMachine machine, Report report) {
+    take(machine, report, true);
+    return answer(machine);
+  }
+
+  /**
+   * Takes in what the worker says of itself. {@code byReport}: it sent this by itself, so earlier
+   * responses to its reports are dead.
+   */
+  void take(OwnedMachine machine, Report report, boolean byReport) {
+    long now = core.now();
+    if (report.session() > machine.session) {
+      beginSession(machine, now);
+    }
+    machine.touched = true;
+    if (byReport) {
+      machine.reported = report.seq();
+    }
+    if (machine.dangling && !machine.raising && report.token() >= machine.token && machine.raised) {
+      machine.clearOrdered();
+    }
+    machine.session = report.session();
+    machine.seq = report.seq();
+    machine.heardAt = now;
+    machine.addr = report.addr();
+    machine.lost = false;
+    if (report.token() >= machine.token) {
+      machine.confirmed = true;
+    }
+    machine.noticeUntil =
+        report.noticeS() == null ? Long.MAX_VALUE : now + (long) (report.noticeS() * 1000);
+    takeTasks(machine, report);
+    dropReservations(machine, byReport);
+    if (!machine.idle()) {
+      machine.idleSince = 0;
+    } else if (machine.idleSince == 0) {
+      machine.idleSince = now;
+    }
+    publisher.touch();
+  }
+
+  /** The worker has begun a session that wasn't known: the tasks of earlier ones are gone. */
+  private void beginSession(OwnedMachine machine, long now) {
+    machine.told.clear();
+    machine.clearOrdered(); // the worker refuses commands for an earlier session
+    machine.reported = 0;
+    if (machine.session != 0
+        && machine.confirmed
+        && now - machine.lastOk < core.settings().leaseMs() / 2) {
+      // Its lease ran out although it was answered: it doesn't hear. It gets no task before it
+      // has shown a new term; once a deaf machine drew start after start.
+      LOG.info("machine {} lost its lease although it was answered", machine.id);
+      machine.dangling = true;
+      terms.raise(machine);
+    }
+    // Its lease counts from when the session began, which may be known from a direct command's
+    // answer alone: counted from the former session's last report, a machine that reaches no
+    // controller was written off with tasks that it had just got.
+    machine.lastOk = Math.max(machine.lastOk, now);
+  }
+
+  private void takeTasks(OwnedMachine machine, Report report) {
+    Map<TaskAttempt, TaskReport> before = new HashMap<>(machine.tasks);
+    machine.tasks.clear();
+    for (TaskReport task : report.tasks()) {
+      TaskAttempt attempt = TaskAttempt.of(task);
+      machine.tasks.put(attempt, task);
+      TaskReport previous = before.get(attempt);
+      boolean changed = previous == null || previous.state() != task.state();
+      if (!changed) {
+        continue;
+      }
+      JobRec job = store.job(task.job());
+      if (job != null && (task.state() == TaskState.RUNNING || task.why() == Why.DONE)) {
+        machine.cacheImage(job.spec().image(), core::imageGb);
+      }
+      if (task.state() == TaskState.EXITED) {
+        ended(machine, task);
+      }
+    }
+    machine.replaced.retainAll(machine.tasks.keySet());
+  }
+
+  /** Drops accepted starts that have arrived or never will. */
+  private void dropReservations(OwnedMachine machine, boolean byReport) {
+    Iterator<Reservation> it = machine.booked.values().iterator();
+    while (it.hasNext()) {
+      Reservation reservation = it.next();
+      StartOrder start = reservation.order;
+      TaskKey key = new TaskKey(start.job(), start.task());
+      if (machine.tasks.containsKey(new TaskAttempt(key.job(), key.task(), start.attempt()))) {
+        it.remove();
+      } else if (!byReport || machine.ordered.containsKey(key)) {
+        continue; // may still arrive at the worker
+      } else if (core.wall() > start.expiryWallMs()) {
+        // sent or not: a response is never executed once a later report was sent, and this is one
+        it.remove();
+      }
+    }
+  }
+
+  private void ended(OwnedMachine machine, TaskReport task) {
+    if (task.why() == Why.DONE) {
+      machine.errorsInRow = 0;
+    } else if (task.why() == Why.ERROR && !core.jobAtFault(task.job())) {
+      machine.errorsInRow++;
+      LOG.info(
+          "task {}/{} failed on {}, {} in a row",
+          task.job(),
+          task.task(),
+          machine.id,
+          machine.errorsInRow);
+      if (machine.errorsInRow >= Constants.FAULTY_ERRORS) {
+        machine.quarantineUntil = core.now() + Constants.QUARANTINE_MS;
+        if (machine.errorsInRow >= Constants.BROKEN_ERRORS) {
+          machine.replace = true;
+        }
+      }
+    }
+  }
+
+  /** Stops, forgets and starts what the worker should, in one answer. */
+  private ReportAnswer answer(OwnedMachine machine) {
+    machine.touched = true; // what it refuses below is booked no longer
+    List<Command> stops = new ArrayList<>();
+    List<Command> commands = new ArrayList<>();
+    for (TaskReport task : machine.tasks.values()) {
+      if (task.state() == TaskState.EXITED) {
+        if (forgets(machine, task)) {
+          commands.add(command(CommandKind.FORGET, task, 0));
+        }
+        machine.stops.remove(TaskAttempt.of(task).key());
+      } else {
+        OptionalDouble grace = stopGrace(machine, task);
+        grace.ifPresent(seconds -> stops.add(command(CommandKind.STOP, task, seconds)));
+      }
+    }
+    machine.stops.keySet().removeIf(key -> !machine.holds(key));
+    commands.addAll(stops);
+    addStarts(machine, commands);
+    machine.lastOk = core.now();
+    return ReportAnswer.ok(machine.token, commands);
+  }
+
+  private static Command command(CommandKind kind, TaskReport task, double graceS) {
+    return new Command(kind, task.job(), task.task(), task.attempt(), graceS);
+  }
+
+  /** Whether the worker needn't list the ended task any more. */
+  private boolean forgets(OwnedMachine machine, TaskReport task) {
+    JobRec job = store.job(task.job());
+    TaskKey key = TaskAttempt.of(task).key();
+    if (job == null || machine.ordered.containsKey(key)) {
+      return false;
+    }
+    return core.over(task.job(), job)
+        || core.recordedDone(job, task.task())
+        || machines.runsAgain(task) && machine.told.getLong(key) == task.attempt();
+  }
+
+  /** Seconds that the task gets to save before it is stopped; none: it goes on. */
+  private OptionalDouble stopGrace(OwnedMachine machine, TaskReport task) {
+    JobRec job = store.job(task.job());
+    if (core.over(task.job(), job) || job != null && core.recordedDone(job, task.task())) {
+      return OptionalDouble.of(0);
+    }
+    StopOrder stop = machine.stops.get(TaskAttempt.of(task).key());
+    if (stop != null && stop.attempt() == task.attempt()) {
+      return task.state() == TaskState.SAVING
+          ? OptionalDouble.empty()
+          : OptionalDouble.of(stop.graceS());
+    }
+    return job != null && savesBeforeNotice(machine, task, job.spec())
+        ? OptionalDouble.of(job.spec().saveS() + Constants.SAVE_SLACK_S)
+        : OptionalDouble.empty();
+  }
+
+  /** Whether the machine will soon be taken, so that the task has just the time to save. */
+  private boolean savesBeforeNotice(OwnedMachine machine, TaskReport task, JobSpec spec) {
+    return machine.noticeUntil != Long.MAX_VALUE
+        && task.state() == TaskState.RUNNING
+        && spec.checkpointS() > 0
+        && machine.noticeUntil - core.now() < (spec.saveS() + Constants.NOTICE_SAVE_S) * 1000;
+  }
+
+  /** Adds accepted starts as far as the answer has room; refuses those that came too late. */
+  private void addStarts(OwnedMachine machine, List<Command> commands) {
+    Iterator<Reservation> reservations = machine.booked.values().iterator();
+    while (reservations.hasNext() && commands.size() < Constants.COMMANDS_MAX) {
+      Reservation reservation = reservations.next();
+      StartOrder start = reservation.order;
+      TaskKey key = new TaskKey(start.job(), start.task());
+      if (machine.ordered.containsKey(key)) {
+        continue;
+      }
+      JobRec job = store.job(start.job());
+      boolean unwanted =
+          core.over(start.job(), job) || job != null && core.recordedDone(job, start.task());
+      if (unwanted || machine.stops.containsKey(key) || core.wall() > start.expiryWallMs()) {
+        // every earlier response is dead by now (this answers a later report), so it never runs
+        reservations.remove();
+        publisher.refuse(start, unwanted ? "not wanted any more" : "too late");
+        continue;
+      }
+      reservation.sent = true;
+      commands.add(new Command(CommandKind.START, start.job(), start.task(), start.attempt(), 0));
+    }
+  }
+}
--- a/src/test/java/mallowstall/core/Rules.java
+++ b/src/test/java/mallowstall/core/Rules.java
@@ -97,7 +97,7 @@
         broken.add(now + " ran_twice: " + m + " while on " + task.machine);
       }
     }
-    if (!Owner.allowed(spec, m.type, m.zone, m.spot)) {
+    if (!OwnedMachines.allowed(spec, m.type, m.zone, m.spot)) {
       broken.add(now + " wrong_place: " + m);
     }
     int zone = 1;
@@ -271,7 +271,7 @@
       return false;
     }
     for (Machine machine : up.values()) {
-      if (!Owner.allowed(spec, machine.type, machine.zone, machine.spot)
+      if (!OwnedMachines.allowed(spec, machine.type, machine.zone, machine.spot)
           || !zoneAllowed(spec, machine.zone)) {
         continue;
       }
