--- a/src/main/java/mallowstall/Service.java
+++ b/src/main/java/mallowstall/Service.java
@@ -57,6 +57,7 @@
   private ScheduledFuture<?> wake;
   private long wakeAt = Long.MAX_VALUE;
 
+  /** Wires the core to its adapters; nothing runs before {@link #start}. */
   public Service(Settings settings, ObjectMapper json, Policy.Book policies) {
     this.settings = settings;
     Consumer<Runnable> events = this::event;
@@ -132,14 +133,16 @@
         ClusterVersion.CURRENT);
   }
 
+  /** Listens, connects and begins the regular duties. */
   public void start() throws InterruptedException {
     server.listen(group, Settings.address(settings.listen()));
     peers.listen(group, Settings.address(settings.peerListen()));
     loop.execute(
         () -> {
           if (settings.peers() != null) {
-            for (Settings.Peer peer : settings.peers())
+            for (Settings.Peer peer : settings.peers()) {
               peers.connect(peer.node(), Settings.address(peer.addr()));
+            }
           }
           ticks = new Duty("tick", loop, Constants.TICK_MS, () -> event(core::tick));
         });
--- a/src/main/java/mallowstall/cli/Main.java
+++ b/src/main/java/mallowstall/cli/Main.java
@@ -50,7 +50,9 @@
         System.err.println("mallowstall: " + file + " can't be read");
         return 1;
       }
-      for (Fault fault : policies.faults()) System.err.println(fault.at(file.toString()));
+      for (Fault fault : policies.faults()) {
+        System.err.println(fault.at(file.toString()));
+      }
       if (policies.usable()) {
         System.out.println(file + ": ok");
       }
@@ -58,6 +60,7 @@
     }
   }
 
+  /** The version that the package was built with. */
   static final class Version implements CommandLine.IVersionProvider {
     @Override
     public String[] getVersion() {
@@ -78,6 +81,7 @@
       description = "Use these policies instead of the bundled ones.")
   private Path policies;
 
+  /** The entrance of the program. */
   public static void main(String[] args) {
     logging();
     int code = new CommandLine(new Main()).execute(args);
@@ -147,7 +151,9 @@
         System.err.println("mallowstall: " + policies + " can't be read");
         return 1;
       }
-      for (Fault fault : book.faults()) System.err.println(fault.at(policies.toString()));
+      for (Fault fault : book.faults()) {
+        System.err.println(fault.at(policies.toString()));
+      }
       if (!book.usable()) {
         return 1;
       }
--- a/src/main/java/mallowstall/cloud/CloudAdapter.java
+++ b/src/main/java/mallowstall/cloud/CloudAdapter.java
@@ -21,6 +21,7 @@
 public final class CloudAdapter {
   private static final Logger LOG = LoggerFactory.getLogger("mallowstall.cloud");
 
+  /** A machine type as it is sent. */
   record TypeWire(
       @JsonProperty("label") String name,
       @JsonProperty("vcpus") double cpus,
@@ -33,8 +34,10 @@
       @JsonProperty("ready_s") double bootS,
       @JsonProperty("patios") List<String> zones) {}
 
+  /** All machine types. */
   record TypesWire(@JsonProperty("calibres") List<TypeWire> types) {}
 
+  /** A rental request as it is sent. */
   record RentWire(
       @JsonProperty("alquiler") String request,
       @JsonProperty("calibre") String type,
@@ -42,8 +45,10 @@
       @JsonProperty("prestados") boolean spot,
       @JsonProperty("how_many") int count) {}
 
+  /** Names of machines. */
   record NamesWire(@JsonProperty("sierras") List<String> machines) {}
 
+  /** A listed machine. */
   record MachineWire(
       @JsonProperty("ref") String id,
       @JsonProperty("calibre") String type,
@@ -52,6 +57,7 @@
       @JsonProperty("estado") String state,
       @JsonProperty("held_s") double ageS) {}
 
+  /** A page of listed machines. */
   record MachinesWire(
       @JsonProperty("sierras") List<MachineWire> machines,
       @JsonProperty("has_next") boolean more) {}
@@ -62,6 +68,7 @@
   private final HttpClient http;
   private final Consumer<Runnable> events;
 
+  /** Turns the core's requests into calls of the cloud. */
   public CloudAdapter(ObjectMapper json, HttpClient http, Consumer<Runnable> events) {
     this.json = json;
     this.http = http;
@@ -100,6 +107,7 @@
                 }));
   }
 
+  /** See {@link mallowstall.core.Effects#types}. */
   public void types(Consumer<List<MachineType>> then) {
     call(
         HttpMethod.GET,
@@ -130,6 +138,7 @@
         });
   }
 
+  /** See {@link mallowstall.core.Effects#rent}. */
   public void rent(RentRequest request, Consumer<RentReply> then) {
     call(
         HttpMethod.POST,
@@ -144,6 +153,7 @@
                     w == null || w.machines() == null ? List.of() : w.machines())));
   }
 
+  /** See {@link mallowstall.core.Effects#giveBack}. */
   public void giveBack(List<String> machines, Consumer<Boolean> then) {
     call(
         HttpMethod.POST,
@@ -153,6 +163,7 @@
         (status, w) -> then.accept(status == 200));
   }
 
+  /** See {@link mallowstall.core.Effects#listMachines}. */
   public void listMachines(String after, Consumer<ListedReply> then) {
     call(
         HttpMethod.GET,
--- a/src/main/java/mallowstall/config/Settings.java
+++ b/src/main/java/mallowstall/config/Settings.java
@@ -20,14 +20,17 @@
     @JsonProperty("endpoints") Endpoints endpoints,
     @JsonProperty("facts") Facts facts) {
 
+  /** Another controller and where it listens for its peers. */
   public record Peer(
       @JsonProperty("node") String node,
       @JsonProperty("location") String zone,
       @JsonProperty("addr") String addr) {}
 
+  /** Where the cloud and the state service are. */
   public record Endpoints(
       @JsonProperty("cloud") String cloud, @JsonProperty("state") String state) {}
 
+  /** A team's guarantee and limit; 0 is none. */
   public record Team(
       @JsonProperty("name") String name,
       @JsonProperty("cpus") double cpus,
@@ -35,16 +38,19 @@
       @JsonProperty("gpus") double gpus,
       @JsonProperty("gpus_max") double gpusMax) {}
 
+  /** An aim of the operators for a class of jobs. */
   public record Objective(
       @JsonProperty("kind") String kind,
       @JsonProperty("class") String jobClass,
       @JsonProperty("times") Double times) {}
 
+  /** How workers report, and how long their leases last. */
   public record Workers(
       @JsonProperty("report_s") Double reportS,
       @JsonProperty("lease_s") Double leaseS,
       @JsonProperty("cancel_s") Double cancelS) {}
 
+  /** Limits of the state service. */
   public record State(
       @JsonProperty("rps") Double rps,
       @JsonProperty("write_rps") Double writeRps,
@@ -79,11 +85,14 @@
       @JsonProperty("value_kb") Double valueKb,
       @JsonProperty("txn_ops") Integer txnOps) {}
 
+  /** Limits of the cloud. */
   public record Cloud(
       @JsonProperty("rps") Double rps, @JsonProperty("list_lag_s") Double listLagS) {}
 
+  /** Limits of the machine that the controller runs on. */
   public record Limits(@JsonProperty("fd_limit") Integer maxConnections) {}
 
+  /** What all controllers of the deployment share. */
   public record Facts(
       @JsonProperty("teams") List<Team> teams,
       @JsonProperty("objectives") List<Objective> objectives,
@@ -97,11 +106,13 @@
   public static final class Invalid extends Exception {
     private static final long serialVersionUID = 1;
 
+    /** Settings that can't be used, and why. */
     public Invalid(String m) {
       super(m);
     }
   }
 
+  /** Reads a settings file. */
   public static Settings load(Path file, ObjectMapper json) throws Invalid {
     byte[] b;
     try {
@@ -112,6 +123,7 @@
     return parse(b, json);
   }
 
+  /** Reads settings from JSON. */
   public static Settings parse(byte[] b, ObjectMapper json) throws Invalid {
     Settings settings;
     try {
--- a/src/main/java/mallowstall/core/Cancellations.java
+++ b/src/main/java/mallowstall/core/Cancellations.java
@@ -19,6 +19,7 @@
  * tasks and refuses starts, and never makes an entry of the mirror, whose other fields it lacks.
  */
 final class Cancellations {
+  /** A cancelled job and the revision at which it was recorded. */
   private record Cancelled(long version, String job) implements Comparable<Cancelled> {
     @Override
     public int compareTo(Cancelled cancelled) {
@@ -60,8 +61,9 @@
   /** Jobs cancelled after this revision. */
   List<String> since(long revision) {
     List<String> out = new ArrayList<>();
-    for (Cancelled cancelled : recorded.tailSet(new Cancelled(revision + 1, "")))
+    for (Cancelled cancelled : recorded.tailSet(new Cancelled(revision + 1, ""))) {
       out.add(cancelled.job());
+    }
     return out;
   }
 
--- a/src/main/java/mallowstall/core/ClusterVersion.java
+++ b/src/main/java/mallowstall/core/ClusterVersion.java
@@ -37,7 +37,9 @@
 
   private int lowest() {
     int lowest = shownBy(core.node());
-    for (String peer : core.settings().peers()) lowest = Math.min(lowest, shownBy(peer));
+    for (String peer : core.settings().peers()) {
+      lowest = Math.min(lowest, shownBy(peer));
+    }
     return lowest;
   }
 
--- a/src/main/java/mallowstall/core/Core.java
+++ b/src/main/java/mallowstall/core/Core.java
@@ -38,10 +38,12 @@
 public final class Core {
   private static final Logger LOG = LoggerFactory.getLogger("mallowstall.core");
 
+  /** Something to be run later; of like times the first one set comes first. */
   private record Timer(long at, long order, Runnable run) {}
 
   /** Where counts of notable events go. */
   public interface Metrics {
+    /** Counts one more of these. */
     void count(String what);
 
     /** A duration in ms. */
@@ -82,6 +84,7 @@
   private final JobEntries jobEntries;
   private final RetryDelay digestRetry = new RetryDelay();
 
+  /** A core that does nothing before its first event. */
   public Core(
       CoreSettings settings, Effects effects, Policy.Book policies, Metrics metrics, long seed) {
     this.settings = settings;
@@ -175,7 +178,9 @@
           if (list == null) {
             return;
           }
-          for (MachineType type : list) types.put(type.name(), type);
+          for (MachineType type : list) {
+            types.put(type.name(), type);
+          }
           demand.typesChanged();
         });
   }
@@ -186,10 +191,11 @@
     }
     nextDigest = now + Constants.DIGEST_EVERY_MS;
     double pending = 0;
-    for (Holder.Held held : holder.jobs())
+    for (Holder.Held held : holder.jobs()) {
       if (!held.over()) {
         pending += held.pending() * held.spec.cpus();
       }
+    }
     store.transact(
         Store.Urgency.BACKGROUND,
         new Effects.Txn(
@@ -214,11 +220,13 @@
   }
 
   // ---- events -------------------------------------------------------------------------------
+  /** A worker has reported. */
   public void report(Report report, Consumer<ReportAnswer> reply) {
     owner.report(report, reply);
     settle();
   }
 
+  /** A user has submitted a job. */
   public void submit(JobSpec spec, Consumer<UserAnswer> reply) {
     users.submit(spec, reply);
     settle();
@@ -230,16 +238,19 @@
     settle();
   }
 
+  /** A user asks for a job's state. */
   public void query(String id, Consumer<UserAnswer> reply) {
     users.query(id, reply);
     settle();
   }
 
+  /** A user cancels a job. */
   public void cancel(String id, Consumer<UserAnswer> reply) {
     users.cancel(id, reply);
     settle();
   }
 
+  /** Whether users' requests can be taken. */
   public boolean ready() {
     return users.ready();
   }
@@ -255,6 +266,7 @@
         node, new Starts(node(), store.incarnation(), connection, peer.nextSeq++, List.of()));
   }
 
+  /** A peer has sent a message. */
   public void message(PeerMessage message) {
     if (message instanceof Roster roster) {
       rosterFrom(roster);
@@ -441,8 +453,9 @@
   /** Controllers with a session, sorted; this one is among them once its own stands. */
   List<String> liveNodes() {
     List<String> out = new ArrayList<>();
-    for (String k : store.under(Store.SESSIONS).keySet())
+    for (String k : store.under(Store.SESSIONS).keySet()) {
       out.add(k.substring(Store.SESSIONS.length()));
+    }
     return out;
   }
 
@@ -450,10 +463,11 @@
   String preferredOwner(String machine, String zone) {
     List<String> near = new ArrayList<>();
     List<String> all = liveNodes();
-    for (String n : all)
+    for (String n : all) {
       if (zone.equals(settings.nodeZones().get(n))) {
         near.add(n);
       }
+    }
     List<String> from = near.size() * 2 >= all.size() ? near : all;
     if (from.isEmpty()) {
       return node();
@@ -482,10 +496,11 @@
     if (now - store.freshAt() < limit) {
       return true;
     }
-    for (String p : settings.peers())
+    for (String p : settings.peers()) {
       if (now - view.peer(p).cancelsKnownAt >= limit) {
         return false;
       }
+    }
     return true;
   }
 
@@ -523,6 +538,7 @@
     return held != null ? held.running() : view.running(id);
   }
 
+  /** Hands changes of the mirror to the parts that they concern. */
   private final class Changes implements Store.Listener {
     @Override
     public void overtaken(String machine, MachineRec record) {
--- a/src/main/java/mallowstall/core/Holder.java
+++ b/src/main/java/mallowstall/core/Holder.java
@@ -159,10 +159,11 @@
 
     int running() {
       int n = 0;
-      for (Active placed : active.values())
+      for (Active placed : active.values()) {
         if (placed.seen && placed.state == TaskState.RUNNING) {
           n++;
         }
+      }
       return n;
     }
 
@@ -222,10 +223,11 @@
   }
 
   boolean anyService() {
-    for (Held held : jobs.values())
+    for (Held held : jobs.values()) {
       if (held.spec.service()) {
         return true;
       }
+    }
     return false;
   }
 
@@ -306,7 +308,9 @@
 
   private void drop(Held held) {
     jobs.remove(held.id);
-    for (Active active : held.active.values()) unlink(active);
+    for (Active active : held.active.values()) {
+      unlink(active);
+    }
   }
 
   private void unlink(Active active) {
@@ -346,7 +350,9 @@
 
   // ---- rosters ------------------------------------------------------------------------------
   void roster(Roster roster) {
-    for (Refusal refusal : roster.refusals()) refused(refusal);
+    for (Refusal refusal : roster.refusals()) {
+      refused(refusal);
+    }
     for (RosterMachine state : roster.machines()) {
       View.Seen seen = core.view().machines.get(state.machine());
       if (seen == null || seen.state != state) {
@@ -354,10 +360,13 @@
       }
       Set<Active> here = byMachine.get(state.machine());
       if (here != null) {
-        for (Active active : here) active.listed = false;
+        for (Active active : here) {
+          active.listed = false;
+        }
       }
-      for (RosterTask rosterTask : state.tasks())
+      for (RosterTask rosterTask : state.tasks()) {
         task(roster.node(), roster.incarnation(), state, rosterTask);
+      }
       if (here == null) {
         continue;
       }
@@ -638,7 +647,9 @@
    */
   private void latch() {
     boolean any = false;
-    for (Held held : jobs.values()) any |= !held.latched;
+    for (Held held : jobs.values()) {
+      any |= !held.latched;
+    }
     if (!any) {
       return;
     }
@@ -884,7 +895,9 @@
       }
       when.add(new Cond(Store.TEAMS + team, sum == null ? 0 : sum.version()));
       puts.add(new Put(Store.TEAMS + team, new TeamRec(Math.max(0, cpus), Math.max(0, gpus)), 0));
-      for (Held h : in) h.granting = true;
+      for (Held h : in) {
+        h.granting = true;
+      }
       teamBusy.add(team);
       teamNext.put(team, now + Constants.GRANT_GAP_MS);
       boolean asked =
@@ -924,7 +937,9 @@
               });
       if (!asked) {
         teamBusy.remove(team);
-        for (Held h : in) h.granting = false;
+        for (Held h : in) {
+          h.granting = false;
+        }
       }
     }
   }
@@ -995,10 +1010,11 @@
         most.merge(team, job, (a, b) -> weight(a) >= weight(b) ? a : b);
       }
     }
-    for (String team : starved)
+    for (String team : starved) {
       if (most.containsKey(team)) {
         yielding.put(team, most.get(team).spec().id());
       }
+    }
   }
 
   private static double weight(JobRec job) {
--- a/src/main/java/mallowstall/core/JobEntries.java
+++ b/src/main/java/mallowstall/core/JobEntries.java
@@ -68,10 +68,11 @@
 
   private static String longest(CoreSettings settings) {
     String longest = settings.node();
-    for (String peer : settings.peers())
+    for (String peer : settings.peers()) {
       if (peer.length() > longest.length()) {
         longest = peer;
       }
+    }
     return longest;
   }
 
@@ -262,7 +263,9 @@
   private Write chunkWrite(
       JobRec old, JobRec job, long version, BitSet done, Collection<Integer> dirty) {
     TreeSet<Integer> chunks = new TreeSet<>();
-    for (int piece : dirty) chunks.add(piece / PIECES_PER_CHUNK);
+    for (int piece : dirty) {
+      chunks.add(piece / PIECES_PER_CHUNK);
+    }
     int pieces = inline(old.spec()) ? 0 : pieceOf(old.spec().tasks() - 1) + 1;
     for (int p = 0; p < pieces; p++) {
       if (pieceAhead(old, p)) {
@@ -310,10 +313,11 @@
       pieces.add(last);
       kept.clear(last * Constants.BITS_PER_PIECE, kept.length());
     }
-    for (int piece : dirty)
+    for (int piece : dirty) {
       if (pieces.size() < room) {
         pieces.add(piece);
       }
+    }
     List<Put> puts = new ArrayList<>();
     for (int piece : pieces) {
       int from = piece * Constants.BITS_PER_PIECE;
@@ -326,7 +330,9 @@
       return write;
     }
     List<Cond> when = new ArrayList<>(write.when());
-    for (Put put : puts) when.add(new Cond(put.key(), version(put.key())));
+    for (Put put : puts) {
+      when.add(new Cond(put.key(), version(put.key())));
+    }
     return new Write(when, write.puts(), pieces);
   }
 
--- a/src/main/java/mallowstall/core/MachineAdoption.java
+++ b/src/main/java/mallowstall/core/MachineAdoption.java
@@ -187,6 +187,7 @@
     core.after(Constants.ADOPT_JOIN_MS, this::adoptAll);
   }
 
+  /** A machine that has turned here, and who waits for the answer. */
   private record Arriving(Report report, MachineType type, Consumer<ReportAnswer> reply) {}
 
   /**
--- a/src/main/java/mallowstall/core/MachineDemand.java
+++ b/src/main/java/mallowstall/core/MachineDemand.java
@@ -212,10 +212,11 @@
   private void reserve() {
     reserved.clear();
     List<View.Seen> up = new ArrayList<>();
-    for (View.Seen machine : core.view().machines.values())
+    for (View.Seen machine : core.view().machines.values()) {
       if (machine.takes()) {
         up.add(machine);
       }
+    }
     up.sort(
         Comparator.comparing((View.Seen seen) -> seen.state.spot())
             .thenComparing(candidate -> candidate.id));
--- a/src/main/java/mallowstall/core/Model.java
+++ b/src/main/java/mallowstall/core/Model.java
@@ -55,6 +55,7 @@
     UNKNOWN
   }
 
+  /** A job as its user described it. */
   public record JobSpec(
       String id,
       String jobClass,
@@ -103,6 +104,7 @@
           DutyRec,
           CounterRec {}
 
+  /** A controller's present process, on its lease. */
   public record SessionRec(String node, long incarnation) implements Entry {}
 
   /** The program version of a controller's process, written together with its session. */
@@ -184,25 +186,31 @@
   public record GroupRec(String node, long incarnation, List<GroupMachine> machines)
       implements Entry {}
 
+  /** A machine of a group. */
   public record GroupMachine(String id, String type, String zone, boolean spot) {}
 
   /** What all running grants of a team add up to. */
   public record TeamRec(double cpus, double gpus) implements Entry {}
 
+  /** A controller's free room and waiting work, for all to see. */
   public record DigestRec(long incarnation, List<Room> rooms, double pendingCpus)
       implements Entry {}
 
   /** Free room of one machine, as a digest tells it. */
   public record Room(String machine, double cpus, double gpus, double memoryGb) {}
 
+  /** Who has the cloud duty. */
   public record DutyRec(String node, long incarnation) implements Entry {}
 
+  /** The counter of incarnations. */
   public record CounterRec(long value) implements Entry {}
 
   // ---- workers ------------------------------------------------------------------------------
+  /** A task as its worker reports it. */
   public record TaskReport(
       String job, int task, long attempt, TaskState state, Why why, boolean saved) {}
 
+  /** What a worker says of itself. */
   public record Report(
       String machine,
       String addr,
@@ -215,30 +223,36 @@
       Double noticeS,
       List<TaskReport> tasks) {}
 
+  /** What a worker is told to do with a task. */
   public enum CommandKind {
     START,
     STOP,
     FORGET
   }
 
+  /** A command to a worker. */
   public record Command(CommandKind kind, String job, int task, long attempt, double graceS) {}
 
   /** Answer to a report. */
   public record ReportAnswer(int status, long token, List<Command> commands, String reportTo) {
+    /** The worker stays, and executes these commands. */
     public static ReportAnswer ok(long token, List<Command> c) {
       return new ReportAnswer(200, token, c, null);
     }
 
+    /** The worker reports to that controller instead. */
     public static ReportAnswer elsewhere(String node) {
       return new ReportAnswer(421, 0, List.of(), node);
     }
 
+    /** This controller can't answer for the machine now. */
     public static ReportAnswer unable() {
       return new ReportAnswer(503, 0, List.of(), null);
     }
   }
 
   // ---- cloud --------------------------------------------------------------------------------
+  /** A type of machine that can be rented. */
   public record MachineType(
       String name,
       double cpus,
@@ -251,9 +265,11 @@
       double bootS,
       List<String> zones) {}
 
+  /** A machine as the cloud lists it. */
   public record Listed(
       String id, String type, String zone, boolean spot, String state, double ageS) {}
 
+  /** A request to rent machines, under a name that is never used again. */
   public record RentRequest(String name, String type, String zone, boolean spot, int count) {}
 
   // ---- users --------------------------------------------------------------------------------
@@ -358,6 +374,7 @@
       List<Refusal> refusals)
       implements PeerMessage {}
 
+  /** One attempt of a task. */
   public record TaskRef(String job, int task, long attempt) {}
 
   /** {@code instead}: lower tasks on that machine that are stopped to make room for this one. */
@@ -375,6 +392,7 @@
       String node, long incarnation, long connection, long seq, List<StartOrder> starts)
       implements PeerMessage {}
 
+  /** A holder's wish that a task be stopped. */
   public record StopOrder(String machine, String job, int task, long attempt, double graceS) {}
 
   /** Stops and drains from a holder, or from whoever has the cloud duty, to an owner. */
@@ -382,12 +400,14 @@
       implements PeerMessage {}
 
   // ---- settings the core needs --------------------------------------------------------------
+  /** A team's guarantee and limit; 0 is none. */
   public record Team(String name, double cpus, double cpusMax, double gpus, double gpusMax) {
     boolean limited() {
       return cpusMax > 0 || gpusMax > 0;
     }
   }
 
+  /** What the core needs of the settings. */
   public record CoreSettings(
       String node,
       List<String> peers,
--- a/src/main/java/mallowstall/core/OwnedMachines.java
+++ b/src/main/java/mallowstall/core/OwnedMachines.java
@@ -115,7 +115,9 @@
         minus(room, job.spec(), 1);
       }
     }
-    for (Reservation booked : machine.booked.values()) minus(room, booked.spec, 1);
+    for (Reservation booked : machine.booked.values()) {
+      minus(room, booked.spec, 1);
+    }
     return room;
   }
 
--- a/src/main/java/mallowstall/core/Placement.java
+++ b/src/main/java/mallowstall/core/Placement.java
@@ -192,7 +192,9 @@
           budget -= attempted.block(attempted.policy.blocks().get(i), machines, budget, now);
         }
       }
-      for (Try t : tries) t.end(now);
+      for (Try t : tries) {
+        t.end(now);
+      }
     }
     send();
   }
@@ -280,7 +282,9 @@
 
     private int mostOnOneMachine() {
       int most = 0;
-      for (int replicas : perMachine.values()) most = Math.max(most, replicas);
+      for (int replicas : perMachine.values()) {
+        most = Math.max(most, replicas);
+      }
       return most;
     }
 
@@ -433,13 +437,16 @@
         }
         fill(machine, held, now);
         boolean taken = false;
-        for (Policy.Block block : policy.blocks())
+        for (Policy.Block block : policy.blocks()) {
           taken |= block.workers(facts) && !block.invalidate(facts);
+        }
         if (!taken) {
           continue;
         }
         double cost = facts.fetchS;
-        for (RosterTask rosterTask : victims) cost += loss(rosterTask);
+        for (RosterTask rosterTask : victims) {
+          cost += loss(rosterTask);
+        }
         choices.add(new Exchange(machine, victims, cost));
       }
       choices.sort(Comparator.comparingDouble(Exchange::cost));
@@ -466,7 +473,9 @@
           }
           List<TaskRef> instead = new ArrayList<>();
           if (i == 0) {
-            for (RosterTask t : exchange.victims) instead.add(ref(t));
+            for (RosterTask t : exchange.victims) {
+              instead.add(ref(t));
+            }
           }
           start(held, task, exchange.s, instead);
           perZone.merge(exchange.s.state.zone(), 1, Integer::sum);
@@ -687,10 +696,11 @@
       core.view().derive(machine);
       // a machine with several images that are waited for serves each of them only in part
       int wanted = 0;
-      for (String image : machine.images)
+      for (String image : machine.images) {
         if (waiting.containsKey(image)) {
           wanted++;
         }
+      }
       if (wanted == 0) {
         continue;
       }
@@ -723,7 +733,9 @@
       if (!held.spec.service() || !held.latched || held.over()) {
         continue;
       }
-      for (int replica : held.moves.replicas()) startMoved(held, replica, now);
+      for (int replica : held.moves.replicas()) {
+        startMoved(held, replica, now);
+      }
       if (held.uncertain) {
         continue;
       }
@@ -772,7 +784,9 @@
 
   private View.Seen placeToMove(Held held, Active moving, List<View.Seen> machines, long now) {
     Map<String, Integer> perMachine = new HashMap<>();
-    for (Active active : held.active.values()) perMachine.merge(active.machine, 1, Integer::sum);
+    for (Active active : held.active.values()) {
+      perMachine.merge(active.machine, 1, Integer::sum);
+    }
     Policy policy = core.policies().forClass(held.spec.jobClass());
     View.Seen best = null;
     double bestCost = Double.MAX_VALUE;
@@ -783,8 +797,9 @@
       }
       fill(machine, held, now);
       boolean taken = false;
-      for (Policy.Block block : policy.blocks())
+      for (Policy.Block block : policy.blocks()) {
         taken |= block.workers(facts) && !block.invalidate(facts);
+      }
       double cost = facts.fetchS + perMachine.getOrDefault(machine.id, 0);
       if (!taken || cost >= bestCost) {
         continue;
@@ -819,8 +834,9 @@
   }
 
   private void countSent() {
-    for (View.Seen machine : core.view().machines.values())
+    for (View.Seen machine : core.view().machines.values()) {
       machine.sentCpus = machine.sentGpus = machine.sentMemory = 0;
+    }
     for (Held held : holder.jobs()) {
       for (Map.Entry<String, Integer> entry : held.moves.targets().entrySet()) {
         View.Seen seen = core.view().machines.get(entry.getKey());
--- a/src/main/java/mallowstall/core/Policy.java
+++ b/src/main/java/mallowstall/core/Policy.java
@@ -52,22 +52,29 @@
     public boolean service;
   }
 
+  /** How a block orders its machines. */
   enum Strategy {
     LOWEST,
     HIGHEST,
     RANDOM
   }
 
+  /** One step of a policy. */
   interface Block {
+    /** Whether the block offers the machine. */
     boolean workers(Facts facts);
 
+    /** Whether the machine is left out all the same. */
     boolean invalidate(Facts facts);
 
+    /** How the machines are ordered. */
     Strategy strategy();
 
+    /** What they are ordered by. */
     double score(Facts facts);
   }
 
+  /** The steps, in the order in which they are tried. */
   List<Block> blocks();
 
   /** Name under which the back-off is kept. */
@@ -75,6 +82,7 @@
 
   /** Policies by class of jobs. */
   interface Book {
+    /** The policy of a class of jobs; that of the default class if it has none. */
     Policy forClass(String jobClass);
   }
 }
--- a/src/main/java/mallowstall/core/ReplicaMoves.java
+++ b/src/main/java/mallowstall/core/ReplicaMoves.java
@@ -11,6 +11,7 @@
  * as long as the room there is kept for them. Mutable.
  */
 final class ReplicaMoves {
+  /** Where a replica goes, and how long room is kept for it. */
   private record Move(String target, long until) {}
 
   private final Int2ObjectOpenHashMap<Move> moves = new Int2ObjectOpenHashMap<>();
@@ -47,7 +48,9 @@
   Map<String, Integer> targets() {
     Map<String, Integer> targets = new HashMap<>();
     Collection<Move> all = moves.values();
-    for (Move move : all) targets.merge(move.target(), 1, Integer::sum);
+    for (Move move : all) {
+      targets.merge(move.target(), 1, Integer::sum);
+    }
     return targets;
   }
 }
--- a/src/main/java/mallowstall/core/ReplicaRestarts.java
+++ b/src/main/java/mallowstall/core/ReplicaRestarts.java
@@ -11,6 +11,7 @@
  * worker keeps the result of a task that is done and ends it as soon as it is started. Mutable.
  */
 final class ReplicaRestarts {
+  /** How long one replica waits. Mutable. */
   private static final class Delay {
     final BackOff backOff = new BackOff();
     boolean waiting;
--- a/src/main/java/mallowstall/core/RosterPublisher.java
+++ b/src/main/java/mallowstall/core/RosterPublisher.java
@@ -100,7 +100,9 @@
     }
     View.Peer sender = core.view().peer(core.node());
     List<RosterMachine> mine = new ArrayList<>();
-    for (OwnedMachine machine : changed) mine.add(machine.said);
+    for (OwnedMachine machine : changed) {
+      mine.add(machine.said);
+    }
     core.rosterFrom(
         new Roster(
             core.node(),
@@ -124,10 +126,11 @@
   private Roster roster(View.Peer peer, long sinceMirror, List<Refusal> no) {
     long since = peer.knows >= forgotten ? peer.knows : 0;
     List<RosterMachine> ms = new ArrayList<>();
-    for (OwnedMachine machine : machines.all())
+    for (OwnedMachine machine : machines.all()) {
       if (machine.saidIn > since) {
         ms.add(machine.said);
       }
+    }
     // to acknowledge what it said would vouch for all cancellations newer than its mirror
     boolean vouches = peer.rosterRevision > 0 && core.cancellations().keeps(peer.rosterRevision);
     return new Roster(
--- a/src/main/java/mallowstall/core/Store.java
+++ b/src/main/java/mallowstall/core/Store.java
@@ -59,8 +59,10 @@
     BACKGROUND
   }
 
+  /** A value of the mirror and the revision of its last change. */
   record Held(Entry value, long version) {}
 
+  /** Hears of changes of the mirror. */
   interface Listener {
     /** A machine had this record for a while, before the one that the mirror holds already. */
     void overtaken(String machine, MachineRec record);
@@ -72,6 +74,7 @@
     void synced();
   }
 
+  /** A request that waits for the rate, and what it costs of it. */
   private record Waiting(double reads, double writes, Runnable go) {}
 
   private final Core core;
@@ -174,10 +177,11 @@
   /** Whether a group names the machine: then its end must be written, not only dropped. */
   boolean grouped(String id) {
     for (Held stored : under(GROUPS).values()) {
-      for (GroupMachine member : ((GroupRec) stored.value()).machines())
+      for (GroupMachine member : ((GroupRec) stored.value()).machines()) {
         if (member.id().equals(id)) {
           return true;
         }
+      }
     }
     return false;
   }
@@ -246,7 +250,9 @@
   /** Requests waiting, for the Retry-After of refusals. */
   int backlog() {
     int n = 0;
-    for (ArrayDeque<Waiting> queue : queues) n += queue.size();
+    for (ArrayDeque<Waiting> queue : queues) {
+      n += queue.size();
+    }
     return n;
   }
 
@@ -304,9 +310,12 @@
               reply -> {
                 contact(reply.code(), sent);
                 if (reply.code() == Code.OK) {
-                  for (Put put : txn.puts())
+                  for (Put put : txn.puts()) {
                     apply(new Item(put.key(), put.value(), reply.revision()));
-                  for (String k : txn.drops()) apply(new Item(k, null, reply.revision()));
+                  }
+                  for (String k : txn.drops()) {
+                    apply(new Item(k, null, reply.revision()));
+                  }
                 }
                 then.accept(reply);
               });
@@ -431,7 +440,9 @@
             apply(item);
             seen.add(item.key());
             if (item.value() instanceof GroupRec group) {
-              for (GroupMachine member : group.machines()) seen.add(MACHINES + member.id());
+              for (GroupMachine member : group.machines()) {
+                seen.add(MACHINES + member.id());
+              }
             }
             last = item.key();
           }
@@ -471,7 +482,9 @@
             core.after(Constants.STATE_RETRY_MS, this::watchOn);
             return;
           }
-          for (Item item : r.events()) apply(item);
+          for (Item item : r.events()) {
+            apply(item);
+          }
           revision = Math.max(revision, r.revision());
           freshAt = Math.max(freshAt, sent);
           listener.changed(null, null, null);
--- a/src/main/java/mallowstall/core/StrandedJobs.java
+++ b/src/main/java/mallowstall/core/StrandedJobs.java
@@ -30,10 +30,11 @@
   /** Drops what is remembered of jobs that are over. */
   void retain(Iterable<JobRec> open) {
     Set<String> ids = new HashSet<>();
-    for (JobRec job : open)
+    for (JobRec job : open) {
       if (!job.over()) {
         ids.add(job.spec().id());
       }
+    }
     since.keySet().retainAll(ids);
   }
 
@@ -101,10 +102,11 @@
 
   private static int tasksOn(View.Seen machine, String job) {
     int tasks = 0;
-    for (RosterTask task : machine.state.tasks())
+    for (RosterTask task : machine.state.tasks()) {
       if (task.job().equals(job) && task.state() != TaskState.EXITED) {
         tasks++;
       }
+    }
     return tasks;
   }
 
--- a/src/main/java/mallowstall/core/View.java
+++ b/src/main/java/mallowstall/core/View.java
@@ -216,15 +216,17 @@
         sender.machines.add(state.machine());
       }
     }
-    for (String id : roster.gone())
+    for (String id : roster.gone()) {
       if (sender.machines.remove(id)) {
         disown(roster.node(), id);
       }
+    }
     if (names != null) {
-      for (String id : sender.machines)
+      for (String id : sender.machines) {
         if (!names.contains(id)) {
           disown(roster.node(), id);
         }
+      }
       sender.machines = names;
     }
     return true;
--- a/src/main/java/mallowstall/net/Duty.java
+++ b/src/main/java/mallowstall/net/Duty.java
@@ -12,6 +12,7 @@
   private final String name;
   private final ScheduledFuture<?> future;
 
+  /** Runs the body again and again, at this interval, until it is cancelled. */
   public Duty(String name, EventLoop loop, long everyMs, Runnable body) {
     this.name = name;
     this.future =
@@ -28,6 +29,7 @@
             TimeUnit.MILLISECONDS);
   }
 
+  /** The body runs no more. */
   public void cancel() {
     LOG.debug("duty {} ends", name);
     future.cancel(false);
--- a/src/main/java/mallowstall/net/HttpClient.java
+++ b/src/main/java/mallowstall/net/HttpClient.java
@@ -35,6 +35,7 @@
 
   /** Receives the reply on the event loop. */
   public interface Callback {
+    /** The call has ended, with an answer or without. */
     void done(Reply reply);
   }
 
@@ -50,6 +51,7 @@
   private int open;
   private boolean retired;
 
+  /** A request and who waits for its answer. Mutable. */
   private static final class Call {
     final HttpMethod method;
     final String path;
@@ -76,6 +78,7 @@
     }
   }
 
+  /** A client of one server that opens so many connections at most. */
   public HttpClient(EventLoop loop, InetSocketAddress address, int maxConnections) {
     this.loop = loop;
     this.address = address;
@@ -83,6 +86,7 @@
     this.host = address.getAddress().getHostAddress() + ":" + address.getPort();
   }
 
+  /** Sends a request; the callback hears of its end once, at the latest after the timeout. */
   public void call(HttpMethod method, String path, byte[] body, long timeoutMs, Callback then) {
     Call call = new Call(method, path, body, System.nanoTime() + timeoutMs * 1_000_000, then);
     Conn conn = idle.poll();
@@ -109,7 +113,9 @@
   /** No further call will be made: connections close at once, or when their call is over. */
   public void retire() {
     retired = true;
-    for (Conn c : new ArrayDeque<>(idle)) c.channel.close();
+    for (Conn c : new ArrayDeque<>(idle)) {
+      c.channel.close();
+    }
   }
 
   private void connect(Call call) {
--- a/src/main/java/mallowstall/net/HttpServer.java
+++ b/src/main/java/mallowstall/net/HttpServer.java
@@ -40,10 +40,13 @@
 
   /** Takes the answer, once. */
   public interface Responder {
+    /** Sends the answer; each request gets one. */
     void answer(int status, byte[] json, int retryAfterS);
   }
 
+  /** What a server does with its requests. */
   public interface Handler {
+    /** Takes a request, which is answered now or later. */
     void handle(Request request, Responder responder);
   }
 
@@ -52,11 +55,13 @@
   private int open;
   private Channel listening;
 
+  /** A server that keeps so many connections open at most. */
   public HttpServer(Handler handler, int maxConnections) {
     this.handler = handler;
     this.maxConnections = maxConnections;
   }
 
+  /** Begins to accept connections there. */
   public void listen(EventLoopGroup group, InetSocketAddress at) throws InterruptedException {
     listening =
         new ServerBootstrap()
@@ -90,10 +95,12 @@
             .channel();
   }
 
+  /** Where the server listens. */
   public InetSocketAddress address() {
     return (InetSocketAddress) listening.localAddress();
   }
 
+  /** Stops listening and closes all connections. */
   public void close() {
     listening.close();
   }
@@ -173,6 +180,7 @@
     }
   }
 
+  /** One connection: its requests are answered one after the other. */
   private final class Conn extends SimpleChannelInboundHandler<FullHttpRequest> {
     /** The last request has arrived whole and no further one has begun. */
     private boolean complete;
--- a/src/main/java/mallowstall/peers/PeerCodec.java
+++ b/src/main/java/mallowstall/peers/PeerCodec.java
@@ -28,10 +28,12 @@
  * times the start-up time and garbage, which these machines don't have to spare.
  */
 public final class PeerCodec {
+  /** Writes one element of an array. */
   private interface Write<T> {
     void to(BinaryEncoder encoder, T v) throws IOException;
   }
 
+  /** Reads one element of an array. */
   private interface Read<T> {
     T from(BinaryDecoder decoder) throws IOException;
   }
@@ -54,6 +56,7 @@
 
   private PeerCodec() {}
 
+  /** The message in Avro's binary encoding, with its kind before it. */
   public static byte[] encode(PeerMessage message) {
     ByteArrayOutputStream out = new ByteArrayOutputStream(1024);
     BinaryEncoder encoder = EncoderFactory.get().binaryEncoder(out, null);
--- a/src/main/java/mallowstall/peers/PeersAdapter.java
+++ b/src/main/java/mallowstall/peers/PeersAdapter.java
@@ -47,6 +47,7 @@
   private Channel listening;
   private boolean closed;
 
+  /** Connects to peers and accepts so many connections of theirs at most. */
   public PeersAdapter(EventLoop loop, Core core, Consumer<Runnable> events, int maxInbound) {
     this.loop = loop;
     this.core = core;
@@ -54,6 +55,7 @@
     this.maxInbound = maxInbound;
   }
 
+  /** Begins to accept connections of peers. */
   public void listen(EventLoopGroup group, InetSocketAddress at) throws InterruptedException {
     listening =
         new ServerBootstrap()
@@ -84,12 +86,14 @@
             .channel();
   }
 
+  /** Keeps a connection to this peer from now on. */
   public void connect(String node, InetSocketAddress at) {
     Link link = new Link(node, at);
     links.put(node, link);
     link.connect();
   }
 
+  /** Sends the message if the peer is connected and its backlog has room. */
   public void send(String node, PeerMessage message) {
     Link link = links.get(node);
     if (link == null || link.channel == null || !link.channel.isActive()) {
@@ -102,17 +106,20 @@
     link.channel.writeAndFlush(Unpooled.wrappedBuffer(PeerCodec.encode(message)));
   }
 
+  /** Closes all connections. */
   public void close() {
     closed = true;
     if (listening != null) {
       listening.close();
     }
-    for (Link link : links.values())
+    for (Link link : links.values()) {
       if (link.channel != null) {
         link.channel.close();
       }
+    }
   }
 
+  /** A connection that a peer has opened: its messages become events. */
   private final class Hearing extends SimpleChannelInboundHandler<ByteBuf> {
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, ByteBuf b) throws IOException {
--- a/src/main/java/mallowstall/policy/Lexer.java
+++ b/src/main/java/mallowstall/policy/Lexer.java
@@ -5,6 +5,7 @@
 
 /** Splits a policy file into tokens with their places. */
 final class Lexer {
+  /** Kinds of tokens. */
   enum Kind {
     NAME,
     NUMBER,
@@ -13,6 +14,7 @@
     END
   }
 
+  /** A token and where it stands. */
   record Token(Kind kind, String text, double value, String unit, int line, int column) {
     boolean is(String s) {
       return (kind == Kind.NAME || kind == Kind.SIGN) && text.equals(s);
--- a/src/main/java/mallowstall/policy/Parser.java
+++ b/src/main/java/mallowstall/policy/Parser.java
@@ -25,6 +25,7 @@
     }
   }
 
+  /** A block whose expressions are compiled. */
   private record Compiled(
       Expr workersExpr, Expr invalidateExpr, Policy.Strategy strategy, Expr scoreExpr)
       implements Policy.Block {
@@ -48,6 +49,7 @@
     }
   }
 
+  /** The policy of one class of jobs. */
   private record Named(String name, List<Policy.Block> blocks) implements Policy {}
 
   private static final int DEEPEST = 60;
--- a/src/main/java/mallowstall/policy/Policies.java
+++ b/src/main/java/mallowstall/policy/Policies.java
@@ -24,6 +24,7 @@
     this.faults = faults;
   }
 
+  /** Compiles the text of a policy file. */
   public static Policies of(String text) {
     List<Fault> faults = new ArrayList<>();
     Map<String, Policy> classes = Parser.parse(text, faults);
@@ -31,10 +32,12 @@
     return new Policies(classes, faults);
   }
 
+  /** Compiles a policy file. */
   public static Policies load(Path file) throws IOException {
     return of(Files.readString(file));
   }
 
+  /** The policies that come with the service. */
   public static Policies bundled() {
     try (InputStream in = Policies.class.getResourceAsStream(BUNDLED)) {
       return of(new String(in.readAllBytes(), StandardCharsets.UTF_8));
@@ -43,10 +46,12 @@
     }
   }
 
+  /** All faults and warnings, in the order of the text. */
   public List<Fault> faults() {
     return faults;
   }
 
+  /** Whether the policies have no fault that forbids serving. */
   public boolean usable() {
     return faults.stream().noneMatch(Fault::error);
   }
--- a/src/main/java/mallowstall/state/StateAdapter.java
+++ b/src/main/java/mallowstall/state/StateAdapter.java
@@ -40,8 +40,10 @@
   private static final Logger LOG = LoggerFactory.getLogger("mallowstall.state");
 
   // ---- wire types ---------------------------------------------------------------------------
+  /** A condition of a transaction as it is sent. */
   record CondWire(@JsonProperty("key") String key, @JsonProperty("sello") long version) {}
 
+  /** A change of a transaction as it is sent. */
   @JsonInclude(JsonInclude.Include.NON_NULL)
   record OpWire(
       @JsonProperty("set") String put,
@@ -49,11 +51,14 @@
       @JsonProperty("permiso") Long lease,
       @JsonProperty("drop") String delete) {}
 
+  /** A transaction as it is sent. */
   record TxnWire(
       @JsonProperty("when") List<CondWire> when, @JsonProperty("then") List<OpWire> then) {}
 
+  /** The revision that a transaction has brought about. */
   record RevisionWire(@JsonProperty("tirada") long revision) {}
 
+  /** A key with its value, or a change of it. */
   record ItemWire(
       @JsonProperty("key") String key,
       @JsonProperty("data") JsonNode value,
@@ -61,16 +66,20 @@
       @JsonProperty("set") String put,
       @JsonProperty("drop") String delete) {}
 
+  /** A page of keys. */
   record ListWire(
       @JsonProperty("entries") List<ItemWire> items,
       @JsonProperty("has_next") boolean more,
       @JsonProperty("tirada") long revision) {}
 
+  /** Changes since a revision. */
   record WatchWire(
       @JsonProperty("tirada") long revision, @JsonProperty("events") List<ItemWire> events) {}
 
+  /** How long a new lease lasts. */
   record TtlWire(@JsonProperty("life_ms") long ttlMs) {}
 
+  /** A new lease. */
   record LeaseWire(@JsonProperty("permiso") long lease) {}
 
   private static final String PREFIX = "c/";
@@ -159,14 +168,19 @@
     }
   }
 
+  /** See {@link mallowstall.core.Effects#transact}. */
   public void transact(Txn transaction, Consumer<TxnReply> then) {
     List<CondWire> when = new ArrayList<>();
-    for (Cond condition : transaction.when())
+    for (Cond condition : transaction.when()) {
       when.add(new CondWire(condition.key(), condition.version()));
+    }
     List<OpWire> ops = new ArrayList<>();
-    for (Put put : transaction.puts())
+    for (Put put : transaction.puts()) {
       ops.add(new OpWire(put.key(), put.value(), put.lease() == 0 ? null : put.lease(), null));
-    for (String k : transaction.drops()) ops.add(new OpWire(null, null, null, k));
+    }
+    for (String k : transaction.drops()) {
+      ops.add(new OpWire(null, null, null, k));
+    }
     call(
         HttpMethod.POST,
         "/multi",
@@ -190,6 +204,7 @@
         });
   }
 
+  /** See {@link mallowstall.core.Effects#get}. */
   public void get(String key, Consumer<GetReply> then) {
     call(
         HttpMethod.GET,
@@ -211,6 +226,7 @@
         });
   }
 
+  /** See {@link mallowstall.core.Effects#list}. */
   public void list(String after, Consumer<ListReply> then) {
     call(
         HttpMethod.GET,
@@ -249,6 +265,7 @@
     return out;
   }
 
+  /** See {@link mallowstall.core.Effects#watch}. */
   public void watch(long after, long holdMs, Consumer<WatchReply> then) {
     watches.call(
         HttpMethod.GET,
@@ -269,6 +286,7 @@
                 }));
   }
 
+  /** See {@link mallowstall.core.Effects#grantLease}. */
   public void grantLease(long ttlMs, Consumer<LeaseReply> then) {
     call(
         HttpMethod.POST,
@@ -281,6 +299,7 @@
         });
   }
 
+  /** See {@link mallowstall.core.Effects#renewLease}. */
   public void renewLease(long lease, Consumer<LeaseReply> then) {
     call(
         HttpMethod.POST,
--- a/src/main/java/mallowstall/users/UsersAdapter.java
+++ b/src/main/java/mallowstall/users/UsersAdapter.java
@@ -20,6 +20,7 @@
 
 /** Submissions, questions and cancellations of users. */
 public final class UsersAdapter {
+  /** A submission as it is sent. */
   record JobWire(
       @JsonProperty("ref") String id,
       @JsonProperty("lote") String jobClass,
@@ -42,6 +43,7 @@
       @JsonProperty("apilado_s") Double saveS,
       @JsonProperty("despacho_s") Double deadlineS) {}
 
+  /** A job's state as it is told. */
   @JsonInclude(JsonInclude.Include.NON_NULL)
   record StateWire(
       @JsonProperty("ref") String id,
@@ -49,6 +51,7 @@
       @JsonProperty("done") Integer done,
       @JsonProperty("running") Integer running) {}
 
+  /** Why a request is refused. */
   record ErrorWire(@JsonProperty("error") String error) {}
 
   /** A submission that is malformed; its message is for the user. */
@@ -86,11 +89,13 @@
   private final ObjectMapper json;
   private final Core core;
 
+  /** Turns users' requests into events of the core. */
   public UsersAdapter(ObjectMapper json, Core core) {
     this.json = json;
     this.core = core;
   }
 
+  /** POST /submissions. */
   public void submit(Request request, Responder responder) {
     JobSpec spec;
     try {
@@ -109,6 +114,7 @@
     core.submit(spec, a -> answer(a, responder, true));
   }
 
+  /** GET /submissions/{id}. */
   public void query(String id, Responder responder) {
     if (!ID.matcher(id).matches()) {
       error(responder, 404, "no such job");
@@ -117,6 +123,7 @@
     }
   }
 
+  /** POST /submissions/{id}/cancel. */
   public void cancel(String id, Responder responder) {
     if (!ID.matcher(id).matches()) {
       error(responder, 404, "no such job");
@@ -180,7 +187,9 @@
     text("molde", job.image);
     amount("image_gb", job.imageGb);
     if (job.types != null) {
-      for (String t : job.types) text("calibres", t);
+      for (String t : job.types) {
+        text("calibres", t);
+      }
       if (job.types.isEmpty()) {
         throw new Malformed("calibres must be null or name a machine type");
       }
--- a/src/main/java/mallowstall/workers/WorkersAdapter.java
+++ b/src/main/java/mallowstall/workers/WorkersAdapter.java
@@ -30,6 +30,7 @@
 
 /** Reports of workers and the commands that answer them. */
 public final class WorkersAdapter {
+  /** A task as a worker reports it. */
   record TaskWire(
       @JsonProperty("pieza") String task,
       @JsonProperty("intento") long attempt,
@@ -37,6 +38,7 @@
       @JsonProperty("motivo") String why,
       @JsonProperty("saved") boolean saved) {}
 
+  /** A report as it is sent. */
   record ReportWire(
       @JsonProperty("sierra") String machine,
       @JsonProperty("addr") String addr,
@@ -49,6 +51,7 @@
       @JsonProperty("aviso_s") Double noticeS,
       @JsonProperty("piezas") List<TaskWire> tasks) {}
 
+  /** A command as it is sent. */
   @JsonInclude(JsonInclude.Include.NON_NULL)
   record CommandWire(
       @JsonProperty("orden") String op,
@@ -56,12 +59,15 @@
       @JsonProperty("intento") long attempt,
       @JsonProperty("respiro_s") Double graceS) {}
 
+  /** The answer to a report. */
   record AnswerWire(
       @JsonProperty("baston") long token, @JsonProperty("ordenes") List<CommandWire> commands) {}
 
+  /** The controller that the worker should report to. */
   @JsonInclude(JsonInclude.Include.NON_NULL)
   record ElsewhereWire(@JsonProperty("capataz") String reportTo) {}
 
+  /** Commands to a worker's own address. */
   record OrdersWire(
       @JsonProperty("baston") long token,
       @JsonProperty("turno") long session,
@@ -79,6 +85,7 @@
   private final Object2ObjectLinkedOpenHashMap<String, HttpClient> clients =
       new Object2ObjectLinkedOpenHashMap<>();
 
+  /** Turns reports into events of the core, and its commands into requests. */
   public WorkersAdapter(
       ObjectMapper json, Core core, EventLoop loop, Consumer<Runnable> events, int maxClients) {
     this.maxClients = maxClients;
@@ -88,6 +95,7 @@
     this.events = events;
   }
 
+  /** POST /hello. */
   public void report(Request request, Responder responder) throws IOException {
     core.report(read(request.body()), reportAnswer -> answer(reportAnswer, responder));
   }
--- a/src/test/java/mallowstall/core/JobEntriesTest.java
+++ b/src/test/java/mallowstall/core/JobEntriesTest.java
@@ -84,7 +84,9 @@
 
   private static BitSet bits(int... tasks) {
     BitSet out = new BitSet();
-    for (int t : tasks) out.set(t);
+    for (int t : tasks) {
+      out.set(t);
+    }
     return out;
   }
 
@@ -96,7 +98,9 @@
 
   private void store(List<Put> puts) {
     version++;
-    for (Put put : puts) stored.put(put.key(), new Store.Held(put.value(), version));
+    for (Put put : puts) {
+      stored.put(put.key(), new Store.Held(put.value(), version));
+    }
   }
 
   private JobRec entry() {
@@ -111,8 +115,9 @@
   private void apply(JobEntries.Write write, int valueBytes, int txnOps) {
     assertTrue(write.puts().size() <= txnOps, "operations: " + write.puts().size());
     assertTrue(write.when().size() <= 4 * txnOps, "conditions: " + write.when().size());
-    for (Put put : write.puts())
+    for (Put put : write.puts()) {
       assertTrue(Sim.size(put.value()) <= valueBytes, put.key() + " has " + Sim.size(put.value()));
+    }
     for (Cond condition : write.when()) {
       Store.Held held = stored.get(condition.key());
       assertEquals(held == null ? 0 : held.version(), condition.version(), condition.key());
@@ -147,8 +152,9 @@
       assertEquals(JobEntries.jobKey(JOB), last.key());
       int first = Math.min(tasks, Constants.BITS_PER_CHUNK);
       assertArrayEquals(done.get(0, first).toByteArray(), ((JobRec) last.value()).done());
-      for (Put put : write.puts().subList(0, write.puts().size() - 1))
+      for (Put put : write.puts().subList(0, write.puts().size() - 1)) {
         assertTrue(put.key().matches("c/b/wk-000001/[0-9]+"), put.key());
+      }
       assertEquals(tasks == MANY ? 3 : 1, write.puts().size());
     }
   }
@@ -270,7 +276,9 @@
               tasks,
               Final.NONE);
       List<Put> puts = entries.recording(old, 0, done, List.of(0)).puts();
-      for (Put put : puts) assertTrue(Sim.size(put.value()) <= 2_048, put.key());
+      for (Put put : puts) {
+        assertTrue(Sim.size(put.value()) <= 2_048, put.key());
+      }
     }
     assertFalse(entries.fits(JobRec.accepted(spec(10, "x".repeat(1_000)), 0, "n0", 3)));
   }
--- a/src/test/java/mallowstall/core/MeetingsTest.java
+++ b/src/test/java/mallowstall/core/MeetingsTest.java
@@ -38,10 +38,11 @@
   private static Map<String, Integer> running(Sim sim, String job) {
     Map<String, Integer> out = new TreeMap<>();
     for (Sim.Worker worker : sim.workers.values()) {
-      for (Sim.Worker.T task : worker.tasks.values())
+      for (Sim.Worker.T task : worker.tasks.values()) {
         if (task.job.equals(job) && task.state != TaskState.EXITED) {
           out.merge(worker.node, 1, Integer::sum);
         }
+      }
     }
     return out;
   }
@@ -109,10 +110,11 @@
         // leading: who owns most of the machines that run it
         Map<String, Integer> on = running(sim, VICTIM);
         String name = "n0";
-        for (String n : on.keySet())
+        for (String n : on.keySet()) {
           if (on.get(n) > on.getOrDefault(name, 0)) {
             name = n;
           }
+        }
         Sim.Node leader = sim.nodes.get(name);
         Sim.Node confirmer = sim.nodes.get(name.equals("n1") ? "n2" : "n1");
         leader.noState = true;
@@ -348,11 +350,13 @@
       }
       sim.run(sim.now + 250);
       assertEquals("cancelled", cancelAt(sim, sim.nodes.get("n" + seed % 3), VICTIM).state());
-      for (Sim.Worker worker : sim.workers.values())
-        for (Sim.Worker.T task : worker.tasks.values())
+      for (Sim.Worker worker : sim.workers.values()) {
+        for (Sim.Worker.T task : worker.tasks.values()) {
           if (task.state == TaskState.FETCHING) {
             waiting++;
           }
+        }
+      }
       sim.run(sim.now + 10_000);
       begun += sim.rules.startsAfterCancel;
       assertEquals(List.of(), sim.rules.broken);
@@ -432,7 +436,9 @@
     ALL_AWAY_FOR_A_LEASE {
       @Override
       boolean play(Sim sim) {
-        for (Sim.Node node : sim.nodes.values()) node.crash(Sim.LEASE + 5_000);
+        for (Sim.Node node : sim.nodes.values()) {
+          node.crash(Sim.LEASE + 5_000);
+        }
         sim.run(sim.now + Sim.LEASE + 4_000);
         return sim.workers.values().stream()
             .allMatch(worker -> worker.session > 1 && worker.tasks.isEmpty());
@@ -484,7 +490,9 @@
     TOO_MUCH_WORK_SLOWLY {
       @Override
       boolean play(Sim sim) {
-        for (Sim.Node node : sim.nodes.values()) node.lag = 400;
+        for (Sim.Node node : sim.nodes.values()) {
+          node.lag = 400;
+        }
         sim.rosterChaos = 0.3;
         for (int i = 10; i < 50; i++) {
           Priority priority = Priority.values()[i % 4];
@@ -495,7 +503,9 @@
             sim.state.keys.values().stream()
                 .filter(value -> value.value() instanceof JobRec job && job.fin() == Final.NONE)
                 .count();
-        for (Sim.Node controller : sim.nodes.values()) controller.lag = 0;
+        for (Sim.Node controller : sim.nodes.values()) {
+          controller.lag = 0;
+        }
         sim.rosterChaos = 0;
         return open > 5;
       }
@@ -504,10 +514,14 @@
     MUTE_MACHINES {
       @Override
       boolean play(Sim sim) {
-        for (Sim.Worker worker : sim.workers.values()) worker.mute = true;
+        for (Sim.Worker worker : sim.workers.values()) {
+          worker.mute = true;
+        }
         sim.at(3_000, () -> sim.cancel("wk-000004"));
         sim.run(sim.now + Sim.LEASE + 8_000);
-        for (Sim.Worker simWorker : sim.workers.values()) simWorker.mute = false;
+        for (Sim.Worker simWorker : sim.workers.values()) {
+          simWorker.mute = false;
+        }
         return sim.struck.containsKey("mute");
       }
     },
@@ -525,7 +539,9 @@
           sim.at(
               i * 2_500L,
               () -> {
-                for (Sim.Worker worker : sim.workers.values()) worker.hang(sim.rnd.nextInt(4_000));
+                for (Sim.Worker worker : sim.workers.values()) {
+                  worker.hang(sim.rnd.nextInt(4_000));
+                }
               });
         }
         sim.at(14_000, () -> sim.cancelNow(2, 8_000));
@@ -542,7 +558,9 @@
           sim.run(sim.now + 5_000);
         }
         sim.run(sim.now + 8_000);
-        for (Sim.Node node : sim.nodes.values()) node.crash(node.name.equals("n1") ? 300 : 20_000);
+        for (Sim.Node node : sim.nodes.values()) {
+          node.crash(node.name.equals("n1") ? 300 : 20_000);
+        }
         sim.run(sim.now + 2_000);
         boolean one = sim.nodes.get("n1").up && !sim.nodes.get("n0").up && !sim.nodes.get("n2").up;
         sim.run(sim.now + 25_000);
@@ -585,7 +603,9 @@
           JobRec job = sim.entry("wk-0000" + j);
           between |= job.doneCount() > 0 && job.doneCount() < job.spec().tasks();
         }
-        for (Sim.Node node : sim.nodes.values()) node.crash(node.name.equals("n2") ? 200 : 5_000);
+        for (Sim.Node node : sim.nodes.values()) {
+          node.crash(node.name.equals("n2") ? 200 : 5_000);
+        }
         sim.run(sim.now + 22_000);
         sim.changeLeaders();
         sim.run(sim.now + 30_000);
@@ -634,10 +654,11 @@
         sim.cutOff("b");
         sim.run(sim.now + 300);
         String job = null;
-        for (Sim.Worker worker : sim.workers.values())
+        for (Sim.Worker worker : sim.workers.values()) {
           if (worker.zone.equals("b") && running(worker) != null) {
             job = running(worker);
           }
+        }
         boolean inside = job != null && sim.nodes.get("n1").up;
         assertEquals("cancelled", cancelAt(sim, sim.nodes.get("n0"), job).state());
         sim.run(sim.now + Sim.CANCEL + 5_000);
@@ -674,19 +695,21 @@
 
   /** A job of which a task runs there; null: none. */
   private static String running(Sim.Worker worker) {
-    for (Sim.Worker.T task : worker.tasks.values())
+    for (Sim.Worker.T task : worker.tasks.values()) {
       if (task.state == TaskState.RUNNING) {
         return task.job;
       }
+    }
     return null;
   }
 
   private static Sim.Worker busiest(Sim sim) {
     Sim.Worker most = null;
-    for (Sim.Worker worker : sim.workers.values())
+    for (Sim.Worker worker : sim.workers.values()) {
       if (most == null || worker.tasks.size() > most.tasks.size()) {
         most = worker;
       }
+    }
     return most;
   }
 
--- a/src/test/java/mallowstall/core/ReplicasTest.java
+++ b/src/test/java/mallowstall/core/ReplicasTest.java
@@ -133,7 +133,9 @@
     sim.run(sim.now + Sim.LEASE - 500);
     assertFalse(sim.workers.containsKey(silent), "returned");
     int started = 0;
-    for (Sim.Worker worker : sim.workers.values()) started += worker.tasks.size();
+    for (Sim.Worker worker : sim.workers.values()) {
+      started += worker.tasks.size();
+    }
     assertEquals(2, started);
     sim.run(sim.now + 3_000);
     assertEquals(2, sim.rules.replicasOn(SERVICE));
@@ -145,12 +147,17 @@
   void manySilentMachinesAreNotReturned() {
     Sim sim = serving(434, 4);
     List<Sim.Worker> machines = new ArrayList<>();
-    for (String id : sim.rules.machinesOf(SERVICE)) machines.add(sim.workers.get(id));
+    for (String id : sim.rules.machinesOf(SERVICE)) {
+      machines.add(sim.workers.get(id));
+    }
     int before = sim.rules.starts;
-    for (Sim.Worker worker : machines) worker.hang(Sim.LEASE - 3_000);
+    for (Sim.Worker worker : machines) {
+      worker.hang(Sim.LEASE - 3_000);
+    }
     sim.run(sim.now + 20_000);
-    for (Sim.Worker simWorker : machines)
+    for (Sim.Worker simWorker : machines) {
       assertTrue(sim.workers.containsKey(simWorker.id), simWorker.id);
+    }
     assertEquals(4, sim.rules.replicasOn(SERVICE));
     assertEquals(before, sim.rules.starts, "they went on");
     assertEquals(List.of(), sim.rules.broken);
@@ -188,6 +195,8 @@
     sim.run(sim.now + 25_000);
     List<Sim.Worker> rented = List.copyOf(sim.workers.values()).subList(4, sim.workers.size());
     assertFalse(rented.isEmpty());
-    for (Sim.Worker worker : rented) assertTrue(worker.spot, worker.id);
+    for (Sim.Worker worker : rented) {
+      assertTrue(worker.spot, worker.id);
+    }
   }
 }
--- a/src/test/java/mallowstall/core/Rules.java
+++ b/src/test/java/mallowstall/core/Rules.java
@@ -236,10 +236,11 @@
   /** How many replicas of the service are on machines. */
   int replicasOn(String service) {
     int count = 0;
-    for (OnMachine task : on)
+    for (OnMachine task : on) {
       if (task.job.equals(service)) {
         count++;
       }
+    }
     return count;
   }
 
@@ -248,10 +249,11 @@
     if (!wanted(spec.id()) || tasksLeft(spec.id()) == 0) {
       return false;
     }
-    for (OnMachine task : on)
+    for (OnMachine task : on) {
       if (task.job.equals(spec.id())) {
         return false;
       }
+    }
     return roomFor(spec, Set.of());
   }
 
@@ -279,10 +281,11 @@
         continue;
       }
       double free = machine.cpus;
-      for (OnMachine task : on)
+      for (OnMachine task : on) {
         if (task.machine.equals(machine.id)) {
           free -= jobs.get(task.job).cpus();
         }
+      }
       if (free >= spec.cpus() - 1e-6) {
         return true;
       }
@@ -325,19 +328,21 @@
   /** Jobs of which something is on a machine and that nobody has called off. */
   Set<String> running() {
     Set<String> out = new TreeSet<>();
-    for (OnMachine task : on)
+    for (OnMachine task : on) {
       if (!wantsCancel.contains(task.job)) {
         out.add(task.job);
       }
+    }
     return out;
   }
 
   Set<String> machinesOf(String job) {
     Set<String> out = new TreeSet<>();
-    for (OnMachine task : on)
+    for (OnMachine task : on) {
       if (task.job.equals(job)) {
         out.add(task.machine);
       }
+    }
     return out;
   }
 
--- a/src/test/java/mallowstall/core/SafetyCasesTest.java
+++ b/src/test/java/mallowstall/core/SafetyCasesTest.java
@@ -147,8 +147,9 @@
     sim.run(20_000);
     assertFalse(node.name.equals(sim.entry("wk-000001").holder()));
     assertFalse(node.core.ready());
-    for (Sim.Worker worker : sim.workers.values())
+    for (Sim.Worker worker : sim.workers.values()) {
       assertFalse(worker.node.equals(node.name), "its machines move to served peers");
+    }
     sim.run(60_000);
     node.noState = false;
     sim.run(150_000);
@@ -197,7 +198,9 @@
     sim.run(6_000);
     sim.submit(plain(sim, "wk-000001", 20, "tight"));
     sim.run(9_000);
-    for (Sim.Node node : sim.nodes.values()) node.crash(4_000);
+    for (Sim.Node node : sim.nodes.values()) {
+      node.crash(4_000);
+    }
     sim.run(150_000);
     finished(sim, "wk-000001");
   }
@@ -373,10 +376,11 @@
     sim.submit(plain(sim, "wk-000001", 12, "free"));
     sim.run(11_000);
     Sim.Worker worker = null;
-    for (Sim.Worker simWorker : sim.workers.values())
+    for (Sim.Worker simWorker : sim.workers.values()) {
       if (!simWorker.tasks.isEmpty()) {
         worker = simWorker;
       }
+    }
     assertNotNull(worker);
     worker.deaf = true;
     sim.run(11_000 + Sim.LEASE + 4_000);
@@ -402,7 +406,9 @@
     sim.run(8_000);
     sim.submit(plain(sim, "wk-000001", 12, "free"));
     sim.run(12_000);
-    for (Sim.Worker worker : sim.workers.values()) worker.deaf = true;
+    for (Sim.Worker worker : sim.workers.values()) {
+      worker.deaf = true;
+    }
     sim.cancel("wk-000001");
     sim.run(70_000);
     assertEquals("cancelled", sim.rules.lastTold("wk-000001"));
@@ -456,8 +462,9 @@
     }
     sim.run(sim.now + 3_000);
     assertEquals(before, sim.machineRec(worker.id));
-    for (Sim.Node n : sim.nodes.values())
+    for (Sim.Node n : sim.nodes.values()) {
       assertEquals(List.of(), n.core.view().machines.get(worker.id).state.tasks());
+    }
     // returned: by the cloud and in the records
     sim.killMachine(worker.id);
     sim.state.transact(
@@ -543,7 +550,9 @@
     sim.run(12_000);
     sim.state.outage = true;
     sim.run(15_000);
-    for (Sim.Node node : sim.nodes.values()) node.crash(node.name.equals("n1") ? 200 : 4_000);
+    for (Sim.Node node : sim.nodes.values()) {
+      node.crash(node.name.equals("n1") ? 200 : 4_000);
+    }
     sim.run(32_000);
     sim.state.recover();
     sim.run(45_000);
@@ -608,10 +617,11 @@
   void aJobForOrdinaryMachinesOfOneZoneIsServed() {
     Sim sim = new Sim(68);
     sim.run(8_000);
-    for (Sim.Worker worker : List.copyOf(sim.workers.values()))
+    for (Sim.Worker worker : List.copyOf(sim.workers.values())) {
       if (worker.zone.equals("a")) {
         sim.killMachine(worker.id);
       }
+    }
     sim.machine("t8", "a", true, 0);
     sim.run(60_000);
     sim.submit(sim.job("wk-000001", 2, 2, Priority.NORMAL, "free", false, false, false, "a"));
@@ -631,9 +641,13 @@
     }
     sim.run(20_000);
     long before = sim.state.revision;
-    for (Sim.Node node : sim.nodes.values()) node.crash(2_000);
+    for (Sim.Node node : sim.nodes.values()) {
+      node.crash(2_000);
+    }
     sim.run(32_000);
-    for (Sim.Worker worker : sim.workers.values()) assertEquals(1, worker.session, worker.id);
+    for (Sim.Worker worker : sim.workers.values()) {
+      assertEquals(1, worker.session, worker.id);
+    }
     long adoptions = adoptions(sim, before);
     assertTrue(adoptions < 150, "changes for 304 machines: " + adoptions);
     sim.submit(plain(sim, "wk-000001", 40, "free"));
@@ -713,8 +727,11 @@
       sim.run(13_000);
       Sim.Node node = holder(sim, "wk-000001");
       long attempt = 0;
-      for (Sim.Worker worker : sim.workers.values())
-        for (Sim.Worker.T task : worker.tasks.values()) attempt = task.attempt;
+      for (Sim.Worker worker : sim.workers.values()) {
+        for (Sim.Worker.T task : worker.tasks.values()) {
+          attempt = task.attempt;
+        }
+      }
       node.noState = !session;
       sim.run(20_000);
       RosterTask older = new RosterTask("wk-000001", 0, attempt - 1, TaskState.RUNNING, null);
@@ -748,8 +765,9 @@
       sim.submit(outside.get(outside.size() - 1));
     }
     sim.run(55_000);
-    for (JobSpec spec : outside)
+    for (JobSpec spec : outside) {
       assertTrue(sim.entry(spec.id()).doneCount() > 0, spec.id() + " is served");
+    }
     sim.rejoin();
     sim.run(200_000);
     for (int i = 0; i < 8; i++) {
@@ -774,15 +792,21 @@
     }
     sim.run(24_000);
     long before = sim.state.revision;
-    for (Sim.Node node : sim.nodes.values()) node.crash(2_000);
+    for (Sim.Node node : sim.nodes.values()) {
+      node.crash(2_000);
+    }
     sim.run(36_000);
-    for (Sim.Worker worker : sim.workers.values()) assertEquals(1, worker.session, worker.id);
+    for (Sim.Worker worker : sim.workers.values()) {
+      assertEquals(1, worker.session, worker.id);
+    }
     long adoptions = adoptions(sim, before);
     assertTrue(adoptions < 500, "changes for 1,466 machines: " + adoptions);
     sim.state.outage = true;
     sim.run(40_000);
     sim.state.recover();
-    for (Sim.Node controller : sim.nodes.values()) controller.crash(2_000);
+    for (Sim.Node controller : sim.nodes.values()) {
+      controller.crash(2_000);
+    }
     sim.run(110_000);
     for (int i = 0; i < 6; i++) {
       finished(sim, "wk-00000" + i);
@@ -813,8 +837,11 @@
     Set<String> begun = new HashSet<>();
     while (sim.now < 230_000) {
       sim.run(sim.now + 5_000);
-      for (Sim.Worker worker : sim.workers.values())
-        for (Sim.Worker.T task : worker.tasks.values()) begun.add(task.job);
+      for (Sim.Worker worker : sim.workers.values()) {
+        for (Sim.Worker.T task : worker.tasks.values()) {
+          begun.add(task.job);
+        }
+      }
     }
     assertTrue(begun.containsAll(List.of("wk-000001", "wk-000002")), "both have begun");
     assertEquals(List.of(), sim.rules.broken);
@@ -967,16 +994,18 @@
     sim.submit(plain(sim, "wk-000001", 16, "free"));
     sim.run(12_000);
     Sim.Worker worker = null;
-    for (Sim.Worker simWorker : sim.workers.values())
+    for (Sim.Worker simWorker : sim.workers.values()) {
       if (simWorker.tasks.size() == 4) {
         worker = simWorker;
       }
+    }
     assertNotNull(worker);
     Sim.Worker mute = worker;
     Sim.Node node = sim.nodes.get(sim.machineRec(worker.id).node());
     List<StopOrder> stops = new ArrayList<>();
-    for (Sim.Worker.T task : worker.tasks.values())
+    for (Sim.Worker.T task : worker.tasks.values()) {
       stops.add(new StopOrder(worker.id, task.job, task.task, task.attempt, 0));
+    }
     worker.mute = true;
     long from = worker.leaseFrom;
     for (int i = 0; i < 4; i++) {
@@ -1084,7 +1113,9 @@
     Sim.Node node = holder(sim, "wk-000001");
     node.crash(60_000);
     claimed(sim, "wk-000001", node);
-    for (Sim.Node controller : sim.nodes.values()) controller.tooOld = true;
+    for (Sim.Node controller : sim.nodes.values()) {
+      controller.tooOld = true;
+    }
     sim.run(250_000);
     for (int i = 0; i < 8; i++) {
       finished(sim, "wk-00000" + i);
--- a/src/test/java/mallowstall/core/Sim.java
+++ b/src/test/java/mallowstall/core/Sim.java
@@ -141,7 +141,9 @@
   private Sim(long seed, int programVersion, StateLimits kept) {
     this.kept = kept;
     rnd = new SplittableRandom(seed);
-    for (String n : NODES) nodes.put(n, new Node(n, programVersion));
+    for (String n : NODES) {
+      nodes.put(n, new Node(n, programVersion));
+    }
     for (int i = 0; i < 4; i++) {
       machine("t8", i % 2 == 0 ? "a" : "b", false, 0);
     }
@@ -167,10 +169,11 @@
 
   private void watchRules() {
     rules.step(now);
-    for (Node node : nodes.values())
+    for (Node node : nodes.values()) {
       if (node.up) {
         compare(node.core);
       }
+    }
     at(500, this::watchRules);
   }
 
@@ -179,7 +182,9 @@
    * that is not told although it changed would let a start pass for one that never arrived.
    */
   private void compare(Core c) {
-    for (String id : c.owner().untold()) rules.broken.add(now + " untold: " + id);
+    for (String id : c.owner().untold()) {
+      rules.broken.add(now + " untold: " + id);
+    }
     Map<String, Integer> placed = new HashMap<>();
     Map<String, Integer> running = new HashMap<>();
     for (View.Seen machine : c.view().machines.values()) {
@@ -255,7 +260,9 @@
       }
       int changes = transaction.puts().size() + transaction.drops().size();
       boolean large = changes > limits.txnOps() || transaction.when().size() > 4 * limits.txnOps();
-      for (Effects.Put put : transaction.puts()) large |= size(put.value()) > limits.valueBytes();
+      for (Effects.Put put : transaction.puts()) {
+        large |= size(put.value()) > limits.valueBytes();
+      }
       if (large) {
         strike("limits, too large");
         return Effects.Code.MALFORMED;
@@ -309,7 +316,9 @@
         return;
       }
       revision++;
-      for (String k : gone) set(k, null, revision, 0);
+      for (String k : gone) {
+        set(k, null, revision, 0);
+      }
     }
 
     Effects.TxnReply transact(Effects.Txn transaction) {
@@ -331,8 +340,12 @@
         }
       }
       revision++;
-      for (Effects.Put p : transaction.puts()) set(p.key(), p.value(), revision, p.lease());
-      for (String k : transaction.drops()) set(k, null, revision, 0);
+      for (Effects.Put p : transaction.puts()) {
+        set(p.key(), p.value(), revision, p.lease());
+      }
+      for (String k : transaction.drops()) {
+        set(k, null, revision, 0);
+      }
       changed.accept(transaction);
       return new Effects.TxnReply(Effects.Code.OK, revision);
     }
@@ -434,7 +447,9 @@
                 public void time(String what, long ms) {}
               },
               rnd.nextLong());
-      for (String p : peers) at(20, () -> connect(p));
+      for (String p : peers) {
+        at(20, () -> connect(p));
+      }
       int l = life;
       at(5, () -> tick(l));
     }
@@ -986,14 +1001,16 @@
         back(30, () -> then.accept(false));
         return;
       }
-      for (String m : machines) killMachine(m);
+      for (String m : machines) {
+        killMachine(m);
+      }
       back(30, () -> then.accept(true));
     }
 
     @Override
     public void listMachines(String after, Consumer<ListedReply> then) {
       List<Listed> out = new ArrayList<>();
-      for (Worker worker : workers.values())
+      for (Worker worker : workers.values()) {
         out.add(
             new Listed(
                 worker.id,
@@ -1002,6 +1019,7 @@
                 worker.spot,
                 "running",
                 (now - worker.born) / 1000.0));
+      }
       at(2_000, () -> {});
       back(2_000, () -> then.accept(new ListedReply(true, out, false)));
     }
@@ -1054,10 +1072,11 @@
   /** Without state service and peers, but with its workers, until {@link #rejoin}. */
   void isolate(Node node) {
     node.noState = true;
-    for (Node controller : nodes.values())
+    for (Node controller : nodes.values()) {
       if (controller != node) {
         part(controller, node);
       }
+    }
   }
 
   /** The zone is cut off from everything, its controllers too, until {@link #rejoin}. */
@@ -1068,20 +1087,23 @@
         continue;
       }
       node.noState = true;
-      for (Node controller : nodes.values())
+      for (Node controller : nodes.values()) {
         if (!controller.zone().equals(zone)) {
           part(node, controller);
         }
+      }
     }
   }
 
   /** Controllers refuse each other's connections, all of them, until {@link #rejoin}. */
   void refusePeers() {
-    for (Node node : nodes.values())
-      for (Node controller : nodes.values())
+    for (Node node : nodes.values()) {
+      for (Node controller : nodes.values()) {
         if (node != controller) {
           part(node, controller);
         }
+      }
+    }
   }
 
   private static void part(Node a, Node b) {
@@ -1093,10 +1115,14 @@
 
   void rejoin() {
     if (cutZone != null) {
-      for (Node node : nodes.values()) node.noState &= !node.zone().equals(cutZone);
+      for (Node node : nodes.values()) {
+        node.noState &= !node.zone().equals(cutZone);
+      }
     }
     cutZone = null;
-    for (Node controller : nodes.values()) controller.cut.clear();
+    for (Node controller : nodes.values()) {
+      controller.cut.clear();
+    }
   }
 
   /** The job's entry in the state service. */
@@ -1116,10 +1142,11 @@
 
   /** The machine's record as the first controller that is up has it. */
   MachineRec machineRec(String id) {
-    for (Node node : nodes.values())
+    for (Node node : nodes.values()) {
       if (node.up) {
         return node.core.store().machine(id);
       }
+    }
     throw new IllegalStateException("no controller is up");
   }
 
@@ -1234,7 +1261,9 @@
       strike("hang");
       long more = Math.max(0, now + ms - Math.max(now, hangsUntil));
       hangsUntil = Math.max(hangsUntil, now + ms);
-      for (T task : tasks.values()) task.due += more;
+      for (T task : tasks.values()) {
+        task.due += more;
+      }
       at(ms, this::goOn);
     }
 
@@ -1253,7 +1282,9 @@
       newSession = false;
       List<Runnable> come = new ArrayList<>(held);
       held.clear();
-      for (Runnable action : come) action.run();
+      for (Runnable action : come) {
+        action.run();
+      }
     }
 
     void whenAwake(Runnable action) {
@@ -1275,7 +1306,9 @@
       if (hangs()) {
         strike("hang, beyond its lease");
       }
-      for (T task : tasks.values()) rules.left(id, task.job, task.task, false);
+      for (T task : tasks.values()) {
+        rules.left(id, task.job, task.task, false);
+      }
       tasks.clear();
       session++;
       leaseFrom = now;
@@ -1303,8 +1336,9 @@
 
     Report snapshot() {
       List<TaskReport> l = new ArrayList<>();
-      for (T task : tasks.values())
+      for (T task : tasks.values()) {
         l.add(new TaskReport(task.job, task.task, task.attempt, task.state, task.why, false));
+      }
       Double noticeS = goneAt == 0 ? null : (Double) ((goneAt - now) / 1000.0);
       return new Report(id, id, "t8", zone, spot, session, ++seq, token, noticeS, l);
     }
@@ -1433,7 +1467,9 @@
         changed = true;
       }
       leaseFrom = sent;
-      for (Command command : answer.commands()) execute(command);
+      for (Command command : answer.commands()) {
+        execute(command);
+      }
     }
 
     Effects.OrderReply orders(long tok, long ses, List<Command> commands) {
@@ -1447,7 +1483,9 @@
         token = tok;
         changed = true;
       }
-      for (Command command : commands) execute(command);
+      for (Command command : commands) {
+        execute(command);
+      }
       return new Effects.OrderReply(Effects.Code.OK, snapshot());
     }
 
--- a/src/test/java/mallowstall/core/StateLimitsTest.java
+++ b/src/test/java/mallowstall/core/StateLimitsTest.java
@@ -77,7 +77,9 @@
   /** From now on compares what can be read of these jobs after each change with before. */
   private static void bitsOnlyGrow(Sim sim, String... jobs) {
     Map<String, BitSet> before = new HashMap<>();
-    for (String id : jobs) before.put(id, sim.doneBits(id));
+    for (String id : jobs) {
+      before.put(id, sim.doneBits(id));
+    }
     sim.state.changed =
         transaction -> {
           for (String id : jobs) {
@@ -181,10 +183,11 @@
     first.crash(40_000);
     sim.at(after, () -> sim.state.limitTo(AFTER));
     sim.run(65_000);
-    for (Sim.Node node : sim.nodes.values())
+    for (Sim.Node node : sim.nodes.values()) {
       if (node != first) {
         assertEquals(0, sessionChanges(sim, node.name, revision), node.name);
       }
+    }
     Map<String, Integer> counts = new HashMap<>();
     for (String id : List.of("wk-000001", "wk-000002", "wk-000003")) {
       JobRec job = sim.entry(id);
@@ -202,7 +205,9 @@
       int now = sim.doneBits(id).cardinality();
       assertTrue(now > counts.get(id), id + ": " + now + " after " + counts.get(id));
     }
-    for (Sim.Worker worker : sim.workers.values()) assertEquals(1, worker.session, worker.id);
+    for (Sim.Worker worker : sim.workers.values()) {
+      assertEquals(1, worker.session, worker.id);
+    }
     assertNull(sim.struck.get(TOO_LARGE));
     assertEquals(List.of(), sim.rules.broken);
   }
@@ -306,10 +311,11 @@
       long tries = asked(sim, from, JobEntries.jobKey(id));
       assertTrue(tries >= 2 && tries <= 24, id + " was claimed " + tries + " times");
     }
-    for (Sim.Node node : sim.nodes.values())
+    for (Sim.Node node : sim.nodes.values()) {
       if (node != holder) {
         assertEquals(0, sessionChanges(sim, node.name, revision), node.name);
       }
+    }
     assertTrue(sim.struck.get(TOO_LARGE) > 0);
     assertEquals(List.of(), sim.rules.broken);
   }
@@ -320,8 +326,9 @@
     Sim sim = new Sim(312);
     sim.run(10_000);
     List<String> ids = List.of("wk-000001", "wk-000002", "wk-000003", "wk-000004");
-    for (String id : ids)
+    for (String id : ids) {
       sim.submit(sim.job(id, 4, 2, Priority.NORMAL, "free", false, false, true, null));
+    }
     sim.run(11_500);
     sim.state.limitTo(new Sim.StateLimits(8_192, 24, 0));
     int from = sim.state.asked.size();
@@ -332,11 +339,14 @@
       assertTrue(tries >= 4 && tries <= 16, id + " was tried " + tries + " times in 30 s");
     }
     assertTrue(sim.struck.get(TOO_MANY) > 0);
-    for (Sim.Node node : sim.nodes.values())
+    for (Sim.Node node : sim.nodes.values()) {
       assertEquals(0, sessionChanges(sim, node.name, revision));
+    }
     sim.state.limitTo(BEFORE);
     sim.run(51_500);
-    for (String id : ids) assertEquals("done", sim.rules.lastTold(id), id);
+    for (String id : ids) {
+      assertEquals("done", sim.rules.lastTold(id), id);
+    }
     assertEquals(List.of(), sim.rules.broken);
   }
 
@@ -405,13 +415,16 @@
     sim.run(25_000);
     sim.state.limitTo(few);
     long before = sim.state.revision;
-    for (Sim.Node node : sim.nodes.values()) node.crash(2_000);
+    for (Sim.Node node : sim.nodes.values()) {
+      node.crash(2_000);
+    }
     sim.run(sim.now + 12_000);
     Set<String> kept = new HashSet<>();
-    for (Sim.Worker worker : sim.workers.values())
+    for (Sim.Worker worker : sim.workers.values()) {
       if (worker.session == 1) {
         kept.add(worker.id);
       }
+    }
     assertTrue(kept.size() > sim.workers.size() * 9 / 10, "kept: " + kept.size());
     assertTrue(sim.state.keys.containsKey(Store.DUTY), "somebody rents and returns machines again");
     int adopted = 0;
--- a/src/test/java/mallowstall/core/Troubles.java
+++ b/src/test/java/mallowstall/core/Troubles.java
@@ -51,7 +51,9 @@
     switch (sim.rnd.nextInt(13)) {
       case 0 -> node.crash(sim.rnd.nextBoolean() ? 200 : 5_000);
       case 1 -> {
-        for (Sim.Node x : sim.nodes.values()) x.crash(300 + sim.rnd.nextInt(5_000));
+        for (Sim.Node x : sim.nodes.values()) {
+          x.crash(300 + sim.rnd.nextInt(5_000));
+        }
       }
       case 2 -> {
         sim.state.outage = true;
@@ -133,10 +135,11 @@
         }
       }
       case 2 -> {
-        for (Sim.Worker simWorker : ws)
+        for (Sim.Worker simWorker : ws) {
           if (sim.rnd.nextInt(3) == 0) {
             simWorker.hang(1_000 + sim.rnd.nextInt(sim.rnd.nextBoolean() ? 9_000 : 25_000));
           }
+        }
       }
       case 3 -> sim.cancelNow(1 + sim.rnd.nextInt(6), 0);
       case 4 -> sim.cancelNow(1 + sim.rnd.nextInt(6), 1_000 + sim.rnd.nextInt(12_000));
--- a/src/test/java/mallowstall/core/UpgradeHistoriesTest.java
+++ b/src/test/java/mallowstall/core/UpgradeHistoriesTest.java
@@ -138,7 +138,9 @@
   private static void endChance(Sim sim) {
     sim.loss =
         sim.rosterChaos = sim.lateCopies = sim.lateWrites = sim.cancelAtEnd = sim.replicaEnds = 0;
-    for (Sim.Node node : sim.nodes.values()) node.atNextClaim = null;
+    for (Sim.Node node : sim.nodes.values()) {
+      node.atNextClaim = null;
+    }
   }
 
   /**
@@ -301,10 +303,11 @@
   /** A machine with replicas; null: there is none. */
   private static Sim.Worker machineOfService(Sim sim) {
     List<String> machines = new ArrayList<>();
-    for (String id : sim.jobs)
+    for (String id : sim.jobs) {
       if (sim.rules.service(id)) {
         machines.addAll(sim.rules.machinesOf(id));
       }
+    }
     return machines.isEmpty()
         ? null
         : sim.workers.get(machines.get(sim.rnd.nextInt(machines.size())));
@@ -315,11 +318,14 @@
   private static void assertKept(Sim sim) {
     assertEquals(List.of(), sim.rules.broken);
     assertTrue(sim.rules.starts > 40, "starts " + sim.rules.starts);
-    for (String id : sim.jobs)
+    for (String id : sim.jobs) {
       if (!sim.rules.service(id)) {
         assertOver(sim, id);
       }
-    for (String id : kept(sim)) assertServed(sim, id);
+    }
+    for (String id : kept(sim)) {
+      assertServed(sim, id);
+    }
   }
 
   /** A user may have given up before any controller could take the job: then it was never told. */
--- a/src/test/java/mallowstall/core/UpgradeTest.java
+++ b/src/test/java/mallowstall/core/UpgradeTest.java
@@ -135,10 +135,11 @@
       old.crash(500);
       sim.run(sim.now + RUNS_AGAIN_MS);
       assertEquals(503, queryAt(sim, old, SERVICE).status());
-      for (Sim.Node node : sim.nodes.values())
+      for (Sim.Node node : sim.nodes.values()) {
         if (node != old) {
           assertEquals("running", queryAt(sim, node, SERVICE).state(), node.name);
         }
+      }
       assertEquals(REPLICAS, sim.rules.replicasOn(SERVICE), "old: " + name);
       assertEquals("done", sim.rules.lastTold(BATCH));
       assertEquals(Final.SERVING, sim.entry(SERVICE).fin());
@@ -155,7 +156,9 @@
     Sim sim = withService(305);
     Sim.Node old = sim.nodes.get("n1");
     old.installed = ClusterVersion.UNKNOWN;
-    for (Sim.Node node : sim.nodes.values()) node.crash(node == old ? 500 : 60_000);
+    for (Sim.Node node : sim.nodes.values()) {
+      node.crash(node == old ? 500 : 60_000);
+    }
     sim.run(sim.now + 50_000);
     assertEquals(503, queryAt(sim, old, SERVICE).status());
     assertEquals(Final.SERVING, sim.entry(SERVICE).fin());
@@ -176,16 +179,18 @@
     sim.rules.asksToCancel(SERVICE);
     Sim.Node node = sim.nodes.get("n2");
     answer(sim, SERVICE, reply -> node.event(() -> node.core.cancel(SERVICE, reply)));
-    for (Sim.Node other : sim.nodes.values())
+    for (Sim.Node other : sim.nodes.values()) {
       if (other != old) {
         other.crash(15_000);
       }
+    }
     sim.run(sim.now + 10_000);
     assertEquals("cancelled", queryAt(sim, old, SERVICE).state());
     sim.run(sim.now + Sim.CANCEL);
     assertEquals(0, sim.rules.replicasOn(SERVICE));
-    for (Sim.Node each : sim.nodes.values())
+    for (Sim.Node each : sim.nodes.values()) {
       assertEquals("cancelled", queryAt(sim, each, SERVICE).state());
+    }
     assertEquals(List.of(), sim.rules.broken);
   }
 
--- a/src/test/java/mallowstall/core/ValueSizeTest.java
+++ b/src/test/java/mallowstall/core/ValueSizeTest.java
@@ -42,8 +42,9 @@
     for (int nameLength : new int[] {8, 40, 200}) {
       String name = "t".repeat(nameLength);
       List<GroupMachine> all = new ArrayList<>();
-      for (Room room : rooms(100, nameLength))
+      for (Room room : rooms(100, nameLength)) {
         all.add(new GroupMachine(room.machine(), name, name, false));
+      }
       List<GroupMachine> some =
           ValueSize.fitting(all, g -> Sim.size(new GroupRec(name, Long.MAX_VALUE, g)), LIMIT);
       int bytes = Sim.size(new GroupRec(name, Long.MAX_VALUE, some));
