--- a/src/main/java/mallowstall/Constants.java
+++ b/src/main/java/mallowstall/Constants.java
@@ -335,6 +335,9 @@
   /** Machines. A trace of demand: rounded up, it asks for one machine. */
   public static final double DEMAND_TRACE = 0.01;
 
+  /** Tasks. More than so many of one job on a machine aren't told apart. */
+  public static final double TASKS_COUNTED = 1_000;
+
   /** Tasks that a machine holds by a resource of which they take nothing. */
   public static final double TASKS_UNLIMITED = 1e9;
 
--- a/src/main/java/mallowstall/core/Holder.java
+++ b/src/main/java/mallowstall/core/Holder.java
@@ -846,7 +846,7 @@
         continue;
       }
       List<Held> hs = entry.getValue();
-      hs.sort(core.placement()::order);
+      hs.sort(core.placement().ranking()::order);
       Team jobTeam = core.settings().teams().get(team);
       Store.Held sum = store.held(Store.TEAMS + team);
       TeamRec old = sum == null ? new TeamRec(0, 0) : (TeamRec) sum.value();
--- a/src/main/java/mallowstall/core/Policy.java
+++ b/src/main/java/mallowstall/core/Policy.java
@@ -6,6 +6,9 @@
 public interface Policy {
   /** Facts on one pair of a machine and a group of like tasks. Mutable, reused between calls. */
   final class Facts {
+    /** s. Stands for a time that never comes. */
+    public static final double NEVER_S = 1e9;
+
     public String zone;
     public String type;
     public String image;
--- a/src/main/java/mallowstall/core/View.java
+++ b/src/main/java/mallowstall/core/View.java
@@ -9,7 +9,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import mallowstall.Constants;
 import mallowstall.core.Model.JobRec;
+import mallowstall.core.Model.JobSpec;
 import mallowstall.core.Model.MachineRec;
 import mallowstall.core.Model.Roster;
 import mallowstall.core.Model.RosterMachine;
@@ -76,6 +78,30 @@
           && !state.replace();
     }
 
+    /** Whether the job may run on such a machine. */
+    boolean allows(JobSpec spec) {
+      return OwnedMachines.allowed(spec, state.type(), state.zone(), state.spot());
+    }
+
+    /** How many tasks of the job have room. */
+    int fits(JobSpec spec) {
+      return Capacity.tasks(freeCpus(), freeGpus(), freeMemory(), spec);
+    }
+
+    /** Takes the room of so many tasks of the job. */
+    void book(JobSpec spec, int tasks) {
+      sentCpus += tasks * spec.cpus();
+      sentGpus += tasks * spec.gpus();
+      sentMemory += tasks * spec.memoryGb();
+    }
+
+    /** Forgets the room taken by starts sent from here. */
+    void clearBooked() {
+      sentCpus = 0;
+      sentGpus = 0;
+      sentMemory = 0;
+    }
+
     /** Whether it will be gone before long, by the cloud's notice or since it fails its tasks. */
     boolean leaves() {
       return state != null && owner != null && (state.noticeS() >= 0 || state.replace());
@@ -306,6 +332,11 @@
     return machine.owner == null ? Long.MIN_VALUE / 2 : peer(machine.owner).rosterAt;
   }
 
+  /** Whether the machine's owner was heard so lately that a start has a chance there. */
+  boolean heardLately(Seen machine) {
+    return core.now() - heardAt(machine) < Constants.ROSTER_STALE_MS;
+  }
+
   void gone(String machine) {
     Seen seen = machines.remove(machine);
     if (seen != null) {
