--- a/src/main/java/mallowstall/Constants.java
+++ b/src/main/java/mallowstall/Constants.java
@@ -5,6 +5,9 @@
   private Constants() {}
 
   // ---- clocks -------------------------------------------------------------------------------
+  /** Count. Jobs whose grants one transaction changes at most. */
+  public static final int GRANTS_PER_CHANGE = 10;
+
   /** Fraction. Steady clocks of two machines drift apart by at most this much (protocol). */
   public static final double DRIFT = 0.0005;
 
--- a/src/main/java/mallowstall/cli/Rehearsal.java
+++ b/src/main/java/mallowstall/cli/Rehearsal.java
@@ -5,7 +5,6 @@
 import io.netty.handler.codec.http.HttpMethod;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -28,7 +27,9 @@
           + "\"piezas\":3,\"vcpus\":1.0,\"gpus\":0.0,\"mem_gb\":1.0,\"molde\":\"i\",\"image_gb\":0.1,"
           + "\"calibres\":null,\"patio\":null,\"one_zone\":false,\"scatter\":false,\"prestados\":true,"
           + "\"aserrado_s\":1.0,\"marca_s\":0.0,\"apilado_s\":0.0,\"despacho_s\":60.0}";
-  private static final long ROUNDS = 12;
+  private static final int ROUNDS = 12;
+  private static final int REQUESTS_A_ROUND = 4;
+  private static final long ROUND_MS = 150;
   private int revision = 1;
 
   private void canned(HttpServer.Request request, HttpServer.Responder responder) {
@@ -68,56 +69,20 @@
     ObjectMapper json = Main.json();
     NioEventLoopGroup group = new NioEventLoopGroup(1);
     HttpServer world = new HttpServer(this::canned, 50);
-    InetSocketAddress any = new InetSocketAddress("127.0.0.1", 0);
-    world.listen(group, any);
-    String w = "127.0.0.1:" + world.address().getPort();
-    String settings =
-        "{\"node\":\"n0\",\"location\":\"z\",\"listen\":\"127.0.0.1:0\",\"peer_bind\":\"127.0.0.1:0\","
-            + "\"known\":[{\"node\":\"n1\",\"location\":\"z\",\"addr\":\"127.0.0.1:1\"}],\"endpoints\":{\"cloud\":\""
-            + w
-            + "\",\"state\":\""
-            + w
-            + "\"},\"facts\":{\"teams\":[{\"name\":\"t\",\"cpus\":0,\"cpus_max\":9}],\"objectives\":[],"
-            + "\"workers\":{\"report_s\":1,\"lease_s\":10,\"cancel_s\":35},\"state\":{\"rps\":150,\"write_rps\":60,"
-            + "\"value_kb\":8,\"txn_ops\":24},\"cloud\":{\"rps\":1.5,\"list_lag_s\":10},\"skew_ms\":25}}";
-    Settings s = Settings.parse(settings.getBytes(StandardCharsets.UTF_8), json);
-    Service service = new Service(s, json, Policies.bundled());
+    world.listen(group, new InetSocketAddress("127.0.0.1", 0));
+    String worldAddress = "127.0.0.1:" + world.address().getPort();
+    byte[] settings = settings(worldAddress).getBytes(StandardCharsets.UTF_8);
+    Service service = new Service(Settings.parse(settings, json), json, Policies.bundled());
     service.start();
     HttpClient user = new HttpClient(group.next(), service.address(), 2);
-    CountDownLatch left = new CountDownLatch((int) ROUNDS * 4);
-    for (int i = 1; i <= ROUNDS; i++) {
-      String report =
-          "{\"sierra\":\"m-000001\",\"addr\":\""
-              + w
-              + "\",\"calibre\":\"x\",\"patio\":\"z\",\"prestados\":false,"
-              + "\"turno\":1,\"folio\":"
-              + i
-              + ",\"baston\":"
-              + (i > 2 ? 1 : 0)
-              + ",\"aviso_s\":null,\"piezas\":"
-              + (i > 6
-                  ? "[{\"pieza\":\"wk-000001/0\",\"intento\":1,\"estado\":\"ended\",\"motivo\":\"done\"}]"
-                  : "[]")
-              + "}";
-      for (List<String> call :
-          List.of(
-              List.of("GET", "/ready", ""),
-              List.of("POST", "/hello", report),
-              List.of("POST", "/submissions", JOB),
-              List.of("GET", "/submissions/wk-000001", ""))) {
-        byte[] body = call.get(2).isEmpty() ? null : call.get(2).getBytes(StandardCharsets.UTF_8);
-        group
-            .next()
-            .execute(
-                () ->
-                    user.call(
-                        HttpMethod.valueOf(call.get(0)),
-                        call.get(1),
-                        body,
-                        2_000,
-                        reply -> left.countDown()));
-      }
-      Thread.sleep(150);
+    CountDownLatch left = new CountDownLatch(ROUNDS * REQUESTS_A_ROUND);
+    for (int round = 1; round <= ROUNDS; round++) {
+      String report = report(worldAddress, round);
+      ask(group, user, HttpMethod.GET, "/ready", null, left);
+      ask(group, user, HttpMethod.POST, "/hello", report, left);
+      ask(group, user, HttpMethod.POST, "/submissions", JOB, left);
+      ask(group, user, HttpMethod.GET, "/submissions/wk-000001", null, left);
+      Thread.sleep(ROUND_MS);
     }
     boolean all = left.await(5, TimeUnit.SECONDS);
     service.stop();
@@ -125,4 +90,42 @@
     group.shutdownGracefully(0, 200, TimeUnit.MILLISECONDS);
     return all ? 0 : 1;
   }
+
+  private static void ask(
+      NioEventLoopGroup group,
+      HttpClient user,
+      HttpMethod method,
+      String path,
+      String body,
+      CountDownLatch left) {
+    byte[] bytes = body == null ? null : body.getBytes(StandardCharsets.UTF_8);
+    group.next().execute(() -> user.call(method, path, bytes, 2_000, reply -> left.countDown()));
+  }
+
+  private static String settings(String worldAddress) {
+    return """
+        {"node":"n0","location":"z","listen":"127.0.0.1:0","peer_bind":"127.0.0.1:0",
+         "known":[{"node":"n1","location":"z","addr":"127.0.0.1:1"}],
+         "endpoints":{"cloud":"%1$s","state":"%1$s"},
+         "facts":{"teams":[{"name":"t","cpus":0,"cpus_max":9}],"objectives":[],
+          "workers":{"report_s":1,"lease_s":10,"cancel_s":35},
+          "state":{"rps":150,"write_rps":60,"value_kb":8,"txn_ops":24},
+          "cloud":{"rps":1.5,"list_lag_s":10},"skew_ms":25}}
+        """
+        .formatted(worldAddress);
+  }
+
+  /** A report of the one worker; the job's task has ended in the later rounds. */
+  private static String report(String address, int round) {
+    int token = round > 2 ? 1 : 0;
+    String tasks =
+        round > 6
+            ? "{\"pieza\":\"wk-000001/0\",\"intento\":1,\"estado\":\"ended\",\"motivo\":\"done\"}"
+            : "";
+    return """
+        {"sierra":"m-000001","addr":"%s","calibre":"x","patio":"z","prestados":false,
+         "turno":1,"folio":%d,"baston":%d,"aviso_s":null,"piezas":[%s]}
+        """
+        .formatted(address, round, token, tasks);
+  }
 }
--- a/src/main/java/mallowstall/core/Holder.java
+++ b/src/main/java/mallowstall/core/Holder.java
@@ -15,8 +15,6 @@
 import java.util.TreeSet;
 import mallowstall.Constants;
 import mallowstall.core.Effects.Code;
-import mallowstall.core.Effects.Cond;
-import mallowstall.core.Effects.Put;
 import mallowstall.core.Effects.Txn;
 import mallowstall.core.Model.Final;
 import mallowstall.core.Model.JobRec;
@@ -28,8 +26,6 @@
 import mallowstall.core.Model.RosterTask;
 import mallowstall.core.Model.StopOrder;
 import mallowstall.core.Model.TaskState;
-import mallowstall.core.Model.Team;
-import mallowstall.core.Model.TeamRec;
 import mallowstall.core.Model.Why;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -193,25 +189,26 @@
   private final Store store;
   private final Map<String, Held> jobs = new LinkedHashMap<>();
   private final Map<String, Set<Active>> byMachine = new HashMap<>();
-  private final Map<String, Long> teamNext = new HashMap<>();
-  private final Set<String> teamBusy = new HashSet<>();
   private final Map<String, Long> claiming = new HashMap<>();
   private final Map<String, RetryDelay> claimRetries = new HashMap<>();
-  private final Map<String, RetryDelay> teamRetries = new HashMap<>();
   private final Map<String, Long> orphanSince = new HashMap<>();
 
   /** Tasks that were sent to an owner and not yet seen on a machine. */
   private final Set<Active> unseen = new LinkedHashSet<>();
 
-  /** Per team, the job that must give up grants. */
-  private final Map<String, String> yielding = new HashMap<>();
-
   private long nextYielding;
   private long nextAdopt;
 
+  private final GrantLedger grants;
+
   Holder(Core core, Store store) {
     this.core = core;
     this.store = store;
+    this.grants = new GrantLedger(core, store, this);
+  }
+
+  GrantLedger grants() {
+    return grants;
   }
 
   Collection<Held> jobs() {
@@ -231,11 +228,6 @@
     return false;
   }
 
-  boolean limited(JobSpec spec) {
-    Team team = core.settings().teams().get(spec.team());
-    return team != null && team.limited();
-  }
-
   // ---- entries ------------------------------------------------------------------------------
   void jobChanged(String id, JobRec job) {
     Held held = jobs.get(id);
@@ -443,105 +435,121 @@
     free(active, true);
   }
 
-  private void task(String owner, long incarnation, RosterMachine state, RosterTask rosterTask) {
-    Held held = jobs.get(rosterTask.job());
-    if (held == null || rosterTask.task() >= held.spec.tasks()) {
+  /** What an owner tells of one task of a job that may be held here. */
+  private void task(String owner, long incarnation, RosterMachine state, RosterTask task) {
+    Held held = jobs.get(task.job());
+    if (held == null || task.task() >= held.spec.tasks()) {
       return;
     }
-    Active active = held.active.get(rosterTask.task());
+    Active active = held.active.get(task.task());
     boolean same =
         active != null
-            && active.attempt == rosterTask.attempt()
+            && active.attempt == task.attempt()
             && active.machine.equals(state.machine());
     if (same) {
       active.listed = true;
     }
-    if (rosterTask.state() == TaskState.RUNNING || rosterTask.why() == Why.DONE) {
+    if (task.state() == TaskState.RUNNING || task.why() == Why.DONE) {
       held.lastRan = core.now();
     }
-    if (rosterTask.state() == TaskState.EXITED) {
-      if (held.spec.service()) {
-        if (same) {
-          replicaEnded(active, state.machine(), rosterTask.why());
-        }
-      } else if (rosterTask.why() == Why.DONE) {
-        if (!held.done.get(rosterTask.task())) {
-          held.done.set(rosterTask.task());
-          held.doneCount++;
-          held.dirtyPieces.add(JobEntries.pieceOf(rosterTask.task()));
-          held.errorsOn.clear();
-        }
-        if (same) {
-          free(active, false);
-        }
-      } else if (same) {
-        endedInVain(active, rosterTask.why());
-        free(active, true);
-      }
-      return;
+    if (task.state() == TaskState.EXITED) {
+      exited(held, same ? active : null, state.machine(), task);
+    } else if (same) {
+      onMachine(active, state, task);
+    } else if (!held.done.get(task.task())) { // else its owner stops it once the bit is recorded
+      elsewhere(held, active, owner, incarnation, state, task);
     }
-    if (same) {
-      if (rosterTask.state() == TaskState.RUNNING && active.runningSince == 0) {
-        active.runningSince = core.now();
+  }
+
+  /** A task has ended; {@code active}: the attempt that is known here, if it is that one. */
+  private void exited(Held held, Active active, String machine, RosterTask task) {
+    if (held.spec.service()) {
+      if (active != null) {
+        replicaEnded(active, machine, task.why());
       }
-      if (rosterTask.state() != null) {
-        // from now on only its owner's list says where it is
-        active.seen = true;
-        active.session = state.session();
-        unseen.remove(active);
+    } else if (task.why() == Why.DONE) {
+      if (!held.done.get(task.task())) {
+        held.done.set(task.task());
+        held.doneCount++;
+        held.dirtyPieces.add(JobEntries.pieceOf(task.task()));
+        held.errorsOn.clear();
       }
-      active.state = rosterTask.state() == null ? active.state : rosterTask.state();
-      return;
+      if (active != null) {
+        free(active, false);
+      }
+    } else if (active != null) {
+      endedInVain(active, task.why());
+      free(active, true);
     }
-    if (held.done.get(rosterTask.task())) {
-      return; // its owner stops it once the bit is recorded
+  }
+
+  /** The attempt is where it was sent. */
+  private void onMachine(Active active, RosterMachine state, RosterTask task) {
+    if (task.state() == TaskState.RUNNING && active.runningSince == 0) {
+      active.runningSince = core.now();
+    }
+    if (task.state() != null) {
+      // from now on only its owner's list says where it is
+      active.seen = true;
+      active.session = state.session();
+      active.state = task.state();
+      unseen.remove(active);
     }
+  }
+
+  /** A task is on a machine in another attempt than the one known here, or none is known. */
+  private void elsewhere(
+      Held held,
+      Active active,
+      String owner,
+      long incarnation,
+      RosterMachine state,
+      RosterTask task) {
     if (active == null) {
-      Active found =
-          new Active(
-              held,
-              rosterTask.task(),
-              rosterTask.attempt(),
-              state.machine(),
-              state.zone(),
-              state.type(),
-              owner,
-              incarnation,
-              0,
-              0);
-      found.seen = true;
-      found.state = rosterTask.state();
-      found.listed = true;
-      found.session = state.session();
-      if (rosterTask.state() == TaskState.RUNNING) {
-        found.runningSince = core.now();
-      }
-      place(found);
-      LOG.info(
-          "task {}/{} attempt {} found on {}",
-          held.id,
-          rosterTask.task(),
-          rosterTask.attempt(),
-          state.machine());
-    } else if (rosterTask.attempt() > active.attempt) {
+      found(held, owner, incarnation, state, task);
+    } else if (task.attempt() > active.attempt) {
       // both are on machines: the task isn't free before the later one is gone too
       free(active, false);
-      task(owner, incarnation, state, rosterTask);
-    } else if (rosterTask.attempt() < active.attempt && state.confirmed() && store.sessionGood()) {
+      task(owner, incarnation, state, task);
+    } else if (task.attempt() < active.attempt && state.confirmed() && store.sessionGood()) {
       // without a session what is known here may be old: a controller cut off from the state
       // service called tasks doubled that were on a machine returned meanwhile
       LOG.error(
           "task {}/{} attempt {} is on {} beside attempt {} on {}",
           held.id,
-          rosterTask.task(),
-          rosterTask.attempt(),
+          task.task(),
+          task.attempt(),
           state.machine(),
           active.attempt,
           active.machine);
-      core.stop(
-          owner,
-          new StopOrder(state.machine(), held.id, rosterTask.task(), rosterTask.attempt(), 0));
-    }
+      core.stop(owner, new StopOrder(state.machine(), held.id, task.task(), task.attempt(), 0));
+    }
+  }
+
+  private void found(
+      Held held, String owner, long incarnation, RosterMachine state, RosterTask task) {
+    Active found =
+        new Active(
+            held,
+            task.task(),
+            task.attempt(),
+            state.machine(),
+            state.zone(),
+            state.type(),
+            owner,
+            incarnation,
+            0,
+            0);
+    found.seen = true;
+    found.state = task.state();
+    found.listed = true;
+    found.session = state.session();
+    if (task.state() == TaskState.RUNNING) {
+      found.runningSince = core.now();
+    }
+    place(found);
+    LOG.info(
+        "task {}/{} attempt {} found on {}", held.id, task.task(), task.attempt(), state.machine());
   }
 
   /** A task has ended and must run again: remembers where it shouldn't be tried. */
@@ -636,9 +644,9 @@
     }
     if (core.now() >= nextYielding) {
       nextYielding = core.now() + Constants.ADOPT_EVERY_MS;
-      findYielding();
+      grants.findYielding();
     }
-    grants();
+    grants.tick(core.now());
   }
 
   /**
@@ -807,7 +815,7 @@
   }
 
   /** After a failed comparison the mirror may lag: learn the entry before the next try. */
-  private void reread(Held held) {
+  void reread(Held held) {
     held.writing = true;
     boolean asked =
         store.read(
@@ -821,228 +829,4 @@
       held.writing = false;
     }
   }
-
-  /**
-   * One transaction per team raises and lowers the grants of all its jobs held here, and the sum.
-   */
-  private void grants() {
-    long now = core.now();
-    Map<String, List<Held>> byTeam = new LinkedHashMap<>();
-    for (Held held : jobs.values()) {
-      if (!limited(held.spec) || held.writing || held.granting || held.uncertain) {
-        continue;
-      }
-      // its own next write brings the entry into its present layout first
-      if (!held.grantRetry.due(now) || core.jobEntries().outOfPlace(held.job)) {
-        continue;
-      }
-      if (delta(held, now) != 0) {
-        byTeam.computeIfAbsent(held.spec.team(), k -> new ArrayList<>()).add(held);
-      }
-    }
-    for (Map.Entry<String, List<Held>> entry : byTeam.entrySet()) {
-      String team = entry.getKey();
-      if (teamBusy.contains(team) || now < teamNext.getOrDefault(team, 0L)) {
-        continue;
-      }
-      List<Held> hs = entry.getValue();
-      hs.sort(core.placement().ranking()::order);
-      Team jobTeam = core.settings().teams().get(team);
-      Store.Held sum = store.held(Store.TEAMS + team);
-      TeamRec old = sum == null ? new TeamRec(0, 0) : (TeamRec) sum.value();
-      double cpus = old.cpus();
-      double gpus = old.gpus();
-      List<Cond> when = new ArrayList<>();
-      List<Put> puts = new ArrayList<>();
-      List<Held> in = new ArrayList<>();
-      int room = Math.min(core.settings().txnOps() - 1, 10);
-      for (int pass = 0; pass < 2; pass++) {
-        for (Held heldJob : hs) {
-          int d = delta(heldJob, now);
-          if ((pass == 0) != (d < 0) || in.size() >= room) {
-            continue;
-          }
-          // one that may be refused for its size is tried alone, so that it delays no other job
-          boolean alone = !core.jobEntries().fitsNow(heldJob.job);
-          if (alone && !in.isEmpty()) {
-            continue;
-          }
-          if (d > 0 && !heldJob.spec.service()) {
-            // what isn't asked for by placement must leave the team far from its limit: else it
-            // was given and taken back by turns, with every change, and served nobody
-            int early = Math.min(d, room(jobTeam, heldJob.spec, cpus, gpus, Constants.ROOMY));
-            d = Math.max(early, Math.min(d, heldJob.wantsGrant));
-          }
-          if (d > 0) {
-            d = Math.min(d, room(jobTeam, heldJob.spec, cpus, gpus, 1));
-          }
-          if (d == 0) {
-            continue;
-          }
-          cpus += d * heldJob.spec.cpus();
-          gpus += d * heldJob.spec.gpus();
-          String key = Store.JOBS + heldJob.id;
-          when.add(new Cond(key, heldJob.version));
-          puts.add(new Put(key, heldJob.job.withGrant(heldJob.job.grant() + d), 0));
-          in.add(heldJob);
-          if (alone) {
-            room = 1;
-          }
-        }
-      }
-      if (in.isEmpty()) {
-        continue;
-      }
-      when.add(new Cond(Store.TEAMS + team, sum == null ? 0 : sum.version()));
-      puts.add(new Put(Store.TEAMS + team, new TeamRec(Math.max(0, cpus), Math.max(0, gpus)), 0));
-      for (Held h : in) {
-        h.granting = true;
-      }
-      teamBusy.add(team);
-      teamNext.put(team, now + Constants.GRANT_GAP_MS);
-      boolean asked =
-          store.transact(
-              Store.Urgency.JOB,
-              new Txn(when, puts, List.of()),
-              reply -> {
-                teamBusy.remove(team);
-                RetryDelay teamRetry = teamRetries.computeIfAbsent(team, k -> new RetryDelay());
-                if (reply.code() != Code.MALFORMED) {
-                  teamRetry.answered(core.now(), reply.code());
-                }
-                for (Held h : in) {
-                  h.granting = false;
-                  if (reply.code() != Code.REFUSED) {
-                    h.grantRetry.answered(core.now(), reply.code());
-                  }
-                  if (reply.code() == Code.OK) {
-                    h.wantsGrant = 0;
-                  } else if (reply.code() == Code.UNKNOWN) {
-                    h.uncertain = true;
-                  } else if (reply.code() == Code.CONFLICT && reply.revision() > store.revision()) {
-                    reread(h);
-                  }
-                }
-                if (reply.code() == Code.CONFLICT) {
-                  teamBusy.add(team);
-                  if (!store.read(
-                      Store.Urgency.JOB, Store.TEAMS + team, read -> teamBusy.remove(team))) {
-                    teamBusy.remove(team);
-                  }
-                } else if (reply.code() != Code.OK) {
-                  long next = core.now() + Constants.STATE_RETRY_MS;
-                  teamNext.put(team, Math.max(next, teamRetry.until()));
-                }
-                core.wake();
-              });
-      if (!asked) {
-        teamBusy.remove(team);
-        for (Held h : in) {
-          h.granting = false;
-        }
-      }
-    }
-  }
-
-  /**
-   * By how much the job's grant should change; never below what may be on machines. While the team
-   * is far from its limit a job gets at once what all its tasks need and keeps it: changing the
-   * grant with every few tasks took a third of the state service's changes, and starts waited.
-   */
-  private int delta(Held held, long now) {
-    int spare = held.job.grant() - held.active.size();
-    if (!held.latched) {
-      return 0;
-    }
-    // replicas start again and again: what they need stays granted until the job is cancelled
-    if (held.spec.service() && !held.over()) {
-      return Math.max(0, held.spec.tasks() - held.job.grant());
-    }
-    if (held.over() || yields(held)) {
-      return -Math.max(0, spare);
-    }
-    int pending = held.pending();
-    boolean roomy = roomy(held.spec.team());
-    if (spare - pending > (roomy ? held.job.grant() / 2 : 0)) {
-      return -(spare - pending);
-    }
-    int wanted = roomy ? pending : held.wantsGrant;
-    if (wanted > 0) {
-      return Math.min(wanted, Math.max(0, pending - spare));
-    }
-    if (!roomy
-        && spare > 0
-        && held.grantIdleSince > 0
-        && now - held.grantIdleSince > Constants.GRANT_IDLE_MS) {
-      return -spare;
-    }
-    return 0;
-  }
-
-  /**
-   * Whether the job must give up what of its grant becomes free: its team is at its limit, a job of
-   * the team has had none for long, and of those that have some this one has most. A large job with
-   * tasks waiting would otherwise use its grant again and again, and nobody else get any.
-   */
-  boolean yields(Held held) {
-    return held.id.equals(yielding.get(held.spec.team()));
-  }
-
-  private void findYielding() {
-    yielding.clear();
-    Map<String, JobRec> most = new HashMap<>();
-    Set<String> starved = new HashSet<>();
-    for (JobRec job : core.openJobs()) {
-      if (job.over() || !limited(job.spec())) {
-        continue;
-      }
-      String team = job.spec().team();
-      boolean service = job.spec().service();
-      if (service ? job.grant() < job.spec().tasks() : job.grant() == 0) {
-        TeamRec sum = teamSum(team);
-        boolean full =
-            room(core.settings().teams().get(team), job.spec(), sum.cpus(), sum.gpus(), 1) == 0;
-        long patience = service ? Constants.PREEMPT_AFTER_MS : Constants.STARVES_MS;
-        if (full && core.wall() - job.submittedMs() > patience) {
-          starved.add(team);
-        }
-      } else if (!service) {
-        most.merge(team, job, (a, b) -> weight(a) >= weight(b) ? a : b);
-      }
-    }
-    for (String team : starved) {
-      if (most.containsKey(team)) {
-        yielding.put(team, most.get(team).spec().id());
-      }
-    }
-  }
-
-  private static double weight(JobRec job) {
-    return job.grant() * (job.spec().cpus() + 1e-3 * job.spec().gpus());
-  }
-
-  private TeamRec teamSum(String team) {
-    Store.Held held = store.held(Store.TEAMS + team);
-    return held == null ? new TeamRec(0, 0) : (TeamRec) held.value();
-  }
-
-  /** How many more tasks like these keep the team's sums within this fraction of its limits. */
-  private static int room(Team team, JobSpec spec, double cpus, double gpus, double fraction) {
-    double n = Integer.MAX_VALUE;
-    if (team.cpusMax() > 0 && spec.cpus() > 0) {
-      n = (team.cpusMax() * fraction - cpus) / spec.cpus();
-    }
-    if (team.gpusMax() > 0 && spec.gpus() > 0) {
-      n = Math.min(n, (team.gpusMax() * fraction - gpus) / spec.gpus());
-    }
-    return (int) Math.max(0, Math.floor(n + 1e-9));
-  }
-
-  /** Whether all running grants of the team are at most half of what it may use. */
-  private boolean roomy(String team) {
-    Team jobTeam = core.settings().teams().get(team);
-    TeamRec sum = teamSum(team);
-    return (jobTeam.cpusMax() <= 0 || sum.cpus() <= jobTeam.cpusMax() * Constants.ROOMY)
-        && (jobTeam.gpusMax() <= 0 || sum.gpus() <= jobTeam.gpusMax() * Constants.ROOMY);
-  }
 }
--- a/src/main/java/mallowstall/core/Placement.java
+++ b/src/main/java/mallowstall/core/Placement.java
@@ -180,12 +180,12 @@
       if (ranking.starves(held) && !spec.service()) {
         want = Math.min(want, Math.max(1, spec.tasks() / 10));
       }
-      limited = holder.limited(spec);
+      limited = holder.grants().limited(spec);
       // a change of the grant that is under way or in doubt: what it will be isn't known
       spare =
           !limited
               ? Integer.MAX_VALUE
-              : held.granting || held.uncertain || holder.yields(held)
+              : held.granting || held.uncertain || holder.grants().yields(held)
                   ? 0
                   : held.job.grant() - held.active.size();
       for (Active active : held.active.values()) {
--- a/src/main/java/mallowstall/core/ReplicaRelocation.java
+++ b/src/main/java/mallowstall/core/ReplicaRelocation.java
@@ -80,7 +80,7 @@
       return;
     }
     machine.book(held.spec, -1);
-    boolean granted = !holder.limited(held.spec) || held.job.grant() > held.active.size();
+    boolean granted = !holder.grants().limited(held.spec) || held.job.grant() > held.active.size();
     boolean heard = machine.takes() && core.view().heardLately(machine);
     if (granted && heard && allowsMove(held, replica, machine)) {
       starts.start(held, replica, machine, List.of());
--- a/src/main/java/mallowstall/core/View.java
+++ b/src/main/java/mallowstall/core/View.java
@@ -155,6 +155,31 @@
     Peer(String node) {
       this.node = node;
     }
+
+    /** The peer has a new process, which has told and acknowledged nothing. */
+    private void begin(long process) {
+      incarnation = process;
+      ackedConnection = 0;
+      ackedSeq = 0;
+      serial = 0;
+      heardIncarnation = process;
+      heardSerial = 0;
+    }
+
+    /** Takes over what a new roster says of its sender. */
+    private void hear(Roster roster, long ownIncarnation, long now) {
+      serial = roster.serial();
+      heardSerial = roster.serial();
+      knows = roster.heardIncarnation() == ownIncarnation ? roster.heardSerial() : 0;
+      rosterAt = now;
+      rosterRevision = roster.mirrorRevision();
+      // Connections are numbered anew by each process: what the peer acknowledges of a former one
+      // says nothing of this one's starts. Taking it for an answer once started a task twice.
+      boolean mine = roster.ackedIncarnation() == ownIncarnation;
+      ackedConnection = mine ? roster.ackedConnection() : 0;
+      ackedSeq = mine ? roster.ackedSeq() : 0;
+      mirrorFreshAt = now - roster.sinceMirrorMs();
+    }
   }
 
   final Map<String, Seen> machines = new Object2ObjectOpenHashMap<>();
@@ -192,31 +217,37 @@
       return false;
     }
     if (roster.incarnation() > sender.incarnation) {
-      sender.incarnation = roster.incarnation();
-      sender.ackedConnection = 0;
-      sender.ackedSeq = 0;
-      sender.serial = 0;
-      sender.heardIncarnation = roster.incarnation();
-      sender.heardSerial = 0;
+      sender.begin(roster.incarnation());
     }
     // statements count from 1, so a process that has none of this one's is told all
     if (roster.serial() <= sender.serial || roster.since() > sender.serial) {
       return false;
     }
-    sender.serial = roster.serial();
-    sender.heardSerial = roster.serial();
-    sender.knows = roster.heardIncarnation() == core.incarnation() ? roster.heardSerial() : 0;
     sender.received = ++received;
-    long now = core.now();
-    sender.rosterAt = now;
-    sender.rosterRevision = roster.mirrorRevision();
-    // Connections are numbered anew by each process: what the peer acknowledges of a former one
-    // says nothing of this one's starts. Taking it for an answer once started a task twice.
-    boolean mine = roster.ackedIncarnation() == core.incarnation();
-    sender.ackedConnection = mine ? roster.ackedConnection() : 0;
-    sender.ackedSeq = mine ? roster.ackedSeq() : 0;
-    sender.mirrorFreshAt = now - roster.sinceMirrorMs();
-    Set<String> names = roster.since() == 0 ? new HashSet<>() : null;
+    sender.hear(roster, core.incarnation(), core.now());
+    Set<String> told = takeMachines(roster, sender);
+    boolean tellsAll = roster.since() == 0;
+    if (tellsAll) {
+      for (String id : sender.machines) {
+        if (!told.contains(id)) {
+          disown(roster.node(), id);
+        }
+      }
+      sender.machines = told;
+    } else {
+      sender.machines.addAll(told);
+    }
+    for (String id : roster.gone()) {
+      if (sender.machines.remove(id)) {
+        disown(roster.node(), id);
+      }
+    }
+    return true;
+  }
+
+  /** Takes in the machines that the roster names; returns those that are its sender's. */
+  private Set<String> takeMachines(Roster roster, Peer sender) {
+    Set<String> told = new HashSet<>();
     for (RosterMachine state : roster.machines()) {
       // returned: its record is dropped, only its owner hasn't heard of it yet
       if (core.returned(state.machine(), state.version())) {
@@ -226,36 +257,18 @@
       if (machine.state != null && machine.state.token() > state.token()) {
         continue;
       }
-      if (names != null) {
-        names.add(state.machine());
-      }
-      if (machine.owner != null && !machine.owner.equals(roster.node())) {
+      told.add(state.machine());
+      if (machine.owner != null && !machine.owner.equals(sender.node)) {
         peer(machine.owner).machines.remove(state.machine());
       }
-      machine.owner = roster.node();
+      machine.owner = sender.node;
       machine.ownerIncarnation = roster.incarnation();
-      machine.at = now;
+      machine.at = core.now();
       count(machine.state, -1);
       machine.state = state;
       count(state, 1);
-      if (names == null) {
-        sender.machines.add(state.machine());
-      }
     }
-    for (String id : roster.gone()) {
-      if (sender.machines.remove(id)) {
-        disown(roster.node(), id);
-      }
-    }
-    if (names != null) {
-      for (String id : sender.machines) {
-        if (!names.contains(id)) {
-          disown(roster.node(), id);
-        }
-      }
-      sender.machines = names;
-    }
-    return true;
+    return told;
   }
 
   private void count(RosterMachine state, int by) {
--- a/src/main/java/mallowstall/policy/Lexer.java
+++ b/src/main/java/mallowstall/policy/Lexer.java
@@ -2,9 +2,14 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.function.IntPredicate;
 
 /** Splits a policy file into tokens with their places. */
 final class Lexer {
+  private static final String SIGNS = "{}():,<>=!+-*/";
+  private static final Set<String> TWO_CHARACTER_SIGNS = Set.of("<=", ">=", "==", "!=");
+
   /** Kinds of tokens. */
   enum Kind {
     NAME,
@@ -26,77 +31,106 @@
     }
   }
 
-  private Lexer() {}
-
-  static List<Token> split(String s, List<Fault> faults) {
-    List<Token> out = new ArrayList<>();
-    int line = 1;
-    int start = 0;
-    int i = 0;
-    while (i < s.length()) {
-      char c = s.charAt(i);
-      int column = i - start + 1;
-      if (c == '\n') {
-        line++;
-        start = ++i;
-      } else if (Character.isWhitespace(c)) {
-        i++;
-      } else if (c == '#') {
-        while (i < s.length() && s.charAt(i) != '\n') {
-          i++;
-        }
-      } else if (c >= '0' && c <= '9') {
-        int from = i;
-        while (i < s.length() && (Character.isDigit(s.charAt(i)) || s.charAt(i) == '.')) {
-          i++;
-        }
-        String digits = s.substring(from, i);
-        int unit = i;
-        while (i < s.length() && Character.isLetter(s.charAt(i))) {
-          i++;
-        }
-        double v = 0;
-        try {
-          v = Double.parseDouble(digits);
-        } catch (NumberFormatException e) {
-          faults.add(new Fault(line, column, true, digits + " is not a number"));
-        }
-        out.add(
-            new Token(Kind.NUMBER, s.substring(from, i), v, s.substring(unit, i), line, column));
-      } else if (c == '"') {
-        int from = ++i;
-        while (i < s.length() && s.charAt(i) != '"' && s.charAt(i) != '\n') {
-          i++;
-        }
-        if (i >= s.length() || s.charAt(i) != '"') {
-          faults.add(new Fault(line, column, true, "this text has no closing quote"));
-        }
-        out.add(new Token(Kind.TEXT, s.substring(from, i), 0, "", line, column));
-        if (i < s.length() && s.charAt(i) == '"') {
-          i++;
-        }
-      } else if (Character.isLetter(c) || c == '_') {
-        int from = i;
-        while (i < s.length()
-            && (Character.isLetterOrDigit(s.charAt(i)) || "._-".indexOf(s.charAt(i)) >= 0)) {
-          i++;
-        }
-        out.add(new Token(Kind.NAME, s.substring(from, i), 0, "", line, column));
-      } else {
-        String two = i + 1 < s.length() ? s.substring(i, i + 2) : "";
-        String sign =
-            two.equals("<=") || two.equals(">=") || two.equals("==") || two.equals("!=")
-                ? two
-                : "" + c;
-        if ("{}():,<>=!+-*/".indexOf(c) < 0 || sign.equals("=") || sign.equals("!")) {
-          faults.add(new Fault(line, column, true, "'" + sign + "' means nothing here"));
-        } else {
-          out.add(new Token(Kind.SIGN, sign, 0, "", line, column));
-        }
-        i += sign.length();
-      }
+  private final String text;
+  private final List<Fault> faults;
+  private final List<Token> tokens = new ArrayList<>();
+  private int position;
+  private int line = 1;
+  private int lineStart;
+
+  private Lexer(String text, List<Fault> faults) {
+    this.text = text;
+    this.faults = faults;
+  }
+
+  /** The tokens of the text, with one for its end; what is none becomes a fault. */
+  static List<Token> split(String text, List<Fault> faults) {
+    Lexer lexer = new Lexer(text, faults);
+    while (lexer.position < text.length()) {
+      lexer.next();
+    }
+    lexer.add(Kind.END, "", lexer.column());
+    return lexer.tokens;
+  }
+
+  private int column() {
+    return position - lineStart + 1;
+  }
+
+  private void add(Kind kind, String found, int column) {
+    tokens.add(new Token(kind, found, 0, "", line, column));
+  }
+
+  private void fault(int column, String message) {
+    faults.add(new Fault(line, column, true, message));
+  }
+
+  private void next() {
+    char first = text.charAt(position);
+    if (first == '\n') {
+      line++;
+      position++;
+      lineStart = position;
+    } else if (Character.isWhitespace(first)) {
+      position++;
+    } else if (first == '#') {
+      skip(c -> c != '\n');
+    } else if (first >= '0' && first <= '9') {
+      number();
+    } else if (first == '"') {
+      quoted();
+    } else if (Character.isLetter(first) || first == '_') {
+      int column = column();
+      add(Kind.NAME, skip(c -> Character.isLetterOrDigit(c) || "._-".indexOf(c) >= 0), column);
+    } else {
+      sign();
+    }
+  }
+
+  /** Goes on while the characters are such; returns what lies between. */
+  private String skip(IntPredicate such) {
+    int from = position;
+    while (position < text.length() && such.test(text.charAt(position))) {
+      position++;
+    }
+    return text.substring(from, position);
+  }
+
+  private void number() {
+    int column = column();
+    String digits = skip(c -> Character.isDigit(c) || c == '.');
+    String unit = skip(Character::isLetter);
+    double value = 0;
+    try {
+      value = Double.parseDouble(digits);
+    } catch (NumberFormatException notANumber) {
+      fault(column, digits + " is not a number");
+    }
+    tokens.add(new Token(Kind.NUMBER, digits + unit, value, unit, line, column));
+  }
+
+  private void quoted() {
+    int column = column();
+    position++;
+    String inside = skip(c -> c != '"' && c != '\n');
+    boolean closed = position < text.length() && text.charAt(position) == '"';
+    if (closed) {
+      position++;
+    } else {
+      fault(column, "this text has no closing quote");
+    }
+    add(Kind.TEXT, inside, column);
+  }
+
+  private void sign() {
+    int column = column();
+    String two = text.substring(position, Math.min(text.length(), position + 2));
+    String sign = TWO_CHARACTER_SIGNS.contains(two) ? two : two.substring(0, 1);
+    position += sign.length();
+    if (SIGNS.indexOf(sign.charAt(0)) < 0 || sign.equals("=") || sign.equals("!")) {
+      fault(column, "'" + sign + "' means nothing here");
+    } else {
+      add(Kind.SIGN, sign, column);
     }
-    out.add(new Token(Kind.END, "", 0, "", line, i - start + 1));
-    return out;
   }
 }
--- a/src/main/java/mallowstall/users/UsersAdapter.java
+++ b/src/main/java/mallowstall/users/UsersAdapter.java
@@ -162,16 +162,52 @@
   private static JobSpec spec(JobWire job) throws Malformed {
     text("lote", job.jobClass);
     text("cuadrilla", job.team);
-    text("oficio", job.kind);
-    JobKind kind = KINDS.get(job.kind);
-    if (kind == null) {
-      throw new Malformed("oficio must be batch or daemon");
+    JobKind kind = oneOf("oficio", job.kind, KINDS, "batch or daemon");
+    Priority priority =
+        oneOf("urgencia", job.priority, PRIORITIES, "prod, high, standard or best_effort");
+    checkTasks(job);
+    checkPlaces(job);
+    amount("aserrado_s", job.estimateS);
+    amount("marca_s", job.checkpointS);
+    amount("apilado_s", job.saveS);
+    if (job.deadlineS != null) {
+      amount("despacho_s", job.deadlineS);
     }
-    text("urgencia", job.priority);
-    Priority priority = PRIORITIES.get(job.priority);
-    if (priority == null) {
-      throw new Malformed("urgencia must be prod, high, standard or best_effort");
+    return new JobSpec(
+        job.id,
+        job.jobClass,
+        job.team,
+        priority,
+        job.tasks,
+        job.cpus,
+        job.gpus,
+        job.memoryGb,
+        job.image,
+        job.imageGb,
+        job.types,
+        job.zone,
+        job.oneZone,
+        job.spread,
+        job.spot,
+        job.estimateS,
+        job.checkpointS,
+        job.saveS,
+        job.deadlineS,
+        kind);
+  }
+
+  private static <T> T oneOf(String name, String value, Map<String, T> known, String words)
+      throws Malformed {
+    text(name, value);
+    T found = known.get(value);
+    if (found == null) {
+      throw new Malformed(name + " must be " + words);
     }
+    return found;
+  }
+
+  /** How many tasks there are, and what each takes. */
+  private static void checkTasks(JobWire job) throws Malformed {
     if (job.tasks == null) {
       throw new Malformed("piezas is missing");
     }
@@ -186,9 +222,13 @@
     }
     text("molde", job.image);
     amount("image_gb", job.imageGb);
+  }
+
+  /** On which machines they may run. */
+  private static void checkPlaces(JobWire job) throws Malformed {
     if (job.types != null) {
-      for (String t : job.types) {
-        text("calibres", t);
+      for (String type : job.types) {
+        text("calibres", type);
       }
       if (job.types.isEmpty()) {
         throw new Malformed("calibres must be null or name a machine type");
@@ -200,33 +240,6 @@
     flag("one_zone", job.oneZone);
     flag("scatter", job.spread);
     flag("prestados", job.spot);
-    amount("aserrado_s", job.estimateS);
-    amount("marca_s", job.checkpointS);
-    amount("apilado_s", job.saveS);
-    if (job.deadlineS != null) {
-      amount("despacho_s", job.deadlineS);
-    }
-    return new JobSpec(
-        job.id,
-        job.jobClass,
-        job.team,
-        priority,
-        job.tasks,
-        job.cpus,
-        job.gpus,
-        job.memoryGb,
-        job.image,
-        job.imageGb,
-        job.types,
-        job.zone,
-        job.oneZone,
-        job.spread,
-        job.spot,
-        job.estimateS,
-        job.checkpointS,
-        job.saveS,
-        job.deadlineS,
-        kind);
   }
 
   private static void text(String name, String v) throws Malformed {
