--- a/src/main/java/mallowstall/Constants.java
+++ b/src/main/java/mallowstall/Constants.java
@@ -194,16 +194,16 @@
    * ms. After a controller's session has ended, its machines that have turned to nobody are asked
    * by the others: workers of a dead controller have come over by then.
    */
-  public static final long SEIZE_AFTER_MS = 3_000;
+  public static final long ORPHAN_ASKED_AFTER_MS = 3_000;
 
   /** ms. Between two looks for such machines. */
-  public static final long SEIZE_EVERY_MS = 500;
+  public static final long ORPHANS_ASKED_EVERY_MS = 500;
 
   /** ms. Before the same machine is asked again: longer than the request's timeout. */
-  public static final long SEIZE_AGAIN_MS = 5_000;
+  public static final long ORPHAN_ASKED_AGAIN_MS = 5_000;
 
   /** Count. Machines asked in one look, within the sockets and the state service's changes. */
-  public static final int SEIZE_MOST = 8;
+  public static final int ORPHANS_ASKED_AT_ONCE = 8;
 
   /** ms. A worker that was sent elsewhere and comes again within this is served where it is. */
   public static final long REDIRECT_AGAIN_MS = 20_000;
--- a/src/main/java/mallowstall/Service.java
+++ b/src/main/java/mallowstall/Service.java
@@ -345,8 +345,8 @@
     }
 
     @Override
-    public void giveBack(List<String> machines, Consumer<Boolean> then) {
-      cloud.giveBack(machines, then);
+    public void returnMachines(List<String> machines, Consumer<Boolean> then) {
+      cloud.returnMachines(machines, then);
     }
 
     @Override
--- a/src/main/java/mallowstall/cli/Main.java
+++ b/src/main/java/mallowstall/cli/Main.java
@@ -29,7 +29,7 @@
     description = "A cluster scheduler with several controllers.",
     mixinStandardHelpOptions = true,
     versionProvider = Main.Version.class,
-    subcommands = {Main.Check.class, Rehearsal.class},
+    subcommands = {Main.Check.class, WarmUp.class},
     sortOptions = false)
 public final class Main implements Callable<Integer> {
   /** Checks a policy file. */
--- a/src/main/java/mallowstall/cli/Rehearsal.java
+++ b/src/main/java/mallowstall/cli/WarmUp.java
@@ -20,8 +20,8 @@
  * class archive holds what serving loads: on a seventh of a core loading classes is most of a
  * restart.
  */
-@Command(name = "rehearse", hidden = true, description = "Serve for a moment on loopback.")
-final class Rehearsal implements Callable<Integer> {
+@Command(name = "warm-up", hidden = true, description = "Serve for a moment on loopback.")
+final class WarmUp implements Callable<Integer> {
   private static final String JOB =
       "{\"ref\":\"wk-000001\",\"lote\":\"c\",\"cuadrilla\":\"t\",\"oficio\":\"batch\",\"urgencia\":\"high\","
           + "\"piezas\":3,\"vcpus\":1.0,\"gpus\":0.0,\"mem_gb\":1.0,\"molde\":\"i\",\"image_gb\":0.1,"
--- a/src/main/java/mallowstall/cloud/CloudAdapter.java
+++ b/src/main/java/mallowstall/cloud/CloudAdapter.java
@@ -153,8 +153,8 @@
                     w == null || w.machines() == null ? List.of() : w.machines())));
   }
 
-  /** See {@link mallowstall.core.Effects#giveBack}. */
-  public void giveBack(List<String> machines, Consumer<Boolean> then) {
+  /** See {@link mallowstall.core.Effects#returnMachines}. */
+  public void returnMachines(List<String> machines, Consumer<Boolean> then) {
     call(
         HttpMethod.POST,
         "/machines/return",
--- a/src/main/java/mallowstall/core/Core.java
+++ b/src/main/java/mallowstall/core/Core.java
@@ -71,7 +71,7 @@
   private long now;
   private long wall;
   private long timerOrder;
-  private boolean awake;
+  private boolean roundWanted;
   private long nextRound;
   private long nextTypes;
   private boolean askingTypes;
@@ -130,8 +130,8 @@
     for (int i = 0; i < 10_000 && !timers.isEmpty() && timers.peek().at <= now; i++) {
       timers.poll().run.run();
     }
-    if (awake && now >= nextRound) {
-      awake = false;
+    if (roundWanted && now >= nextRound) {
+      roundWanted = false;
       nextRound = now + Constants.ROUND_GAP_MS;
       placement.round();
     }
@@ -161,12 +161,12 @@
     holder.tick();
     fleet.tick();
     digest();
-    awake = true;
+    roundWanted = true;
     settle();
   }
 
-  void wake() {
-    awake = true;
+  void requestRound() {
+    roundWanted = true;
   }
 
   private void askTypes() {
@@ -260,10 +260,10 @@
     View.Peer peer = view.peer(node);
     peer.connection = connection;
     // perhaps another process, which knows nothing yet
-    peer.knows = 0;
+    peer.takenInSerial = 0;
     // says which connection counts from now on, so that starts lost with the last one are resolved
     effects.send(
-        node, new Starts(node(), store.incarnation(), connection, peer.nextSeq++, List.of()));
+        node, new Starts(node(), store.incarnation(), connection, peer.nextSequence++, List.of()));
   }
 
   /** A peer has sent a message. */
@@ -288,7 +288,7 @@
       return;
     }
     roomNews++;
-    awake = true;
+    roundWanted = true;
   }
 
   /** Cancellations count whether the statement's machines can be taken in or not. */
@@ -304,23 +304,23 @@
 
   private void startsFrom(Starts starts) {
     View.Peer peer = view.peer(starts.node());
-    if (starts.incarnation() < peer.gotIncarnation) {
+    if (starts.incarnation() < peer.receivedIncarnation) {
       return;
     }
-    if (starts.incarnation() > peer.gotIncarnation) {
-      peer.gotIncarnation = starts.incarnation();
-      peer.gotConnection = 0;
-      peer.gotSeq = 0;
+    if (starts.incarnation() > peer.receivedIncarnation) {
+      peer.receivedIncarnation = starts.incarnation();
+      peer.receivedConnection = 0;
+      peer.receivedSequence = 0;
     }
     // what an older connection still delivers was already answered as never arrived
-    if (starts.connection() < peer.gotConnection) {
+    if (starts.connection() < peer.receivedConnection) {
       return;
     }
-    if (starts.connection() == peer.gotConnection && starts.seq() <= peer.gotSeq) {
+    if (starts.connection() == peer.receivedConnection && starts.seq() <= peer.receivedSequence) {
       return;
     }
-    peer.gotConnection = starts.connection();
-    peer.gotSeq = starts.seq();
+    peer.receivedConnection = starts.connection();
+    peer.receivedSequence = starts.seq();
     owner.starts(starts);
   }
 
@@ -421,7 +421,7 @@
   }
 
   /** Whether nothing of the job may be started and all of it must be stopped. */
-  boolean over(String id, JobRec job) {
+  boolean isOver(String id, JobRec job) {
     return job != null && job.over() || cancellations.told(id);
   }
 
@@ -446,7 +446,7 @@
   }
 
   /** Whether the task's done bit stands in the state service. */
-  boolean recordedDone(JobRec job, int task) {
+  boolean isRecordedDone(JobRec job, int task) {
     return jobEntries.recorded(job, task);
   }
 
@@ -527,9 +527,9 @@
   }
 
   /** Whether this controller holds the job and may place its tasks. */
-  boolean latched(String id) {
+  boolean mayPlace(String id) {
     Holder.Held held = holder.job(id);
-    return held != null && held.latched;
+    return held != null && held.rebuilt;
   }
 
   /** Tasks of the job that rosters show as running. */
@@ -593,7 +593,7 @@
     @Override
     public void synced() {
       LOG.info("mirror complete at revision {}", store.revision());
-      awake = true;
+      roundWanted = true;
     }
   }
 }
--- a/src/main/java/mallowstall/core/DirectCommands.java
+++ b/src/main/java/mallowstall/core/DirectCommands.java
@@ -33,7 +33,7 @@
   private final Terms terms;
 
   /** Machines for which something may wait to be sent to their own address. */
-  private final Set<OwnedMachine> toPush = new LinkedHashSet<>();
+  private final Set<OwnedMachine> waiting = new LinkedHashSet<>();
 
   DirectCommands(
       Core core, Store store, WorkerReports reports, OwnedMachines machines, Terms terms) {
@@ -46,22 +46,22 @@
 
   /** Something may wait to be sent to this machine. */
   void wanted(OwnedMachine machine) {
-    toPush.add(machine);
+    waiting.add(machine);
   }
 
   /** Sends what waits for a machine's next report to its own address, one request at a time. */
   void push() {
-    if (toPush.isEmpty()) {
+    if (waiting.isEmpty()) {
       return;
     }
-    List<OwnedMachine> waiting = new ArrayList<>(toPush);
-    toPush.clear();
-    for (OwnedMachine machine : waiting) {
-      if (!machines.has(machine) || machine.stops.isEmpty() && machine.booked.isEmpty()) {
+    List<OwnedMachine> now = new ArrayList<>(waiting);
+    waiting.clear();
+    for (OwnedMachine machine : now) {
+      if (!machines.has(machine) || machine.stops.isEmpty() && machine.reservations.isEmpty()) {
         continue;
       }
-      if (core.now() - machine.orderedAt < Constants.ORDER_GAP_MS) {
-        toPush.add(machine);
+      if (core.now() - machine.commandSentAt < Constants.ORDER_GAP_MS) {
+        waiting.add(machine);
       } else {
         push(machine);
       }
@@ -78,7 +78,7 @@
       StartOrder start = reservation.order;
       commands.add(new Command(CommandKind.START, start.job(), start.task(), start.attempt(), 0));
       reservation.sent = true;
-      machine.ordered.put(new TaskKey(start.job(), start.task()), start.attempt());
+      machine.openStarts.put(new TaskKey(start.job(), start.task()), start.attempt());
     }
     if (!commands.isEmpty()) {
       send(machine, commands);
@@ -87,10 +87,10 @@
 
   /** Whether a command may be sent to the machine now. */
   private boolean reachable(OwnedMachine machine) {
-    return !machine.ordering
-        && !machine.dangling
-        && !machine.raising
-        && machine.addr != null
+    return !machine.commandOpen
+        && !machine.commandLost
+        && !machine.termChanging
+        && machine.address != null
         && machine.session != 0
         && machine.confirmed
         && !machines.silent(machine)
@@ -117,14 +117,14 @@
   /** Accepted starts that haven't been sent, as many at most. */
   private List<Reservation> startsFor(OwnedMachine machine, int most) {
     List<Reservation> starts = new ArrayList<>();
-    for (Reservation reservation : machine.booked.values()) {
+    for (Reservation reservation : machine.reservations.values()) {
       StartOrder start = reservation.order;
       JobRec job = store.job(start.job());
       boolean wanted =
           !reservation.sent
               && !machine.stops.containsKey(new TaskKey(start.job(), start.task()))
               && job != null
-              && !core.over(start.job(), job)
+              && !core.isOver(start.job(), job)
               && core.wall() <= start.expiryWallMs();
       if (wanted && starts.size() < most) {
         starts.add(reservation);
@@ -134,17 +134,17 @@
   }
 
   private void send(OwnedMachine machine, List<Command> commands) {
-    machine.ordering = true;
-    machine.orderedAt = core.now();
+    machine.commandOpen = true;
+    machine.commandSentAt = core.now();
     long session = machine.session;
     core.effects()
         .order(
-            machine.addr,
-            machine.token,
+            machine.address,
+            machine.term,
             session,
             commands,
             reply -> {
-              machine.ordering = false;
+              machine.commandOpen = false;
               if (machines.has(machine) && machine.session == session) {
                 answered(machine, reply);
               }
@@ -153,23 +153,23 @@
 
   private void answered(OwnedMachine machine, OrderReply reply) {
     if (reply.code() == Code.UNKNOWN) {
-      if (machine.ordered.isEmpty()) {
+      if (machine.openStarts.isEmpty()) {
         return;
       }
       LOG.info("commands to {} went astray: raising its term", machine.id);
-      machine.dangling = true;
+      machine.commandLost = true;
       terms.raise(machine);
       return;
     }
-    machine.clearOrdered();
+    machine.clearOpenStarts();
     Report report = reply.report();
     if (report != null
         && !machine.lost
         && report.machine().equals(machine.id)
         && (report.session() > machine.session
-            || (report.session() == machine.session && report.seq() > machine.seq))) {
+            || (report.session() == machine.session && report.seq() > machine.newestReport))) {
       reports.take(machine, report, false);
     }
-    toPush.add(machine);
+    waiting.add(machine);
   }
 }
--- a/src/main/java/mallowstall/core/Effects.java
+++ b/src/main/java/mallowstall/core/Effects.java
@@ -101,7 +101,7 @@
   void rent(RentRequest request, Consumer<RentReply> then);
 
   /** Returns machines; true: they are gone. */
-  void giveBack(List<String> machines, Consumer<Boolean> then);
+  void returnMachines(List<String> machines, Consumer<Boolean> then);
 
   /** Reads a page of the cloud's list of machines. */
   void listMachines(String after, Consumer<ListedReply> then);
--- a/src/main/java/mallowstall/core/Fleet.java
+++ b/src/main/java/mallowstall/core/Fleet.java
@@ -188,7 +188,7 @@
     }
     List<String> lost = returns.open(inventory.lost);
     if (!lost.isEmpty()) {
-      returns.giveBack(lost, "lost, failed or faulty");
+      returns.returnMachines(lost, "lost, failed or faulty");
     }
   }
 
@@ -302,7 +302,7 @@
    * lease would prove only later.
    */
   private static boolean taken(View.Seen machine, long now) {
-    double left = machine.state.noticeS() - (now - machine.at) / 1000.0;
+    double left = machine.state.noticeS() - (now - machine.updatedAt) / 1000.0;
     return machine.state.noticeS() >= 0 && left < Constants.NOTICE_OVER_S;
   }
 
@@ -406,7 +406,7 @@
       }
     }
     if (!drained.isEmpty()) {
-      returns.giveBack(drained, "idle");
+      returns.returnMachines(drained, "idle");
       return;
     }
     // the dear ones first, then those that have waited longest
--- a/src/main/java/mallowstall/core/GrantLedger.java
+++ b/src/main/java/mallowstall/core/GrantLedger.java
@@ -186,7 +186,7 @@
     } else if (reply.code() != Code.OK) {
       next.put(team, Math.max(core.now() + Constants.STATE_RETRY_MS, retry.until()));
     }
-    core.wake();
+    core.requestRound();
   }
 
   private void answered(Held held, TxnReply reply) {
@@ -259,7 +259,7 @@
    */
   private int delta(Held held, long now) {
     int spare = held.job.grant() - held.active.size();
-    if (!held.latched) {
+    if (!held.rebuilt) {
       return 0;
     }
     // replicas start again and again: what they need stays granted until the job is cancelled
--- a/src/main/java/mallowstall/core/Holder.java
+++ b/src/main/java/mallowstall/core/Holder.java
@@ -16,6 +16,7 @@
 import mallowstall.Constants;
 import mallowstall.core.Effects.Code;
 import mallowstall.core.Effects.Txn;
+import mallowstall.core.Model.ExitReason;
 import mallowstall.core.Model.Final;
 import mallowstall.core.Model.JobRec;
 import mallowstall.core.Model.JobSpec;
@@ -26,7 +27,6 @@
 import mallowstall.core.Model.RosterTask;
 import mallowstall.core.Model.StopOrder;
 import mallowstall.core.Model.TaskState;
-import mallowstall.core.Model.Why;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -45,7 +45,7 @@
     final String owner;
     final long ownerIncarnation;
     final long connection;
-    final long seq;
+    final long sequence;
 
     /** Seen on its machine; false while only sent or booked. */
     boolean seen;
@@ -82,7 +82,7 @@
       this.owner = owner;
       this.ownerIncarnation = ownerIncarnation;
       this.connection = connection;
-      this.seq = seq;
+      this.sequence = seq;
     }
   }
 
@@ -92,13 +92,13 @@
     final JobSpec spec;
     final BitSet done = new BitSet();
     final Int2ObjectOpenHashMap<Active> active = new Int2ObjectOpenHashMap<>();
-    final IntArrayFIFOQueue again = new IntArrayFIFOQueue();
+    final IntArrayFIFOQueue retries = new IntArrayFIFOQueue();
     final Set<Integer> dirtyPieces = new TreeSet<>();
     JobRec job;
     long version;
     int next;
     int doneCount;
-    boolean latched;
+    boolean rebuilt;
     long claimRevision;
 
     /**
@@ -165,8 +165,8 @@
 
     /** The next task that is neither done nor possibly on a machine; -1: none. */
     int take() {
-      while (!again.isEmpty()) {
-        int t = again.dequeueInt();
+      while (!retries.isEmpty()) {
+        int t = retries.dequeueInt();
         if (!done.get(t) && !active.containsKey(t)) {
           return t;
         }
@@ -181,7 +181,7 @@
     }
 
     void putBack(int t) {
-      again.enqueue(t);
+      retries.enqueue(t);
     }
   }
 
@@ -250,7 +250,7 @@
       held.claimRevision = version;
       held.rostersBefore = core.view().received;
       // the first epoch of this very process: nobody can have started anything before
-      held.latched = job.epoch() == 1;
+      held.rebuilt = job.epoch() == 1;
       load(held, job);
       jobs.put(id, held);
     }
@@ -262,17 +262,17 @@
     }
     held.job = job;
     held.version = version;
-    if (taken && !held.latched) {
-      find(id);
+    if (taken && !held.rebuilt) {
+      adoptIfHeld(id);
     }
-    core.wake();
+    core.requestRound();
   }
 
   /**
    * Where the job's tasks are by what owners have told so far. Later statements repeat only what
    * has changed, so a task that this passed over would be placed once more.
    */
-  private void find(String id) {
+  private void adoptIfHeld(String id) {
     for (View.Seen machine : core.view().machines.values()) {
       if (machine.state == null || machine.owner == null) {
         continue; // its next owner tells it all
@@ -337,7 +337,7 @@
     if (retry && !active.job.done.get(active.task)) {
       active.job.putBack(active.task);
     }
-    core.wake();
+    core.requestRound();
   }
 
   // ---- rosters ------------------------------------------------------------------------------
@@ -416,7 +416,7 @@
       return true;
     }
     return peer.ackedConnection > active.connection
-        || (peer.ackedConnection == active.connection && peer.ackedSeq >= active.seq);
+        || (peer.ackedConnection == active.connection && peer.ackedSequence >= active.sequence);
   }
 
   private void refused(Refusal refusal) {
@@ -449,7 +449,7 @@
     if (same) {
       active.listed = true;
     }
-    if (task.state() == TaskState.RUNNING || task.why() == Why.DONE) {
+    if (task.state() == TaskState.RUNNING || task.why() == ExitReason.DONE) {
       held.lastRan = core.now();
     }
     if (task.state() == TaskState.EXITED) {
@@ -467,7 +467,7 @@
       if (active != null) {
         replicaEnded(active, machine, task.why());
       }
-    } else if (task.why() == Why.DONE) {
+    } else if (task.why() == ExitReason.DONE) {
       if (!held.done.get(task.task())) {
         held.done.set(task.task());
         held.doneCount++;
@@ -478,7 +478,7 @@
         free(active, false);
       }
     } else if (active != null) {
-      endedInVain(active, task.why());
+      failed(active, task.why());
       free(active, true);
     }
   }
@@ -553,10 +553,10 @@
   }
 
   /** A task has ended and must run again: remembers where it shouldn't be tried. */
-  private void endedInVain(Active active, Why why) {
-    if (why == Why.ERROR) {
+  private void failed(Active active, ExitReason why) {
+    if (why == ExitReason.ERROR) {
       error(active.job, active.machine);
-    } else if (why == Why.NO_ROOM) {
+    } else if (why == ExitReason.NO_ROOM) {
       active.job.avoid.put(active.machine, core.now() + Constants.NO_ROOM_AVOIDS_MS);
     }
     LOG.info(
@@ -569,19 +569,20 @@
   }
 
   /** Whatever a replica says of its end, it must run again until its job is cancelled. */
-  private void replicaEnded(Active active, String machine, Why why) {
+  private void replicaEnded(Active active, String machine, ExitReason why) {
     Held held = active.job;
     long ranMs = active.runningSince == 0 ? 0 : core.now() - active.runningSince;
     // errors of long ago, each on another machine, don't make it the job's own fault
     if (ranMs >= Constants.REPLICA_STABLE_MS) {
       held.errorsOn.clear();
     }
-    endedInVain(active, why);
+    failed(active, why);
     // its result is kept there; for longer than it waits, so that it is tried elsewhere
-    if (why == Why.DONE) {
+    if (why == ExitReason.DONE) {
       held.avoid.put(machine, core.now() + Constants.JOB_AVOIDS_MS);
     }
-    boolean refused = why == Why.STOPPED || why == Why.NO_ROOM || why == Why.BUSY;
+    boolean refused =
+        why == ExitReason.STOPPED || why == ExitReason.NO_ROOM || why == ExitReason.BUSY;
     boolean startable = refused || held.restarts.ended(active.task, ranMs, core.now());
     free(active, startable);
   }
@@ -633,7 +634,7 @@
       return;
     }
     leaveReturnedMachines();
-    latch();
+    finishRebuilds();
     adopt();
     for (Held held : new ArrayList<>(jobs.values())) {
       if (held.spec.service()) {
@@ -653,10 +654,10 @@
    * A job taken over is placed again only once every machine that could have got it is accounted
    * for.
    */
-  private void latch() {
+  private void finishRebuilds() {
     boolean any = false;
     for (Held held : jobs.values()) {
-      any |= !held.latched;
+      any |= !held.rebuilt;
     }
     if (!any) {
       return;
@@ -680,19 +681,19 @@
       }
     }
     for (Held heldJob : jobs.values()) {
-      if (heldJob.latched || heldJob.claimRevision > store.revision()) {
+      if (heldJob.rebuilt || heldJob.claimRevision > store.revision()) {
         continue;
       }
       // A roster may know of the claim before its claimant does, whose own answer was slow. Its
       // tasks went unnoticed then, and one was started twice: only rosters received since count.
       if (upTo >= heldJob.claimRevision && oldest > heldJob.rostersBefore) {
-        heldJob.latched = true;
+        heldJob.rebuilt = true;
         LOG.info(
             "job {} epoch {} rebuilt: {} tasks on machines",
             heldJob.id,
             heldJob.job.epoch(),
             heldJob.active.size());
-        core.wake();
+        core.requestRound();
       } else {
         LOG.debug("job {} waits for machine {}", heldJob.id, worst);
       }
--- a/src/main/java/mallowstall/core/MachineAdoption.java
+++ b/src/main/java/mallowstall/core/MachineAdoption.java
@@ -273,7 +273,7 @@
         machine.id,
         report.type(),
         report.zone(),
-        machine.token,
+        machine.term,
         report.token());
     arrival.reply.accept(reports.handle(machine, report));
   }
--- a/src/main/java/mallowstall/core/MachineReturns.java
+++ b/src/main/java/mallowstall/core/MachineReturns.java
@@ -75,7 +75,7 @@
    * As many as one request may name; the rest with a later plan. Idle machines of a fleet were once
    * named all at once, 200 of them: the cloud refused, again and again, and none went back.
    */
-  void giveBack(List<String> machines, String why) {
+  void returnMachines(List<String> machines, String why) {
     if (!calls.has(core.now(), 1, 0)) {
       return;
     }
@@ -84,7 +84,7 @@
     List<String> names = List.copyOf(machines.subList(0, most));
     underWay.addAll(names);
     LOG.info("return {}: {}", names, why);
-    core.effects().giveBack(names, ok -> answered(names, ok));
+    core.effects().returnMachines(names, ok -> answered(names, ok));
   }
 
   private void answered(List<String> names, boolean ok) {
--- a/src/main/java/mallowstall/core/Model.java
+++ b/src/main/java/mallowstall/core/Model.java
@@ -46,7 +46,7 @@
   }
 
   /** Why a task exited. */
-  public enum Why {
+  public enum ExitReason {
     DONE,
     STOPPED,
     ERROR,
@@ -208,7 +208,7 @@
   // ---- workers ------------------------------------------------------------------------------
   /** A task as its worker reports it. */
   public record TaskReport(
-      String job, int task, long attempt, TaskState state, Why why, boolean saved) {}
+      String job, int task, long attempt, TaskState state, ExitReason why, boolean saved) {}
 
   /** What a worker says of itself. */
   public record Report(
@@ -294,7 +294,7 @@
   public sealed interface PeerMessage permits Roster, Starts, Stops {}
 
   /** One task as its owner knows it; {@code state} null: accepted, not yet seen on the machine. */
-  public record RosterTask(String job, int task, long attempt, TaskState state, Why why) {}
+  public record RosterTask(String job, int task, long attempt, TaskState state, ExitReason why) {}
 
   /** The answer "not possible": this start was never passed on and never will be. */
   public record Refusal(String machine, String job, int task, long attempt, String reason) {}
--- a/src/main/java/mallowstall/core/OrphanTakeover.java
+++ b/src/main/java/mallowstall/core/OrphanTakeover.java
@@ -59,9 +59,9 @@
     if (now < next || !store.sessionGood()) {
       return;
     }
-    next = now + Constants.SEIZE_EVERY_MS;
+    next = now + Constants.ORPHANS_ASKED_EVERY_MS;
     Set<String> orphans = new HashSet<>();
-    int left = Constants.SEIZE_MOST;
+    int left = Constants.ORPHANS_ASKED_AT_ONCE;
     for (Map.Entry<String, Store.Held> entry : store.under(Store.MACHINES).entrySet()) {
       MachineRec record = (MachineRec) entry.getValue().value();
       if (store.live(record.node(), record.incarnation())) {
@@ -82,12 +82,12 @@
   /** Whether it is for this controller to ask the machine now. */
   private boolean due(String id, MachineRec record, long now) {
     View.Seen machine = core.view().machines.get(id);
-    return now - orphanSince.get(id) >= Constants.SEIZE_AFTER_MS
+    return now - orphanSince.get(id) >= Constants.ORPHAN_ASKED_AFTER_MS
         && machine != null
         && machine.state != null
         && machine.state.addr() != null
         && !records.underWay(id)
-        && now - asked.getOrDefault(id, Long.MIN_VALUE / 2) >= Constants.SEIZE_AGAIN_MS
+        && now - asked.getOrDefault(id, Long.MIN_VALUE / 2) >= Constants.ORPHAN_ASKED_AGAIN_MS
         && core.preferredOwner(id, record.zone()).equals(core.node());
   }
 
@@ -124,9 +124,9 @@
   private void taken(String id, MachineType type, MachineRec old, Report report, long revision) {
     OwnedMachine machine = machines.add(id, type, old.zone(), old.spot(), revision);
     // until it shows the new term, its former owner may renew its lease
-    machine.lastOk = core.now();
+    machine.answeredAt = core.now();
     reports.take(machine, report, false);
-    LOG.info("machine {} taken from {}, which is gone, term {}", id, old.node(), machine.token);
+    LOG.info("machine {} taken from {}, which is gone, term {}", id, old.node(), machine.term);
     showTerm(machine);
   }
 
@@ -134,8 +134,8 @@
   private void showTerm(OwnedMachine machine) {
     core.effects()
         .order(
-            machine.addr,
-            machine.token,
+            machine.address,
+            machine.term,
             machine.session,
             List.of(),
             reply -> {
@@ -143,8 +143,8 @@
               if (!machines.has(machine) || reply.code() != Code.OK || report == null) {
                 return;
               }
-              machine.lastOk = core.now();
-              if (report.session() > machine.session || report.seq() > machine.seq) {
+              machine.answeredAt = core.now();
+              if (report.session() > machine.session || report.seq() > machine.newestReport) {
                 reports.take(machine, report, false);
               }
             });
--- a/src/main/java/mallowstall/core/OwnedMachine.java
+++ b/src/main/java/mallowstall/core/OwnedMachine.java
@@ -37,14 +37,14 @@
   final MachineType type;
   final String zone;
   final boolean spot;
-  long token;
+  long term;
   long version;
-  String addr;
+  String address;
   long session;
-  long seq;
+  long newestReport;
 
   /** When the last 200 left; the machine's lease can't run on longer than from here. */
-  long lastOk;
+  long answeredAt;
 
   long heardAt;
   boolean confirmed;
@@ -53,10 +53,10 @@
   long drainUntil;
   long quarantineUntil;
   int errorsInRow;
-  boolean replace;
+  boolean faulty;
   long idleSince;
   final Map<TaskAttempt, TaskReport> tasks = new LinkedHashMap<>();
-  final Map<TaskKey, Reservation> booked = new Object2ObjectLinkedOpenHashMap<>();
+  final Map<TaskKey, Reservation> reservations = new Object2ObjectLinkedOpenHashMap<>();
   final Map<TaskKey, StopOrder> stops = new HashMap<>();
 
   /**
@@ -66,18 +66,18 @@
   final Set<TaskAttempt> replaced = new HashSet<>();
 
   /** Ends other than done that a roster has told. */
-  final Object2LongOpenHashMap<TaskKey> told = new Object2LongOpenHashMap<>();
+  final Object2LongOpenHashMap<TaskKey> announcedEnds = new Object2LongOpenHashMap<>();
 
   /**
    * Starts sent to the worker's own address whose outcome is open. Until the answer is there, or
    * the worker shows a larger term, they may be executed at any time: they count as possibly
    * running, and their attempts are not forgotten, since a late copy would start them again.
    */
-  final Map<TaskKey, Long> ordered = new HashMap<>();
+  final Map<TaskKey, Long> openStarts = new HashMap<>();
 
-  boolean ordering;
-  boolean dangling;
-  boolean raising;
+  boolean commandOpen;
+  boolean commandLost;
+  boolean termChanging;
 
   /** Somebody else may have answered it after this controller's former process had ended. */
   boolean disputed;
@@ -86,36 +86,36 @@
   boolean reclaimed;
 
   /** The term was raised after the last start went astray. */
-  boolean raised;
+  boolean termRaised;
 
-  long orderedAt;
+  long commandSentAt;
 
   final LinkedHashSet<String> images = new LinkedHashSet<>();
 
   /** The newest report handled; an answer of a direct command may be newer. */
-  long reported;
+  long handledReport;
 
   /** Something that statements tell may have changed since the last one. */
-  boolean touched;
+  boolean changed;
 
   /** What the last statement said of it, in which, and when. */
-  RosterMachine said;
+  RosterMachine published;
 
-  long saidIn;
-  long saidAt;
+  long publishedSerial;
+  long publishedAt;
 
   OwnedMachine(String id, MachineType type, String zone, boolean spot, long token, long version) {
     this.id = id;
     this.type = type;
     this.zone = zone;
     this.spot = spot;
-    this.token = token;
+    this.term = token;
     this.version = version;
   }
 
   /** Whether any attempt of the task is here, or a start of it was accepted. */
   boolean holds(TaskKey key) {
-    if (booked.containsKey(key)) {
+    if (reservations.containsKey(key)) {
       return true;
     }
     for (TaskAttempt attempt : tasks.keySet()) {
@@ -128,14 +128,14 @@
 
   /** Whether nothing is here and nothing was accepted. */
   boolean idle() {
-    return tasks.isEmpty() && booked.isEmpty();
+    return tasks.isEmpty() && reservations.isEmpty();
   }
 
   /** The outcome of all commands that went to the worker's own address is known. */
-  void clearOrdered() {
-    ordered.clear();
-    dangling = false;
-    raised = false;
+  void clearOpenStarts() {
+    openStarts.clear();
+    commandLost = false;
+    termRaised = false;
   }
 
   /** The worker's lease is over: nothing is left on the machine. */
@@ -143,12 +143,12 @@
     lost = true;
     confirmed = true;
     tasks.clear();
-    booked.clear();
+    reservations.clear();
     stops.clear();
     replaced.clear();
-    clearOrdered();
+    clearOpenStarts();
     idleSince = now;
-    touched = true;
+    changed = true;
   }
 
   /** The image is there: it becomes the newest, and what no longer fits the cache is forgotten. */
--- a/src/main/java/mallowstall/core/OwnedMachines.java
+++ b/src/main/java/mallowstall/core/OwnedMachines.java
@@ -7,13 +7,13 @@
 import java.util.List;
 import java.util.Map;
 import mallowstall.Constants;
+import mallowstall.core.Model.ExitReason;
 import mallowstall.core.Model.JobRec;
 import mallowstall.core.Model.JobSpec;
 import mallowstall.core.Model.MachineType;
 import mallowstall.core.Model.Room;
 import mallowstall.core.Model.TaskReport;
 import mallowstall.core.Model.TaskState;
-import mallowstall.core.Model.Why;
 import mallowstall.core.OwnedMachine.Reservation;
 
 /** The machines that this controller owns, and what follows from what they report. Mutable. */
@@ -66,7 +66,7 @@
 
   /** Whether the task runs again after this end, whose only trace is what statements tell of it. */
   boolean runsAgain(TaskReport task) {
-    if (task.why() != Why.DONE) {
+    if (task.why() != ExitReason.DONE) {
       return true;
     }
     JobRec job = store.job(task.job());
@@ -84,11 +84,11 @@
   boolean usable(OwnedMachine machine) {
     long now = core.now();
     return !machine.lost
-        && !machine.replace
+        && !machine.faulty
         && machine.noticeUntil == Long.MAX_VALUE
         && machine.quarantineUntil <= now
         && !silent(machine)
-        && now - machine.lastOk <= silenceMs();
+        && now - machine.answeredAt <= silenceMs();
   }
 
   private long silenceMs() {
@@ -115,7 +115,7 @@
         minus(room, job.spec(), 1);
       }
     }
-    for (Reservation booked : machine.booked.values()) {
+    for (Reservation booked : machine.reservations.values()) {
       minus(room, booked.spec, 1);
     }
     return room;
--- a/src/main/java/mallowstall/core/Owner.java
+++ b/src/main/java/mallowstall/core/Owner.java
@@ -90,7 +90,7 @@
         if (!task.job().equals(id)) {
           continue;
         }
-        machine.touched = true;
+        machine.changed = true;
         publisher.touch();
         break;
       }
@@ -112,24 +112,24 @@
       return;
     }
     OwnedMachine machine = machines.get(report.machine());
-    if (machine != null && report.token() <= machine.token) {
+    if (machine != null && report.token() <= machine.term) {
       if (machine.lost && report.session() <= machine.session) {
         // sent before its lease ran out and delivered late: the tasks it lists are gone for certain
         reply.accept(ReportAnswer.unable());
         return;
       }
       if (report.session() < machine.session
-          || (report.session() == machine.session && report.seq() <= machine.reported)) {
+          || (report.session() == machine.session && report.seq() <= machine.handledReport)) {
         // A late copy: reports of a worker come one at a time. It renews nothing.
         reply.accept(ReportAnswer.unable());
         return;
       }
-      if (report.session() == machine.session && report.seq() <= machine.seq) {
+      if (report.session() == machine.session && report.seq() <= machine.newestReport) {
         // Overtaken by the answer of a direct command: it says nothing new. To refuse it would
         // send a healthy worker to another controller.
-        machine.reported = report.seq();
-        machine.lastOk = now;
-        reply.accept(ReportAnswer.ok(machine.token, List.of()));
+        machine.handledReport = report.seq();
+        machine.answeredAt = now;
+        reply.accept(ReportAnswer.ok(machine.term, List.of()));
         return;
       }
       reply.accept(reports.handle(machine, report));
@@ -154,7 +154,7 @@
   private void book(StartOrder start) {
     OwnedMachine machine = machines.get(start.machine());
     JobSpec spec = store.job(start.job()).spec();
-    machine.booked.put(new TaskKey(start.job(), start.task()), new Reservation(start, spec));
+    machine.reservations.put(new TaskKey(start.job(), start.task()), new Reservation(start, spec));
     for (TaskRef ref : start.instead()) {
       TaskAttempt attempt = TaskAttempt.of(ref);
       if (machine.tasks.containsKey(attempt) && machine.replaced.add(attempt)) {
@@ -162,7 +162,7 @@
       }
     }
     machine.idleSince = 0;
-    machine.touched = true;
+    machine.changed = true;
     commands.wanted(machine);
     LOG.debug(
         "start {}/{} attempt {} booked on {}",
@@ -194,7 +194,7 @@
         continue;
       }
       TaskKey key = new TaskKey(stop.job(), stop.task());
-      Reservation reservation = machine.booked.get(key);
+      Reservation reservation = machine.reservations.get(key);
       if (machine.tasks.containsKey(new TaskAttempt(stop.job(), stop.task(), stop.attempt()))
           || (reservation != null && reservation.order.attempt() == stop.attempt())) {
         LOG.info(
@@ -232,10 +232,10 @@
       publisher.disown(id);
     } else if (record.node().equals(core.node()) && record.incarnation() == store.incarnation()) {
       // this controller's own raise or adoption, seen before its answer is handled
-      if (!machine.raising && record.token() > machine.token) {
+      if (!machine.termChanging && record.token() > machine.term) {
         publisher.disown(id);
       }
-    } else if (record.token() > machine.token) {
+    } else if (record.token() > machine.term) {
       LOG.info("machine {} is now owned by {} under term {}", id, record.node(), record.token());
       publisher.disown(id);
     }
@@ -262,8 +262,8 @@
   }
 
   /** See {@link RosterPublisher#untold}. */
-  List<String> untold() {
-    return publisher.untold();
+  List<String> unpublishedChanges() {
+    return publisher.unpublishedChanges();
   }
 
   /** See {@link OwnedMachines#rooms}. */
@@ -277,7 +277,7 @@
     orphans.tick(now);
     adoption.expire(now);
     for (OwnedMachine machine : machines.all()) {
-      if (machine.dangling && !machine.raised) {
+      if (machine.commandLost && !machine.termRaised) {
         terms.raise(machine);
       }
       if (leaseIsOver(machine, now)) {
@@ -286,7 +286,7 @@
     }
     records.sweep(now);
     for (OwnedMachine machine : machines.all()) {
-      if (!machine.stops.isEmpty() || !machine.booked.isEmpty()) {
+      if (!machine.stops.isEmpty() || !machine.reservations.isEmpty()) {
         commands.wanted(machine);
       }
     }
@@ -301,7 +301,7 @@
     long leaseMs =
         (long) (core.settings().leaseMs() * (1 + 2 * Constants.DRIFT))
             + Constants.WRITE_OFF_MARGIN_MS;
-    if (machine.lost || now - machine.lastOk <= leaseMs) {
+    if (machine.lost || now - machine.answeredAt <= leaseMs) {
       return false;
     }
     // unconfirmed: a former owner may still be answering it, unless it was our own former process
@@ -315,7 +315,7 @@
       return false;
     }
     // the mirror has passed the end of the lease and still names this controller
-    return store.freshAt() > machine.lastOk + leaseMs;
+    return store.freshAt() > machine.answeredAt + leaseMs;
   }
 
   private void writeOff(OwnedMachine machine, long now) {
--- a/src/main/java/mallowstall/core/Placement.java
+++ b/src/main/java/mallowstall/core/Placement.java
@@ -63,7 +63,7 @@
       if (held.spec.service()) {
         held.moves.expire(now);
       }
-      if (held.latched && !held.over() && held.pending() > 0 && now >= held.notBefore) {
+      if (held.rebuilt && !held.over() && held.pending() > 0 && now >= held.notBefore) {
         wait.add(held);
       }
     }
--- a/src/main/java/mallowstall/core/ReclaimedMachines.java
+++ b/src/main/java/mallowstall/core/ReclaimedMachines.java
@@ -104,9 +104,9 @@
     machine.reclaimed = true;
     machine.disputed = disputed;
     // the former process may have answered until just before this one began
-    machine.lastOk = core.startedAt();
+    machine.answeredAt = core.startedAt();
     machine.heardAt = core.now() - Constants.SILENT_MS;
-    LOG.info("machine {} kept from the former process, term {}", id, machine.token);
+    LOG.info("machine {} kept from the former process, term {}", id, machine.term);
     publisher.touch();
   }
 }
--- a/src/main/java/mallowstall/core/ReplicaRelocation.java
+++ b/src/main/java/mallowstall/core/ReplicaRelocation.java
@@ -36,7 +36,7 @@
    */
   void round(List<View.Seen> machines, long now) {
     for (Held held : holder.jobs()) {
-      if (!held.spec.service() || !held.latched || held.over()) {
+      if (!held.spec.service() || !held.rebuilt || held.over()) {
         continue;
       }
       for (int replica : held.moves.replicas()) {
--- a/src/main/java/mallowstall/core/RosterPublisher.java
+++ b/src/main/java/mallowstall/core/RosterPublisher.java
@@ -91,7 +91,7 @@
     if (madeAt.size() > Constants.STATEMENTS_DATED) {
       madeAt.removeFirstLong();
     }
-    List<OwnedMachine> changed = state(now);
+    List<OwnedMachine> changed = collectChanges(now);
     List<Refusal> no = new ArrayList<>(refusals);
     refusals.clear();
     for (String p : core.settings().peers()) {
@@ -101,7 +101,7 @@
     View.Peer sender = core.view().peer(core.node());
     List<RosterMachine> mine = new ArrayList<>();
     for (OwnedMachine machine : changed) {
-      mine.add(machine.said);
+      mine.add(machine.published);
     }
     core.rosterFrom(
         new Roster(
@@ -112,9 +112,9 @@
             store.incarnation(),
             serial,
             store.revision(),
-            sender.gotIncarnation,
-            sender.gotConnection,
-            sender.gotSeq,
+            sender.receivedIncarnation,
+            sender.receivedConnection,
+            sender.receivedSequence,
             0,
             List.of(),
             mine,
@@ -124,11 +124,11 @@
 
   /** What the peer doesn't know for certain yet, or all if it can't be told as a difference. */
   private Roster roster(View.Peer peer, long sinceMirror, List<Refusal> no) {
-    long since = peer.knows >= forgotten ? peer.knows : 0;
+    long since = peer.takenInSerial >= forgotten ? peer.takenInSerial : 0;
     List<RosterMachine> ms = new ArrayList<>();
     for (OwnedMachine machine : machines.all()) {
-      if (machine.saidIn > since) {
-        ms.add(machine.said);
+      if (machine.publishedSerial > since) {
+        ms.add(machine.published);
       }
     }
     // to acknowledge what it said would vouch for all cancellations newer than its mirror
@@ -141,9 +141,9 @@
         vouches ? peer.heardIncarnation : 0,
         vouches ? peer.heardSerial : 0,
         store.revision(),
-        peer.gotIncarnation,
-        peer.gotConnection,
-        peer.gotSeq,
+        peer.receivedIncarnation,
+        peer.receivedConnection,
+        peer.receivedSequence,
         sinceMirror,
         vouches ? core.cancellations().since(peer.rosterRevision) : List.of(),
         ms,
@@ -181,25 +181,26 @@
   }
 
   /** Makes the new statement: every machine of which something else is to be said than before. */
-  private List<OwnedMachine> state(long now) {
+  private List<OwnedMachine> collectChanges(long now) {
     List<OwnedMachine> changed = new ArrayList<>();
     for (OwnedMachine machine : machines.all()) {
-      boolean lately = machine.said != null && now - machine.saidAt < Constants.RESTATE_MS;
-      if (lately && !machine.touched && !drifted(machine, now)) {
+      boolean lately =
+          machine.published != null && now - machine.publishedAt < Constants.RESTATE_MS;
+      if (lately && !machine.changed && !changedByTime(machine, now)) {
         continue;
       }
-      machine.touched = false;
-      RosterMachine state = tell(machine, now);
-      if (lately && state.sameAs(machine.said)) {
+      machine.changed = false;
+      RosterMachine state = stateOf(machine, now);
+      if (lately && state.sameAs(machine.published)) {
         continue;
       }
-      machine.said = state;
-      machine.saidIn = serial;
-      machine.saidAt = now;
+      machine.published = state;
+      machine.publishedSerial = serial;
+      machine.publishedAt = now;
       changed.add(machine);
       for (TaskReport task : machine.tasks.values()) {
         if (task.state() == TaskState.EXITED && machines.runsAgain(task)) {
-          machine.told.put(TaskAttempt.of(task).key(), task.attempt());
+          machine.announcedEnds.put(TaskAttempt.of(task).key(), task.attempt());
         }
       }
     }
@@ -207,10 +208,10 @@
   }
 
   /** Whether time alone has changed what is to be said of a machine. */
-  private boolean drifted(OwnedMachine machine, long now) {
-    return machines.usable(machine) != machine.said.usable()
-        || machines.silent(machine) != machine.said.silent()
-        || (machine.drainUntil > now) != machine.said.draining();
+  private boolean changedByTime(OwnedMachine machine, long now) {
+    return machines.usable(machine) != machine.published.usable()
+        || machines.silent(machine) != machine.published.silent()
+        || (machine.drainUntil > now) != machine.published.draining();
   }
 
   /**
@@ -218,26 +219,26 @@
    * nothing marks them to be told anew; none, or a start could pass for one that never arrived. For
    * comparison with the slow way, which is to tell all each time.
    */
-  List<String> untold() {
+  List<String> unpublishedChanges() {
     List<String> out = new ArrayList<>();
     long now = core.now();
     for (OwnedMachine machine : machines.all()) {
-      if (machine.said == null || machine.touched || drifted(machine, now)) {
+      if (machine.published == null || machine.changed || changedByTime(machine, now)) {
         continue;
       }
-      if (!tell(machine, now).sameAs(machine.said)) {
+      if (!stateOf(machine, now).sameAs(machine.published)) {
         out.add(machine.id);
       }
     }
     return out;
   }
 
-  private RosterMachine tell(OwnedMachine machine, long now) {
-    List<RosterTask> ts = new ArrayList<>(machine.tasks.size() + machine.booked.size());
+  private RosterMachine stateOf(OwnedMachine machine, long now) {
+    List<RosterTask> ts = new ArrayList<>(machine.tasks.size() + machine.reservations.size());
     for (TaskReport task : machine.tasks.values()) {
       ts.add(new RosterTask(task.job(), task.task(), task.attempt(), task.state(), task.why()));
     }
-    for (Reservation booked : machine.booked.values()) {
+    for (Reservation booked : machine.reservations.values()) {
       ts.add(
           new RosterTask(
               booked.order.job(), booked.order.task(), booked.order.attempt(), null, null));
@@ -246,15 +247,15 @@
     boolean idle = machine.idle();
     return new RosterMachine(
         machine.id,
-        machine.addr,
-        machine.token,
+        machine.address,
+        machine.term,
         machine.version,
         machine.session,
-        machine.seq,
+        machine.newestReport,
         machine.confirmed,
         machines.usable(machine),
         machine.drainUntil > now,
-        machine.replace,
+        machine.faulty,
         machines.silent(machine),
         machine.lost,
         machine.type.name(),
--- a/src/main/java/mallowstall/core/StartSender.java
+++ b/src/main/java/mallowstall/core/StartSender.java
@@ -50,7 +50,7 @@
             machine.owner,
             machine.ownerIncarnation,
             peer.connection,
-            peer.nextSeq));
+            peer.nextSequence));
     held.lastStart = core.now();
     machine.book(held.spec, 1);
     out.computeIfAbsent(machine.owner, k -> new ArrayList<>())
@@ -72,7 +72,11 @@
       core.sendStarts(
           entry.getKey(),
           new Starts(
-              core.node(), store.incarnation(), peer.connection, peer.nextSeq++, entry.getValue()));
+              core.node(),
+              store.incarnation(),
+              peer.connection,
+              peer.nextSequence++,
+              entry.getValue()));
     }
     out.clear();
   }
--- a/src/main/java/mallowstall/core/StartVetting.java
+++ b/src/main/java/mallowstall/core/StartVetting.java
@@ -40,7 +40,7 @@
     if (job == null) {
       return NOT_KNOWN;
     }
-    if (core.over(start.job(), job)) {
+    if (core.isOver(start.job(), job)) {
       return "job is over";
     }
     if (start.epoch() < job.epoch()) {
@@ -53,7 +53,7 @@
       return "expired";
     }
     JobSpec spec = job.spec();
-    if (core.recordedDone(job, start.task())) {
+    if (core.isRecordedDone(job, start.task())) {
       return "done already";
     }
     if (!OwnedMachines.allowed(spec, machine.type.name(), machine.zone, machine.spot)) {
--- a/src/main/java/mallowstall/core/Terms.java
+++ b/src/main/java/mallowstall/core/Terms.java
@@ -18,10 +18,10 @@
    * Once the worker has shown a larger term, commands that went astray under the old one are dead.
    */
   void raise(OwnedMachine machine) {
-    if (machine.raising || machine.raised) {
+    if (machine.termChanging || machine.termRaised) {
       return;
     }
-    machine.raising = true;
+    machine.termChanging = true;
     boolean asked =
         records.write(
             machine.id,
@@ -29,19 +29,19 @@
             machine.zone,
             machine.spot,
             reply -> {
-              machine.raising = false;
+              machine.termChanging = false;
               if (reply.code() != Code.OK || !machines.has(machine)) {
                 return;
               }
-              machine.token = reply.revision();
+              machine.term = reply.revision();
               machine.version = reply.revision();
               machine.confirmed = false;
-              machine.raised = true;
-              machine.touched = true;
+              machine.termRaised = true;
+              machine.changed = true;
               publisher.touch();
             });
     if (!asked) {
-      machine.raising = false;
+      machine.termChanging = false;
     }
   }
 }
--- a/src/main/java/mallowstall/core/View.java
+++ b/src/main/java/mallowstall/core/View.java
@@ -31,7 +31,7 @@
     long ownerIncarnation;
 
     /** When {@link #m} was told. */
-    long at;
+    long updatedAt;
 
     RosterMachine state;
 
@@ -109,7 +109,7 @@
 
     /** For how long it has been idle, or silent; what was told then has gone on since. */
     long idleMs(long now) {
-      return state.idleMs() == 0 ? 0 : state.idleMs() + now - at;
+      return state.idleMs() == 0 ? 0 : state.idleMs() + now - updatedAt;
     }
   }
 
@@ -119,9 +119,9 @@
     long incarnation;
     long serial;
     long connection;
-    long nextSeq = 1;
+    long nextSequence = 1;
     long ackedConnection;
-    long ackedSeq;
+    long ackedSequence;
     long rosterAt = Long.MIN_VALUE / 2;
 
     /** Which of the rosters received here its last one was. */
@@ -133,7 +133,7 @@
     long heardSerial;
 
     /** This controller's newest statement that the peer has taken in; 0: tell it all. */
-    long knows;
+    long takenInSerial;
 
     long rosterRevision;
     long mirrorFreshAt = Long.MIN_VALUE / 2;
@@ -146,10 +146,10 @@
     long cancelsKnownAt = Long.MIN_VALUE / 2;
 
     /** What this controller acknowledges to that one. */
-    long gotConnection;
+    long receivedConnection;
 
-    long gotSeq;
-    long gotIncarnation;
+    long receivedSequence;
+    long receivedIncarnation;
     Set<String> machines = new HashSet<>();
 
     Peer(String node) {
@@ -160,7 +160,7 @@
     private void begin(long process) {
       incarnation = process;
       ackedConnection = 0;
-      ackedSeq = 0;
+      ackedSequence = 0;
       serial = 0;
       heardIncarnation = process;
       heardSerial = 0;
@@ -170,14 +170,14 @@
     private void hear(Roster roster, long ownIncarnation, long now) {
       serial = roster.serial();
       heardSerial = roster.serial();
-      knows = roster.heardIncarnation() == ownIncarnation ? roster.heardSerial() : 0;
+      takenInSerial = roster.heardIncarnation() == ownIncarnation ? roster.heardSerial() : 0;
       rosterAt = now;
       rosterRevision = roster.mirrorRevision();
       // Connections are numbered anew by each process: what the peer acknowledges of a former one
       // says nothing of this one's starts. Taking it for an answer once started a task twice.
       boolean mine = roster.ackedIncarnation() == ownIncarnation;
       ackedConnection = mine ? roster.ackedConnection() : 0;
-      ackedSeq = mine ? roster.ackedSeq() : 0;
+      ackedSequence = mine ? roster.ackedSeq() : 0;
       mirrorFreshAt = now - roster.sinceMirrorMs();
     }
   }
@@ -263,7 +263,7 @@
       }
       machine.owner = sender.node;
       machine.ownerIncarnation = roster.incarnation();
-      machine.at = core.now();
+      machine.updatedAt = core.now();
       count(machine.state, -1);
       machine.state = state;
       count(state, 1);
--- a/src/main/java/mallowstall/core/WorkerReports.java
+++ b/src/main/java/mallowstall/core/WorkerReports.java
@@ -9,6 +9,7 @@
 import mallowstall.Constants;
 import mallowstall.core.Model.Command;
 import mallowstall.core.Model.CommandKind;
+import mallowstall.core.Model.ExitReason;
 import mallowstall.core.Model.JobRec;
 import mallowstall.core.Model.JobSpec;
 import mallowstall.core.Model.Report;
@@ -17,7 +18,6 @@
 import mallowstall.core.Model.StopOrder;
 import mallowstall.core.Model.TaskReport;
 import mallowstall.core.Model.TaskState;
-import mallowstall.core.Model.Why;
 import mallowstall.core.OwnedMachine.Reservation;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -56,19 +56,22 @@
     if (report.session() > machine.session) {
       beginSession(machine, now);
     }
-    machine.touched = true;
+    machine.changed = true;
     if (byReport) {
-      machine.reported = report.seq();
+      machine.handledReport = report.seq();
     }
-    if (machine.dangling && !machine.raising && report.token() >= machine.token && machine.raised) {
-      machine.clearOrdered();
+    if (machine.commandLost
+        && !machine.termChanging
+        && report.token() >= machine.term
+        && machine.termRaised) {
+      machine.clearOpenStarts();
     }
     machine.session = report.session();
-    machine.seq = report.seq();
+    machine.newestReport = report.seq();
     machine.heardAt = now;
-    machine.addr = report.addr();
+    machine.address = report.addr();
     machine.lost = false;
-    if (report.token() >= machine.token) {
+    if (report.token() >= machine.term) {
       machine.confirmed = true;
     }
     machine.noticeUntil =
@@ -85,22 +88,22 @@
 
   /** The worker has begun a session that wasn't known: the tasks of earlier ones are gone. */
   private void beginSession(OwnedMachine machine, long now) {
-    machine.told.clear();
-    machine.clearOrdered(); // the worker refuses commands for an earlier session
-    machine.reported = 0;
+    machine.announcedEnds.clear();
+    machine.clearOpenStarts(); // the worker refuses commands for an earlier session
+    machine.handledReport = 0;
     if (machine.session != 0
         && machine.confirmed
-        && now - machine.lastOk < core.settings().leaseMs() / 2) {
+        && now - machine.answeredAt < core.settings().leaseMs() / 2) {
       // Its lease ran out although it was answered: it doesn't hear. It gets no task before it
       // has shown a new term; once a deaf machine drew start after start.
       LOG.info("machine {} lost its lease although it was answered", machine.id);
-      machine.dangling = true;
+      machine.commandLost = true;
       terms.raise(machine);
     }
     // Its lease counts from when the session began, which may be known from a direct command's
     // answer alone: counted from the former session's last report, a machine that reaches no
     // controller was written off with tasks that it had just got.
-    machine.lastOk = Math.max(machine.lastOk, now);
+    machine.answeredAt = Math.max(machine.answeredAt, now);
   }
 
   private void takeTasks(OwnedMachine machine, Report report) {
@@ -115,7 +118,7 @@
         continue;
       }
       JobRec job = store.job(task.job());
-      if (job != null && (task.state() == TaskState.RUNNING || task.why() == Why.DONE)) {
+      if (job != null && (task.state() == TaskState.RUNNING || task.why() == ExitReason.DONE)) {
         machine.cacheImage(job.spec().image(), core::imageGb);
       }
       if (task.state() == TaskState.EXITED) {
@@ -127,14 +130,14 @@
 
   /** Drops accepted starts that have arrived or never will. */
   private void dropReservations(OwnedMachine machine, boolean byReport) {
-    Iterator<Reservation> it = machine.booked.values().iterator();
+    Iterator<Reservation> it = machine.reservations.values().iterator();
     while (it.hasNext()) {
       Reservation reservation = it.next();
       StartOrder start = reservation.order;
       TaskKey key = new TaskKey(start.job(), start.task());
       if (machine.tasks.containsKey(new TaskAttempt(key.job(), key.task(), start.attempt()))) {
         it.remove();
-      } else if (!byReport || machine.ordered.containsKey(key)) {
+      } else if (!byReport || machine.openStarts.containsKey(key)) {
         continue; // may still arrive at the worker
       } else if (core.wall() > start.expiryWallMs()) {
         // sent or not: a response is never executed once a later report was sent, and this is one
@@ -144,9 +147,9 @@
   }
 
   private void ended(OwnedMachine machine, TaskReport task) {
-    if (task.why() == Why.DONE) {
+    if (task.why() == ExitReason.DONE) {
       machine.errorsInRow = 0;
-    } else if (task.why() == Why.ERROR && !core.jobAtFault(task.job())) {
+    } else if (task.why() == ExitReason.ERROR && !core.jobAtFault(task.job())) {
       machine.errorsInRow++;
       LOG.info(
           "task {}/{} failed on {}, {} in a row",
@@ -157,7 +160,7 @@
       if (machine.errorsInRow >= Constants.FAULTY_ERRORS) {
         machine.quarantineUntil = core.now() + Constants.QUARANTINE_MS;
         if (machine.errorsInRow >= Constants.BROKEN_ERRORS) {
-          machine.replace = true;
+          machine.faulty = true;
         }
       }
     }
@@ -165,7 +168,7 @@
 
   /** Stops, forgets and starts what the worker should, in one answer. */
   private ReportAnswer answer(OwnedMachine machine) {
-    machine.touched = true; // what it refuses below is booked no longer
+    machine.changed = true; // what it refuses below is booked no longer
     List<Command> stops = new ArrayList<>();
     List<Command> commands = new ArrayList<>();
     for (TaskReport task : machine.tasks.values()) {
@@ -182,8 +185,8 @@
     machine.stops.keySet().removeIf(key -> !machine.holds(key));
     commands.addAll(stops);
     addStarts(machine, commands);
-    machine.lastOk = core.now();
-    return ReportAnswer.ok(machine.token, commands);
+    machine.answeredAt = core.now();
+    return ReportAnswer.ok(machine.term, commands);
   }
 
   private static Command command(CommandKind kind, TaskReport task, double graceS) {
@@ -194,18 +197,18 @@
   private boolean forgets(OwnedMachine machine, TaskReport task) {
     JobRec job = store.job(task.job());
     TaskKey key = TaskAttempt.of(task).key();
-    if (job == null || machine.ordered.containsKey(key)) {
+    if (job == null || machine.openStarts.containsKey(key)) {
       return false;
     }
-    return core.over(task.job(), job)
-        || core.recordedDone(job, task.task())
-        || machines.runsAgain(task) && machine.told.getLong(key) == task.attempt();
+    return core.isOver(task.job(), job)
+        || core.isRecordedDone(job, task.task())
+        || machines.runsAgain(task) && machine.announcedEnds.getLong(key) == task.attempt();
   }
 
   /** Seconds that the task gets to save before it is stopped; none: it goes on. */
   private OptionalDouble stopGrace(OwnedMachine machine, TaskReport task) {
     JobRec job = store.job(task.job());
-    if (core.over(task.job(), job) || job != null && core.recordedDone(job, task.task())) {
+    if (core.isOver(task.job(), job) || job != null && core.isRecordedDone(job, task.task())) {
       return OptionalDouble.of(0);
     }
     StopOrder stop = machine.stops.get(TaskAttempt.of(task).key());
@@ -229,17 +232,17 @@
 
   /** Adds accepted starts as far as the answer has room; refuses those that came too late. */
   private void addStarts(OwnedMachine machine, List<Command> commands) {
-    Iterator<Reservation> reservations = machine.booked.values().iterator();
+    Iterator<Reservation> reservations = machine.reservations.values().iterator();
     while (reservations.hasNext() && commands.size() < Constants.COMMANDS_MAX) {
       Reservation reservation = reservations.next();
       StartOrder start = reservation.order;
       TaskKey key = new TaskKey(start.job(), start.task());
-      if (machine.ordered.containsKey(key)) {
+      if (machine.openStarts.containsKey(key)) {
         continue;
       }
       JobRec job = store.job(start.job());
       boolean unwanted =
-          core.over(start.job(), job) || job != null && core.recordedDone(job, start.task());
+          core.isOver(start.job(), job) || job != null && core.isRecordedDone(job, start.task());
       if (unwanted || machine.stops.containsKey(key) || core.wall() > start.expiryWallMs()) {
         // every earlier response is dead by now (this answers a later report), so it never runs
         reservations.remove();
--- a/src/main/java/mallowstall/peers/PeerCodec.java
+++ b/src/main/java/mallowstall/peers/PeerCodec.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import mallowstall.Constants;
+import mallowstall.core.Model.ExitReason;
 import mallowstall.core.Model.PeerMessage;
 import mallowstall.core.Model.Refusal;
 import mallowstall.core.Model.Roster;
@@ -16,7 +17,6 @@
 import mallowstall.core.Model.Stops;
 import mallowstall.core.Model.TaskRef;
 import mallowstall.core.Model.TaskState;
-import mallowstall.core.Model.Why;
 import org.apache.avro.io.BinaryDecoder;
 import org.apache.avro.io.BinaryEncoder;
 import org.apache.avro.io.DecoderFactory;
@@ -46,7 +46,7 @@
   private static final int SPOT = 32;
   private static final int LOST = 64;
   private static final TaskState[] STATES = TaskState.values();
-  private static final Why[] WHYS = Why.values();
+  private static final ExitReason[] EXIT_REASONS = ExitReason.values();
 
   static {
     // else a few bytes may ask for a text of two gigabytes
@@ -248,11 +248,11 @@
     long attempt = decoder.readLong();
     int s = decoder.readEnum();
     int w = decoder.readEnum();
-    if (s < 0 || s > STATES.length || w < 0 || w > WHYS.length) {
+    if (s < 0 || s > STATES.length || w < 0 || w > EXIT_REASONS.length) {
       throw new IOException("unknown enum value");
     }
     return new RosterTask(
-        job, task, attempt, s == 0 ? null : STATES[s - 1], w == 0 ? null : WHYS[w - 1]);
+        job, task, attempt, s == 0 ? null : STATES[s - 1], w == 0 ? null : EXIT_REASONS[w - 1]);
   }
 
   private static void refusal(BinaryEncoder encoder, Refusal r) throws IOException {
--- a/src/main/java/mallowstall/workers/WorkersAdapter.java
+++ b/src/main/java/mallowstall/workers/WorkersAdapter.java
@@ -17,11 +17,11 @@
 import mallowstall.core.Effects.OrderReply;
 import mallowstall.core.Model.Command;
 import mallowstall.core.Model.CommandKind;
+import mallowstall.core.Model.ExitReason;
 import mallowstall.core.Model.Report;
 import mallowstall.core.Model.ReportAnswer;
 import mallowstall.core.Model.TaskReport;
 import mallowstall.core.Model.TaskState;
-import mallowstall.core.Model.Why;
 import mallowstall.net.HttpClient;
 import mallowstall.net.HttpServer.Request;
 import mallowstall.net.HttpServer.Responder;
@@ -192,17 +192,17 @@
     };
   }
 
-  private static Why why(TaskWire task) {
+  private static ExitReason why(TaskWire task) {
     if (!"ended".equals(task.state)) {
       return null;
     }
     return switch (task.why == null ? "" : task.why) {
-      case "done" -> Why.DONE;
-      case "stopped" -> Why.STOPPED;
-      case "full" -> Why.NO_ROOM;
-      case "busy" -> Why.BUSY;
-      case "no_such" -> Why.UNKNOWN;
-      default -> Why.ERROR;
+      case "done" -> ExitReason.DONE;
+      case "stopped" -> ExitReason.STOPPED;
+      case "full" -> ExitReason.NO_ROOM;
+      case "busy" -> ExitReason.BUSY;
+      case "no_such" -> ExitReason.UNKNOWN;
+      default -> ExitReason.ERROR;
     };
   }
 
--- a/src/test/java/mallowstall/core/ReplicasTest.java
+++ b/src/test/java/mallowstall/core/ReplicasTest.java
@@ -6,8 +6,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import mallowstall.core.Model.ExitReason;
 import mallowstall.core.Model.Priority;
-import mallowstall.core.Model.Why;
 import org.junit.jupiter.api.Test;
 
 /** Replicas of a service run again, whatever ended them or kept them from starting. */
@@ -53,7 +53,7 @@
     sim.submit(sim.job(OTHER, 4, 2, Priority.NORMAL, "free", false, false, false, "a"));
     sim.run(sim.now + 5_000);
     assertEquals(2, sim.rules.machinesOf(OTHER).size(), "both are full");
-    assertTrue(sim.endReplica(SERVICE, 0, Why.DONE));
+    assertTrue(sim.endReplica(SERVICE, 0, ExitReason.DONE));
     sim.run(sim.now + 25_000);
     assertTrue(sim.struck.containsKey("result kept"), "it was tried there once more");
     sim.run(sim.now + 10_000);
@@ -168,7 +168,7 @@
   void aReplicaThatAlwaysEndsIsStartedSeldom() {
     Sim sim = serving(435, 1);
     sim.replicaEnds = 1;
-    assertTrue(sim.endReplica(SERVICE, 0, Why.DONE));
+    assertTrue(sim.endReplica(SERVICE, 0, ExitReason.DONE));
     for (int minute = 1; minute <= 3; minute++) {
       int before = startsOf(sim);
       sim.run(sim.now + 60_000);
--- a/src/test/java/mallowstall/core/SafetyCasesTest.java
+++ b/src/test/java/mallowstall/core/SafetyCasesTest.java
@@ -303,7 +303,7 @@
     sim.run(12_000 + 5_500 + 9_000 + 4_000);
     Sim.Node next = holder(sim, "wk-000001");
     assertFalse(next == node);
-    assertTrue(next.core.latched("wk-000001"));
+    assertTrue(next.core.mayPlace("wk-000001"));
     sim.run(160_000);
     finished(sim, "wk-000001");
   }
@@ -497,10 +497,10 @@
     sim.run(14_000);
     Sim.Node node = holder(sim, "wk-000001");
     sim.isolate(node);
-    sim.run(14_000 + Constants.SESSION_TTL_MS + Constants.SEIZE_AFTER_MS + 4_000);
+    sim.run(14_000 + Constants.SESSION_TTL_MS + Constants.ORPHAN_ASKED_AFTER_MS + 4_000);
     Sim.Node next = holder(sim, "wk-000001");
     assertFalse(next == node);
-    assertTrue(next.core.latched("wk-000001"), "the job goes on while the cut lasts");
+    assertTrue(next.core.mayPlace("wk-000001"), "the job goes on while the cut lasts");
     for (Sim.Worker worker : sim.workers.values()) {
       assertFalse(worker.node.equals(node.name), "its workers have turned to the others");
       assertEquals(1, worker.session, "and kept their tasks");
@@ -1091,13 +1091,13 @@
     Sim.Node node = holder(sim, "wk-000001");
     node.crash(60_000);
     Sim.Node next = claimed(sim, "wk-000001", node);
-    assertFalse(next.core.latched("wk-000001"));
+    assertFalse(next.core.mayPlace("wk-000001"));
     long lease = sim.state.keys.get(Store.SESSIONS + next.name).lease();
     sim.state.end(lease);
     sim.run(sim.now + 75_000);
     boolean over = sim.entry("wk-000001").fin() == Final.DONE;
     assertTrue(
-        over || holder(sim, "wk-000001").core.latched("wk-000001"), "known and looked after");
+        over || holder(sim, "wk-000001").core.mayPlace("wk-000001"), "known and looked after");
     sim.run(250_000);
     finished(sim, "wk-000001");
   }
--- a/src/test/java/mallowstall/core/ServiceRulesTest.java
+++ b/src/test/java/mallowstall/core/ServiceRulesTest.java
@@ -6,9 +6,9 @@
 import java.util.List;
 import mallowstall.core.Model.Command;
 import mallowstall.core.Model.CommandKind;
+import mallowstall.core.Model.ExitReason;
 import mallowstall.core.Model.JobSpec;
 import mallowstall.core.Model.Priority;
-import mallowstall.core.Model.Why;
 import org.junit.jupiter.api.Test;
 
 /** The checks of services can fail, and not before their time; so the simulation can be trusted. */
@@ -229,7 +229,7 @@
     sim.run(9_000);
     worker.execute(new Command(CommandKind.STOP, SERVICE, 1, 1, 0));
     assertEquals(1, sim.rules.replicasOn(SERVICE));
-    assertTrue(sim.endReplica(SERVICE, 0, Why.DONE));
+    assertTrue(sim.endReplica(SERVICE, 0, ExitReason.DONE));
     assertEquals(0, sim.rules.replicasOn(SERVICE));
   }
 
@@ -242,7 +242,7 @@
     List<Sim.Worker> workers = List.copyOf(sim.workers.values());
     workers.get(0).execute(new Command(CommandKind.START, SERVICE, 0, 1, 0));
     sim.run(8_000);
-    assertTrue(sim.endReplica(SERVICE, 0, Why.DONE));
+    assertTrue(sim.endReplica(SERVICE, 0, ExitReason.DONE));
     workers.get(0).execute(new Command(CommandKind.START, SERVICE, 0, 2, 0));
     sim.run(8_100);
     assertEquals(0, sim.rules.replicasOn(SERVICE));
@@ -263,6 +263,6 @@
     Sim.Worker.T replica = worker.tasks.values().iterator().next();
     sim.run(8_000);
     assertEquals(0, sim.rules.replicasOn(SERVICE));
-    assertEquals(Why.ERROR, replica.why);
+    assertEquals(ExitReason.ERROR, replica.why);
   }
 }
--- a/src/test/java/mallowstall/core/Sim.java
+++ b/src/test/java/mallowstall/core/Sim.java
@@ -16,6 +16,7 @@
 import mallowstall.core.Model.Command;
 import mallowstall.core.Model.CoreSettings;
 import mallowstall.core.Model.Entry;
+import mallowstall.core.Model.ExitReason;
 import mallowstall.core.Model.Final;
 import mallowstall.core.Model.GroupRec;
 import mallowstall.core.Model.JobKind;
@@ -36,7 +37,6 @@
 import mallowstall.core.Model.TaskState;
 import mallowstall.core.Model.Team;
 import mallowstall.core.Model.UserAnswer;
-import mallowstall.core.Model.Why;
 
 /**
  * Several real cores on simulated time against stand-ins for the state service, the cloud, workers
@@ -182,7 +182,7 @@
    * that is not told although it changed would let a start pass for one that never arrived.
    */
   private void compare(Core c) {
-    for (String id : c.owner().untold()) {
+    for (String id : c.owner().unpublishedChanges()) {
       rules.broken.add(now + " untold: " + id);
     }
     Map<String, Integer> placed = new HashMap<>();
@@ -996,7 +996,7 @@
     }
 
     @Override
-    public void giveBack(List<String> machines, Consumer<Boolean> then) {
+    public void returnMachines(List<String> machines, Consumer<Boolean> then) {
       if (machines.size() > Constants.RETURN_MAX) { // as the protocol has it
         back(30, () -> then.accept(false));
         return;
@@ -1151,7 +1151,7 @@
   }
 
   /** Ends a running replica as if by itself; false: it runs nowhere. */
-  boolean endReplica(String job, int number, Why why) {
+  boolean endReplica(String job, int number, ExitReason why) {
     for (Worker worker : workers.values()) {
       for (Worker.T task : worker.tasks.values()) {
         if (!task.job.equals(job) || task.task != number || task.state != TaskState.RUNNING) {
@@ -1221,7 +1221,7 @@
       int task;
       long attempt;
       TaskState state;
-      Why why;
+      ExitReason why;
       int step;
 
       /** When what it does now is done; later if its machine hangs. */
@@ -1509,7 +1509,7 @@
                 && o.task == task.task
                 && o.state != TaskState.EXITED) {
               task.state = TaskState.EXITED;
-              task.why = Why.BUSY;
+              task.why = ExitReason.BUSY;
               return;
             }
           }
@@ -1525,7 +1525,7 @@
           if (task == null || task.state == TaskState.EXITED) {
             return;
           }
-          exit(task, Why.STOPPED);
+          exit(task, ExitReason.STOPPED);
         }
         case FORGET -> {
           if (task != null && task.state == TaskState.EXITED) {
@@ -1555,7 +1555,7 @@
       images.put(task.job, now);
       if (completed.contains(task.job + "/" + task.task)) {
         strike("result kept");
-        exit(task, Why.DONE);
+        exit(task, ExitReason.DONE);
         return;
       }
       task.state = TaskState.RUNNING;
@@ -1568,16 +1568,18 @@
         return;
       }
       progress(
-          task, faulty ? 1 : runs(task), () -> endItself(task, key, faulty ? Why.ERROR : Why.DONE));
+          task,
+          faulty ? 1 : runs(task),
+          () -> endItself(task, key, faulty ? ExitReason.ERROR : ExitReason.DONE));
     }
 
     private void endByChance(T task, String key) {
-      Why why = rnd.nextBoolean() ? Why.DONE : Why.ERROR;
+      ExitReason why = rnd.nextBoolean() ? ExitReason.DONE : ExitReason.ERROR;
       strike("replica ended: " + why);
       progress(task, rnd.nextInt(20_000), () -> endItself(task, key, why));
     }
 
-    private void endItself(T task, String key, Why why) {
+    private void endItself(T task, String key, ExitReason why) {
       if (dead || tasks.get(key) != task || task.state != TaskState.RUNNING) {
         return;
       }
@@ -1589,18 +1591,18 @@
       return own != null ? own : runMs > 0 ? runMs : 1_000 + rnd.nextInt(6_000);
     }
 
-    void exit(T task, Why why) {
+    void exit(T task, ExitReason why) {
       boolean was = task.state == TaskState.RUNNING;
       task.state = TaskState.EXITED;
       task.why = why;
       changed = true;
       if (was) {
-        rules.left(id, task.job, task.task, why == Why.DONE);
+        rules.left(id, task.job, task.task, why == ExitReason.DONE);
       }
-      if (why == Why.DONE) {
+      if (why == ExitReason.DONE) {
         completed.add(task.job + "/" + task.task);
       }
-      if (was && why == Why.DONE) {
+      if (was && why == ExitReason.DONE) {
         cancelAtItsEnd(task.job);
       }
     }
--- a/src/test/java/mallowstall/core/UpgradeTest.java
+++ b/src/test/java/mallowstall/core/UpgradeTest.java
@@ -7,11 +7,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
+import mallowstall.core.Model.ExitReason;
 import mallowstall.core.Model.Final;
 import mallowstall.core.Model.JobSpec;
 import mallowstall.core.Model.Priority;
 import mallowstall.core.Model.UserAnswer;
-import mallowstall.core.Model.Why;
 import org.junit.jupiter.api.Test;
 
 /** Single moments of an upgrade from the version without services, on simulated time. */
@@ -143,7 +143,7 @@
       assertEquals(REPLICAS, sim.rules.replicasOn(SERVICE), "old: " + name);
       assertEquals("done", sim.rules.lastTold(BATCH));
       assertEquals(Final.SERVING, sim.entry(SERVICE).fin());
-      assertTrue(sim.endReplica(SERVICE, 0, Why.DONE));
+      assertTrue(sim.endReplica(SERVICE, 0, ExitReason.DONE));
       sim.run(sim.now + RUNS_AGAIN_MS);
       assertEquals(REPLICAS, sim.rules.replicasOn(SERVICE), "old: " + name);
       assertEquals(List.of(), sim.rules.broken);
--- a/src/test/java/mallowstall/peers/PeerCodecTest.java
+++ b/src/test/java/mallowstall/peers/PeerCodecTest.java
@@ -8,6 +8,7 @@
 import java.io.InputStream;
 import java.util.List;
 import java.util.SplittableRandom;
+import mallowstall.core.Model.ExitReason;
 import mallowstall.core.Model.PeerMessage;
 import mallowstall.core.Model.Refusal;
 import mallowstall.core.Model.Roster;
@@ -19,7 +20,6 @@
 import mallowstall.core.Model.Stops;
 import mallowstall.core.Model.TaskRef;
 import mallowstall.core.Model.TaskState;
-import mallowstall.core.Model.Why;
 import org.apache.avro.Schema;
 import org.apache.avro.generic.GenericDatumReader;
 import org.apache.avro.generic.GenericRecord;
@@ -65,7 +65,8 @@
                   900,
                   List.of("img-1", "img-2"),
                   List.of(
-                      new RosterTask("wk-000001", 3, (2L << 24) + 5, TaskState.EXITED, Why.DONE),
+                      new RosterTask(
+                          "wk-000001", 3, (2L << 24) + 5, TaskState.EXITED, ExitReason.DONE),
                       new RosterTask("wk-000001", 4, (2L << 24) + 6, null, null)))),
           List.of("m-000008"),
           List.of(new Refusal("m-000007", "wk-000002", 0, 8, "no room")));
