--- a/src/main/java/mallowstall/Constants.java
+++ b/src/main/java/mallowstall/Constants.java
@@ -107,6 +107,9 @@
   /** ms. Between two looks for groups of machines that say nothing any more. */
   public static final long SWEEP_EVERY_MS = 2_000;
 
+  /** ms. For so long an orphaned job is left to the controller whose turn it is. */
+  public static final long CLAIM_TURN_MS = 2_000;
+
   /** ms. Between scans for jobs whose holder is gone. */
   public static final long ADOPT_EVERY_MS = 300;
 
--- a/src/main/java/mallowstall/Service.java
+++ b/src/main/java/mallowstall/Service.java
@@ -40,6 +40,8 @@
 
 /** One controller: the core with its adapters, on one event loop. */
 public final class Service {
+  private static final String SUBMISSIONS = "/submissions";
+  private static final String CANCEL = "/cancel";
   private static final Logger LOG = LoggerFactory.getLogger("mallowstall.service");
 
   private final NioEventLoopGroup group = new NioEventLoopGroup(1);
@@ -208,59 +210,80 @@
       path = path.substring(0, query);
     }
     try {
-      if (path.equals("/hello")) {
-        if (method(request, responder, "POST")) {
-          try {
-            workers.report(request, responder);
-          } catch (IOException failure) {
-            LOG.info("a report is refused: {}", failure.getMessage());
-            error(responder, 400, "not a valid report");
-          }
-        }
-      } else if (path.equals("/ready")) {
-        if (method(request, responder, "GET")) {
-          if (core.ready()) {
-            responder.answer(200, "{\"ready\":true}".getBytes(StandardCharsets.UTF_8), 0);
+      switch (path) {
+        case "/hello" -> hello(request, responder);
+        case "/ready" -> ready(request, responder);
+        case "/metrics" -> metrics(request, responder);
+        case SUBMISSIONS -> submit(request, responder);
+        default -> {
+          if (path.startsWith(SUBMISSIONS + "/")) {
+            submission(path.substring(SUBMISSIONS.length() + 1), request, responder);
           } else {
-            responder.answer(503, "{\"ready\":false}".getBytes(StandardCharsets.UTF_8), 1);
-          }
-        }
-      } else if (path.equals("/metrics")) {
-        if (method(request, responder, "GET")) {
-          responder.answer(200, meters.text().getBytes(StandardCharsets.UTF_8), 0);
-        }
-      } else if (path.equals("/submissions")) {
-        if (method(request, responder, "POST")) {
-          long t0 = System.nanoTime();
-          users.submit(
-              request,
-              (status, json, retry) -> {
-                meters.timeNanos("submit", System.nanoTime() - t0);
-                responder.answer(status, json, retry);
-              });
-        }
-      } else if (path.startsWith("/submissions/")) {
-        String rest = path.substring("/submissions/".length());
-        if (rest.endsWith("/cancel") && rest.indexOf('/') == rest.length() - 7) {
-          if (method(request, responder, "POST")) {
-            users.cancel(rest.substring(0, rest.length() - 7), responder);
-          }
-        } else if (rest.indexOf('/') < 0) {
-          if (method(request, responder, "GET")) {
-            users.query(rest, responder);
+            error(responder, 404, "no such path");
           }
-        } else {
-          error(responder, 404, "no such path");
         }
-      } else {
-        error(responder, 404, "no such path");
       }
-    } catch (RuntimeException e) {
-      LOG.error("a request failed: {} {}", request.method(), path, e);
+    } catch (RuntimeException failure) {
+      LOG.error("a request failed: {} {}", request.method(), path, failure);
       error(responder, 500, "internal error");
     }
   }
 
+  private void hello(Request request, Responder responder) {
+    if (!method(request, responder, "POST")) {
+      return;
+    }
+    try {
+      workers.report(request, responder);
+    } catch (IOException failure) {
+      LOG.info("a report is refused: {}", failure.getMessage());
+      error(responder, 400, "not a valid report");
+    }
+  }
+
+  private void ready(Request request, Responder responder) {
+    if (!method(request, responder, "GET")) {
+      return;
+    }
+    boolean ready = core.ready();
+    byte[] body = ("{\"ready\":" + ready + "}").getBytes(StandardCharsets.UTF_8);
+    responder.answer(ready ? 200 : 503, body, ready ? 0 : 1);
+  }
+
+  private void metrics(Request request, Responder responder) {
+    if (method(request, responder, "GET")) {
+      responder.answer(200, meters.text().getBytes(StandardCharsets.UTF_8), 0);
+    }
+  }
+
+  private void submit(Request request, Responder responder) {
+    if (!method(request, responder, "POST")) {
+      return;
+    }
+    long startedAt = System.nanoTime();
+    users.submit(
+        request,
+        (status, json, retry) -> {
+          meters.timeNanos("submit", System.nanoTime() - startedAt);
+          responder.answer(status, json, retry);
+        });
+  }
+
+  /** What is asked of one job; {@code rest} is the path after that of all jobs. */
+  private void submission(String rest, Request request, Responder responder) {
+    boolean cancels = rest.endsWith(CANCEL);
+    String id = cancels ? rest.substring(0, rest.length() - CANCEL.length()) : rest;
+    if (id.indexOf('/') >= 0) {
+      error(responder, 404, "no such path");
+    } else if (cancels) {
+      if (method(request, responder, "POST")) {
+        users.cancel(id, responder);
+      }
+    } else if (method(request, responder, "GET")) {
+      users.query(id, responder);
+    }
+  }
+
   private static boolean method(Request request, Responder responder, String wanted) {
     if (request.method().equals(wanted)) {
       return true;
--- a/src/main/java/mallowstall/config/Settings.java
+++ b/src/main/java/mallowstall/config/Settings.java
@@ -100,7 +100,43 @@
       @JsonProperty("state") State state,
       @JsonProperty("cloud") Cloud cloud,
       @JsonProperty("machine_limits") Limits limits,
-      @JsonProperty("skew_ms") Double skewMs) {}
+      @JsonProperty("skew_ms") Double skewMs) {
+    private void check() throws Invalid {
+      if (teams == null) {
+        throw new Invalid("facts.teams is missing: expected a list");
+      }
+      for (int i = 0; i < teams.size(); i++) {
+        text("facts.teams[" + i + "].name", teams.get(i).name);
+      }
+      if (workers == null) {
+        throw new Invalid("facts.workers is missing: expected an object");
+      }
+      positive("facts.workers.report_s", workers.reportS);
+      positive("facts.workers.lease_s", workers.leaseS);
+      positive("facts.workers.cancel_s", workers.cancelS);
+      if (state == null) {
+        throw new Invalid("facts.state is missing: expected an object");
+      }
+      positive("facts.state.rps", state.rps);
+      positive("facts.state.write_rps", state.writeRps);
+      positive("facts.state.value_kb", state.valueKb);
+      if (state.txnOps == null || state.txnOps < 2) {
+        throw new Invalid("facts.state.txn_ops must be a whole number above 1");
+      }
+      checkNext(state.next);
+      if (cloud == null) {
+        throw new Invalid("facts.cloud is missing: expected an object");
+      }
+      positive("facts.cloud.rps", cloud.rps);
+      positive("facts.cloud.list_lag_s", cloud.listLagS);
+      if (limits != null && limits.maxConnections != null && limits.maxConnections < 50) {
+        throw new Invalid("facts.machine_limits.fd_limit must be 50 or more");
+      }
+      if (skewMs == null || skewMs < 0) {
+        throw new Invalid("facts.skew_ms must be a number of 0 or more");
+      }
+    }
+  }
 
   /** Settings that can't be used; the message names the field and what was expected. */
   public static final class Invalid extends Exception {
@@ -173,41 +209,7 @@
     if (facts == null) {
       throw new Invalid("facts is missing: expected an object");
     }
-    if (facts.teams == null) {
-      throw new Invalid("facts.teams is missing: expected a list");
-    }
-    for (int i = 0; i < facts.teams.size(); i++) {
-      text("facts.teams[" + i + "].name", facts.teams.get(i).name);
-    }
-    if (facts.workers == null) {
-      throw new Invalid("facts.workers is missing: expected an object");
-    }
-    positive("facts.workers.report_s", facts.workers.reportS);
-    positive("facts.workers.lease_s", facts.workers.leaseS);
-    positive("facts.workers.cancel_s", facts.workers.cancelS);
-    if (facts.state == null) {
-      throw new Invalid("facts.state is missing: expected an object");
-    }
-    positive("facts.state.rps", facts.state.rps);
-    positive("facts.state.write_rps", facts.state.writeRps);
-    positive("facts.state.value_kb", facts.state.valueKb);
-    if (facts.state.txnOps == null || facts.state.txnOps < 2) {
-      throw new Invalid("facts.state.txn_ops must be a whole number above 1");
-    }
-    checkNext(facts.state.next);
-    if (facts.cloud == null) {
-      throw new Invalid("facts.cloud is missing: expected an object");
-    }
-    positive("facts.cloud.rps", facts.cloud.rps);
-    positive("facts.cloud.list_lag_s", facts.cloud.listLagS);
-    if (facts.limits != null
-        && facts.limits.maxConnections != null
-        && facts.limits.maxConnections < 50) {
-      throw new Invalid("facts.machine_limits.fd_limit must be 50 or more");
-    }
-    if (facts.skewMs == null || facts.skewMs < 0) {
-      throw new Invalid("facts.skew_ms must be a number of 0 or more");
-    }
+    facts.check();
   }
 
   private static void checkNext(NextState next) throws Invalid {
--- a/src/main/java/mallowstall/core/Holder.java
+++ b/src/main/java/mallowstall/core/Holder.java
@@ -341,53 +341,52 @@
   }
 
   // ---- rosters ------------------------------------------------------------------------------
+  /** An owner has told of its machines: brings what is known of the jobs held here up to date. */
   void roster(Roster roster) {
     for (Refusal refusal : roster.refusals()) {
       refused(refusal);
     }
     for (RosterMachine state : roster.machines()) {
       View.Seen seen = core.view().machines.get(state.machine());
-      if (seen == null || seen.state != state) {
-        continue; // a larger term is known
-      }
-      Set<Active> here = byMachine.get(state.machine());
-      if (here != null) {
-        for (Active active : here) {
-          active.listed = false;
-        }
-      }
-      for (RosterTask rosterTask : state.tasks()) {
-        task(roster.node(), roster.incarnation(), state, rosterTask);
-      }
-      if (here == null) {
-        continue;
-      }
-      for (Active placed : new ArrayList<>(here)) {
-        if (placed.listed) {
-          continue;
-        }
-        // a later session of the machine has none of an earlier one's tasks, whoever owns it
-        if (placed.seen && (state.confirmed() || state.session() > placed.session)) {
-          gone(placed);
-        }
+      if (seen != null && seen.state == state) { // else a larger term is known
+        machineTold(roster, state);
       }
     }
     // Of a start that wasn't seen yet, a statement tells by its acknowledgement too, which comes
     // without anything new on the machine if the start never arrived.
     View.Peer peer = core.view().peer(roster.node());
-    for (Active running : new ArrayList<>(unseen)) {
-      if (running.listed) {
-        continue;
+    for (Active active : new ArrayList<>(unseen)) {
+      View.Seen machine = core.view().machines.get(active.machine);
+      boolean told =
+          machine != null
+              && machine.state != null
+              && roster.node().equals(machine.owner)
+              && machine.state.confirmed();
+      if (!active.listed && told && resolved(active, roster, peer)) {
+        gone(active);
       }
-      View.Seen machine = core.view().machines.get(running.machine);
-      if (machine == null
-          || machine.state == null
-          || !roster.node().equals(machine.owner)
-          || !machine.state.confirmed()) {
-        continue;
+    }
+  }
+
+  /** Takes in what is on one machine, and what is there no longer. */
+  private void machineTold(Roster roster, RosterMachine state) {
+    Set<Active> here = byMachine.get(state.machine());
+    if (here != null) {
+      for (Active active : here) {
+        active.listed = false;
       }
-      if (resolved(running, roster, peer)) {
-        gone(running);
+    }
+    for (RosterTask task : state.tasks()) {
+      task(roster.node(), roster.incarnation(), state, task);
+    }
+    if (here == null) {
+      return;
+    }
+    for (Active active : new ArrayList<>(here)) {
+      // a later session of the machine has none of an earlier one's tasks, whoever owns it
+      boolean told = state.confirmed() || state.session() > active.session;
+      if (!active.listed && active.seen && told) {
+        gone(active);
       }
     }
   }
@@ -700,6 +699,7 @@
     }
   }
 
+  /** Claims jobs whose holder's session is gone. */
   private void adopt() {
     long now = core.now();
     if (now < nextAdopt || !store.sessionGood()) {
@@ -707,7 +707,7 @@
     }
     nextAdopt = now + Constants.ADOPT_EVERY_MS;
     List<String> live = core.liveNodes();
-    int n = 0;
+    int claims = 0;
     for (JobRec job : new ArrayList<>(core.openJobs())) {
       String id = job.spec().id();
       if (store.live(job.holder(), job.incarnation())) {
@@ -715,40 +715,51 @@
         claimRetries.remove(id);
         continue;
       }
-      long since = orphanSince.computeIfAbsent(id, key -> now);
-      String first =
-          live.isEmpty() ? core.node() : live.get(Math.floorMod(id.hashCode(), live.size()));
-      if (!first.equals(core.node()) && now - since < 2_000) {
-        continue;
-      }
-      Long c = claiming.get(id);
-      if (c != null && now - c < 2 * Constants.STATE_TIMEOUT_MS) {
+      if (!claimable(id, live, now)) {
         continue;
       }
-      RetryDelay retry = claimRetries.computeIfAbsent(id, k -> new RetryDelay());
-      if (!retry.due(now)) {
-        continue;
-      }
-      if (++n > Constants.ADOPT_BATCH) {
+      if (claims == Constants.ADOPT_BATCH) {
         break;
       }
-      claiming.put(id, now);
-      JobRec mine = job.withHolder(core.node(), store.incarnation());
-      JobEntries.Write claim = core.jobEntries().keepingBits(mine, store.version(Store.JOBS + id));
-      boolean asked =
-          store.transact(
-              Store.Urgency.JOB,
-              new Txn(claim.when(), claim.puts(), List.of()),
-              reply -> {
-                claiming.remove(id);
-                retry.answered(core.now(), reply.code());
-                if (reply.code() == Code.OK) {
-                  LOG.info("job {} taken over from {}, epoch {}", id, job.holder(), mine.epoch());
-                }
-              });
-      if (!asked) {
-        claiming.remove(id);
-      }
+      claims++;
+      claim(job, now);
+    }
+  }
+
+  /** Whether it is this controller's turn to claim the job. */
+  private boolean claimable(String id, List<String> live, long now) {
+    long since = orphanSince.computeIfAbsent(id, key -> now);
+    String first =
+        live.isEmpty() ? core.node() : live.get(Math.floorMod(id.hashCode(), live.size()));
+    if (!first.equals(core.node()) && now - since < Constants.CLAIM_TURN_MS) {
+      return false;
+    }
+    Long asked = claiming.get(id);
+    if (asked != null && now - asked < 2 * Constants.STATE_TIMEOUT_MS) {
+      return false;
+    }
+    return claimRetries.computeIfAbsent(id, k -> new RetryDelay()).due(now);
+  }
+
+  private void claim(JobRec job, long now) {
+    String id = job.spec().id();
+    claiming.put(id, now);
+    RetryDelay retry = claimRetries.get(id);
+    JobRec mine = job.withHolder(core.node(), store.incarnation());
+    JobEntries.Write claim = core.jobEntries().keepingBits(mine, store.version(Store.JOBS + id));
+    boolean asked =
+        store.transact(
+            Store.Urgency.JOB,
+            new Txn(claim.when(), claim.puts(), List.of()),
+            reply -> {
+              claiming.remove(id);
+              retry.answered(core.now(), reply.code());
+              if (reply.code() == Code.OK) {
+                LOG.info("job {} taken over from {}, epoch {}", id, job.holder(), mine.epoch());
+              }
+            });
+    if (!asked) {
+      claiming.remove(id);
     }
   }
 
@@ -773,6 +784,11 @@
         return;
       }
     }
+    record(held, now);
+  }
+
+  /** Records the done bits, and the job's end once all are set. */
+  private void record(Held held, long now) {
     JobEntries.Write write =
         core.jobEntries().recording(held.job, held.version, held.done, held.dirtyPieces);
     List<Integer> pieces = new ArrayList<>(held.dirtyPieces);
@@ -784,29 +800,31 @@
         store.transact(
             Store.Urgency.JOB,
             new Txn(write.when(), write.puts(), List.of()),
-            reply -> {
-              held.writing = false;
-              held.writeRetry.answered(core.now(), reply.code());
-              if (reply.code() == Code.OK) {
-                return;
-              }
-              // not known to be recorded: the next write says all of it again
-              held.dirtyPieces.addAll(pieces);
-              if (reply.code() == Code.UNKNOWN) {
-                held.uncertain = true;
-              }
-              if (reply.code() == Code.CONFLICT) {
-                reread(held);
-              } else {
-                held.lastWrite = core.now() + Constants.STATE_RETRY_MS;
-              }
-            });
+            reply -> recorded(held, pieces, reply.code()));
     if (!asked) {
       held.writing = false;
       held.dirtyPieces.addAll(pieces);
     }
   }
 
+  private void recorded(Held held, List<Integer> pieces, Code code) {
+    held.writing = false;
+    held.writeRetry.answered(core.now(), code);
+    if (code == Code.OK) {
+      return;
+    }
+    // not known to be recorded: the next write says all of it again
+    held.dirtyPieces.addAll(pieces);
+    if (code == Code.UNKNOWN) {
+      held.uncertain = true;
+    }
+    if (code == Code.CONFLICT) {
+      reread(held);
+    } else {
+      held.lastWrite = core.now() + Constants.STATE_RETRY_MS;
+    }
+  }
+
   /**
    * Whether the mirror holds all bits that were recorded before this holding. The entry may have
    * been read on its own, and pieces written without them would take bits back.
--- a/src/main/java/mallowstall/core/Users.java
+++ b/src/main/java/mallowstall/core/Users.java
@@ -89,27 +89,27 @@
         store.transact(
             Store.Urgency.USER,
             new Txn(List.of(new Cond(key, 0)), List.of(new Put(key, job, 0)), List.of()),
-            result -> {
-              switch (result.code()) {
-                case OK -> {
-                  // A controller that stood still meanwhile called a job pending that was over. The
-                  // user asks again and is told what it is then: read now, it was overtaken once
-                  // more (seed 4932 of the histories).
-                  if (core.now() - since > Constants.READ_LIFE_MS) {
-                    reply.accept(later("recorded late, ask again"));
-                  } else {
-                    reply.accept(UserAnswer.state(201, spec.id(), "pending", 0, 0));
-                  }
-                }
-                case CONFLICT -> query(spec.id(), reply);
-                default -> reply.accept(later("the job could not be recorded"));
-              }
-            });
+            result -> recorded(spec.id(), result.code(), since, reply));
     if (!asked) {
       reply.accept(later("too many requests are waiting"));
     }
   }
 
+  private void recorded(String id, Code code, long since, Consumer<UserAnswer> reply) {
+    if (code == Code.CONFLICT) {
+      query(id, reply);
+    } else if (code != Code.OK) {
+      reply.accept(later("the job could not be recorded"));
+    } else if (core.now() - since > Constants.READ_LIFE_MS) {
+      // A controller that stood still meanwhile called a job pending that was over. The user asks
+      // again and is told what it is then: read now, it was overtaken once more (seed 4932 of the
+      // histories).
+      reply.accept(later("recorded late, ask again"));
+    } else {
+      reply.accept(UserAnswer.state(201, id, "pending", 0, 0));
+    }
+  }
+
   /**
    * Wrong, unless it repeats the submission of an accepted job, which must never be told so: that
    * is asked for first. Without the state service it is told at once.
--- a/src/main/java/mallowstall/core/WaitingWork.java
+++ b/src/main/java/mallowstall/core/WaitingWork.java
@@ -115,54 +115,58 @@
     starvingSince.keySet().removeIf(id -> store.job(id) == null || store.job(id).over());
     Map<String, JobSpec> sample = new HashMap<>();
     for (JobRec job : core.openJobs()) {
-      if (job.over()) {
-        continue;
-      }
-      JobSpec spec = job.spec();
-      sample.put(spec.image(), spec);
-      int n = Math.max(0, spec.tasks() - job.doneCount() - core.view().placed(spec.id()));
-      if (n > 0 && store.live(job.holder(), job.incarnation())) {
-        boolean starves =
-            core.view().placed(spec.id()) == 0
-                && core.wall() - job.submittedMs() > Constants.STARVES_MS;
-        if (starves) {
-          starvingSince.putIfAbsent(spec.id(), core.now());
-        } else {
-          starvingSince.remove(spec.id());
-        }
-        double cpus = (starves ? Math.max(1, spec.tasks() / 10) : n) * spec.cpus();
-        aheads.add(
-            new Ahead(
-                spec.id(),
-                starves ? 0 : ranking.rank(job, spec),
-                core.demand().minimalType(spec),
-                job.holder(),
-                cpus));
-      }
-      if (n > 0 && spec.estimateS() > 0) {
-        waiting.addTo(spec.image(), n * spec.estimateS());
+      if (!job.over()) {
+        sample.put(job.spec().image(), job.spec());
+        countWaiting(job);
       }
     }
     for (View.Seen machine : core.view().machines.values()) {
-      if (!machine.takes()) {
-        continue;
+      if (machine.takes()) {
+        countWarm(machine, sample);
       }
-      core.view().derive(machine);
-      // a machine with several images that are waited for serves each of them only in part
-      int wanted = 0;
-      for (String image : machine.images) {
-        if (waiting.containsKey(image)) {
-          wanted++;
-        }
-      }
-      if (wanted == 0) {
-        continue;
+    }
+  }
+
+  private void countWaiting(JobRec job) {
+    JobSpec spec = job.spec();
+    int placed = core.view().placed(spec.id());
+    int tasks = Math.max(0, spec.tasks() - job.doneCount() - placed);
+    if (tasks == 0) {
+      return;
+    }
+    if (spec.estimateS() > 0) {
+      waiting.addTo(spec.image(), tasks * spec.estimateS());
+    }
+    if (!store.live(job.holder(), job.incarnation())) {
+      return;
+    }
+    boolean starves = placed == 0 && core.wall() - job.submittedMs() > Constants.STARVES_MS;
+    if (starves) {
+      starvingSince.putIfAbsent(spec.id(), core.now());
+    } else {
+      starvingSince.remove(spec.id());
+    }
+    int rank = starves ? 0 : ranking.rank(job, spec);
+    double cpus = (starves ? Math.max(1, spec.tasks() / 10) : tasks) * spec.cpus();
+    aheads.add(new Ahead(spec.id(), rank, core.demand().minimalType(spec), job.holder(), cpus));
+  }
+
+  /** A machine with several images that are waited for serves each of them only in part. */
+  private void countWarm(View.Seen machine, Map<String, JobSpec> sample) {
+    core.view().derive(machine);
+    int wanted = 0;
+    for (String image : machine.images) {
+      if (waiting.containsKey(image)) {
+        wanted++;
       }
-      for (String image : machine.images) {
-        JobSpec jobSpec = waiting.containsKey(image) ? sample.get(image) : null;
-        if (jobSpec != null && machine.allows(jobSpec)) {
-          warm.addTo(image, slots(machine, jobSpec) / wanted);
-        }
+    }
+    if (wanted == 0) {
+      return;
+    }
+    for (String image : machine.images) {
+      JobSpec spec = waiting.containsKey(image) ? sample.get(image) : null;
+      if (spec != null && machine.allows(spec)) {
+        warm.addTo(image, slots(machine, spec) / wanted);
       }
     }
   }
--- a/src/main/java/mallowstall/policy/Parser.java
+++ b/src/main/java/mallowstall/policy/Parser.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.function.DoubleBinaryOperator;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
@@ -207,31 +208,13 @@
       expect(":");
       Token from = look();
       switch (token.text()) {
-        case "workers" -> {
-          workers = typed(from, expression(), Type.BOOL, "workers");
-          if (workers.constant && !workers.bool.test(new Facts())) {
-            warn(from, "this block can never match: workers is always false");
-          }
-        }
-        case "invalidate" -> {
-          invalidate = typed(from, expression(), Type.BOOL, "invalidate");
-          if (invalidate.constant && invalidate.bool.test(new Facts())) {
-            warn(from, "this block can never match: invalidate is always true");
-          }
-        }
+        case "workers" -> workers = condition(from, "workers", false);
+        case "invalidate" -> invalidate = condition(from, "invalidate", true);
         default -> {
-          Token s = next();
-          switch (s.text()) {
-            case "random" -> strategy = Policy.Strategy.RANDOM;
-            case "lowest", "highest" -> {
-              strategy = s.is("lowest") ? Policy.Strategy.LOWEST : Policy.Strategy.HIGHEST;
-              Token e = look();
-              score = expression();
-              if (!score.type.numeric()) {
-                throw stop(e, s.text() + " needs a number but this is " + score.type.words);
-              }
-            }
-            default -> throw stop(s, "expected lowest, highest or random but found " + s);
+          Token kind = next();
+          strategy = strategy(kind);
+          if (strategy != Policy.Strategy.RANDOM) {
+            score = score(kind);
           }
         }
       }
@@ -243,6 +226,33 @@
     return new Compiled(workers, invalidate, strategy, score);
   }
 
+  /** A condition of a block, which never matches if this one is constantly so. */
+  private Expr condition(Token from, String name, boolean never) {
+    Expr condition = typed(from, expression(), Type.BOOL, name);
+    if (condition.constant && condition.bool.test(new Facts()) == never) {
+      warn(from, "this block can never match: " + name + " is always " + never);
+    }
+    return condition;
+  }
+
+  private Policy.Strategy strategy(Token kind) {
+    return switch (kind.text()) {
+      case "random" -> Policy.Strategy.RANDOM;
+      case "lowest" -> Policy.Strategy.LOWEST;
+      case "highest" -> Policy.Strategy.HIGHEST;
+      default -> throw stop(kind, "expected lowest, highest or random but found " + kind);
+    };
+  }
+
+  private Expr score(Token kind) {
+    Token from = look();
+    Expr score = expression();
+    if (!score.type.numeric()) {
+      throw stop(from, kind.text() + " needs a number but this is " + score.type.words);
+    }
+    return score;
+  }
+
   private void warn(Token token, String m) {
     faults.add(new Fault(token.line(), token.column(), false, m));
   }
@@ -305,15 +315,7 @@
   private Expr comparison(Map<String, String> equal) {
     Token from = look();
     if (from.is("not")) {
-      next();
-      Token token = look();
-      if (++depth > DEEPEST) {
-        throw stop(token, "this expression is nested too deeply");
-      }
-      Expr expression = typed(token, comparison(new HashMap<>()), Type.BOOL, "not");
-      depth--;
-      Predicate<Facts> left = expression.bool;
-      return Expr.bool(facts -> !left.test(facts), expression.constant);
+      return negation();
     }
     Expr first = sum();
     Token op = look();
@@ -327,28 +329,48 @@
       throw stop(
           op, "'" + op.text() + "' compares " + first.type.words + " with " + right.type.words);
     }
-    boolean constant = first.constant && right.constant;
-    if (first.type == Type.TEXT || first.type == Type.BOOL) {
-      if (!op.is("==") && !op.is("!=")) {
-        throw stop(op, "'" + op.text() + "' can't compare " + first.type.words);
-      }
-      boolean same = op.is("==");
-      if (first.type == Type.BOOL) {
-        Predicate<Facts> x = first.bool;
-        Predicate<Facts> second = right.bool;
-        return Expr.bool(pair -> (x.test(pair) == second.test(pair)) == same, constant);
-      }
-      if (same && from.kind() == Kind.NAME && to.kind() == Kind.TEXT) {
-        String before = equal.put(from.text(), to.text());
-        if (before != null && !before.equals(to.text())) {
-          warn(op, "this can never hold: " + from.text() + " is also to be \"" + before + "\"");
-        }
+    if (first.type != Type.TEXT && first.type != Type.BOOL) {
+      return numbers(op, first, right);
+    }
+    if (!op.is("==") && !op.is("!=")) {
+      throw stop(op, "'" + op.text() + "' can't compare " + first.type.words);
+    }
+    if (op.is("==") && from.kind() == Kind.NAME && to.kind() == Kind.TEXT) {
+      String before = equal.put(from.text(), to.text());
+      if (before != null && !before.equals(to.text())) {
+        warn(op, "this can never hold: " + from.text() + " is also to be \"" + before + "\"");
       }
-      Expr.TextOf x = first.text;
-      Expr.TextOf y = right.text;
-      return Expr.bool(f -> java.util.Objects.equals(x.of(f), y.of(f)) == same, constant);
     }
-    ToDoubleFunction<Facts> x = first.number;
+    return equality(first, right, op.is("=="));
+  }
+
+  private Expr negation() {
+    next();
+    Token from = look();
+    if (++depth > DEEPEST) {
+      throw stop(from, "this expression is nested too deeply");
+    }
+    Expr inner = typed(from, comparison(new HashMap<>()), Type.BOOL, "not");
+    depth--;
+    Predicate<Facts> condition = inner.bool;
+    return Expr.bool(facts -> !condition.test(facts), inner.constant);
+  }
+
+  private static Expr equality(Expr left, Expr right, boolean same) {
+    boolean constant = left.constant && right.constant;
+    if (left.type == Type.BOOL) {
+      Predicate<Facts> x = left.bool;
+      Predicate<Facts> y = right.bool;
+      return Expr.bool(f -> (x.test(f) == y.test(f)) == same, constant);
+    }
+    Expr.TextOf x = left.text;
+    Expr.TextOf y = right.text;
+    return Expr.bool(f -> Objects.equals(x.of(f), y.of(f)) == same, constant);
+  }
+
+  private static Expr numbers(Token op, Expr left, Expr right) {
+    boolean constant = left.constant && right.constant;
+    ToDoubleFunction<Facts> x = left.number;
     ToDoubleFunction<Facts> y = right.number;
     return switch (op.text()) {
       case "<" -> Expr.bool(f -> x.applyAsDouble(f) < y.applyAsDouble(f), constant);
