--- a/src/test/java/mallowstall/config/SettingsTest.java
+++ b/src/test/java/mallowstall/config/SettingsTest.java
@@ -8,6 +8,7 @@
 import mallowstall.cli.Main;
 import org.junit.jupiter.api.Test;
 
+/** Settings files: which are taken, and what is said of those that are wrong. */
 class SettingsTest {
   static final String GOOD =
       """
--- a/src/test/java/mallowstall/core/Rules.java
+++ b/src/test/java/mallowstall/core/Rules.java
@@ -15,8 +15,10 @@
  * The slow plain model: what is on which machine and what users were told, checked at each step.
  */
 final class Rules {
+  /** A task that is on a machine. */
   record OnMachine(String machine, String job, int task, String type, String zone, boolean spot) {}
 
+  /** A replica of a service. */
   private record Replica(String job, int number) {}
 
   /** A machine that is up, with all its processors. */
--- a/src/test/java/mallowstall/core/Sim.java
+++ b/src/test/java/mallowstall/core/Sim.java
@@ -49,6 +49,7 @@
   static final long LEASE = 10_000;
   static final long CANCEL = 35_000;
 
+  /** Something that happens at a time; of like times the first one planned comes first. */
   private record Ev(long at, long order, Runnable run) {}
 
   private final PriorityQueue<Ev> queue =
@@ -163,6 +164,16 @@
     now = until;
   }
 
+  /** From now on nothing goes wrong by chance. */
+  void endChance() {
+    loss = 0;
+    rosterChaos = 0;
+    lateCopies = 0;
+    lateWrites = 0;
+    cancelAtEnd = 0;
+    replicaEnds = 0;
+  }
+
   void strike(String trouble) {
     struck.merge(trouble, 1, Integer::sum);
   }
@@ -224,7 +235,9 @@
     }
   }
 
+  /** A stand-in for the state service. */
   final class StateService {
+    /** A stored value. */
     record Val(Entry value, long version, long lease) {}
 
     final TreeMap<String, Val> keys = new TreeMap<>();
@@ -357,6 +370,7 @@
   }
 
   // ---- nodes --------------------------------------------------------------------------------
+  /** A controller, and the world as it sees it. */
   final class Node implements Effects {
     final String name;
     Core core;
@@ -1173,6 +1187,7 @@
     rules.machineGone(id);
   }
 
+  /** A stand-in for a worker and its machine. */
   final class Worker {
     final String id;
     final String zone;
@@ -1191,6 +1206,12 @@
     /** Its reports reach no controller; commands reach it and are answered. */
     boolean mute;
 
+    /** Answers and commands reach it again. */
+    void hearAgain() {
+      cut = false;
+      deaf = false;
+    }
+
     /** It executes and sends nothing until then. */
     private long hangsUntil;
 
@@ -1216,6 +1237,7 @@
     /** Tasks that completed here: their results are kept. */
     private final java.util.Set<String> completed = new java.util.HashSet<>();
 
+    /** A task on the machine. */
     final class T {
       String job;
       int task;
--- a/src/test/java/mallowstall/peers/PeerCodecTest.java
+++ b/src/test/java/mallowstall/peers/PeerCodecTest.java
@@ -26,6 +26,7 @@
 import org.apache.avro.io.DecoderFactory;
 import org.junit.jupiter.api.Test;
 
+/** Messages between controllers, read back with Avro's own reader. */
 class PeerCodecTest {
   static final Roster ROSTER =
       new Roster(
--- a/src/test/java/mallowstall/policy/PoliciesTest.java
+++ b/src/test/java/mallowstall/policy/PoliciesTest.java
@@ -8,6 +8,7 @@
 import mallowstall.core.Policy;
 import org.junit.jupiter.api.Test;
 
+/** The policy language, its checker and the bundled policies. */
 class PoliciesTest {
   private static String wrap(String block) {
     return "class default {\n block {\n  strategy: random\n  " + block + "\n }\n}\n";
--- a/src/test/java/mallowstall/users/SubmissionTest.java
+++ b/src/test/java/mallowstall/users/SubmissionTest.java
@@ -12,6 +12,7 @@
 import mallowstall.core.Model.Priority;
 import org.junit.jupiter.api.Test;
 
+/** Submissions: which are taken, and what is said of those that are wrong. */
 class SubmissionTest {
   static final String GOOD =
       """
