--- a/src/test/java/mallowstall/core/HistoriesTest.java
+++ b/src/test/java/mallowstall/core/HistoriesTest.java
@@ -196,7 +196,7 @@
     sim.run(5_000);
     JobSpec spec = sim.job("wk-000001", 2, 4, Priority.NORMAL, "tight", true, false, false, null);
     sim.rules.submitted(spec);
-    List<Sim.Worker> ws = List.copyOf(sim.workers.values());
+    List<SimulatedWorker> ws = List.copyOf(sim.workers.values());
     Command run = new Command(CommandKind.START, "wk-000001", 0, 1, 0);
     ws.get(0).execute(run);
     ws.get(1).execute(run);
@@ -296,9 +296,9 @@
     sim.run(5_000);
     sim.rules.submitted(
         sim.job("wk-000005", 2, 4, Priority.NORMAL, "free", false, false, false, null));
-    List<Sim.Worker> ws = List.copyOf(sim.workers.values());
-    Sim.Worker brief = ws.get(0);
-    Sim.Worker long_ = ws.get(1);
+    List<SimulatedWorker> ws = List.copyOf(sim.workers.values());
+    SimulatedWorker brief = ws.get(0);
+    SimulatedWorker long_ = ws.get(1);
     brief.execute(new Command(CommandKind.START, "wk-000005", 0, 1, 0));
     long_.execute(new Command(CommandKind.START, "wk-000005", 1, 1, 0));
     sim.run(8_000);
--- a/src/test/java/mallowstall/core/MeetingsTest.java
+++ b/src/test/java/mallowstall/core/MeetingsTest.java
@@ -37,8 +37,8 @@
   /** Tasks of the job that run, by the controller that their machines report to. */
   private static Map<String, Integer> running(Sim sim, String job) {
     Map<String, Integer> out = new TreeMap<>();
-    for (Sim.Worker worker : sim.workers.values()) {
-      for (Sim.Worker.T task : worker.tasks.values()) {
+    for (SimulatedWorker worker : sim.workers.values()) {
+      for (SimulatedWorker.T task : worker.tasks.values()) {
         if (task.job.equals(job) && task.state != TaskState.EXITED) {
           out.merge(worker.node, 1, Integer::sum);
         }
@@ -52,7 +52,7 @@
   }
 
   /** The user's answer; the confirmation counts from then on. */
-  private static UserAnswer cancelAt(Sim sim, Sim.Node node, String id) {
+  private static UserAnswer cancelAt(Sim sim, SimulatedController node, String id) {
     sim.rules.asksToCancel(id);
     List<UserAnswer> got = new ArrayList<>();
     node.event(
@@ -115,8 +115,8 @@
             name = n;
           }
         }
-        Sim.Node leader = sim.nodes.get(name);
-        Sim.Node confirmer = sim.nodes.get(name.equals("n1") ? "n2" : "n1");
+        SimulatedController leader = sim.nodes.get(name);
+        SimulatedController confirmer = sim.nodes.get(name.equals("n1") ? "n2" : "n1");
         leader.noState = true;
         sim.run(sim.now + 120);
         if (besides.name().startsWith("WORDS")) {
@@ -143,7 +143,7 @@
           }
           if (besides == Besides.MACHINES_CANNOT_BE_ASKED) {
             int i = 0;
-            for (Sim.Worker worker : sim.workers.values()) {
+            for (SimulatedWorker worker : sim.workers.values()) {
               if (i++ % 2 != 0) {
                 continue;
               }
@@ -191,7 +191,7 @@
   void aSessionThatIsWrittenLateReplacesNoLaterOne() {
     Sim sim = new Sim(120);
     sim.run(8_000);
-    Sim.Node node = sim.nodes.get("n1");
+    SimulatedController node = sim.nodes.get("n1");
     long former = node.core.incarnation();
     long lease = sim.state.keys.get(Store.SESSIONS + "n1").lease();
     node.crash(150);
@@ -207,11 +207,11 @@
     while (sim.now < until) {
       sim.run(sim.now + 50);
       lost |= !sim.state.keys.containsKey(Store.SESSIONS + "n1");
-      Sim.StateService.Val value = sim.state.keys.get(Store.SESSIONS + "n1");
+      SimulatedStateService.Val value = sim.state.keys.get(Store.SESSIONS + "n1");
       lost |= value != null && ((SessionRec) value.value()).incarnation() == former;
     }
     assertTrue(lost, "it was replaced");
-    Sim.StateService.Val now = sim.state.keys.get(Store.SESSIONS + "n1");
+    SimulatedStateService.Val now = sim.state.keys.get(Store.SESSIONS + "n1");
     assertEquals(node.core.incarnation(), ((SessionRec) now.value()).incarnation());
     assertTrue(sim.state.leases.containsKey(now.lease()));
     sim.submit(plain(sim, VICTIM, 12));
@@ -248,7 +248,7 @@
   void aSubmissionAnsweredLateSaysWhatTheJobIsNow() {
     Sim sim = new Sim(122);
     sim.run(8_000);
-    Sim.Node slow = sim.nodes.get("n0");
+    SimulatedController slow = sim.nodes.get("n0");
     slow.lag = 3_500;
     List<UserAnswer> got = new ArrayList<>();
     JobSpec spec = plain(sim, VICTIM, 4);
@@ -277,7 +277,7 @@
     sim.run(8_000);
     sim.submit(plain(sim, VICTIM, 4));
     sim.run(9_000);
-    for (Sim.Node node : sim.nodes.values()) {
+    for (SimulatedController node : sim.nodes.values()) {
       for (String id : List.of(VICTIM, "wk-000777")) {
         List<UserAnswer> got = new ArrayList<>();
         JobSpec never = sim.job(id, 1, 99, Priority.NORMAL, "free", false, false, true, null);
@@ -293,7 +293,7 @@
     sim.state.outage = true;
     sim.run(sim.now + 5_000);
     List<UserAnswer> got = new ArrayList<>();
-    Sim.Node controller = sim.nodes.get("n0");
+    SimulatedController controller = sim.nodes.get("n0");
     controller.event(() -> controller.core.refuse("wk-000778", "oficio must be batch", got::add));
     assertEquals(400, got.get(0).status());
     controller.event(() -> controller.core.refuse(VICTIM, "oficio must be batch", got::add));
@@ -313,14 +313,14 @@
       sim.run(8_000);
       sim.submit(plain(sim, VICTIM, 4));
       sim.run(12_000);
-      Sim.Node slow = sim.nodes.get("n0");
+      SimulatedController slow = sim.nodes.get("n0");
       slow.lag = lag;
       sim.rules.asksToCancel(VICTIM);
       List<UserAnswer> asked = new ArrayList<>();
       List<UserAnswer> cancelled = new ArrayList<>();
       slow.event(() -> slow.core.query(VICTIM, asked::add));
       sim.run(sim.now + 30);
-      Sim.Node fast = sim.nodes.get("n1");
+      SimulatedController fast = sim.nodes.get("n1");
       fast.event(() -> fast.core.cancel(VICTIM, cancelled::add));
       sim.run(sim.now + 150);
       assertEquals("cancelled", cancelled.get(0).state());
@@ -350,8 +350,8 @@
       }
       sim.run(sim.now + 250);
       assertEquals("cancelled", cancelAt(sim, sim.nodes.get("n" + seed % 3), VICTIM).state());
-      for (Sim.Worker worker : sim.workers.values()) {
-        for (Sim.Worker.T task : worker.tasks.values()) {
+      for (SimulatedWorker worker : sim.workers.values()) {
+        for (SimulatedWorker.T task : worker.tasks.values()) {
           if (task.state == TaskState.FETCHING) {
             waiting++;
           }
@@ -389,7 +389,7 @@
     HELD_REPORT_AND_NEW_OWNER {
       @Override
       boolean play(Sim sim) {
-        Sim.Worker worker = busiest(sim);
+        SimulatedWorker worker = busiest(sim);
         Report held = worker.snapshot();
         MachineRec before = sim.machineRec(worker.id);
         sim.nodes.get(before.node()).crash(9_000);
@@ -400,7 +400,7 @@
         sim.run(sim.now + 2_000);
         MachineRec since = sim.machineRec(worker.id);
         boolean refused = true;
-        for (Sim.Node node : sim.nodes.values()) {
+        for (SimulatedController node : sim.nodes.values()) {
           if (!node.up) {
             continue;
           }
@@ -417,11 +417,11 @@
     LEADER_APART_AND_CANCELLATION {
       @Override
       boolean play(Sim sim) {
-        Sim.Worker worker = busiest(sim);
-        Sim.Node node = sim.nodes.get(sim.machineRec(worker.id).node());
+        SimulatedWorker worker = busiest(sim);
+        SimulatedController node = sim.nodes.get(sim.machineRec(worker.id).node());
         String job = running(worker);
         sim.isolate(node);
-        Sim.Node other = sim.nodes.get(node.name.equals("n1") ? "n2" : "n1");
+        SimulatedController other = sim.nodes.get(node.name.equals("n1") ? "n2" : "n1");
         assertEquals("cancelled", cancelAt(sim, other, job).state());
         boolean apart = count(running(sim, job)) > 0;
         sim.run(sim.now + Sim.CANCEL);
@@ -436,7 +436,7 @@
     ALL_AWAY_FOR_A_LEASE {
       @Override
       boolean play(Sim sim) {
-        for (Sim.Node node : sim.nodes.values()) {
+        for (SimulatedController node : sim.nodes.values()) {
           node.crash(Sim.LEASE + 5_000);
         }
         sim.run(sim.now + Sim.LEASE + 4_000);
@@ -471,10 +471,10 @@
         for (long until = sim.now + 20_000; used < 22 && sim.now < until; sim.run(sim.now + 200)) {
           used = ((TeamRec) sim.state.keys.get(Store.TEAMS + "tight").value()).cpus();
         }
-        Sim.Node node = sim.nodes.get(sim.entry("wk-000005").holder());
+        SimulatedController node = sim.nodes.get(sim.entry("wk-000005").holder());
         node.crash(700);
         int i = 0;
-        for (Sim.Worker worker : sim.workers.values()) {
+        for (SimulatedWorker worker : sim.workers.values()) {
           if (i++ % 2 != 0) {
             continue;
           }
@@ -490,7 +490,7 @@
     TOO_MUCH_WORK_SLOWLY {
       @Override
       boolean play(Sim sim) {
-        for (Sim.Node node : sim.nodes.values()) {
+        for (SimulatedController node : sim.nodes.values()) {
           node.lag = 400;
         }
         sim.rosterChaos = 0.3;
@@ -503,7 +503,7 @@
             sim.state.keys.values().stream()
                 .filter(value -> value.value() instanceof JobRec job && job.fin() == Final.NONE)
                 .count();
-        for (Sim.Node controller : sim.nodes.values()) {
+        for (SimulatedController controller : sim.nodes.values()) {
           controller.lag = 0;
         }
         sim.rosterChaos = 0;
@@ -514,12 +514,12 @@
     MUTE_MACHINES {
       @Override
       boolean play(Sim sim) {
-        for (Sim.Worker worker : sim.workers.values()) {
+        for (SimulatedWorker worker : sim.workers.values()) {
           worker.mute = true;
         }
         sim.at(3_000, () -> sim.cancel("wk-000004"));
         sim.run(sim.now + Sim.LEASE + 8_000);
-        for (Sim.Worker simWorker : sim.workers.values()) {
+        for (SimulatedWorker simWorker : sim.workers.values()) {
           simWorker.mute = false;
         }
         return sim.struck.containsKey("mute");
@@ -539,7 +539,7 @@
           sim.at(
               i * 2_500L,
               () -> {
-                for (Sim.Worker worker : sim.workers.values()) {
+                for (SimulatedWorker worker : sim.workers.values()) {
                   worker.hang(sim.rnd.nextInt(4_000));
                 }
               });
@@ -558,7 +558,7 @@
           sim.run(sim.now + 5_000);
         }
         sim.run(sim.now + 8_000);
-        for (Sim.Node node : sim.nodes.values()) {
+        for (SimulatedController node : sim.nodes.values()) {
           node.crash(node.name.equals("n1") ? 300 : 20_000);
         }
         sim.run(sim.now + 2_000);
@@ -603,7 +603,7 @@
           JobRec job = sim.entry("wk-0000" + j);
           between |= job.doneCount() > 0 && job.doneCount() < job.spec().tasks();
         }
-        for (Sim.Node node : sim.nodes.values()) {
+        for (SimulatedController node : sim.nodes.values()) {
           node.crash(node.name.equals("n2") ? 200 : 5_000);
         }
         sim.run(sim.now + 22_000);
@@ -621,7 +621,7 @@
         sim.submit(sim.job("wk-000012", 5, 2, Priority.NORMAL, "free", false, true, true, null));
         sim.run(sim.now + 6_000);
         int lost = 0;
-        for (Sim.Worker worker : List.copyOf(sim.workers.values())) {
+        for (SimulatedWorker worker : List.copyOf(sim.workers.values())) {
           if (!worker.zone.equals("a") || worker.tasks.isEmpty()) {
             continue;
           }
@@ -654,7 +654,7 @@
         sim.cutOff("b");
         sim.run(sim.now + 300);
         String job = null;
-        for (Sim.Worker worker : sim.workers.values()) {
+        for (SimulatedWorker worker : sim.workers.values()) {
           if (worker.zone.equals("b") && running(worker) != null) {
             job = running(worker);
           }
@@ -671,9 +671,9 @@
     LEADER_ENDS_MACHINES_UNREACHED {
       @Override
       boolean play(Sim sim) {
-        Sim.Node node = sim.nodes.get(sim.machineRec(busiest(sim).id).node());
+        SimulatedController node = sim.nodes.get(sim.machineRec(busiest(sim).id).node());
         int i = 0;
-        for (Sim.Worker worker : sim.workers.values()) {
+        for (SimulatedWorker worker : sim.workers.values()) {
           if (!worker.node.equals(node.name)) {
             continue;
           }
@@ -694,8 +694,8 @@
   }
 
   /** A job of which a task runs there; null: none. */
-  private static String running(Sim.Worker worker) {
-    for (Sim.Worker.T task : worker.tasks.values()) {
+  private static String running(SimulatedWorker worker) {
+    for (SimulatedWorker.T task : worker.tasks.values()) {
       if (task.state == TaskState.RUNNING) {
         return task.job;
       }
@@ -703,9 +703,9 @@
     return null;
   }
 
-  private static Sim.Worker busiest(Sim sim) {
-    Sim.Worker most = null;
-    for (Sim.Worker worker : sim.workers.values()) {
+  private static SimulatedWorker busiest(Sim sim) {
+    SimulatedWorker most = null;
+    for (SimulatedWorker worker : sim.workers.values()) {
       if (most == null || worker.tasks.size() > most.tasks.size()) {
         most = worker;
       }
--- a/src/test/java/mallowstall/core/ReplicasTest.java
+++ b/src/test/java/mallowstall/core/ReplicasTest.java
@@ -133,7 +133,7 @@
     sim.run(sim.now + Sim.LEASE - 500);
     assertFalse(sim.workers.containsKey(silent), "returned");
     int started = 0;
-    for (Sim.Worker worker : sim.workers.values()) {
+    for (SimulatedWorker worker : sim.workers.values()) {
       started += worker.tasks.size();
     }
     assertEquals(2, started);
@@ -146,16 +146,16 @@
   @Test
   void manySilentMachinesAreNotReturned() {
     Sim sim = serving(434, 4);
-    List<Sim.Worker> machines = new ArrayList<>();
+    List<SimulatedWorker> machines = new ArrayList<>();
     for (String id : sim.rules.machinesOf(SERVICE)) {
       machines.add(sim.workers.get(id));
     }
     int before = sim.rules.starts;
-    for (Sim.Worker worker : machines) {
+    for (SimulatedWorker worker : machines) {
       worker.hang(Sim.LEASE - 3_000);
     }
     sim.run(sim.now + 20_000);
-    for (Sim.Worker simWorker : machines) {
+    for (SimulatedWorker simWorker : machines) {
       assertTrue(sim.workers.containsKey(simWorker.id), simWorker.id);
     }
     assertEquals(4, sim.rules.replicasOn(SERVICE));
@@ -193,9 +193,9 @@
     sim.runMs = 30_000;
     sim.submit(sim.job(OTHER, 30, 8, Priority.NORMAL, "free", false, false, true, null));
     sim.run(sim.now + 25_000);
-    List<Sim.Worker> rented = List.copyOf(sim.workers.values()).subList(4, sim.workers.size());
+    List<SimulatedWorker> rented = List.copyOf(sim.workers.values()).subList(4, sim.workers.size());
     assertFalse(rented.isEmpty());
-    for (Sim.Worker worker : rented) {
+    for (SimulatedWorker worker : rented) {
       assertTrue(worker.spot, worker.id);
     }
   }
--- a/src/test/java/mallowstall/core/SafetyCasesTest.java
+++ b/src/test/java/mallowstall/core/SafetyCasesTest.java
@@ -39,12 +39,12 @@
     return sim.job(id, tasks, 2, Priority.NORMAL, team, false, false, true, null);
   }
 
-  private static Sim.Node holder(Sim sim, String id) {
+  private static SimulatedController holder(Sim sim, String id) {
     return sim.nodes.get(sim.entry(id).holder());
   }
 
   /** Runs until the controller has the machine from its former process; its record of it. */
-  private static MachineRec kept(Sim sim, Sim.Node node, String id) {
+  private static MachineRec kept(Sim sim, SimulatedController node, String id) {
     MachineRec mine = node.core.store().machine(id);
     while (sim.now < 25_000 && (mine == null || mine.incarnation() != node.core.incarnation())) {
       sim.run(sim.now + 50);
@@ -142,12 +142,12 @@
     sim.run(6_000);
     sim.submit(plain(sim, "wk-000001", 30, "free"));
     sim.run(8_000);
-    Sim.Node node = holder(sim, "wk-000001");
+    SimulatedController node = holder(sim, "wk-000001");
     node.noState = true;
     sim.run(20_000);
     assertFalse(node.name.equals(sim.entry("wk-000001").holder()));
     assertFalse(node.core.ready());
-    for (Sim.Worker worker : sim.workers.values()) {
+    for (SimulatedWorker worker : sim.workers.values()) {
       assertFalse(worker.node.equals(node.name), "its machines move to served peers");
     }
     sim.run(60_000);
@@ -162,8 +162,8 @@
     sim.run(6_000);
     sim.submit(plain(sim, "wk-000001", 30, "free"));
     sim.run(8_000);
-    Sim.Node node = holder(sim, "wk-000001");
-    for (Sim.Node controller : sim.nodes.values()) {
+    SimulatedController node = holder(sim, "wk-000001");
+    for (SimulatedController controller : sim.nodes.values()) {
       if (controller == node) {
         continue;
       }
@@ -198,7 +198,7 @@
     sim.run(6_000);
     sim.submit(plain(sim, "wk-000001", 20, "tight"));
     sim.run(9_000);
-    for (Sim.Node node : sim.nodes.values()) {
+    for (SimulatedController node : sim.nodes.values()) {
       node.crash(4_000);
     }
     sim.run(150_000);
@@ -220,7 +220,7 @@
       assertEquals(List.of(), sim.rules.broken);
       assertEquals("cancelled", sim.rules.lastTold("wk-000001"));
       assertEquals(0, sim.entry("wk-000001").grant(), "the grant is given back");
-      Sim.StateService.Val sum = sim.state.keys.get(Store.TEAMS + "tight");
+      SimulatedStateService.Val sum = sim.state.keys.get(Store.TEAMS + "tight");
       assertEquals(0, sum == null ? 0 : ((TeamRec) sum.value()).cpus(), 1e-9);
     }
   }
@@ -252,7 +252,7 @@
       sim.run(8_000);
       sim.submit(plain(sim, "wk-000001", 14, "free"));
       sim.run(14_000);
-      Sim.Node claimant = sim.nodes.get(name);
+      SimulatedController claimant = sim.nodes.get(name);
       if (claimant == holder(sim, "wk-000001")) {
         continue;
       }
@@ -288,9 +288,9 @@
     sim.run(8_000);
     sim.submit(plain(sim, "wk-000001", 60, "free"));
     sim.run(12_000);
-    Sim.Node node = holder(sim, "wk-000001");
+    SimulatedController node = holder(sim, "wk-000001");
     String dead = null;
-    for (Sim.Worker worker : sim.workers.values()) {
+    for (SimulatedWorker worker : sim.workers.values()) {
       MachineRec v = sim.machineRec(worker.id);
       if (v != null && v.node().equals(node.name)) {
         dead = worker.id;
@@ -301,7 +301,7 @@
     sim.rules.machineGone(dead);
     node.crash(60_000);
     sim.run(12_000 + 5_500 + 9_000 + 4_000);
-    Sim.Node next = holder(sim, "wk-000001");
+    SimulatedController next = holder(sim, "wk-000001");
     assertFalse(next == node);
     assertTrue(next.core.mayPlace("wk-000001"));
     sim.run(160_000);
@@ -316,7 +316,7 @@
   void acknowledgementsOfAFormerProcessCountForNothing() {
     Sim sim = new Sim(41);
     sim.run(6_000);
-    Sim.Node node = sim.nodes.get("n0");
+    SimulatedController node = sim.nodes.get("n0");
     long mine = node.core.incarnation();
     node.event(
         () ->
@@ -339,8 +339,8 @@
   void aLateReportDoesNotReviveAWrittenOffSession() {
     Sim sim = new Sim(42);
     sim.run(6_000);
-    Sim.Worker worker = sim.workers.values().iterator().next();
-    Sim.Node owner = sim.nodes.get(sim.machineRec(worker.id).node());
+    SimulatedWorker worker = sim.workers.values().iterator().next();
+    SimulatedController owner = sim.nodes.get(sim.machineRec(worker.id).node());
     Report old =
         new Report(
             worker.id,
@@ -375,8 +375,8 @@
     sim.run(8_000);
     sim.submit(plain(sim, "wk-000001", 12, "free"));
     sim.run(11_000);
-    Sim.Worker worker = null;
-    for (Sim.Worker simWorker : sim.workers.values()) {
+    SimulatedWorker worker = null;
+    for (SimulatedWorker simWorker : sim.workers.values()) {
       if (!simWorker.tasks.isEmpty()) {
         worker = simWorker;
       }
@@ -385,7 +385,7 @@
     worker.deaf = true;
     sim.run(11_000 + Sim.LEASE + 4_000);
     assertTrue(worker.session > 1, "its lease ran out although its reports were answered");
-    for (Sim.Node node : sim.nodes.values()) {
+    for (SimulatedController node : sim.nodes.values()) {
       View.Seen seen = node.core.view().machines.get(worker.id);
       assertFalse(seen != null && seen.takes(), "no start goes to a machine that doesn't hear");
     }
@@ -406,7 +406,7 @@
     sim.run(8_000);
     sim.submit(plain(sim, "wk-000001", 12, "free"));
     sim.run(12_000);
-    for (Sim.Worker worker : sim.workers.values()) {
+    for (SimulatedWorker worker : sim.workers.values()) {
       worker.deaf = true;
     }
     sim.cancel("wk-000001");
@@ -415,7 +415,7 @@
     assertEquals(List.of(), sim.rules.broken);
   }
 
-  private static Report copy(Sim.Worker worker, long session, long seq, long token) {
+  private static Report copy(SimulatedWorker worker, long session, long seq, long token) {
     return new Report(
         worker.id,
         worker.id,
@@ -437,17 +437,17 @@
   void lateCopiesOfReportsChangeNothing() {
     Sim sim = new Sim(63);
     sim.run(12_000);
-    Sim.Worker worker = sim.workers.values().iterator().next();
+    SimulatedWorker worker = sim.workers.values().iterator().next();
     MachineRec before = sim.machineRec(worker.id);
     Report old = copy(worker, worker.session, worker.seq - 3, worker.token);
-    for (Sim.Node node : sim.nodes.values()) {
+    for (SimulatedController node : sim.nodes.values()) {
       List<ReportAnswer> got = new ArrayList<>();
       node.event(() -> node.core.report(old, got::add));
       sim.run(sim.now + 100);
       assertEquals(503, got.get(0).status(), node.name);
     }
     // so new that its owner hasn't told of a newer one: sent to the owner, who is alive
-    for (Sim.Node controller : sim.nodes.values()) {
+    for (SimulatedController controller : sim.nodes.values()) {
       if (controller.name.equals(before.node())) {
         continue;
       }
@@ -462,7 +462,7 @@
     }
     sim.run(sim.now + 3_000);
     assertEquals(before, sim.machineRec(worker.id));
-    for (Sim.Node n : sim.nodes.values()) {
+    for (SimulatedController n : sim.nodes.values()) {
       assertEquals(List.of(), n.core.view().machines.get(worker.id).state.tasks());
     }
     // returned: by the cloud and in the records
@@ -474,7 +474,7 @@
             List.of()));
     sim.run(sim.now + 3_000);
     for (long token : new long[] {0, worker.token}) {
-      for (Sim.Node n : sim.nodes.values()) {
+      for (SimulatedController n : sim.nodes.values()) {
         List<ReportAnswer> got = new ArrayList<>();
         n.event(() -> n.core.report(copy(worker, worker.session, worker.seq + 9, token), got::add));
         sim.run(sim.now + 200);
@@ -495,13 +495,13 @@
     sim.run(8_000);
     sim.submit(plain(sim, "wk-000001", 40, "free"));
     sim.run(14_000);
-    Sim.Node node = holder(sim, "wk-000001");
+    SimulatedController node = holder(sim, "wk-000001");
     sim.isolate(node);
     sim.run(14_000 + Constants.SESSION_TTL_MS + Constants.ORPHAN_ASKED_AFTER_MS + 4_000);
-    Sim.Node next = holder(sim, "wk-000001");
+    SimulatedController next = holder(sim, "wk-000001");
     assertFalse(next == node);
     assertTrue(next.core.mayPlace("wk-000001"), "the job goes on while the cut lasts");
-    for (Sim.Worker worker : sim.workers.values()) {
+    for (SimulatedWorker worker : sim.workers.values()) {
       assertFalse(worker.node.equals(node.name), "its workers have turned to the others");
       assertEquals(1, worker.session, "and kept their tasks");
     }
@@ -550,13 +550,13 @@
     sim.run(12_000);
     sim.state.outage = true;
     sim.run(15_000);
-    for (Sim.Node node : sim.nodes.values()) {
+    for (SimulatedController node : sim.nodes.values()) {
       node.crash(node.name.equals("n1") ? 200 : 4_000);
     }
     sim.run(32_000);
     sim.state.recover();
     sim.run(45_000);
-    for (Sim.Node controller : sim.nodes.values()) {
+    for (SimulatedController controller : sim.nodes.values()) {
       List<UserAnswer> got = new ArrayList<>();
       controller.event(() -> controller.core.query("wk-000003", got::add));
       sim.run(sim.now + 1_000);
@@ -576,7 +576,7 @@
   void aStatementWithAGapIsNotTakenIn() {
     Sim sim = new Sim(67);
     sim.run(6_000);
-    Sim.Node node = sim.nodes.get("n0");
+    SimulatedController node = sim.nodes.get("n0");
     View.Peer peer = node.core.view().peer("n9");
     RosterMachine state = machine("m-900001", 1);
     node.event(() -> node.core.message(roster(1, 0, List.of(state), List.of())));
@@ -617,7 +617,7 @@
   void aJobForOrdinaryMachinesOfOneZoneIsServed() {
     Sim sim = new Sim(68);
     sim.run(8_000);
-    for (Sim.Worker worker : List.copyOf(sim.workers.values())) {
+    for (SimulatedWorker worker : List.copyOf(sim.workers.values())) {
       if (worker.zone.equals("a")) {
         sim.killMachine(worker.id);
       }
@@ -641,11 +641,11 @@
     }
     sim.run(20_000);
     long before = sim.state.revision;
-    for (Sim.Node node : sim.nodes.values()) {
+    for (SimulatedController node : sim.nodes.values()) {
       node.crash(2_000);
     }
     sim.run(32_000);
-    for (Sim.Worker worker : sim.workers.values()) {
+    for (SimulatedWorker worker : sim.workers.values()) {
       assertEquals(1, worker.session, worker.id);
     }
     long adoptions = adoptions(sim, before);
@@ -670,7 +670,7 @@
       sim.submit(plain(sim, "wk-00000" + i, 8, "tight"));
     }
     sim.run(9_500);
-    Sim.Node node = holder(sim, "wk-000004");
+    SimulatedController node = holder(sim, "wk-000004");
     node.freezeFor = ms;
     sim.run(9_500 + ms);
     for (int i = 0; i < 9 && ms > 20_000; i++) {
@@ -692,7 +692,7 @@
     sim.run(8_000);
     sim.submit(plain(sim, "wk-000001", 4, "free"));
     sim.run(9_000);
-    Sim.Node node = sim.nodes.get("n1");
+    SimulatedController node = sim.nodes.get("n1");
     for (long lag : new long[] {200, 1_200, 2_500}) {
       node.lag = lag;
       List<UserAnswer> got = new ArrayList<>();
@@ -725,10 +725,10 @@
       sim.run(8_000);
       sim.submit(plain(sim, "wk-000001", 1, "tight"));
       sim.run(13_000);
-      Sim.Node node = holder(sim, "wk-000001");
+      SimulatedController node = holder(sim, "wk-000001");
       long attempt = 0;
-      for (Sim.Worker worker : sim.workers.values()) {
-        for (Sim.Worker.T task : worker.tasks.values()) {
+      for (SimulatedWorker worker : sim.workers.values()) {
+        for (SimulatedWorker.T task : worker.tasks.values()) {
           attempt = task.attempt;
         }
       }
@@ -792,11 +792,11 @@
     }
     sim.run(24_000);
     long before = sim.state.revision;
-    for (Sim.Node node : sim.nodes.values()) {
+    for (SimulatedController node : sim.nodes.values()) {
       node.crash(2_000);
     }
     sim.run(36_000);
-    for (Sim.Worker worker : sim.workers.values()) {
+    for (SimulatedWorker worker : sim.workers.values()) {
       assertEquals(1, worker.session, worker.id);
     }
     long adoptions = adoptions(sim, before);
@@ -804,7 +804,7 @@
     sim.state.outage = true;
     sim.run(40_000);
     sim.state.recover();
-    for (Sim.Node controller : sim.nodes.values()) {
+    for (SimulatedController controller : sim.nodes.values()) {
       controller.crash(2_000);
     }
     sim.run(110_000);
@@ -837,8 +837,8 @@
     Set<String> begun = new HashSet<>();
     while (sim.now < 230_000) {
       sim.run(sim.now + 5_000);
-      for (Sim.Worker worker : sim.workers.values()) {
-        for (Sim.Worker.T task : worker.tasks.values()) {
+      for (SimulatedWorker worker : sim.workers.values()) {
+        for (SimulatedWorker.T task : worker.tasks.values()) {
           begun.add(task.job);
         }
       }
@@ -872,10 +872,10 @@
     for (boolean between : new boolean[] {false, true}) {
       Sim sim = new Sim(75);
       sim.run(8_000);
-      Sim.Worker worker = sim.workers.values().iterator().next();
+      SimulatedWorker worker = sim.workers.values().iterator().next();
       String name = sim.machineRec(worker.id).node();
-      Sim.Node node = sim.nodes.get(name);
-      Sim.Node other = sim.nodes.get(name.equals("n1") ? "n2" : "n1");
+      SimulatedController node = sim.nodes.get(name);
+      SimulatedController other = sim.nodes.get(name.equals("n1") ? "n2" : "n1");
       sim.workers.remove(worker.id).dead = true; // silent; whether it is gone nobody knows
       node.crash(1_000);
       sim.run(9_100);
@@ -909,10 +909,10 @@
   void aMachineAnotherOwnedUnknownHereIsNotWrittenOff(boolean inFlight) {
     Sim sim = new Sim(78);
     sim.run(8_000);
-    Sim.Worker worker = sim.workers.values().iterator().next();
+    SimulatedWorker worker = sim.workers.values().iterator().next();
     String name = sim.machineRec(worker.id).node();
-    Sim.Node node = sim.nodes.get(name);
-    Sim.Node other = sim.nodes.get(name.equals("n1") ? "n2" : "n1");
+    SimulatedController node = sim.nodes.get(name);
+    SimulatedController other = sim.nodes.get(name.equals("n1") ? "n2" : "n1");
     sim.workers.remove(worker.id).dead = true;
     // it is back in an outage and has its mirror only when that lease is over
     sim.state.outage = true;
@@ -934,7 +934,7 @@
             List.of(new GroupMachine(worker.id, "t8", worker.zone, worker.spot)));
     sim.state.set(Store.GROUPS + "9-9", group, revision, 0);
     String key = Store.MACHINES + worker.id;
-    Sim.StateService.Val before = sim.state.keys.get(key);
+    SimulatedStateService.Val before = sim.state.keys.get(key);
     if (inFlight) {
       node.recordsLate = 600;
     }
@@ -965,9 +965,9 @@
   void aLateCopyDoesNotKeepADeadMachineFromBeingWrittenOff() {
     Sim sim = new Sim(77);
     sim.run(8_000);
-    Sim.Worker worker = sim.workers.values().iterator().next();
+    SimulatedWorker worker = sim.workers.values().iterator().next();
     String name = sim.machineRec(worker.id).node();
-    Sim.Node node = sim.nodes.get(name);
+    SimulatedController node = sim.nodes.get(name);
     Report late = copy(worker, worker.session, worker.seq, worker.token);
     sim.workers.remove(worker.id).dead = true;
     node.crash(200);
@@ -993,17 +993,17 @@
     sim.run(8_000);
     sim.submit(plain(sim, "wk-000001", 16, "free"));
     sim.run(12_000);
-    Sim.Worker worker = null;
-    for (Sim.Worker simWorker : sim.workers.values()) {
+    SimulatedWorker worker = null;
+    for (SimulatedWorker simWorker : sim.workers.values()) {
       if (simWorker.tasks.size() == 4) {
         worker = simWorker;
       }
     }
     assertNotNull(worker);
-    Sim.Worker mute = worker;
-    Sim.Node node = sim.nodes.get(sim.machineRec(worker.id).node());
+    SimulatedWorker mute = worker;
+    SimulatedController node = sim.nodes.get(sim.machineRec(worker.id).node());
     List<StopOrder> stops = new ArrayList<>();
-    for (Sim.Worker.T task : worker.tasks.values()) {
+    for (SimulatedWorker.T task : worker.tasks.values()) {
       stops.add(new StopOrder(worker.id, task.job, task.task, task.attempt, 0));
     }
     worker.mute = true;
@@ -1075,7 +1075,7 @@
   }
 
   /** Runs until the job has another holder than this one; its epoch has been raised then. */
-  private static Sim.Node claimed(Sim sim, String id, Sim.Node before) {
+  private static SimulatedController claimed(Sim sim, String id, SimulatedController before) {
     while (holder(sim, id) == before) {
       sim.run(sim.now + 5);
     }
@@ -1088,9 +1088,9 @@
     sim.run(8_000);
     sim.submit(plain(sim, "wk-000001", 40, "free"));
     sim.run(12_000);
-    Sim.Node node = holder(sim, "wk-000001");
+    SimulatedController node = holder(sim, "wk-000001");
     node.crash(60_000);
-    Sim.Node next = claimed(sim, "wk-000001", node);
+    SimulatedController next = claimed(sim, "wk-000001", node);
     assertFalse(next.core.mayPlace("wk-000001"));
     long lease = sim.state.keys.get(Store.SESSIONS + next.name).lease();
     sim.state.end(lease);
@@ -1110,10 +1110,10 @@
       sim.submit(plain(sim, "wk-00000" + i, 8, "tight"));
     }
     sim.run(12_000);
-    Sim.Node node = holder(sim, "wk-000001");
+    SimulatedController node = holder(sim, "wk-000001");
     node.crash(60_000);
     claimed(sim, "wk-000001", node);
-    for (Sim.Node controller : sim.nodes.values()) {
+    for (SimulatedController controller : sim.nodes.values()) {
       controller.tooOld = true;
     }
     sim.run(250_000);
@@ -1205,8 +1205,8 @@
     sim.submit(plain(sim, "wk-000001", 16, "free"));
     sim.run(30_000);
     finished(sim, "wk-000001");
-    Sim.Node ends = sim.nodes.get("n0");
-    Sim.Node stays = sim.nodes.get("n1");
+    SimulatedController ends = sim.nodes.get("n0");
+    SimulatedController stays = sim.nodes.get("n1");
     List<String> machines = new ArrayList<>();
     for (View.Seen seen : stays.core.view().machines.values()) {
       if ("n0".equals(seen.owner) && seen.state.images().contains("wk-000001")) {
--- a/src/test/java/mallowstall/core/ServiceRulesTest.java
+++ b/src/test/java/mallowstall/core/ServiceRulesTest.java
@@ -221,7 +221,7 @@
     Sim sim = new Sim(5);
     sim.run(5_000);
     sim.rules.submitted(plain(2, "free"));
-    Sim.Worker worker = List.copyOf(sim.workers.values()).get(0);
+    SimulatedWorker worker = List.copyOf(sim.workers.values()).get(0);
     worker.execute(new Command(CommandKind.START, SERVICE, 0, 1, 0));
     worker.execute(new Command(CommandKind.START, SERVICE, 1, 1, 0));
     sim.run(8_000);
@@ -239,7 +239,7 @@
     Sim sim = new Sim(5);
     sim.run(5_000);
     sim.rules.submitted(plain(1, "free"));
-    List<Sim.Worker> workers = List.copyOf(sim.workers.values());
+    List<SimulatedWorker> workers = List.copyOf(sim.workers.values());
     workers.get(0).execute(new Command(CommandKind.START, SERVICE, 0, 1, 0));
     sim.run(8_000);
     assertTrue(sim.endReplica(SERVICE, 0, ExitReason.DONE));
@@ -257,10 +257,10 @@
     Sim sim = new Sim(5);
     sim.run(5_000);
     sim.rules.submitted(plain(1, "free"));
-    Sim.Worker worker = List.copyOf(sim.workers.values()).get(0);
+    SimulatedWorker worker = List.copyOf(sim.workers.values()).get(0);
     worker.faulty = true;
     worker.execute(new Command(CommandKind.START, SERVICE, 0, 1, 0));
-    Sim.Worker.T replica = worker.tasks.values().iterator().next();
+    SimulatedWorker.T replica = worker.tasks.values().iterator().next();
     sim.run(8_000);
     assertEquals(0, sim.rules.replicasOn(SERVICE));
     assertEquals(ExitReason.ERROR, replica.why);
--- a/src/test/java/mallowstall/core/StateLimitsTest.java
+++ b/src/test/java/mallowstall/core/StateLimitsTest.java
@@ -51,7 +51,7 @@
 
   /** Stores the job as the version in production has it, held by this controller. */
   private static void storeInProductionsLayout(
-      Sim sim, JobSpec spec, Sim.Node holder, BitSet done) {
+      Sim sim, JobSpec spec, SimulatedController holder, BitSet done) {
     int chunk = Constants.BITS_PER_CHUNK;
     JobRec job =
         new JobRec(
@@ -173,7 +173,7 @@
     sim.submit(many(sim, "wk-000001", "free"));
     sim.submit(many(sim, "wk-000002", "tight"));
     sim.run(35_000);
-    Sim.Node first = sim.nodes.get(sim.entry("wk-000001").holder());
+    SimulatedController first = sim.nodes.get(sim.entry("wk-000001").holder());
     BitSet done = firstTasks(30_000);
     done.clear(5_000);
     done.clear(20_000);
@@ -183,7 +183,7 @@
     first.crash(40_000);
     sim.at(after, () -> sim.state.limitTo(AFTER));
     sim.run(65_000);
-    for (Sim.Node node : sim.nodes.values()) {
+    for (SimulatedController node : sim.nodes.values()) {
       if (node != first) {
         assertEquals(0, sessionChanges(sim, node.name, revision), node.name);
       }
@@ -198,14 +198,14 @@
     }
     assertTrue(sim.doneBits("wk-000003").cardinality() >= done.cardinality());
     sim.run(76_000);
-    Sim.Node second = sim.nodes.get(sim.entry("wk-000003").holder());
+    SimulatedController second = sim.nodes.get(sim.entry("wk-000003").holder());
     second.crash(20_000);
     sim.run(120_000);
     for (String id : counts.keySet()) {
       int now = sim.doneBits(id).cardinality();
       assertTrue(now > counts.get(id), id + ": " + now + " after " + counts.get(id));
     }
-    for (Sim.Worker worker : sim.workers.values()) {
+    for (SimulatedWorker worker : sim.workers.values()) {
       assertEquals(1, worker.session, worker.id);
     }
     assertNull(sim.struck.get(TOO_LARGE));
@@ -247,7 +247,7 @@
     sim.run(10_000);
     JobSpec spec =
         sim.job("wk-000001", 20_010, 4, Priority.NORMAL, "free", false, false, true, null);
-    Sim.Node holder = sim.nodes.get("n1");
+    SimulatedController holder = sim.nodes.get("n1");
     long incarnation = holder.core.incarnation();
     JobRec job = JobRec.accepted(spec, 1_700_000_000_000L, holder.name, incarnation);
     sim.rules.submitted(spec);
@@ -283,7 +283,7 @@
   void whatIsCalledTooLargeIsTriedSeldomAndHoldsUpNothing() {
     Sim sim = new Sim(311);
     sim.run(10_000);
-    Sim.Node holder = sim.nodes.get("n1");
+    SimulatedController holder = sim.nodes.get("n1");
     for (String id : List.of("wk-000001", "wk-000002")) {
       JobSpec spec = many(sim, id, id.equals("wk-000001") ? "free" : "tight");
       storeInProductionsLayout(sim, spec, holder, firstTasks(30_000));
@@ -311,7 +311,7 @@
       long tries = asked(sim, from, JobEntries.jobKey(id));
       assertTrue(tries >= 2 && tries <= 24, id + " was claimed " + tries + " times");
     }
-    for (Sim.Node node : sim.nodes.values()) {
+    for (SimulatedController node : sim.nodes.values()) {
       if (node != holder) {
         assertEquals(0, sessionChanges(sim, node.name, revision), node.name);
       }
@@ -339,7 +339,7 @@
       assertTrue(tries >= 4 && tries <= 16, id + " was tried " + tries + " times in 30 s");
     }
     assertTrue(sim.struck.get(TOO_MANY) > 0);
-    for (Sim.Node node : sim.nodes.values()) {
+    for (SimulatedController node : sim.nodes.values()) {
       assertEquals(0, sessionChanges(sim, node.name, revision));
     }
     sim.state.limitTo(BEFORE);
@@ -359,7 +359,7 @@
     JobSpec large =
         withLongNames(sim.job("wk-000001", 4, 1, Priority.LOW, "free", false, false, true, null));
     List<UserAnswer> answers = new ArrayList<>();
-    Sim.Node node = sim.nodes.get("n0");
+    SimulatedController node = sim.nodes.get("n0");
     node.event(() -> node.core.submit(large, answers::add));
     sim.run(11_000);
     assertEquals(400, answers.get(0).status());
@@ -415,12 +415,12 @@
     sim.run(25_000);
     sim.state.limitTo(few);
     long before = sim.state.revision;
-    for (Sim.Node node : sim.nodes.values()) {
+    for (SimulatedController node : sim.nodes.values()) {
       node.crash(2_000);
     }
     sim.run(sim.now + 12_000);
     Set<String> kept = new HashSet<>();
-    for (Sim.Worker worker : sim.workers.values()) {
+    for (SimulatedWorker worker : sim.workers.values()) {
       if (worker.session == 1) {
         kept.add(worker.id);
       }
--- a/src/test/java/mallowstall/core/Troubles.java
+++ b/src/test/java/mallowstall/core/Troubles.java
@@ -47,11 +47,11 @@
 
   /** One of the older troubles at random. */
   static void older(Sim sim) {
-    Sim.Node node = sim.nodes.get(Sim.NODES.get(sim.rnd.nextInt(3)));
+    SimulatedController node = sim.nodes.get(Sim.NODES.get(sim.rnd.nextInt(3)));
     switch (sim.rnd.nextInt(13)) {
       case 0 -> node.crash(sim.rnd.nextBoolean() ? 200 : 5_000);
       case 1 -> {
-        for (Sim.Node x : sim.nodes.values()) {
+        for (SimulatedController x : sim.nodes.values()) {
           x.crash(300 + sim.rnd.nextInt(5_000));
         }
       }
@@ -96,20 +96,20 @@
         sim.at(5_000 + sim.rnd.nextInt(40_000), sim::rejoin);
       }
       case 8, 9 -> {
-        List<Sim.Worker> ws = List.copyOf(sim.workers.values());
+        List<SimulatedWorker> ws = List.copyOf(sim.workers.values());
         if (ws.isEmpty()) {
           return;
         }
-        Sim.Worker worker = ws.get(sim.rnd.nextInt(ws.size()));
+        SimulatedWorker worker = ws.get(sim.rnd.nextInt(ws.size()));
         worker.deaf = true;
         sim.at(2_000 + sim.rnd.nextInt(60_000), () -> worker.deaf = false);
       }
       default -> {
-        List<Sim.Worker> ws = List.copyOf(sim.workers.values());
+        List<SimulatedWorker> ws = List.copyOf(sim.workers.values());
         if (ws.isEmpty()) {
           return;
         }
-        Sim.Worker simWorker = ws.get(sim.rnd.nextInt(ws.size()));
+        SimulatedWorker simWorker = ws.get(sim.rnd.nextInt(ws.size()));
         simWorker.cut = true;
         sim.at(2_000 + sim.rnd.nextInt(20_000), () -> simWorker.cut = false);
       }
@@ -118,15 +118,15 @@
 
   /** One of the newer troubles at random; none of them begins anything new later than then. */
   static void newer(Sim sim, long until) {
-    Sim.Node node = sim.nodes.get(Sim.NODES.get(sim.rnd.nextInt(3)));
-    List<Sim.Worker> ws = List.copyOf(sim.workers.values());
+    SimulatedController node = sim.nodes.get(Sim.NODES.get(sim.rnd.nextInt(3)));
+    List<SimulatedWorker> ws = List.copyOf(sim.workers.values());
     switch (sim.rnd.nextInt(9)) {
       case 0 -> {
         sim.slowState = 600 + sim.rnd.nextInt(1_900);
         sim.at(3_000 + sim.rnd.nextInt(20_000), () -> sim.slowState = 0);
       }
       case 1 -> {
-        for (Sim.Worker worker : ws) {
+        for (SimulatedWorker worker : ws) {
           if (sim.rnd.nextInt(3) > 0) {
             continue;
           }
@@ -135,7 +135,7 @@
         }
       }
       case 2 -> {
-        for (Sim.Worker simWorker : ws) {
+        for (SimulatedWorker simWorker : ws) {
           if (sim.rnd.nextInt(3) == 0) {
             simWorker.hang(1_000 + sim.rnd.nextInt(sim.rnd.nextBoolean() ? 9_000 : 25_000));
           }
--- a/src/test/java/mallowstall/core/UpgradeHistoriesTest.java
+++ b/src/test/java/mallowstall/core/UpgradeHistoriesTest.java
@@ -137,7 +137,7 @@
 
   private static void endChance(Sim sim) {
     sim.endChance();
-    for (Sim.Node node : sim.nodes.values()) {
+    for (SimulatedController node : sim.nodes.values()) {
       node.atNextClaim = null;
     }
   }
@@ -150,7 +150,7 @@
     List<String> waiting = new ArrayList<>(Sim.NODES);
     long turn = 12_000 + sim.rnd.nextInt(28_000);
     while (!waiting.isEmpty()) {
-      Sim.Node node = sim.nodes.get(waiting.remove(sim.rnd.nextInt(waiting.size())));
+      SimulatedController node = sim.nodes.get(waiting.remove(sim.rnd.nextInt(waiting.size())));
       long downMs =
           sim.rnd.nextBoolean() ? 50 + sim.rnd.nextInt(900) : 1_000 + sim.rnd.nextInt(8_000);
       if (sim.rnd.nextInt(4) == 0) {
@@ -174,12 +174,12 @@
     };
   }
 
-  private static void upgradeInClaim(Sim sim, Sim.Node node, long downMs) {
+  private static void upgradeInClaim(Sim sim, SimulatedController node, long downMs) {
     endInClaim(sim, node, () -> sim.upgrade(node, downMs));
   }
 
   /** Some moment after it has asked for its next claim. */
-  private static void endInClaim(Sim sim, Sim.Node node, Runnable end) {
+  private static void endInClaim(Sim sim, SimulatedController node, Runnable end) {
     node.atNextClaim =
         () ->
             sim.at(
@@ -191,7 +191,7 @@
   }
 
   /** Whoever waits for a claim that doesn't come has its turn all the same. */
-  private static void upgradeAtLast(Sim sim, Sim.Node node) {
+  private static void upgradeAtLast(Sim sim, SimulatedController node) {
     if (node.installed == ClusterVersion.CURRENT) {
       return;
     }
@@ -203,7 +203,7 @@
     crash(sim, sim.nodes.get(Sim.NODES.get(sim.rnd.nextInt(3))));
   }
 
-  private static void crash(Sim sim, Sim.Node node) {
+  private static void crash(Sim sim, SimulatedController node) {
     if (!node.up) {
       return;
     }
@@ -215,7 +215,7 @@
 
   /** A holder ends; whoever claims its jobs ends in the middle of that. */
   private static void crashInClaim(Sim sim) {
-    for (Sim.Node node : sim.nodes.values()) {
+    for (SimulatedController node : sim.nodes.values()) {
       endInClaim(sim, node, () -> crash(sim, node));
     }
     sim.changeLeaders();
@@ -277,7 +277,7 @@
   }
 
   private static void killMachineOfService(Sim sim) {
-    Sim.Worker worker = machineOfService(sim);
+    SimulatedWorker worker = machineOfService(sim);
     if (worker == null) {
       return;
     }
@@ -287,7 +287,7 @@
 
   /** The cloud gives notice of the machine, or it begins to fail what is started there. */
   private static void endMachineSoon(Sim sim) {
-    Sim.Worker worker = machineOfService(sim);
+    SimulatedWorker worker = machineOfService(sim);
     if (worker == null) {
       return;
     }
@@ -300,7 +300,7 @@
   }
 
   /** A machine with replicas; null: there is none. */
-  private static Sim.Worker machineOfService(Sim sim) {
+  private static SimulatedWorker machineOfService(Sim sim) {
     List<String> machines = new ArrayList<>();
     for (String id : sim.jobs) {
       if (sim.rules.service(id)) {
--- a/src/test/java/mallowstall/core/UpgradeTest.java
+++ b/src/test/java/mallowstall/core/UpgradeTest.java
@@ -46,12 +46,12 @@
     return answer;
   }
 
-  private static UserAnswer submitAt(Sim sim, Sim.Node node, JobSpec job) {
+  private static UserAnswer submitAt(Sim sim, SimulatedController node, JobSpec job) {
     sim.rules.submitted(job);
     return answer(sim, job.id(), reply -> sim.submitAt(node, job, reply));
   }
 
-  private static UserAnswer queryAt(Sim sim, Sim.Node node, String job) {
+  private static UserAnswer queryAt(Sim sim, SimulatedController node, String job) {
     return answer(sim, job, reply -> node.event(() -> node.core.query(job, reply)));
   }
 
@@ -81,7 +81,7 @@
   @Test
   void aServiceIsAcceptedOnceEveryControllerIsUpgraded() {
     Sim sim = mixed(301, "n0", "n1");
-    Sim.Node asked = sim.nodes.get("n0");
+    SimulatedController asked = sim.nodes.get("n0");
     UserAnswer early = submitAt(sim, asked, service(sim));
     assertEquals(503, early.status());
     assertTrue(early.retryAfterS() >= 1, "Retry-After: " + early.retryAfterS());
@@ -109,7 +109,7 @@
   @Test
   void aRepetitionIsToldTheStateWhateverTheOthersRun() {
     Sim sim = withService(303);
-    Sim.Node old = sim.nodes.get("n2");
+    SimulatedController old = sim.nodes.get("n2");
     old.installed = ClusterVersion.UNKNOWN;
     old.crash(500);
     sim.run(sim.now + 10_000);
@@ -130,12 +130,12 @@
     for (String name : Sim.NODES) {
       Sim sim = withService(304);
       sim.submit(batch(sim, 6));
-      Sim.Node old = sim.nodes.get(name);
+      SimulatedController old = sim.nodes.get(name);
       old.installed = ClusterVersion.UNKNOWN;
       old.crash(500);
       sim.run(sim.now + RUNS_AGAIN_MS);
       assertEquals(503, queryAt(sim, old, SERVICE).status());
-      for (Sim.Node node : sim.nodes.values()) {
+      for (SimulatedController node : sim.nodes.values()) {
         if (node != old) {
           assertEquals("running", queryAt(sim, node, SERVICE).state(), node.name);
         }
@@ -154,9 +154,9 @@
   @Test
   void anOldControllerLeftAloneDoesNotEndAService() {
     Sim sim = withService(305);
-    Sim.Node old = sim.nodes.get("n1");
+    SimulatedController old = sim.nodes.get("n1");
     old.installed = ClusterVersion.UNKNOWN;
-    for (Sim.Node node : sim.nodes.values()) {
+    for (SimulatedController node : sim.nodes.values()) {
       node.crash(node == old ? 500 : 60_000);
     }
     sim.run(sim.now + 50_000);
@@ -172,14 +172,14 @@
   @Test
   void aServiceCancelledBesideAnOldControllerStaysCancelled() {
     Sim sim = withService(306);
-    Sim.Node old = sim.nodes.get("n1");
+    SimulatedController old = sim.nodes.get("n1");
     old.installed = ClusterVersion.UNKNOWN;
     old.crash(500);
     sim.run(sim.now + 10_000);
     sim.rules.asksToCancel(SERVICE);
-    Sim.Node node = sim.nodes.get("n2");
+    SimulatedController node = sim.nodes.get("n2");
     answer(sim, SERVICE, reply -> node.event(() -> node.core.cancel(SERVICE, reply)));
-    for (Sim.Node other : sim.nodes.values()) {
+    for (SimulatedController other : sim.nodes.values()) {
       if (other != old) {
         other.crash(15_000);
       }
@@ -188,7 +188,7 @@
     assertEquals("cancelled", queryAt(sim, old, SERVICE).state());
     sim.run(sim.now + Sim.CANCEL);
     assertEquals(0, sim.rules.replicasOn(SERVICE));
-    for (Sim.Node each : sim.nodes.values()) {
+    for (SimulatedController each : sim.nodes.values()) {
       assertEquals("cancelled", queryAt(sim, each, SERVICE).state());
     }
     assertEquals(List.of(), sim.rules.broken);
@@ -199,7 +199,7 @@
     Sim sim = mixed(307, "n0");
     sim.submit(batch(sim, 12));
     sim.run(sim.now + 3_000);
-    Sim.Node early = sim.nodes.get("n2");
+    SimulatedController early = sim.nodes.get("n2");
     early.crash(1_000);
     sim.run(sim.now + 10_000);
     assertTrue(early.up && !early.knowsServices(), "it is back, and old");
