--- a/src/test/java/mallowstall/core/MeetingsTest.java
+++ b/src/test/java/mallowstall/core/CombinedFaultsTest.java
@@ -26,16 +26,16 @@
  * Two troubles that meet, each brought about on simulated time. Every test first shows that its
  * meeting took place. The arguments stand in docs/design.md, "When troubles meet".
  */
-class MeetingsTest {
+class CombinedFaultsTest {
   private static final String VICTIM = "wk-000001";
   private static final String OTHER = "wk-000002";
 
-  private static JobSpec plain(Sim sim, String id, int tasks) {
+  private static JobSpec plain(Simulation sim, String id, int tasks) {
     return sim.job(id, tasks, 2, Priority.NORMAL, "free", false, false, true, null);
   }
 
   /** Tasks of the job that run, by the controller that their machines report to. */
-  private static Map<String, Integer> running(Sim sim, String job) {
+  private static Map<String, Integer> running(Simulation sim, String job) {
     Map<String, Integer> out = new TreeMap<>();
     for (SimulatedWorker worker : sim.workers.values()) {
       for (SimulatedWorker.T task : worker.tasks.values()) {
@@ -52,7 +52,7 @@
   }
 
   /** The user's answer; the confirmation counts from then on. */
-  private static UserAnswer cancelAt(Sim sim, SimulatedController node, String id) {
+  private static UserAnswer cancelAt(Simulation sim, SimulatedController node, String id) {
     sim.rules.asksToCancel(id);
     List<UserAnswer> got = new ArrayList<>();
     node.event(
@@ -100,76 +100,23 @@
   void aCancellationThatTheLeaderCannotReadOfHolds(Besides besides) {
     for (long gap : new long[] {200, 900, 2_000}) {
       for (long seed = 1; seed <= 3; seed++) {
-        Sim sim = new Sim(100 + seed);
+        Simulation sim = new Simulation(100 + seed);
         sim.runMs = 400_000;
         sim.run(8_000);
         sim.submit(plain(sim, VICTIM, 8));
         sim.submit(plain(sim, OTHER, 6));
         sim.run(16_000);
         assertEquals(8, count(running(sim, VICTIM)));
-        // leading: who owns most of the machines that run it
-        Map<String, Integer> on = running(sim, VICTIM);
-        String name = "n0";
-        for (String n : on.keySet()) {
-          if (on.get(n) > on.getOrDefault(name, 0)) {
-            name = n;
-          }
-        }
-        SimulatedController leader = sim.nodes.get(name);
-        SimulatedController confirmer = sim.nodes.get(name.equals("n1") ? "n2" : "n1");
+        SimulatedController leader = sim.nodes.get(ownerOfMost(running(sim, VICTIM)));
+        SimulatedController confirmer = sim.nodes.get(leader.name.equals("n1") ? "n2" : "n1");
         leader.noState = true;
         sim.run(sim.now + 120);
         if (besides.name().startsWith("WORDS")) {
           sim.heldMs = besides == Besides.WORDS_LATE ? 30_000 : 60_000;
           confirmer.cut.put(leader.name, true);
         }
-        long confirmed;
-        if (besides == Besides.TOLD_FROM_MEMORY) {
-          sim.rules.asksToCancel(VICTIM);
-          confirmer.event(() -> confirmer.core.cancel(VICTIM, answer -> {}));
-          sim.run(sim.now + gap);
-          sim.state.outage = true;
-          sim.run(sim.now + 3_000);
-          assertEquals("cancelled", cancelAt(sim, confirmer, VICTIM).state());
-          confirmed = sim.now;
-        } else {
-          assertEquals("cancelled", cancelAt(sim, confirmer, VICTIM).state());
-          confirmed = sim.now;
-          if (besides == Besides.CONFIRMER_BACK_AT_ONCE) {
-            confirmer.crash(150);
-          }
-          if (besides.name().endsWith("GONE")) {
-            confirmer.crash(500_000);
-          }
-          if (besides == Besides.MACHINES_CANNOT_BE_ASKED) {
-            int i = 0;
-            for (SimulatedWorker worker : sim.workers.values()) {
-              if (i++ % 2 != 0) {
-                continue;
-              }
-              worker.cut = true;
-              sim.at(8_000, () -> worker.cut = false);
-            }
-          }
-          sim.run(sim.now + gap);
-          sim.state.outage = true;
-        }
-        sim.run(confirmed + 7_000);
-        // the meeting took place: the leader can't read of it, and workers report to the leader
-        assertEquals(Final.NONE, leader.core.store().job(VICTIM).fin());
-        assertTrue(
-            sim.workers.values().stream()
-                .anyMatch(simWorker -> simWorker.node.equals(leader.name)));
-        sim.run(confirmed + Sim.CANCEL - 100);
-        assertEquals(0, count(running(sim, VICTIM)), besides + ", gap " + gap + ", seed " + seed);
-        boolean heard = besides == Besides.NOTHING || besides == Besides.TOLD_FROM_MEMORY;
-        if (heard) {
-          assertEquals(6, count(running(sim, OTHER)), "unrelated tasks run on");
-        }
-        sim.run(confirmed + Sim.CANCEL + 15_000);
-        if (heard) {
-          assertEquals(6, count(running(sim, OTHER)), "unrelated tasks run on");
-        }
+        long confirmed = confirm(sim, confirmer, besides, gap);
+        checkOutage(sim, leader, besides, confirmed, besides + ", gap " + gap + ", seed " + seed);
         sim.state.recover();
         leader.noState = false;
         confirmer.cut.clear();
@@ -182,6 +129,73 @@
     }
   }
 
+  /** Leading: who owns most of the machines that run the job. */
+  private static String ownerOfMost(Map<String, Integer> machines) {
+    String most = "n0";
+    for (String node : machines.keySet()) {
+      if (machines.get(node) > machines.getOrDefault(most, 0)) {
+        most = node;
+      }
+    }
+    return most;
+  }
+
+  /** Has the cancellation confirmed and then the outage begin; returns when it was confirmed. */
+  private static long confirm(
+      Simulation sim, SimulatedController confirmer, Besides besides, long gap) {
+    if (besides == Besides.TOLD_FROM_MEMORY) {
+      sim.rules.asksToCancel(VICTIM);
+      confirmer.event(() -> confirmer.core.cancel(VICTIM, answer -> {}));
+      sim.run(sim.now + gap);
+      sim.state.outage = true;
+      sim.run(sim.now + 3_000);
+      assertEquals("cancelled", cancelAt(sim, confirmer, VICTIM).state());
+      return sim.now;
+    }
+    assertEquals("cancelled", cancelAt(sim, confirmer, VICTIM).state());
+    long confirmed = sim.now;
+    if (besides == Besides.CONFIRMER_BACK_AT_ONCE) {
+      confirmer.crash(150);
+    }
+    if (besides.name().endsWith("GONE")) {
+      confirmer.crash(500_000);
+    }
+    if (besides == Besides.MACHINES_CANNOT_BE_ASKED) {
+      cutEverySecond(sim, 8_000);
+    }
+    sim.run(sim.now + gap);
+    sim.state.outage = true;
+    return confirmed;
+  }
+
+  private static void cutEverySecond(Simulation sim, long ms) {
+    int i = 0;
+    for (SimulatedWorker worker : sim.workers.values()) {
+      if (i++ % 2 == 0) {
+        worker.cut = true;
+        sim.at(ms, () -> worker.cut = false);
+      }
+    }
+  }
+
+  private static void checkOutage(
+      Simulation sim, SimulatedController leader, Besides besides, long confirmed, String what) {
+    sim.run(confirmed + 7_000);
+    // the meeting took place: the leader can't read of it, and workers report to the leader
+    assertEquals(Final.NONE, leader.core.store().job(VICTIM).fin());
+    assertTrue(sim.workers.values().stream().anyMatch(worker -> worker.node.equals(leader.name)));
+    sim.run(confirmed + Simulation.CANCEL - 100);
+    assertEquals(0, count(running(sim, VICTIM)), what);
+    boolean heard = besides == Besides.NOTHING || besides == Besides.TOLD_FROM_MEMORY;
+    if (heard) {
+      assertEquals(6, count(running(sim, OTHER)), "unrelated tasks run on");
+    }
+    sim.run(confirmed + Simulation.CANCEL + 15_000);
+    if (heard) {
+      assertEquals(6, count(running(sim, OTHER)), "unrelated tasks run on");
+    }
+  }
+
   /**
    * A controller's former process asked for its session, without an answer; it is carried out after
    * the new process has its own, and ends with the former one's lease. The new one used to go on
@@ -189,7 +203,7 @@
    */
   @Test
   void aSessionThatIsWrittenLateReplacesNoLaterOne() {
-    Sim sim = new Sim(120);
+    Simulation sim = new Simulation(120);
     sim.run(8_000);
     SimulatedController node = sim.nodes.get("n1");
     long former = node.core.incarnation();
@@ -223,7 +237,7 @@
   /** What this version asks for is compared with what was read, so the late one fails. */
   @Test
   void aSessionIsComparedWithWhatWasRead() {
-    Sim sim = new Sim(121);
+    Simulation sim = new Simulation(121);
     sim.run(8_000);
     List<Effects.Txn> asked = sim.state.asked;
     assertTrue(
@@ -246,7 +260,7 @@
    */
   @Test
   void aSubmissionAnsweredLateSaysWhatTheJobIsNow() {
-    Sim sim = new Sim(122);
+    Simulation sim = new Simulation(122);
     sim.run(8_000);
     SimulatedController slow = sim.nodes.get("n0");
     slow.lag = 3_500;
@@ -272,7 +286,7 @@
   /** Wrong by itself, but accepted all the same, as by another version: its state is told. */
   @Test
   void anAcceptedJobsRepetitionIsNeverWrong() {
-    Sim sim = new Sim(123);
+    Simulation sim = new Simulation(123);
     sim.runMs = 100_000;
     sim.run(8_000);
     sim.submit(plain(sim, VICTIM, 4));
@@ -308,7 +322,7 @@
   @Test
   void aQuestionOvertakenByACancellationIsNotAnsweredWithLess() {
     for (long lag : new long[] {300, 600, 900}) {
-      Sim sim = new Sim(124);
+      Simulation sim = new Simulation(124);
       sim.runMs = 100_000;
       sim.run(8_000);
       sim.submit(plain(sim, VICTIM, 4));
@@ -341,7 +355,7 @@
     int waiting = 0;
     int begun = 0;
     for (long seed = 0; seed < 12; seed++) {
-      Sim sim = new Sim(140 + seed);
+      Simulation sim = new Simulation(140 + seed);
       sim.run(8_000);
       sim.submit(plain(sim, VICTIM, 12));
       long until = sim.now + 3_000;
@@ -370,7 +384,7 @@
     /** Cancellations, questions and repetitions at the moment of a job's last end, everywhere. */
     END_AND_CANCELLATION {
       @Override
-      boolean play(Sim sim) {
+      boolean play(Simulation sim) {
         sim.cancelAtEnd = 0.5;
         for (int i = 10; i < 40; i++) {
           sim.submit(plain(sim, "wk-0000" + i, 1 + i % 3));
@@ -388,7 +402,7 @@
     /** A report is held back until another owns the machine, then arrives there and elsewhere. */
     HELD_REPORT_AND_NEW_OWNER {
       @Override
-      boolean play(Sim sim) {
+      boolean play(Simulation sim) {
         SimulatedWorker worker = busiest(sim);
         Report held = worker.snapshot();
         MachineRec before = sim.machineRec(worker.id);
@@ -416,7 +430,7 @@
     /** A leader without state service and peers; its jobs are cancelled through another. */
     LEADER_APART_AND_CANCELLATION {
       @Override
-      boolean play(Sim sim) {
+      boolean play(Simulation sim) {
         SimulatedWorker worker = busiest(sim);
         SimulatedController node = sim.nodes.get(sim.machineRec(worker.id).node());
         String job = running(worker);
@@ -424,7 +438,7 @@
         SimulatedController other = sim.nodes.get(node.name.equals("n1") ? "n2" : "n1");
         assertEquals("cancelled", cancelAt(sim, other, job).state());
         boolean apart = count(running(sim, job)) > 0;
-        sim.run(sim.now + Sim.CANCEL);
+        sim.run(sim.now + Simulation.CANCEL);
         assertEquals(0, count(running(sim, job)));
         sim.run(sim.now + 10_000);
         node.noState = false;
@@ -435,11 +449,11 @@
     /** All controllers are away for longer than a lease. */
     ALL_AWAY_FOR_A_LEASE {
       @Override
-      boolean play(Sim sim) {
+      boolean play(Simulation sim) {
         for (SimulatedController node : sim.nodes.values()) {
-          node.crash(Sim.LEASE + 5_000);
+          node.crash(Simulation.LEASE + 5_000);
         }
-        sim.run(sim.now + Sim.LEASE + 4_000);
+        sim.run(sim.now + Simulation.LEASE + 4_000);
         return sim.workers.values().stream()
             .allMatch(worker -> worker.session > 1 && worker.tasks.isEmpty());
       }
@@ -447,23 +461,23 @@
     /** The state service is slow, then refuses a leader, then all, while users cancel and ask. */
     SLOW_STATE_AND_CANCELLATION {
       @Override
-      boolean play(Sim sim) {
+      boolean play(Simulation sim) {
         sim.rules.crossingsBreak = false;
         sim.slowState = 2_500;
         sim.at(2_000, () -> sim.cancelNow(3, 0));
         sim.at(9_000, () -> sim.oddRequests(20));
         sim.run(sim.now + 20_000);
         sim.slowState = 0;
-        sim.refusedThenOutage(sim.nodes.get("n0"), 3_000, Sim.CANCEL + 5_000);
+        sim.refusedThenOutage(sim.nodes.get("n0"), 3_000, Simulation.CANCEL + 5_000);
         sim.at(2_500, () -> sim.cancelNow(2, 0));
-        sim.run(sim.now + Sim.CANCEL + 10_000);
+        sim.run(sim.now + Simulation.CANCEL + 10_000);
         return sim.struck.containsKey("slowState") && sim.struck.containsKey("cancelNow");
       }
     },
     /** A team at its limit, a change of leader, machines that can't be asked, a cancellation. */
     TEAM_AT_ITS_LIMIT {
       @Override
-      boolean play(Sim sim) {
+      boolean play(Simulation sim) {
         for (int i = 1; i <= 4; i++) {
           sim.cancel("wk-00000" + i); // makes room for it
         }
@@ -489,7 +503,7 @@
     /** More work than room, urgent and not, over slow links. */
     TOO_MUCH_WORK_SLOWLY {
       @Override
-      boolean play(Sim sim) {
+      boolean play(Simulation sim) {
         for (SimulatedController node : sim.nodes.values()) {
           node.lag = 400;
         }
@@ -513,12 +527,12 @@
     /** Machines reach no controller for longer than a lease; commands reach them; one cancels. */
     MUTE_MACHINES {
       @Override
-      boolean play(Sim sim) {
+      boolean play(Simulation sim) {
         for (SimulatedWorker worker : sim.workers.values()) {
           worker.mute = true;
         }
         sim.at(3_000, () -> sim.cancel("wk-000004"));
-        sim.run(sim.now + Sim.LEASE + 8_000);
+        sim.run(sim.now + Simulation.LEASE + 8_000);
         for (SimulatedWorker simWorker : sim.workers.values()) {
           simWorker.mute = false;
         }
@@ -528,7 +542,7 @@
     /** Commands and their answers are held up by machines that hang and go on. */
     HELD_COMMANDS {
       @Override
-      boolean play(Sim sim) {
+      boolean play(Simulation sim) {
         sim.runMs = 1_500;
         sim.run(sim.now + 30_000);
         for (int i = 10; i < 40; i++) {
@@ -552,9 +566,9 @@
     /** Controllers hand over and back, all end, and one returns, also within a second. */
     THERE_AND_BACK {
       @Override
-      boolean play(Sim sim) {
+      boolean play(Simulation sim) {
         for (int i = 0; i < 6; i++) {
-          sim.nodes.get(Sim.NODES.get(i % 3)).crash(i % 2 == 0 ? 150 : 6_000);
+          sim.nodes.get(Simulation.NODES.get(i % 3)).crash(i % 2 == 0 ? 150 : 6_000);
           sim.run(sim.now + 5_000);
         }
         sim.run(sim.now + 8_000);
@@ -570,7 +584,7 @@
     /** Transactions without an answer are carried out late, after newer ones, also of the dead. */
     LATE_TRANSACTIONS {
       @Override
-      boolean play(Sim sim) {
+      boolean play(Simulation sim) {
         sim.lateWrites = 0.3;
         for (int i = 10; i < 20; i++) {
           sim.submit(
@@ -578,7 +592,7 @@
         }
         for (int i = 0; i < 4; i++) {
           sim.run(sim.now + 8_000);
-          sim.nodes.get(Sim.NODES.get(i % 3)).crash(200);
+          sim.nodes.get(Simulation.NODES.get(i % 3)).crash(200);
         }
         sim.run(sim.now + 10_000);
         sim.lateWrites = 0;
@@ -589,7 +603,7 @@
     /** Jobs of two or three tasks that end far apart, with another leader in between. */
     ENDS_FAR_APART {
       @Override
-      boolean play(Sim sim) {
+      boolean play(Simulation sim) {
         for (int j = 10; j < 16; j++) {
           String id = "wk-0000" + j;
           for (int t = 0; t < 3; t++) {
@@ -615,7 +629,7 @@
     /** Jobs of one zone, pinned and not, lose machines. */
     ONE_ZONE_LOSES_MACHINES {
       @Override
-      boolean play(Sim sim) {
+      boolean play(Simulation sim) {
         sim.submit(sim.job("wk-000010", 6, 2, Priority.NORMAL, "free", false, false, true, "a"));
         sim.submit(sim.job("wk-000011", 6, 2, Priority.NORMAL, "free", true, false, true, null));
         sim.submit(sim.job("wk-000012", 5, 2, Priority.NORMAL, "free", false, true, true, null));
@@ -635,7 +649,7 @@
     /** Leaders change ten times in two minutes, also inside an outage. */
     TEN_LEADERS {
       @Override
-      boolean play(Sim sim) {
+      boolean play(Simulation sim) {
         for (int i = 0; i < 10; i++) {
           sim.at(i * 11_000L, sim::changeLeaders);
         }
@@ -650,7 +664,7 @@
     /** A zone with workers and a controller is cut off for longer than a lease; one cancels. */
     ZONE_CUT_OFF {
       @Override
-      boolean play(Sim sim) {
+      boolean play(Simulation sim) {
         sim.cutOff("b");
         sim.run(sim.now + 300);
         String job = null;
@@ -661,7 +675,7 @@
         }
         boolean inside = job != null && sim.nodes.get("n1").up;
         assertEquals("cancelled", cancelAt(sim, sim.nodes.get("n0"), job).state());
-        sim.run(sim.now + Sim.CANCEL + 5_000);
+        sim.run(sim.now + Simulation.CANCEL + 5_000);
         assertEquals(0, count(running(sim, job)));
         sim.rejoin();
         return inside;
@@ -670,7 +684,7 @@
     /** A leader ends; machines with long tasks can't be reached, or don't hear the next one. */
     LEADER_ENDS_MACHINES_UNREACHED {
       @Override
-      boolean play(Sim sim) {
+      boolean play(Simulation sim) {
         SimulatedController node = sim.nodes.get(sim.machineRec(busiest(sim).id).node());
         int i = 0;
         for (SimulatedWorker worker : sim.workers.values()) {
@@ -690,7 +704,7 @@
       }
     };
 
-    abstract boolean play(Sim sim);
+    abstract boolean play(Simulation sim);
   }
 
   /** A job of which a task runs there; null: none. */
@@ -703,7 +717,7 @@
     return null;
   }
 
-  private static SimulatedWorker busiest(Sim sim) {
+  private static SimulatedWorker busiest(Simulation sim) {
     SimulatedWorker most = null;
     for (SimulatedWorker worker : sim.workers.values()) {
       if (most == null || worker.tasks.size() > most.tasks.size()) {
@@ -718,7 +732,7 @@
   @EnumSource(Meeting.class)
   void theRulesHold(Meeting meeting) {
     for (long seed = 1; seed <= 3; seed++) {
-      Sim sim = new Sim(200 + seed);
+      Simulation sim = new Simulation(200 + seed);
       sim.runMs = 25_000;
       sim.run(8_000);
       for (int i = 1; i <= 6; i++) {
--- a/src/test/java/mallowstall/core/Rules.java
+++ b/src/test/java/mallowstall/core/InvariantChecker.java
@@ -14,7 +14,7 @@
 /**
  * The slow plain model: what is on which machine and what users were told, checked at each step.
  */
-final class Rules {
+final class InvariantChecker {
   /** A task that is on a machine. */
   record OnMachine(String machine, String job, int task, String type, String zone, boolean spot) {}
 
@@ -69,7 +69,7 @@
   /** From here on no trouble is left: every accepted job's questions must be answered. */
   long calmSince = Long.MAX_VALUE;
 
-  Rules(Map<String, Team> teams, long cancelMs) {
+  InvariantChecker(Map<String, Team> teams, long cancelMs) {
     this.teams = teams;
     this.cancelMs = cancelMs;
   }
--- a/src/test/java/mallowstall/core/JobEntriesTest.java
+++ b/src/test/java/mallowstall/core/JobEntriesTest.java
@@ -51,7 +51,7 @@
             2_000,
             Map.of(),
             ClusterVersion.CURRENT);
-    return new JobEntries(settings, Sim::size, () -> allReadPieces, stored::get);
+    return new JobEntries(settings, Simulation::size, () -> allReadPieces, stored::get);
   }
 
   private static JobSpec spec(int tasks, String name) {
@@ -116,7 +116,9 @@
     assertTrue(write.puts().size() <= txnOps, "operations: " + write.puts().size());
     assertTrue(write.when().size() <= 4 * txnOps, "conditions: " + write.when().size());
     for (Put put : write.puts()) {
-      assertTrue(Sim.size(put.value()) <= valueBytes, put.key() + " has " + Sim.size(put.value()));
+      assertTrue(
+          Simulation.size(put.value()) <= valueBytes,
+          put.key() + " has " + Simulation.size(put.value()));
     }
     for (Cond condition : write.when()) {
       Store.Held held = stored.get(condition.key());
@@ -277,7 +279,7 @@
               Final.NONE);
       List<Put> puts = entries.recording(old, 0, done, List.of(0)).puts();
       for (Put put : puts) {
-        assertTrue(Sim.size(put.value()) <= 2_048, put.key());
+        assertTrue(Simulation.size(put.value()) <= 2_048, put.key());
       }
     }
     assertFalse(entries.fits(JobRec.accepted(spec(10, "x".repeat(1_000)), 0, "n0", 3)));
--- a/src/test/java/mallowstall/core/Troubles.java
+++ b/src/test/java/mallowstall/core/RandomFaults.java
@@ -4,16 +4,16 @@
 import mallowstall.core.Model.Priority;
 
 /** Random work and random troubles for seeded histories. */
-final class Troubles {
-  private Troubles() {}
+final class RandomFaults {
+  private RandomFaults() {}
 
   /** So many random batch jobs within 70 s, some of them cancelled. */
-  static void work(Sim sim, int jobs) {
+  static void work(Simulation sim, int jobs) {
     work(sim, jobs, 70_000);
   }
 
   /** So many random batch jobs within this time, some of them cancelled. */
-  static void work(Sim sim, int jobs, int forMs) {
+  static void work(Simulation sim, int jobs, int forMs) {
     for (int i = 0; i < jobs; i++) {
       int n = i;
       sim.at(
@@ -46,8 +46,8 @@
   }
 
   /** One of the older troubles at random. */
-  static void older(Sim sim) {
-    SimulatedController node = sim.nodes.get(Sim.NODES.get(sim.rnd.nextInt(3)));
+  static void older(Simulation sim) {
+    SimulatedController node = sim.nodes.get(Simulation.NODES.get(sim.rnd.nextInt(3)));
     switch (sim.rnd.nextInt(13)) {
       case 0 -> node.crash(sim.rnd.nextBoolean() ? 200 : 5_000);
       case 1 -> {
@@ -64,7 +64,7 @@
         sim.at(3_000 + sim.rnd.nextInt(25_000), () -> node.noState = false);
       }
       case 4 -> {
-        String other = Sim.NODES.get(sim.rnd.nextInt(3));
+        String other = Simulation.NODES.get(sim.rnd.nextInt(3));
         node.cut.put(other, true);
         node.drop(other);
         sim.at(3_000 + sim.rnd.nextInt(20_000), () -> node.cut.put(other, false));
@@ -117,8 +117,8 @@
   }
 
   /** One of the newer troubles at random; none of them begins anything new later than then. */
-  static void newer(Sim sim, long until) {
-    SimulatedController node = sim.nodes.get(Sim.NODES.get(sim.rnd.nextInt(3)));
+  static void newer(Simulation sim, long until) {
+    SimulatedController node = sim.nodes.get(Simulation.NODES.get(sim.rnd.nextInt(3)));
     List<SimulatedWorker> ws = List.copyOf(sim.workers.values());
     switch (sim.rnd.nextInt(9)) {
       case 0 -> {
@@ -153,7 +153,9 @@
       }
       case 7 -> {
         sim.refusedThenOutage(
-            node, 3_000 + sim.rnd.nextInt(7_000), Sim.CANCEL + 2_000 + sim.rnd.nextInt(8_000));
+            node,
+            3_000 + sim.rnd.nextInt(7_000),
+            Simulation.CANCEL + 2_000 + sim.rnd.nextInt(8_000));
         if (sim.rnd.nextBoolean()) {
           sim.at(sim.rnd.nextInt(9_000), () -> sim.cancelNow(3, 0));
         }
--- a/src/test/java/mallowstall/core/HistoriesTest.java
+++ b/src/test/java/mallowstall/core/RandomizedSimulationTest.java
@@ -20,8 +20,8 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Seeded random histories of three cores against the plain model of the rules. */
-class HistoriesTest {
-  private static void allOver(Sim sim) {
+class RandomizedSimulationTest {
+  private static void allOver(Simulation sim) {
     assertEquals(List.of(), sim.rules.broken);
     for (String id : sim.jobs) {
       String last = sim.rules.lastTold(id);
@@ -31,8 +31,8 @@
 
   @Test
   void aQuietDayGetsEverythingDone() {
-    Sim sim = new Sim(1);
-    Troubles.work(sim, 25);
+    Simulation sim = new Simulation(1);
+    RandomFaults.work(sim, 25);
     sim.run(200_000);
     allOver(sim);
     assertTrue(sim.rules.starts > 60, "starts " + sim.rules.starts);
@@ -46,13 +46,13 @@
   @ParameterizedTest
   @ValueSource(longs = {11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 1303, 1694, 21124})
   void roughDaysKeepEveryRule(long seed) {
-    Sim sim = new Sim(seed);
+    Simulation sim = new Simulation(seed);
     sim.loss = 0.02;
     sim.rosterChaos = seed % 2 == 0 ? 0.2 : 0;
     sim.lateCopies = seed % 3 == 0 ? 0.2 : 0;
-    Troubles.work(sim, 25);
+    RandomFaults.work(sim, 25);
     for (int i = 0; i < 14; i++) {
-      sim.at(10_000 + sim.rnd.nextInt(110_000), () -> Troubles.older(sim));
+      sim.at(10_000 + sim.rnd.nextInt(110_000), () -> RandomFaults.older(sim));
     }
     sim.at(140_000, sim::endChance);
     sim.rules.calmSince = 185_000; // the last trouble has begun by 120 s and lasts up to a minute
@@ -98,7 +98,7 @@
   @ParameterizedTest
   @ValueSource(longs = {101, 102, 103, 104, 105, 106, 107, 108, 1188, 1753})
   void meetingsOfTroublesKeepEveryRule(long seed) {
-    Sim sim = meetings(seed);
+    Simulation sim = meetings(seed);
     sim.struck.forEach((k, v) -> struck.merge(k, v, Integer::sum));
     met++;
     assertEquals(List.of(), sim.rules.broken);
@@ -119,17 +119,17 @@
   /**
    * Hunts through seeds, outside of what every build runs. Prints each seed that breaks a rule:
    *
-   * <pre>mvn -q test -Dtest=HistoriesTest#manySeeds -Dmallowstall.seeds=1000-3000</pre>
+   * <pre>mvn -q test -Dtest=RandomizedSimulationTest#manySeeds -Dmallowstall.seeds=1000-3000</pre>
    */
   @Test
   void manySeeds() throws InterruptedException {
     AtomicLong starts = new AtomicLong();
     AtomicLong crossed = new AtomicLong();
     AtomicLong startsAfterCancel = new AtomicLong();
-    new SeedHunt()
+    new SeedSearch()
         .run(
             seed -> {
-              Sim sim = meetings(seed);
+              Simulation sim = meetings(seed);
               starts.addAndGet(sim.rules.starts);
               crossed.addAndGet(sim.rules.crossed.size());
               startsAfterCancel.addAndGet(sim.rules.startsAfterCancel);
@@ -143,8 +143,8 @@
                     starts.get(), startsAfterCancel.get(), crossed.get()));
   }
 
-  private static Sim meetings(long seed) {
-    Sim sim = new Sim(seed);
+  private static Simulation meetings(long seed) {
+    Simulation sim = new Simulation(seed);
     sim.loss = seed % 4 == 0 ? 0.02 : 0;
     sim.rosterChaos = seed % 2 == 0 ? 0.2 : 0;
     sim.lateCopies = seed % 3 == 0 ? 0.2 : 0;
@@ -152,12 +152,12 @@
     sim.cancelAtEnd = 0.2;
     // with a state service this slow a poll is overtaken by the cancellation at another controller
     sim.rules.crossingsBreak = false;
-    Troubles.work(sim, 45, 105_000);
+    RandomFaults.work(sim, 45, 105_000);
     for (int i = 0; i < 8; i++) {
-      sim.at(10_000 + sim.rnd.nextInt(110_000), () -> Troubles.older(sim));
+      sim.at(10_000 + sim.rnd.nextInt(110_000), () -> RandomFaults.older(sim));
     }
     for (int i = 0; i < 10; i++) {
-      sim.at(10_000 + sim.rnd.nextInt(110_000), () -> Troubles.newer(sim, 140_000));
+      sim.at(10_000 + sim.rnd.nextInt(110_000), () -> RandomFaults.newer(sim, 140_000));
     }
     sim.at(140_000, sim::endChance);
     sim.rules.calmSince = 185_000; // the last trouble has begun by 120 s and lasts up to a minute
@@ -166,7 +166,7 @@
   }
 
   /** A user may have given up before any controller could take the job: then it was never told. */
-  private static void overForUsers(Sim sim) {
+  private static void overForUsers(Simulation sim) {
     for (String id : sim.jobs) {
       String last = sim.rules.lastTold(id);
       assertTrue(
@@ -177,8 +177,8 @@
   /** Runs or stays known: the check of it can fail too, and not before its time. */
   @Test
   void theModelSeesAJobNobodyAnswersFor() {
-    Sim sim = new Sim(6);
-    Rules rules = new Rules(sim.teams, 1_000);
+    Simulation sim = new Simulation(6);
+    InvariantChecker rules = new InvariantChecker(sim.teams, 1_000);
     rules.submitted(sim.job("wk-000003", 1, 4, Priority.NORMAL, "free", false, false, false, null));
     rules.calmSince = 10_000;
     rules.told(9_000, "wk-000003", 201, "pending");
@@ -192,7 +192,7 @@
   /** The checks can fail: rogue commands and answers are each called by their rule's name. */
   @Test
   void theModelSeesBrokenRules() {
-    Sim sim = new Sim(5);
+    Simulation sim = new Simulation(5);
     sim.run(5_000);
     JobSpec spec = sim.job("wk-000001", 2, 4, Priority.NORMAL, "tight", true, false, false, null);
     sim.rules.submitted(spec);
@@ -207,11 +207,11 @@
     assertTrue(
         sim.rules.broken.stream().anyMatch(b -> b.contains("wrong_place")),
         sim.rules.broken.toString());
-    Rules rules = new Rules(sim.teams, 1_000);
+    InvariantChecker rules = new InvariantChecker(sim.teams, 1_000);
     rules.submitted(
         sim.job("wk-000002", 9, 4, Priority.NORMAL, "tight", false, false, false, null));
     for (int i = 0; i < 7; i++) {
-      rules.started(1, new Rules.OnMachine("m" + i, "wk-000002", i, "t8", "a", false));
+      rules.started(1, new InvariantChecker.OnMachine("m" + i, "wk-000002", i, "t8", "a", false));
     }
     assertTrue(rules.broken.get(0).contains("quota"), rules.broken.toString());
     rules.broken.clear();
@@ -236,28 +236,28 @@
   /** The newer checks can fail too, and not before their time. */
   @Test
   void theModelSeesLateStartsAndForgottenRoom() {
-    Sim sim = new Sim(7);
-    Rules rules = new Rules(sim.teams, 1_000);
+    Simulation sim = new Simulation(7);
+    InvariantChecker rules = new InvariantChecker(sim.teams, 1_000);
     rules.submitted(sim.job("wk-000004", 2, 4, Priority.NORMAL, "tight", false, false, false, "a"));
     rules.told(1, "wk-000004", 201, "pending");
     rules.calmSince = 1_000;
-    rules.machineUp(new Rules.Machine("m1", "t8", "b", false, 8)); // not allowed
+    rules.machineUp(new InvariantChecker.Machine("m1", "t8", "b", false, 8)); // not allowed
     rules.step(2_000);
-    rules.machineUp(new Rules.Machine("m2", "t8", "a", false, 8));
-    for (long t = 3_000; t <= 3_000 + Rules.WAITS_MS; t += 30_000) {
+    rules.machineUp(new InvariantChecker.Machine("m2", "t8", "a", false, 8));
+    for (long t = 3_000; t <= 3_000 + InvariantChecker.WAITS_MS; t += 30_000) {
       rules.told(t, "wk-000004", 200, "pending");
       rules.step(t);
     }
     assertEquals(List.of(), rules.broken);
-    rules.step(3_500 + Rules.WAITS_MS);
+    rules.step(3_500 + InvariantChecker.WAITS_MS);
     assertTrue(rules.broken.get(0).contains("never_started"), rules.broken.toString());
     rules.broken.clear();
     rules.asksToCancel("wk-000004");
     rules.told(100_000, "wk-000004", 200, "cancelled");
-    rules.started(100_900, new Rules.OnMachine("m2", "wk-000004", 0, "t8", "a", false));
+    rules.started(100_900, new InvariantChecker.OnMachine("m2", "wk-000004", 0, "t8", "a", false));
     assertEquals(List.of(), rules.broken);
     assertEquals(1, rules.startsAfterCancel);
-    rules.started(101_100, new Rules.OnMachine("m2", "wk-000004", 1, "t8", "a", false));
+    rules.started(101_100, new InvariantChecker.OnMachine("m2", "wk-000004", 1, "t8", "a", false));
     assertTrue(rules.broken.get(0).contains("ran_cancelled"), rules.broken.toString());
     assertEquals(1, rules.startsAfterCancel);
     rules.broken.clear();
@@ -291,7 +291,7 @@
   /** A hung machine goes on with its tasks within its lease, and with none beyond it. */
   @Test
   void aHungMachineGoesOnWithinItsLeaseOnly() {
-    Sim sim = new Sim(8);
+    Simulation sim = new Simulation(8);
     sim.runMs = 20_000;
     sim.run(5_000);
     sim.rules.submitted(
@@ -304,7 +304,7 @@
     sim.run(8_000);
     assertEquals(2, sim.rules.machinesOf("wk-000005").size());
     sim.rules.asksToCancel("wk-000005");
-    sim.rules.told(sim.now - Sim.CANCEL + 3_000, "wk-000005", 200, "cancelled");
+    sim.rules.told(sim.now - Simulation.CANCEL + 3_000, "wk-000005", 200, "cancelled");
     long session = long_.session;
     brief.hang(6_000);
     long_.hang(14_000);
--- a/src/test/java/mallowstall/core/UpgradeHistoriesTest.java
+++ b/src/test/java/mallowstall/core/RandomizedUpgradeTest.java
@@ -21,7 +21,7 @@
  * Seeded random histories of an upgrade: they begin with controllers of the version without
  * services, which change to the present one amid all troubles; then services are asked for.
  */
-class UpgradeHistoriesTest {
+class RandomizedUpgradeTest {
   private static final long FIRST_TROUBLE = 10_000;
   private static final int TROUBLE_FOR = 170_000;
 
@@ -60,7 +60,7 @@
   @ParameterizedTest
   @ValueSource(longs = {1, 2, 3, 4})
   void anUpgradeAmidTroublesKeepsEveryRule(long seed) {
-    Sim sim = history(seed);
+    Simulation sim = history(seed);
     sim.struck.forEach((trouble, times) -> struck.merge(trouble, times, Integer::sum));
     played++;
     assertKept(sim);
@@ -79,16 +79,16 @@
   /**
    * Hunts through seeds, outside of what every build runs. Prints each seed that breaks a rule:
    *
-   * <pre>mvn -q test -Dtest=UpgradeHistoriesTest#manySeeds -Dmallowstall.seeds=1000-3000</pre>
+   * <pre>mvn -q test -Dtest=RandomizedUpgradeTest#manySeeds -Dmallowstall.seeds=1000-3000</pre>
    */
   @Test
   void manySeeds() throws InterruptedException {
     AtomicLong starts = new AtomicLong();
     AtomicLong services = new AtomicLong();
-    new SeedHunt()
+    new SeedSearch()
         .run(
             seed -> {
-              Sim sim = history(seed);
+              Simulation sim = history(seed);
               starts.addAndGet(sim.rules.starts);
               services.addAndGet(kept(sim).size());
               assertKept(sim);
@@ -98,22 +98,22 @@
                     "%d starts, %d services kept to the end", starts.get(), services.get()));
   }
 
-  private static Sim history(long seed) {
-    Sim sim = new Sim(seed, ClusterVersion.UNKNOWN);
+  private static Simulation history(long seed) {
+    Simulation sim = new Simulation(seed, ClusterVersion.UNKNOWN);
     sim.loss = seed % 4 == 0 ? 0.02 : 0;
     sim.rosterChaos = seed % 2 == 0 ? 0.2 : 0;
     sim.lateCopies = seed % 3 == 0 ? 0.2 : 0;
     sim.lateWrites = seed % 5 == 0 ? 0.1 : 0.01;
     sim.cancelAtEnd = 0.1;
     sim.replicaEnds = 0.2;
-    sim.rules.crossingsBreak = false; // as in HistoriesTest: slow reads are overtaken
-    Troubles.work(sim, 35, 130_000);
+    sim.rules.crossingsBreak = false; // as in RandomizedSimulationTest: slow reads are overtaken
+    RandomFaults.work(sim, 35, 130_000);
     upgrades(sim);
     for (int i = 0; i < 10; i++) {
-      sim.at(troubleTime(sim), () -> Troubles.older(sim));
+      sim.at(troubleTime(sim), () -> RandomFaults.older(sim));
     }
     for (int i = 0; i < 10; i++) {
-      sim.at(troubleTime(sim), () -> Troubles.newer(sim, FIRST_TROUBLE + TROUBLE_FOR));
+      sim.at(troubleTime(sim), () -> RandomFaults.newer(sim, FIRST_TROUBLE + TROUBLE_FOR));
     }
     for (int i = 0; i < 4; i++) {
       sim.at(troubleTime(sim), () -> crashInClaim(sim));
@@ -131,11 +131,11 @@
     return sim;
   }
 
-  private static long troubleTime(Sim sim) {
+  private static long troubleTime(Simulation sim) {
     return FIRST_TROUBLE + sim.rnd.nextInt(TROUBLE_FOR);
   }
 
-  private static void endChance(Sim sim) {
+  private static void endChance(Simulation sim) {
     sim.endChance();
     for (SimulatedController node : sim.nodes.values()) {
       node.atNextClaim = null;
@@ -146,8 +146,8 @@
    * One controller after the other, at times far apart, within a takeover or within a fraction of a
    * second. Those that die before their turn come back old.
    */
-  private static void upgrades(Sim sim) {
-    List<String> waiting = new ArrayList<>(Sim.NODES);
+  private static void upgrades(Simulation sim) {
+    List<String> waiting = new ArrayList<>(Simulation.NODES);
     long turn = 12_000 + sim.rnd.nextInt(28_000);
     while (!waiting.isEmpty()) {
       SimulatedController node = sim.nodes.get(waiting.remove(sim.rnd.nextInt(waiting.size())));
@@ -166,7 +166,7 @@
     }
   }
 
-  private static long untilNextTurn(Sim sim) {
+  private static long untilNextTurn(Simulation sim) {
     return switch (sim.rnd.nextInt(4)) {
       case 0 -> sim.rnd.nextInt(900);
       case 1 -> 1_000 + sim.rnd.nextInt(6_000);
@@ -174,12 +174,12 @@
     };
   }
 
-  private static void upgradeInClaim(Sim sim, SimulatedController node, long downMs) {
+  private static void upgradeInClaim(Simulation sim, SimulatedController node, long downMs) {
     endInClaim(sim, node, () -> sim.upgrade(node, downMs));
   }
 
   /** Some moment after it has asked for its next claim. */
-  private static void endInClaim(Sim sim, SimulatedController node, Runnable end) {
+  private static void endInClaim(Simulation sim, SimulatedController node, Runnable end) {
     node.atNextClaim =
         () ->
             sim.at(
@@ -191,7 +191,7 @@
   }
 
   /** Whoever waits for a claim that doesn't come has its turn all the same. */
-  private static void upgradeAtLast(Sim sim, SimulatedController node) {
+  private static void upgradeAtLast(Simulation sim, SimulatedController node) {
     if (node.installed == ClusterVersion.CURRENT) {
       return;
     }
@@ -199,11 +199,11 @@
     sim.upgrade(node, 300);
   }
 
-  private static void crash(Sim sim) {
-    crash(sim, sim.nodes.get(Sim.NODES.get(sim.rnd.nextInt(3))));
+  private static void crash(Simulation sim) {
+    crash(sim, sim.nodes.get(Simulation.NODES.get(sim.rnd.nextInt(3))));
   }
 
-  private static void crash(Sim sim, SimulatedController node) {
+  private static void crash(Simulation sim, SimulatedController node) {
     if (!node.up) {
       return;
     }
@@ -214,7 +214,7 @@
   }
 
   /** A holder ends; whoever claims its jobs ends in the middle of that. */
-  private static void crashInClaim(Sim sim) {
+  private static void crashInClaim(Simulation sim) {
     for (SimulatedController node : sim.nodes.values()) {
       endInClaim(sim, node, () -> crash(sim, node));
     }
@@ -224,7 +224,7 @@
   // ---- services -----------------------------------------------------------------------------
 
   /** Asked for only when all controllers are of the present version. */
-  private static void submitServices(Sim sim) {
+  private static void submitServices(Simulation sim) {
     if (!sim.allUpgraded()) {
       sim.at(200, () -> submitServices(sim));
       return;
@@ -247,7 +247,7 @@
     sim.at(sim.rnd.nextInt(50_000), sim::askForImpossibleService);
   }
 
-  private static JobSpec randomService(Sim sim, String id) {
+  private static JobSpec randomService(Simulation sim, String id) {
     boolean oneZone = sim.rnd.nextInt(5) == 0;
     boolean spread = !oneZone && sim.rnd.nextInt(4) == 0;
     String zone = !oneZone && !spread && sim.rnd.nextInt(6) == 0 ? "a" : null;
@@ -263,7 +263,7 @@
         zone);
   }
 
-  private static void submit(Sim sim, JobSpec service) {
+  private static void submit(Simulation sim, JobSpec service) {
     sim.submit(service);
     if (sim.rnd.nextInt(4) > 0) {
       return;
@@ -271,12 +271,12 @@
     sim.at(sim.rnd.nextInt(60_000), () -> cancel(sim, service.id()));
   }
 
-  private static void cancel(Sim sim, String service) {
+  private static void cancel(Simulation sim, String service) {
     sim.strike("service cancelled");
     sim.cancel(service);
   }
 
-  private static void killMachineOfService(Sim sim) {
+  private static void killMachineOfService(Simulation sim) {
     SimulatedWorker worker = machineOfService(sim);
     if (worker == null) {
       return;
@@ -286,7 +286,7 @@
   }
 
   /** The cloud gives notice of the machine, or it begins to fail what is started there. */
-  private static void endMachineSoon(Sim sim) {
+  private static void endMachineSoon(Simulation sim) {
     SimulatedWorker worker = machineOfService(sim);
     if (worker == null) {
       return;
@@ -300,7 +300,7 @@
   }
 
   /** A machine with replicas; null: there is none. */
-  private static SimulatedWorker machineOfService(Sim sim) {
+  private static SimulatedWorker machineOfService(Simulation sim) {
     List<String> machines = new ArrayList<>();
     for (String id : sim.jobs) {
       if (sim.rules.service(id)) {
@@ -314,7 +314,7 @@
 
   // ---- what must hold -----------------------------------------------------------------------
 
-  private static void assertKept(Sim sim) {
+  private static void assertKept(Simulation sim) {
     assertEquals(List.of(), sim.rules.broken);
     assertTrue(sim.rules.starts > 40, "starts " + sim.rules.starts);
     for (String id : sim.jobs) {
@@ -328,19 +328,19 @@
   }
 
   /** A user may have given up before any controller could take the job: then it was never told. */
-  private static void assertOver(Sim sim, String batch) {
+  private static void assertOver(Simulation sim, String batch) {
     String last = sim.rules.lastTold(batch);
     boolean over = last == null || last.equals("done") || last.equals("cancelled");
     assertTrue(over, batch + " is " + last);
   }
 
-  private static void assertServed(Sim sim, String service) {
+  private static void assertServed(Simulation sim, String service) {
     assertEquals("running", sim.rules.lastTold(service), service);
     assertEquals(sim.rules.spec(service).tasks(), sim.rules.replicasOn(service), "of " + service);
   }
 
   /** The services that were accepted and that nobody has asked to cancel. */
-  private static List<String> kept(Sim sim) {
+  private static List<String> kept(Simulation sim) {
     List<String> kept = new ArrayList<>();
     for (String id : sim.jobs) {
       boolean accepted = sim.rules.lastTold(id) != null && !sim.rules.cancelAsked(id);
--- a/src/test/java/mallowstall/core/ReplicasTest.java
+++ b/src/test/java/mallowstall/core/ReplicasTest.java
@@ -22,7 +22,7 @@
   @Test
   void aGrantOfUnknownOutcomeIsSettled() {
     for (long seed = 1; seed <= 8; seed++) {
-      Sim sim = new Sim(400 + seed);
+      Simulation sim = new Simulation(400 + seed);
       sim.run(8_000);
       sim.submit(sim.service(SERVICE, 3, 2, Priority.NORMAL, "tight", false, false, true, null));
       long until = sim.now + 2_000;
@@ -44,7 +44,7 @@
    */
   @Test
   void aReplicaThatCompletedRunsOnAnotherMachine() {
-    Sim sim = new Sim(411);
+    Simulation sim = new Simulation(411);
     sim.run(8_000);
     sim.submit(sim.service(SERVICE, 4, 2, Priority.NORMAL, "free", false, false, false, "a"));
     sim.run(sim.now + 10_000);
@@ -66,7 +66,7 @@
   /** By their number the machines are enough, but in the zone of the others there is no room. */
   @Test
   void aReplicaWithoutRoomInItsZoneHasAMachineRented() {
-    Sim sim = new Sim(421);
+    Simulation sim = new Simulation(421);
     sim.run(8_000);
     sim.submit(sim.service(SERVICE, 5, 4, Priority.HIGH, "free", true, false, false, null));
     sim.run(sim.now + 60_000);
@@ -77,7 +77,7 @@
   /** What a service leaves free is enough in all, and too little on each machine. */
   @Test
   void aBatchJobWithoutRoomBesideAServiceHasAMachineRented() {
-    Sim sim = new Sim(422);
+    Simulation sim = new Simulation(422);
     sim.run(8_000);
     sim.submit(sim.service(SERVICE, 8, 2.5, Priority.HIGH, "free", false, false, false, null));
     sim.run(sim.now + 10_000);
@@ -88,8 +88,8 @@
     assertEquals(List.of(), sim.rules.broken);
   }
 
-  private static Sim serving(long seed, int replicas) {
-    Sim sim = new Sim(seed);
+  private static Simulation serving(long seed, int replicas) {
+    Simulation sim = new Simulation(seed);
     sim.run(8_000);
     sim.submit(
         sim.service(SERVICE, replicas, 2, Priority.PRODUCTION, "free", false, false, true, null));
@@ -98,21 +98,21 @@
     return sim;
   }
 
-  private static String aMachineOf(Sim sim) {
+  private static String aMachineOf(Simulation sim) {
     return sim.rules.machinesOf(SERVICE).iterator().next();
   }
 
   /** One failure takes few replicas: no machine has a second one while another has none. */
   @Test
   void replicasAreSpreadOverMachines() {
-    Sim sim = serving(431, 4);
+    Simulation sim = serving(431, 4);
     assertEquals(4, sim.rules.machinesOf(SERVICE).size());
   }
 
   /** On a notice the replica is moved while its machine is still there. */
   @Test
   void aReplicaMovesWhenItsMachineGetsANotice() {
-    Sim sim = serving(432, 2);
+    Simulation sim = serving(432, 2);
     String leaving = aMachineOf(sim);
     sim.workers.get(leaving).notice(12_000);
     sim.run(sim.now + 6_000);
@@ -127,10 +127,10 @@
   /** A silent machine is returned as proof: its lease alone would keep the replica away longer. */
   @Test
   void theReplicaOfASilentMachineRunsElsewhereBeforeTheLeaseIsOver() {
-    Sim sim = serving(433, 2);
+    Simulation sim = serving(433, 2);
     String silent = aMachineOf(sim);
     sim.workers.get(silent).hang(40_000);
-    sim.run(sim.now + Sim.LEASE - 500);
+    sim.run(sim.now + Simulation.LEASE - 500);
     assertFalse(sim.workers.containsKey(silent), "returned");
     int started = 0;
     for (SimulatedWorker worker : sim.workers.values()) {
@@ -145,14 +145,14 @@
   /** Many silent machines are cut off rather than dead: none is returned within its lease. */
   @Test
   void manySilentMachinesAreNotReturned() {
-    Sim sim = serving(434, 4);
+    Simulation sim = serving(434, 4);
     List<SimulatedWorker> machines = new ArrayList<>();
     for (String id : sim.rules.machinesOf(SERVICE)) {
       machines.add(sim.workers.get(id));
     }
     int before = sim.rules.starts;
     for (SimulatedWorker worker : machines) {
-      worker.hang(Sim.LEASE - 3_000);
+      worker.hang(Simulation.LEASE - 3_000);
     }
     sim.run(sim.now + 20_000);
     for (SimulatedWorker simWorker : machines) {
@@ -166,7 +166,7 @@
   /** A replica whose starts all end at once is tried more and more seldom, and never given up. */
   @Test
   void aReplicaThatAlwaysEndsIsStartedSeldom() {
-    Sim sim = serving(435, 1);
+    Simulation sim = serving(435, 1);
     sim.replicaEnds = 1;
     assertTrue(sim.endReplica(SERVICE, 0, ExitReason.DONE));
     for (int minute = 1; minute <= 3; minute++) {
@@ -179,14 +179,14 @@
   }
 
   /** Also of a replica that ended at once, since its machine keeps its result. */
-  private static int startsOf(Sim sim) {
+  private static int startsOf(Simulation sim) {
     return sim.rules.starts + sim.struck.getOrDefault("result kept", 0);
   }
 
   /** A service that needs ordinary machines once made all that was rented ordinary. */
   @Test
   void whatSpotMachinesCanServeIsRentedAsSpotBesideServices() {
-    Sim sim = new Sim(436);
+    Simulation sim = new Simulation(436);
     sim.run(8_000);
     sim.submit(sim.service(SERVICE, 2, 2, Priority.PRODUCTION, "free", false, false, false, null));
     sim.run(sim.now + 10_000);
--- a/src/test/java/mallowstall/core/SafetyCasesTest.java
+++ b/src/test/java/mallowstall/core/SafetyCasesTest.java
@@ -35,16 +35,16 @@
 
 /** One case of what keeps the rules each, on simulated time. */
 class SafetyCasesTest {
-  private static JobSpec plain(Sim sim, String id, int tasks, String team) {
+  private static JobSpec plain(Simulation sim, String id, int tasks, String team) {
     return sim.job(id, tasks, 2, Priority.NORMAL, team, false, false, true, null);
   }
 
-  private static SimulatedController holder(Sim sim, String id) {
+  private static SimulatedController holder(Simulation sim, String id) {
     return sim.nodes.get(sim.entry(id).holder());
   }
 
   /** Runs until the controller has the machine from its former process; its record of it. */
-  private static MachineRec kept(Sim sim, SimulatedController node, String id) {
+  private static MachineRec kept(Simulation sim, SimulatedController node, String id) {
     MachineRec mine = node.core.store().machine(id);
     while (sim.now < 25_000 && (mine == null || mine.incarnation() != node.core.incarnation())) {
       sim.run(sim.now + 50);
@@ -54,7 +54,7 @@
     return mine;
   }
 
-  private static void finished(Sim sim, String id) {
+  private static void finished(Simulation sim, String id) {
     assertEquals(List.of(), sim.rules.broken);
     assertEquals("done", sim.rules.lastTold(id));
     JobRec job = sim.entry(id);
@@ -62,7 +62,7 @@
   }
 
   /** Changes of machines' owners since that revision. */
-  private static long adoptions(Sim sim, long since) {
+  private static long adoptions(Simulation sim, long since) {
     return sim.state.changes.stream()
         .filter(item -> item.version() > since)
         .filter(i -> i.key().startsWith(Store.GROUPS) || i.key().startsWith(Store.MACHINES))
@@ -71,7 +71,7 @@
 
   @Test
   void aCommandThatArrivesLateStartsNothingTwice() {
-    Sim sim = new Sim(31);
+    Simulation sim = new Simulation(31);
     sim.run(6_000);
     sim.strayOrders = true; // every direct command is executed up to 20 s late, its answer is lost
     sim.submit(plain(sim, "wk-000001", 12, "free"));
@@ -84,7 +84,7 @@
 
   @Test
   void aTransactionAppliedLateUndoesNothing() {
-    Sim sim = new Sim(32);
+    Simulation sim = new Simulation(32);
     sim.run(6_000);
     sim.submit(plain(sim, "wk-000001", 6, "tight"));
     sim.run(7_000);
@@ -106,7 +106,7 @@
   @Test
   void aHolderThatEndsBetweenStartAndAnswerLeavesNoDoubt() {
     for (int after = 1; after < 60; after += 7) {
-      Sim sim = new Sim(33);
+      Simulation sim = new Simulation(33);
       sim.run(6_000);
       sim.submit(plain(sim, "wk-000001", 10, "free"));
       while (!sim.state.keys.containsKey(Store.JOBS + "wk-000001")) {
@@ -121,14 +121,14 @@
 
   @Test
   void aRestartWithinAFractionOfASecondKeepsTheRules() {
-    Sim sim = new Sim(34);
+    Simulation sim = new Simulation(34);
     sim.run(6_000);
     for (int i = 0; i < 8; i++) {
       sim.submit(plain(sim, "wk-00000" + i, 6, i % 2 == 0 ? "free" : "tight"));
     }
     for (int i = 0; i < 12; i++) {
       sim.run(sim.now + 900);
-      sim.nodes.get(Sim.NODES.get(i % 3)).crash(80);
+      sim.nodes.get(Simulation.NODES.get(i % 3)).crash(80);
     }
     sim.run(200_000);
     for (int i = 0; i < 8; i++) {
@@ -138,7 +138,7 @@
 
   @Test
   void aControllerCutOffFromTheStateServiceLosesItsJobsSafely() {
-    Sim sim = new Sim(35);
+    Simulation sim = new Simulation(35);
     sim.run(6_000);
     sim.submit(plain(sim, "wk-000001", 30, "free"));
     sim.run(8_000);
@@ -158,7 +158,7 @@
 
   @Test
   void aControllerCutOffFromItsPeersKeepsTheRules() {
-    Sim sim = new Sim(36);
+    Simulation sim = new Simulation(36);
     sim.run(6_000);
     sim.submit(plain(sim, "wk-000001", 30, "free"));
     sim.run(8_000);
@@ -178,7 +178,7 @@
 
   @Test
   void anOutageLongerThanALeaseLetsWorkGoOn() {
-    Sim sim = new Sim(37);
+    Simulation sim = new Simulation(37);
     sim.run(6_000);
     sim.submit(plain(sim, "wk-000001", 8, "free"));
     sim.run(8_000);
@@ -194,7 +194,7 @@
 
   @Test
   void allControllersEndTogether() {
-    Sim sim = new Sim(38);
+    Simulation sim = new Simulation(38);
     sim.run(6_000);
     sim.submit(plain(sim, "wk-000001", 20, "tight"));
     sim.run(9_000);
@@ -208,7 +208,7 @@
   @Test
   void aCancellationWithAStartInFlightStopsEverything() {
     for (int after = 0; after < 40; after += 5) {
-      Sim sim = new Sim(39);
+      Simulation sim = new Simulation(39);
       sim.run(6_000);
       sim.submit(plain(sim, "wk-000001", 12, "tight"));
       while (!sim.state.keys.containsKey(Store.JOBS + "wk-000001")) {
@@ -227,7 +227,7 @@
 
   @Test
   void theQuotaHoldsAcrossControllers() {
-    Sim sim = new Sim(40);
+    Simulation sim = new Simulation(40);
     sim.run(6_000);
     for (int i = 0; i < 9; i++) {
       sim.submit(plain(sim, "wk-00000" + i, 9, "tight"));
@@ -246,8 +246,8 @@
    */
   @Test
   void aClaimantThatHearsLateOfItsClaimMissesNoTask() {
-    for (String name : Sim.NODES) {
-      Sim sim = new Sim(51);
+    for (String name : Simulation.NODES) {
+      Simulation sim = new Simulation(51);
       sim.runMs = 25_000;
       sim.run(8_000);
       sim.submit(plain(sim, "wk-000001", 14, "free"));
@@ -284,7 +284,7 @@
    */
   @Test
   void aMachineThatDiesWithItsOwnerHoldsNobodyUpForLong() {
-    Sim sim = new Sim(44);
+    Simulation sim = new Simulation(44);
     sim.run(8_000);
     sim.submit(plain(sim, "wk-000001", 60, "free"));
     sim.run(12_000);
@@ -314,7 +314,7 @@
    */
   @Test
   void acknowledgementsOfAFormerProcessCountForNothing() {
-    Sim sim = new Sim(41);
+    Simulation sim = new Simulation(41);
     sim.run(6_000);
     SimulatedController node = sim.nodes.get("n0");
     long mine = node.core.incarnation();
@@ -337,7 +337,7 @@
   /** A report from before the write-off, delivered after it, must not bring its tasks back. */
   @Test
   void aLateReportDoesNotReviveAWrittenOffSession() {
-    Sim sim = new Sim(42);
+    Simulation sim = new Simulation(42);
     sim.run(6_000);
     SimulatedWorker worker = sim.workers.values().iterator().next();
     SimulatedController owner = sim.nodes.get(sim.machineRec(worker.id).node());
@@ -370,7 +370,7 @@
    */
   @Test
   void aDeafMachineGetsNoTasksAndLosesItsOwnToOthers() {
-    Sim sim = new Sim(61);
+    Simulation sim = new Simulation(61);
     sim.runMs = 14_000;
     sim.run(8_000);
     sim.submit(plain(sim, "wk-000001", 12, "free"));
@@ -383,7 +383,7 @@
     }
     assertNotNull(worker);
     worker.deaf = true;
-    sim.run(11_000 + Sim.LEASE + 4_000);
+    sim.run(11_000 + Simulation.LEASE + 4_000);
     assertTrue(worker.session > 1, "its lease ran out although its reports were answered");
     for (SimulatedController node : sim.nodes.values()) {
       View.Seen seen = node.core.view().machines.get(worker.id);
@@ -401,7 +401,7 @@
   /** The same with a cancellation: it holds on a machine that never hears of it. */
   @Test
   void aCancellationHoldsOnADeafMachine() {
-    Sim sim = new Sim(62);
+    Simulation sim = new Simulation(62);
     sim.runMs = 100_000;
     sim.run(8_000);
     sim.submit(plain(sim, "wk-000001", 12, "free"));
@@ -435,7 +435,7 @@
    */
   @Test
   void lateCopiesOfReportsChangeNothing() {
-    Sim sim = new Sim(63);
+    Simulation sim = new Simulation(63);
     sim.run(12_000);
     SimulatedWorker worker = sim.workers.values().iterator().next();
     MachineRec before = sim.machineRec(worker.id);
@@ -490,7 +490,7 @@
    */
   @Test
   void machinesOfAControllerCutOffFromAllButThemAreTakenOver() {
-    Sim sim = new Sim(64);
+    Simulation sim = new Simulation(64);
     sim.runMs = 60_000;
     sim.run(8_000);
     sim.submit(plain(sim, "wk-000001", 40, "free"));
@@ -515,7 +515,7 @@
   /** All connections between controllers are refused: work goes on and recovers at once. */
   @Test
   void controllersThatRefuseEachOtherGoOnWorking() {
-    Sim sim = new Sim(65);
+    Simulation sim = new Simulation(65);
     sim.run(8_000);
     for (int i = 0; i < 6; i++) {
       sim.submit(plain(sim, "wk-00000" + i, 30, "free"));
@@ -542,7 +542,7 @@
   /** All controllers end while the state service is down: jobs stay known and run on. */
   @Test
   void allControllersEndInAnOutage() {
-    Sim sim = new Sim(66);
+    Simulation sim = new Simulation(66);
     sim.run(8_000);
     for (int i = 0; i < 6; i++) {
       sim.submit(plain(sim, "wk-00000" + i, 6, "tight"));
@@ -574,7 +574,7 @@
    */
   @Test
   void aStatementWithAGapIsNotTakenIn() {
-    Sim sim = new Sim(67);
+    Simulation sim = new Simulation(67);
     sim.run(6_000);
     SimulatedController node = sim.nodes.get("n0");
     View.Peer peer = node.core.view().peer("n9");
@@ -615,7 +615,7 @@
    */
   @Test
   void aJobForOrdinaryMachinesOfOneZoneIsServed() {
-    Sim sim = new Sim(68);
+    Simulation sim = new Simulation(68);
     sim.run(8_000);
     for (SimulatedWorker worker : List.copyOf(sim.workers.values())) {
       if (worker.zone.equals("a")) {
@@ -635,7 +635,7 @@
    */
   @Test
   void hundredsOfMachinesChangeOwnerWithinTheirLease() {
-    Sim sim = new Sim(69);
+    Simulation sim = new Simulation(69);
     for (int i = 0; i < 300; i++) {
       sim.machine("t8", i % 2 == 0 ? "a" : "b", false, 0);
     }
@@ -663,7 +663,7 @@
   @ParameterizedTest
   @ValueSource(longs = {4_000, 12_000, 28_000})
   void aControllerThatStandsStillActsOnNothingOld(long ms) {
-    Sim sim = new Sim(80 + ms);
+    Simulation sim = new Simulation(80 + ms);
     sim.runMs = 3_000;
     sim.run(8_000);
     for (int i = 0; i < 9; i++) {
@@ -688,7 +688,7 @@
    */
   @Test
   void whatWasReadLongAgoIsNotTold() {
-    Sim sim = new Sim(93);
+    Simulation sim = new Simulation(93);
     sim.run(8_000);
     sim.submit(plain(sim, "wk-000001", 4, "free"));
     sim.run(9_000);
@@ -705,7 +705,7 @@
   /** A fleet without work goes back, though more machines are idle than one request may name. */
   @Test
   void hundredsOfIdleMachinesGoBack() {
-    Sim sim = new Sim(94);
+    Simulation sim = new Simulation(94);
     for (int i = 0; i < 900; i++) {
       sim.machine("t8", i % 2 == 0 ? "a" : "b", false, 0);
     }
@@ -720,7 +720,7 @@
   @Test
   void aHolderWithoutSessionCallsNoTaskDoubled() {
     for (boolean session : new boolean[] {true, false}) {
-      Sim sim = new Sim(92);
+      Simulation sim = new Simulation(92);
       sim.runMs = 60_000;
       sim.run(8_000);
       sim.submit(plain(sim, "wk-000001", 1, "tight"));
@@ -749,7 +749,7 @@
    */
   @Test
   void aZoneThatIsCutOffWhileAControllerEnds() {
-    Sim sim = new Sim(90);
+    Simulation sim = new Simulation(90);
     sim.run(8_000);
     for (int i = 0; i < 4; i++) {
       sim.submit(plain(sim, "wk-00000" + i, 8, "tight"));
@@ -782,7 +782,7 @@
    */
   @Test
   void fifteenHundredMachinesOutliveTheirControllers() {
-    Sim sim = new Sim(91);
+    Simulation sim = new Simulation(91);
     for (int i = 0; i < 1_462; i++) {
       sim.machine("t8", i % 2 == 0 ? "a" : "b", false, 0);
     }
@@ -822,7 +822,7 @@
   @ParameterizedTest
   @ValueSource(longs = {70, 71, 72, 79})
   void aLargeRoutineJobBeginsInAnOverloadOfUrgentOnes(long seed) {
-    Sim sim = new Sim(seed);
+    Simulation sim = new Simulation(seed);
     sim.runMs = 20_000;
     sim.run(8_000);
     for (int i = 0; i < 400; i++) {
@@ -850,7 +850,7 @@
   /** The same within one team's limit: a job that uses its grant again and again gives some up. */
   @Test
   void aTeamsLargestJobDoesNotKeepAllItsGrants() {
-    Sim sim = new Sim(71);
+    Simulation sim = new Simulation(71);
     sim.runMs = 8_000;
     sim.run(8_000);
     sim.submit(sim.job("wk-000001", 400, 2, Priority.HIGH, "tight", false, false, true, null));
@@ -870,7 +870,7 @@
   @Test
   void aMachineThatAnotherOwnedInBetweenIsNotWrittenOff() {
     for (boolean between : new boolean[] {false, true}) {
-      Sim sim = new Sim(75);
+      Simulation sim = new Simulation(75);
       sim.run(8_000);
       SimulatedWorker worker = sim.workers.values().iterator().next();
       String name = sim.machineRec(worker.id).node();
@@ -894,7 +894,7 @@
         node.event(
             () -> node.core.store().apply(new Effects.Item(Store.GROUPS + "9-9", group, revision)));
       }
-      sim.run(first + Sim.LEASE + 6_000);
+      sim.run(first + Simulation.LEASE + 6_000);
       assertEquals(!between, node.core.view().machines.get(worker.id).state.lost());
     }
   }
@@ -907,7 +907,7 @@
   @ParameterizedTest
   @ValueSource(booleans = {false, true})
   void aMachineAnotherOwnedUnknownHereIsNotWrittenOff(boolean inFlight) {
-    Sim sim = new Sim(78);
+    Simulation sim = new Simulation(78);
     sim.run(8_000);
     SimulatedWorker worker = sim.workers.values().iterator().next();
     String name = sim.machineRec(worker.id).node();
@@ -920,7 +920,7 @@
     while (!node.up || node.core.startedAt() == 0) {
       sim.run(sim.now + 20);
     }
-    sim.run(node.core.startedAt() + Sim.LEASE + 3_000);
+    sim.run(node.core.startedAt() + Simulation.LEASE + 3_000);
     sim.state.recover();
     while (!node.core.store().synced()) {
       sim.run(sim.now + 1);
@@ -963,7 +963,7 @@
    */
   @Test
   void aLateCopyDoesNotKeepADeadMachineFromBeingWrittenOff() {
-    Sim sim = new Sim(77);
+    Simulation sim = new Simulation(77);
     sim.run(8_000);
     SimulatedWorker worker = sim.workers.values().iterator().next();
     String name = sim.machineRec(worker.id).node();
@@ -976,7 +976,7 @@
     List<ReportAnswer> got = new ArrayList<>();
     node.event(() -> node.core.report(late, got::add));
     assertEquals(200, got.get(0).status(), "taken for the worker's own");
-    sim.run(sim.now + Sim.LEASE + 4_000);
+    sim.run(sim.now + Simulation.LEASE + 4_000);
     View.Seen seen = node.core.view().machines.get(worker.id);
     assertTrue(seen == null || seen.state.lost());
   }
@@ -988,7 +988,7 @@
    */
   @Test
   void aSessionKnownFromACommandAloneHasItsWholeLease() {
-    Sim sim = new Sim(79);
+    Simulation sim = new Simulation(79);
     sim.runMs = 60_000;
     sim.run(8_000);
     sim.submit(plain(sim, "wk-000001", 16, "free"));
@@ -1010,7 +1010,7 @@
     long from = worker.leaseFrom;
     for (int i = 0; i < 4; i++) {
       // the last one comes in the next session, which the answer tells
-      sim.run(i < 3 ? from + 3_000 * (i + 1) : from + Sim.LEASE + 150);
+      sim.run(i < 3 ? from + 3_000 * (i + 1) : from + Simulation.LEASE + 150);
       StopOrder stop = stops.get(i);
       node.event(() -> node.core.stop(node.name, stop));
       if (i == 1) {
@@ -1024,11 +1024,11 @@
     View.Seen seen = node.core.view().machines.get(worker.id);
     assertEquals(2, seen.state.session(), "known from the answer");
     long known = sim.now;
-    while (sim.now < known + Sim.LEASE - 600) {
+    while (sim.now < known + Simulation.LEASE - 600) {
       sim.run(sim.now + 200);
       assertFalse(node.core.view().machines.get(worker.id).state.lost(), "at " + (sim.now - known));
     }
-    sim.run(known + Sim.LEASE + 4_000);
+    sim.run(known + Simulation.LEASE + 4_000);
     seen = node.core.view().machines.get(worker.id);
     assertTrue(seen == null || seen.state.lost(), "and not a longer one");
   }
@@ -1040,7 +1040,7 @@
   @Test
   void machinesArePlannedForWholeWaves() {
     for (double deadline : new double[] {72, 200}) {
-      Sim sim = new Sim(76);
+      Simulation sim = new Simulation(76);
       sim.run(8_000);
       sim.submit(
           new JobSpec(
@@ -1075,7 +1075,8 @@
   }
 
   /** Runs until the job has another holder than this one; its epoch has been raised then. */
-  private static SimulatedController claimed(Sim sim, String id, SimulatedController before) {
+  private static SimulatedController claimed(
+      Simulation sim, String id, SimulatedController before) {
     while (holder(sim, id) == before) {
       sim.run(sim.now + 5);
     }
@@ -1084,7 +1085,7 @@
 
   @Test
   void aSessionThatEndsBetweenClaimAndRebuildLosesNoJob() {
-    Sim sim = new Sim(72);
+    Simulation sim = new Simulation(72);
     sim.run(8_000);
     sim.submit(plain(sim, "wk-000001", 40, "free"));
     sim.run(12_000);
@@ -1104,7 +1105,7 @@
 
   @Test
   void aMirrorThatIsResetWhileClaimsAreOpenLosesNoJob() {
-    Sim sim = new Sim(73);
+    Simulation sim = new Simulation(73);
     sim.run(8_000);
     for (int i = 0; i < 8; i++) {
       sim.submit(plain(sim, "wk-00000" + i, 8, "tight"));
@@ -1129,7 +1130,7 @@
   @Test
   void aProcessBackAtOnceInTheMiddleOfAClaimKeepsTheRules() {
     for (String prefix : List.of(Store.DUTY, Store.JOBS, Store.GROUPS, Store.MACHINES)) {
-      Sim sim = new Sim(74);
+      Simulation sim = new Simulation(74);
       sim.lateCopies = 0.2;
       sim.loss = 0.03;
       sim.run(8_000);
@@ -1138,7 +1139,7 @@
       }
       sim.run(12_000);
       for (int i = 0; i < 5; i++) {
-        sim.nodes.get(Sim.NODES.get(i % 3)).crash(4_000);
+        sim.nodes.get(Simulation.NODES.get(i % 3)).crash(4_000);
         int from = sim.state.changes.size();
         String claimant = null;
         while (claimant == null && sim.now < 12_000 + (i + 1) * 15_000L) {
@@ -1175,7 +1176,7 @@
   /** Cost follows groups and machines: a large job is decided as one, in chunks of its bitmap. */
   @Test
   void aJobOfAHundredThousandTasksIsDecidedAsOne() {
-    Sim sim = new Sim(43);
+    Simulation sim = new Simulation(43);
     sim.run(6_000);
     sim.submit(sim.job("wk-000001", 100_000, 1, Priority.NORMAL, "free", false, false, true, null));
     sim.evaluations = 0;
@@ -1200,7 +1201,7 @@
    */
   @Test
   void imagesStayKnownWhenAMachineChangesOwner() {
-    Sim sim = new Sim(93);
+    Simulation sim = new Simulation(93);
     sim.run(6_000);
     sim.submit(plain(sim, "wk-000001", 16, "free"));
     sim.run(30_000);
--- a/src/test/java/mallowstall/core/SeedHunt.java
+++ b/src/test/java/mallowstall/core/SeedSearch.java
@@ -12,12 +12,12 @@
  * Plays the histories of the seeds that the system property {@code mallowstall.seeds} names, on two
  * threads; 100 alone if it names none.
  */
-final class SeedHunt {
+final class SeedSearch {
   private final AtomicLong next;
   private final long last;
   private final Map<Long, String> failed = new ConcurrentSkipListMap<>();
 
-  SeedHunt() {
+  SeedSearch() {
     String[] ends = System.getProperty("mallowstall.seeds", "100").split("-");
     next = new AtomicLong(Long.parseLong(ends[0]));
     last = Long.parseLong(ends[ends.length - 1]);
--- a/src/test/java/mallowstall/core/ServiceRulesTest.java
+++ b/src/test/java/mallowstall/core/ServiceRulesTest.java
@@ -16,8 +16,8 @@
   private static final String SERVICE = "wk-000001";
   private static final long CALM = 1_000;
 
-  private static Rules rules(JobSpec service) {
-    Rules rules = new Rules(new Sim(5).teams, 1_000);
+  private static InvariantChecker rules(JobSpec service) {
+    InvariantChecker rules = new InvariantChecker(new Simulation(5).teams, 1_000);
     rules.submitted(service);
     rules.told(1, service.id(), 201, "pending");
     rules.calmSince = CALM;
@@ -25,41 +25,41 @@
   }
 
   private static JobSpec plain(int replicas, String team) {
-    return new Sim(5)
+    return new Simulation(5)
         .service(SERVICE, replicas, 4, Priority.NORMAL, team, false, false, true, null);
   }
 
-  private static Rules.Machine machine(String id, String zone) {
-    return new Rules.Machine(id, "t8", zone, false, 8);
+  private static InvariantChecker.Machine machine(String id, String zone) {
+    return new InvariantChecker.Machine(id, "t8", zone, false, 8);
   }
 
-  private static Rules.OnMachine on(Rules.Machine machine, int replica) {
-    return new Rules.OnMachine(
+  private static InvariantChecker.OnMachine on(InvariantChecker.Machine machine, int replica) {
+    return new InvariantChecker.OnMachine(
         machine.id(), SERVICE, replica, machine.type(), machine.zone(), machine.spot());
   }
 
   /** As the user keeps asking and is answered. */
-  private static void step(Rules rules, long now) {
+  private static void step(InvariantChecker rules, long now) {
     rules.told(now, SERVICE, 200, "pending");
     rules.step(now);
   }
 
   /** Steps the rules from then until just after the bound for replicas is over. */
-  private static void stepPastTheBound(Rules rules, long from) {
-    for (long now = from; now <= from + Rules.REPLICA_MISSING_MS + 500; now += 500) {
+  private static void stepPastTheBound(InvariantChecker rules, long from) {
+    for (long now = from; now <= from + InvariantChecker.REPLICA_MISSING_MS + 500; now += 500) {
       step(rules, now);
     }
   }
 
-  private static void assertBroken(Rules rules, String check) {
+  private static void assertBroken(InvariantChecker rules, String check) {
     assertEquals(1, rules.broken.size(), rules.broken.toString());
     assertTrue(rules.broken.get(0).contains(check), rules.broken.toString());
   }
 
   @Test
   void aServiceIsNeverDoneWhateverItsReplicasDid() {
-    Rules rules = rules(plain(1, "free"));
-    Rules.Machine machine = machine("m1", "a");
+    InvariantChecker rules = rules(plain(1, "free"));
+    InvariantChecker.Machine machine = machine("m1", "a");
     rules.machineUp(machine);
     rules.started(2, on(machine, 0));
     rules.left("m1", SERVICE, 0, true);
@@ -74,7 +74,7 @@
 
   @Test
   void theRulesOfPlacementHoldForReplicas() {
-    Rules rules = rules(plain(7, "tight"));
+    InvariantChecker rules = rules(plain(7, "tight"));
     for (int replica = 0; replica < 6; replica++) {
       rules.started(2, on(machine("m" + replica, "a"), replica));
     }
@@ -93,37 +93,39 @@
     assertEquals(List.of(), rules.broken);
     rules.step(1_006);
     assertTrue(rules.broken.get(0).contains("ran_cancelled"), rules.broken.toString());
-    Rules placed =
-        rules(new Sim(5).service(SERVICE, 3, 1, Priority.NORMAL, "free", false, false, false, "b"));
+    InvariantChecker placed =
+        rules(
+            new Simulation(5)
+                .service(SERVICE, 3, 1, Priority.NORMAL, "free", false, false, false, "b"));
     placed.started(2, on(machine("m1", "a"), 0));
     assertBroken(placed, "wrong_place");
   }
 
   @Test
   void aReplicaThatRunsNowhereBesideRoomIsMissing() {
-    Rules rules = rules(plain(2, "free"));
-    Rules.Machine machine = machine("m1", "a");
+    InvariantChecker rules = rules(plain(2, "free"));
+    InvariantChecker.Machine machine = machine("m1", "a");
     rules.machineUp(machine);
     rules.started(2, on(machine, 1));
     for (long now = 500; now < CALM; now += 500) {
       rules.step(now);
     }
-    for (long now = CALM; now <= CALM + Rules.REPLICA_MISSING_MS; now += 500) {
+    for (long now = CALM; now <= CALM + InvariantChecker.REPLICA_MISSING_MS; now += 500) {
       rules.step(now);
     }
     assertEquals(List.of(), rules.broken, "not before its time");
-    rules.step(CALM + Rules.REPLICA_MISSING_MS + 1);
+    rules.step(CALM + InvariantChecker.REPLICA_MISSING_MS + 1);
     assertBroken(rules, "replica_missing: Replica[job=wk-000001, number=0]");
   }
 
   @Test
   void eachReplicaHasTheWholeBoundToComeBack() {
-    Rules rules = rules(plain(1, "free"));
-    Rules.Machine machine = machine("m1", "a");
+    InvariantChecker rules = rules(plain(1, "free"));
+    InvariantChecker.Machine machine = machine("m1", "a");
     rules.machineUp(machine);
     long now = CALM;
     for (int times = 0; times < 3; times++) {
-      long back = now + Rules.REPLICA_MISSING_MS;
+      long back = now + InvariantChecker.REPLICA_MISSING_MS;
       for (; now <= back; now += 500) {
         step(rules, now);
       }
@@ -139,15 +141,15 @@
 
   @Test
   void withoutRoomNoReplicaIsMissing() {
-    Rules tooFull = rules(plain(3, "free"));
-    Rules.Machine machine = machine("m1", "a");
+    InvariantChecker tooFull = rules(plain(3, "free"));
+    InvariantChecker.Machine machine = machine("m1", "a");
     tooFull.machineUp(machine);
     tooFull.started(2, on(machine, 0));
     tooFull.started(2, on(machine, 1));
     stepPastTheBound(tooFull, CALM);
     assertEquals(List.of(), tooFull.broken, "no machine has room");
 
-    Rules atLimit = rules(plain(7, "tight"));
+    InvariantChecker atLimit = rules(plain(7, "tight"));
     for (int i = 0; i < 6; i++) {
       atLimit.machineUp(machine("m" + i, "a"));
       atLimit.started(2, on(machine("m" + i, "a"), i));
@@ -156,10 +158,10 @@
     assertEquals(List.of(), atLimit.broken, "the team is at its limit");
 
     JobSpec pinned =
-        new Sim(5).service(SERVICE, 1, 4, Priority.NORMAL, "free", false, false, false, "b");
-    Rules elsewhere = rules(pinned);
+        new Simulation(5).service(SERVICE, 1, 4, Priority.NORMAL, "free", false, false, false, "b");
+    InvariantChecker elsewhere = rules(pinned);
     elsewhere.machineUp(machine("m1", "a"));
-    elsewhere.machineUp(new Rules.Machine("m2", "t8", "b", true, 8));
+    elsewhere.machineUp(new InvariantChecker.Machine("m2", "t8", "b", true, 8));
     stepPastTheBound(elsewhere, CALM);
     assertEquals(List.of(), elsewhere.broken, "wrong zone, wrong kind of machine");
     elsewhere.machineUp(machine("m3", "b"));
@@ -170,13 +172,13 @@
   @Test
   void roomIsInAZoneThatTheOtherReplicasAllow() {
     JobSpec oneZone =
-        new Sim(5).service(SERVICE, 2, 8, Priority.NORMAL, "free", true, false, true, null);
+        new Simulation(5).service(SERVICE, 2, 8, Priority.NORMAL, "free", true, false, true, null);
     JobSpec spread =
-        new Sim(5).service(SERVICE, 2, 8, Priority.NORMAL, "free", false, true, true, null);
+        new Simulation(5).service(SERVICE, 2, 8, Priority.NORMAL, "free", false, true, true, null);
     for (JobSpec service : List.of(oneZone, spread)) {
       String allowed = service.oneZone() ? "a" : "b";
       String forbidden = service.oneZone() ? "b" : "a";
-      Rules rules = rules(service);
+      InvariantChecker rules = rules(service);
       rules.machineUp(machine("m1", "a"));
       rules.started(2, on(machine("m1", "a"), 0));
       rules.machineUp(machine("m2", forbidden));
@@ -191,8 +193,8 @@
   /** It would end there as soon as it is started; another replica has room there. */
   @Test
   void aMachineThatKeepsItsResultIsNoRoomForAReplica() {
-    Rules rules = rules(plain(2, "free"));
-    Rules.Machine machine = machine("m1", "a");
+    InvariantChecker rules = rules(plain(2, "free"));
+    InvariantChecker.Machine machine = machine("m1", "a");
     rules.machineUp(machine);
     rules.started(2, on(machine, 0));
     rules.left("m1", SERVICE, 0, true);
@@ -209,7 +211,7 @@
 
   @Test
   void aCancelledServiceMissesNoReplica() {
-    Rules rules = rules(plain(2, "free"));
+    InvariantChecker rules = rules(plain(2, "free"));
     rules.machineUp(machine("m1", "a"));
     rules.asksToCancel(SERVICE);
     stepPastTheBound(rules, CALM);
@@ -218,7 +220,7 @@
 
   @Test
   void aReplicaRunsOnUntilItIsStoppedOrEnds() {
-    Sim sim = new Sim(5);
+    Simulation sim = new Simulation(5);
     sim.run(5_000);
     sim.rules.submitted(plain(2, "free"));
     SimulatedWorker worker = List.copyOf(sim.workers.values()).get(0);
@@ -236,7 +238,7 @@
   /** Started again where it completed, a replica ends at once; elsewhere it runs. */
   @Test
   void aWorkerKeepsTheResultOfAReplicaThatCompleted() {
-    Sim sim = new Sim(5);
+    Simulation sim = new Simulation(5);
     sim.run(5_000);
     sim.rules.submitted(plain(1, "free"));
     List<SimulatedWorker> workers = List.copyOf(sim.workers.values());
@@ -254,7 +256,7 @@
 
   @Test
   void aFaultyMachineFailsReplicas() {
-    Sim sim = new Sim(5);
+    Simulation sim = new Simulation(5);
     sim.run(5_000);
     sim.rules.submitted(plain(1, "free"));
     SimulatedWorker worker = List.copyOf(sim.workers.values()).get(0);
--- a/src/test/java/mallowstall/core/SimulatedController.java
+++ b/src/test/java/mallowstall/core/SimulatedController.java
@@ -21,7 +21,7 @@
 
 /** A controller, and the world as it sees it. */
 final class SimulatedController implements Effects {
-  private final Sim sim;
+  private final Simulation sim;
   final String name;
   Core core;
   int life;
@@ -68,7 +68,7 @@
   final Map<String, Boolean> cut = new HashMap<>();
   long connections;
 
-  SimulatedController(Sim sim, String name, int programVersion) {
+  SimulatedController(Simulation sim, String name, int programVersion) {
     this.sim = sim;
     this.name = name;
     this.installed = programVersion;
@@ -83,18 +83,18 @@
     running = installed;
     frozenUntil = 0;
     connections = 0;
-    List<String> peers = new ArrayList<>(Sim.NODES);
+    List<String> peers = new ArrayList<>(Simulation.NODES);
     peers.remove(name);
     core =
         new Core(
             new CoreSettings(
                 name,
                 peers,
-                Sim.ZONES,
+                Simulation.ZONES,
                 sim.teams,
-                Sim.REPORT,
-                Sim.LEASE,
-                Sim.CANCEL,
+                Simulation.REPORT,
+                Simulation.LEASE,
+                Simulation.CANCEL,
                 25,
                 300,
                 sim.kept.changesPerSecond(),
@@ -105,7 +105,7 @@
                 Map.of(),
                 running),
             this,
-            c -> new Sim.TestPolicy(c, () -> sim.evaluations++),
+            c -> new Simulation.TestPolicy(c, () -> sim.evaluations++),
             new Core.Metrics() {
               @Override
               public void count(String what) {}
@@ -122,7 +122,7 @@
   }
 
   String zone() {
-    return Sim.ZONES.get(name);
+    return Simulation.ZONES.get(name);
   }
 
   void crash(long downMs) {
@@ -147,7 +147,7 @@
     if (job.fin() == Final.SERVING) {
       return null;
     }
-    return job.spec().service() ? Sim.asBatch(job) : job;
+    return job.spec().service() ? Simulation.asBatch(job) : job;
   }
 
   /** The items that its program sees in listings and watches. */
@@ -416,7 +416,7 @@
 
   @Override
   public int encodedSize(Entry value) {
-    return Sim.size(value);
+    return Simulation.size(value);
   }
 
   @Override
--- a/src/test/java/mallowstall/core/SimulatedStateService.java
+++ b/src/test/java/mallowstall/core/SimulatedStateService.java
@@ -10,9 +10,9 @@
 
 /** A stand-in for the state service. */
 final class SimulatedStateService {
-  private final Sim sim;
+  private final Simulation sim;
 
-  SimulatedStateService(Sim sim) {
+  SimulatedStateService(Simulation sim) {
     this.sim = sim;
   }
 
@@ -28,7 +28,7 @@
   boolean outage;
 
   /** What it refuses to exceed, null: nothing. What is stored already stays. */
-  private Sim.StateLimits limits;
+  private Simulation.StateLimits limits;
 
   /** Changes that may come at once, at most a second's; refilled up to that moment. */
   private double changesLeft;
@@ -39,7 +39,7 @@
   Consumer<Effects.Txn> changed = transaction -> {};
 
   /** From now on these limits hold, without notice. */
-  void limitTo(Sim.StateLimits now) {
+  void limitTo(Simulation.StateLimits now) {
     limits = now;
     changesLeft = now.changesPerSecond();
     changesLeftAt = sim.now;
@@ -53,7 +53,7 @@
     int changes = transaction.puts().size() + transaction.drops().size();
     boolean large = changes > limits.txnOps() || transaction.when().size() > 4 * limits.txnOps();
     for (Effects.Put put : transaction.puts()) {
-      large |= Sim.size(put.value()) > limits.valueBytes();
+      large |= Simulation.size(put.value()) > limits.valueBytes();
     }
     if (large) {
       sim.strike("limits, too large");
--- a/src/test/java/mallowstall/core/SimulatedWorker.java
+++ b/src/test/java/mallowstall/core/SimulatedWorker.java
@@ -14,7 +14,7 @@
 
 /** A stand-in for a worker and its machine. */
 final class SimulatedWorker {
-  private final Sim sim;
+  private final Simulation sim;
   final String id;
   final String zone;
   final boolean spot;
@@ -76,13 +76,13 @@
     long due;
   }
 
-  SimulatedWorker(Sim sim, String id, String zone, boolean spot) {
+  SimulatedWorker(Simulation sim, String id, String zone, boolean spot) {
     this.sim = sim;
     this.id = id;
     this.zone = zone;
     this.spot = spot;
     this.born = sim.now;
-    this.node = Sim.NODES.get(sim.rnd.nextInt(3));
+    this.node = Simulation.NODES.get(sim.rnd.nextInt(3));
   }
 
   /** The cloud tells it that it will be gone after so long. */
@@ -151,7 +151,7 @@
    * can't go on with them any more.
    */
   private void judgeLease() {
-    if (sim.now - leaseFrom <= Sim.LEASE || newSession) {
+    if (sim.now - leaseFrom <= Simulation.LEASE || newSession) {
       return;
     }
     if (hangs()) {
@@ -177,7 +177,8 @@
       return;
     }
     boolean due =
-        sim.now - lastReport >= Sim.REPORT * 3 / 4 + sim.rnd.nextInt((int) Sim.REPORT / 2)
+        sim.now - lastReport
+                >= Simulation.REPORT * 3 / 4 + sim.rnd.nextInt((int) Simulation.REPORT / 2)
             || (changed && sim.now - lastReport >= 500);
     if (due && !inFlight) {
       report();
@@ -199,92 +200,97 @@
     changed = false;
     lastReport = sim.now;
     long mine = ++flight;
-    long sent = sim.now;
     Report report = snapshot();
     SimulatedController controller = sim.nodes.get(node);
-    sim.at(
-        4_000,
-        () ->
-            whenAwake(
-                () -> {
-                  if (flight == mine && inFlight) {
-                    next();
-                  }
-                }));
+    sim.at(4_000, () -> whenAwake(() -> giveUp(mine)));
     if (mute) {
       sim.strike("mute");
       return;
     }
     if (sim.rnd.nextDouble() < sim.lateCopies) {
-      SimulatedController any = sim.nodes.get(Sim.NODES.get(sim.rnd.nextInt(3)));
-      sim.copied++;
-      sim.at(
-          200 + sim.rnd.nextInt(3 * (int) Sim.LEASE),
-          () -> {
-            if (any.up) {
-              any.event(() -> any.core.report(report, reportAnswer -> {}));
-            }
-          });
+      sendLateCopy(report);
     }
     if (cutFrom(controller)) {
       if (sim.rnd.nextBoolean()) {
-        sim.at(
-            1_000 + sim.rnd.nextInt(20_000),
-            () -> {
-              if (controller.up) {
-                controller.event(() -> controller.core.report(report, a -> {}));
-              }
-            });
+        sendLate(controller, report, 1_000 + sim.rnd.nextInt(20_000));
       }
       return;
     }
     if (!controller.up) {
-      sim.at(
-          5,
-          () -> {
-            if (flight == mine) {
-              next();
-            }
-          });
+      sim.at(5, () -> turnAway(mine));
       return;
     }
     if (sim.rnd.nextDouble() < sim.loss) {
       return; // lost, or answered to nobody
     }
-    int l = controller.life;
+    send(controller, report, mine);
+  }
+
+  /** No response has come for 4 s. */
+  private void giveUp(long mine) {
+    if (flight == mine && inFlight) {
+      next();
+    }
+  }
+
+  /** The connection failed. */
+  private void turnAway(long mine) {
+    if (flight == mine) {
+      next();
+    }
+  }
+
+  private void sendLateCopy(Report report) {
+    SimulatedController any = sim.nodes.get(Simulation.NODES.get(sim.rnd.nextInt(3)));
+    sim.copied++;
+    sendLate(any, report, 200 + sim.rnd.nextInt(3 * (int) Simulation.LEASE));
+  }
+
+  /** The report arrives so much later; nobody waits for the answer. */
+  private void sendLate(SimulatedController controller, Report report, long ms) {
+    sim.at(
+        ms,
+        () -> {
+          if (controller.up) {
+            controller.event(() -> controller.core.report(report, answer -> {}));
+          }
+        });
+  }
+
+  private void send(SimulatedController controller, Report report, long mine) {
+    long sent = sim.now;
+    int life = controller.life;
     sim.at(
         sim.delay(),
         () -> {
-          if (!controller.up || controller.life != l) {
-            if (flight == mine) {
-              next();
-            }
+          if (!controller.up || controller.life != life) {
+            turnAway(mine);
             return;
           }
           controller.event(
               () ->
                   controller.core.report(
                       report,
-                      a ->
+                      answer ->
                           sim.at(
                               sim.delay() + controller.lateBy,
                               () ->
                                   whenAwake(
-                                      () -> {
-                                        // given up on, though it hung then
-                                        if (sim.now - sent > 4_000 && flight == mine && inFlight) {
-                                          next();
-                                        }
-                                        if (flight == mine
-                                            && inFlight
-                                            && !cutFrom(controller)
-                                            && !deaf) {
-                                          answer(a, sent, report.session());
-                                        }
-                                      }))));
+                                      () -> answered(controller, report, answer, sent, mine)))));
         });
   }
 
+  private void answered(
+      SimulatedController controller, Report report, ReportAnswer answer, long sent, long mine) {
+    // given up on, though it hung then
+    if (sim.now - sent > 4_000) {
+      giveUp(mine);
+    }
+    if (flight == mine && inFlight && !cutFrom(controller) && !deaf) {
+      answer(answer, sent, report.session());
+    }
+  }
+
   boolean cutFrom(SimulatedController node) {
     return cut
         || sim.cutZone != null && zone.equals(sim.cutZone) != node.zone().equals(sim.cutZone);
@@ -293,8 +299,8 @@
   private void next() {
     inFlight = false;
     flight++;
-    node = Sim.NODES.get((Sim.NODES.indexOf(node) + 1) % 3);
-    lastReport = sim.now + 1_000 - Sim.REPORT * 5 / 4;
+    node = Simulation.NODES.get((Simulation.NODES.indexOf(node) + 1) % 3);
+    lastReport = sim.now + 1_000 - Simulation.REPORT * 5 / 4;
   }
 
   void answer(ReportAnswer answer, long sent, long forSession) {
@@ -412,7 +418,8 @@
     }
     task.state = TaskState.RUNNING;
     changed = true;
-    sim.rules.started(sim.now, new Rules.OnMachine(id, task.job, task.task, "t8", zone, spot));
+    sim.rules.started(
+        sim.now, new InvariantChecker.OnMachine(id, task.job, task.task, "t8", zone, spot));
     if (sim.rules.service(task.job) && !faulty) {
       if (sim.replicaEnds > 0 && sim.rnd.nextDouble() < sim.replicaEnds) {
         endByChance(task, key);
--- a/src/test/java/mallowstall/core/Sim.java
+++ b/src/test/java/mallowstall/core/Simulation.java
@@ -30,7 +30,7 @@
  * Several real cores on simulated time against stand-ins for the state service, the cloud, workers
  * and users, with losses, delays, late and repeated messages, crashes, cuts and clock drift.
  */
-final class Sim {
+final class Simulation {
   static final List<String> NODES = List.of("n0", "n1", "n2");
   static final Map<String, String> ZONES = Map.of("n0", "a", "n1", "b", "n2", "a");
   static final long REPORT = 1_000;
@@ -48,7 +48,7 @@
   final SplittableRandom rnd;
   final Map<String, Team> teams =
       Map.of("free", new Team("free", 0, 0, 0, 0), "tight", new Team("tight", 8, 24, 0, 0));
-  final Rules rules = new Rules(teams, CANCEL);
+  final InvariantChecker rules = new InvariantChecker(teams, CANCEL);
   final SimulatedStateService state = new SimulatedStateService(this);
   final Map<String, SimulatedController> nodes = new LinkedHashMap<>();
   final Map<String, SimulatedWorker> workers = new LinkedHashMap<>();
@@ -114,20 +114,20 @@
   /** What the controllers keep to. */
   final StateLimits kept;
 
-  Sim(long seed) {
+  Simulation(long seed) {
     this(seed, ClusterVersion.CURRENT);
   }
 
   /** All controllers begin with this program version. */
-  Sim(long seed, int programVersion) {
+  Simulation(long seed, int programVersion) {
     this(seed, programVersion, new StateLimits(8_192, 24, 120));
   }
 
-  Sim(long seed, StateLimits kept) {
+  Simulation(long seed, StateLimits kept) {
     this(seed, ClusterVersion.CURRENT, kept);
   }
 
-  private Sim(long seed, int programVersion, StateLimits kept) {
+  private Simulation(long seed, int programVersion, StateLimits kept) {
     this.kept = kept;
     rnd = new SplittableRandom(seed);
     for (String n : NODES) {
@@ -263,7 +263,7 @@
         () -> {
           worker.begin();
           if (!worker.dead) {
-            rules.machineUp(new Rules.Machine(id, t, zone, spot, type.cpus()));
+            rules.machineUp(new InvariantChecker.Machine(id, t, zone, spot, type.cpus()));
           }
         });
     return id;
@@ -610,60 +610,65 @@
     SimulatedController node = nodes.get(NODES.get(rnd.nextInt(3)));
     switch (rnd.nextInt(4)) {
       case 0 -> {
-        if (told.isEmpty() || !node.up) {
-          return;
+        if (!told.isEmpty() && node.up) {
+          submitAgain(node, told.get(rnd.nextInt(told.size())));
         }
-        String id = told.get(rnd.nextInt(told.size()));
-        String last = rules.lastTold(id);
-        boolean over = "done".equals(last) || "cancelled".equals(last);
-        strike(over ? "oddRequests, over again" : "oddRequests, again");
-        long asked = now;
-        submitAt(
-            node,
-            rules.spec(id),
-            answer -> rules.told(now, asked, id, answer.status(), answer.state()));
       }
       case 1 -> {
-        if (done.isEmpty()) {
-          return;
+        if (!done.isEmpty()) {
+          strike("oddRequests, cancel done");
+          cancel(done.get(rnd.nextInt(done.size())));
         }
-        strike("oddRequests, cancel done");
-        cancel(done.get(rnd.nextInt(done.size())));
       }
       case 2 -> {
         strike("oddRequests, nobody's");
         askForNobody();
       }
       default -> {
-        if (!node.up) {
-          return;
+        if (node.up) {
+          submitImpossible(node);
         }
-        strike("oddRequests, impossible");
-        boolean team = rnd.nextBoolean();
-        String id = String.format("wk-9%05d", impossibleNo++);
-        JobSpec spec =
-            job(
-                id,
-                1 + rnd.nextInt(4),
-                team ? 1 : 9,
-                Priority.NORMAL,
-                team ? "nobody" : "free",
-                false,
-                false,
-                true,
-                null);
-        node.event(
-            () ->
-                node.core.submit(
-                    spec,
-                    userAnswer -> {
-                      rules.toldImpossible(now, id, userAnswer.status());
-                      at(500, () -> askFor(id));
-                    }));
       }
     }
   }
 
+  private void submitAgain(SimulatedController node, String id) {
+    String last = rules.lastTold(id);
+    boolean over = "done".equals(last) || "cancelled".equals(last);
+    strike(over ? "oddRequests, over again" : "oddRequests, again");
+    long asked = now;
+    submitAt(
+        node,
+        rules.spec(id),
+        answer -> rules.told(now, asked, id, answer.status(), answer.state()));
+  }
+
+  /** A job of an unknown team, or whose tasks no machine holds. */
+  private void submitImpossible(SimulatedController node) {
+    strike("oddRequests, impossible");
+    boolean team = rnd.nextBoolean();
+    String id = String.format("wk-9%05d", impossibleNo++);
+    JobSpec spec =
+        job(
+            id,
+            1 + rnd.nextInt(4),
+            team ? 1 : 9,
+            Priority.NORMAL,
+            team ? "nobody" : "free",
+            false,
+            false,
+            true,
+            null);
+    node.event(
+        () ->
+            node.core.submit(
+                spec,
+                answer -> {
+                  rules.toldImpossible(now, id, answer.status());
+                  at(500, () -> askFor(id));
+                }));
+  }
+
   /** Ends whoever owns most machines and whoever holds most jobs, for 100 to 900 ms. */
   void changeLeaders() {
     Map<String, Integer> owned = new TreeMap<>();
--- a/src/test/java/mallowstall/core/StateLimitsTest.java
+++ b/src/test/java/mallowstall/core/StateLimitsTest.java
@@ -34,12 +34,12 @@
 /** Limits of the state service that fall while everything goes on. */
 class StateLimitsTest {
   private static final int MANY = 100_000;
-  private static final Sim.StateLimits BEFORE = new Sim.StateLimits(8_192, 24, 120);
-  private static final Sim.StateLimits AFTER = new Sim.StateLimits(2_048, 8, 40);
+  private static final Simulation.StateLimits BEFORE = new Simulation.StateLimits(8_192, 24, 120);
+  private static final Simulation.StateLimits AFTER = new Simulation.StateLimits(2_048, 8, 40);
   private static final String TOO_LARGE = "limits, too large";
   private static final String TOO_MANY = "limits, too many";
 
-  private static JobSpec many(Sim sim, String id, String team) {
+  private static JobSpec many(Simulation sim, String id, String team) {
     return sim.job(id, MANY, 4, Priority.NORMAL, team, false, false, true, null);
   }
 
@@ -51,7 +51,7 @@
 
   /** Stores the job as the version in production has it, held by this controller. */
   private static void storeInProductionsLayout(
-      Sim sim, JobSpec spec, SimulatedController holder, BitSet done) {
+      Simulation sim, JobSpec spec, SimulatedController holder, BitSet done) {
     int chunk = Constants.BITS_PER_CHUNK;
     JobRec job =
         new JobRec(
@@ -75,7 +75,7 @@
   }
 
   /** From now on compares what can be read of these jobs after each change with before. */
-  private static void bitsOnlyGrow(Sim sim, String... jobs) {
+  private static void bitsOnlyGrow(Simulation sim, String... jobs) {
     Map<String, BitSet> before = new HashMap<>();
     for (String id : jobs) {
       before.put(id, sim.doneBits(id));
@@ -97,13 +97,13 @@
   }
 
   /** Changes of the controller's session entry since then, its end among them. */
-  private static long sessionChanges(Sim sim, String node, long revision) {
+  private static long sessionChanges(Simulation sim, String node, long revision) {
     return sim.state.changes.stream()
         .filter(item -> item.version() > revision && item.key().equals(Store.SESSIONS + node))
         .count();
   }
 
-  private static long asked(Sim sim, int from, String key) {
+  private static long asked(Simulation sim, int from, String key) {
     return sim.state.asked.stream()
         .skip(from)
         .filter(transaction -> transaction.puts().stream().anyMatch(put -> put.key().equals(key)))
@@ -125,15 +125,15 @@
 
   @Test
   void theStandInEnforcesItsLimits() {
-    Sim sim = new Sim(300);
+    Simulation sim = new Simulation(300);
     sim.run(100);
     assertEquals(Code.OK, sim.state.transact(counters(200, 1)).code(), "without limits");
     assertEquals(Code.OK, sim.state.transact(bits(9_000)).code(), "without limits");
     sim.state.limitTo(AFTER);
     long revision = sim.state.revision;
     // {"done":""} and four characters for each three bytes
-    assertEquals(2_047, Sim.size(bits(1_527).puts().get(0).value()));
-    assertEquals(2_051, Sim.size(bits(1_530).puts().get(0).value()));
+    assertEquals(2_047, Simulation.size(bits(1_527).puts().get(0).value()));
+    assertEquals(2_051, Simulation.size(bits(1_530).puts().get(0).value()));
     assertEquals(Code.MALFORMED, sim.state.transact(bits(1_530)).code());
     assertEquals(Code.MALFORMED, sim.state.transact(counters(9, 2)).code());
     List<Cond> conditions = new ArrayList<>();
@@ -164,7 +164,7 @@
   @ParameterizedTest
   @ValueSource(longs = {0, 5_300, 9_000})
   void theLimitsFallInTheMiddleOfATakeover(long after) {
-    Sim sim = new Sim(301 + after, AFTER);
+    Simulation sim = new Simulation(301 + after, AFTER);
     sim.state.limitTo(BEFORE);
     for (int i = 0; i < 300; i++) {
       sim.machine("t8", i % 2 == 0 ? "a" : "b", false, 0);
@@ -215,7 +215,7 @@
   /** The transaction that cancels takes the bits along that its entry has no room for. */
   @Test
   void aCancellationOfAnEntryThatNoLongerFitsKeepsItsBits() {
-    Sim sim = new Sim(310, AFTER);
+    Simulation sim = new Simulation(310, AFTER);
     sim.run(10_000);
     JobSpec spec = many(sim, "wk-000001", "free");
     storeInProductionsLayout(sim, spec, sim.nodes.get("n1"), firstTasks(30_000));
@@ -243,7 +243,7 @@
   /** An entry may be known before its pieces: what these say was done isn't started again. */
   @Test
   void bitsThatAreLearntAfterTheirEntryCount() {
-    Sim sim = new Sim(314, AFTER);
+    Simulation sim = new Simulation(314, AFTER);
     sim.run(10_000);
     JobSpec spec =
         sim.job("wk-000001", 20_010, 4, Priority.NORMAL, "free", false, false, true, null);
@@ -281,7 +281,7 @@
    */
   @Test
   void whatIsCalledTooLargeIsTriedSeldomAndHoldsUpNothing() {
-    Sim sim = new Sim(311);
+    Simulation sim = new Simulation(311);
     sim.run(10_000);
     SimulatedController holder = sim.nodes.get("n1");
     for (String id : List.of("wk-000001", "wk-000002")) {
@@ -323,14 +323,14 @@
   /** The same with a rate that leaves no change at all: what is refused isn't asked for hotly. */
   @Test
   void aRateThatIsExceededIsNotTriedHotly() {
-    Sim sim = new Sim(312);
+    Simulation sim = new Simulation(312);
     sim.run(10_000);
     List<String> ids = List.of("wk-000001", "wk-000002", "wk-000003", "wk-000004");
     for (String id : ids) {
       sim.submit(sim.job(id, 4, 2, Priority.NORMAL, "free", false, false, true, null));
     }
     sim.run(11_500);
-    sim.state.limitTo(new Sim.StateLimits(8_192, 24, 0));
+    sim.state.limitTo(new Simulation.StateLimits(8_192, 24, 0));
     int from = sim.state.asked.size();
     long revision = sim.state.revision;
     sim.run(41_500);
@@ -353,7 +353,7 @@
   /** A description that can't be kept is refused at once, but not one that stands already. */
   @Test
   void aDescriptionThatIsTooLargeIsRefusedUnlessItWasAccepted() {
-    Sim sim = new Sim(313, AFTER);
+    Simulation sim = new Simulation(313, AFTER);
     sim.run(10_000);
     sim.state.limitTo(AFTER);
     JobSpec large =
@@ -407,8 +407,8 @@
    */
   @Test
   void machinesChangeOwnerOnceThoughFewChangesAreAllowed() {
-    Sim.StateLimits few = new Sim.StateLimits(2_048, 8, 12);
-    Sim sim = new Sim(320, few);
+    Simulation.StateLimits few = new Simulation.StateLimits(2_048, 8, 12);
+    Simulation sim = new Simulation(320, few);
     for (int i = 0; i < 500; i++) {
       sim.machine("t8", i % 2 == 0 ? "a" : "b", false, 0);
     }
--- a/src/test/java/mallowstall/core/UpgradeTest.java
+++ b/src/test/java/mallowstall/core/UpgradeTest.java
@@ -24,16 +24,17 @@
   /** For what was taken over to be placed and run again. */
   private static final long RUNS_AGAIN_MS = 40_000;
 
-  private static JobSpec service(Sim sim) {
+  private static JobSpec service(Simulation sim) {
     return sim.service(SERVICE, REPLICAS, 2, Priority.NORMAL, "free", false, false, true, null);
   }
 
-  private static JobSpec batch(Sim sim, int tasks) {
+  private static JobSpec batch(Simulation sim, int tasks) {
     return sim.job(BATCH, tasks, 2, Priority.NORMAL, "free", false, false, true, null);
   }
 
   /** What the controller answers, which the rules are told too. */
-  private static UserAnswer answer(Sim sim, String job, Consumer<Consumer<UserAnswer>> question) {
+  private static UserAnswer answer(
+      Simulation sim, String job, Consumer<Consumer<UserAnswer>> question) {
     List<UserAnswer> got = new ArrayList<>();
     question.accept(got::add);
     long until = sim.now + ANSWER_WITHIN_MS;
@@ -46,16 +47,16 @@
     return answer;
   }
 
-  private static UserAnswer submitAt(Sim sim, SimulatedController node, JobSpec job) {
+  private static UserAnswer submitAt(Simulation sim, SimulatedController node, JobSpec job) {
     sim.rules.submitted(job);
     return answer(sim, job.id(), reply -> sim.submitAt(node, job, reply));
   }
 
-  private static UserAnswer queryAt(Sim sim, SimulatedController node, String job) {
+  private static UserAnswer queryAt(Simulation sim, SimulatedController node, String job) {
     return answer(sim, job, reply -> node.event(() -> node.core.query(job, reply)));
   }
 
-  private static void upgrade(Sim sim, String... nodes) {
+  private static void upgrade(Simulation sim, String... nodes) {
     for (String n : nodes) {
       sim.upgrade(sim.nodes.get(n), 500);
       sim.run(sim.now + 8_000);
@@ -63,15 +64,15 @@
   }
 
   /** A cluster of which these controllers are of the present version, and the others old. */
-  private static Sim mixed(long seed, String... upgraded) {
-    Sim sim = new Sim(seed, ClusterVersion.UNKNOWN);
+  private static Simulation mixed(long seed, String... upgraded) {
+    Simulation sim = new Simulation(seed, ClusterVersion.UNKNOWN);
     sim.run(8_000);
     upgrade(sim, upgraded);
     return sim;
   }
 
-  private static Sim withService(long seed) {
-    Sim sim = mixed(seed, "n0", "n1", "n2");
+  private static Simulation withService(long seed) {
+    Simulation sim = mixed(seed, "n0", "n1", "n2");
     assertEquals(201, submitAt(sim, sim.nodes.get("n0"), service(sim)).status());
     sim.run(sim.now + 10_000);
     assertEquals(REPLICAS, sim.rules.replicasOn(SERVICE));
@@ -80,7 +81,7 @@
 
   @Test
   void aServiceIsAcceptedOnceEveryControllerIsUpgraded() {
-    Sim sim = mixed(301, "n0", "n1");
+    Simulation sim = mixed(301, "n0", "n1");
     SimulatedController asked = sim.nodes.get("n0");
     UserAnswer early = submitAt(sim, asked, service(sim));
     assertEquals(503, early.status());
@@ -99,7 +100,7 @@
   /** The versions shown stay through the crash of one that has been upgraded. */
   @Test
   void aServiceIsAcceptedWhileAnUpgradedControllerIsDown() {
-    Sim sim = mixed(302, "n0", "n1", "n2");
+    Simulation sim = mixed(302, "n0", "n1", "n2");
     sim.nodes.get("n2").crash(30_000);
     sim.run(sim.now + 10_000);
     assertEquals(201, submitAt(sim, sim.nodes.get("n0"), service(sim)).status());
@@ -108,7 +109,7 @@
 
   @Test
   void aRepetitionIsToldTheStateWhateverTheOthersRun() {
-    Sim sim = withService(303);
+    Simulation sim = withService(303);
     SimulatedController old = sim.nodes.get("n2");
     old.installed = ClusterVersion.UNKNOWN;
     old.crash(500);
@@ -127,8 +128,8 @@
   /** Unsupported, and yet no harm: what it can't read it neither runs nor forgets nor ends. */
   @Test
   void aControllerThatComesBackOldLeavesServicesToTheOthers() {
-    for (String name : Sim.NODES) {
-      Sim sim = withService(304);
+    for (String name : Simulation.NODES) {
+      Simulation sim = withService(304);
       sim.submit(batch(sim, 6));
       SimulatedController old = sim.nodes.get(name);
       old.installed = ClusterVersion.UNKNOWN;
@@ -153,7 +154,7 @@
   /** Also when it alone is up for long: then nobody looks after the service. */
   @Test
   void anOldControllerLeftAloneDoesNotEndAService() {
-    Sim sim = withService(305);
+    Simulation sim = withService(305);
     SimulatedController old = sim.nodes.get("n1");
     old.installed = ClusterVersion.UNKNOWN;
     for (SimulatedController node : sim.nodes.values()) {
@@ -171,7 +172,7 @@
   /** An old controller reads the cancelled entry, and what it writes keeps it cancelled. */
   @Test
   void aServiceCancelledBesideAnOldControllerStaysCancelled() {
-    Sim sim = withService(306);
+    Simulation sim = withService(306);
     SimulatedController old = sim.nodes.get("n1");
     old.installed = ClusterVersion.UNKNOWN;
     old.crash(500);
@@ -186,7 +187,7 @@
     }
     sim.run(sim.now + 10_000);
     assertEquals("cancelled", queryAt(sim, old, SERVICE).state());
-    sim.run(sim.now + Sim.CANCEL);
+    sim.run(sim.now + Simulation.CANCEL);
     assertEquals(0, sim.rules.replicasOn(SERVICE));
     for (SimulatedController each : sim.nodes.values()) {
       assertEquals("cancelled", queryAt(sim, each, SERVICE).state());
@@ -196,7 +197,7 @@
 
   @Test
   void aControllerThatDiesBeforeItsTurnComesBackOldAndWorkGoesOn() {
-    Sim sim = mixed(307, "n0");
+    Simulation sim = mixed(307, "n0");
     sim.submit(batch(sim, 12));
     sim.run(sim.now + 3_000);
     SimulatedController early = sim.nodes.get("n2");
--- a/src/test/java/mallowstall/core/ValueSizeTest.java
+++ b/src/test/java/mallowstall/core/ValueSizeTest.java
@@ -29,8 +29,9 @@
     for (int nameLength : new int[] {8, 40, 200}) {
       List<Room> all = rooms(200, nameLength);
       List<Room> some =
-          ValueSize.fitting(all, r -> Sim.size(new DigestRec(Long.MAX_VALUE, r, 1e17)), LIMIT);
-      int bytes = Sim.size(new DigestRec(Long.MAX_VALUE, some, 1e17));
+          ValueSize.fitting(
+              all, r -> Simulation.size(new DigestRec(Long.MAX_VALUE, r, 1e17)), LIMIT);
+      int bytes = Simulation.size(new DigestRec(Long.MAX_VALUE, some, 1e17));
       assertTrue(bytes <= LIMIT, "bytes: " + bytes);
       assertTrue(bytes > LIMIT / 2, "bytes: " + bytes);
       assertEquals(all.subList(0, some.size()), some);
@@ -46,8 +47,9 @@
         all.add(new GroupMachine(room.machine(), name, name, false));
       }
       List<GroupMachine> some =
-          ValueSize.fitting(all, g -> Sim.size(new GroupRec(name, Long.MAX_VALUE, g)), LIMIT);
-      int bytes = Sim.size(new GroupRec(name, Long.MAX_VALUE, some));
+          ValueSize.fitting(
+              all, g -> Simulation.size(new GroupRec(name, Long.MAX_VALUE, g)), LIMIT);
+      int bytes = Simulation.size(new GroupRec(name, Long.MAX_VALUE, some));
       assertTrue(bytes <= LIMIT, "bytes: " + bytes);
       assertTrue(bytes > LIMIT / 2, "bytes: " + bytes);
     }
@@ -56,6 +58,6 @@
   @Test
   void whatFitsIsLeftWhole() {
     List<Room> all = rooms(3, 8);
-    assertEquals(all, ValueSize.fitting(all, r -> Sim.size(new DigestRec(1, r, 0)), LIMIT));
+    assertEquals(all, ValueSize.fitting(all, r -> Simulation.size(new DigestRec(1, r, 0)), LIMIT));
   }
 }
