--- a/src/main/java/mallowstall/core/Core.java
+++ b/src/main/java/mallowstall/core/Core.java
@@ -396,6 +396,10 @@
     return placement;
   }
 
+  Fleet fleet() {
+    return fleet;
+  }
+
   MachineDemand demand() {
     return demand;
   }
