--- a/src/main/java/mallowstall/Constants.java
+++ b/src/main/java/mallowstall/Constants.java
@@ -311,9 +311,6 @@
   /** ms. Between fleet plans of the controller with the cloud duty. */
   public static final long FLEET_EVERY_MS = 1_500;
 
-  /** ms. At least so long nobody has the cloud duty when its holder has crashed. */
-  public static final long DUTY_VACANT_MS = SESSION_TTL_MS - RENEW_EVERY_MS;
-
   /** ms. Between machine lists. */
   public static final long LIST_EVERY_MS = 8_000;
 
--- a/src/main/java/mallowstall/core/CloudListing.java
+++ b/src/main/java/mallowstall/core/CloudListing.java
@@ -39,11 +39,6 @@
     machines.remove(machine);
   }
 
-  /** The list is to be read again at once. */
-  void readNow() {
-    next = 0;
-  }
-
   /** Reads the list again when it is time. */
   void tick(long now) {
     if (now < next || reading || !calls.has(now, 1, 0)) {
--- a/src/main/java/mallowstall/core/Core.java
+++ b/src/main/java/mallowstall/core/Core.java
@@ -396,10 +396,6 @@
     return placement;
   }
 
-  Fleet fleet() {
-    return fleet;
-  }
-
   MachineDemand demand() {
     return demand;
   }
--- a/src/main/java/mallowstall/core/Fleet.java
+++ b/src/main/java/mallowstall/core/Fleet.java
@@ -71,14 +71,6 @@
 
   private final RetryDelay claimRetry = new RetryDelay();
   private boolean claiming;
-
-  /** Since when this process has the duty; 0: it hasn't. */
-  private long dutySince;
-
-  /** Whether another process may have had the duty before, so that its rentals may be coming. */
-  private boolean hadPredecessor;
-
-  private boolean started;
   private long nextPlan;
   private long nextDemand;
 
@@ -115,11 +107,7 @@
 
   void tick() {
     long now = core.now();
-    if (!store.synced()) {
-      return;
-    }
-    notePredecessor();
-    if (core.types().isEmpty()) {
+    if (!store.synced() || core.types().isEmpty()) {
       return;
     }
     if (now >= nextDemand) {
@@ -133,12 +121,8 @@
       claim();
     }
     if (!onDuty()) {
-      dutySince = 0;
       return;
     }
-    if (dutySince == 0) {
-      dutySince = now;
-    }
     listing.tick(now);
     if (now >= nextPlan) {
       nextPlan = now + Constants.FLEET_EVERY_MS;
@@ -147,30 +131,6 @@
     returns.tick(now);
   }
 
-  /** Others have rented if machines were recorded before this process, or one is seen on duty. */
-  private void notePredecessor() {
-    if (!started) {
-      started = true;
-      hadPredecessor = !store.under(Store.MACHINES).isEmpty();
-    }
-    hadPredecessor |= store.held(Store.DUTY) != null && !onDuty();
-  }
-
-  /**
-   * Whether all that a predecessor may have rented is listed by now. Renting before, each new
-   * process on duty asked for what was already coming: 120 dear machines at once on one day.
-   */
-  private boolean predecessorsRentalsListed(long now) {
-    long listed = dutySince + Math.max(0, core.settings().listLagMs() - Constants.DUTY_VACANT_MS);
-    if (!hadPredecessor || listing.readAt() >= listed) {
-      return true;
-    }
-    if (now >= listed) {
-      listing.readNow();
-    }
-    return now > listed + Constants.LIST_EVERY_MS;
-  }
-
   private void claim() {
     claiming = true;
     boolean asked =
@@ -395,8 +355,7 @@
   /** Rents what this type lacks, or returns what it doesn't need. */
   private void planType(String type, int have, List<View.Seen> up, long now) {
     TypeDemand wanted = demand.of(type);
-    boolean mayRent = predecessorsRentalsListed(now) && rentals.ready(now);
-    if (mayRent && rentals.rentConstrained(type, wanted, up, now)) {
+    if (rentals.ready(now) && rentals.rentConstrained(type, wanted, up, now)) {
       return;
     }
     double need = wanted.machines;
@@ -405,12 +364,12 @@
             Math.ceil(
                 Math.max(need * Constants.RENT_MARGIN, wanted.average) - Constants.RENT_ROUNDING);
     if (want > have) {
-      if (mayRent) {
+      if (rentals.ready(now)) {
         rentals.rent(type, want - have, want, wanted.spotAllowed, now);
       }
       return;
     }
-    if (mayRent && rentals.rentForStranded(type, up, now)) {
+    if (rentals.ready(now) && rentals.rentForStranded(type, up, now)) {
       return;
     }
     int keep =
