--- a/src/test/java/mallowstall/core/MachineOwnershipTest.java
+++ b/src/test/java/mallowstall/core/MachineOwnershipTest.java
@@ -249,14 +249,10 @@
   @Test
   void hundredsOfMachinesChangeOwnerWithinTheirLease() {
     Simulation sim = new Simulation(69);
-    for (int i = 0; i < 300; i++) {
-      sim.machine("t8", i % 2 == 0 ? "a" : "b", false, 0);
-    }
+    sim.addMachines(300);
     sim.run(20_000);
     long before = sim.state.revision;
-    for (SimulatedController node : sim.nodes.values()) {
-      node.crash(2_000);
-    }
+    sim.crashAll(2_000);
     sim.run(32_000);
     for (SimulatedWorker worker : sim.workers.values()) {
       assertEquals(1, worker.session, worker.id);
@@ -276,18 +272,14 @@
   @Test
   void fifteenHundredMachinesOutliveTheirControllers() {
     Simulation sim = new Simulation(91);
-    for (int i = 0; i < 1_462; i++) {
-      sim.machine("t8", i % 2 == 0 ? "a" : "b", false, 0);
-    }
+    sim.addMachines(1_462);
     sim.run(20_000);
     for (int i = 0; i < 6; i++) {
       sim.submit(plain(sim, "wk-00000" + i, 700, "free"));
     }
     sim.run(24_000);
     long before = sim.state.revision;
-    for (SimulatedController node : sim.nodes.values()) {
-      node.crash(2_000);
-    }
+    sim.crashAll(2_000);
     sim.run(36_000);
     for (SimulatedWorker worker : sim.workers.values()) {
       assertEquals(1, worker.session, worker.id);
@@ -297,9 +289,7 @@
     sim.state.outage = true;
     sim.run(40_000);
     sim.state.recover();
-    for (SimulatedController controller : sim.nodes.values()) {
-      controller.crash(2_000);
-    }
+    sim.crashAll(2_000);
     sim.run(110_000);
     for (int i = 0; i < 6; i++) {
       finished(sim, "wk-00000" + i);
--- a/src/test/java/mallowstall/core/SafetyCasesTest.java
+++ b/src/test/java/mallowstall/core/SafetyCasesTest.java
@@ -158,9 +158,7 @@
     sim.run(6_000);
     sim.submit(plain(sim, "wk-000001", 20, "tight"));
     sim.run(9_000);
-    for (SimulatedController node : sim.nodes.values()) {
-      node.crash(4_000);
-    }
+    sim.crashAll(4_000);
     sim.run(150_000);
     finished(sim, "wk-000001");
   }
--- a/src/test/java/mallowstall/core/ServingTest.java
+++ b/src/test/java/mallowstall/core/ServingTest.java
@@ -42,9 +42,7 @@
   @Test
   void hundredsOfIdleMachinesGoBack() {
     Simulation sim = new Simulation(94);
-    for (int i = 0; i < 900; i++) {
-      sim.machine("t8", i % 2 == 0 ? "a" : "b", false, 0);
-    }
+    sim.addMachines(900);
     sim.run(130_000);
     assertTrue(sim.workers.size() < 200, "still up: " + sim.workers.size());
   }
--- a/src/test/java/mallowstall/core/Simulation.java
+++ b/src/test/java/mallowstall/core/Simulation.java
@@ -133,9 +133,7 @@
     for (String n : NODES) {
       nodes.put(n, new SimulatedController(this, n, programVersion));
     }
-    for (int i = 0; i < 4; i++) {
-      machine("t8", i % 2 == 0 ? "a" : "b", false, 0);
-    }
+    addMachines(4);
     at(0, this::watchRules);
   }
 
@@ -325,6 +323,20 @@
     }
   }
 
+  /** All controllers end, and are back after so long. */
+  void crashAll(long downMs) {
+    for (SimulatedController node : nodes.values()) {
+      node.crash(downMs);
+    }
+  }
+
+  /** So many ordinary machines more, half of them in either zone. */
+  void addMachines(int count) {
+    for (int i = 0; i < count; i++) {
+      machine("t8", i % 2 == 0 ? "a" : "b", false, 0);
+    }
+  }
+
   /** The job's entry in the state service. */
   JobRec entry(String id) {
     return (JobRec) state.keys.get(Store.JOBS + id).value();
--- a/src/test/java/mallowstall/core/StateLimitsTest.java
+++ b/src/test/java/mallowstall/core/StateLimitsTest.java
@@ -166,9 +166,7 @@
   void theLimitsFallInTheMiddleOfATakeover(long after) {
     Simulation sim = new Simulation(301 + after, AFTER);
     sim.state.limitTo(BEFORE);
-    for (int i = 0; i < 300; i++) {
-      sim.machine("t8", i % 2 == 0 ? "a" : "b", false, 0);
-    }
+    sim.addMachines(300);
     sim.run(20_000);
     sim.submit(many(sim, "wk-000001", "free"));
     sim.submit(many(sim, "wk-000002", "tight"));
@@ -409,15 +407,11 @@
   void machinesChangeOwnerOnceThoughFewChangesAreAllowed() {
     Simulation.StateLimits few = new Simulation.StateLimits(2_048, 8, 12);
     Simulation sim = new Simulation(320, few);
-    for (int i = 0; i < 500; i++) {
-      sim.machine("t8", i % 2 == 0 ? "a" : "b", false, 0);
-    }
+    sim.addMachines(500);
     sim.run(25_000);
     sim.state.limitTo(few);
     long before = sim.state.revision;
-    for (SimulatedController node : sim.nodes.values()) {
-      node.crash(2_000);
-    }
+    sim.crashAll(2_000);
     sim.run(sim.now + 12_000);
     Set<String> kept = new HashSet<>();
     for (SimulatedWorker worker : sim.workers.values()) {
--- a/src/test/java/mallowstall/core/UpgradeTest.java
+++ b/src/test/java/mallowstall/core/UpgradeTest.java
@@ -111,9 +111,7 @@
   void aRepetitionIsToldTheStateWhateverTheOthersRun() {
     Simulation sim = withService(303);
     SimulatedController old = sim.nodes.get("n2");
-    old.installed = ClusterVersion.UNKNOWN;
-    old.crash(500);
-    sim.run(sim.now + 10_000);
+    comesBackOld(sim, old);
     for (String n : List.of("n0", "n1")) {
       UserAnswer again = submitAt(sim, sim.nodes.get(n), service(sim));
       assertEquals(200, again.status());
@@ -174,9 +172,7 @@
   void aServiceCancelledBesideAnOldControllerStaysCancelled() {
     Simulation sim = withService(306);
     SimulatedController old = sim.nodes.get("n1");
-    old.installed = ClusterVersion.UNKNOWN;
-    old.crash(500);
-    sim.run(sim.now + 10_000);
+    comesBackOld(sim, old);
     sim.rules.asksToCancel(SERVICE);
     SimulatedController node = sim.nodes.get("n2");
     answer(sim, SERVICE, reply -> node.event(() -> node.core.cancel(SERVICE, reply)));
@@ -213,4 +209,11 @@
     assertEquals(REPLICAS, sim.rules.replicasOn(SERVICE));
     assertEquals(List.of(), sim.rules.broken);
   }
+
+  /** The controller ends and comes back at once with the version that knows no services. */
+  private static void comesBackOld(Simulation sim, SimulatedController node) {
+    node.installed = ClusterVersion.UNKNOWN;
+    node.crash(500);
+    sim.run(sim.now + 10_000);
+  }
 }
