--- a/src/main/java/mallowstall/Constants.java
+++ b/src/main/java/mallowstall/Constants.java
@@ -471,6 +471,9 @@
   /** s. A connection without a request for so long is closed. */
   public static final int IDLE_CONNECTION_S = 60;
 
+  /** ms. Between two looks for such connections, and for requests that come too slowly. */
+  public static final long IDLE_SWEEP_MS = 1_000;
+
   /** s. A request that has begun to arrive must be complete within this. */
   public static final int SLOW_REQUEST_S = 10;
 
--- a/src/main/java/mallowstall/core/Model.java
+++ b/src/main/java/mallowstall/core/Model.java
@@ -294,7 +294,22 @@
   public sealed interface PeerMessage permits Roster, Starts, Stops {}
 
   /** One task as its owner knows it; {@code state} null: accepted, not yet seen on the machine. */
-  public record RosterTask(String job, int task, long attempt, TaskState state, ExitReason why) {}
+  public record RosterTask(String job, int task, long attempt, TaskState state, ExitReason why) {
+    @Override
+    public boolean equals(Object other) {
+      return other instanceof RosterTask one
+          && task == one.task
+          && attempt == one.attempt
+          && state == one.state
+          && why == one.why
+          && job.equals(one.job);
+    }
+
+    @Override
+    public int hashCode() {
+      return 31 * (31 * job.hashCode() + task) + Long.hashCode(attempt);
+    }
+  }
 
   /** The answer "not possible": this start was never passed on and never will be. */
   public record Refusal(String machine, String job, int task, long attempt, String reason) {}
--- a/src/main/java/mallowstall/net/HttpServer.java
+++ b/src/main/java/mallowstall/net/HttpServer.java
@@ -24,10 +24,11 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.timeout.IdleStateEvent;
-import io.netty.handler.timeout.IdleStateHandler;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import mallowstall.Constants;
 
@@ -50,13 +51,29 @@
     void handle(Request request, Responder responder);
   }
 
+  /** How long requests and connections are waited for, and how often that is looked at, in ms. */
+  record Patience(long slowRequestMs, long idleMs, long sweepMs) {}
+
   private final Handler handler;
   private final int maxConnections;
-  private int open;
+  private final Patience patience;
+  private final Set<Guard> open = new HashSet<>();
   private Channel listening;
+  private Duty sweep;
 
   /** A server that keeps so many connections open at most. */
   public HttpServer(Handler handler, int maxConnections) {
+    this(
+        handler,
+        maxConnections,
+        new Patience(
+            Constants.SLOW_REQUEST_S * 1_000L,
+            Constants.IDLE_CONNECTION_S * 1_000L,
+            Constants.IDLE_SWEEP_MS));
+  }
+
+  HttpServer(Handler handler, int maxConnections, Patience patience) {
+    this.patience = patience;
     this.handler = handler;
     this.maxConnections = maxConnections;
   }
@@ -75,7 +92,7 @@
                 new ChannelInitializer<SocketChannel>() {
                   @Override
                   protected void initChannel(SocketChannel channel) {
-                    if (open >= maxConnections) {
+                    if (open.size() >= maxConnections) {
                       channel.close();
                       return;
                     }
@@ -83,16 +100,16 @@
                     channel
                         .pipeline()
                         .addLast(
-                            new IdleStateHandler(Constants.SLOW_REQUEST_S, 0, 0),
-                            new Guard(c),
-                            new HttpServerCodec(4096, 8192, 8192),
-                            new Whole(),
-                            c);
+                            new Guard(c), new HttpServerCodec(4096, 8192, 8192), new Whole(), c);
                   }
                 })
             .bind(at)
             .sync()
             .channel();
+    // a timer for each connection woke the process fifty times a second for 500 workers
+    sweep =
+        new Duty(
+            "idle connections", group.next(), patience.sweepMs, () -> closeIdle(System.nanoTime()));
   }
 
   /** Where the server listens. */
@@ -102,9 +119,19 @@
 
   /** Stops listening and closes all connections. */
   public void close() {
+    sweep.cancel();
     listening.close();
   }
 
+  /** Closes connections whose request arrives too slowly or never. */
+  private void closeIdle(long now) {
+    for (Guard guard : List.copyOf(open)) {
+      if (guard.idle(now)) {
+        guard.channel.close();
+      }
+    }
+  }
+
   /** A body over the limit is the sender's mistake: 400, as the protocol says. */
   private static final class Whole extends HttpObjectAggregator {
     Whole() {
@@ -129,11 +156,12 @@
     }
   }
 
-  /** Closes connections whose request arrives too slowly or never. */
+  /** Knows since when a connection's next request is awaited. */
   private final class Guard extends ChannelInboundHandlerAdapter {
     private final Conn conn;
+    private Channel channel;
     private long since;
-    private int idles;
+    private long lastRead;
 
     Guard(Conn conn) {
       this.conn = conn;
@@ -141,25 +169,26 @@
 
     @Override
     public void channelActive(ChannelHandlerContext ctx) {
-      open++;
+      channel = ctx.channel();
+      open.add(this);
       since = System.nanoTime();
+      lastRead = since;
       ctx.fireChannelActive();
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
-      open--;
+      open.remove(this);
       ctx.fireChannelInactive();
     }
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object m) {
-      idles = 0;
+      lastRead = System.nanoTime();
       if (conn.complete) {
         conn.complete = false;
-        since = System.nanoTime();
-      } else if (!conn.busy
-          && System.nanoTime() - since > TimeUnit.SECONDS.toNanos(Constants.SLOW_REQUEST_S)) {
+        since = lastRead;
+      } else if (idle(lastRead)) {
         if (m instanceof ByteBuf b) {
           b.release();
         }
@@ -169,14 +198,14 @@
       ctx.fireChannelRead(m);
     }
 
-    @Override
-    public void userEventTriggered(ChannelHandlerContext ctx, Object e) {
-      if (e instanceof IdleStateEvent && !conn.busy) {
-        boolean partial = !conn.complete;
-        if (partial || ++idles * Constants.SLOW_REQUEST_S >= Constants.IDLE_CONNECTION_S) {
-          ctx.close();
-        }
+    /** Whether a request that has begun isn't complete in time, or none begins for long. */
+    private boolean idle(long now) {
+      if (conn.busy) {
+        return false;
       }
+      return conn.complete
+          ? now - lastRead > TimeUnit.MILLISECONDS.toNanos(patience.idleMs)
+          : now - since > TimeUnit.MILLISECONDS.toNanos(patience.slowRequestMs);
     }
   }
 
--- /dev/null
+++ b/src/test/java/mallowstall/net/HttpServerTest.java
@@ -0,0 +1,118 @@
+package mallowstall.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Connections that cost sockets for nothing are closed, those in use are not. */
+class HttpServerTest {
+  private static final long SLOW_MS = 200;
+  private static final long IDLE_MS = 900;
+  private static final int WAIT_MS = 5_000;
+  private static final String REQUEST = "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n";
+
+  private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+  private HttpServer.Responder unanswered;
+  private HttpServer server;
+
+  @BeforeEach
+  void start() throws InterruptedException {
+    server = new HttpServer(this::handle, 50, new HttpServer.Patience(SLOW_MS, IDLE_MS, 20));
+    server.listen(group, new InetSocketAddress("127.0.0.1", 0));
+  }
+
+  @AfterEach
+  void stop() {
+    server.close();
+    group.shutdownGracefully(0, 200, TimeUnit.MILLISECONDS);
+  }
+
+  /** Answers at once, but not what is asked under /later. */
+  private void handle(HttpServer.Request request, HttpServer.Responder responder) {
+    if (request.path().equals("/later")) {
+      unanswered = responder;
+    } else {
+      responder.answer(200, new byte[] {'{', '}'}, 0);
+    }
+  }
+
+  private Socket connect() throws IOException {
+    Socket socket = new Socket("127.0.0.1", server.address().getPort());
+    socket.setSoTimeout(WAIT_MS);
+    return socket;
+  }
+
+  private static void send(Socket socket, String text) throws IOException {
+    socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
+    socket.getOutputStream().flush();
+  }
+
+  /** Reads one answer with an empty object as its body. */
+  private static void readAnswer(Socket socket) throws IOException {
+    InputStream in = socket.getInputStream();
+    StringBuilder text = new StringBuilder();
+    while (!text.toString().endsWith("{}")) {
+      int next = in.read();
+      assertTrue(next >= 0, "closed after: " + text);
+      text.append((char) next);
+    }
+    assertTrue(text.toString().startsWith("HTTP/1.1 200"), text.toString());
+  }
+
+  private static long closedAfterMs(Socket socket) throws IOException {
+    long began = System.nanoTime();
+    assertEquals(-1, socket.getInputStream().read());
+    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - began);
+  }
+
+  @Test
+  void aConnectionThatAsksNothingIsClosed() throws IOException {
+    try (Socket socket = connect()) {
+      closedAfterMs(socket);
+    }
+  }
+
+  @Test
+  void aRequestThatComesByteForByteIsClosed() throws Exception {
+    try (Socket socket = connect()) {
+      send(socket, REQUEST);
+      readAnswer(socket);
+      send(socket, "G");
+      Thread.sleep(SLOW_MS / 2);
+      send(socket, "E");
+      closedAfterMs(socket);
+    }
+  }
+
+  @Test
+  void aConnectionInUseStaysOpenAndAnIdleOneIsClosed() throws Exception {
+    try (Socket socket = connect()) {
+      for (int i = 0; i < 3; i++) {
+        send(socket, REQUEST);
+        readAnswer(socket);
+        Thread.sleep(2 * SLOW_MS);
+      }
+      assertTrue(closedAfterMs(socket) >= IDLE_MS - 3 * SLOW_MS);
+    }
+  }
+
+  @Test
+  void aRequestThatWaitsForItsAnswerIsNotClosed() throws Exception {
+    try (Socket socket = connect()) {
+      send(socket, REQUEST.replace("/ready", "/later"));
+      Thread.sleep(IDLE_MS + 2 * SLOW_MS);
+      unanswered.answer(200, new byte[] {'{', '}'}, 0);
+      readAnswer(socket);
+    }
+  }
+}
