A report without news, a restatement and waiting policies cost less; gaps follow own lag

Now only what differs counts; a round in which every policy still waits ends before machines are counted; rounds and statements come a little later while the process lags. Found with it: a service whose starts were refused because owners had not heard of it went to one machine whole. It now waits as long as an owner needs to hear of it.

--- a/src/main/java/mallowstall/Constants.java
+++ b/src/main/java/mallowstall/Constants.java
@@ -14,6 +14,23 @@
   /** ms. Core tick: short against the half second between a worker's reports. */
   public static final long TICK_MS = 100;
 
+  /**
+   * ms. One tick's lateness counts so much at most: a process that stood still isn't overloaded.
+   */
+  public static final long LAG_COUNTED_MS = 300;
+
+  /** Fraction. Weight of the newest tick in the average lag: it follows a load within 2 s. */
+  public static final double LAG_WEIGHT = 0.1;
+
+  /** Factor. Gaps between rounds and between statements grow by so much of the average lag. */
+  public static final double LAG_FACTOR = 3;
+
+  /**
+   * ms. Gaps grow by so much at most: an overloaded controller still places and tells twice a
+   * second.
+   */
+  public static final long LAG_GAP_MOST_MS = 350;
+
   // ---- state service ------------------------------------------------------------------------
   /** ms. Session lease: long enough for a few lost renewals, short enough to be missed soon. */
   public static final long SESSION_TTL_MS = 5_000;
@@ -129,6 +146,9 @@
    */
   public static final long RESTATE_MS = 4_000;
 
+  /** ms. Statements that only restate count as news of room for waiting policies this seldom. */
+  public static final long RESTATED_NEWS_MS = 1_000;
+
   /** Count. Machines handed on that an owner remembers; beyond it peers are told all anew. */
   public static final int GONE_KEPT = 2_000;
 
--- a/src/main/java/mallowstall/core/Core.java
+++ b/src/main/java/mallowstall/core/Core.java
@@ -73,12 +73,14 @@
   private long timerOrder;
   private boolean roundWanted;
   private long nextRound;
+  private final OwnLag lag = new OwnLag();
   private long nextTypes;
   private boolean askingTypes;
   private long nextDigest;
   private boolean reclaimed;
   private long startedAt;
   private long roomNews = 1;
+  private long lastRoomNews;
   private final Cancellations cancellations;
   private final ClusterVersion clusterVersion;
   private final JobEntries jobEntries;
@@ -132,7 +134,7 @@
     }
     if (roundWanted && now >= nextRound) {
       roundWanted = false;
-      nextRound = now + Constants.ROUND_GAP_MS;
+      nextRound = now + lag.stretched(Constants.ROUND_GAP_MS);
       placement.round();
     }
     owner.push();
@@ -145,6 +147,7 @@
 
   /** The regular duties; to be called every {@link Constants#TICK_MS}. */
   public void tick() {
+    lag.ticked(now);
     store.tick();
     if (now >= nextTypes && !askingTypes) {
       askTypes();
@@ -165,6 +168,10 @@
     settle();
   }
 
+  OwnLag lag() {
+    return lag;
+  }
+
   void requestRound() {
     roundWanted = true;
   }
@@ -287,8 +294,13 @@
     if (roster.machines().isEmpty() && roster.refusals().isEmpty()) {
       return;
     }
-    roomNews++;
-    roundWanted = true;
+    // what only restates is news once in a while: what policies ask may change with time alone
+    boolean news = view.lastRosterChangedMachines() || !roster.refusals().isEmpty();
+    if (news || now - lastRoomNews >= Constants.RESTATED_NEWS_MS) {
+      lastRoomNews = now;
+      roomNews++;
+      roundWanted = true;
+    }
   }
 
   /** Cancellations count whether the statement's machines can be taken in or not. */
--- a/src/main/java/mallowstall/core/Holder.java
+++ b/src/main/java/mallowstall/core/Holder.java
@@ -428,6 +428,10 @@
       return;
     }
     boolean soon = refusal.reason().equals(StartVetting.NOT_KNOWN);
+    if (soon && held.spec.service()) {
+      // tried meanwhile, all replicas went to the one machine whose owner knew of the job
+      held.notBefore = Math.max(held.notBefore, core.now() + Constants.LAG_RETRY_MS);
+    }
     held.avoid.put(
         refusal.machine(),
         core.now() + (soon ? Constants.LAG_RETRY_MS : Constants.REFUSED_RETRY_MS));
--- a/src/main/java/mallowstall/core/Placement.java
+++ b/src/main/java/mallowstall/core/Placement.java
@@ -59,16 +59,18 @@
     }
     long now = core.now();
     List<Held> wait = new ArrayList<>();
+    boolean anyDue = false;
     for (Held held : holder.jobs()) {
       if (held.spec.service()) {
         held.moves.expire(now);
       }
       if (held.rebuilt && !held.over() && held.pending() > 0 && now >= held.notBefore) {
         wait.add(held);
+        anyDue |= !backOff(held).waits(now, core.roomNews());
       }
     }
     boolean anyService = holder.anyService();
-    if (wait.isEmpty() && !anyService) {
+    if (!anyDue && !anyService) {
       return;
     }
     ranking.countRoom();
@@ -95,6 +97,14 @@
     starts.send();
   }
 
+  private BackOff backOff(Held held) {
+    if (held.spec.service()) {
+      return held.backOff;
+    }
+    String policy = core.policies().forClass(held.spec.jobClass()).name();
+    return backOffs.computeIfAbsent(policy, key -> new BackOff());
+  }
+
   /** Jobs of one priority, those that starve apart; they stay in their order. */
   private List<List<Held>> groups(List<Held> wait) {
     List<List<Held>> groups = new ArrayList<>();
@@ -172,10 +182,7 @@
       this.held = held;
       JobSpec spec = held.spec;
       policy = core.policies().forClass(spec.jobClass());
-      backOff =
-          spec.service()
-              ? held.backOff
-              : backOffs.computeIfAbsent(policy.name(), k -> new BackOff());
+      backOff = backOff(held);
       want = held.pending();
       if (ranking.starves(held) && !spec.service()) {
         want = Math.min(want, Math.max(1, spec.tasks() / 10));
--- a/src/main/java/mallowstall/core/RosterPublisher.java
+++ b/src/main/java/mallowstall/core/RosterPublisher.java
@@ -74,7 +74,8 @@
   /** Publishes when something has changed, and at least once in a while. */
   void tick(long now) {
     long since = now - lastRoster;
-    if ((dirty && since >= Constants.ROSTER_GAP_MS) || since >= Constants.ROSTER_EVERY_MS) {
+    long gap = core.lag().stretched(Constants.ROSTER_GAP_MS);
+    if ((dirty && since >= gap) || since >= Constants.ROSTER_EVERY_MS) {
       publish();
     }
   }
--- a/src/main/java/mallowstall/core/View.java
+++ b/src/main/java/mallowstall/core/View.java
@@ -197,6 +197,9 @@
   /** Rosters received so far. */
   long received;
 
+  /** Whether the last roster said something new of a machine, and didn't only restate. */
+  private boolean lastRosterChangedMachines;
+
   private final Core core;
 
   View(Core core) {
@@ -245,9 +248,15 @@
     return true;
   }
 
+  /** Whether the last roster taken in said something new of a machine, or of its owner. */
+  boolean lastRosterChangedMachines() {
+    return lastRosterChangedMachines;
+  }
+
   /** Takes in the machines that the roster names; returns those that are its sender's. */
   private Set<String> takeMachines(Roster roster, Peer sender) {
     Set<String> told = new HashSet<>();
+    lastRosterChangedMachines = false;
     for (RosterMachine state : roster.machines()) {
       // returned: its record is dropped, only its owner hasn't heard of it yet
       if (core.returned(state.machine(), state.version())) {
@@ -258,9 +267,11 @@
         continue;
       }
       told.add(state.machine());
-      if (machine.owner != null && !machine.owner.equals(sender.node)) {
+      boolean moved = !sender.node.equals(machine.owner);
+      if (moved && machine.owner != null) {
         peer(machine.owner).machines.remove(state.machine());
       }
+      lastRosterChangedMachines |= moved || machine.state == null || !state.sameAs(machine.state);
       machine.owner = sender.node;
       machine.ownerIncarnation = roster.incarnation();
       machine.updatedAt = core.now();
--- a/src/main/java/mallowstall/core/WorkerReports.java
+++ b/src/main/java/mallowstall/core/WorkerReports.java
@@ -5,6 +5,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.OptionalDouble;
 import mallowstall.Constants;
 import mallowstall.core.Model.Command;
@@ -53,10 +54,10 @@
    */
   void take(OwnedMachine machine, Report report, boolean byReport) {
     long now = core.now();
+    boolean news = saysMoreThanTasks(machine, report);
     if (report.session() > machine.session) {
       beginSession(machine, now);
     }
-    machine.changed = true;
     if (byReport) {
       machine.handledReport = report.seq();
     }
@@ -76,14 +77,29 @@
     }
     machine.noticeUntil =
         report.noticeS() == null ? Long.MAX_VALUE : now + (long) (report.noticeS() * 1000);
-    takeTasks(machine, report);
-    dropReservations(machine, byReport);
+    news |= takeTasks(machine, report);
+    news |= dropReservations(machine, byReport);
     if (!machine.idle()) {
       machine.idleSince = 0;
     } else if (machine.idleSince == 0) {
       machine.idleSince = now;
     }
-    publisher.touch();
+    if (news) {
+      machine.changed = true;
+      publisher.touch();
+    }
+  }
+
+  /**
+   * Whether something that statements tell, tasks apart, is about to change. A report that says
+   * nothing new must cost nothing: most do, and each once made a statement to every peer.
+   */
+  private static boolean saysMoreThanTasks(OwnedMachine machine, Report report) {
+    return machine.lost
+        || report.session() != machine.session
+        || report.token() >= machine.term && !machine.confirmed
+        || (report.noticeS() == null) != (machine.noticeUntil == Long.MAX_VALUE)
+        || !Objects.equals(report.addr(), machine.address);
   }
 
   /** The worker has begun a session that wasn't known: the tasks of earlier ones are gone. */
@@ -106,7 +122,11 @@
     machine.answeredAt = Math.max(machine.answeredAt, now);
   }
 
-  private void takeTasks(OwnedMachine machine, Report report) {
+  /** Takes over the worker's tasks; returns whether anything about them is new. */
+  private boolean takeTasks(OwnedMachine machine, Report report) {
+    if (listsTheSame(machine, report)) {
+      return false;
+    }
     Map<TaskAttempt, TaskReport> before = new HashMap<>(machine.tasks);
     machine.tasks.clear();
     for (TaskReport task : report.tasks()) {
@@ -126,10 +146,28 @@
       }
     }
     machine.replaced.retainAll(machine.tasks.keySet());
+    return true;
+  }
+
+  private static boolean listsTheSame(OwnedMachine machine, Report report) {
+    if (machine.tasks.size() != report.tasks().size()) {
+      return false;
+    }
+    for (TaskReport task : report.tasks()) {
+      TaskReport known = machine.tasks.get(TaskAttempt.of(task));
+      if (known == null
+          || known.state() != task.state()
+          || known.why() != task.why()
+          || known.saved() != task.saved()) {
+        return false;
+      }
+    }
+    return true;
   }
 
-  /** Drops accepted starts that have arrived or never will. */
-  private void dropReservations(OwnedMachine machine, boolean byReport) {
+  /** Drops accepted starts that have arrived or never will; returns whether there were any. */
+  private boolean dropReservations(OwnedMachine machine, boolean byReport) {
+    int before = machine.reservations.size();
     Iterator<Reservation> it = machine.reservations.values().iterator();
     while (it.hasNext()) {
       Reservation reservation = it.next();
@@ -144,6 +182,7 @@
         it.remove();
       }
     }
+    return machine.reservations.size() != before;
   }
 
   private void ended(OwnedMachine machine, TaskReport task) {
@@ -168,7 +207,6 @@
 
   /** Stops, forgets and starts what the worker should, in one answer. */
   private ReportAnswer answer(OwnedMachine machine) {
-    machine.changed = true; // what it refuses below is booked no longer
     List<Command> stops = new ArrayList<>();
     List<Command> commands = new ArrayList<>();
     for (TaskReport task : machine.tasks.values()) {
@@ -246,6 +284,7 @@
       if (unwanted || machine.stops.containsKey(key) || core.wall() > start.expiryWallMs()) {
         // every earlier response is dead by now (this answers a later report), so it never runs
         reservations.remove();
+        machine.changed = true;
         publisher.refuse(start, unwanted ? "not wanted any more" : "too late");
         continue;
       }
