A starting controller listens once it can serve; former machines are claimed a few at a time

Then each claimed what stood in its former process's name in one change a machine, 40 a second for ten seconds, during which no machine that came back could be taken over: 9 at 166 s, the next at 177 s, all leases being over. Now the port opens when requests can be taken, or after 5 s, and four claims are under way at a time. A port that can't be listened on ends the process with one line. Ruled out: claims in groups, which would take machines from owners they had gone to.

--- a/src/main/java/mallowstall/Constants.java
+++ b/src/main/java/mallowstall/Constants.java
@@ -240,6 +240,9 @@
    */
   public static final long RECLAIM_AFTER_MS = 7_000;
 
+  /** Count. Such claims under way at a time; a few, since others' changes need the rate as well. */
+  public static final int RECLAIMED_AT_ONCE = 4;
+
   // ---- placement ----------------------------------------------------------------------------
   /** ms. A replica that has run for so long before it ended is started again at once. */
   public static final long REPLICA_STABLE_MS = 10_000;
@@ -465,6 +468,12 @@
   public static final int NEEDS_CACHED = 2_000;
 
   // ---- users --------------------------------------------------------------------------------
+  /**
+   * ms. After so long a starting controller listens to users and workers even if it can't take
+   * their requests yet: when the state service is away they are told so, with a Retry-After.
+   */
+  public static final long LISTEN_LATEST_MS = 5_000;
+
   /** Bytes. Largest request body (protocol). */
   public static final int BODY_MAX = 64 << 10;
 
--- a/src/main/java/mallowstall/Service.java
+++ b/src/main/java/mallowstall/Service.java
@@ -10,6 +10,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import mallowstall.cloud.CloudAdapter;
@@ -54,6 +55,9 @@
   private final Meters meters = new Meters();
   private final HttpServer server;
   private final Settings settings;
+  private final CompletableFuture<InetSocketAddress> address = new CompletableFuture<>();
+  private long startedAt;
+  private boolean listens;
   private Duty ticks;
   private ScheduledFuture<?> wake;
   private long wakeAt = Long.MAX_VALUE;
@@ -133,9 +137,13 @@
         ClusterVersion.CURRENT);
   }
 
-  /** Listens, connects and begins the regular duties. */
+  /**
+   * Connects and begins the regular duties. Users and workers are listened to once requests can be
+   * taken, or at the latest after a while: refusing hundreds of workers one by one takes all the
+   * processor time that getting ready needs, and a closed port sends them on as well.
+   */
   public void start() throws InterruptedException {
-    server.listen(group, Settings.address(settings.listen()));
+    startedAt = System.nanoTime();
     peers.listen(group, Settings.address(settings.peerListen()));
     loop.execute(
         () -> {
@@ -144,14 +152,40 @@
               peers.connect(peer.node(), Settings.address(peer.addr()));
             }
           }
-          ticks = new Duty("tick", loop, Constants.TICK_MS, () -> event(core::tick));
+          ticks = new Duty("tick", loop, Constants.TICK_MS, this::tick);
         });
-    LOG.info("{} serves on {}", settings.node(), settings.listen());
+    LOG.info("{} starts", settings.node());
   }
 
-  /** Where users and workers reach this controller. */
-  public InetSocketAddress address() {
-    return server.address();
+  private void tick() {
+    event(core::tick);
+    if (listens) {
+      return;
+    }
+    long waitedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedAt);
+    if (core.ready() || waitedMs >= Constants.LISTEN_LATEST_MS) {
+      listen();
+    }
+  }
+
+  private void listen() {
+    listens = true;
+    server
+        .listen(group, Settings.address(settings.listen()))
+        .whenComplete(
+            (at, failure) -> {
+              if (failure == null) {
+                LOG.info("{} serves on {}", settings.node(), settings.listen());
+                address.complete(at);
+              } else {
+                address.completeExceptionally(failure);
+              }
+            });
+  }
+
+  /** Where users and workers reach this controller, once they do, or why they can't. */
+  public CompletableFuture<InetSocketAddress> address() {
+    return address;
   }
 
   /** Ends duties, then connections, then the loop. */
--- a/src/main/java/mallowstall/cli/Main.java
+++ b/src/main/java/mallowstall/cli/Main.java
@@ -4,6 +4,7 @@
 import java.nio.file.Path;
 import java.util.Locale;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CompletionException;
 import mallowstall.Service;
 import mallowstall.config.Settings;
 import mallowstall.policy.Fault;
@@ -145,7 +146,15 @@
         return 1;
       }
     }
-    new Service(settings, book).start();
+    Service service = new Service(settings, book);
+    service.start();
+    try {
+      service.address().join();
+    } catch (CompletionException failure) {
+      System.err.println(
+          "mallowstall: can't listen on " + settings.listen() + ": " + failure.getCause());
+      return 1;
+    }
     return SERVING;
   }
 }
--- a/src/main/java/mallowstall/cli/WarmUp.java
+++ b/src/main/java/mallowstall/cli/WarmUp.java
@@ -69,15 +69,15 @@
   public Integer call() throws Exception {
     NioEventLoopGroup group = new NioEventLoopGroup(1);
     HttpServer world = new HttpServer(this::canned, 50);
-    world.listen(group, new InetSocketAddress("127.0.0.1", 0));
-    String worldAddress = "127.0.0.1:" + world.address().getPort();
+    InetSocketAddress at = world.listen(group, new InetSocketAddress("127.0.0.1", 0)).join();
+    String worldAddress = "127.0.0.1:" + at.getPort();
     // through a file, as when serving: reading one loads classes too
     Path file = Files.createTempFile("mallowstall-warm-up", ".json");
     Files.writeString(file, settings(worldAddress));
     Service service = new Service(Settings.load(file), Policies.bundled());
     Files.delete(file);
     service.start();
-    HttpClient user = new HttpClient(group.next(), service.address(), 2);
+    HttpClient user = new HttpClient(group.next(), service.address().join(), 2);
     CountDownLatch left = new CountDownLatch(ROUNDS * REQUESTS_A_ROUND);
     for (int round = 1; round <= ROUNDS; round++) {
       String report = report(worldAddress, round);
--- a/src/main/java/mallowstall/core/Core.java
+++ b/src/main/java/mallowstall/core/Core.java
@@ -77,7 +77,6 @@
   private long nextTypes;
   private boolean askingTypes;
   private long nextDigest;
-  private boolean reclaimed;
   private long startedAt;
   private long roomNews = 1;
   private long lastRoomNews;
@@ -156,8 +155,7 @@
       startedAt = now;
     }
     boolean late = now - startedAt > Constants.RECLAIM_AFTER_MS;
-    if (late && store.synced() && !types.isEmpty() && store.sessionGood() && !reclaimed) {
-      reclaimed = true;
+    if (late && store.synced() && !types.isEmpty() && store.sessionGood()) {
       owner.reclaim();
     }
     owner.tick();
--- a/src/main/java/mallowstall/core/ReclaimedMachines.java
+++ b/src/main/java/mallowstall/core/ReclaimedMachines.java
@@ -1,7 +1,9 @@
 package mallowstall.core;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
 import mallowstall.Constants;
@@ -28,6 +30,9 @@
   /** Machines being asked for, and whether another controller has owned them since. */
   private final Map<String, Boolean> reclaiming = new HashMap<>();
 
+  /** Machines still to be asked for; null: not looked for yet. */
+  private ArrayDeque<String> waiting;
+
   ReclaimedMachines(
       Core core,
       Store store,
@@ -62,25 +67,45 @@
   }
 
   /**
-   * Records that name a former process of this controller: that process is dead, so nobody answers
-   * those machines unless they have gone to another controller, which {@link #overtaken} tells at
-   * the latest before the write-off.
+   * Takes over what stands in the former process's name, a few at a time: each takes a change of
+   * its own. Asked for at once, hundreds used up the state service's rate for ten seconds, in which
+   * none of the machines that came back by themselves could be taken over.
    */
   void reclaim() {
-    for (Map.Entry<String, Store.Held> entry :
-        new ArrayList<>(store.under(Store.MACHINES).entrySet())) {
-      MachineRec record = (MachineRec) entry.getValue().value();
-      if (!record.node().equals(core.node()) || record.incarnation() == store.incarnation()) {
-        continue;
-      }
-      String id = entry.getKey().substring(Store.MACHINES.length());
-      MachineType type = core.types().get(record.type());
+    if (waiting == null) {
+      waiting = new ArrayDeque<>(formerMachines());
+    }
+    while (!waiting.isEmpty() && reclaiming.size() < Constants.RECLAIMED_AT_ONCE) {
+      String id = waiting.poll();
+      MachineRec record = store.machine(id);
+      MachineType type = isFormer(record) ? core.types().get(record.type()) : null;
       if (type != null && !machines.contains(id) && !records.underWay(id)) {
         reclaim(id, type, record);
       }
     }
   }
 
+  private List<String> formerMachines() {
+    List<String> former = new ArrayList<>();
+    for (Map.Entry<String, Store.Held> entry : store.under(Store.MACHINES).entrySet()) {
+      if (isFormer((MachineRec) entry.getValue().value())) {
+        former.add(entry.getKey().substring(Store.MACHINES.length()));
+      }
+    }
+    return former;
+  }
+
+  /**
+   * Whether the record names a former process of this controller: that process is dead, so nobody
+   * answers the machine unless it has gone to another controller, which {@link #overtaken} tells at
+   * the latest before the write-off.
+   */
+  private boolean isFormer(MachineRec record) {
+    return record != null
+        && record.node().equals(core.node())
+        && record.incarnation() != store.incarnation();
+  }
+
   private void reclaim(String id, MachineType type, MachineRec record) {
     records.begin(id, core.now());
     reclaiming.put(id, false);
--- a/src/main/java/mallowstall/net/HttpServer.java
+++ b/src/main/java/mallowstall/net/HttpServer.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.buffer.UnpooledByteBufAllocator;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -29,6 +30,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import mallowstall.Constants;
 
@@ -78,9 +80,10 @@
     this.maxConnections = maxConnections;
   }
 
-  /** Begins to accept connections there. */
-  public void listen(EventLoopGroup group, InetSocketAddress at) throws InterruptedException {
-    listening =
+  /** Begins to accept connections there; the result tells where, or why not. */
+  public CompletableFuture<InetSocketAddress> listen(EventLoopGroup group, InetSocketAddress at) {
+    CompletableFuture<InetSocketAddress> result = new CompletableFuture<>();
+    ChannelFuture bound =
         new ServerBootstrap()
             .group(group)
             .channel(NioServerSocketChannel.class)
@@ -103,22 +106,28 @@
                             new Guard(c), new HttpServerCodec(4096, 8192, 8192), new Whole(), c);
                   }
                 })
-            .bind(at)
-            .sync()
-            .channel();
+            .bind(at);
+    listening = bound.channel();
     // a timer for each connection woke the process fifty times a second for 500 workers
     sweep =
         new Duty(
             "idle connections", group.next(), patience.sweepMs, () -> closeIdle(System.nanoTime()));
-  }
-
-  /** Where the server listens. */
-  public InetSocketAddress address() {
-    return (InetSocketAddress) listening.localAddress();
+    bound.addListener(
+        future -> {
+          if (future.isSuccess()) {
+            result.complete((InetSocketAddress) listening.localAddress());
+          } else {
+            result.completeExceptionally(future.cause());
+          }
+        });
+    return result;
   }
 
   /** Stops listening and closes all connections. */
   public void close() {
+    if (listening == null) {
+      return;
+    }
     sweep.cancel();
     listening.close();
   }
--- a/src/test/java/mallowstall/ServiceTest.java
+++ b/src/test/java/mallowstall/ServiceTest.java
@@ -41,7 +41,7 @@
     service =
         new Service(Settings.parse(SETTINGS.getBytes(StandardCharsets.UTF_8)), Policies.bundled());
     service.start();
-    base = "http://127.0.0.1:" + service.address().getPort();
+    base = "http://127.0.0.1:" + service.address().join().getPort();
   }
 
   @AfterAll
@@ -136,7 +136,7 @@
 
   @Test
   void aConnectionStaysOpenForTheNextRequest() throws Exception {
-    try (Socket s = new Socket("127.0.0.1", service.address().getPort())) {
+    try (Socket s = new Socket("127.0.0.1", service.address().join().getPort())) {
       s.setSoTimeout(3_000);
       byte[] ask = "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
       for (int i = 0; i < 3; i++) {
--- a/src/test/java/mallowstall/net/HttpClientTest.java
+++ b/src/test/java/mallowstall/net/HttpClientTest.java
@@ -35,8 +35,8 @@
                 }
               },
               1);
-      server.listen(group, new InetSocketAddress("127.0.0.1", 0));
-      HttpClient first = new HttpClient(group.next(), server.address(), 1);
+      InetSocketAddress at = server.listen(group, new InetSocketAddress("127.0.0.1", 0)).join();
+      HttpClient first = new HttpClient(group.next(), at, 1);
       CompletableFuture<Integer> answer = call(group, first, "/held");
       came.get(5, TimeUnit.SECONDS);
       group
@@ -49,7 +49,7 @@
       assertEquals(200, answer.get(5, TimeUnit.SECONDS));
       int status = 0;
       for (int i = 0; i < 50 && status != 200; i++) {
-        HttpClient second = new HttpClient(group.next(), server.address(), 1);
+        HttpClient second = new HttpClient(group.next(), at, 1);
         status = call(group, second, "/other").get(5, TimeUnit.SECONDS);
         if (status != 200) {
           Thread.sleep(20);
--- a/src/test/java/mallowstall/net/HttpServerTest.java
+++ b/src/test/java/mallowstall/net/HttpServerTest.java
@@ -24,11 +24,12 @@
   private final NioEventLoopGroup group = new NioEventLoopGroup(1);
   private HttpServer.Responder unanswered;
   private HttpServer server;
+  private int port;
 
   @BeforeEach
-  void start() throws InterruptedException {
+  void start() {
     server = new HttpServer(this::handle, 50, new HttpServer.Patience(SLOW_MS, IDLE_MS, 20));
-    server.listen(group, new InetSocketAddress("127.0.0.1", 0));
+    port = server.listen(group, new InetSocketAddress("127.0.0.1", 0)).join().getPort();
   }
 
   @AfterEach
@@ -47,7 +48,7 @@
   }
 
   private Socket connect() throws IOException {
-    Socket socket = new Socket("127.0.0.1", server.address().getPort());
+    Socket socket = new Socket("127.0.0.1", port);
     socket.setSoTimeout(WAIT_MS);
     return socket;
   }
