--- a/src/main/java/mallowstall/core/Holder.java
+++ b/src/main/java/mallowstall/core/Holder.java
@@ -392,7 +392,7 @@
   }
 
   private void gone(Active active) {
-    LOG.info(
+    LOG.debug(
         "task {}/{} attempt {} is no longer on {}",
         active.job.id,
         active.task,
@@ -551,7 +551,7 @@
       found.runningSince = core.now();
     }
     place(found);
-    LOG.info(
+    LOG.debug(
         "task {}/{} attempt {} found on {}", held.id, task.task(), task.attempt(), state.machine());
   }
 
@@ -609,7 +609,7 @@
       return;
     }
     for (Active active : new ArrayList<>(here)) {
-      LOG.info(
+      LOG.debug(
           "task {}/{} attempt {} is gone with {}", active.job.id, active.task, active.attempt, id);
       free(active, true);
     }
--- a/src/main/java/mallowstall/core/MachineAdoption.java
+++ b/src/main/java/mallowstall/core/MachineAdoption.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.StringJoiner;
 import java.util.function.Consumer;
 import mallowstall.Constants;
 import mallowstall.core.Effects.Code;
@@ -237,6 +238,7 @@
     Consumer<TxnReply> then =
         reply -> {
           adoptionsOpen--;
+          logAdoption(part, reply);
           part.forEach(arrival -> adopted(arrival, reply));
         };
     if (!write(part, then)) {
@@ -244,6 +246,18 @@
     }
   }
 
+  /** One line a change: a line a machine cost more than what it told when hundreds came at once. */
+  private static void logAdoption(List<Arriving> part, TxnReply reply) {
+    if (reply.code() != Code.OK || !LOG.isInfoEnabled()) {
+      return;
+    }
+    StringJoiner names = new StringJoiner(" ");
+    for (Arriving arrival : part) {
+      names.add(arrival.report.machine());
+    }
+    LOG.info("adopted under term {}: {}", reply.revision(), names);
+  }
+
   private boolean write(List<Arriving> part, Consumer<TxnReply> then) {
     if (part.size() > 1) {
       return records.writeGroup(members(part), then);
@@ -268,7 +282,7 @@
     if (before != null) {
       machine.images.addAll(before.images);
     }
-    LOG.info(
+    LOG.debug(
         "machine {} ({}, {}) adopted under term {} (reported {})",
         machine.id,
         report.type(),
--- a/src/main/java/mallowstall/core/Owner.java
+++ b/src/main/java/mallowstall/core/Owner.java
@@ -236,7 +236,7 @@
         publisher.disown(id);
       }
     } else if (record.token() > machine.term) {
-      LOG.info("machine {} is now owned by {} under term {}", id, record.node(), record.token());
+      LOG.debug("machine {} is now owned by {} under term {}", id, record.node(), record.token());
       publisher.disown(id);
     }
   }
