--- a/src/test/java/mallowstall/core/SimulatedController.java
+++ b/src/test/java/mallowstall/core/SimulatedController.java
@@ -53,6 +53,16 @@
   /** Orders to stop tasks, to whomever. */
   int stopsSent;
 
+  /** Statements sent to peers, and the machines told in them. */
+  int statementsSent;
+
+  int machinesTold;
+
+  /** Changes of single machines' records that are unanswered, and the most there were. */
+  private int recordsOpen;
+
+  int mostRecordsOpen;
+
   /** It stands still from its next event on for so many ms, while its clocks run on. */
   long freezeFor;
 
@@ -259,6 +269,9 @@
   public void send(String node, PeerMessage message) {
     if (message instanceof Stops) {
       stopsSent++;
+    } else if (message instanceof Roster statement) {
+      statementsSent++;
+      machinesTold += statement.machines().size();
     }
     if (!connection.containsKey(node)) {
       return;
@@ -363,13 +376,23 @@
   @Override
   public void transact(Txn txn, Consumer<TxnReply> reply) {
     boolean record = txn.puts().stream().anyMatch(put -> put.value() instanceof MachineRec);
+    Consumer<TxnReply> counted = record ? countRecord(reply) : reply;
     if (record && recordsLate > 0) {
-      transactNow(txn, result -> back(recordsLate, () -> reply.accept(result)));
+      transactNow(txn, result -> back(recordsLate, () -> counted.accept(result)));
     } else {
-      transactNow(txn, reply);
+      transactNow(txn, counted);
     }
   }
 
+  private Consumer<TxnReply> countRecord(Consumer<TxnReply> reply) {
+    recordsOpen++;
+    mostRecordsOpen = Math.max(mostRecordsOpen, recordsOpen);
+    return result -> {
+      recordsOpen--;
+      reply.accept(result);
+    };
+  }
+
   private void transactNow(Txn txn, Consumer<TxnReply> then) {
     if (atNextClaim != null && claims(txn)) {
       Runnable meeting = atNextClaim;
