Bounds on machines handed on and sent elsewhere stand above fleets of 4,000

Cause: the service also runs at about 4,000 machines, and both remembered 2,000 only: beyond it owners told peers all anew, and new machines were sent elsewhere twice. A few hundred kilobytes at the bound. Nothing changes below 2,000.

--- a/src/main/java/mallowstall/Constants.java
+++ b/src/main/java/mallowstall/Constants.java
@@ -149,8 +149,11 @@
   /** ms. Statements that only restate count as news of room for waiting policies this seldom. */
   public static final long RESTATED_NEWS_MS = 1_000;
 
-  /** Count. Machines handed on that an owner remembers; beyond it peers are told all anew. */
-  public static final int GONE_KEPT = 2_000;
+  /**
+   * Count. Machines handed on that an owner remembers; beyond it peers are told all anew. More than
+   * twice as many as the largest fleets have, which may all change owner twice.
+   */
+  public static final int GONE_KEPT = 10_000;
 
   /**
    * Count. Cancellations kept to be told to peers that don't follow the state service: hundreds a
@@ -379,8 +382,8 @@
   /** Amounts that differ by less are equal, whatever their unit: sums of decimals are inexact. */
   public static final double ROUNDING = 1e-6;
 
-  /** Count. New machines sent to another controller that are remembered. */
-  public static final int REDIRECTS_KEPT = 2_000;
+  /** Count. New machines sent to another controller that are remembered: more than a fleet has. */
+  public static final int REDIRECTS_KEPT = 10_000;
 
   /** s. What a stopped task gets beyond the time that it needs to save. */
   public static final double SAVE_SLACK_S = 1;
