JSON: one field of an object is read in one place; entries' readers looked up once

Read again: the loop that finds the one field that matters stood in the cloud's and the state service's adapters and in a test (JsonReader.only now); each stored value's reader was looked up twice; text() and the whole numbers repeated the check of expect().

--- a/src/main/java/mallowstall/cloud/CloudAdapter.java
+++ b/src/main/java/mallowstall/cloud/CloudAdapter.java
@@ -67,30 +67,13 @@
     }
   }
 
-  /** The list in this field of an answer; null: it isn't there. */
-  private static <T> List<T> list(JsonReader in, String name, JsonReader.ValueReader<T> element)
-      throws IOException {
-    List<T> elements = null;
-    if (!in.object()) {
-      return null;
-    }
-    while (in.nextField()) {
-      if (in.field().equals(name)) {
-        elements = in.list(element);
-      } else {
-        in.skip();
-      }
-    }
-    return elements;
-  }
-
   /** See {@link mallowstall.core.Effects#types}. */
   public void types(Consumer<List<MachineType>> then) {
     call(
         HttpMethod.GET,
         "/flavors",
         null,
-        in -> list(in, "calibres", CloudAdapter::type),
+        in -> in.only("calibres", types -> types.list(CloudAdapter::type)),
         (status, types) -> then.accept(types));
   }
 
@@ -156,9 +139,9 @@
     out.writeNumberField("how_many", request.count());
   }
 
-  /** The names of machines; null: the answer is none. */
+  /** The names of machines in an answer. */
   private static List<String> names(JsonReader in) throws IOException {
-    List<String> names = list(in, MACHINES, JsonReader::text);
+    List<String> names = in.only(MACHINES, JsonReader::texts);
     return names == null ? List.of() : names;
   }
 
--- a/src/main/java/mallowstall/json/JsonReader.java
+++ b/src/main/java/mallowstall/json/JsonReader.java
@@ -16,7 +16,7 @@
  * fields that it doesn't know.
  *
  * <p>Binding by reflection (Jackson's ObjectMapper) took a third of the processor time from exec to
- * serving, and three times as long for each document afterwards.
+ * serving.
  */
 public final class JsonReader {
   /** Reads one value, at which the reader stands. */
@@ -55,7 +55,7 @@
 
   /** Enters an object, whose fields follow; false: the value is null. */
   public boolean object() throws IOException {
-    return enter(JsonToken.START_OBJECT);
+    return expect(JsonToken.START_OBJECT);
   }
 
   /** Enters an object that must be there. */
@@ -65,11 +65,12 @@
     }
   }
 
-  private boolean enter(JsonToken start) throws IOException {
+  /** Whether the value begins with this token; false: it is null. Anything else is refused. */
+  private boolean expect(JsonToken token) throws IOException {
     if (isNull()) {
       return false;
     }
-    if (parser.currentToken() != start) {
+    if (parser.currentToken() != token) {
       throw wrongType();
     }
     return true;
@@ -89,6 +90,20 @@
     return parser.currentName();
   }
 
+  /** The one field that matters of an object that must be there; null if the object has none. */
+  public <T> T only(String name, ValueReader<T> value) throws IOException {
+    T found = null;
+    requireObject();
+    while (nextField()) {
+      if (field().equals(name)) {
+        found = value.read(this);
+      } else {
+        skip();
+      }
+    }
+    return found;
+  }
+
   /** Passes over the value. */
   public void skip() throws IOException {
     parser.skipChildren();
@@ -100,7 +115,7 @@
 
   /** The elements of a list; null if there is none. */
   public <T> List<T> list(ValueReader<T> element) throws IOException {
-    if (!enter(JsonToken.START_ARRAY)) {
+    if (!expect(JsonToken.START_ARRAY)) {
       return null;
     }
     List<T> elements = new ArrayList<>();
@@ -117,17 +132,12 @@
 
   /** A text, or null. */
   public String text() throws IOException {
-    if (isNull()) {
-      return null;
-    }
-    if (parser.currentToken() != JsonToken.VALUE_STRING) {
-      throw wrongType();
-    }
-    return parser.getText();
+    return expect(JsonToken.VALUE_STRING) ? parser.getText() : null;
   }
 
   /** Bytes in base 64, or null. */
   public byte[] bytes() throws IOException {
+    // as a text first: the reader then stands behind it even if it isn't base 64
     if (text() == null) {
       return null;
     }
@@ -182,7 +192,7 @@
 
   /** A whole number of 64 bits; null counts as 0. */
   public long whole() throws IOException {
-    if (!enterWhole()) {
+    if (!expect(JsonToken.VALUE_NUMBER_INT)) {
       return 0;
     }
     try {
@@ -194,7 +204,7 @@
 
   /** A whole number of 32 bits, or null. */
   public Integer smallWholeOrNull() throws IOException {
-    if (!enterWhole()) {
+    if (!expect(JsonToken.VALUE_NUMBER_INT)) {
       return null;
     }
     try {
@@ -210,10 +220,6 @@
     return value == null ? 0 : value;
   }
 
-  private boolean enterWhole() throws IOException {
-    return enter(JsonToken.VALUE_NUMBER_INT);
-  }
-
   /** Reads the value, or passes over it if it can't be read, which {@code failed} is told. */
   public <T> T readOrSkip(ValueReader<T> value, Failed failed) throws IOException {
     JsonStreamContext outside = outside();
--- a/src/main/java/mallowstall/state/StateAdapter.java
+++ b/src/main/java/mallowstall/state/StateAdapter.java
@@ -80,22 +80,14 @@
     }
   }
 
-  /** The one whole number that matters in an answer. */
-  private static long number(JsonReader in, String name) throws IOException {
-    long number = 0;
-    in.requireObject();
-    while (in.nextField()) {
-      if (in.field().equals(name)) {
-        number = in.whole();
-      } else {
-        in.skip();
-      }
-    }
-    return number;
-  }
-
-  private static Long revision(byte[] body) {
-    return read(body, in -> number(in, REVISION));
+  /** The one whole number that matters in an answer; null: the answer can't be read. */
+  private static Long number(byte[] body, String name) {
+    return read(
+        body,
+        in -> {
+          Long number = in.only(name, JsonReader::whole);
+          return number == null ? 0L : number;
+        });
   }
 
   /** Bytes of the value as it is sent. */
@@ -119,7 +111,8 @@
               LOG.error("the state service calls a transaction malformed: {}", text);
             }
           }
-          Long revision = c == Code.OK || c == Code.CONFLICT ? revision(reply.body()) : null;
+          Long revision =
+              c == Code.OK || c == Code.CONFLICT ? number(reply.body(), REVISION) : null;
           if (revision == null && c == Code.OK) {
             c = Code.UNKNOWN;
           }
@@ -258,10 +251,6 @@
 
   /** The value of the key; null if there is none, or if it can't be read. */
   private static Entry entry(String key, JsonReader in) throws IOException {
-    if (!StoredEntries.isKnown(key)) {
-      in.skip();
-      return null;
-    }
     return in.readOrSkip(
         value -> StoredEntries.read(key, value),
         failure -> LOG.error("unreadable value of {}: {}", key, failure.getMessage()));
@@ -296,7 +285,7 @@
         "/leases",
         JsonWriter.object(out -> out.writeNumberField("life_ms", ttlMs)),
         reply -> {
-          Long lease = reply.status() == 200 ? read(reply.body(), in -> number(in, LEASE)) : null;
+          Long lease = reply.status() == 200 ? number(reply.body(), LEASE) : null;
           then.accept(
               new LeaseReply(lease == null ? Code.REFUSED : Code.OK, lease == null ? 0 : lease));
         });
--- a/src/main/java/mallowstall/state/StoredEntries.java
+++ b/src/main/java/mallowstall/state/StoredEntries.java
@@ -31,14 +31,14 @@
     return JsonWriter.document(out -> write(out, entry));
   }
 
-  /** Whether a key is one of those whose values are entries. */
-  public static boolean isKnown(String key) {
-    return reader(key) != null;
-  }
-
-  /** Reads the entry that stands under this key; null: there is none. */
+  /** Reads the entry that stands under this key; null: there is none, or the key isn't known. */
   public static Entry read(String key, JsonReader in) throws IOException {
-    return in.object() ? reader(key).read(in) : null;
+    JsonReader.ValueReader<? extends Entry> fields = reader(key);
+    if (fields == null) {
+      in.skip();
+      return null;
+    }
+    return in.object() ? fields.read(in) : null;
   }
 
   /** What reads the fields of the entries under such a key; null: nothing does. */
--- a/src/test/java/mallowstall/core/SimulatedController.java
+++ b/src/test/java/mallowstall/core/SimulatedController.java
@@ -103,6 +103,7 @@
     frozenUntil = 0;
     busyUntil = 0;
     tickWaits = false;
+    recordsOpen = 0; // answers to a former process are lost
     connections = 0;
     List<String> peers = new ArrayList<>(Simulation.NODES);
     peers.remove(name);
--- a/src/test/java/mallowstall/json/JsonReaderTest.java
+++ b/src/test/java/mallowstall/json/JsonReaderTest.java
@@ -19,20 +19,7 @@
 
   /** Reads an object whose field {@code v}, wherever it stands, is read like this. */
   private static <T> T field(String document, JsonReader.ValueReader<T> value) throws IOException {
-    return JsonReader.read(bytes(document), in -> fieldOf(in, value));
-  }
-
-  private static <T> T fieldOf(JsonReader in, JsonReader.ValueReader<T> value) throws IOException {
-    T found = null;
-    in.requireObject();
-    while (in.nextField()) {
-      if (in.field().equals("v")) {
-        found = value.read(in);
-      } else {
-        in.skip();
-      }
-    }
-    return found;
+    return JsonReader.read(bytes(document), in -> in.only("v", value));
   }
 
   @Test
@@ -107,7 +94,7 @@
   @Test
   void aWrongValueIsSaidWhereItStands() {
     JsonReader.ValueReader<Object> inner =
-        in -> in.list(element -> fieldOf(element, JsonReader::whole));
+        in -> in.list(element -> element.only("v", JsonReader::whole));
     WrongTypeException wrong =
         assertThrows(
             WrongTypeException.class, () -> field("{\"v\":[{\"v\":1},{\"v\":\"2\"}]}", inner));
@@ -135,7 +122,7 @@
     JsonReader.ValueReader<Long> tolerant =
         in ->
             in.readOrSkip(
-                value -> fieldOf(value, JsonReader::whole),
+                value -> value.only("v", JsonReader::whole),
                 failure -> failures.add(failure.path()));
     List<Long> read =
         field(
@@ -149,6 +136,6 @@
   void aValueThatWasPassedOverIsReadLater() throws IOException {
     JsonReader.Skipped skipped =
         field("{\"ü\":1, \"v\" : {\"v\":[\"ß\"]} ,\"z\":0}", JsonReader::skipForLater);
-    assertEquals(List.of("ß"), skipped.read(in -> fieldOf(in, JsonReader::texts)));
+    assertEquals(List.of("ß"), skipped.read(in -> in.only("v", JsonReader::texts)));
   }
 }
