A machine that keeps a replica's result is no capacity for that replica

Cause: the worker keeps the result of a task that is done; placement and scale-out counted the machine as room for the replica.

KeptResults learns from the ends in status updates, in every controller alike; placement, the choice of a single zone, preemption, relocation (ReplicaEligibility) and UnplaceableJobs ask it. Requests for such a service double their distance up to 10 minutes. Machines that placement can't use (draining, quarantined) no longer count as room in UnplaceableJobs.

--- a/src/main/java/mallowstall/Constants.java
+++ b/src/main/java/mallowstall/Constants.java
@@ -166,6 +166,25 @@
   /** ms. Between tries of a job that fails everywhere. */
   public static final long JOB_FAULT_RETRY_INTERVAL_MS = 10_000;
 
+  /**
+   * Count. Ends of a replica as done on one machine that show that its worker keeps the result: the
+   * first may be that of a replica that ran.
+   */
+  public static final int KEPT_RESULT_ENDS = 2;
+
+  /**
+   * ms. For so long after the last such end the replica isn't tried on the machine again: enough to
+   * request and boot another one, and below the 90 s that work may wait beside a machine that could
+   * serve it, should the worker no longer keep the result.
+   */
+  public static final long KEPT_RESULT_MS = 60_000;
+
+  /**
+   * ms. Such ends are forgotten after so long without another: bounds the memory to what ended on a
+   * machine lately. Twice as long as above, so that one more try is enough to know again.
+   */
+  public static final long KEPT_RESULT_MEMORY_MS = 2 * KEPT_RESULT_MS;
+
   /** ms. A replica that ran for so long before it ended is started again at once. */
   public static final long REPLICA_STABLE_MS = 10_000;
 
@@ -486,6 +505,12 @@
   /** ms. A replica that has found no machine for longer gets one requested for it alone. */
   public static final long REPLICA_UNPLACEABLE_MS = 5_000;
 
+  /**
+   * ms. Longest time between two requests for a service whose replicas keep ending where they run:
+   * each end makes a machine useless for its replica, and must not cost another machine each time.
+   */
+  public static final long KEPT_RESULT_SCALE_OUT_MAX_MS = 600_000;
+
   /** ms. The same for a batch job of which no task fits beside services. */
   public static final long BATCH_UNPLACEABLE_MS = 20_000;
 
--- a/src/main/java/mallowstall/core/PlacementModules.java
+++ b/src/main/java/mallowstall/core/PlacementModules.java
@@ -17,6 +17,7 @@
 import mallowstall.core.placement.PreemptingPlacer;
 import mallowstall.core.placement.Preemption;
 import mallowstall.core.placement.QueuedWork;
+import mallowstall.core.placement.ReplicaEligibility;
 import mallowstall.core.placement.ReplicaRelocation;
 import mallowstall.core.placement.StartSender;
 import mallowstall.core.quota.GuaranteedShares;
@@ -70,7 +71,8 @@
     Preemption preemption =
         new Preemption(
             cluster.store, cluster.view, machineDemand, ranking, guaranteedShares, policyFacts);
-    ReplicaRelocation relocation = newRelocation(policies, policyFacts, startSender);
+    ReplicaEligibility eligibility = new ReplicaEligibility(cluster.view.keptResults());
+    ReplicaRelocation relocation = newRelocation(policies, policyFacts, startSender, eligibility);
     PlacementBackoffs backoffs =
         new PlacementBackoffs(cluster.metrics, cluster.placementTrigger, policies);
     GroupPlacer groupPlacer =
@@ -78,7 +80,7 @@
             ranking,
             queuedWork,
             backoffs,
-            new JobPlacements(policies, ranking, quotaLedger),
+            new JobPlacements(policies, ranking, quotaLedger, eligibility),
             new BlockPlacer(new MachineScoring(policyFacts, random), queuedWork, startSender),
             new PreemptingPlacer(preemption, startSender));
     return new PlacementScheduler(
@@ -127,7 +129,10 @@
   }
 
   private ReplicaRelocation newRelocation(
-      Policy.PolicyRegistry policies, PolicyFacts policyFacts, StartSender startSender) {
+      Policy.PolicyRegistry policies,
+      PolicyFacts policyFacts,
+      StartSender startSender,
+      ReplicaEligibility eligibility) {
     return new ReplicaRelocation(
         cluster.view,
         cluster.messenger,
@@ -135,6 +140,7 @@
         jobLeader,
         quotaLedger,
         policyFacts,
-        startSender);
+        startSender,
+        eligibility);
   }
 }
--- a/src/main/java/mallowstall/core/autoscaling/ScaleOut.java
+++ b/src/main/java/mallowstall/core/autoscaling/ScaleOut.java
@@ -148,10 +148,12 @@
       if (job.isTerminal() || !type.equals(demand.minimalType(spec))) {
         continue;
       }
-      for (String zone :
-          unplaceableJobs.zonesNeedingMachines(job, types.find(type), available, now)) {
+      List<String> zones =
+          unplaceableJobs.zonesNeedingMachines(job, types.find(type), available, now);
+      for (String zone : zones) {
         if (requestOne(type, zone, spec.spot(), now)) {
           LOG.info("job fits on no machine job={} zone={}", spec.id(), zone);
+          unplaceableJobs.recordScaleOut(job, available, zones, now);
           return true;
         }
       }
--- a/src/main/java/mallowstall/core/autoscaling/UnplaceableJobs.java
+++ b/src/main/java/mallowstall/core/autoscaling/UnplaceableJobs.java
@@ -1,5 +1,6 @@
 package mallowstall.core.autoscaling;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -21,15 +22,23 @@
 import mallowstall.core.model.TeamUsageEntry;
 
 /**
- * Open jobs with a task that fits on no machine, although by their number there are enough: what
- * replicas leave free may be too little on each machine, or in a zone that the job doesn't allow.
- * Mutable.
+ * Open jobs with a task that no machine can serve, although by their number there are enough: what
+ * replicas leave free may be too little on each machine, or in a zone that the job doesn't allow,
+ * or the machines with room keep the results of just those replicas that wait. Mutable.
  */
 public final class UnplaceableJobs {
+  /** What keeps a job's task from being placed. */
+  private enum Shortage {
+    NONE,
+    NO_CAPACITY,
+    RESULTS_KEPT
+  }
+
   private final CoreSettings settings;
   private final StateStore store;
   private final ClusterView view;
   private final Map<String, Long> unplaceableSinceMs = new HashMap<>();
+  private final KeptResultScaleOuts keptResultScaleOuts = new KeptResultScaleOuts();
 
   /** Remembers since when each job has fitted on no machine. */
   public UnplaceableJobs(CoreSettings settings, StateStore store, ClusterView view) {
@@ -47,6 +56,7 @@
       }
     }
     unplaceableSinceMs.keySet().retainAll(ids);
+    keptResultScaleOuts.retain(ids);
   }
 
   /**
@@ -58,14 +68,27 @@
     JobSpec job = jobEntry.spec();
     List<String> zones =
         isWaitingForCapacity(jobEntry) ? allowedZones(job, type, available) : List.of();
-    if (zones.isEmpty() || hasCapacity(job, zones, available)) {
+    Shortage shortage = zones.isEmpty() ? Shortage.NONE : shortage(job, zones, available);
+    if (shortage == Shortage.NONE) {
       unplaceableSinceMs.remove(job.id());
       return List.of();
     }
     long sinceMs = unplaceableSinceMs.computeIfAbsent(job.id(), k -> now);
     long timeoutMs =
         job.isService() ? Constants.REPLICA_UNPLACEABLE_MS : Constants.BATCH_UNPLACEABLE_MS;
-    return now - sinceMs > timeoutMs ? zones : List.of();
+    boolean due =
+        now - sinceMs > timeoutMs
+            && (shortage != Shortage.RESULTS_KEPT || keptResultScaleOuts.isDue(job.id(), now));
+    return due ? zones : List.of();
+  }
+
+  /** A machine has been requested for the job, which {@link #zonesNeedingMachines} had named. */
+  void recordScaleOut(
+      JobEntry jobEntry, List<MachineView> available, List<String> zones, long now) {
+    JobSpec job = jobEntry.spec();
+    if (shortage(job, zones, available) == Shortage.RESULTS_KEPT) {
+      keptResultScaleOuts.record(job.id(), now);
+    }
   }
 
   /** A replica, or every task of a batch job, is on no machine, and not for its team's quota. */
@@ -127,10 +150,54 @@
     return tasks;
   }
 
-  private static boolean hasCapacity(JobSpec job, List<String> zones, List<MachineView> available) {
+  private Shortage shortage(JobSpec job, List<String> zones, List<MachineView> available) {
+    List<MachineView> machines = machinesWithCapacity(job, zones, available);
+    if (machines.isEmpty()) {
+      return Shortage.NO_CAPACITY;
+    }
+    return job.isService() && keepAllResults(job, machines) ? Shortage.RESULTS_KEPT : Shortage.NONE;
+  }
+
+  /** Whether some replica that is on no machine would end at once on each of these. */
+  private boolean keepAllResults(JobSpec job, List<MachineView> machines) {
+    Set<Integer> candidates = replicasWithResult(job, machines.get(0));
+    if (candidates.isEmpty()) {
+      return false;
+    }
+    candidates.removeAll(placedReplicas(job));
+    for (MachineView machine : machines) {
+      candidates.retainAll(replicasWithResult(job, machine));
+    }
+    return !candidates.isEmpty();
+  }
+
+  private Set<Integer> replicasWithResult(JobSpec job, MachineView machine) {
+    return new HashSet<>(view.keptResults().replicasWithResult(machine.id(), job.id()));
+  }
+
+  private Set<Integer> placedReplicas(JobSpec job) {
+    Set<Integer> replicas = new HashSet<>();
+    for (MachineView machine : view.machines()) {
+      if (machine.status() == null) {
+        continue;
+      }
+      for (TaskStatus task : machine.status().tasks()) {
+        if (task.job().equals(job.id()) && task.state() != TaskState.EXITED) {
+          replicas.add(task.task());
+        }
+      }
+    }
+    return replicas;
+  }
+
+  /** Machines that placement may use for the job and that have room for a task of it. */
+  private static List<MachineView> machinesWithCapacity(
+      JobSpec job, List<String> zones, List<MachineView> available) {
+    List<MachineView> machines = new ArrayList<>();
     for (MachineView machine : available) {
-      if (!job.allowsMachine(
-          machine.status().type(), machine.status().zone(), machine.status().spot())) {
+      if (!machine.isSchedulable()
+          || !job.allowsMachine(
+              machine.status().type(), machine.status().zone(), machine.status().spot())) {
         continue;
       }
       boolean fits =
@@ -138,9 +205,9 @@
               && machine.status().freeGpus() >= job.gpus() - Constants.ROUNDING_EPSILON
               && machine.status().freeMemoryGb() >= job.memoryGb() - Constants.ROUNDING_EPSILON;
       if (fits && zones.contains(machine.status().zone())) {
-        return true;
+        machines.add(machine);
       }
     }
-    return false;
+    return machines;
   }
 }
--- a/src/main/java/mallowstall/core/cluster/ClusterView.java
+++ b/src/main/java/mallowstall/core/cluster/ClusterView.java
@@ -29,6 +29,7 @@
   private final Map<String, MachineView> machines = new Object2ObjectOpenHashMap<>();
   private final Map<String, PeerState> peers = new HashMap<>();
   private final TaskCounts taskCounts = new TaskCounts();
+  private final KeptResults keptResults;
   private long updatesReceived;
   private boolean lastUpdateChangedMachines;
 
@@ -36,6 +37,7 @@
   public ClusterView(EventClock clock, StateStore store) {
     this.clock = clock;
     this.store = store;
+    this.keptResults = new KeptResults(clock, store);
   }
 
   /** What is known of a controller, which may be this process itself; never null. */
@@ -129,6 +131,7 @@
       taskCounts.subtract(former);
       machine.applyStatus(sender.node(), update.incarnation(), status, clock.now());
       taskCounts.add(status);
+      keptResults.recordEnds(status);
     }
     return led;
   }
@@ -142,6 +145,7 @@
 
   /** The machine's entry was deleted: nothing is known of it any more. */
   public void removeMachine(String id) {
+    keptResults.removeMachine(id);
     MachineView machine = machines.remove(id);
     if (machine == null) {
       return;
@@ -152,6 +156,11 @@
     }
   }
 
+  /** Which machines keep results of replicas, and so can't serve these. */
+  public KeptResults keptResults() {
+    return keptResults;
+  }
+
   /** The number of the job's tasks that are on machines or were accepted there. */
   public int placedTasks(String job) {
     return taskCounts.placed(job);
--- a/src/main/java/mallowstall/core/jobs/LedJob.java
+++ b/src/main/java/mallowstall/core/jobs/LedJob.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.IntPredicate;
 import mallowstall.core.kernel.Backoff;
 import mallowstall.core.kernel.ResultCode;
 import mallowstall.core.model.JobEntry;
@@ -167,19 +168,40 @@
     return count;
   }
 
-  /** The next task that is neither completed nor possibly on a machine; -1: none. */
-  public int pollTask() {
-    while (!retryQueue.isEmpty()) {
+  /** Whether the task could be started now. */
+  public boolean isPending(int task) {
+    return isUnplaced(task) && !restarts.isWaiting(task);
+  }
+
+  /** Whether the task is neither completed nor possibly on a machine. */
+  private boolean isUnplaced(int task) {
+    return !completed.contains(task) && !activeAttempts.containsKey(task);
+  }
+
+  /**
+   * The next task that is neither completed nor possibly on a machine, of those that qualify; -1:
+   * none. The others keep their turn for a later call.
+   */
+  public int pollTask(IntPredicate qualifies) {
+    for (int queued = retryQueue.size(); queued > 0; queued--) {
       int task = retryQueue.dequeueInt();
-      if (!completed.contains(task) && !activeAttempts.containsKey(task)) {
+      if (!isUnplaced(task)) {
+        continue;
+      }
+      if (qualifies.test(task)) {
         return task;
       }
+      retryQueue.enqueue(task);
     }
     while (nextTask < spec.tasks()) {
       int task = nextTask++;
-      if (!completed.contains(task) && !activeAttempts.containsKey(task)) {
+      if (!isUnplaced(task)) {
+        continue;
+      }
+      if (qualifies.test(task)) {
         return task;
       }
+      retryQueue.enqueue(task);
     }
     return -1;
   }
--- a/src/main/java/mallowstall/core/jobs/ReplicaRestarts.java
+++ b/src/main/java/mallowstall/core/jobs/ReplicaRestarts.java
@@ -27,6 +27,12 @@
     return waitingCount;
   }
 
+  /** Whether the replica must not be started yet. */
+  boolean isWaiting(int replica) {
+    Delay delay = delays.get(replica);
+    return delay != null && delay.waiting;
+  }
+
   /**
    * A replica has exited.
    *
--- a/src/main/java/mallowstall/core/placement/BlockPlacer.java
+++ b/src/main/java/mallowstall/core/placement/BlockPlacer.java
@@ -73,7 +73,7 @@
       }
       int startable = Math.min(fitting, Math.min(placement.freeQuotaTasks(), maxStarts - started));
       for (int i = 0; i < startable; i++) {
-        int task = placement.ledJob().pollTask();
+        int task = placement.pollTask(machine);
         if (task < 0) {
           return started;
         }
--- a/src/main/java/mallowstall/core/placement/JobPlacement.java
+++ b/src/main/java/mallowstall/core/placement/JobPlacement.java
@@ -16,6 +16,7 @@
   private final LedJob ledJob;
   private final JobSpec spec;
   private final Policy policy;
+  private final ReplicaEligibility eligibility;
   private final boolean quotaLimited;
   private final int maxTasksPerZone;
   private final Map<String, Integer> tasksByZone = new HashMap<>();
@@ -47,12 +48,14 @@
   JobPlacement(
       LedJob ledJob,
       Policy policy,
+      ReplicaEligibility eligibility,
       int pendingTasks,
       int freeQuotaTasks,
       boolean quotaLimited,
       List<MachineView> machines) {
     this.ledJob = ledJob;
     this.policy = policy;
+    this.eligibility = eligibility;
     this.pendingTasks = pendingTasks;
     this.freeQuotaTasks = freeQuotaTasks;
     this.quotaLimited = quotaLimited;
@@ -65,15 +68,15 @@
       }
     }
     if (spec.singleZone() && chosenZone == null) {
-      chosenZone = zoneWithMostCapacity(spec, machines);
+      chosenZone = zoneWithMostCapacity(machines);
     }
     maxTasksPerZone = spec.maxTasksPerZone();
   }
 
-  private static String zoneWithMostCapacity(JobSpec spec, List<MachineView> machines) {
+  private String zoneWithMostCapacity(List<MachineView> machines) {
     Map<String, Integer> slotsByZone = new HashMap<>();
     for (MachineView machine : machines) {
-      if (machine.allows(spec)) {
+      if (machine.allows(spec) && servableTasks(machine) > 0) {
         slotsByZone.merge(machine.status().zone(), machine.fittingTasks(spec), Integer::sum);
       }
     }
@@ -150,6 +153,16 @@
     return max;
   }
 
+  /** How many of the pending tasks the machine can serve, however much of it is free. */
+  int servableTasks(MachineView machine) {
+    return eligibility.servableTasks(ledJob, pendingTasks, machine.id());
+  }
+
+  /** The next pending task that the machine can serve; -1: none. */
+  int pollTask(MachineView machine) {
+    return eligibility.pollTask(ledJob, machine.id());
+  }
+
   /** How many more tasks may be in the zone. */
   int remainingInZone(String zone) {
     return maxTasksPerZone - tasksByZone.getOrDefault(zone, 0);
@@ -157,7 +170,7 @@
 
   /** How many pending tasks may go on the machine, a service's at most so many in all. */
   int fittingTasks(MachineView machine, int maxPerMachine) {
-    int fitting = Math.min(pendingTasks, machine.fittingTasks(spec));
+    int fitting = Math.min(servableTasks(machine), machine.fittingTasks(spec));
     if (spec.isService()) {
       fitting = Math.min(fitting, maxPerMachine - replicasByMachine.getOrDefault(machine.id(), 0));
     }
--- a/src/main/java/mallowstall/core/placement/JobPlacements.java
+++ b/src/main/java/mallowstall/core/placement/JobPlacements.java
@@ -11,13 +11,18 @@
   private final Policy.PolicyRegistry policies;
   private final JobRanking ranking;
   private final QuotaLedger quotaLedger;
+  private final ReplicaEligibility eligibility;
 
   /** Uses the policy of each job's class, and the quota reservations of this controller's jobs. */
   public JobPlacements(
-      Policy.PolicyRegistry policies, JobRanking ranking, QuotaLedger quotaLedger) {
+      Policy.PolicyRegistry policies,
+      JobRanking ranking,
+      QuotaLedger quotaLedger,
+      ReplicaEligibility eligibility) {
     this.policies = policies;
     this.ranking = ranking;
     this.quotaLedger = quotaLedger;
+    this.eligibility = eligibility;
   }
 
   /** The placement of a job on machines with free capacity. */
@@ -27,6 +32,7 @@
     return new JobPlacement(
         ledJob,
         policies.forJobClass(spec.jobClass()),
+        eligibility,
         pendingTasks(ledJob),
         quotaLimited ? freeQuotaTasks(ledJob) : Integer.MAX_VALUE,
         quotaLimited,
--- a/src/main/java/mallowstall/core/placement/MachineScoring.java
+++ b/src/main/java/mallowstall/core/placement/MachineScoring.java
@@ -30,6 +30,7 @@
       if (!machine.allows(spec)
           || !placement.allowsZoneOf(machine)
           || machine.fittingTasks(spec) <= 0
+          || placement.servableTasks(machine) <= 0
           || placement.ledJob().isOnCooldown(machine.id(), now)) {
         continue;
       }
--- a/src/main/java/mallowstall/core/placement/PreemptingPlacer.java
+++ b/src/main/java/mallowstall/core/placement/PreemptingPlacer.java
@@ -53,17 +53,17 @@
       return 0;
     }
     int remainingInZone = placement.remainingInZone(zone);
-    if (remainingInZone <= 0) {
+    if (remainingInZone <= 0 || placement.servableTasks(machine) <= 0) {
       return 0;
     }
     preemption.releaseVictimCapacity(candidate, now);
     int startable =
         Math.min(
-            Math.min(placement.pendingTasks(), machine.fittingTasks(spec)),
+            Math.min(placement.servableTasks(machine), machine.fittingTasks(spec)),
             Math.min(placement.freeQuotaTasks(), maxStarts));
     int started = 0;
     while (started < Math.min(startable, remainingInZone)) {
-      int task = placement.ledJob().pollTask();
+      int task = placement.pollTask(machine);
       if (task < 0) {
         return started;
       }
--- a/src/main/java/mallowstall/core/placement/ReplicaRelocation.java
+++ b/src/main/java/mallowstall/core/placement/ReplicaRelocation.java
@@ -30,6 +30,7 @@
   private final QuotaLedger quotaLedger;
   private final PolicyFacts policyFacts;
   private final StartSender startSender;
+  private final ReplicaEligibility eligibility;
 
   /** Only replicas of services that this controller leads are relocated. */
   public ReplicaRelocation(
@@ -39,7 +40,8 @@
       JobLeader jobLeader,
       QuotaLedger quotaLedger,
       PolicyFacts policyFacts,
-      StartSender startSender) {
+      StartSender startSender,
+      ReplicaEligibility eligibility) {
     this.view = view;
     this.messenger = messenger;
     this.policies = policies;
@@ -47,6 +49,7 @@
     this.quotaLedger = quotaLedger;
     this.policyFacts = policyFacts;
     this.startSender = startSender;
+    this.eligibility = eligibility;
   }
 
   /** Starts replicas whose relocation has come so far, and relocates others. */
@@ -152,7 +155,9 @@
   /** Whether the replica may run there, given where the job's others are. */
   private boolean mayRunOn(LedJob ledJob, int replica, MachineView machine) {
     JobSpec spec = ledJob.spec();
-    if (!machine.allows(spec) || machine.fittingTasks(spec) <= 0) {
+    if (!machine.allows(spec)
+        || machine.fittingTasks(spec) <= 0
+        || !eligibility.canServe(ledJob, replica, machine.id())) {
       return false;
     }
     int replicasInZone = 1;
--- a/src/test/java/mallowstall/core/KeptReplicaResultTest.java
+++ b/src/test/java/mallowstall/core/KeptReplicaResultTest.java
@@ -29,6 +29,11 @@
   /** One replica takes so much of the 8 processors that no second one fits beside it. */
   private static final double REPLICA_CPUS = 6;
 
+  /** The cloud has no machine to give, also in the place of one that is returned. */
+  private static final int NO_MORE_MACHINES = 0;
+
+  private static final int MACHINES_MAX = 12;
+
   /** The aim: nothing that fits waits longer once no fault is left. */
   private static final long SERVED_WITHIN_MS = InvariantChecker.MAX_PENDING_MS;
 
@@ -90,7 +95,7 @@
   @Test
   void nextJobLeaderKnowsWhichMachineKeepsTheResult() {
     Simulation sim = runOneReplicaPerMachine(611);
-    sim.maxMachines = sim.workers.size();
+    sim.maxMachines = NO_MORE_MACHINES;
     assertTrue(sim.exitReplica(SERVICE, 0, ExitReason.DONE));
     while (futileStarts(sim) == 0) {
       sim.runUntil(sim.nowMs + 100);
@@ -100,7 +105,7 @@
     SafetyTestSupport.leaderOf(sim, SERVICE).crash(20_000);
     sim.runUntil(sim.nowMs + 40_000);
     assertEquals(before, futileStarts(sim), "no start where the result is known to be kept");
-    sim.maxMachines += 1;
+    sim.maxMachines = MACHINES_MAX;
     sim.runUntil(sim.nowMs + SERVED_WITHIN_MS);
     assertServed(sim);
   }
@@ -109,13 +114,13 @@
   @Test
   void fullCloudIsAskedAgainAndStartsStayFew() {
     Simulation sim = runOneReplicaPerMachine(621);
-    sim.maxMachines = sim.workers.size();
+    sim.maxMachines = NO_MORE_MACHINES;
     assertTrue(sim.exitReplica(SERVICE, 0, ExitReason.DONE));
     sim.runUntil(sim.nowMs + 300_000);
     assertTrue(futileStarts(sim) >= 1, "tried again, as nothing else can serve it");
     assertTrue(futileStarts(sim) <= 7, "futile starts in 5 minutes: " + futileStarts(sim));
     assertEquals(1, sim.checker.runningReplicas(SERVICE));
-    sim.maxMachines += 1;
+    sim.maxMachines = MACHINES_MAX;
     sim.runUntil(sim.nowMs + SERVED_WITHIN_MS);
     assertServed(sim);
   }
@@ -143,7 +148,7 @@
   @Test
   void otherReplicaUsesTheMachineThatKeepsAResult() {
     Simulation sim = runOneReplicaPerMachine(641);
-    sim.maxMachines = sim.workers.size();
+    sim.maxMachines = NO_MORE_MACHINES;
     String keeper = machineOf(sim, 0);
     String other = machineOf(sim, 1);
     assertTrue(sim.exitReplica(SERVICE, 0, ExitReason.DONE));
--- a/src/test/java/mallowstall/core/ReturnedMachineViewTest.java
+++ b/src/test/java/mallowstall/core/ReturnedMachineViewTest.java
@@ -169,8 +169,6 @@
   private static SimulatedController controllerLeadingOrNull(Simulation sim, String machine) {
     SimulatedStateService.StoredValue entry =
         sim.stateService.entries.get(StateKeys.machine(machine));
-    return entry == null
-        ? null
-        : sim.controllers.get(((MachineEntry) entry.value()).node());
+    return entry == null ? null : sim.controllers.get(((MachineEntry) entry.value()).node());
   }
 }
