A returned machine leaves the view once the replica proves the return

Cause: a status that comes while the replica is listed anew, or is behind the entry, is taken in; a listing reports no deletion of an entry that the replica never held.

ClusterView remembers the machines whose status came without an entry, and removes those for which the replica has passed the entry's revision; JobLeader ends their attempts. docs/design.md argues what proves that a machine is gone.

--- a/src/main/java/mallowstall/core/ControllerCore.java
+++ b/src/main/java/mallowstall/core/ControllerCore.java
@@ -268,6 +268,11 @@
     return machines.machineStatuses.unpublishedChanges();
   }
 
+  /** Ids of machines with attempts that nothing would end any more: a fault. */
+  List<String> unknownAttemptMachines() {
+    return jobLeader.unknownAttemptMachines();
+  }
+
   /** Asks a machine leader to stop a task. */
   void sendStop(String node, StopRequest stop) {
     cluster.messenger.sendStop(node, stop);
--- a/src/main/java/mallowstall/core/cluster/ClusterView.java
+++ b/src/main/java/mallowstall/core/cluster/ClusterView.java
@@ -30,6 +30,10 @@
   private final Map<String, PeerState> peers = new HashMap<>();
   private final TaskCounts taskCounts = new TaskCounts();
   private final KeptResults keptResults;
+
+  /** Machines whose status was taken in while the replica had no entry of them. */
+  private final Set<String> machinesWithoutEntry = new HashSet<>();
+
   private long updatesReceived;
   private boolean lastUpdateChangedMachines;
 
@@ -131,6 +135,9 @@
       taskCounts.subtract(former);
       machine.applyStatus(sender.node(), update.incarnation(), status, clock.now());
       taskCounts.add(status);
+      if (store.machine(status.machine()) == null) {
+        machinesWithoutEntry.add(status.machine());
+      }
       keptResults.recordEnds(status);
     }
     return led;
@@ -156,6 +163,46 @@
     }
   }
 
+  /**
+   * Removes the machines that prove to be returned although no deletion of their entry was seen: a
+   * status may name one while the replica is listed anew, or is behind the entry, and a listing
+   * reports no deletion of what it never held. A replica that has passed the revision of the entry
+   * that the status goes by, and holds none, proves it (docs/design.md).
+   *
+   * @return the machines that were removed
+   */
+  public List<String> removeReturnedMachines() {
+    if (machinesWithoutEntry.isEmpty()) {
+      return List.of();
+    }
+    List<String> returned = new ArrayList<>();
+    for (String id : new ArrayList<>(machinesWithoutEntry)) {
+      MachineView machine = machines.get(id);
+      if (machine == null || store.machine(id) != null) {
+        machinesWithoutEntry.remove(id);
+      } else if (isReturned(machine)) {
+        machinesWithoutEntry.remove(id);
+        removeMachine(id);
+        returned.add(id);
+      }
+    }
+    return returned;
+  }
+
+  /** Whether the entry by which the machine's newest status goes has been deleted. */
+  private boolean isReturned(MachineView machine) {
+    return machine.status() != null
+        && store.returned(machine.id(), machine.status().entryRevision());
+  }
+
+  /**
+   * Names of machines that have been returned and are in the view all the same, until {@link
+   * #removeReturnedMachines} is called next; for tests, which compare with looking at all machines.
+   */
+  public List<String> returnedMachines() {
+    return machines.values().stream().filter(this::isReturned).map(MachineView::id).toList();
+  }
+
   /** Which machines keep results of replicas, and so can't serve these. */
   public KeptResults keptResults() {
     return keptResults;
--- a/src/main/java/mallowstall/core/jobs/JobLeader.java
+++ b/src/main/java/mallowstall/core/jobs/JobLeader.java
@@ -2,8 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.List;
 import mallowstall.core.cluster.ClusterView;
-import mallowstall.core.cluster.MachineView;
 import mallowstall.core.cluster.Membership;
 import mallowstall.core.cluster.OpenJobs;
 import mallowstall.core.cluster.PeerMessenger;
@@ -131,7 +131,7 @@
     if (!store.synced()) {
       return;
     }
-    removeScaledInMachines();
+    removeReturnedMachines();
     recovery.completeRecoveries();
     failover.claimLeaderlessJobs();
     for (LedJob ledJob : new ArrayList<>(jobs.all())) {
@@ -143,21 +143,20 @@
     }
   }
 
-  /**
-   * Forgets machines whose entry this controller has deleted itself. A status update may name one
-   * while the replica is behind its entry; the entry that follows is ignored, so nothing else would
-   * end the attempts found there.
-   */
-  private void removeScaledInMachines() {
-    for (String id : attempts.machines()) {
-      MachineView machine = view.machine(id);
-      if (machine == null
-          || machine.status() == null
-          || !store.returned(id, machine.status().entryRevision())) {
-        continue;
-      }
-      view.removeMachine(id);
+  /** Ends what was tracked on machines that prove to be returned without a deletion being seen. */
+  private void removeReturnedMachines() {
+    for (String id : view.removeReturnedMachines()) {
       attempts.removeMachine(id);
     }
   }
+
+  /**
+   * Names of machines with tracked attempts of which neither the view nor the replica knows
+   * anything: nothing would end these attempts any more. There must be none; for tests.
+   */
+  public List<String> unknownAttemptMachines() {
+    return attempts.machines().stream()
+        .filter(id -> view.machine(id) == null && store.machine(id) == null)
+        .toList();
+  }
 }
--- a/src/test/java/mallowstall/core/DerivedCountsCheck.java
+++ b/src/test/java/mallowstall/core/DerivedCountsCheck.java
@@ -1,7 +1,9 @@
 package mallowstall.core;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import mallowstall.core.cluster.MachineView;
 import mallowstall.core.model.TaskState;
 import mallowstall.core.model.TaskStatus;
@@ -10,6 +12,28 @@
 final class DerivedCountsCheck {
   private DerivedCountsCheck() {}
 
+  /**
+   * No returned machine stays in a controller's view, and no attempt on a machine of which nothing
+   * is known any more: the controller's next regular work has to see to it.
+   */
+  static void checkReturnedMachines(Simulation simulation, SimulatedController node) {
+    for (String id : node.core.unknownAttemptMachines()) {
+      simulation.checker.violations.add(
+          simulation.nowMs + " attempt on unknown machine: " + id + " by " + node.name);
+    }
+    Set<String> returned = new HashSet<>(node.core.view().returnedMachines());
+    if (node.ticksAtLastCheck + 1 < node.ticksRun) {
+      for (String id : returned) {
+        if (node.returnedAtLastCheck.contains(id)) {
+          simulation.checker.violations.add(
+              simulation.nowMs + " returned machine in view: " + id + " of " + node.name);
+        }
+      }
+      node.ticksAtLastCheck = node.ticksRun;
+      node.returnedAtLastCheck = returned;
+    }
+  }
+
   /**
    * What the core keeps up to date with each change, against counting all of it anew: a machine
    * whose change is not published would make a start look as if it had never arrived.
--- a/src/test/java/mallowstall/core/ReturnedMachineViewTest.java
+++ b/src/test/java/mallowstall/core/ReturnedMachineViewTest.java
@@ -166,6 +166,53 @@
     assertEquals(List.of(), sim.checker.violations);
   }
 
+  /** Nothing is proven while the state service is out: the replica passes no revision. */
+  @Test
+  void newMachineStaysInTheViewThroughAnOutage() {
+    Simulation sim = runService(712);
+    SimulatedController behind = sim.controllers.get("n0");
+    behind.watchStalled = true;
+    String machine = sim.addMachine("t8", "b", false, 0);
+    sim.runUntil(sim.nowMs + 4_000);
+    assertNotNull(behind.core.view().machine(machine));
+    assertNull(behind.core.store().machine(machine));
+    sim.stateService.outage = true;
+    sim.runUntil(sim.nowMs + Simulation.LEASE_MS / 2);
+    assertNotNull(behind.core.view().machine(machine), "in the outage");
+    behind.watchStalled = false;
+    sim.stateService.endOutage();
+    sim.runUntil(sim.nowMs + SYNC_MS);
+    assertNotNull(behind.core.view().machine(machine), "after it");
+    assertEquals(4, sim.checker.runningReplicas(SERVICE));
+    assertEquals(List.of(), sim.checker.violations);
+  }
+
+  /**
+   * Machines turn to another controller, under entries of its new process, while a third lists its
+   * replica anew: none of them leaves the view for good, and nothing is started twice.
+   */
+  @Test
+  void machinesThatRegisterAnewWhileListingStayInTheView() {
+    for (long seed = 721; seed <= 726; seed++) {
+      Simulation sim = runService(seed);
+      SimulatedController listing = sim.controllers.get("n0");
+      int machines = sim.workers.size();
+      listing.compactNextWatch = true;
+      listing.stateDelayMs = LISTING_DELAY_MS;
+      sim.controllers.get("n1").crash(300);
+      sim.controllers.get("n2").crash(900);
+      sim.runUntil(sim.nowMs + SYNC_MS);
+      listing.stateDelayMs = 0;
+      sim.runUntil(sim.nowMs + 3 * SYNC_MS);
+      assertEquals(machines, sim.workers.size(), "seed " + seed);
+      for (String machine : sim.workers.keySet()) {
+        assertNotNull(listing.core.view().machine(machine), machine + ", seed " + seed);
+      }
+      assertEquals(4, sim.checker.runningReplicas(SERVICE));
+      assertEquals(List.of(), sim.checker.violations);
+    }
+  }
+
   private static SimulatedController controllerLeadingOrNull(Simulation sim, String machine) {
     SimulatedStateService.StoredValue entry =
         sim.stateService.entries.get(StateKeys.machine(machine));
--- a/src/test/java/mallowstall/core/SimulatedController.java
+++ b/src/test/java/mallowstall/core/SimulatedController.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import mallowstall.Constants;
 import mallowstall.core.kernel.CommandResult;
@@ -50,6 +51,14 @@
   /** The program version of its present process. */
   int runningVersion;
 
+  /** Regular work done by the present process, and how much of it at the last check. */
+  int ticksRun;
+
+  int ticksAtLastCheck;
+
+  /** Returned machines that were in its view at that check. */
+  Set<String> returnedAtLastCheck = Set.of();
+
   /** Run once, when it next requests a failover of a job. */
   Runnable onNextFailover;
 
@@ -121,6 +130,9 @@
     pausedUntilMs = 0;
     busyUntilMs = 0;
     tickQueued = false;
+    ticksRun = 0;
+    ticksAtLastCheck = 0;
+    returnedAtLastCheck = Set.of();
     stateServiceLink.forgetPendingWrites();
     peerLink.restart();
     List<String> peers = new ArrayList<>(Simulation.NODES);
@@ -186,6 +198,7 @@
           () -> {
             tickQueued = false;
             core.tick();
+            ticksRun++;
           });
     }
     simulation.schedule(Constants.TICK_MS, () -> tick(startedProcess));
--- a/src/test/java/mallowstall/core/Simulation.java
+++ b/src/test/java/mallowstall/core/Simulation.java
@@ -190,6 +190,7 @@
     for (SimulatedController node : controllers.values()) {
       if (node.running) {
         DerivedCountsCheck.check(this, node.core);
+        DerivedCountsCheck.checkReturnedMachines(this, node);
       }
     }
     schedule(500, this::checkInvariants);
