--- a/src/main/java/mallowstall/Constants.java
+++ b/src/main/java/mallowstall/Constants.java
@@ -25,10 +25,7 @@
   /** Fraction. Weight of the newest tick in the average lag: it follows a load within 2 s. */
   public static final double LAG_WEIGHT = 0.1;
 
-  /**
-   * Factor. Gaps between scheduling passes and between status updates grow by so much of the
-   * average lag.
-   */
+  /** Factor. Gaps between passes and between status updates grow by so much of the average lag. */
   public static final double LAG_GAP_FACTOR = 3;
 
   /**
@@ -38,8 +35,7 @@
   public static final long LAG_GAP_MAX_MS = 350;
 
   /**
-   * Processors, GPUs or GB. Amounts that differ by less are equal: sums of many decimals are
-   * inexact.
+   * Processors, GPUs or GB. Amounts that differ by less are equal: sums of decimals are inexact.
    */
   public static final double AMOUNT_EPSILON = 1e-6;
 
@@ -166,23 +162,13 @@
   /** ms. Between tries of a job that fails everywhere. */
   public static final long JOB_FAULT_RETRY_INTERVAL_MS = 10_000;
 
-  /**
-   * Count. Ends of a replica as done on one machine that show that its worker keeps the result: the
-   * first may be that of a replica that ran.
-   */
+  /** Count. Ends of a replica as done on one machine that show that its result is kept there. */
   public static final int KEPT_RESULT_ENDS = 2;
 
-  /**
-   * ms. For so long after the last such end the replica isn't tried on the machine again: enough to
-   * request and boot another one, and below the 90 s that work may wait beside a machine that could
-   * serve it, should the worker no longer keep the result.
-   */
+  /** ms. It isn't tried there for so long: above a boot, below the 90 s that work may wait. */
   public static final long KEPT_RESULT_MS = 60_000;
 
-  /**
-   * ms. Such ends are forgotten after so long without another: bounds the memory to what ended on a
-   * machine lately. Twice as long as above, so that one more try is enough to know again.
-   */
+  /** ms. Ends are forgotten after so long: one more try is enough until then to know again. */
   public static final long KEPT_RESULT_MEMORY_MS = 2 * KEPT_RESULT_MS;
 
   /** ms. A replica that ran for so long before it ended is started again at once. */
@@ -327,10 +313,7 @@
    */
   public static final long RECOVERY_DELAY_MS = 7_000;
 
-  /**
-   * Count. Most such recoveries under way: other changes need the rate of the state service as
-   * well.
-   */
+  /** Count. Most such recoveries under way: other changes need the state service's rate as well. */
   public static final int RECOVERY_CONCURRENCY = 4;
 
   /** s. Grace period of a stopped task beyond the time that it needs to save a checkpoint. */
@@ -505,15 +488,12 @@
   /** ms. A replica that has found no machine for longer gets one requested for it alone. */
   public static final long REPLICA_UNPLACEABLE_MS = 5_000;
 
-  /**
-   * ms. Longest time between two requests for a service whose replicas keep ending where they run:
-   * each end makes a machine useless for its replica, and must not cost another machine each time.
-   */
-  public static final long KEPT_RESULT_SCALE_OUT_MAX_MS = 600_000;
-
   /** ms. The same for a batch job of which no task fits beside services. */
   public static final long BATCH_UNPLACEABLE_MS = 20_000;
 
+  /** ms. Most between two requests for a service whose replicas end wherever they run. */
+  public static final long KEPT_RESULT_SCALE_OUT_MAX_MS = 600_000;
+
   /** Count. Jobs whose smallest fitting type is remembered: more than are ever open at once. */
   public static final int SMALLEST_TYPE_CACHE_MAX = 2_000;
 
--- /dev/null
+++ b/src/test/java/mallowstall/knownred/KnownRedExtension.java
@@ -0,0 +1,69 @@
+package mallowstall.knownred;
+
+import java.io.IOException;
+import java.lang.reflect.Method;
+import java.util.List;
+import org.junit.jupiter.api.extension.ExtensionContext;
+import org.junit.jupiter.api.extension.InvocationInterceptor;
+import org.junit.jupiter.api.extension.ReflectiveInvocationContext;
+import org.opentest4j.TestAbortedException;
+
+/**
+ * Lets a build pass over the failures of just the tests that KNOWN-RED.txt lists, and says so; a
+ * listed test that passes is named too. Registered for all tests by JUnit's auto-detection.
+ */
+public final class KnownRedExtension implements InvocationInterceptor {
+  private final List<KnownRedEntry> entries;
+
+  /** Reads the list; a malformed one fails every test with its one line. */
+  public KnownRedExtension() throws IOException {
+    this(KnownRedList.read());
+  }
+
+  KnownRedExtension(List<KnownRedEntry> entries) {
+    this.entries = entries;
+  }
+
+  @Override
+  public void interceptTestMethod(
+      Invocation<Void> invocation,
+      ReflectiveInvocationContext<Method> method,
+      ExtensionContext context)
+      throws Throwable {
+    run(invocation, method.getExecutable());
+  }
+
+  @Override
+  public void interceptTestTemplateMethod(
+      Invocation<Void> invocation,
+      ReflectiveInvocationContext<Method> method,
+      ExtensionContext context)
+      throws Throwable {
+    run(invocation, method.getExecutable());
+  }
+
+  /** Runs the test; a failure of a listed one counts as skipped. */
+  void run(Invocation<Void> invocation, Method method) throws Throwable {
+    String test = method.getDeclaringClass().getSimpleName() + "#" + method.getName();
+    if (!isListed(test)) {
+      invocation.proceed();
+      return;
+    }
+    try {
+      invocation.proceed();
+    } catch (Throwable failure) {
+      System.out.println("known red, fails as listed: " + test);
+      throw new TestAbortedException("known red: " + test, failure);
+    }
+    System.out.println("known red, but passes: " + test);
+  }
+
+  private boolean isListed(String test) {
+    for (KnownRedEntry entry : entries) {
+      if (entry.runsInEveryBuild() && entry.test().equals(test)) {
+        return true;
+      }
+    }
+    return false;
+  }
+}
