--- a/src/test/java/mallowstall/knownred/KnownRedExtension.java
+++ b/src/test/java/mallowstall/knownred/KnownRedExtension.java
@@ -1,6 +1,7 @@
 package mallowstall.knownred;
 
 import java.io.IOException;
+import java.io.PrintStream;
 import java.lang.reflect.Method;
 import java.util.List;
 import org.junit.jupiter.api.extension.ExtensionContext;
@@ -14,14 +15,16 @@
  */
 public final class KnownRedExtension implements InvocationInterceptor {
   private final List<KnownRedEntry> entries;
+  private final PrintStream out;
 
   /** Reads the list; a malformed one fails every test with its one line. */
   public KnownRedExtension() throws IOException {
-    this(KnownRedList.read());
+    this(KnownRedList.read(), System.out);
   }
 
-  KnownRedExtension(List<KnownRedEntry> entries) {
+  KnownRedExtension(List<KnownRedEntry> entries, PrintStream out) {
     this.entries = entries;
+    this.out = out;
   }
 
   @Override
@@ -52,10 +55,10 @@
     try {
       invocation.proceed();
     } catch (Throwable failure) {
-      System.out.println("known red, fails as listed: " + test);
+      out.println("known red, fails as listed: " + test);
       throw new TestAbortedException("known red: " + test, failure);
     }
-    System.out.println("known red, but passes: " + test);
+    out.println("known red, but passes: " + test);
   }
 
   private boolean isListed(String test) {
--- a/src/test/java/mallowstall/knownred/KnownRedTest.java
+++ b/src/test/java/mallowstall/knownred/KnownRedTest.java
@@ -5,9 +5,12 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.PrintStream;
 import java.io.UncheckedIOException;
 import java.lang.reflect.Method;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -78,17 +81,29 @@
     assertFalse(exists("NoSuchTest#listIsPrinted"));
   }
 
-  /** A test that fails. */
-  private static final class Failing implements Invocation<Void> {
-    @Override
-    public Void proceed() {
-      throw new IllegalStateException("the fault");
-    }
+  /** Runs a test as the line lists it; returns what is printed of it. */
+  private static String run(String line, Invocation<Void> test) throws Throwable {
+    ByteArrayOutputStream printed = new ByteArrayOutputStream();
+    Method method = KnownRedTest.class.getDeclaredMethod("listIsPrinted");
+    PrintStream out = new PrintStream(printed, true, StandardCharsets.UTF_8);
+    new KnownRedExtension(KnownRedList.parse(line), out).run(test, method);
+    return printed.toString(StandardCharsets.UTF_8);
   }
 
   private static void runFailing(String line) throws Throwable {
-    Method method = KnownRedTest.class.getDeclaredMethod("listIsPrinted");
-    new KnownRedExtension(KnownRedList.parse(line)).run(new Failing(), method);
+    run(
+        line,
+        () -> {
+          throw new IllegalStateException("the fault");
+        });
+  }
+
+  @Test
+  void listedTestThatPassesIsNamed() throws Throwable {
+    assertEquals(
+        "known red, but passes: KnownRedTest#listIsPrinted" + System.lineSeparator(),
+        run(LINE, () -> null));
+    assertEquals("", run("", () -> null));
   }
 
   @Test
