--- a/src/main/java/mallowstall/core/ClusterModules.java
+++ b/src/main/java/mallowstall/core/ClusterModules.java
@@ -10,6 +10,7 @@
 import mallowstall.core.cluster.Membership;
 import mallowstall.core.cluster.OpenJobs;
 import mallowstall.core.cluster.PeerMessenger;
+import mallowstall.core.cluster.ReturnedMachines;
 import mallowstall.core.kernel.Effects;
 import mallowstall.core.kernel.EventClock;
 import mallowstall.core.kernel.EventLoopLag;
@@ -37,6 +38,7 @@
   final MachineTypeCatalog machineTypes;
   final ImageSizes imageSizes = new ImageSizes();
   final OpenJobs openJobs = new OpenJobs();
+  final ReturnedMachines returnedMachines = new ReturnedMachines();
   final Membership membership;
   final Connectivity connectivity;
   final CancellationExchange cancellations;
--- a/src/main/java/mallowstall/core/ControllerCore.java
+++ b/src/main/java/mallowstall/core/ControllerCore.java
@@ -139,6 +139,7 @@
         machines.leadershipChanges::machineChanged,
         List.of(cluster.view::removeMachine, jobLeader::removeMachineAttempts),
         machines.restartRecovery::handleCompetingEntry,
+        cluster.returnedMachines::add,
         machines.statusPublisher::requestPublish,
         this::replicaComplete);
   }
--- a/src/main/java/mallowstall/core/MachineModules.java
+++ b/src/main/java/mallowstall/core/MachineModules.java
@@ -73,7 +73,7 @@
     heartbeatApplier = newHeartbeatApplier(jobLeader);
     heartbeatHandler = newHeartbeatHandler();
     commands = newDirectCommands();
-    staleHeartbeats = new StaleHeartbeats(cluster.store, cluster.view);
+    staleHeartbeats = new StaleHeartbeats(cluster.store, cluster.view, cluster.returnedMachines);
     redirects =
         new LeaderRedirects(cluster.settings, cluster.store, cluster.view, cluster.membership);
     registration = newRegistration();
@@ -174,7 +174,6 @@
         machines,
         statusPublisher,
         statusUpdateSequence,
-        staleHeartbeats,
         restartRecovery);
   }
 
--- a/src/main/java/mallowstall/core/kv/ReplicaSync.java
+++ b/src/main/java/mallowstall/core/kv/ReplicaSync.java
@@ -22,6 +22,10 @@
   private long revision;
   private boolean synced;
   private boolean listing;
+
+  /** A listing whose pages are read, until the watch has passed the last of them; else null. */
+  private Listing unfinishedListing;
+
   private long freshAtMs = Long.MIN_VALUE / 2;
 
   /** A listing in progress. */
@@ -35,6 +39,9 @@
     /** The revision of the first page, up to which the listing is complete. */
     private long revision;
 
+    /** The revision of the last page; the watch tells what has changed since the first. */
+    private long lastPageRevision;
+
     Listing(long startedMs) {
       this.startedMs = startedMs;
     }
@@ -64,7 +71,7 @@
 
   /** Starts to list all keys, unless the replica is synced or is about to be. */
   void start() {
-    if (synced || listing) {
+    if (synced || listing || unfinishedListing != null) {
       return;
     }
     listing = true;
@@ -93,22 +100,34 @@
       }
       current.lastKey = item.key();
     }
+    current.lastPageRevision = page.revision();
     if (page.hasMore() && current.lastKey != null) {
       listNextPage(current);
       return;
     }
-    finish(current);
+    listing = false;
+    unfinishedListing = current;
+    revision = current.revision;
+    completeListing();
+    watchNext();
   }
 
-  private void finish(Listing complete) {
+  /**
+   * The replica is complete once it holds what changed while the pages were read. A key that is on
+   * no page may have moved from a later page to one that was read before, as machines do that turn
+   * to another group: taken for deleted, a living machine would count as returned.
+   */
+  private void completeListing() {
+    Listing complete = unfinishedListing;
+    if (complete == null || revision < complete.lastPageRevision) {
+      return;
+    }
+    unfinishedListing = null;
     // what was deleted while no watch ran
     replica.deleteUnlisted(complete.keys, complete.revision);
-    revision = complete.revision;
-    freshAtMs = complete.startedMs;
-    listing = false;
+    freshAtMs = Math.max(freshAtMs, complete.startedMs);
     synced = true;
     replica.notifySynced(revision);
-    watchNext();
   }
 
   private void watchNext() {
@@ -119,6 +138,7 @@
   private void applyEvents(WatchResult result, long sentMs) {
     if (result.code() == ResultCode.EXPIRED) {
       synced = false;
+      unfinishedListing = null;
       start();
       return;
     }
@@ -130,6 +150,7 @@
       replica.apply(item);
     }
     revision = Math.max(revision, result.revision());
+    completeListing();
     freshAtMs = Math.max(freshAtMs, sentMs);
     replica.notifyAdvanced();
     clock.schedule(Constants.WATCH_PAUSE_MS, this::watchNext);
--- a/src/main/java/mallowstall/core/kv/StateChangeDispatcher.java
+++ b/src/main/java/mallowstall/core/kv/StateChangeDispatcher.java
@@ -21,6 +21,7 @@
   private final BiConsumer<String, MachineEntry> machineChanged;
   private final List<Consumer<String>> machineRemoved;
   private final BiConsumer<String, MachineEntry> machineEntrySuperseded;
+  private final Consumer<String> machineReturned;
   private final Runnable advanced;
   private final LongConsumer synced;
 
@@ -34,6 +35,7 @@
       BiConsumer<String, MachineEntry> machineChanged,
       List<Consumer<String>> machineRemoved,
       BiConsumer<String, MachineEntry> machineOvertaken,
+      Consumer<String> machineReturned,
       Runnable advanced,
       LongConsumer synced) {
     this.jobSubscribers = jobs;
@@ -41,6 +43,7 @@
     this.machineChanged = machineChanged;
     this.machineRemoved = machineRemoved;
     this.machineEntrySuperseded = machineOvertaken;
+    this.machineReturned = machineReturned;
     this.advanced = advanced;
     this.synced = synced;
   }
@@ -50,6 +53,11 @@
     machineEntrySuperseded.accept(machine, record);
   }
 
+  @Override
+  public void machineReturned(String machine) {
+    machineReturned.accept(machine);
+  }
+
   @Override
   public void entryChanged(String key, StoredEntry before, StoredEntry after) {
     if (key.startsWith(StateKeys.JOB_PREFIX)) {
--- a/src/main/java/mallowstall/core/kv/StateChangeListener.java
+++ b/src/main/java/mallowstall/core/kv/StateChangeListener.java
@@ -12,6 +12,14 @@
    */
   void machineEntrySuperseded(String machine, MachineEntry entry);
 
+  /**
+   * The machine's entry was deleted, which only follows its return to the cloud. The replica may
+   * hold a later entry, or may never have held one.
+   *
+   * @param machine the machine's id
+   */
+  void machineReturned(String machine);
+
   /** A key changed; {@code before} is null if it is new, {@code after} if it was deleted. */
   void entryChanged(String key, StoredEntry before, StoredEntry after);
 
--- a/src/main/java/mallowstall/core/kv/StateReplica.java
+++ b/src/main/java/mallowstall/core/kv/StateReplica.java
@@ -170,6 +170,9 @@
   }
 
   private void put(String key, StoredEntry value, long modRevision) {
+    if (value == null && key.startsWith(StateKeys.MACHINE_PREFIX)) {
+      listener.machineReturned(StateKeys.machineOf(key));
+    }
     StoredValue previous = entries.get(key);
     if (previous != null && previous.modRevision() >= modRevision) {
       if (previous.modRevision() > modRevision && value instanceof MachineEntry superseded) {
--- a/src/main/java/mallowstall/core/machines/LeadershipChanges.java
+++ b/src/main/java/mallowstall/core/machines/LeadershipChanges.java
@@ -17,7 +17,6 @@
   private final ManagedMachines machines;
   private final StatusPublisher statusPublisher;
   private final StatusUpdateSequence updates;
-  private final StaleHeartbeats staleHeartbeats;
   private final RestartRecovery restartRecovery;
 
   /** Releases machines through {@code updates}, so that peers hear of it. */
@@ -27,22 +26,18 @@
       ManagedMachines machines,
       StatusPublisher statusPublisher,
       StatusUpdateSequence updates,
-      StaleHeartbeats staleHeartbeats,
       RestartRecovery restartRecovery) {
     this.settings = settings;
     this.store = store;
     this.machines = machines;
     this.statusPublisher = statusPublisher;
     this.updates = updates;
-    this.staleHeartbeats = staleHeartbeats;
     this.restartRecovery = restartRecovery;
   }
 
   /** The machine's entry has changed; null: it was deleted when the machine was returned. */
   public void machineChanged(String id, MachineEntry entry) {
-    if (entry == null) {
-      staleHeartbeats.addReturned(id);
-    } else {
+    if (entry != null) {
       restartRecovery.noteInterveningLeader(id, entry);
     }
     ManagedMachine machine = machines.get(id);
--- a/src/main/java/mallowstall/core/machines/StaleHeartbeats.java
+++ b/src/main/java/mallowstall/core/machines/StaleHeartbeats.java
@@ -1,10 +1,8 @@
 package mallowstall.core.machines;
 
-import java.util.LinkedHashSet;
-import java.util.Set;
-import mallowstall.Constants;
 import mallowstall.core.cluster.ClusterView;
 import mallowstall.core.cluster.MachineView;
+import mallowstall.core.cluster.ReturnedMachines;
 import mallowstall.core.kv.StateStore;
 import mallowstall.core.model.Heartbeat;
 
@@ -15,22 +13,13 @@
 public final class StaleHeartbeats {
   private final StateStore store;
   private final ClusterView view;
-
-  /** Machines whose entry was deleted when they were returned; names are never used again. */
-  private final Set<String> returnedMachines = new LinkedHashSet<>();
+  private final ReturnedMachines returnedMachines;
 
   /** Judges heartbeats by the replica and by what the machines' leaders have published. */
-  public StaleHeartbeats(StateStore store, ClusterView view) {
+  public StaleHeartbeats(StateStore store, ClusterView view, ReturnedMachines returnedMachines) {
     this.store = store;
     this.view = view;
-  }
-
-  /** The machine's entry was deleted: heartbeats that still come are late copies. */
-  void addReturned(String machine) {
-    returnedMachines.add(machine);
-    if (returnedMachines.size() > Constants.RELEASED_MACHINES_MAX) {
-      returnedMachines.remove(returnedMachines.iterator().next());
-    }
+    this.returnedMachines = returnedMachines;
   }
 
   /** Whether the machine was returned, or its leader has published a newer heartbeat. */
