--- a/src/main/java/mallowstall/core/AutoscalingModules.java
+++ b/src/main/java/mallowstall/core/AutoscalingModules.java
@@ -57,7 +57,12 @@
       PendingMachines pendingMachines,
       ScaleIn scaleIn) {
     RegisteredMachines registeredMachines =
-        new RegisteredMachines(cluster.settings, cluster.store, cluster.view, pendingMachines);
+        new RegisteredMachines(
+            cluster.settings,
+            cluster.store,
+            cluster.view,
+            pendingMachines,
+            cluster.returnedMachines);
     UnregisteredMachines unregisteredMachines =
         new UnregisteredMachines(
             cluster.settings, cluster.machineTypes, cloudInventory, scaleIn, pendingMachines);
@@ -102,6 +107,7 @@
         cluster.effects,
         cluster.store,
         calls,
+        cluster.returnedMachines,
         machine -> {
           pendingMachines.remove(machine);
           cloudInventory.remove(machine);
--- a/src/main/java/mallowstall/core/autoscaling/MachineCensus.java
+++ b/src/main/java/mallowstall/core/autoscaling/MachineCensus.java
@@ -14,6 +14,7 @@
   private final Set<String> registered = new HashSet<>();
   private final List<MachineView> available = new ArrayList<>();
   private final List<String> toReturn = new ArrayList<>();
+  private final List<String> lateEntries = new ArrayList<>();
   private final List<String> unmanaged = new ArrayList<>();
   private final List<String> unresponsiveHosts = new ArrayList<>();
   private int unresponsive;
@@ -43,6 +44,11 @@
     return toReturn;
   }
 
+  /** Returned machines that have an entry again. */
+  List<String> lateEntries() {
+    return lateEntries;
+  }
+
   /** The machine has an entry in the state. */
   void addRegistered(String machine) {
     registered.add(machine);
@@ -64,6 +70,11 @@
     toReturn.add(machine);
   }
 
+  /** The machine was returned, so its entry is a late one. */
+  void addLateEntry(String machine) {
+    lateEntries.add(machine);
+  }
+
   /** The machine's leader has no session and it has registered with no other. */
   void addUnmanaged(String machine) {
     unmanaged.add(machine);
--- a/src/main/java/mallowstall/core/autoscaling/RegisteredMachines.java
+++ b/src/main/java/mallowstall/core/autoscaling/RegisteredMachines.java
@@ -5,6 +5,7 @@
 import mallowstall.Constants;
 import mallowstall.core.cluster.ClusterView;
 import mallowstall.core.cluster.MachineView;
+import mallowstall.core.cluster.ReturnedMachines;
 import mallowstall.core.kv.StateKeys;
 import mallowstall.core.kv.StateStore;
 import mallowstall.core.kv.StoredValue;
@@ -17,6 +18,7 @@
   private final StateStore store;
   private final ClusterView view;
   private final PendingMachines pendingMachines;
+  private final ReturnedMachines returnedMachines;
 
   /** Machines of which no status update tells, and since when. */
   private final Map<String, Long> unaccountedSinceMs = new HashMap<>();
@@ -26,11 +28,16 @@
 
   /** Machines that turn out to be registered are pending no longer. */
   public RegisteredMachines(
-      CoreSettings settings, StateStore store, ClusterView view, PendingMachines pendingMachines) {
+      CoreSettings settings,
+      StateStore store,
+      ClusterView view,
+      PendingMachines pendingMachines,
+      ReturnedMachines returnedMachines) {
     this.settings = settings;
     this.store = store;
     this.view = view;
     this.pendingMachines = pendingMachines;
+    this.returnedMachines = returnedMachines;
   }
 
   /** Counts all registered machines and forgets those that no longer are. */
@@ -48,6 +55,10 @@
   private void countMachine(String id, MachineEntry entry, MachineCensus census, long now) {
     census.addRegistered(id);
     pendingMachines.remove(id);
+    if (returnedMachines.contains(id)) {
+      census.addLateEntry(id);
+      return;
+    }
     MachineView machine = view.machine(id);
     boolean leaderLive = store.isLive(entry.node(), entry.incarnation());
     if (view.isFullyReported(id, entry)
--- a/src/main/java/mallowstall/core/autoscaling/ScaleIn.java
+++ b/src/main/java/mallowstall/core/autoscaling/ScaleIn.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import mallowstall.Constants;
+import mallowstall.core.cluster.ReturnedMachines;
 import mallowstall.core.kernel.Effects;
 import mallowstall.core.kernel.EventClock;
 import mallowstall.core.kernel.PutOperation;
@@ -43,6 +44,8 @@
   private final StateStore store;
   private final TokenBucket apiCallBucket;
 
+  private final ReturnedMachines returnedMachines;
+
   /** Called for each machine that the cloud confirms as returned. */
   private final Consumer<String> onReturned;
 
@@ -63,12 +66,14 @@
       Effects effects,
       StateStore store,
       TokenBucket apiCallBucket,
+      ReturnedMachines returnedMachines,
       Consumer<String> onReturned) {
     this.clock = clock;
     this.settings = settings;
     this.effects = effects;
     this.store = store;
     this.apiCallBucket = apiCallBucket;
+    this.returnedMachines = returnedMachines;
     this.onReturned = onReturned;
   }
 
@@ -120,6 +125,7 @@
     }
     for (String id : batch) {
       returnedAtMs.put(id, clock.now());
+      returnedMachines.add(id);
       onReturned.accept(id);
       if (store.machine(id) != null) {
         entriesToDelete.add(id);
@@ -128,6 +134,18 @@
     deleteEntries();
   }
 
+  /**
+   * Deletes entries of machines that are known to be returned, with the next tick: heartbeats that
+   * were under way have registered them again. Nothing is compared, since no entry of such a
+   * machine can be right.
+   */
+  void deleteLateEntries(Collection<String> machines) {
+    if (!machines.isEmpty()) {
+      LOG.info("late entries of returned machines machines={}", machines);
+      entriesToDelete.addAll(machines);
+    }
+  }
+
   /** Tries again to delete entries whose deletion has failed. */
   void tick(long now) {
     if (!entriesToDelete.isEmpty() && deleteRetry.isDue(now)) {
--- a/src/main/java/mallowstall/core/autoscaling/ScalingPlanner.java
+++ b/src/main/java/mallowstall/core/autoscaling/ScalingPlanner.java
@@ -42,6 +42,7 @@
     MachineCensus census = new MachineCensus();
     registeredMachines.count(census, now);
     scaleIn.expireReturned(now);
+    scaleIn.deleteLateEntries(census.lateEntries());
     if (LOG.isDebugEnabled()) {
       logUtilization(census.available());
     }
--- a/src/main/java/mallowstall/core/machines/MachineRegistration.java
+++ b/src/main/java/mallowstall/core/machines/MachineRegistration.java
@@ -1,6 +1,7 @@
 package mallowstall.core.machines;
 
 import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.List;
 import java.util.StringJoiner;
 import java.util.function.Consumer;
@@ -126,6 +127,7 @@
       return;
     }
     batchSentAtMs = clock.now();
+    rejectStaleRegistrations();
     List<PendingRegistration> all = new ArrayList<>(pendingRegistrations);
     pendingRegistrations.clear();
     int maxPerBatch =
@@ -137,6 +139,19 @@
     }
   }
 
+  /** What has become known since a heartbeat came may show that it is a late one. */
+  private void rejectStaleRegistrations() {
+    Iterator<PendingRegistration> iterator = pendingRegistrations.iterator();
+    while (iterator.hasNext()) {
+      PendingRegistration pending = iterator.next();
+      if (staleHeartbeats.isStale(pending.heartbeat)) {
+        iterator.remove();
+        entryWriter.clearInFlight(pending.heartbeat.machine());
+        pending.reply.accept(HeartbeatResponse.unavailable());
+      }
+    }
+  }
+
   /** As many of the machines as fit one value of the state service as encoded. */
   private List<PendingRegistration> largestFittingBatch(List<PendingRegistration> candidates) {
     return ValueSize.longestFittingPrefix(
