--- a/src/main/java/mallowstall/core/kv/ReplicaSync.java
+++ b/src/main/java/mallowstall/core/kv/ReplicaSync.java
@@ -56,10 +56,10 @@
 
   /** The revision up to which the replica is complete; 0: it isn't. */
   long revision() {
-    return synced ? revision : 0;
+    return synced && unfinishedListing == null ? revision : 0;
   }
 
-  /** Whether the replica is complete and being watched. */
+  /** Whether all keys have been listed and are being watched; see {@link #revision} too. */
   boolean synced() {
     return synced;
   }
@@ -71,7 +71,7 @@
 
   /** Starts to list all keys, unless the replica is synced or is about to be. */
   void start() {
-    if (synced || listing || unfinishedListing != null) {
+    if (synced || listing) {
       return;
     }
     listing = true;
@@ -108,7 +108,9 @@
     listing = false;
     unfinishedListing = current;
     revision = current.revision;
-    completeListing();
+    synced = true;
+    finishListing();
+    replica.notifySynced(revision);
     watchNext();
   }
 
@@ -117,17 +119,15 @@
    * no page may have moved from a later page to one that was read before, as machines do that turn
    * to another group: taken for deleted, a living machine would count as returned.
    */
-  private void completeListing() {
-    Listing complete = unfinishedListing;
-    if (complete == null || revision < complete.lastPageRevision) {
+  private void finishListing() {
+    Listing listed = unfinishedListing;
+    if (listed == null || revision < listed.lastPageRevision) {
       return;
     }
     unfinishedListing = null;
     // what was deleted while no watch ran
-    replica.deleteUnlisted(complete.keys, complete.revision);
-    freshAtMs = Math.max(freshAtMs, complete.startedMs);
-    synced = true;
-    replica.notifySynced(revision);
+    replica.deleteUnlisted(listed.keys, listed.revision);
+    freshAtMs = Math.max(freshAtMs, listed.startedMs);
   }
 
   private void watchNext() {
@@ -150,8 +150,10 @@
       replica.apply(item);
     }
     revision = Math.max(revision, result.revision());
-    completeListing();
-    freshAtMs = Math.max(freshAtMs, sentMs);
+    finishListing();
+    if (unfinishedListing == null) {
+      freshAtMs = Math.max(freshAtMs, sentMs);
+    }
     replica.notifyAdvanced();
     clock.schedule(Constants.WATCH_PAUSE_MS, this::watchNext);
   }
--- a/src/main/java/mallowstall/core/kv/StateStore.java
+++ b/src/main/java/mallowstall/core/kv/StateStore.java
@@ -65,7 +65,7 @@
     return sync.revision();
   }
 
-  /** Whether the replica is complete and being watched. */
+  /** Whether all keys have been listed and are being watched; see {@link #revision} too. */
   public boolean synced() {
     return sync.synced();
   }
--- a/src/test/java/mallowstall/core/kv/ReplicaSyncTest.java
+++ b/src/test/java/mallowstall/core/kv/ReplicaSyncTest.java
@@ -30,6 +30,8 @@
   private static final String FORMER_GROUP = "c/g/9-1";
   private static final String NEW_GROUP = "c/g/3-7";
 
+  private static final long RELISTED_AT_MS = 5_000;
+
   private final EventClock clock = new EventClock();
   private final List<Consumer<ListResult>> lists = new ArrayList<>();
   private final List<Consumer<WatchResult>> watches = new ArrayList<>();
@@ -110,6 +112,7 @@
     sync.start();
     page(List.of(group(FORMER_GROUP, "n1", 50)), false, 60);
     assertTrue(sync.synced());
+    clock.advance(RELISTED_AT_MS, 0);
     watchAnswer(ResultCode.EXPIRED, List.of(), 0);
     assertFalse(sync.synced());
   }
@@ -122,16 +125,17 @@
     // the machine turns to a group that belongs on the page just read; its former group goes
     page(List.of(), false, 103);
     assertEquals(List.of(), returned);
-    assertFalse(sync.synced(), "what changed while the pages were read isn't known yet");
-    assertEquals(0, sync.revision());
+    assertEquals(0, sync.revision(), "what changed while the pages were read isn't known yet");
+    assertEquals(0, sync.freshAtMs(), "nor is the replica known to be fresh");
     watchAnswer(
         ResultCode.OK,
         List.of(group(NEW_GROUP, "n2", 101), new KeyValue(FORMER_GROUP, null, 102)),
         103);
-    assertTrue(sync.synced());
+    assertEquals(103, sync.revision());
+    assertEquals(RELISTED_AT_MS, sync.freshAtMs());
     assertEquals("n2", replica.machine(MACHINE).node());
     assertEquals(List.of(), returned);
-    assertEquals(List.of(60L, 103L), syncedAt);
+    assertEquals(List.of(60L, 100L), syncedAt);
   }
 
   /** A machine that was returned while no watch ran is on no page, and nothing brings it back. */
