--- a/src/main/java/mallowstall/core/placement/JobPlacement.java
+++ b/src/main/java/mallowstall/core/placement/JobPlacement.java
@@ -18,6 +18,10 @@
   private final Policy policy;
   private final ReplicaEligibility eligibility;
   private final boolean quotaLimited;
+
+  /** Tasks without quota for which capacity may still be kept in this pass. */
+  private int obtainableQuotaTasks;
+
   private final int maxTasksPerZone;
   private final Map<String, Integer> tasksByZone = new HashMap<>();
 
@@ -41,8 +45,7 @@
    * A placement that has started nothing yet.
    *
    * @param pendingTasks tasks to be placed in this pass
-   * @param freeQuotaTasks tasks that the job's quota reservation still covers
-   * @param quotaLimited whether the job's team has a quota
+   * @param quota what the job's team quota allows
    * @param machines machines with free capacity
    */
   JobPlacement(
@@ -50,15 +53,15 @@
       Policy policy,
       ReplicaEligibility eligibility,
       int pendingTasks,
-      int freeQuotaTasks,
-      boolean quotaLimited,
+      JobQuota quota,
       List<MachineView> machines) {
     this.ledJob = ledJob;
     this.policy = policy;
     this.eligibility = eligibility;
     this.pendingTasks = pendingTasks;
-    this.freeQuotaTasks = freeQuotaTasks;
-    this.quotaLimited = quotaLimited;
+    freeQuotaTasks = quota.freeTasks();
+    quotaLimited = quota.limited();
+    obtainableQuotaTasks = quota.obtainableTasks();
     spec = ledJob.spec();
     for (ActiveAttempt active : ledJob.activeAttempts().values()) {
       chosenZone = active.zone();
@@ -199,12 +202,15 @@
 
   /**
    * The tasks have this place on the machine: some were started, and the capacity of the others is
-   * kept until their team's quota allows them.
+   * kept as far as their team's quota may allow them soon. What a team at its quota can't use is
+   * left to the jobs that come after.
    */
   void assign(MachineView machine, int tasks, int withoutQuota) {
     quotaBlockedTasks += withoutQuota;
     pendingTasks -= withoutQuota;
-    machine.reserve(spec, withoutQuota);
+    int kept = Math.min(withoutQuota, obtainableQuotaTasks);
+    obtainableQuotaTasks -= kept;
+    machine.reserve(spec, kept);
     tasksByZone.merge(machine.status().zone(), tasks, Integer::sum);
     if (spec.isService()) {
       replicasByMachine.merge(machine.id(), tasks, Integer::sum);
--- a/src/main/java/mallowstall/core/placement/JobPlacements.java
+++ b/src/main/java/mallowstall/core/placement/JobPlacements.java
@@ -28,14 +28,12 @@
   /** The placement of a job on machines with free capacity. */
   JobPlacement begin(LedJob ledJob, List<MachineView> machines) {
     JobSpec spec = ledJob.spec();
-    boolean quotaLimited = quotaLedger.hasQuota(spec);
     return new JobPlacement(
         ledJob,
         policies.forJobClass(spec.jobClass()),
         eligibility,
         pendingTasks(ledJob),
-        quotaLimited ? freeQuotaTasks(ledJob) : Integer.MAX_VALUE,
-        quotaLimited,
+        quotaLedger.hasQuota(spec) ? quotaOf(ledJob) : JobQuota.UNLIMITED,
         machines);
   }
 
@@ -46,13 +44,16 @@
         : ledJob.pending();
   }
 
-  /** None while a change of the reservation is under way or in doubt: its result isn't known. */
-  private int freeQuotaTasks(LedJob ledJob) {
-    if (ledJob.quotaWriteInFlight()
-        || ledJob.writeOutcomeUnknown()
-        || quotaLedger.mustReleaseQuota(ledJob)) {
-      return 0;
+  private JobQuota quotaOf(LedJob ledJob) {
+    if (quotaLedger.mustReleaseQuota(ledJob)) {
+      return new JobQuota(true, 0, 0);
     }
-    return ledJob.entry().quotaReservedTasks() - ledJob.activeAttempts().size();
+    int unused = ledJob.entry().quotaReservedTasks() - ledJob.activeAttempts().size();
+    int remaining = quotaLedger.remainingTasks(ledJob.spec());
+    // none while a change of the reservation is under way or in doubt: its result isn't known
+    boolean inDoubt = ledJob.quotaWriteInFlight() || ledJob.writeOutcomeUnknown();
+    return inDoubt
+        ? new JobQuota(true, 0, Math.max(0, unused) + remaining)
+        : new JobQuota(true, unused, remaining);
   }
 }
--- a/src/main/java/mallowstall/core/quota/QuotaLedger.java
+++ b/src/main/java/mallowstall/core/quota/QuotaLedger.java
@@ -97,6 +97,11 @@
     return teamQuotas.hasQuota(spec);
   }
 
+  /** How many more tasks of the job its team's quota has room for, by what its jobs reserve. */
+  public int remainingTasks(JobSpec spec) {
+    return teamQuotas.remainingTasks(spec);
+  }
+
   /** Whether the job must release what becomes free of its reservation, for others of its team. */
   public boolean mustReleaseQuota(LedJob ledJob) {
     return quotaRelease.isReleasing(ledJob.id(), ledJob.spec().team());
--- a/src/main/java/mallowstall/core/quota/TeamQuotas.java
+++ b/src/main/java/mallowstall/core/quota/TeamQuotas.java
@@ -52,10 +52,15 @@
     return (int) Math.max(0, Math.floor(tasks + TOLERANCE_TASKS));
   }
 
+  /** How many more tasks of the job its team's quota has room for. */
+  int remainingTasks(JobSpec spec) {
+    TeamUsageEntry usage = usage(spec.team());
+    return remainingTasks(spec, usage.reservedCpus(), usage.reservedGpus(), 1);
+  }
+
   /** Whether the team's quota has no room for another task of the job. */
   boolean isExhausted(JobSpec spec) {
-    TeamUsageEntry usage = usage(spec.team());
-    return remainingTasks(spec, usage.reservedCpus(), usage.reservedGpus(), 1) == 0;
+    return remainingTasks(spec) == 0;
   }
 
   /** Whether the team is far enough from its quota for its jobs not to compete. */
