--- a/src/main/java/mallowstall/Constants.java
+++ b/src/main/java/mallowstall/Constants.java
@@ -213,12 +213,6 @@
    */
   public static final int RELEASED_MACHINES_MAX = 10_000;
 
-  /**
-   * Count. Returned machines that are remembered: a heartbeat that was under way comes long before
-   * as many more machines have been returned.
-   */
-  public static final int RETURNED_MACHINES_MAX = 10_000;
-
   /**
    * Count. Cancellations kept for peers that don't follow the state service: hundreds a minute for
    * as long as workers may be kept alive without it. Beyond it no peer's account of cancellations
--- a/src/main/java/mallowstall/core/cluster/ReturnedMachines.java
+++ b/src/main/java/mallowstall/core/cluster/ReturnedMachines.java
@@ -2,7 +2,6 @@
 
 import java.util.LinkedHashSet;
 import java.util.Set;
-import mallowstall.Constants;
 
 /**
  * Machines that are known to be back at the cloud, with everything that was on them. The proof is
@@ -11,12 +10,15 @@
  * is a late one. Mutable.
  */
 public final class ReturnedMachines {
+  /** Count. A heartbeat under way comes long before as many more machines are returned. */
+  private static final int MACHINES_MAX = 10_000;
+
   private final Set<String> machines = new LinkedHashSet<>();
 
   /** The machine was returned; beyond a bound those that were returned first are forgotten. */
   public void add(String machine) {
     machines.add(machine);
-    if (machines.size() > Constants.RETURNED_MACHINES_MAX) {
+    if (machines.size() > MACHINES_MAX) {
       machines.remove(machines.iterator().next());
     }
   }
