--- a/src/main/java/mallowstall/core/MachineModules.java
+++ b/src/main/java/mallowstall/core/MachineModules.java
@@ -220,7 +220,13 @@
             machines);
     StartRequestHandler startRequests =
         new StartRequestHandler(
-            cluster.metrics, cluster.store, machines, statusPublisher, commands, startAdmission);
+            cluster.clock,
+            cluster.metrics,
+            cluster.store,
+            machines,
+            statusPublisher,
+            commands,
+            startAdmission);
     return new StartBatchReceiver(cluster.view, startRequests::handle);
   }
 }
--- a/src/main/java/mallowstall/core/machines/HeartbeatApplier.java
+++ b/src/main/java/mallowstall/core/machines/HeartbeatApplier.java
@@ -1,6 +1,5 @@
 package mallowstall.core.machines;
 
-import java.util.Iterator;
 import java.util.Map;
 import java.util.Objects;
 import java.util.function.Predicate;
@@ -11,7 +10,6 @@
 import mallowstall.core.model.ExitReason;
 import mallowstall.core.model.Heartbeat;
 import mallowstall.core.model.JobEntry;
-import mallowstall.core.model.StartRequest;
 import mallowstall.core.model.TaskAttempt;
 import mallowstall.core.model.TaskReport;
 import mallowstall.core.model.TaskState;
@@ -72,9 +70,8 @@
       machine.commands().settle();
     }
     machine.recordHeartbeat(heartbeat, now);
-    statusChanged |= applyTasks(machine, heartbeat);
-    statusChanged |= removeSettledReservations(machine, sentByWorker);
-    machine.updateIdle(now);
+    statusChanged |= applyTasks(machine, heartbeat, now);
+    statusChanged |= removeSettledReservations(machine, sentByWorker, now);
     if (statusChanged) {
       machine.published().markChanged();
       statusPublisher.requestPublish();
@@ -110,11 +107,12 @@
   }
 
   /** Takes over the worker's tasks; returns whether anything about them is new. */
-  private boolean applyTasks(ManagedMachine machine, Heartbeat heartbeat) {
+  private boolean applyTasks(ManagedMachine machine, Heartbeat heartbeat, long now) {
     if (hasSameTasks(machine, heartbeat)) {
       return false;
     }
-    Map<TaskAttempt, TaskReport> previousTasks = machine.tasks().replaceReports(heartbeat.tasks());
+    Map<TaskAttempt, TaskReport> previousTasks =
+        machine.tasks().replaceReports(heartbeat.tasks(), now);
     for (TaskReport task : heartbeat.tasks()) {
       TaskReport previous = previousTasks.get(TaskAttempt.of(task));
       boolean changed = previous == null || previous.state() != task.state();
@@ -150,23 +148,21 @@
   }
 
   /** Drops reservations that have arrived or never will; returns whether there were any. */
-  private boolean removeSettledReservations(ManagedMachine machine, boolean sentByWorker) {
-    MachineTasks tasks = machine.tasks();
-    int sizeBefore = tasks.reservations().size();
-    Iterator<Reservation> iterator = tasks.reservations().iterator();
-    while (iterator.hasNext()) {
-      Reservation reservation = iterator.next();
-      StartRequest start = reservation.request();
-      if (tasks.isReported(reservation.attempt())) {
-        iterator.remove();
-      } else if (sentByWorker
-          && !machine.commands().isUnacknowledged(reservation.key()) // else it may still arrive
-          && clock.wallClockMs() > start.expiryWallMs()) {
-        // sent or not: the worker ignores responses from before this heartbeat
-        iterator.remove();
-      }
+  private boolean removeSettledReservations(
+      ManagedMachine machine, boolean sentByWorker, long now) {
+    return machine
+        .tasks()
+        .removeReservationsIf(reservation -> isSettled(machine, reservation, sentByWorker), now);
+  }
+
+  private boolean isSettled(ManagedMachine machine, Reservation reservation, boolean sentByWorker) {
+    if (machine.tasks().isReported(reservation.attempt())) {
+      return true;
     }
-    return tasks.reservations().size() != sizeBefore;
+    // sent or not: the worker ignores responses from before a heartbeat that it sent by itself
+    return sentByWorker
+        && !machine.commands().isUnacknowledged(reservation.key()) // else it may still arrive
+        && clock.wallClockMs() > reservation.request().expiryWallMs();
   }
 
   private void recordExit(ManagedMachine machine, TaskReport task) {
--- a/src/main/java/mallowstall/core/machines/HeartbeatResponder.java
+++ b/src/main/java/mallowstall/core/machines/HeartbeatResponder.java
@@ -1,7 +1,6 @@
 package mallowstall.core.machines;
 
 import java.util.ArrayList;
-import java.util.Iterator;
 import java.util.List;
 import java.util.OptionalDouble;
 import mallowstall.Constants;
@@ -117,27 +116,38 @@
 
   /** Adds reserved starts up to the limit of one answer; rejects those that came too late. */
   private void addStarts(ManagedMachine machine, List<WorkerCommand> commands) {
-    Iterator<Reservation> reservations = machine.tasks().reservations().iterator();
-    while (reservations.hasNext() && commands.size() < Constants.COMMANDS_PER_RESPONSE_MAX) {
-      Reservation reservation = reservations.next();
-      StartRequest start = reservation.request();
-      TaskKey key = reservation.key();
-      if (machine.commands().isUnacknowledged(key)) {
-        continue;
+    machine
+        .tasks()
+        .removeReservationsIf(reservation -> isRejected(machine, reservation), clock.now());
+    for (Reservation reservation : machine.tasks().reservations()) {
+      if (commands.size() >= Constants.COMMANDS_PER_RESPONSE_MAX) {
+        return;
       }
-      boolean noLongerNeeded = noLongerNeeded(start.job(), store.job(start.job()), start.task());
-      if (noLongerNeeded
-          || machine.tasks().hasPendingStop(key)
-          || clock.wallClockMs() > start.expiryWallMs()) {
-        // the worker ignores every earlier response once it sent this heartbeat: it never runs
-        reservations.remove();
-        machine.published().markChanged();
-        statusPublisher.rejectStart(start, noLongerNeeded ? "not wanted any more" : "too late");
+      if (machine.commands().isUnacknowledged(reservation.key())) {
         continue;
       }
+      StartRequest start = reservation.request();
       reservation.markSent();
       commands.add(
           new WorkerCommand(CommandKind.START, start.job(), start.task(), start.attempt(), 0));
     }
   }
+
+  /** Whether the start must not be executed any more; it is rejected then. */
+  private boolean isRejected(ManagedMachine machine, Reservation reservation) {
+    StartRequest start = reservation.request();
+    TaskKey key = reservation.key();
+    if (machine.commands().isUnacknowledged(key)) {
+      return false;
+    }
+    boolean noLongerNeeded = noLongerNeeded(start.job(), store.job(start.job()), start.task());
+    boolean tooLate =
+        machine.tasks().hasPendingStop(key) || clock.wallClockMs() > start.expiryWallMs();
+    if (!noLongerNeeded && !tooLate) {
+      return false;
+    }
+    // the worker ignores every earlier response once it sent this heartbeat: it never runs
+    statusPublisher.rejectStart(start, noLongerNeeded ? "not wanted any more" : "too late");
+    return true;
+  }
 }
--- a/src/main/java/mallowstall/core/machines/MachineStatuses.java
+++ b/src/main/java/mallowstall/core/machines/MachineStatuses.java
@@ -131,8 +131,7 @@
     if (machine.leaseExpired() || machines.unresponsive(machine)) {
       return Math.max(1, now - machine.lastHeartbeatMs());
     }
-    return machine.tasks().isEmpty() && machine.idleSinceMs() > 0
-        ? Math.max(1, now - machine.idleSinceMs())
-        : 0;
+    MachineTasks tasks = machine.tasks();
+    return tasks.isEmpty() ? Math.max(1, now - tasks.idleSinceMs()) : 0;
   }
 }
--- a/src/main/java/mallowstall/core/machines/MachineTasks.java
+++ b/src/main/java/mallowstall/core/machines/MachineTasks.java
@@ -2,6 +2,7 @@
 
 import it.unimi.dsi.fastutil.objects.Object2ObjectLinkedOpenHashMap;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -9,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BiConsumer;
+import java.util.function.Predicate;
 import mallowstall.core.model.StopRequest;
 import mallowstall.core.model.TaskAttempt;
 import mallowstall.core.model.TaskKey;
@@ -16,9 +18,15 @@
 
 /**
  * Tasks on one machine: those its worker lists, accepted starts, and stops that wait to be sent.
- * Mutable.
+ * Whatever changes the tasks also marks the machine's status as changed and keeps the time from
+ * which it has none, so that no caller can forget to. Mutable; times are in ms of the steady clock.
  */
 final class MachineTasks {
+  private final Runnable markChanged;
+
+  /** When there was a task last, or when the machine was added or emptied. */
+  private long busyUntilMs;
+
   private final Map<TaskAttempt, TaskReport> reports = new LinkedHashMap<>();
   private final Map<TaskKey, Reservation> reservations = new Object2ObjectLinkedOpenHashMap<>();
   private final Map<TaskKey, StopRequest> pendingStops = new HashMap<>();
@@ -29,6 +37,22 @@
    */
   private final Set<TaskAttempt> preempted = new HashSet<>();
 
+  /** Nothing is on the machine; {@code markChanged} is run with each change of its tasks. */
+  MachineTasks(Runnable markChanged, long now) {
+    this.markChanged = markChanged;
+    this.busyUntilMs = now;
+  }
+
+  /** Since when nothing has been on the machine; meaningless while something is. */
+  long idleSinceMs() {
+    return busyUntilMs;
+  }
+
+  private void tasksChange(long now) {
+    busyUntilMs = now;
+    markChanged.run();
+  }
+
   /** What the worker last reported of its tasks, in its order. */
   Iterable<TaskReport> reports() {
     return reports.values();
@@ -50,7 +74,8 @@
   }
 
   /** Takes over a new list of tasks and returns the previous one. */
-  Map<TaskAttempt, TaskReport> replaceReports(List<TaskReport> newReports) {
+  Map<TaskAttempt, TaskReport> replaceReports(List<TaskReport> newReports, long now) {
+    tasksChange(now);
     Map<TaskAttempt, TaskReport> previous = new HashMap<>(reports);
     reports.clear();
     for (TaskReport task : newReports) {
@@ -79,7 +104,8 @@
   }
 
   /** Accepts a start. */
-  void reserve(Reservation reservation) {
+  void reserve(Reservation reservation, long now) {
+    tasksChange(now);
     reservations.put(reservation.key(), reservation);
   }
 
@@ -88,14 +114,27 @@
     return reservations.get(key);
   }
 
-  /** Accepted starts in order; removing one through the iterator drops the reservation. */
+  /** Accepted starts in order; a live view that can't be changed. */
   Collection<Reservation> reservations() {
-    return reservations.values();
+    return Collections.unmodifiableCollection(reservations.values());
+  }
+
+  /** Drops the accepted starts for which the condition holds; returns whether there were any. */
+  boolean removeReservationsIf(Predicate<Reservation> condition, long now) {
+    boolean removed = reservations.values().removeIf(condition);
+    if (removed) {
+      tasksChange(now);
+    }
+    return removed;
   }
 
   /** Marks a listed task as the victim of an accepted start; false: it isn't listed, or was. */
   boolean preempt(TaskAttempt attempt) {
-    return reports.containsKey(attempt) && preempted.add(attempt);
+    boolean added = reports.containsKey(attempt) && preempted.add(attempt);
+    if (added) {
+      markChanged.run();
+    }
+    return added;
   }
 
   /** Whether the attempt is the victim of an accepted start. */
@@ -139,7 +178,8 @@
   }
 
   /** Nothing is left on the machine. */
-  void clear() {
+  void clear(long now) {
+    tasksChange(now);
     reports.clear();
     reservations.clear();
     pendingStops.clear();
--- a/src/main/java/mallowstall/core/machines/ManagedMachine.java
+++ b/src/main/java/mallowstall/core/machines/ManagedMachine.java
@@ -12,9 +12,9 @@
   private final MachineType type;
   private final String zone;
   private final boolean spot;
-  private final MachineTasks tasks = new MachineTasks();
   private final CommandChannel commands = new CommandChannel();
   private final PublishedStatus published = new PublishedStatus();
+  private final MachineTasks tasks;
   private final ImageCache images;
 
   private long fencingToken;
@@ -38,7 +38,6 @@
   private long quarantineUntilMs;
   private int consecutiveErrors;
   private boolean faulty;
-  private long idleSinceMs;
 
   /**
    * A machine whose leadership was written at that revision.
@@ -53,7 +52,7 @@
     this.zone = zone;
     this.spot = spot;
     this.fencingToken = fencingToken;
-    this.idleSinceMs = now;
+    this.tasks = new MachineTasks(published::markChanged, now);
     this.images = new ImageCache(type.cacheGb());
   }
 
@@ -216,9 +215,8 @@
   void expireLease(long now) {
     leaseExpired = true;
     tokenAcknowledged = true;
-    tasks.clear();
+    tasks.clear(now);
     commands.settle();
-    idleSinceMs = now;
     published.markChanged();
   }
 
@@ -277,23 +275,4 @@
   boolean faulty() {
     return faulty;
   }
-
-  /** The machine has work now. */
-  void markBusy() {
-    idleSinceMs = 0;
-  }
-
-  /** Notes whether the machine has work. */
-  void updateIdle(long now) {
-    if (!tasks.isEmpty()) {
-      idleSinceMs = 0;
-    } else if (idleSinceMs == 0) {
-      idleSinceMs = now;
-    }
-  }
-
-  /** Since when the machine has had no work, in ms of the steady clock; 0: it has some. */
-  long idleSinceMs() {
-    return idleSinceMs;
-  }
 }
--- a/src/main/java/mallowstall/core/machines/StartRequestHandler.java
+++ b/src/main/java/mallowstall/core/machines/StartRequestHandler.java
@@ -1,5 +1,6 @@
 package mallowstall.core.machines;
 
+import mallowstall.core.kernel.EventClock;
 import mallowstall.core.kernel.Metrics;
 import mallowstall.core.kv.StateStore;
 import mallowstall.core.model.JobSpec;
@@ -14,6 +15,7 @@
 public final class StartRequestHandler {
   private static final Logger LOG = LoggerFactory.getLogger("mallowstall.machines");
 
+  private final EventClock clock;
   private final Metrics metrics;
   private final StateStore store;
   private final ManagedMachines machines;
@@ -23,12 +25,14 @@
 
   /** Handles requests by admission, reservation and the command that follows. */
   public StartRequestHandler(
+      EventClock clock,
       Metrics metrics,
       StateStore store,
       ManagedMachines machines,
       StatusPublisher statusPublisher,
       DirectCommands commands,
       StartAdmission startAdmission) {
+    this.clock = clock;
     this.metrics = metrics;
     this.store = store;
     this.machines = machines;
@@ -53,14 +57,12 @@
   private void reserve(StartRequest start) {
     ManagedMachine machine = machines.get(start.machine());
     JobSpec spec = store.job(start.job()).spec();
-    machine.tasks().reserve(new Reservation(start, spec));
+    machine.tasks().reserve(new Reservation(start, spec), clock.now());
     for (TaskAttempt attempt : start.victims()) {
       if (machine.tasks().preempt(attempt)) {
         preempt(machine, attempt, start);
       }
     }
-    machine.markBusy();
-    machine.published().markChanged();
     commands.enqueue(machine);
     LOG.debug(
         "start reserved job={} task={} attempt={} machine={}",
