--- a/src/main/java/mallowstall/core/ControllerCore.java
+++ b/src/main/java/mallowstall/core/ControllerCore.java
@@ -5,6 +5,7 @@
 import mallowstall.Constants;
 import mallowstall.core.api.HeartbeatReceiver;
 import mallowstall.core.api.JobApi;
+import mallowstall.core.api.OutcomeAnnouncer;
 import mallowstall.core.api.PeerEvents;
 import mallowstall.core.api.UserRequests;
 import mallowstall.core.cluster.ClusterView;
@@ -20,7 +21,10 @@
 import mallowstall.core.model.CoreSettings;
 import mallowstall.core.model.Heartbeat;
 import mallowstall.core.model.HeartbeatResponse;
+import mallowstall.core.model.JobOutcome;
 import mallowstall.core.model.JobSpec;
+import mallowstall.core.model.OutcomeAcknowledgement;
+import mallowstall.core.model.OutcomeAnnouncement;
 import mallowstall.core.model.PeerMessage;
 import mallowstall.core.model.StartBatch;
 import mallowstall.core.model.StatusUpdate;
@@ -49,6 +53,7 @@
   private final AutoscalingModules autoscaling;
   private final PlacementModules placement;
   private final DigestPublisher digestPublisher;
+  private final OutcomeAnnouncer outcomes;
   private final JobApi jobApi;
 
   /**
@@ -85,6 +90,9 @@
             cluster.store,
             machines.machines::freeCapacities,
             jobLeader::pendingCpus);
+    outcomes =
+        new OutcomeAnnouncer(
+            cluster.clock, settings, effects, cluster.store, cluster.clusterVersion);
     jobApi = newJobApi();
     cluster.store.subscribe(newDispatcher());
   }
@@ -122,6 +130,7 @@
         cluster.connectivity,
         cluster.cancellations,
         cluster.clusterVersion,
+        outcomes,
         jobLeader::running);
   }
 
@@ -132,6 +141,7 @@
             cluster.imageSizes::jobChanged,
             cluster.openJobs::jobChanged,
             cluster.cancellations::jobChanged,
+            outcomes::jobChanged,
             jobApi::jobChanged,
             machines.leadershipChanges::jobChanged,
             (before, entry) -> jobLeader.applyJobEntry(entry)),
@@ -234,6 +244,10 @@
       receiveStarts(startBatch);
     } else if (message instanceof StopBatch stopBatch) {
       receiveStops(stopBatch);
+    } else if (message instanceof OutcomeAnnouncement announcement) {
+      outcomes.receive(announcement);
+    } else if (message instanceof OutcomeAcknowledgement acknowledgement) {
+      outcomes.receive(acknowledgement);
     }
     runDueWork();
   }
@@ -251,6 +265,7 @@
   }
 
   private void jobCancelled(String job) {
+    outcomes.recordOutcome(job, JobOutcome.CANCELLED);
     machines.stopRequests.stopCancelled(job);
   }
 
--- a/src/main/java/mallowstall/core/api/JobApi.java
+++ b/src/main/java/mallowstall/core/api/JobApi.java
@@ -35,6 +35,7 @@
   private static final int CANCELLATION_RETRIES = 3;
 
   private static final String NO_STATE_SERVICE = "no contact with the state service";
+  private static final String READ_TOO_EARLY = "the job has ended meanwhile, ask again";
   private static final String QUEUE_FULL = "too many requests are waiting";
 
   private final EventClock clock;
@@ -45,6 +46,7 @@
   private final Connectivity connectivity;
   private final CancellationExchange cancellations;
   private final ClusterVersion clusterVersion;
+  private final OutcomeAnnouncer outcomes;
   private final ToIntFunction<String> runningTasks;
   private final FreshJobReader reader;
   private final SchedulabilityCheck schedulability;
@@ -72,6 +74,7 @@
       Connectivity connectivity,
       CancellationExchange cancellations,
       ClusterVersion clusterVersion,
+      OutcomeAnnouncer outcomes,
       ToIntFunction<String> runningTasks) {
     this.clock = clock;
     this.settings = settings;
@@ -81,6 +84,7 @@
     this.connectivity = connectivity;
     this.cancellations = cancellations;
     this.clusterVersion = clusterVersion;
+    this.outcomes = outcomes;
     this.runningTasks = runningTasks;
     reader = new FreshJobReader(clock, store);
     schedulability = new SchedulabilityCheck(settings, types);
@@ -160,7 +164,11 @@
     } else {
       // its own write made the entry known here, and perhaps its end is known as well by now
       JobEntry job = withKnownOutcome(store.job(id));
-      reply.accept(job.isTerminal() ? stateOf(job) : ApiResponse.accepted(id));
+      if (job.isTerminal()) {
+        respondWithState(job, reply);
+      } else {
+        reply.accept(ApiResponse.accepted(id));
+      }
     }
   }
 
@@ -182,21 +190,23 @@
       reply.accept(fallback);
       return;
     }
-    reader.read(id, read -> reply.accept(stateOrFallback(id, read, fallback)));
+    reader.read(id, read -> respondWithStateOr(id, read, fallback, reply));
   }
 
-  private ApiResponse stateOrFallback(String id, JobRead read, ApiResponse fallback) {
-    return switch (read.status()) {
-      case FOUND -> stateOf(read.job());
-      case NOT_FOUND -> fallback;
+  private void respondWithStateOr(
+      String id, JobRead read, ApiResponse fallback, Consumer<ApiResponse> reply) {
+    switch (read.status()) {
+      case FOUND -> respondWithState(read.job(), reply);
+      case NOT_FOUND -> reply.accept(isAnnounced(id) ? unavailable(READ_TOO_EARLY) : fallback);
       // accepted since, but how it stands now can't be told
-      case UNAVAILABLE -> store.job(id) == null ? fallback : unavailable(NO_STATE_SERVICE);
-    };
+      case UNAVAILABLE ->
+          reply.accept(store.job(id) == null ? fallback : unavailable(NO_STATE_SERVICE));
+    }
   }
 
   /** Responds with the state of the job, or 404. */
   public void query(String id, Consumer<ApiResponse> reply) {
-    withCurrentEntry(id, reply, read -> reply.accept(stateOf(read.job())));
+    withCurrentEntry(id, reply, read -> respondWithState(read.job(), reply));
   }
 
   /** Cancels a job; the response comes once the cancellation is written, or 404. */
@@ -211,7 +221,7 @@
   private void recordCancellation(JobRead read, Consumer<ApiResponse> reply, int retries) {
     JobEntry job = read.job();
     if (job.isTerminal()) {
-      reply.accept(stateOf(job));
+      respondWithState(job, reply);
       return;
     }
     JobEntry cancelled = job.withOutcome(JobOutcome.CANCELLED);
@@ -221,7 +231,7 @@
         reply,
         code -> {
           if (code == ResultCode.OK) {
-            reply.accept(stateOf(cancelled));
+            respondWithState(cancelled, reply);
           } else if (code == ResultCode.CONFLICT && retries > 0) {
             cancel(job.spec().id(), reply, retries - 1);
           } else {
@@ -234,7 +244,7 @@
   private void withCurrentEntry(String id, Consumer<ApiResponse> reply, Consumer<JobRead> onFound) {
     JobEntry terminalJob = terminalJobs.get(id);
     if (terminalJob != null) {
-      reply.accept(stateOf(terminalJob));
+      respondWithState(terminalJob, reply);
       return;
     }
     reader.read(
@@ -242,12 +252,19 @@
         read -> {
           switch (read.status()) {
             case FOUND -> onFound.accept(read);
-            case NOT_FOUND -> reply.accept(ApiResponse.notFound());
+            case NOT_FOUND ->
+                reply.accept(
+                    isAnnounced(id) ? unavailable(READ_TOO_EARLY) : ApiResponse.notFound());
             case UNAVAILABLE -> reply.accept(unavailable(NO_STATE_SERVICE));
           }
         });
   }
 
+  /** Whether a peer has said how the job has ended, of which the state read shows nothing yet. */
+  private boolean isAnnounced(String id) {
+    return outcomes.recentOutcome(id) != null;
+  }
+
   /** Queues a change; if the queue is full, that is the response. */
   private void transact(
       Transaction transaction, Consumer<ApiResponse> reply, Consumer<ResultCode> onResult) {
@@ -267,15 +284,31 @@
     String id = stored.spec().id();
     JobEntry known = store.job(id);
     JobEntry job = known != null && known.isTerminal() ? known : stored;
-    return !job.isTerminal() && cancellations.isReportedByPeer(id)
-        ? job.withOutcome(JobOutcome.CANCELLED)
-        : job;
+    if (job.isTerminal()) {
+      return job;
+    }
+    if (cancellations.isReportedByPeer(id)) {
+      return job.withOutcome(JobOutcome.CANCELLED);
+    }
+    JobOutcome announced = outcomes.recentOutcome(id);
+    return announced == null ? job : job.withOutcome(announced);
   }
 
-  /** The state by this entry and by what is known since. */
-  private ApiResponse stateOf(JobEntry stored) {
-    String id = stored.spec().id();
+  /**
+   * Responds with the state by this entry and by what is known since. An open state is told now or
+   * not at all; an end is told once no other controller can tell an open state any more.
+   */
+  private void respondWithState(JobEntry stored, Consumer<ApiResponse> reply) {
     JobEntry job = withKnownOutcome(stored);
+    if (job.isTerminal()) {
+      outcomes.whenSettled(job.spec().id(), job.outcome(), () -> reply.accept(stateOf(job)));
+    } else {
+      reply.accept(stateOf(job));
+    }
+  }
+
+  private ApiResponse stateOf(JobEntry job) {
+    String id = job.spec().id();
     if (job.outcome() == JobOutcome.DONE) {
       return ApiResponse.done(id, job.spec().tasks());
     }
--- a/src/main/java/mallowstall/core/cluster/ClusterVersion.java
+++ b/src/main/java/mallowstall/core/cluster/ClusterVersion.java
@@ -32,6 +32,11 @@
     return lowestVersion() >= ProgramVersion.WITH_SERVICES;
   }
 
+  /** Whether every controller knows the messages by which outcomes of jobs are announced. */
+  public boolean allowsOutcomeAnnouncements() {
+    return lowestVersion() >= ProgramVersion.WITH_OUTCOME_ANNOUNCEMENTS;
+  }
+
   private int lowestVersion() {
     int lowest = publishedVersion(settings.node());
     for (String peer : settings.peers()) {
--- a/src/main/java/mallowstall/core/model/PeerMessage.java
+++ b/src/main/java/mallowstall/core/model/PeerMessage.java
@@ -1,4 +1,5 @@
 package mallowstall.core.model;
 
 /** A message between controllers; one may be lost when a connection breaks. */
-public sealed interface PeerMessage permits StatusUpdate, StartBatch, StopBatch {}
+public sealed interface PeerMessage
+    permits StatusUpdate, StartBatch, StopBatch, OutcomeAnnouncement, OutcomeAcknowledgement {}
--- a/src/main/java/mallowstall/core/model/ProgramVersion.java
+++ b/src/main/java/mallowstall/core/model/ProgramVersion.java
@@ -8,8 +8,11 @@
   /** The first version that knows services and bitmaps in small pieces. */
   public static final int WITH_SERVICES = 1;
 
+  /** The first version that announces to its peers how jobs have ended. */
+  public static final int WITH_OUTCOME_ANNOUNCEMENTS = 2;
+
   /** The version of this program. */
-  public static final int CURRENT = WITH_SERVICES;
+  public static final int CURRENT = WITH_OUTCOME_ANNOUNCEMENTS;
 
   private ProgramVersion() {}
 }
--- a/src/main/java/mallowstall/peers/PeerCodec.java
+++ b/src/main/java/mallowstall/peers/PeerCodec.java
@@ -6,7 +6,10 @@
 import java.util.List;
 import mallowstall.Constants;
 import mallowstall.core.model.ExitReason;
+import mallowstall.core.model.JobOutcome;
 import mallowstall.core.model.MachineStatus;
+import mallowstall.core.model.OutcomeAcknowledgement;
+import mallowstall.core.model.OutcomeAnnouncement;
 import mallowstall.core.model.PeerMessage;
 import mallowstall.core.model.StartBatch;
 import mallowstall.core.model.StartRejection;
@@ -42,6 +45,8 @@
   private static final int STATUS_UPDATE = 0;
   private static final int START_BATCH = 1;
   private static final int STOP_BATCH = 2;
+  private static final int OUTCOME_ANNOUNCEMENT = 3;
+  private static final int OUTCOME_ACKNOWLEDGEMENT = 4;
 
   // bits of a machine's flags
   private static final int TOKEN_ACKNOWLEDGED = 1;
@@ -54,6 +59,8 @@
   // the schema lists both enums in the order of their constants, after one for null
   private static final TaskState[] STATES = TaskState.values();
   private static final ExitReason[] EXIT_REASONS = ExitReason.values();
+  // the outcomes that can be announced, in the order of the schema
+  private static final List<JobOutcome> OUTCOMES = List.of(JobOutcome.DONE, JobOutcome.CANCELLED);
 
   static {
     // without this limit a few bytes can make the decoder allocate two gigabytes
@@ -84,6 +91,15 @@
         encoder.writeLong(stopBatch.incarnation());
         writeList(encoder, stopBatch.stops(), PeerCodec::writeStop);
         writeList(encoder, stopBatch.machinesToDrain(), BinaryEncoder::writeString);
+      } else if (message instanceof OutcomeAnnouncement announcement) {
+        encoder.writeIndex(OUTCOME_ANNOUNCEMENT);
+        encoder.writeString(announcement.node());
+        encoder.writeString(announcement.job());
+        encoder.writeEnum(OUTCOMES.indexOf(announcement.outcome()));
+      } else if (message instanceof OutcomeAcknowledgement acknowledgement) {
+        encoder.writeIndex(OUTCOME_ACKNOWLEDGEMENT);
+        encoder.writeString(acknowledgement.node());
+        encoder.writeString(acknowledgement.job());
       }
       encoder.flush();
     } catch (IOException impossible) {
@@ -119,10 +135,24 @@
               decoder.readLong(),
               readList(decoder, PeerCodec::readStop),
               readList(decoder, BinaryDecoder::readString));
-      default -> throw new IOException("message kind is " + kind + ": expected 0 to " + STOP_BATCH);
+      case OUTCOME_ANNOUNCEMENT ->
+          new OutcomeAnnouncement(decoder.readString(), decoder.readString(), readOutcome(decoder));
+      case OUTCOME_ACKNOWLEDGEMENT ->
+          new OutcomeAcknowledgement(decoder.readString(), decoder.readString());
+      default ->
+          throw new IOException(
+              "message kind is " + kind + ": expected 0 to " + OUTCOME_ACKNOWLEDGEMENT);
     };
   }
 
+  private static JobOutcome readOutcome(BinaryDecoder decoder) throws IOException {
+    int index = decoder.readEnum();
+    if (index < 0 || index >= OUTCOMES.size()) {
+      throw new IOException("outcome is " + index + ": expected 0 to " + (OUTCOMES.size() - 1));
+    }
+    return OUTCOMES.get(index);
+  }
+
   private static <T> void writeList(BinaryEncoder encoder, List<T> values, ElementWriter<T> element)
       throws IOException {
     encoder.writeArrayStart();
--- a/src/test/java/mallowstall/peers/GoldenMessagesTest.java
+++ b/src/test/java/mallowstall/peers/GoldenMessagesTest.java
@@ -13,7 +13,10 @@
 import java.util.stream.Collectors;
 import mallowstall.Fixtures;
 import mallowstall.core.model.ExitReason;
+import mallowstall.core.model.JobOutcome;
 import mallowstall.core.model.MachineStatus;
+import mallowstall.core.model.OutcomeAcknowledgement;
+import mallowstall.core.model.OutcomeAnnouncement;
 import mallowstall.core.model.PeerMessage;
 import mallowstall.core.model.StartBatch;
 import mallowstall.core.model.StartRejection;
@@ -118,6 +121,9 @@
                 new StopRequest("m-2", "wk-2", 4, 55, 0)),
             List.of("m-3", "m-4")));
     all.put("stops-empty", new StopBatch("n3", 12, List.of(), List.of()));
+    all.put("outcome-done", new OutcomeAnnouncement("n3", "wk-1", JobOutcome.DONE));
+    all.put("outcome-cancelled", new OutcomeAnnouncement("n3", "wk-2", JobOutcome.CANCELLED));
+    all.put("outcome-heard", new OutcomeAcknowledgement("n2", "wk-1"));
     return all;
   }
 
--- a/src/test/java/mallowstall/peers/PeerCodecTest.java
+++ b/src/test/java/mallowstall/peers/PeerCodecTest.java
@@ -10,7 +10,10 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import mallowstall.core.model.ExitReason;
+import mallowstall.core.model.JobOutcome;
 import mallowstall.core.model.MachineStatus;
+import mallowstall.core.model.OutcomeAcknowledgement;
+import mallowstall.core.model.OutcomeAnnouncement;
 import mallowstall.core.model.PeerMessage;
 import mallowstall.core.model.StartBatch;
 import mallowstall.core.model.StartRejection;
@@ -93,7 +96,11 @@
     StopBatch stopBatch =
         new StopBatch(
             "n1", 3, List.of(new StopRequest("m-000007", "wk-000002", 1, 99, 4.5)), List.of("m-1"));
-    for (PeerMessage message : List.of(ROSTER, startBatch, stopBatch)) {
+    OutcomeAnnouncement done = new OutcomeAnnouncement("n1", "wk-000002", JobOutcome.DONE);
+    OutcomeAnnouncement cancelled =
+        new OutcomeAnnouncement("n1", "wk-000003", JobOutcome.CANCELLED);
+    OutcomeAcknowledgement heard = new OutcomeAcknowledgement("n2", "wk-000002");
+    for (PeerMessage message : List.of(ROSTER, startBatch, stopBatch, done, cancelled, heard)) {
       assertEquals(message, PeerCodec.decode(PeerCodec.encode(message)));
     }
   }
@@ -123,6 +130,41 @@
         "no room", ((GenericRecord) ((List<?>) r.get("refusals")).get(0)).get("reason").toString());
   }
 
+  @Test
+  void outcomesFollowTheSchema() throws IOException {
+    Schema all;
+    try (InputStream in = PeerCodec.class.getResourceAsStream("/mallowstall/peers.avsc")) {
+      all = new Schema.Parser().parse(in);
+    }
+    PeerMessage announcement = new OutcomeAnnouncement("n1", "wk-000003", JobOutcome.CANCELLED);
+    PeerMessage heard = new OutcomeAcknowledgement("n2", "wk-000003");
+    assertEquals(
+        "{\"node\": \"n1\", \"job\": \"wk-000003\", \"outcome\": \"CANCELLED\"}",
+        bodyBySchema(all, announcement));
+    assertEquals("{\"node\": \"n2\", \"job\": \"wk-000003\"}", bodyBySchema(all, heard));
+  }
+
+  private static String bodyBySchema(Schema all, PeerMessage message) throws IOException {
+    return new GenericDatumReader<GenericRecord>(all)
+        .read(null, DecoderFactory.get().binaryDecoder(PeerCodec.encode(message), null))
+        .get("body")
+        .toString();
+  }
+
+  /** An outcome or a kind of message of a later version is refused in one clear line. */
+  @Test
+  void unknownOutcomesAndKindsAreRefused() {
+    byte[] bytes = PeerCodec.encode(new OutcomeAnnouncement("n1", "wk-1", JobOutcome.CANCELLED));
+    bytes[bytes.length - 1] = 4;
+    IOException outcome = assertThrows(IOException.class, () -> PeerCodec.decode(bytes));
+    assertEquals("outcome is 2: expected 0 to 1", outcome.getMessage());
+    bytes[0] = 10;
+    IOException kind = assertThrows(IOException.class, () -> PeerCodec.decode(bytes));
+    assertEquals("message kind is 5: expected 0 to 4", kind.getMessage());
+    byte[] cut = PeerCodec.encode(new OutcomeAcknowledgement("n1", "wk-1"));
+    assertThrows(IOException.class, () -> PeerCodec.decode(Arrays.copyOf(cut, cut.length - 2)));
+  }
+
   @Test
   void cutOffBytesAreRefused() {
     byte[] b = PeerCodec.encode(ROSTER);
