--- a/src/test/java/mallowstall/core/FaultCombination.java
+++ b/src/test/java/mallowstall/core/FaultCombination.java
@@ -108,7 +108,6 @@
   SLOW_STATE_AND_CANCELLATION {
     @Override
     boolean inject(Simulation sim) {
-      sim.checker.reorderedAnswersViolate = SeedSearch.reorderedAnswersViolate();
       sim.maxStateDelayMs = 2_500;
       sim.schedule(2_000, () -> sim.users.cancelRunningJobs(3, 0));
       sim.schedule(9_000, () -> sim.users.scheduleInvalidRequests(20));
--- a/src/test/java/mallowstall/core/InvariantChecker.java
+++ b/src/test/java/mallowstall/core/InvariantChecker.java
@@ -32,23 +32,6 @@
   /** How long a replica may be on no machine beside room for it once no fault is left. */
   static final long MAX_REPLICA_MISSING_MS = 30_000;
 
-  /** How long a user waits for the answer to a question. */
-  static final long QUERY_TIMEOUT_MS = 2_000;
-
-  /**
-   * Answers that were overtaken by a final state reported elsewhere: both questions were under way
-   * at once, the older answer's read was made before, and the controller that sent it had not heard
-   * of the end (docs/questions.md, 9).
-   */
-  final List<String> reorderedAnswers = new ArrayList<>();
-
-  /**
-   * Whether such an answer counts as broken, which no controller can rule out by itself. An answer
-   * that its sender could know to be outdated always counts, and so does a refusal of an accepted
-   * job: no history shows that one must be allowed.
-   */
-  boolean reorderedAnswersViolate = true;
-
   final List<String> violations = new ArrayList<>();
   private final Map<String, JobSpec> jobs = new HashMap<>();
   private final Map<String, Team> teams;
@@ -359,11 +342,6 @@
   }
 
   void onAnswer(long now, long asked, String job, int status, String state) {
-    onAnswer(now, asked, job, status, state, false);
-  }
-
-  /** {@code endKnown}: whether the controller that sent the answer knew that the job had ended. */
-  void onAnswer(long now, long asked, String job, int status, String state, boolean endKnown) {
     String before = lastReportedState.get(job);
     if (!jobs.containsKey(job)) {
       if (status == 200) {
@@ -381,14 +359,6 @@
     if (isOver(job) && !before.equals(state)) {
       String what = now + " went_back: " + job + " " + before + " " + state;
       what += " since " + terminalStateMs.get(job) + ", asked at " + asked;
-      boolean crossing =
-          asked < terminalStateMs.get(job) && now - asked <= QUERY_TIMEOUT_MS && !endKnown;
-      if (crossing) {
-        reorderedAnswers.add(what);
-      }
-      if (crossing && !reorderedAnswersViolate) {
-        return; // the user knows better already
-      }
       violations.add(what);
     }
     if (state.equals("cancelled") && !cancelRequested.contains(job)) {
--- a/src/test/java/mallowstall/core/RandomizedSimulationTest.java
+++ b/src/test/java/mallowstall/core/RandomizedSimulationTest.java
@@ -130,14 +130,12 @@
   @Test
   void manySeeds() throws InterruptedException {
     AtomicLong starts = new AtomicLong();
-    AtomicLong crossed = new AtomicLong();
     AtomicLong startsAfterCancel = new AtomicLong();
     new SeedSearch()
         .runAll(
             seed -> {
               Simulation sim = runCombinedFaults(seed);
               starts.addAndGet(sim.checker.startCount);
-              crossed.addAndGet(sim.checker.reorderedAnswers.size());
               startsAfterCancel.addAndGet(sim.checker.startsAfterCancelCount);
               assertEquals(List.of(), sim.checker.violations);
               assertFinishedForUsers(sim);
@@ -145,8 +143,8 @@
             },
             () ->
                 String.format(
-                    "%d starts, %d of them after a confirmed cancellation; %d answers crossed",
-                    starts.get(), startsAfterCancel.get(), crossed.get()));
+                    "%d starts, %d of them after a confirmed cancellation",
+                    starts.get(), startsAfterCancel.get()));
   }
 
   private static Simulation runCombinedFaults(long seed) {
@@ -158,8 +156,6 @@
     Simulation sim = new Simulation(seed, ProgramVersion.CURRENT, recorder);
     RandomFaults.setMessageFaultRates(sim, seed);
     sim.cancelAtEndRate = 0.2;
-    // with a state service this slow a poll is overtaken by the cancellation at another controller
-    sim.checker.reorderedAnswersViolate = SeedSearch.reorderedAnswersViolate();
     RandomFaults.scheduleRandomJobs(sim, 45, 105_000);
     for (int i = 0; i < 8; i++) {
       sim.schedule(10_000 + sim.random.nextInt(110_000), () -> RandomFaults.injectBasicFault(sim));
@@ -291,12 +287,8 @@
     rules.onAnswer(101_500, "wk-000004", 200, "cancelled");
     rules.onAnswer(101_500, 99_999, "wk-000004", 200, "running");
     assertTrue(rules.violations.get(0).contains("went_back"), rules.violations.toString());
-    rules.violations.clear();
     rules.onAnswer(101_500, "wk-000004", 200, "cancelled");
-    rules.reorderedAnswersViolate = false;
-    rules.onAnswer(101_500, 99_999, "wk-000004", 200, "running");
-    assertEquals(List.of(), rules.violations);
-    assertEquals(2, rules.reorderedAnswers.size());
+    rules.violations.clear();
     rules.onAnswer(101_600, 100_001, "wk-000004", 200, "running");
     assertTrue(rules.violations.get(0).contains("went_back"), rules.violations.toString());
     for (int status : new int[] {400, 404, 422}) {
--- a/src/test/java/mallowstall/core/RandomizedUpgradeTest.java
+++ b/src/test/java/mallowstall/core/RandomizedUpgradeTest.java
@@ -110,8 +110,6 @@
     RandomFaults.setMessageFaultRates(sim, seed);
     sim.cancelAtEndRate = 0.1;
     sim.replicaExitRate = 0.2;
-    // as in RandomizedSimulationTest: slow reads are overtaken
-    sim.checker.reorderedAnswersViolate = SeedSearch.reorderedAnswersViolate();
     RandomFaults.scheduleRandomJobs(sim, 35, 130_000);
     scheduleUpgrades(sim);
     for (int i = 0; i < 10; i++) {
--- a/src/test/java/mallowstall/core/SeedSearch.java
+++ b/src/test/java/mallowstall/core/SeedSearch.java
@@ -46,14 +46,6 @@
             + "'");
   }
 
-  /**
-   * Whether answers that cross an end told elsewhere count as broken: {@code
-   * -Dmallowstall.answers=strict}, see KNOWN-RED.txt.
-   */
-  static boolean reorderedAnswersViolate() {
-    return System.getProperty("mallowstall.answers", "").equals("strict");
-  }
-
   /**
    * Plays and checks each seed's history, prints those that fail and the summary, and fails if any
    * did.
--- a/src/test/java/mallowstall/core/SimulatedUsers.java
+++ b/src/test/java/mallowstall/core/SimulatedUsers.java
@@ -9,7 +9,6 @@
 import java.util.TreeSet;
 import java.util.function.Consumer;
 import mallowstall.core.model.ApiResponse;
-import mallowstall.core.model.JobEntry;
 import mallowstall.core.model.JobSpec;
 
 /** The users: they submit jobs, ask about them until these are over, and cancel some. */
@@ -62,7 +61,7 @@
               answered[0] = false;
             } // the user doesn't get it
             else {
-              recordAnswer(node, asked, spec.id(), answer);
+              recordAnswer(asked, spec.id(), answer);
             }
             if (answered[0] && answer.state() != null) {
               poll(spec.id());
@@ -90,12 +89,9 @@
     node.enqueueEvent(() -> node.core.query(id, simulation.recorder.toUser(node, id, user)));
   }
 
-  /** The node answers a request made at {@code asked}. */
-  private void recordAnswer(SimulatedController node, long asked, String id, ApiResponse answer) {
-    JobEntry known = node.core.store().job(id);
-    boolean endKnown = known != null && known.isTerminal();
-    simulation.checker.onAnswer(
-        simulation.nowMs, asked, id, answer.status(), answer.state(), endKnown);
+  /** A request made at {@code asked} is answered. */
+  private void recordAnswer(long asked, String id, ApiResponse answer) {
+    simulation.checker.onAnswer(simulation.nowMs, asked, id, answer.status(), answer.state());
   }
 
   private void poll(String id) {
@@ -105,7 +101,7 @@
     SimulatedController node = randomController();
     long asked = simulation.nowMs;
     if (node.running) {
-      query(node, id, answer -> recordAnswer(node, asked, id, answer));
+      query(node, id, answer -> recordAnswer(asked, id, answer));
     }
     simulation.schedule(2_000 + simulation.random.nextInt(3_000), () -> poll(id));
   }
@@ -126,7 +122,7 @@
                     node,
                     id,
                     answer -> {
-                      recordAnswer(node, asked, id, answer);
+                      recordAnswer(asked, id, answer);
                       if (answer.state() == null && answer.status() != 404) {
                         simulation.schedule(1_000, () -> cancel(id));
                       }
@@ -236,7 +232,7 @@
     simulation.countFault(
         simulation.checker.isOver(id) ? "oddRequests, over again" : "oddRequests, again");
     long asked = simulation.nowMs;
-    submitAt(node, simulation.checker.spec(id), answer -> recordAnswer(node, asked, id, answer));
+    submitAt(node, simulation.checker.spec(id), answer -> recordAnswer(asked, id, answer));
   }
 
   /** A job of an unknown team, or whose tasks fit on no machine. */
@@ -285,7 +281,7 @@
   private void queryJob(String id) {
     SimulatedController node = randomController();
     if (node.running) {
-      query(node, id, answer -> recordAnswer(node, simulation.nowMs, id, answer));
+      query(node, id, answer -> recordAnswer(simulation.nowMs, id, answer));
     }
   }
 }
