--- a/src/main/java/mallowstall/core/autoscaling/ScaleIn.java
+++ b/src/main/java/mallowstall/core/autoscaling/ScaleIn.java
@@ -57,6 +57,9 @@
   /** Returned machines whose entries are still to be deleted. */
   private final Set<String> entriesToDelete = new HashSet<>();
 
+  /** Returned machines whose entries are being deleted by an unanswered transaction. */
+  private final Set<String> deletionsInFlight = new HashSet<>();
+
   private final RetryDelay deleteRetry = new RetryDelay();
 
   /** Each machine that the cloud confirms as returned is handed to {@code onReturned}. */
@@ -140,9 +143,13 @@
    * machine can be right.
    */
   void deleteLateEntries(Collection<String> machines) {
-    if (!machines.isEmpty()) {
-      LOG.info("late entries of returned machines machines={}", machines);
-      entriesToDelete.addAll(machines);
+    List<String> late = new ArrayList<>(machines);
+    late.removeAll(entriesToDelete);
+    // guards against a backlog: a slow deletion sent again with each plan uses up the write rate
+    late.removeAll(deletionsInFlight);
+    if (!late.isEmpty()) {
+      LOG.info("late entries of returned machines machines={}", late);
+      entriesToDelete.addAll(late);
     }
   }
 
@@ -171,11 +178,13 @@
       }
     }
     machines.forEach(entriesToDelete::remove);
+    deletionsInFlight.addAll(machines);
     boolean accepted =
         store.transact(
             RequestPriority.MACHINE,
             new Transaction(List.of(), tombstones, deletedKeys),
             reply -> {
+              machines.forEach(deletionsInFlight::remove);
               deleteRetry.recordResult(clock.now(), reply.code());
               if (reply.code() != ResultCode.OK) {
                 entriesToDelete.addAll(machines);
@@ -183,6 +192,7 @@
             });
     // job leaders wait for these machines until their entries are deleted
     if (!accepted) {
+      machines.forEach(deletionsInFlight::remove);
       entriesToDelete.addAll(machines);
     }
   }
--- a/src/test/java/mallowstall/core/LateMachineEntryTest.java
+++ b/src/test/java/mallowstall/core/LateMachineEntryTest.java
@@ -237,6 +237,40 @@
     }
   }
 
+  /**
+   * Guards against deletions that are sent again while they are under way: with a state service
+   * that is slow or short of its rate they used it up, and users got 503 for minutes.
+   */
+  @Test
+  void deletionUnderWayIsNotSentAgain() {
+    for (long seed = 971; seed <= 976; seed++) {
+      Simulation sim = runService(seed);
+      SimulatedController autoscaler = autoscalerLeader(sim);
+      List<String> machines = List.copyOf(sim.workers.keySet()).subList(0, 2);
+      // later than the next plan, and soon enough for the session to last
+      autoscaler.stateDelayMs = Constants.AUTOSCALER_INTERVAL_MS + 500;
+      machines.forEach(sim::killMachine);
+      sim.runUntil(sim.nowMs + 6 * Simulation.LEASE_MS);
+      for (String machine : machines) {
+        assertEquals(1, deletions(sim, machine), machine + ", seed " + seed);
+      }
+    }
+  }
+
+  private static long deletions(Simulation sim, String machine) {
+    String key = StateKeys.machine(machine);
+    return sim.stateService.receivedTransactions.stream()
+        .filter(
+            transaction ->
+                transaction.deletes().contains(key)
+                    || transaction.puts().stream()
+                        .anyMatch(
+                            put ->
+                                put.key().equals(key)
+                                    && put.value().equals(MachineEntry.tombstone())))
+        .count();
+  }
+
   /**
    * Living machines keep their entries through first registrations, new processes of their
    * controllers and late copies of their heartbeats at two controllers at once.
