--- a/src/main/java/mallowstall/core/placement/GroupPlacer.java
+++ b/src/main/java/mallowstall/core/placement/GroupPlacer.java
@@ -59,12 +59,14 @@
     return started;
   }
 
-  /** Placements of the jobs that neither back off nor yield to other controllers' jobs. */
+  /** Placements of the jobs that neither wait nor yield to other controllers' jobs. */
   private List<JobPlacement> beginDue(List<LedJob> group, List<MachineView> machines, long now) {
     List<JobPlacement> due = new ArrayList<>();
     for (LedJob ledJob : group) {
       boolean mayYield = !ranking.isStarving(ledJob) && !ledJob.spec().isService();
-      if (backoffs.isWaiting(ledJob, now) || (mayYield && queuedWork.mustYield(ledJob, now))) {
+      // at each pass they would look for room that their team's limit doesn't let them use
+      boolean mustWait = backoffs.isWaiting(ledJob, now) || placements.isQuotaExhausted(ledJob);
+      if (mustWait || (mayYield && queuedWork.mustYield(ledJob, now))) {
         continue;
       }
       due.add(placements.begin(ledJob, machines));
--- a/src/main/java/mallowstall/core/placement/JobPlacements.java
+++ b/src/main/java/mallowstall/core/placement/JobPlacements.java
@@ -33,7 +33,7 @@
         policies.forJobClass(spec.jobClass()),
         eligibility,
         pendingTasks(ledJob),
-        quotaLedger.hasQuota(spec) ? quotaOf(ledJob) : JobQuota.UNLIMITED,
+        quotaOf(ledJob),
         machines);
   }
 
@@ -44,7 +44,15 @@
         : ledJob.pending();
   }
 
+  /** Whether the quota of the job's team allows none of its pending tasks now or soon. */
+  boolean isQuotaExhausted(LedJob ledJob) {
+    return quotaOf(ledJob).isExhausted();
+  }
+
   private JobQuota quotaOf(LedJob ledJob) {
+    if (!quotaLedger.hasQuota(ledJob.spec())) {
+      return JobQuota.UNLIMITED;
+    }
     if (quotaLedger.mustReleaseQuota(ledJob)) {
       return new JobQuota(true, 0, 0);
     }
--- a/src/main/java/mallowstall/core/placement/JobQuota.java
+++ b/src/main/java/mallowstall/core/placement/JobQuota.java
@@ -11,4 +11,9 @@
 record JobQuota(boolean limited, int freeTasks, int obtainableTasks) {
   /** The team has no quota. */
   static final JobQuota UNLIMITED = new JobQuota(false, Integer.MAX_VALUE, 0);
+
+  /** Whether no task of the job can be started now, wherever there is room, nor soon. */
+  boolean isExhausted() {
+    return limited && freeTasks <= 0 && obtainableTasks <= 0;
+  }
 }
--- a/src/test/java/mallowstall/core/TeamAtItsLimitTest.java
+++ b/src/test/java/mallowstall/core/TeamAtItsLimitTest.java
@@ -67,6 +67,20 @@
     }
   }
 
+  /** Jobs that their team's limit holds back look at no machine until it leaves them something. */
+  @Test
+  void jobsOfTheTeamCostNoPlacementMeanwhile() {
+    for (long seed = 81; seed <= 88; seed++) {
+      Simulation sim = fourMachines(seed);
+      submitUrgent(sim, URGENT_JOBS, 12);
+      sim.runUntil(20_000);
+      assertEquals(12, runningUrgentTasks(sim), "tasks that the limit allows");
+      long evaluations = sim.policyEvaluations;
+      sim.runUntil(sim.nowMs + 10_000);
+      assertEquals(evaluations, sim.policyEvaluations, "seed " + seed);
+    }
+  }
+
   /** Room for tasks whose quota is being reserved is still kept: nothing has to be preempted. */
   @Test
   void urgentJobsGetTheRoomThatTheLimitAllows() {
