--- a/src/test/java/mallowstall/core/EndedJobAnswersTest.java
+++ b/src/test/java/mallowstall/core/EndedJobAnswersTest.java
@@ -25,11 +25,6 @@
   /** What the state service answers the asked controller comes so much later. */
   private static final long SLOW_ANSWERS_MS = 800;
 
-  /** Just late enough for a cancellation to be told before, by other controllers' usual speed. */
-  private static long delayPastCancellation(long seed) {
-    return READ_MADE_MS + 5 * (seed % 20);
-  }
-
   /** Between the question and the job's end: enough for the question's read to be made. */
   private static final long READ_MADE_MS = 30;
 
@@ -41,6 +36,11 @@
 
   private static final long RUN_MS = 300_000;
 
+  /** Just late enough for a cancellation to be told before, by other controllers' usual speed. */
+  private static long delayPastCancellation(long seed) {
+    return READ_MADE_MS + 5 * (seed % 20);
+  }
+
   /** An answer and when it was sent. */
   private record TimedAnswer(ApiResponse response, long atMs) {}
 
--- a/src/test/java/mallowstall/peers/StatusUpdateSizeTest.java
+++ b/src/test/java/mallowstall/peers/StatusUpdateSizeTest.java
@@ -64,6 +64,5 @@
             List.of(), List.of());
     int bytes = PeerCodec.encode(update).length;
     assertTrue(bytes < Constants.PEER_FRAME_MAX_BYTES, bytes + " bytes");
-    System.out.println("full status update of " + MACHINES + " machines: " + bytes + " bytes");
   }
 }
