Status updates have a codec of their own; arrays are written in one place

Golden bytes, round trips and Avro's own reader say the same (GoldenMessagesTest, PeerCodecTest, StatusUpdateSizeTest).

--- a/src/main/java/mallowstall/peers/PeerCodec.java
+++ b/src/main/java/mallowstall/peers/PeerCodec.java
@@ -1,25 +1,22 @@
 package mallowstall.peers;
 
+import static mallowstall.peers.AvroArrays.readList;
+import static mallowstall.peers.AvroArrays.writeList;
+
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.util.ArrayList;
 import java.util.List;
 import mallowstall.Constants;
-import mallowstall.core.model.ExitReason;
 import mallowstall.core.model.JobOutcome;
-import mallowstall.core.model.MachineStatus;
 import mallowstall.core.model.OutcomeAcknowledgement;
 import mallowstall.core.model.OutcomeAnnouncement;
 import mallowstall.core.model.PeerMessage;
 import mallowstall.core.model.StartBatch;
-import mallowstall.core.model.StartRejection;
 import mallowstall.core.model.StartRequest;
 import mallowstall.core.model.StatusUpdate;
 import mallowstall.core.model.StopBatch;
 import mallowstall.core.model.StopRequest;
 import mallowstall.core.model.TaskAttempt;
-import mallowstall.core.model.TaskState;
-import mallowstall.core.model.TaskStatus;
 import org.apache.avro.io.BinaryDecoder;
 import org.apache.avro.io.BinaryEncoder;
 import org.apache.avro.io.DecoderFactory;
@@ -31,16 +28,6 @@
  * start-up time and garbage.
  */
 public final class PeerCodec {
-  /** Writes one element of an array. */
-  private interface ElementWriter<T> {
-    void write(BinaryEncoder encoder, T value) throws IOException;
-  }
-
-  /** Reads one element of an array. */
-  private interface ElementReader<T> {
-    T read(BinaryDecoder decoder) throws IOException;
-  }
-
   // the union's branches, in the order of the schema
   private static final int STATUS_UPDATE = 0;
   private static final int START_BATCH = 1;
@@ -48,17 +35,6 @@
   private static final int OUTCOME_ANNOUNCEMENT = 3;
   private static final int OUTCOME_ACKNOWLEDGEMENT = 4;
 
-  // bits of a machine's flags
-  private static final int TOKEN_ACKNOWLEDGED = 1;
-  private static final int USABLE = 2;
-  private static final int DRAINING = 4;
-  private static final int NEEDS_REPLACEMENT = 8;
-  private static final int UNRESPONSIVE = 16;
-  private static final int SPOT = 32;
-  private static final int LEASE_EXPIRED = 64;
-  // the schema lists both enums in the order of their constants, after one for null
-  private static final TaskState[] STATES = TaskState.values();
-  private static final ExitReason[] EXIT_REASONS = ExitReason.values();
   // the outcomes that can be announced, in the order of the schema
   private static final List<JobOutcome> OUTCOMES = List.of(JobOutcome.DONE, JobOutcome.CANCELLED);
 
@@ -77,7 +53,7 @@
     try {
       if (message instanceof StatusUpdate update) {
         encoder.writeIndex(STATUS_UPDATE);
-        writeStatusUpdate(encoder, update);
+        StatusUpdateCodec.write(encoder, update);
       } else if (message instanceof StartBatch startBatch) {
         encoder.writeIndex(START_BATCH);
         encoder.writeString(startBatch.node());
@@ -121,7 +97,7 @@
     BinaryDecoder decoder = DecoderFactory.get().binaryDecoder(bytes, null);
     int kind = decoder.readIndex();
     return switch (kind) {
-      case STATUS_UPDATE -> readStatusUpdate(decoder);
+      case STATUS_UPDATE -> StatusUpdateCodec.read(decoder);
       case START_BATCH ->
           new StartBatch(
               decoder.readString(),
@@ -153,176 +129,6 @@
     return OUTCOMES.get(index);
   }
 
-  private static <T> void writeList(BinaryEncoder encoder, List<T> values, ElementWriter<T> element)
-      throws IOException {
-    encoder.writeArrayStart();
-    encoder.setItemCount(values.size());
-    for (T value : values) {
-      encoder.startItem();
-      element.write(encoder, value);
-    }
-    encoder.writeArrayEnd();
-  }
-
-  private static <T> List<T> readList(BinaryDecoder decoder, ElementReader<T> element)
-      throws IOException {
-    List<T> out = new ArrayList<>();
-    for (long n = decoder.readArrayStart(); n != 0; n = decoder.arrayNext()) {
-      for (long i = 0; i < n; i++) {
-        out.add(element.read(decoder));
-      }
-    }
-    return out;
-  }
-
-  private static void writeStatusUpdate(BinaryEncoder encoder, StatusUpdate update)
-      throws IOException {
-    encoder.writeString(update.node());
-    encoder.writeLong(update.incarnation());
-    encoder.writeLong(update.serial());
-    encoder.writeLong(update.baseSerial());
-    encoder.writeLong(update.acknowledgedIncarnation());
-    encoder.writeLong(update.acknowledgedSerial());
-    encoder.writeLong(update.replicaRevision());
-    encoder.writeLong(update.acknowledgedStartsIncarnation());
-    encoder.writeLong(update.acknowledgedStartsConnection());
-    encoder.writeLong(update.acknowledgedStartsSequence());
-    encoder.writeLong(update.replicaAgeMs());
-    writeList(encoder, update.cancelledJobs(), BinaryEncoder::writeString);
-    writeList(encoder, update.machines(), PeerCodec::writeMachineStatus);
-    writeList(encoder, update.releasedMachines(), BinaryEncoder::writeString);
-    writeList(encoder, update.rejections(), PeerCodec::writeRejection);
-  }
-
-  private static StatusUpdate readStatusUpdate(BinaryDecoder decoder) throws IOException {
-    return new StatusUpdate(
-        decoder.readString(),
-        decoder.readLong(),
-        decoder.readLong(),
-        decoder.readLong(),
-        decoder.readLong(),
-        decoder.readLong(),
-        decoder.readLong(),
-        decoder.readLong(),
-        decoder.readLong(),
-        decoder.readLong(),
-        decoder.readLong(),
-        readList(decoder, BinaryDecoder::readString),
-        readList(decoder, PeerCodec::readMachineStatus),
-        readList(decoder, BinaryDecoder::readString),
-        readList(decoder, PeerCodec::readRejection));
-  }
-
-  private static void writeMachineStatus(BinaryEncoder encoder, MachineStatus state)
-      throws IOException {
-    encoder.writeString(state.machine());
-    encoder.writeString(state.address() == null ? "" : state.address());
-    encoder.writeLong(state.fencingToken());
-    encoder.writeLong(state.entryRevision());
-    encoder.writeLong(state.session());
-    encoder.writeLong(state.heartbeatSequence());
-    encoder.writeInt(
-        (state.tokenAcknowledged() ? TOKEN_ACKNOWLEDGED : 0)
-            | (state.usable() ? USABLE : 0)
-            | (state.draining() ? DRAINING : 0)
-            | (state.needsReplacement() ? NEEDS_REPLACEMENT : 0)
-            | (state.unresponsive() ? UNRESPONSIVE : 0)
-            | (state.spot() ? SPOT : 0)
-            | (state.leaseExpired() ? LEASE_EXPIRED : 0));
-    encoder.writeString(state.type());
-    encoder.writeString(state.zone());
-    encoder.writeDouble(state.interruptionNoticeS());
-    encoder.writeDouble(state.freeCpus());
-    encoder.writeDouble(state.freeGpus());
-    encoder.writeDouble(state.freeMemoryGb());
-    encoder.writeLong(state.idleMs());
-    writeList(encoder, state.images(), BinaryEncoder::writeString);
-    writeList(encoder, state.tasks(), PeerCodec::writeTaskStatus);
-  }
-
-  private static MachineStatus readMachineStatus(BinaryDecoder decoder) throws IOException {
-    String id = decoder.readString();
-    String address = decoder.readString();
-    long token = decoder.readLong();
-    long version = decoder.readLong();
-    long session = decoder.readLong();
-    long sequence = decoder.readLong();
-    int flags = decoder.readInt();
-    String type = decoder.readString();
-    String zone = decoder.readString();
-    return new MachineStatus(
-        id,
-        address.isEmpty() ? null : address,
-        token,
-        version,
-        session,
-        sequence,
-        (flags & TOKEN_ACKNOWLEDGED) != 0,
-        (flags & USABLE) != 0,
-        (flags & DRAINING) != 0,
-        (flags & NEEDS_REPLACEMENT) != 0,
-        (flags & UNRESPONSIVE) != 0,
-        (flags & LEASE_EXPIRED) != 0,
-        type,
-        zone,
-        (flags & SPOT) != 0,
-        decoder.readDouble(),
-        decoder.readDouble(),
-        decoder.readDouble(),
-        decoder.readDouble(),
-        decoder.readLong(),
-        readList(decoder, BinaryDecoder::readString),
-        readList(decoder, PeerCodec::readTaskStatus));
-  }
-
-  private static void writeTaskStatus(BinaryEncoder encoder, TaskStatus task) throws IOException {
-    encoder.writeString(task.job());
-    encoder.writeInt(task.task());
-    encoder.writeLong(task.attempt());
-    writeEnumOrNull(encoder, task.state());
-    writeEnumOrNull(encoder, task.exitReason());
-  }
-
-  private static TaskStatus readTaskStatus(BinaryDecoder decoder) throws IOException {
-    String job = decoder.readString();
-    int task = decoder.readInt();
-    long attempt = decoder.readLong();
-    TaskState state = readEnumOrNull(decoder, "task state", STATES);
-    ExitReason exitReason = readEnumOrNull(decoder, "exit reason", EXIT_REASONS);
-    return new TaskStatus(job, task, attempt, state, exitReason);
-  }
-
-  private static void writeEnumOrNull(BinaryEncoder encoder, Enum<?> value) throws IOException {
-    encoder.writeEnum(value == null ? 0 : value.ordinal() + 1);
-  }
-
-  private static <E> E readEnumOrNull(BinaryDecoder decoder, String field, E[] values)
-      throws IOException {
-    int index = decoder.readEnum();
-    if (index < 0 || index > values.length) {
-      throw new IOException(field + " is " + index + ": expected 0 to " + values.length);
-    }
-    return index == 0 ? null : values[index - 1];
-  }
-
-  private static void writeRejection(BinaryEncoder encoder, StartRejection rejection)
-      throws IOException {
-    encoder.writeString(rejection.machine());
-    encoder.writeString(rejection.job());
-    encoder.writeInt(rejection.task());
-    encoder.writeLong(rejection.attempt());
-    encoder.writeString(rejection.reason());
-  }
-
-  private static StartRejection readRejection(BinaryDecoder decoder) throws IOException {
-    return new StartRejection(
-        decoder.readString(),
-        decoder.readString(),
-        decoder.readInt(),
-        decoder.readLong(),
-        decoder.readString());
-  }
-
   private static void writeStart(BinaryEncoder encoder, StartRequest start) throws IOException {
     encoder.writeString(start.machine());
     encoder.writeString(start.job());
