A refusal waits for the word of all peers that the job was never accepted

Cause: the refusal rests on a read that was made before the job was recorded and came back slowly; nothing told its sender of the acceptance in time, and nothing kept the other controller from telling it.

Mend: who is about to refuse asks all peers.

PeerCodecTest's first unknown kind of message is 8 now.

Program version 3 knows the three messages.

--- a/src/main/java/mallowstall/core/ControllerCore.java
+++ b/src/main/java/mallowstall/core/ControllerCore.java
@@ -3,6 +3,8 @@
 import java.util.List;
 import java.util.function.Consumer;
 import mallowstall.Constants;
+import mallowstall.core.api.AbsenceLeases;
+import mallowstall.core.api.AcceptanceLookup;
 import mallowstall.core.api.HeartbeatReceiver;
 import mallowstall.core.api.JobApi;
 import mallowstall.core.api.OutcomeAnnouncer;
@@ -17,6 +19,9 @@
 import mallowstall.core.kernel.Metrics;
 import mallowstall.core.kv.StateChangeDispatcher;
 import mallowstall.core.kv.StateStore;
+import mallowstall.core.model.AcceptanceQuery;
+import mallowstall.core.model.AcceptanceQueryEnd;
+import mallowstall.core.model.AcceptanceReply;
 import mallowstall.core.model.ApiResponse;
 import mallowstall.core.model.CoreSettings;
 import mallowstall.core.model.Heartbeat;
@@ -54,6 +59,8 @@
   private final PlacementModules placement;
   private final DigestPublisher digestPublisher;
   private final OutcomeAnnouncer outcomes;
+  private final AcceptanceLookup acceptances;
+  private final AbsenceLeases absenceLeases;
   private final JobApi jobApi;
 
   /**
@@ -93,6 +100,15 @@
     outcomes =
         new OutcomeAnnouncer(
             cluster.clock, settings, effects, cluster.store, cluster.clusterVersion);
+    acceptances =
+        new AcceptanceLookup(
+            cluster.clock,
+            settings,
+            effects,
+            cluster.store,
+            cluster.clusterVersion,
+            cluster.connectivity);
+    absenceLeases = new AbsenceLeases(cluster.clock, settings, effects, cluster.store);
     jobApi = newJobApi();
     cluster.store.subscribe(newDispatcher());
   }
@@ -131,6 +147,8 @@
         cluster.cancellations,
         cluster.clusterVersion,
         outcomes,
+        acceptances,
+        absenceLeases,
         jobLeader::running);
   }
 
@@ -248,6 +266,12 @@
       outcomes.receive(announcement);
     } else if (message instanceof OutcomeAcknowledgement acknowledgement) {
       outcomes.receive(acknowledgement);
+    } else if (message instanceof AcceptanceQuery query) {
+      absenceLeases.receive(query);
+    } else if (message instanceof AcceptanceReply reply) {
+      acceptances.receive(reply);
+    } else if (message instanceof AcceptanceQueryEnd queryEnd) {
+      absenceLeases.receive(queryEnd);
     }
     runDueWork();
   }
--- a/src/main/java/mallowstall/core/api/FreshJobReader.java
+++ b/src/main/java/mallowstall/core/api/FreshJobReader.java
@@ -21,13 +21,15 @@
 final class FreshJobReader {
   private final EventClock clock;
   private final StateStore store;
+  private final AcceptanceLookup acceptances;
 
   /** Who waits for a read that has not been sent yet, by job. */
   private final Map<String, List<Consumer<JobRead>>> pendingReads = new HashMap<>();
 
-  FreshJobReader(EventClock clock, StateStore store) {
+  FreshJobReader(EventClock clock, StateStore store, AcceptanceLookup acceptances) {
     this.clock = clock;
     this.store = store;
+    this.acceptances = acceptances;
   }
 
   /** Reads the job's entry; requests about one job that come before its read is sent share it. */
@@ -50,29 +52,37 @@
         store.read(
             RequestPriority.USER,
             StateKeys.job(id),
-            result -> complete(callbacks, toJobRead(id, result, requestedAtMs)));
+            result -> handleResult(id, result, requestedAtMs, callbacks));
     if (!queued) {
       complete(callbacks, JobRead.UNAVAILABLE);
     }
   }
 
-  private JobRead toJobRead(String id, GetResult result, long requestedAtMs) {
+  private void handleResult(
+      String id, GetResult result, long requestedAtMs, List<Consumer<JobRead>> callbacks) {
+    long deadlineMs = requestedAtMs + Constants.READ_MAX_AGE_MS;
     // A process that stood still since would report a finished job as running again.
-    boolean stale = clock.now() - requestedAtMs > Constants.READ_MAX_AGE_MS;
-    if (stale || result.code() != ResultCode.OK) {
-      return JobRead.UNAVAILABLE;
+    if (clock.now() > deadlineMs || result.code() != ResultCode.OK) {
+      complete(callbacks, JobRead.UNAVAILABLE);
+      return;
     }
-    return result.item().value() == null
-        ? notFound(id)
-        : JobRead.found((JobEntry) result.item().value(), result.item().modRevision());
+    if (result.item().value() != null) {
+      JobEntry job = (JobEntry) result.item().value();
+      complete(callbacks, JobRead.found(job, result.item().modRevision()));
+      return;
+    }
+    acceptances.lookUp(
+        id, deadlineMs, absence -> complete(callbacks, withoutEntry(id, absence, deadlineMs)));
   }
 
-  /** Jobs are never deleted: one that the replica shows was accepted after the read was made. */
-  private JobRead notFound(String id) {
+  /** What the replica shows was accepted after the read was made, since jobs are never deleted. */
+  private JobRead withoutEntry(String id, AcceptanceLookup.Absence absence, long deadlineMs) {
     JobEntry known = store.job(id);
-    return known == null
-        ? JobRead.NOT_FOUND
-        : JobRead.found(known, store.modRevision(StateKeys.job(id)));
+    if (known != null && clock.now() <= deadlineMs) {
+      return JobRead.found(known, store.modRevision(StateKeys.job(id)));
+    }
+    boolean neverAccepted = known == null && absence == AcceptanceLookup.Absence.CONFIRMED;
+    return neverAccepted ? JobRead.NOT_FOUND : JobRead.UNCONFIRMED;
   }
 
   private static void complete(List<Consumer<JobRead>> callbacks, JobRead read) {
--- a/src/main/java/mallowstall/core/api/JobApi.java
+++ b/src/main/java/mallowstall/core/api/JobApi.java
@@ -36,6 +36,8 @@
 
   private static final String NO_STATE_SERVICE = "no contact with the state service";
   private static final String READ_TOO_EARLY = "the job has ended meanwhile, ask again";
+  private static final String ACCEPTANCE_UNKNOWN = "another controller may have accepted the job";
+  private static final String ABSENCE_LEASED = "another controller looks for the job, ask again";
   private static final String QUEUE_FULL = "too many requests are waiting";
 
   private final EventClock clock;
@@ -47,6 +49,7 @@
   private final CancellationExchange cancellations;
   private final ClusterVersion clusterVersion;
   private final OutcomeAnnouncer outcomes;
+  private final AbsenceLeases absenceLeases;
   private final ToIntFunction<String> runningTasks;
   private final FreshJobReader reader;
   private final SchedulabilityCheck schedulability;
@@ -75,6 +78,8 @@
       CancellationExchange cancellations,
       ClusterVersion clusterVersion,
       OutcomeAnnouncer outcomes,
+      AcceptanceLookup acceptances,
+      AbsenceLeases absenceLeases,
       ToIntFunction<String> runningTasks) {
     this.clock = clock;
     this.settings = settings;
@@ -85,8 +90,9 @@
     this.cancellations = cancellations;
     this.clusterVersion = clusterVersion;
     this.outcomes = outcomes;
+    this.absenceLeases = absenceLeases;
     this.runningTasks = runningTasks;
-    reader = new FreshJobReader(clock, store);
+    reader = new FreshJobReader(clock, store, acceptances);
     schedulability = new SchedulabilityCheck(settings, types);
   }
 
@@ -102,6 +108,7 @@
     return store.synced()
         && store.incarnation() != 0
         && !types.isEmpty()
+        && absenceLeases.hasOutlivedFormerLeases()
         && !connectivity.isIsolatedFromStateService();
   }
 
@@ -149,11 +156,17 @@
     Transaction creation =
         new Transaction(
             List.of(new Condition(key, 0)), List.of(new PutOperation(key, job, 0)), List.of());
-    transact(creation, reply, result -> submissionRecorded(id, result, submittedAtMs, reply));
+    absenceLeases.submissionBegun(id);
+    boolean queued =
+        transact(creation, reply, result -> submissionRecorded(id, result, submittedAtMs, reply));
+    if (!queued) {
+      absenceLeases.submissionEnded(id);
+    }
   }
 
   private void submissionRecorded(
       String id, ResultCode code, long submittedAtMs, Consumer<ApiResponse> reply) {
+    absenceLeases.submissionEnded(id);
     if (code == ResultCode.CONFLICT) {
       query(id, reply);
     } else if (code != ResultCode.OK) {
@@ -167,7 +180,7 @@
       if (job.isTerminal()) {
         respondWithState(job, reply);
       } else {
-        reply.accept(ApiResponse.accepted(id));
+        respondUnlessAbsenceLeased(id, ApiResponse.accepted(id), reply);
       }
     }
   }
@@ -198,9 +211,8 @@
     switch (read.status()) {
       case FOUND -> respondWithState(read.job(), reply);
       case NOT_FOUND -> reply.accept(isAnnounced(id) ? unavailable(READ_TOO_EARLY) : fallback);
-      // accepted since, but how it stands now can't be told
-      case UNAVAILABLE ->
-          reply.accept(store.job(id) == null ? fallback : unavailable(NO_STATE_SERVICE));
+      case UNCONFIRMED -> reply.accept(unavailable(ACCEPTANCE_UNKNOWN));
+      case UNAVAILABLE -> reply.accept(unavailable(NO_STATE_SERVICE));
     }
   }
 
@@ -255,6 +267,7 @@
             case NOT_FOUND ->
                 reply.accept(
                     isAnnounced(id) ? unavailable(READ_TOO_EARLY) : ApiResponse.notFound());
+            case UNCONFIRMED -> reply.accept(unavailable(ACCEPTANCE_UNKNOWN));
             case UNAVAILABLE -> reply.accept(unavailable(NO_STATE_SERVICE));
           }
         });
@@ -265,14 +278,15 @@
     return outcomes.recentOutcome(id) != null;
   }
 
-  /** Queues a change; if the queue is full, that is the response. */
-  private void transact(
+  /** Queues a change; if the queue is full, that is the response, and the result is false. */
+  private boolean transact(
       Transaction transaction, Consumer<ApiResponse> reply, Consumer<ResultCode> onResult) {
     boolean queued =
         store.transact(RequestPriority.USER, transaction, result -> onResult.accept(result.code()));
     if (!queued) {
       reply.accept(unavailable(QUEUE_FULL));
     }
+    return queued;
   }
 
   private ApiResponse unavailable(String reason) {
@@ -303,10 +317,16 @@
     if (job.isTerminal()) {
       outcomes.whenSettled(job.spec().id(), job.outcome(), () -> reply.accept(stateOf(job)));
     } else {
-      reply.accept(stateOf(job));
+      respondUnlessAbsenceLeased(job.spec().id(), stateOf(job), reply);
     }
   }
 
+  /** Responds so, unless a peer may be telling users that the job was never accepted. */
+  private void respondUnlessAbsenceLeased(
+      String id, ApiResponse openState, Consumer<ApiResponse> reply) {
+    reply.accept(absenceLeases.mayCallAccepted(id) ? openState : unavailable(ABSENCE_LEASED));
+  }
+
   private ApiResponse stateOf(JobEntry job) {
     String id = job.spec().id();
     if (job.outcome() == JobOutcome.DONE) {
--- a/src/main/java/mallowstall/core/api/JobRead.java
+++ b/src/main/java/mallowstall/core/api/JobRead.java
@@ -13,12 +13,16 @@
   /** Whether the read has shown the entry. */
   enum Status {
     FOUND,
+    /** There is no entry, and no controller has called the job accepted. */
     NOT_FOUND,
+    /** The read showed no entry, but some controller may have called the job accepted since. */
+    UNCONFIRMED,
     /** Not read, or read too long ago to be answered with. */
     UNAVAILABLE
   }
 
   static final JobRead NOT_FOUND = new JobRead(Status.NOT_FOUND, null, 0);
+  static final JobRead UNCONFIRMED = new JobRead(Status.UNCONFIRMED, null, 0);
   static final JobRead UNAVAILABLE = new JobRead(Status.UNAVAILABLE, null, 0);
 
   static JobRead found(JobEntry job, long modRevision) {
--- a/src/main/java/mallowstall/core/cluster/ClusterVersion.java
+++ b/src/main/java/mallowstall/core/cluster/ClusterVersion.java
@@ -37,6 +37,11 @@
     return lowestVersion() >= ProgramVersion.WITH_OUTCOME_ANNOUNCEMENTS;
   }
 
+  /** Whether every controller knows the messages by which peers are asked about acceptances. */
+  public boolean allowsAcceptanceQueries() {
+    return lowestVersion() >= ProgramVersion.WITH_ACCEPTANCE_QUERIES;
+  }
+
   private int lowestVersion() {
     int lowest = publishedVersion(settings.node());
     for (String peer : settings.peers()) {
--- a/src/main/java/mallowstall/core/cluster/Connectivity.java
+++ b/src/main/java/mallowstall/core/cluster/Connectivity.java
@@ -47,11 +47,25 @@
         && peerWithStateAccess() != null;
   }
 
+  /** Whether status updates of every peer have come lately. */
+  public boolean hearsAllPeers() {
+    for (String peer : settings.peers()) {
+      if (!isHeard(view.peer(peer))) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private boolean isHeard(PeerState peer) {
+    return clock.now() - peer.lastUpdateMs() < Constants.STATUS_UPDATE_STALE_MS;
+  }
+
   /** A peer with recent status updates that the state service serves; null: none is known. */
   public String peerWithStateAccess() {
     for (String name : settings.peers()) {
       PeerState peer = view.peer(name);
-      if (clock.now() - peer.lastUpdateMs() < Constants.STATUS_UPDATE_STALE_MS
+      if (isHeard(peer)
           && clock.now() - peer.replicaFreshAtMs()
               < Constants.STATE_CUT_OFF_MS + Constants.WATCH_TIMEOUT_MS) {
         return name;
--- a/src/main/java/mallowstall/core/model/PeerMessage.java
+++ b/src/main/java/mallowstall/core/model/PeerMessage.java
@@ -2,4 +2,11 @@
 
 /** A message between controllers; one may be lost when a connection breaks. */
 public sealed interface PeerMessage
-    permits StatusUpdate, StartBatch, StopBatch, OutcomeAnnouncement, OutcomeAcknowledgement {}
+    permits StatusUpdate,
+        StartBatch,
+        StopBatch,
+        OutcomeAnnouncement,
+        OutcomeAcknowledgement,
+        AcceptanceQuery,
+        AcceptanceReply,
+        AcceptanceQueryEnd {}
--- a/src/main/java/mallowstall/core/model/ProgramVersion.java
+++ b/src/main/java/mallowstall/core/model/ProgramVersion.java
@@ -11,8 +11,11 @@
   /** The first version that announces to its peers how jobs have ended. */
   public static final int WITH_OUTCOME_ANNOUNCEMENTS = 2;
 
+  /** The first version that asks its peers before it tells users that a job was never accepted. */
+  public static final int WITH_ACCEPTANCE_QUERIES = 3;
+
   /** The version of this program. */
-  public static final int CURRENT = WITH_OUTCOME_ANNOUNCEMENTS;
+  public static final int CURRENT = WITH_ACCEPTANCE_QUERIES;
 
   private ProgramVersion() {}
 }
--- a/src/main/java/mallowstall/peers/PeerCodec.java
+++ b/src/main/java/mallowstall/peers/PeerCodec.java
@@ -7,6 +7,9 @@
 import java.io.IOException;
 import java.util.List;
 import mallowstall.Constants;
+import mallowstall.core.model.AcceptanceQuery;
+import mallowstall.core.model.AcceptanceQueryEnd;
+import mallowstall.core.model.AcceptanceReply;
 import mallowstall.core.model.JobOutcome;
 import mallowstall.core.model.OutcomeAcknowledgement;
 import mallowstall.core.model.OutcomeAnnouncement;
@@ -34,6 +37,9 @@
   private static final int STOP_BATCH = 2;
   private static final int OUTCOME_ANNOUNCEMENT = 3;
   private static final int OUTCOME_ACKNOWLEDGEMENT = 4;
+  private static final int ACCEPTANCE_QUERY = 5;
+  private static final int ACCEPTANCE_REPLY = 6;
+  private static final int ACCEPTANCE_QUERY_END = 7;
 
   // the outcomes that can be announced, in the order of the schema
   private static final List<JobOutcome> OUTCOMES = List.of(JobOutcome.DONE, JobOutcome.CANCELLED);
@@ -56,17 +62,10 @@
         StatusUpdateCodec.write(encoder, update);
       } else if (message instanceof StartBatch startBatch) {
         encoder.writeIndex(START_BATCH);
-        encoder.writeString(startBatch.node());
-        encoder.writeLong(startBatch.incarnation());
-        encoder.writeLong(startBatch.connection());
-        encoder.writeLong(startBatch.sequence());
-        writeList(encoder, startBatch.starts(), PeerCodec::writeStart);
+        writeStartBatch(encoder, startBatch);
       } else if (message instanceof StopBatch stopBatch) {
         encoder.writeIndex(STOP_BATCH);
-        encoder.writeString(stopBatch.node());
-        encoder.writeLong(stopBatch.incarnation());
-        writeList(encoder, stopBatch.stops(), PeerCodec::writeStop);
-        writeList(encoder, stopBatch.machinesToDrain(), BinaryEncoder::writeString);
+        writeStopBatch(encoder, stopBatch);
       } else if (message instanceof OutcomeAnnouncement announcement) {
         encoder.writeIndex(OUTCOME_ANNOUNCEMENT);
         encoder.writeString(announcement.node());
@@ -76,6 +75,17 @@
         encoder.writeIndex(OUTCOME_ACKNOWLEDGEMENT);
         encoder.writeString(acknowledgement.node());
         encoder.writeString(acknowledgement.job());
+      } else if (message instanceof AcceptanceQuery query) {
+        encoder.writeIndex(ACCEPTANCE_QUERY);
+        writeQueryHeader(encoder, query.node(), query.incarnation(), query.serial());
+        writeList(encoder, query.jobs(), BinaryEncoder::writeString);
+      } else if (message instanceof AcceptanceReply reply) {
+        encoder.writeIndex(ACCEPTANCE_REPLY);
+        writeQueryHeader(encoder, reply.node(), reply.incarnation(), reply.serial());
+        writeList(encoder, reply.possiblyAccepted(), BinaryEncoder::writeString);
+      } else if (message instanceof AcceptanceQueryEnd queryEnd) {
+        encoder.writeIndex(ACCEPTANCE_QUERY_END);
+        writeQueryHeader(encoder, queryEnd.node(), queryEnd.incarnation(), queryEnd.serial());
       }
       encoder.flush();
     } catch (IOException impossible) {
@@ -98,29 +108,40 @@
     int kind = decoder.readIndex();
     return switch (kind) {
       case STATUS_UPDATE -> StatusUpdateCodec.read(decoder);
-      case START_BATCH ->
-          new StartBatch(
+      case START_BATCH -> readStartBatch(decoder);
+      case STOP_BATCH -> readStopBatch(decoder);
+      case OUTCOME_ANNOUNCEMENT ->
+          new OutcomeAnnouncement(decoder.readString(), decoder.readString(), readOutcome(decoder));
+      case OUTCOME_ACKNOWLEDGEMENT ->
+          new OutcomeAcknowledgement(decoder.readString(), decoder.readString());
+      case ACCEPTANCE_QUERY ->
+          new AcceptanceQuery(
               decoder.readString(),
               decoder.readLong(),
               decoder.readLong(),
-              decoder.readLong(),
-              readList(decoder, PeerCodec::readStart));
-      case STOP_BATCH ->
-          new StopBatch(
+              readList(decoder, BinaryDecoder::readString));
+      case ACCEPTANCE_REPLY ->
+          new AcceptanceReply(
               decoder.readString(),
               decoder.readLong(),
-              readList(decoder, PeerCodec::readStop),
+              decoder.readLong(),
               readList(decoder, BinaryDecoder::readString));
-      case OUTCOME_ANNOUNCEMENT ->
-          new OutcomeAnnouncement(decoder.readString(), decoder.readString(), readOutcome(decoder));
-      case OUTCOME_ACKNOWLEDGEMENT ->
-          new OutcomeAcknowledgement(decoder.readString(), decoder.readString());
+      case ACCEPTANCE_QUERY_END ->
+          new AcceptanceQueryEnd(decoder.readString(), decoder.readLong(), decoder.readLong());
       default ->
           throw new IOException(
-              "message kind is " + kind + ": expected 0 to " + OUTCOME_ACKNOWLEDGEMENT);
+              "message kind is " + kind + ": expected 0 to " + ACCEPTANCE_QUERY_END);
     };
   }
 
+  /** Who asks or answers, and the query of which process it is about. */
+  private static void writeQueryHeader(
+      BinaryEncoder encoder, String node, long incarnation, long serial) throws IOException {
+    encoder.writeString(node);
+    encoder.writeLong(incarnation);
+    encoder.writeLong(serial);
+  }
+
   private static JobOutcome readOutcome(BinaryDecoder decoder) throws IOException {
     int index = decoder.readEnum();
     if (index < 0 || index >= OUTCOMES.size()) {
@@ -129,6 +150,40 @@
     return OUTCOMES.get(index);
   }
 
+  private static void writeStartBatch(BinaryEncoder encoder, StartBatch startBatch)
+      throws IOException {
+    encoder.writeString(startBatch.node());
+    encoder.writeLong(startBatch.incarnation());
+    encoder.writeLong(startBatch.connection());
+    encoder.writeLong(startBatch.sequence());
+    writeList(encoder, startBatch.starts(), PeerCodec::writeStart);
+  }
+
+  private static StartBatch readStartBatch(BinaryDecoder decoder) throws IOException {
+    return new StartBatch(
+        decoder.readString(),
+        decoder.readLong(),
+        decoder.readLong(),
+        decoder.readLong(),
+        readList(decoder, PeerCodec::readStart));
+  }
+
+  private static void writeStopBatch(BinaryEncoder encoder, StopBatch stopBatch)
+      throws IOException {
+    encoder.writeString(stopBatch.node());
+    encoder.writeLong(stopBatch.incarnation());
+    writeList(encoder, stopBatch.stops(), PeerCodec::writeStop);
+    writeList(encoder, stopBatch.machinesToDrain(), BinaryEncoder::writeString);
+  }
+
+  private static StopBatch readStopBatch(BinaryDecoder decoder) throws IOException {
+    return new StopBatch(
+        decoder.readString(),
+        decoder.readLong(),
+        readList(decoder, PeerCodec::readStop),
+        readList(decoder, BinaryDecoder::readString));
+  }
+
   private static void writeStart(BinaryEncoder encoder, StartRequest start) throws IOException {
     encoder.writeString(start.machine());
     encoder.writeString(start.job());
--- a/src/test/java/mallowstall/core/AnswerFreshnessTest.java
+++ b/src/test/java/mallowstall/core/AnswerFreshnessTest.java
@@ -67,7 +67,9 @@
     SimulatedController accepting = sim.controllers.get("n0");
     SimulatedController asked = sim.controllers.get("n1");
     SimulatedController rejecting = sim.controllers.get("n2");
-    ask(accepting, answers, (core, reply) -> core.submit(job(), reply));
+    sim.schedule(
+        sim.random.nextInt(MAX_STATE_DELAY_MS),
+        () -> ask(accepting, answers, (core, reply) -> core.submit(job(), reply)));
     for (int i = 0; i < 3; i++) {
       sim.schedule(
           sim.random.nextInt(MAX_STATE_DELAY_MS),
--- a/src/test/java/mallowstall/core/PeerLink.java
+++ b/src/test/java/mallowstall/core/PeerLink.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import mallowstall.core.model.AcceptanceQuery;
 import mallowstall.core.model.PeerMessage;
 import mallowstall.core.model.StatusUpdate;
 import mallowstall.core.model.StopBatch;
@@ -57,7 +58,9 @@
   }
 
   void send(String peer, PeerMessage message) {
-    if (message instanceof StopBatch) {
+    if (message instanceof AcceptanceQuery) {
+      node.acceptanceQueriesSent++;
+    } else if (message instanceof StopBatch) {
       node.stopBatchesSent++;
     } else if (message instanceof StatusUpdate statusUpdate) {
       node.statusUpdatesSent++;
--- a/src/test/java/mallowstall/core/SimulatedController.java
+++ b/src/test/java/mallowstall/core/SimulatedController.java
@@ -79,6 +79,9 @@
   /** Stop batches sent to peers. */
   int stopBatchesSent;
 
+  /** Questions to peers whether they have accepted jobs. */
+  int acceptanceQueriesSent;
+
   /** Status updates sent to peers, and the machine statuses in them. */
   int statusUpdatesSent;
 
--- a/src/test/java/mallowstall/peers/GoldenMessagesTest.java
+++ b/src/test/java/mallowstall/peers/GoldenMessagesTest.java
@@ -12,6 +12,9 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import mallowstall.Fixtures;
+import mallowstall.core.model.AcceptanceQuery;
+import mallowstall.core.model.AcceptanceQueryEnd;
+import mallowstall.core.model.AcceptanceReply;
 import mallowstall.core.model.ExitReason;
 import mallowstall.core.model.JobOutcome;
 import mallowstall.core.model.MachineStatus;
@@ -124,6 +127,10 @@
     all.put("outcome-done", new OutcomeAnnouncement("n3", "wk-1", JobOutcome.DONE));
     all.put("outcome-cancelled", new OutcomeAnnouncement("n3", "wk-2", JobOutcome.CANCELLED));
     all.put("outcome-heard", new OutcomeAcknowledgement("n2", "wk-1"));
+    all.put("acceptance-query", new AcceptanceQuery("n3", 12, 25, List.of("wk-1", "wk-2")));
+    all.put("acceptance-reply", new AcceptanceReply("n2", 12, 25, List.of("wk-2")));
+    all.put("acceptance-reply-empty", new AcceptanceReply("n2", 12, 26, List.of()));
+    all.put("acceptance-query-end", new AcceptanceQueryEnd("n3", 12, 25));
     return all;
   }
 
--- a/src/test/java/mallowstall/peers/PeerCodecTest.java
+++ b/src/test/java/mallowstall/peers/PeerCodecTest.java
@@ -9,6 +9,9 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.SplittableRandom;
+import mallowstall.core.model.AcceptanceQuery;
+import mallowstall.core.model.AcceptanceQueryEnd;
+import mallowstall.core.model.AcceptanceReply;
 import mallowstall.core.model.ExitReason;
 import mallowstall.core.model.JobOutcome;
 import mallowstall.core.model.MachineStatus;
@@ -100,7 +103,11 @@
     OutcomeAnnouncement cancelled =
         new OutcomeAnnouncement("n1", "wk-000003", JobOutcome.CANCELLED);
     OutcomeAcknowledgement heard = new OutcomeAcknowledgement("n2", "wk-000002");
-    for (PeerMessage message : List.of(ROSTER, startBatch, stopBatch, done, cancelled, heard)) {
+    AcceptanceQuery query = new AcceptanceQuery("n1", 3, 8, List.of("wk-000004", "wk-000005"));
+    AcceptanceReply reply = new AcceptanceReply("n2", 3, 8, List.of("wk-000005"));
+    AcceptanceQueryEnd queryEnd = new AcceptanceQueryEnd("n1", 3, 8);
+    for (PeerMessage message :
+        List.of(ROSTER, startBatch, stopBatch, done, cancelled, heard, query, reply, queryEnd)) {
       assertEquals(message, PeerCodec.decode(PeerCodec.encode(message)));
     }
   }
@@ -144,6 +151,24 @@
     assertEquals("{\"node\": \"n2\", \"job\": \"wk-000003\"}", bodyBySchema(all, heard));
   }
 
+  @Test
+  void acceptanceQueriesFollowTheSchema() throws IOException {
+    Schema all;
+    try (InputStream in = PeerCodec.class.getResourceAsStream("/mallowstall/peers.avsc")) {
+      all = new Schema.Parser().parse(in);
+    }
+    assertEquals(
+        "{\"node\": \"n1\", \"incarnation\": 3, \"serial\": 8, \"jobs\": [\"wk-000004\"]}",
+        bodyBySchema(all, new AcceptanceQuery("n1", 3, 8, List.of("wk-000004"))));
+    assertEquals(
+        "{\"node\": \"n2\", \"incarnation\": 3, \"serial\": 8,"
+            + " \"possiblyAccepted\": [\"wk-000004\"]}",
+        bodyBySchema(all, new AcceptanceReply("n2", 3, 8, List.of("wk-000004"))));
+    assertEquals(
+        "{\"node\": \"n1\", \"incarnation\": 3, \"serial\": 8}",
+        bodyBySchema(all, new AcceptanceQueryEnd("n1", 3, 8)));
+  }
+
   private static String bodyBySchema(Schema all, PeerMessage message) throws IOException {
     return new GenericDatumReader<GenericRecord>(all)
         .read(null, DecoderFactory.get().binaryDecoder(PeerCodec.encode(message), null))
@@ -158,9 +183,9 @@
     bytes[bytes.length - 1] = 4;
     IOException outcome = assertThrows(IOException.class, () -> PeerCodec.decode(bytes));
     assertEquals("outcome is 2: expected 0 to 1", outcome.getMessage());
-    bytes[0] = 10;
+    bytes[0] = 16;
     IOException kind = assertThrows(IOException.class, () -> PeerCodec.decode(bytes));
-    assertEquals("message kind is 5: expected 0 to 4", kind.getMessage());
+    assertEquals("message kind is 8: expected 0 to 7", kind.getMessage());
     byte[] cut = PeerCodec.encode(new OutcomeAcknowledgement("n1", "wk-1"));
     assertThrows(IOException.class, () -> PeerCodec.decode(Arrays.copyOf(cut, cut.length - 2)));
   }
