Which policies are due is settled once for a whole scheduling pass

Cause: starving jobs are a group of their own and come first. The one that fits nowhere made its policy back off in the middle of the pass, so the later groups of that policy were never tried, in any pass, until they starved themselves.

Mend: what a pass finds counts from its end on. A policy of which a job was started hasn't failed; one that only failed has failed once, however many of its jobs were tried. Jobs after the last start that a pass may send say nothing of room any more.

--- a/src/main/java/mallowstall/core/PlacementModules.java
+++ b/src/main/java/mallowstall/core/PlacementModules.java
@@ -90,6 +90,7 @@
         jobLeader,
         new CapacitySnapshot(cluster.view, jobLeader, ranking, guaranteedShares, queuedWork),
         new PendingJobs(jobLeader, ranking, backoffs),
+        backoffs,
         relocation,
         groupPlacer,
         startSender);
--- a/src/main/java/mallowstall/core/placement/GroupPlacer.java
+++ b/src/main/java/mallowstall/core/placement/GroupPlacer.java
@@ -53,8 +53,9 @@
         }
       }
     }
+    boolean allTried = started < maxStarts;
     for (JobPlacement placement : jobPlacements) {
-      finish(placement, now);
+      finish(placement, allTried, now);
     }
     return started;
   }
@@ -74,16 +75,21 @@
     return due;
   }
 
-  /** Asks for quota, or backs off and preempts, as the result of the job's blocks demands. */
-  private void finish(JobPlacement placement, long now) {
+  /**
+   * Asks for quota, or backs off and preempts, as the result of the job's blocks demands.
+   *
+   * @param allTried whether every block was tried; else the pass may have used up its starts before
+   *     the job's turn
+   */
+  private void finish(JobPlacement placement, boolean allTried, long now) {
     LedJob ledJob = placement.ledJob();
     if (placement.isQuotaBlocked()) {
       ledJob.requestQuota(placement.quotaBlockedTasks());
     }
     if (placement.startedTasks() > 0) {
       ledJob.recordQuotaUse();
-      backoffs.reset(ledJob);
-    } else if (placement.quotaBlockedTasks() == 0) {
+      backoffs.recordSuccess(ledJob);
+    } else if (placement.quotaBlockedTasks() == 0 && allTried) {
       if (LOG.isDebugEnabled()) {
         LOG.debug(
             "job found no capacity job={} pending={} active={} rejectedMachines={}",
@@ -92,7 +98,7 @@
             ledJob.activeAttempts().size(),
             placement.rejectedCandidates());
       }
-      backoffs.recordFailure(ledJob, now);
+      backoffs.recordFailure(ledJob);
       preemptingPlacer.place(placement, now);
     }
   }
--- a/src/main/java/mallowstall/core/placement/PlacementScheduler.java
+++ b/src/main/java/mallowstall/core/placement/PlacementScheduler.java
@@ -21,6 +21,7 @@
   private final JobLeader jobLeader;
   private final CapacitySnapshot capacity;
   private final PendingJobs pendingJobs;
+  private final PlacementBackoffs backoffs;
   private final ReplicaRelocation relocation;
   private final GroupPlacer groupPlacer;
   private final StartSender startSender;
@@ -33,6 +34,7 @@
       JobLeader jobLeader,
       CapacitySnapshot capacity,
       PendingJobs pendingJobs,
+      PlacementBackoffs backoffs,
       ReplicaRelocation relocation,
       GroupPlacer groupPlacer,
       StartSender startSender) {
@@ -42,6 +44,7 @@
     this.jobLeader = jobLeader;
     this.capacity = capacity;
     this.pendingJobs = pendingJobs;
+    this.backoffs = backoffs;
     this.relocation = relocation;
     this.groupPlacer = groupPlacer;
     this.startSender = startSender;
@@ -72,6 +75,7 @@
       }
       remainingStarts -= groupPlacer.place(group, machines, remainingStarts, now);
     }
+    backoffs.endPass(now);
     startSender.flush();
   }
 }
