Preemption follows one order, by guaranteed share and then by priority

Cause: two orders side by side, by priority and by a team's guarantee whatever the priority; together they have cycles. In the trace 700003 preempts 700001, 700001 preempts 700000, 700000 preempts 700003, on one machine, again and again: the highest by priority needs its place anew since a covered one has taken it.

Mend: a job preempts only what stands strictly below it in one order: covered by its team's guarantee first, priority second. So no chain leads back. A debug line names preemptor, victim, ground and room.

--- a/src/main/java/mallowstall/core/placement/PreemptingPlacer.java
+++ b/src/main/java/mallowstall/core/placement/PreemptingPlacer.java
@@ -56,7 +56,7 @@
     if (remainingInZone <= 0 || placement.servableTasks(machine) <= 0) {
       return 0;
     }
-    preemption.releaseVictimCapacity(candidate, now);
+    preemption.releaseVictimCapacity(placement.ledJob(), candidate, now);
     int startable =
         Math.min(
             Math.min(placement.servableTasks(machine), machine.fittingTasks(spec)),
--- a/src/main/java/mallowstall/core/placement/Preemption.java
+++ b/src/main/java/mallowstall/core/placement/Preemption.java
@@ -16,12 +16,16 @@
 import mallowstall.core.model.TaskState;
 import mallowstall.core.model.TaskStatus;
 import mallowstall.core.quota.GuaranteedShares;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Finds tasks that a job may preempt: lower ones for urgent jobs, and for jobs covered by their
  * team's guaranteed share those of other teams that aren't.
  */
 public final class Preemption {
+  private static final Logger LOG = LoggerFactory.getLogger("mallowstall.placement");
+
   /** A machine, the tasks to be preempted there, and the seconds of work that this costs. */
   record PreemptionCandidate(MachineView machine, List<TaskStatus> victims, double costS) {
     /** The attempts that a start request names as victims. */
@@ -36,6 +40,7 @@
   private final StateStore store;
   private final GuaranteedShares guaranteedShares;
   private final PolicyFacts policyFacts;
+  private final PreemptionOrder order;
 
   /** Guaranteed shares say who is owed capacity; the policy's facts say where it would be used. */
   public Preemption(
@@ -51,6 +56,7 @@
     this.store = store;
     this.guaranteedShares = guaranteedShares;
     this.policyFacts = policyFacts;
+    this.order = new PreemptionOrder(guaranteedShares);
   }
 
   /** Whether the job may preempt others, and has waited long enough for it. */
@@ -105,14 +111,34 @@
   }
 
   /** Counts the capacity of the victims as free until they have stopped. */
-  void releaseVictimCapacity(PreemptionCandidate candidate, long now) {
+  void releaseVictimCapacity(LedJob preemptor, PreemptionCandidate candidate, long now) {
     MachineView machine = candidate.machine;
     for (TaskStatus victim : candidate.victims) {
+      logPreemption(preemptor, machine, victim, now);
       machine.reserve(store.job(victim.job()).spec(), -1);
       machine.recordPreemption(TaskAttempt.of(victim), now + Constants.PREEMPTION_INTERVAL_MIN_MS);
     }
   }
 
+  private void logPreemption(LedJob preemptor, MachineView machine, TaskStatus victim, long now) {
+    if (!LOG.isDebugEnabled()) {
+      return;
+    }
+    JobSpec spec = preemptor.spec();
+    JobSpec victimSpec = store.job(victim.job()).spec();
+    LOG.debug(
+        "preemption chosen job={} priority={} victim={} victimTask={} victimPriority={} machine={}"
+            + " ground={} freeCpus={}",
+        spec.id(),
+        spec.priority(),
+        victim.job(),
+        victim.task(),
+        victimSpec.priority(),
+        machine.id(),
+        order.ground(spec, isOwedGuaranteedShare(preemptor, now), victimSpec).orElse(null),
+        machine.freeCpus());
+  }
+
   /** The fewest lower tasks on the machine that make room for one of the job; empty: none do. */
   private List<TaskStatus> selectVictims(LedJob ledJob, MachineView machine, long now) {
     List<TaskStatus> preemptible = preemptibleTasks(ledJob, machine, now);
@@ -134,7 +160,6 @@
 
   /** Tasks on the machine that the job may preempt. */
   private List<TaskStatus> preemptibleTasks(LedJob ledJob, MachineView machine, long now) {
-    boolean urgent = isUrgent(ledJob);
     boolean owedShare = isOwedGuaranteedShare(ledJob, now);
     machine.forgetPreemptions(now);
     List<TaskStatus> preemptible = new ArrayList<>();
@@ -148,13 +173,7 @@
       if (machine.isPreempted(TaskAttempt.of(task)) || isProtected(job)) {
         continue;
       }
-      boolean lowerPriority =
-          urgent && job.spec().priority().ordinal() < ledJob.spec().priority().ordinal();
-      boolean borrowed =
-          owedShare
-              && !job.spec().team().equals(ledJob.spec().team())
-              && !guaranteedShares.includes(job.spec().id());
-      if (lowerPriority || borrowed) {
+      if (order.ground(ledJob.spec(), owedShare, job.spec()).isPresent()) {
         preemptible.add(task);
       }
     }
