--- a/src/test/java/mallowstall/core/PassedOverJobsTest.java
+++ b/src/test/java/mallowstall/core/PassedOverJobsTest.java
@@ -67,7 +67,7 @@
       Simulation sim = largeJobStarves(seed);
       for (int i = 0; i < 4; i++) {
         String id = "wk-00001" + i;
-        submit(sim, batchJob(id).tasks(1).cpus(1).priority(priority).build());
+        submit(sim, batchJob(id).jobClass("c-NORMAL").tasks(1).cpus(1).priority(priority).build());
         sim.runUntil(sim.nowMs + BEGINS_WITHIN_MS);
         assertTrue(hasBegun(sim, id), "seed " + seed + ": " + id + " is passed over");
       }
