The end of a query leaves the leases of an earlier one alone

What callers could have seen: a 404 after an acceptance once more; found by reading the change again, seen in no history.

Cause: a peer drops all leases up to the query that has ended. An earlier query may still wait for a reply that a cut held back; when that comes within its second, the asker confirms an absence for which another peer's lease is gone.

Mend: the end is sent only if no earlier query is unanswered; else leases run out by themselves.

Evidence: AcceptanceQueryTest.endOfALaterQueryKeepsTheLeasesOfAnEarlierOne. With the condition switched off the job is called accepted (201) while the first question still waits; with it the submission gets 503 and the question its 404.

--- a/src/main/java/mallowstall/core/api/AcceptanceLookup.java
+++ b/src/main/java/mallowstall/core/api/AcceptanceLookup.java
@@ -183,10 +183,17 @@
     if (query.silentPeers.isEmpty()) {
       unanswered.remove(reply.serial());
       query.complete();
-      clock.schedule(ANSWER_SENT_MS, () -> sendEnd(reply.serial()));
+      if (isOlderThanUnanswered(reply.serial())) {
+        clock.schedule(ANSWER_SENT_MS, () -> sendEnd(reply.serial()));
+      }
     }
   }
 
+  /** Whether no earlier query needs its leases any more, which the end of this one ends, too. */
+  private boolean isOlderThanUnanswered(long serial) {
+    return unanswered.isEmpty() || serial < unanswered.keySet().iterator().next();
+  }
+
   private void sendEnd(long serial) {
     for (String peer : settings.peers()) {
       effects.send(peer, new AcceptanceQueryEnd(settings.node(), store.incarnation(), serial));
--- a/src/test/java/mallowstall/core/AcceptanceQueryTest.java
+++ b/src/test/java/mallowstall/core/AcceptanceQueryTest.java
@@ -88,6 +88,46 @@
     assertNull(node.core.store().job(UNKNOWN));
   }
 
+  /** A later question is through while an earlier one still waits for a reply that comes late. */
+  @Test
+  void endOfALaterQueryKeepsTheLeasesOfAnEarlierOne() {
+    Simulation sim = ready(999);
+    String job = "wk-000001";
+    sim.checker.onSubmitted(batchJob(job).tasks(1).cpus(1).build());
+    SimulatedController asker = sim.controllers.get("n1");
+    SimulatedController accepting = sim.controllers.get("n0");
+    long incarnation = asker.core.incarnation();
+    asker.watchStalled = true; // it learns nothing of the job by itself
+    sim.controllers.get("n2").pauseMs = 3_000;
+    sim.runUntil(sim.nowMs + 150);
+    List<ApiResponse> refused = query(asker, job);
+    sim.runUntil(sim.nowMs + 120);
+    query(asker, UNKNOWN);
+    sim.runUntil(sim.nowMs + 100);
+    AcceptanceReply toTheSecond = new AcceptanceReply("n2", incarnation, 2, List.of());
+    asker.enqueueEvent(() -> asker.core.handleMessage(toTheSecond));
+    sim.runUntil(sim.nowMs + 350);
+    List<ApiResponse> submitted = new ArrayList<>();
+    accepting.enqueueEvent(
+        () ->
+            accepting.core.submit(
+                batchJob(job).tasks(1).cpus(1).build(),
+                answer -> {
+                  submitted.add(answer);
+                  sim.checker.onAnswer(sim.nowMs, job, answer.status(), answer.state());
+                }));
+    sim.runUntil(sim.nowMs + 100);
+    assertEquals(List.of(), refused, "still waits for a reply");
+    AcceptanceReply toTheFirst = new AcceptanceReply("n2", incarnation, 1, List.of());
+    asker.enqueueEvent(() -> asker.core.handleMessage(toTheFirst));
+    assertEquals(1, refused.size(), "answered once");
+    sim.checker.onAnswer(sim.nowMs, job, refused.get(0).status(), refused.get(0).state());
+    assertEquals(1, submitted.size(), "answered once");
+    assertEquals(503, submitted.get(0).status(), "the first question's lease lasts");
+    assertEquals(List.of(), sim.checker.violations);
+    assertEquals(404, refused.get(0).status(), "the first question is through as well");
+  }
+
   /** One of two peers doesn't reply: the question isn't answered for good, nor held back. */
   @Test
   void missingReplyIsAnswered503InTime() {
