--- a/src/main/java/mallowstall/Controller.java
+++ b/src/main/java/mallowstall/Controller.java
@@ -28,6 +28,33 @@
 public final class Controller {
   private static final Logger LOG = LoggerFactory.getLogger("mallowstall.service");
 
+  /** Count. Connections to the state service besides the watch; requests are not pipelined. */
+  private static final int STATE_CONNECTIONS = 6;
+
+  /** Count. Connections of the watch, its own so that it never waits for another request's. */
+  private static final int WATCH_CONNECTIONS = 2;
+
+  /** Count. Most connections accepted from peers at a time. */
+  private static final int PEER_CONNECTIONS = 16;
+
+  /** Count. Connections to the cloud. */
+  private static final int CLOUD_CONNECTIONS = 2;
+
+  /** Count. Sockets that this process may open, if the settings don't limit them. */
+  private static final int MAX_CONNECTIONS_DEFAULT = 500;
+
+  /** Fraction of the sockets that users and workers may use. */
+  private static final double SERVER_SOCKET_FRACTION = 0.7;
+
+  /** Fraction of the sockets kept open to workers' own addresses. */
+  private static final double WORKER_CLIENT_SOCKET_FRACTION = 0.2;
+
+  /** ms. A stopping event loop ends once nothing has come for so long. */
+  private static final long STOP_QUIET_MS = 50;
+
+  /** ms. A stopping event loop ends after this in any case. */
+  private static final long STOP_TIMEOUT_MS = 500;
+
   private final NioEventLoopGroup group = new NioEventLoopGroup(1);
   private final EventLoop loop = group.next();
   private final Settings settings;
@@ -46,11 +73,11 @@
     // adapters report events to the core, which is made after those that it calls
     Consumer<Runnable> runEvent = this::runEvent;
     InetSocketAddress stateAddress = SocketAddresses.parse(settings.endpoints().state());
-    HttpClient stateClient = new HttpClient(loop, stateAddress, Constants.STATE_CONNECTIONS);
-    HttpClient watchClient = new HttpClient(loop, stateAddress, Constants.WATCH_CONNECTIONS);
+    HttpClient stateClient = new HttpClient(loop, stateAddress, STATE_CONNECTIONS);
+    HttpClient watchClient = new HttpClient(loop, stateAddress, WATCH_CONNECTIONS);
     HttpClient cloudClient =
         new HttpClient(
-            loop, SocketAddresses.parse(settings.endpoints().cloud()), Constants.CLOUD_CONNECTIONS);
+            loop, SocketAddresses.parse(settings.endpoints().cloud()), CLOUD_CONNECTIONS);
     ControllerMetrics metrics = new ControllerMetrics();
     AdapterEffects effects =
         new AdapterEffects(
@@ -66,16 +93,16 @@
             randomSeed(settings.node()));
     this.events = new CoreEvents(core, loop);
     int sockets = maxConnections(settings.facts().limits());
-    this.peers = new PeerConnections(loop, core, runEvent, Constants.PEER_CONNECTIONS);
+    this.peers = new PeerConnections(loop, core, runEvent, PEER_CONNECTIONS);
     WorkerHttpAdapter workers =
         new WorkerHttpAdapter(
-            core, loop, runEvent, (int) (sockets * Constants.WORKER_CLIENT_SOCKET_FRACTION));
+            core, loop, runEvent, (int) (sockets * WORKER_CLIENT_SOCKET_FRACTION));
     effects.connect(peers, workers);
     RequestRouter router = new RequestRouter(core, new UserApiHandler(core), workers, metrics);
     this.server =
         new HttpServer(
             (request, responder) -> events.run(() -> router.route(request, responder)),
-            (int) (sockets * Constants.SERVER_SOCKET_FRACTION));
+            (int) (sockets * SERVER_SOCKET_FRACTION));
   }
 
   /** Differs by controller, and stays the same after a restart. */
@@ -85,7 +112,7 @@
 
   private static int maxConnections(Settings.Limits limits) {
     return limits == null || limits.maxConnections() == null
-        ? Constants.MAX_CONNECTIONS_DEFAULT
+        ? MAX_CONNECTIONS_DEFAULT
         : limits.maxConnections();
   }
 
@@ -161,7 +188,6 @@
           server.close();
           peers.close();
         });
-    group.shutdownGracefully(
-        Constants.STOP_QUIET_MS, Constants.STOP_TIMEOUT_MS, TimeUnit.MILLISECONDS);
+    group.shutdownGracefully(STOP_QUIET_MS, STOP_TIMEOUT_MS, TimeUnit.MILLISECONDS);
   }
 }
--- a/src/main/java/mallowstall/cloud/CloudClient.java
+++ b/src/main/java/mallowstall/cloud/CloudClient.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
-import mallowstall.Constants;
 import mallowstall.core.kernel.Effects;
 import mallowstall.core.kernel.InventoryPage;
 import mallowstall.core.kernel.ScaleOutResult;
@@ -25,6 +24,9 @@
 public final class CloudClient {
   private static final Logger LOG = LoggerFactory.getLogger("mallowstall.cloud");
 
+  /** ms. A request to the cloud without a response by then has failed. */
+  private static final long CLOUD_TIMEOUT_MS = 5_000;
+
   private static final int PAGE_SIZE = 500;
 
   private final HttpClient http;
@@ -46,7 +48,7 @@
         method,
         path,
         body,
-        Constants.CLOUD_TIMEOUT_MS,
+        CLOUD_TIMEOUT_MS,
         reply ->
             events.accept(
                 () ->
--- a/src/main/java/mallowstall/config/SettingsValidator.java
+++ b/src/main/java/mallowstall/config/SettingsValidator.java
@@ -1,13 +1,18 @@
 package mallowstall.config;
 
 import java.util.List;
-import mallowstall.Constants;
 import mallowstall.config.Settings.Facts;
 import mallowstall.config.Settings.Invalid;
 import mallowstall.net.SocketAddresses;
 
 /** Checks settings; each error names the field and what was expected. */
 final class SettingsValidator {
+  /**
+   * MB. Least memory of a controller's machine (docs/operations.md): a process that reaches its
+   * machine's limit is killed in the middle of whatever it does.
+   */
+  private static final int MEMORY_MIN_MB = 100;
+
   private static final int MIN_TXN_OPS = 2;
   private static final int MIN_CONNECTIONS = 50;
 
@@ -96,9 +101,8 @@
     if (limits.maxConnections() != null && limits.maxConnections() < MIN_CONNECTIONS) {
       throw new Invalid("facts.machine_limits.fd_limit must be " + MIN_CONNECTIONS + " or more");
     }
-    if (limits.memoryMb() != null && limits.memoryMb() < Constants.MEMORY_MIN_MB) {
-      throw new Invalid(
-          "facts.machine_limits.ram_mb must be " + Constants.MEMORY_MIN_MB + " or more");
+    if (limits.memoryMb() != null && limits.memoryMb() < MEMORY_MIN_MB) {
+      throw new Invalid("facts.machine_limits.ram_mb must be " + MEMORY_MIN_MB + " or more");
     }
   }
 
--- a/src/main/java/mallowstall/core/ControllerCore.java
+++ b/src/main/java/mallowstall/core/ControllerCore.java
@@ -51,6 +51,12 @@
 public final class ControllerCore implements UserRequests, HeartbeatReceiver, PeerEvents {
   private static final Logger LOG = LoggerFactory.getLogger("mallowstall.core");
 
+  /**
+   * ms. After its start a controller recovers the machines of its former process that have reported
+   * to nobody: most workers have come back by then, and need no second write.
+   */
+  private static final long RECOVERY_DELAY_MS = 7_000;
+
   private final ClusterModules cluster;
   private final JobLeader jobLeader;
   private final MachineModules machines;
@@ -197,8 +203,7 @@
     cluster.store.tick();
     cluster.machineTypes.tick();
     cluster.clock.markStarted();
-    boolean recoveryDue =
-        cluster.clock.now() - cluster.clock.startedAtMs() > Constants.RECOVERY_DELAY_MS;
+    boolean recoveryDue = cluster.clock.now() - cluster.clock.startedAtMs() > RECOVERY_DELAY_MS;
     if (recoveryDue
         && cluster.store.synced()
         && !cluster.machineTypes.isEmpty()
--- a/src/main/java/mallowstall/core/autoscaling/Autoscaler.java
+++ b/src/main/java/mallowstall/core/autoscaling/Autoscaler.java
@@ -10,6 +10,9 @@
  * also reads the cloud's inventory and plans what is requested and returned. Mutable.
  */
 public final class Autoscaler {
+  /** ms. The next plan follows a scale-out response so soon, as more may be missing. */
+  private static final long AUTOSCALER_FOLLOW_UP_MS = 300;
+
   private final EventClock clock;
   private final StateStore store;
   private final MachineTypeCatalog types;
@@ -43,7 +46,7 @@
 
   /** A scale-out request has been answered: what else is missing is asked for soon. */
   public void planSoon() {
-    nextPlanMs = Math.min(nextPlanMs, clock.now() + Constants.AUTOSCALER_FOLLOW_UP_MS);
+    nextPlanMs = Math.min(nextPlanMs, clock.now() + AUTOSCALER_FOLLOW_UP_MS);
   }
 
   /** Counts demand, acquires a vacant leadership and, as the leader, plans when due. */
--- a/src/main/java/mallowstall/core/autoscaling/CloudInventory.java
+++ b/src/main/java/mallowstall/core/autoscaling/CloudInventory.java
@@ -3,7 +3,6 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
-import mallowstall.Constants;
 import mallowstall.core.kernel.Effects;
 import mallowstall.core.kernel.EventClock;
 import mallowstall.core.kernel.InventoryPage;
@@ -12,6 +11,9 @@
 
 /** The cloud's list of machines, read page by page; it lags behind what the cloud has. Mutable. */
 public final class CloudInventory {
+  /** ms. Between two reads of the cloud's inventory. */
+  private static final long INVENTORY_INTERVAL_MS = 8_000;
+
   private final EventClock clock;
   private final Effects effects;
   private final TokenBucket apiCallBucket;
@@ -53,7 +55,7 @@
       return;
     }
     readInFlight = true;
-    nextReadMs = now + Constants.INVENTORY_INTERVAL_MS;
+    nextReadMs = now + INVENTORY_INTERVAL_MS;
     readPage(null, new HashMap<>());
   }
 
--- a/src/main/java/mallowstall/core/autoscaling/IdleScaleIn.java
+++ b/src/main/java/mallowstall/core/autoscaling/IdleScaleIn.java
@@ -5,12 +5,20 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import mallowstall.Constants;
 import mallowstall.core.cluster.MachineView;
 import mallowstall.core.cluster.PeerMessenger;
 
 /** Drains idle machines that aren't needed, and returns them once they are drained. */
 public final class IdleScaleIn {
+  /** ms. An idle machine that the plan doesn't need is returned after this. */
+  private static final long SCALE_IN_IDLE_MS = 40_000;
+
+  /** ms. The same for on-demand machines, which cost a multiple of spot ones. */
+  private static final long SCALE_IN_IDLE_ON_DEMAND_MS = 30_000;
+
+  /** Count. One of so many machines of a type may be drained by one plan. */
+  private static final int DRAIN_BATCH_DIVISOR = 6;
+
   private final ScaleIn scaleIn;
   private final PeerMessenger messenger;
 
@@ -59,10 +67,7 @@
       if (!isEmpty(machine, type) || machine.status().draining()) {
         continue;
       }
-      long idleTimeoutMs =
-          machine.status().spot()
-              ? Constants.SCALE_IN_IDLE_MS
-              : Constants.SCALE_IN_IDLE_ON_DEMAND_MS;
+      long idleTimeoutMs = machine.status().spot() ? SCALE_IN_IDLE_MS : SCALE_IN_IDLE_ON_DEMAND_MS;
       if (machine.idleMs(now) > idleTimeoutMs) {
         idle.add(machine);
       }
@@ -82,7 +87,7 @@
   }
 
   private void drain(List<MachineView> idle, int current, int keepTotal, int keepOnDemand) {
-    int maxDrains = Math.max(1, current / Constants.DRAIN_BATCH_DIVISOR);
+    int maxDrains = Math.max(1, current / DRAIN_BATCH_DIVISOR);
     int remaining = current;
     Map<String, List<String>> drainsByLeader = new HashMap<>();
     for (MachineView machine : idle) {
--- a/src/main/java/mallowstall/core/autoscaling/KeptResultScaleOuts.java
+++ b/src/main/java/mallowstall/core/autoscaling/KeptResultScaleOuts.java
@@ -3,7 +3,6 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
-import mallowstall.Constants;
 
 /**
  * Spaces the machines that are requested for services whose waiting replicas have left their
@@ -13,6 +12,9 @@
  * in ms of the steady clock. Mutable.
  */
 final class KeptResultScaleOuts {
+  /** ms. Most between two requests for a service whose replicas end wherever they run. */
+  private static final long KEPT_RESULT_SCALE_OUT_MAX_MS = 600_000;
+
   /** When the next request for a job may be made, and the delay that led to it. */
   private record Delay(long delayMs, long nextRequestMs) {}
 
@@ -27,12 +29,11 @@
   /** A machine is requested for the job. */
   void record(String job, long now) {
     Delay last = delays.get(job);
-    boolean first =
-        last == null || now - last.nextRequestMs() > Constants.KEPT_RESULT_SCALE_OUT_MAX_MS;
+    boolean first = last == null || now - last.nextRequestMs() > KEPT_RESULT_SCALE_OUT_MAX_MS;
     long delayMs =
         first
-            ? 2 * Constants.REPLICA_UNPLACEABLE_MS
-            : Math.min(2 * last.delayMs(), Constants.KEPT_RESULT_SCALE_OUT_MAX_MS);
+            ? 2 * UnplaceableJobs.REPLICA_UNPLACEABLE_MS
+            : Math.min(2 * last.delayMs(), KEPT_RESULT_SCALE_OUT_MAX_MS);
     delays.put(job, new Delay(delayMs, now + delayMs));
   }
 
--- a/src/main/java/mallowstall/core/autoscaling/MachineDemand.java
+++ b/src/main/java/mallowstall/core/autoscaling/MachineDemand.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import mallowstall.Constants;
 import mallowstall.core.cluster.ClusterView;
 import mallowstall.core.cluster.MachineTypeCatalog;
 import mallowstall.core.cluster.MachineView;
@@ -24,6 +23,38 @@
  * types are scarce, and which machines are reserved for urgent work. Mutable.
  */
 public final class MachineDemand {
+  /** Tasks that fit by a resource of which they take nothing. */
+  private static final double TASKS_UNLIMITED = 1e9;
+
+  /** Machines. The least demand that counts: rounded up, it asks for one machine. */
+  private static final double DEMAND_MIN_MACHINES = 0.01;
+
+  /** ms. Time constant of the average of used processors, by which a floor of machines is kept. */
+  private static final double USAGE_TIME_CONSTANT_MS = 90_000;
+
+  /** Factor on the average urgent demand: arrivals come in bursts. */
+  static final double RESERVE_FACTOR = 2.0;
+
+  /** Fraction of a type's machines that may be kept for urgent work. */
+  private static final double RESERVE_MAX_FRACTION = 0.35;
+
+  /** Factor on a user's estimate when machines are planned by it: it is often too low. */
+  private static final double ESTIMATE_FACTOR = 1.2;
+
+  /** Count. Most tasks planned to run one after the other in one place. */
+  private static final double WAVES_MAX = 2;
+
+  /**
+   * Fraction of the boot time: of tasks that run shorter, one counts for a part of a machine only.
+   */
+  private static final double SHORT_RUN_BOOT_FRACTION = 0.8;
+
+  /** s. The least such run time, whatever the boot time. */
+  private static final double SHORT_RUN_MIN_S = 20;
+
+  /** Count. Jobs whose smallest fitting type is remembered: more than are ever open at once. */
+  private static final int SMALLEST_TYPE_CACHE_MAX = 2_000;
+
   private final EventClock clock;
   private final CoreSettings settings;
   private final ClusterView view;
@@ -73,7 +104,7 @@
     if (cached != null) {
       return cached;
     }
-    if (minimalTypeByJob.size() > Constants.SMALLEST_TYPE_CACHE_MAX) {
+    if (minimalTypeByJob.size() > SMALLEST_TYPE_CACHE_MAX) {
       minimalTypeByJob.clear();
     }
     String found = findMinimalType(spec);
@@ -165,28 +196,22 @@
     // at most half of a spread job may be in one zone: it needs another
     if (spec.spread()) {
       for (String zone : type.zones()) {
-        demand.addPinned(zone, Constants.DEMAND_MIN_MACHINES, spec.spot());
+        demand.addPinned(zone, DEMAND_MIN_MACHINES, spec.spot());
       }
     }
   }
 
   private static double tasksPerMachine(JobSpec spec, MachineType type) {
-    double byCpus =
-        spec.cpus() > 0 ? Math.floor(type.cpus() / spec.cpus()) : Constants.TASKS_UNLIMITED;
+    double byCpus = spec.cpus() > 0 ? Math.floor(type.cpus() / spec.cpus()) : TASKS_UNLIMITED;
     double byMemory =
-        spec.memoryGb() > 0
-            ? Math.floor(type.memoryGb() / spec.memoryGb())
-            : Constants.TASKS_UNLIMITED;
-    double byGpus =
-        spec.gpus() > 0 ? Math.floor(type.gpus() / spec.gpus()) : Constants.TASKS_UNLIMITED;
+        spec.memoryGb() > 0 ? Math.floor(type.memoryGb() / spec.memoryGb()) : TASKS_UNLIMITED;
+    double byGpus = spec.gpus() > 0 ? Math.floor(type.gpus() / spec.gpus()) : TASKS_UNLIMITED;
     return Math.min(byCpus, Math.min(byMemory, byGpus));
   }
 
   private void updateAverages(Map<String, Double> urgentByType, long now) {
     double weight =
-        computedAtMs == 0
-            ? 1
-            : 1 - Math.exp(-(now - computedAtMs) / Constants.USAGE_TIME_CONSTANT_MS);
+        computedAtMs == 0 ? 1 : 1 - Math.exp(-(now - computedAtMs) / USAGE_TIME_CONSTANT_MS);
     computedAtMs = now;
     demandByType.forEach(
         (type, demand) -> demand.updateAverages(urgentByType.getOrDefault(type, 0.0), weight));
@@ -202,10 +227,7 @@
     }
     double lifetimeS = spec.estimatedRunS() + spec.imageGb() / Math.max(1e-3, type.fetchGbPerS());
     return Math.min(
-        1,
-        lifetimeS
-            / Math.max(
-                Constants.SHORT_RUN_MIN_S, Constants.SHORT_RUN_BOOT_FRACTION * type.bootS()));
+        1, lifetimeS / Math.max(SHORT_RUN_MIN_S, SHORT_RUN_BOOT_FRACTION * type.bootS()));
   }
 
   /**
@@ -220,8 +242,8 @@
     }
     double remainingS = spec.deadlineS() - (clock.wallClockMs() - job.submittedMs()) / 1000.0;
     double readyS = type.bootS() + spec.imageGb() / Math.max(1e-3, type.fetchGbPerS());
-    double taskS = Math.max(1, spec.estimatedRunS() * Constants.ESTIMATE_FACTOR);
-    return Math.max(1, Math.min(Constants.WAVES_MAX, Math.floor((remainingS - readyS) / taskS)));
+    double taskS = Math.max(1, spec.estimatedRunS() * ESTIMATE_FACTOR);
+    return Math.max(1, Math.min(WAVES_MAX, Math.floor((remainingS - readyS) / taskS)));
   }
 
   /**
@@ -247,8 +269,8 @@
               .count();
       long remaining =
           Math.min(
-              (long) Math.ceil(entry.getValue().averageUrgentMachines() * Constants.RESERVE_FACTOR),
-              (long) (total * Constants.RESERVE_MAX_FRACTION));
+              (long) Math.ceil(entry.getValue().averageUrgentMachines() * RESERVE_FACTOR),
+              (long) (total * RESERVE_MAX_FRACTION));
       for (MachineView machineView : available) {
         if (remaining <= 0) {
           break;
--- a/src/main/java/mallowstall/core/autoscaling/RegisteredMachines.java
+++ b/src/main/java/mallowstall/core/autoscaling/RegisteredMachines.java
@@ -14,6 +14,26 @@
 
 /** Counts the machines that have an entry in the state, and finds those to be returned. Mutable. */
 public final class RegisteredMachines {
+  /**
+   * ms. Within this and one and a half heartbeat intervals a worker whose controller has ended has
+   * registered with another: 4 s for the missing response, 1 s before the next try, the rest for
+   * the registration.
+   */
+  private static final long WORKER_REREGISTRATION_MS = 7_500;
+
+  /** s. With less than this left of its notice an unresponsive machine counts as removed. */
+  private static final double INTERRUPTION_IMMINENT_S = 2;
+
+  /**
+   * ms. Added to the heartbeat interval: a machine with replicas that is unresponsive for longer is
+   * returned, which proves that they have ended. Its tasks would be lost with its lease some
+   * seconds later.
+   */
+  private static final long UNRESPONSIVE_REPLICA_HOST_MARGIN_MS = 5_000;
+
+  /** ms. Added to a worker's lease: a machine unresponsive for longer is returned. */
+  private static final long UNRESPONSIVE_SCALE_IN_MARGIN_MS = 12_000;
+
   private final CoreSettings settings;
   private final StateStore store;
   private final ClusterView view;
@@ -73,7 +93,7 @@
       return;
     }
     long unaccountedMs = now - unaccountedSinceMs.computeIfAbsent(id, k -> now);
-    if (unaccountedMs > settings.workerLeaseMs() + 2 * Constants.UNRESPONSIVE_SCALE_IN_MARGIN_MS) {
+    if (unaccountedMs > settings.workerLeaseMs() + 2 * UNRESPONSIVE_SCALE_IN_MARGIN_MS) {
       census.addToReturn(id);
     } else if (!leaderLive && unaccountedMs > failoverGraceMs()) {
       census.addUnmanaged(id);
@@ -103,7 +123,7 @@
   private void countUnresponsive(MachineView machine, MachineCensus census, long now) {
     long unresponsiveMs = machine.idleMs(now);
     if (isReclaimedByCloud(machine, now)
-        || unresponsiveMs > settings.workerLeaseMs() + Constants.UNRESPONSIVE_SCALE_IN_MARGIN_MS) {
+        || unresponsiveMs > settings.workerLeaseMs() + UNRESPONSIVE_SCALE_IN_MARGIN_MS) {
       census.addToReturn(machine.id());
       return;
     }
@@ -115,7 +135,7 @@
 
   /** How long a machine whose leader has no session may take to register with another. */
   private long failoverGraceMs() {
-    return Constants.WORKER_REREGISTRATION_MS + settings.heartbeatIntervalMs() * 3 / 2;
+    return WORKER_REREGISTRATION_MS + settings.heartbeatIntervalMs() * 3 / 2;
   }
 
   /**
@@ -125,13 +145,12 @@
   private static boolean isReclaimedByCloud(MachineView machine, long now) {
     double remainingS =
         machine.status().interruptionNoticeS() - (now - machine.updatedAtMs()) / 1000.0;
-    return machine.status().interruptionNoticeS() >= 0
-        && remainingS < Constants.INTERRUPTION_IMMINENT_S;
+    return machine.status().interruptionNoticeS() >= 0 && remainingS < INTERRUPTION_IMMINENT_S;
   }
 
   /** Some heartbeats later than where a machine counts as unresponsive. */
   private long unresponsiveHostMs() {
-    return Constants.UNRESPONSIVE_REPLICA_HOST_MARGIN_MS + settings.heartbeatIntervalMs();
+    return UNRESPONSIVE_REPLICA_HOST_MARGIN_MS + settings.heartbeatIntervalMs();
   }
 
   /** Whether a faulty machine's replicas have had their time to be relocated. */
--- a/src/main/java/mallowstall/core/autoscaling/ScaleIn.java
+++ b/src/main/java/mallowstall/core/autoscaling/ScaleIn.java
@@ -32,6 +32,12 @@
 public final class ScaleIn {
   private static final Logger LOG = LoggerFactory.getLogger("mallowstall.autoscaling");
 
+  /**
+   * ms. A returned machine may stay in the inventory for twice its lag; no more requests are made
+   * for it.
+   */
+  private static final long SCALE_IN_MEMORY_MS = 60_000;
+
   /** Why machines are returned. */
   enum Reason {
     IDLE,
@@ -88,12 +94,12 @@
   /** Whether it was returned so recently that the cloud's inventory may still list it. */
   boolean wasReturnedRecently(String machine, long now) {
     Long returnedMs = returnedAtMs.get(machine);
-    return returnedMs != null && now - returnedMs < Constants.SCALE_IN_MEMORY_MS;
+    return returnedMs != null && now - returnedMs < SCALE_IN_MEMORY_MS;
   }
 
   /** Forgets returns that are older than any inventory still to come. */
   void expireReturned(long now) {
-    returnedAtMs.values().removeIf(returnedMs -> now - returnedMs > Constants.SCALE_IN_MEMORY_MS);
+    returnedAtMs.values().removeIf(returnedMs -> now - returnedMs > SCALE_IN_MEMORY_MS);
   }
 
   /** Those of the machines that are neither returned nor being returned. */
--- a/src/main/java/mallowstall/core/autoscaling/ScaleOut.java
+++ b/src/main/java/mallowstall/core/autoscaling/ScaleOut.java
@@ -5,7 +5,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import mallowstall.Constants;
 import mallowstall.core.autoscaling.PendingMachines.PendingMachine;
 import mallowstall.core.cluster.ClusterView;
 import mallowstall.core.cluster.MachineTypeCatalog;
@@ -20,6 +19,9 @@
 public final class ScaleOut {
   private static final Logger LOG = LoggerFactory.getLogger("mallowstall.autoscaling");
 
+  /** Fraction of the need that must be missing before on-demand machines replace spot ones. */
+  private static final double ON_DEMAND_FALLBACK_FRACTION = 0.15;
+
   /** Machines of one type by zone, and the on-demand ones among them. Mutable. */
   private static final class ZoneCounts {
     private final Map<String, Integer> countByZone = new HashMap<>();
@@ -188,7 +190,7 @@
           return;
         }
       }
-      if (missing < Constants.ON_DEMAND_FALLBACK_FRACTION * targetCount) {
+      if (missing < ON_DEMAND_FALLBACK_FRACTION * targetCount) {
         return;
       }
     }
--- a/src/main/java/mallowstall/core/autoscaling/ScaleOutRequests.java
+++ b/src/main/java/mallowstall/core/autoscaling/ScaleOutRequests.java
@@ -2,7 +2,6 @@
 
 import java.util.HashMap;
 import java.util.Map;
-import mallowstall.Constants;
 import mallowstall.core.autoscaling.PendingMachines.PendingMachine;
 import mallowstall.core.kernel.Effects;
 import mallowstall.core.kernel.EventClock;
@@ -20,6 +19,15 @@
 public final class ScaleOutRequests {
   private static final Logger LOG = LoggerFactory.getLogger("mallowstall.autoscaling");
 
+  /** Count. Most machines per scale-out request (protocol). */
+  private static final int SCALE_OUT_MACHINES_MAX = 50;
+
+  /**
+   * ms. After a lack of capacity in the cloud that type, zone and kind isn't asked for again for so
+   * long.
+   */
+  private static final long SCALE_OUT_REJECTED_COOLDOWN_MS = 15_000;
+
   private static final int HTTP_OK = 200;
   private static final int HTTP_UNAVAILABLE = 503;
 
@@ -72,10 +80,7 @@
       return false;
     }
     String name = "r-" + store.incarnation() + "-" + ++requestCounter;
-    send(
-        new ScaleOutRequest(
-            name, type, zone, spot, Math.min(Constants.SCALE_OUT_MACHINES_MAX, count)),
-        key);
+    send(new ScaleOutRequest(name, type, zone, spot, Math.min(SCALE_OUT_MACHINES_MAX, count)), key);
     return true;
   }
 
@@ -112,10 +117,10 @@
           receivedCount,
           request.count());
       if (receivedCount < request.count()) {
-        backoffUntilMs.put(key, now + Constants.SCALE_OUT_REJECTED_COOLDOWN_MS);
+        backoffUntilMs.put(key, now + SCALE_OUT_REJECTED_COOLDOWN_MS);
       }
     } else if (reply.status() == HTTP_UNAVAILABLE) {
-      backoffUntilMs.put(key, now + Constants.SCALE_OUT_REJECTED_COOLDOWN_MS);
+      backoffUntilMs.put(key, now + SCALE_OUT_REJECTED_COOLDOWN_MS);
       LOG.info("scale out rejected request={} status={}", request.name(), reply.status());
     } else {
       LOG.debug("scale out failed request={} status={}", request.name(), reply.status());
--- a/src/main/java/mallowstall/core/autoscaling/UnplaceableJobs.java
+++ b/src/main/java/mallowstall/core/autoscaling/UnplaceableJobs.java
@@ -27,6 +27,12 @@
  * or the machines with room keep the results of just those replicas that wait. Mutable.
  */
 public final class UnplaceableJobs {
+  /** ms. A replica that has found no machine for longer gets one requested for it alone. */
+  static final long REPLICA_UNPLACEABLE_MS = 5_000;
+
+  /** ms. The same for a batch job of which no task fits beside services. */
+  private static final long BATCH_UNPLACEABLE_MS = 20_000;
+
   /** What keeps a job's task from being placed. */
   private enum Shortage {
     NONE,
@@ -74,8 +80,7 @@
       return List.of();
     }
     long sinceMs = unplaceableSinceMs.computeIfAbsent(job.id(), k -> now);
-    long timeoutMs =
-        job.isService() ? Constants.REPLICA_UNPLACEABLE_MS : Constants.BATCH_UNPLACEABLE_MS;
+    long timeoutMs = job.isService() ? REPLICA_UNPLACEABLE_MS : BATCH_UNPLACEABLE_MS;
     boolean due =
         now - sinceMs > timeoutMs
             && (shortage != Shortage.RESULTS_KEPT || keptResultScaleOuts.isDue(job.id(), now));
--- a/src/main/java/mallowstall/core/autoscaling/UnregisteredMachines.java
+++ b/src/main/java/mallowstall/core/autoscaling/UnregisteredMachines.java
@@ -1,7 +1,6 @@
 package mallowstall.core.autoscaling;
 
 import java.util.Map;
-import mallowstall.Constants;
 import mallowstall.core.autoscaling.PendingMachines.PendingMachine;
 import mallowstall.core.cluster.MachineTypeCatalog;
 import mallowstall.core.model.CoreSettings;
@@ -10,6 +9,15 @@
 
 /** Counts the machines that haven't registered yet, and gives up those that never will. */
 public final class UnregisteredMachines {
+  /** Factor on the usual boot time after which a machine is taken for one that never boots. */
+  private static final double BOOT_TIMEOUT_FACTOR = 4.0;
+
+  /** s. No machine is given up sooner, however short the boot time of its type. */
+  private static final double BOOT_TIMEOUT_MIN_S = 60;
+
+  /** s. When a machine of an unknown type is given up. */
+  private static final double BOOT_TIMEOUT_UNKNOWN_TYPE_S = 120;
+
   private final CoreSettings settings;
   private final MachineTypeCatalog types;
   private final CloudInventory cloudInventory;
@@ -64,7 +72,7 @@
       String id = entry.getKey();
       PendingMachine pending = entry.getValue();
       MachineType type = types.find(pending.type());
-      double timeoutS = type == null ? Constants.BOOT_TIMEOUT_UNKNOWN_TYPE_S : bootTimeoutS(type);
+      double timeoutS = type == null ? BOOT_TIMEOUT_UNKNOWN_TYPE_S : bootTimeoutS(type);
       boolean unlisted =
           now - pending.requestedAtMs() > 4 * inventoryLagMs
               && cloudInventory.readAtMs() > pending.requestedAtMs() + 3 * inventoryLagMs
@@ -80,6 +88,6 @@
 
   /** After so many seconds a machine that hasn't registered is taken for one that never boots. */
   private static double bootTimeoutS(MachineType type) {
-    return Math.max(Constants.BOOT_TIMEOUT_MIN_S, Constants.BOOT_TIMEOUT_FACTOR * type.bootS());
+    return Math.max(BOOT_TIMEOUT_MIN_S, BOOT_TIMEOUT_FACTOR * type.bootS());
   }
 }
--- a/src/main/java/mallowstall/core/cluster/CancellationExchange.java
+++ b/src/main/java/mallowstall/core/cluster/CancellationExchange.java
@@ -6,7 +6,6 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.Consumer;
-import mallowstall.Constants;
 import mallowstall.core.kv.StateKeys;
 import mallowstall.core.kv.StateStore;
 import mallowstall.core.model.JobEntry;
@@ -23,6 +22,13 @@
  * other fields are unknown. See docs/design.md, "ran_cancelled".
  */
 public final class CancellationExchange {
+  /**
+   * Count. Cancellations kept for peers that don't follow the state service: hundreds a minute for
+   * as long as workers may be kept alive without it. Beyond it no peer's account of cancellations
+   * counts as complete.
+   */
+  private static final int CANCELLATIONS_MAX = 2_000;
+
   /** A cancelled job and the revision at which it was recorded. */
   private record Cancelled(long revision, String job) implements Comparable<Cancelled> {
     @Override
@@ -75,7 +81,7 @@
   private void recordCancellation(String job, long revision) {
     reportedByPeers.remove(job);
     recordedCancellations.add(new Cancelled(revision, job));
-    while (recordedCancellations.size() > Constants.CANCELLATIONS_MAX) {
+    while (recordedCancellations.size() > CANCELLATIONS_MAX) {
       prunedRevision = recordedCancellations.pollFirst().revision();
     }
   }
@@ -105,7 +111,7 @@
       if (reportedByPeers.contains(id)) {
         continue;
       }
-      if (reportedByPeers.size() < Constants.CANCELLATIONS_MAX) {
+      if (reportedByPeers.size() < CANCELLATIONS_MAX) {
         reportedByPeers.add(id);
       } else {
         allRemembered = false;
--- a/src/main/java/mallowstall/core/cluster/Connectivity.java
+++ b/src/main/java/mallowstall/core/cluster/Connectivity.java
@@ -7,6 +7,9 @@
 
 /** How well this controller is connected to the state service and to its peers. */
 public final class Connectivity {
+  /** ms. Of the cancellation deadline, kept in reserve when the state service can't be reached. */
+  private static final long CANCELLATION_MARGIN_MS = 5_000;
+
   private final EventClock clock;
   private final CoreSettings settings;
   private final StateStore store;
@@ -27,9 +30,7 @@
    */
   public boolean mayRenewWorkerLeases() {
     long limit =
-        settings.cancellationDeadlineMs()
-            - settings.workerLeaseMs()
-            - Constants.CANCELLATION_MARGIN_MS;
+        settings.cancellationDeadlineMs() - settings.workerLeaseMs() - CANCELLATION_MARGIN_MS;
     if (clock.now() - store.freshAtMs() < limit) {
       return true;
     }
--- a/src/main/java/mallowstall/core/cluster/DigestPublisher.java
+++ b/src/main/java/mallowstall/core/cluster/DigestPublisher.java
@@ -3,7 +3,6 @@
 import java.util.List;
 import java.util.function.DoubleSupplier;
 import java.util.function.Supplier;
-import mallowstall.Constants;
 import mallowstall.core.kernel.Effects;
 import mallowstall.core.kernel.EventClock;
 import mallowstall.core.kernel.PutOperation;
@@ -19,6 +18,9 @@
 
 /** Writes this controller's free capacity and pending work to the state service now and then. */
 public final class DigestPublisher {
+  /** ms. Between two digests of free capacity (docs/design.md: every 5 seconds). */
+  private static final long DIGEST_INTERVAL_MS = 5_000;
+
   private final EventClock clock;
   private final CoreSettings settings;
   private final Effects effects;
@@ -49,7 +51,7 @@
     if (clock.now() < nextPublishMs || !store.synced() || !store.isSessionValid()) {
       return;
     }
-    nextPublishMs = clock.now() + Constants.DIGEST_INTERVAL_MS;
+    nextPublishMs = clock.now() + DIGEST_INTERVAL_MS;
     store.transact(
         RequestPriority.BACKGROUND,
         new Transaction(
--- a/src/main/java/mallowstall/core/cluster/KeptResults.java
+++ b/src/main/java/mallowstall/core/cluster/KeptResults.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import mallowstall.Constants;
 import mallowstall.core.kernel.EventClock;
 import mallowstall.core.kv.StateStore;
 import mallowstall.core.model.ExitReason;
@@ -25,6 +24,18 @@
  * tells controllers that missed an end. A new process learns by such tries. Mutable.
  */
 public final class KeptResults {
+  /** Count. Ends of a replica as done on one machine that show that its result is kept there. */
+  private static final int KEPT_RESULT_ENDS = 2;
+
+  /**
+   * ms. A replica isn't tried for so long where its result is kept: above a boot, below the 90 s
+   * that work may wait.
+   */
+  private static final long KEPT_RESULT_MS = 60_000;
+
+  /** ms. Ends are forgotten after so long: one more try is enough until then to know again. */
+  private static final long KEPT_RESULT_MEMORY_MS = 2 * KEPT_RESULT_MS;
+
   /** Ends of one replica as done on one machine. Mutable. */
   private static final class Ends {
     private long lastAttempt;
@@ -41,11 +52,11 @@
     }
 
     boolean showKeptResult(long now) {
-      return count >= Constants.KEPT_RESULT_ENDS && now - lastAtMs < Constants.KEPT_RESULT_MS;
+      return count >= KEPT_RESULT_ENDS && now - lastAtMs < KEPT_RESULT_MS;
     }
 
     boolean isObsolete(long now) {
-      return now - lastAtMs >= Constants.KEPT_RESULT_MEMORY_MS;
+      return now - lastAtMs >= KEPT_RESULT_MEMORY_MS;
     }
   }
 
--- a/src/main/java/mallowstall/core/jobs/JobFailover.java
+++ b/src/main/java/mallowstall/core/jobs/JobFailover.java
@@ -27,6 +27,14 @@
 final class JobFailover {
   private static final Logger LOG = LoggerFactory.getLogger("mallowstall.jobs");
 
+  /** ms. A job without a leader is left to the controller whose turn it is for so long. */
+  private static final long JOB_FAILOVER_TURN_MS = 2_000;
+
+  /**
+   * Count. Most jobs taken in one scan: spreads an ended leader's jobs over the other controllers.
+   */
+  private static final int JOB_FAILOVER_BATCH = 4;
+
   private final EventClock clock;
   private final CoreSettings settings;
   private final StateStore store;
@@ -79,7 +87,7 @@
       if (!claimable(id, vacancy, liveNodes, now)) {
         continue;
       }
-      if (claims == Constants.JOB_FAILOVER_BATCH) {
+      if (claims == JOB_FAILOVER_BATCH) {
         break;
       }
       claims++;
@@ -93,8 +101,7 @@
         liveNodes.isEmpty()
             ? settings.node()
             : liveNodes.get(Math.floorMod(id.hashCode(), liveNodes.size()));
-    if (!preferredNode.equals(settings.node())
-        && now - vacancy.sinceMs() < Constants.JOB_FAILOVER_TURN_MS) {
+    if (!preferredNode.equals(settings.node()) && now - vacancy.sinceMs() < JOB_FAILOVER_TURN_MS) {
       return false;
     }
     Long claimedAtMs = claimsInFlight.get(id);
--- a/src/main/java/mallowstall/core/jobs/JobWrites.java
+++ b/src/main/java/mallowstall/core/jobs/JobWrites.java
@@ -10,6 +10,9 @@
  * clock. Mutable; not thread-safe.
  */
 public final class JobWrites {
+  /** ms. Least time between two writes of one job's entry: completions in between are one batch. */
+  static final long JOB_WRITE_INTERVAL_MIN_MS = 150;
+
   private boolean completionInFlight;
 
   /** When the last write for completions was sent; later than that after a failed one. */
@@ -38,7 +41,7 @@
     return completionRetry.isDue(now)
         && !completionInFlight
         && !quotaInFlight
-        && (allCompleted || now - lastCompletionWriteMs >= Constants.JOB_WRITE_INTERVAL_MIN_MS);
+        && (allCompleted || now - lastCompletionWriteMs >= JOB_WRITE_INTERVAL_MIN_MS);
   }
 
   /** A write for completions is being sent. */
--- a/src/main/java/mallowstall/core/jobs/ReplicaRestarts.java
+++ b/src/main/java/mallowstall/core/jobs/ReplicaRestarts.java
@@ -4,7 +4,6 @@
 import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
 import it.unimi.dsi.fastutil.objects.ObjectIterator;
 import java.util.function.IntConsumer;
-import mallowstall.Constants;
 import mallowstall.core.kernel.Backoff;
 
 /**
@@ -13,6 +12,9 @@
  * a completed task and ends it as soon as it is started. Mutable; not thread-safe.
  */
 public final class ReplicaRestarts {
+  /** ms. A replica that ran for so long before it ended is started again at once. */
+  static final long REPLICA_STABLE_MS = 10_000;
+
   /** The backoff of one replica that has exited early. Mutable. */
   private static final class Delay {
     private final Backoff backoff = new Backoff();
@@ -41,7 +43,7 @@
    * @return whether it may be started again at once; else {@link #releaseDue} releases it later
    */
   public boolean recordExit(int replica, long ranMs, long now) {
-    if (ranMs >= Constants.REPLICA_STABLE_MS) {
+    if (ranMs >= REPLICA_STABLE_MS) {
       reset(replica);
       return true;
     }
--- a/src/main/java/mallowstall/core/jobs/StatusReconciliation.java
+++ b/src/main/java/mallowstall/core/jobs/StatusReconciliation.java
@@ -26,6 +26,9 @@
 final class StatusReconciliation {
   private static final Logger LOG = LoggerFactory.getLogger("mallowstall.jobs");
 
+  /** ms. Added to a start's expiry for clock skew and the machine leader's own delay. */
+  private static final long START_EXPIRY_MARGIN_MS = 1_000;
+
   private final EventClock clock;
   private final StateStore store;
   private final ClusterView view;
@@ -122,8 +125,7 @@
       // The machine has a new leader, but the start may still be on its way to the former one,
       // which may lead the machine again by the time it arrives.
       peer = view.peer(active.machineLeader());
-      if (clock.now() - active.placedAtMs()
-          > Constants.START_EXPIRY_MS + Constants.START_EXPIRY_MARGIN_MS) {
+      if (clock.now() - active.placedAtMs() > Constants.START_EXPIRY_MS + START_EXPIRY_MARGIN_MS) {
         return true;
       }
     }
--- a/src/main/java/mallowstall/core/jobs/TaskExitHandler.java
+++ b/src/main/java/mallowstall/core/jobs/TaskExitHandler.java
@@ -15,6 +15,21 @@
 final class TaskExitHandler {
   private static final Logger LOG = LoggerFactory.getLogger("mallowstall.jobs");
 
+  /** ms. A job gets no task on a machine for so long after an error there. */
+  private static final long JOB_MACHINE_COOLDOWN_MS = 15_000;
+
+  /** ms. Between tries of a job that fails everywhere. */
+  private static final long JOB_FAULT_RETRY_INTERVAL_MS = 10_000;
+
+  /** ms. A machine whose leader rejected a start isn't tried again for that job for so long. */
+  private static final long START_REJECTED_COOLDOWN_MS = 1_000;
+
+  /** ms. The same if the leader's state replica only lagged: about as long as a watch takes. */
+  private static final long REPLICA_LAG_COOLDOWN_MS = 150;
+
+  /** ms. A machine whose worker had no free capacity isn't tried again for that job for so long. */
+  private static final long INSUFFICIENT_CAPACITY_COOLDOWN_MS = 3_000;
+
   private final EventClock clock;
   private final AttemptTracker attempts;
 
@@ -57,10 +72,9 @@
     if (replicaLags && ledJob.spec().isService()) {
       // guards spreading: until the lag ends, the one leader that knows the job would get them all
       ledJob.delayStartsUntil(
-          Math.max(ledJob.startNotBeforeMs(), clock.now() + Constants.REPLICA_LAG_COOLDOWN_MS));
+          Math.max(ledJob.startNotBeforeMs(), clock.now() + REPLICA_LAG_COOLDOWN_MS));
     }
-    long cooldownMs =
-        replicaLags ? Constants.REPLICA_LAG_COOLDOWN_MS : Constants.START_REJECTED_COOLDOWN_MS;
+    long cooldownMs = replicaLags ? REPLICA_LAG_COOLDOWN_MS : START_REJECTED_COOLDOWN_MS;
     ledJob.avoidMachineUntil(rejection.machine(), clock.now() + cooldownMs);
     attempts.release(active, true);
   }
@@ -72,8 +86,7 @@
     } else if (reason == ExitReason.INSUFFICIENT_CAPACITY) {
       active
           .job()
-          .avoidMachineUntil(
-              active.machine(), clock.now() + Constants.INSUFFICIENT_CAPACITY_COOLDOWN_MS);
+          .avoidMachineUntil(active.machine(), clock.now() + INSUFFICIENT_CAPACITY_COOLDOWN_MS);
     }
     LOG.info(
         "attempt ended job={} task={} attempt={} machine={} reason={}",
@@ -89,13 +102,13 @@
     LedJob ledJob = active.job();
     long ranMs = active.ranMs(clock.now());
     // errors of long ago, each on another machine, don't make it the job's own fault
-    if (ranMs >= Constants.REPLICA_STABLE_MS) {
+    if (ranMs >= ReplicaRestarts.REPLICA_STABLE_MS) {
       ledJob.clearErrors();
     }
     recordFailure(active, reason);
     // the worker keeps the result; the cooldown outlasts the backoff, so it is tried elsewhere
     if (reason == ExitReason.DONE) {
-      ledJob.avoidMachineUntil(machine, clock.now() + Constants.JOB_MACHINE_COOLDOWN_MS);
+      ledJob.avoidMachineUntil(machine, clock.now() + JOB_MACHINE_COOLDOWN_MS);
     }
     boolean startFailed =
         reason == ExitReason.STOPPED
@@ -108,14 +121,14 @@
 
   private void recordError(LedJob ledJob, String machine) {
     long now = clock.now();
-    ledJob.recordError(machine, now + Constants.JOB_MACHINE_COOLDOWN_MS);
+    ledJob.recordError(machine, now + JOB_MACHINE_COOLDOWN_MS);
     // replicas back off one by one: the others may be well
     if (ledJob.errorMachineCount() >= Constants.JOB_FAULT_MACHINES && !ledJob.spec().isService()) {
-      ledJob.delayStartsUntil(now + Constants.JOB_FAULT_RETRY_INTERVAL_MS);
+      ledJob.delayStartsUntil(now + JOB_FAULT_RETRY_INTERVAL_MS);
       LOG.info(
           "job fails on every machine job={} retry_ms={}",
           ledJob.id(),
-          Constants.JOB_FAULT_RETRY_INTERVAL_MS);
+          JOB_FAULT_RETRY_INTERVAL_MS);
     }
   }
 }
--- a/src/main/java/mallowstall/core/kernel/PlacementTrigger.java
+++ b/src/main/java/mallowstall/core/kernel/PlacementTrigger.java
@@ -4,6 +4,12 @@
 
 /** When the next placement pass is due, and how often capacity has changed. Mutable. */
 public final class PlacementTrigger {
+  /**
+   * ms. Least time between two refreshes without news that count as changed capacity for waiting
+   * policies.
+   */
+  private static final long REFRESH_CAPACITY_CHANGE_INTERVAL_MS = 1_000;
+
   private final EventClock clock;
   private final EventLoopLag lag;
   private boolean requested;
@@ -28,7 +34,7 @@
    */
   public void capacityReported(boolean changed) {
     long now = clock.now();
-    if (changed || now - capacityReportedAtMs >= Constants.REFRESH_CAPACITY_CHANGE_INTERVAL_MS) {
+    if (changed || now - capacityReportedAtMs >= REFRESH_CAPACITY_CHANGE_INTERVAL_MS) {
       capacityReportedAtMs = now;
       capacityVersion++;
       requested = true;
--- a/src/main/java/mallowstall/core/kernel/RetryDelay.java
+++ b/src/main/java/mallowstall/core/kernel/RetryDelay.java
@@ -9,6 +9,18 @@
  * Times are steady, in ms. Mutable.
  */
 public final class RetryDelay {
+  /**
+   * ms. Longest wait before a change that is too large for the state service is tried again: it
+   * needs another layout or other limits, and each try costs all controllers a change.
+   */
+  private static final long STATE_INVALID_RETRY_MAX_MS = 30_000;
+
+  /**
+   * ms. Longest wait before a change that was rejected otherwise is tried again: long for an
+   * exceeded rate, yet after an outage all that waits is recorded within seconds.
+   */
+  private static final long STATE_REJECTED_RETRY_MAX_MS = 3_200;
+
   private long delayMs;
   private long retryAtMs = Long.MIN_VALUE / 2;
 
@@ -26,9 +38,7 @@
       return;
     }
     long maxDelayMs =
-        code == ResultCode.INVALID
-            ? Constants.STATE_INVALID_RETRY_MAX_MS
-            : Constants.STATE_REJECTED_RETRY_MAX_MS;
+        code == ResultCode.INVALID ? STATE_INVALID_RETRY_MAX_MS : STATE_REJECTED_RETRY_MAX_MS;
     delayMs = Math.min(maxDelayMs, Math.max(Constants.STATE_RETRY_MS, delayMs * 2));
     retryAtMs = now + delayMs;
   }
--- a/src/main/java/mallowstall/core/kv/JobBitmaps.java
+++ b/src/main/java/mallowstall/core/kv/JobBitmaps.java
@@ -27,7 +27,7 @@
  * <p>There are two layouts. In the first one the job's entry holds the bits of its first 16,384
  * tasks and values of their own the further chunks of as many. In the compact one, for value limits
  * that this doesn't fit, the entry holds no bits and all stand in pieces of 8,192. Jobs of up to
- * {@link Constants#INLINE_TASKS} tasks have all their bits in the entry in both.
+ * {@link #INLINE_TASKS} tasks have all their bits in the entry in both.
  *
  * <p>A task is done if either layout says so. Bits are only ever added, so both may be there at
  * once, and nothing is dropped when a job changes its layout: the transaction that takes bits out
@@ -40,6 +40,12 @@
    */
   public record Write(List<Condition> conditions, List<PutOperation> puts, Set<Integer> pieces) {}
 
+  /**
+   * Count. Jobs of up to so many tasks have all completion bits in their entry: at most 344 bytes
+   * encoded.
+   */
+  private static final int INLINE_TASKS = 2_048;
+
   private static final int PIECES_PER_CHUNK = Constants.BITS_PER_CHUNK / Constants.BITS_PER_PIECE;
 
   private final int maxValueBytes;
@@ -103,7 +109,7 @@
 
   /** Whether all bits of the job stand in its entry, in either layout. */
   public static boolean isInline(JobSpec spec) {
-    return spec.tasks() <= Constants.INLINE_TASKS;
+    return spec.tasks() <= INLINE_TASKS;
   }
 
   /** All tasks that are recorded as done. */
--- a/src/main/java/mallowstall/core/kv/ReplicaSync.java
+++ b/src/main/java/mallowstall/core/kv/ReplicaSync.java
@@ -16,6 +16,9 @@
  * lists again if the watch's revision has been compacted away.
  */
 final class ReplicaSync {
+  /** ms. Pause between watches, so that a burst of changes doesn't spend the request budget. */
+  private static final long WATCH_PAUSE_MS = 60;
+
   private final EventClock clock;
   private final StateRequests requests;
   private final StateReplica replica;
@@ -155,6 +158,6 @@
       freshAtMs = Math.max(freshAtMs, sentMs);
     }
     replica.notifyAdvanced();
-    clock.schedule(Constants.WATCH_PAUSE_MS, this::watchNext);
+    clock.schedule(WATCH_PAUSE_MS, this::watchNext);
   }
 }
--- a/src/main/java/mallowstall/core/kv/RequestQueue.java
+++ b/src/main/java/mallowstall/core/kv/RequestQueue.java
@@ -13,6 +13,17 @@
  * controllers have together. What the share doesn't allow yet waits, by priority.
  */
 final class RequestQueue {
+  /**
+   * Count. Most operations waiting for the state service's budget; beyond it callers are rejected.
+   */
+  private static final int STATE_QUEUE_MAX = 200;
+
+  /** s. Shortest Retry-After in a response. */
+  private static final int RETRY_AFTER_MIN_S = 1;
+
+  /** s. Longest Retry-After in a response. */
+  private static final int RETRY_AFTER_MAX_S = 20;
+
   /** Queued requests for which a rejected user is asked to wait one second longer. */
   private static final int REQUESTS_PER_RETRY_S = 20;
 
@@ -56,7 +67,7 @@
    * @return false: the queue is full, and the request won't ever be sent
    */
   boolean enqueue(RequestPriority priority, double requestCost, double writeCost, Runnable action) {
-    if (priority != RequestPriority.SESSION && length() >= Constants.STATE_QUEUE_MAX) {
+    if (priority != RequestPriority.SESSION && length() >= STATE_QUEUE_MAX) {
       return false;
     }
     queues.get(priority.ordinal()).add(new QueuedRequest(requestCost, writeCost, action));
@@ -103,7 +114,7 @@
 
   /** Seconds after which a rejected user should try again, by the length of the queue. */
   int retryAfterS() {
-    int seconds = Constants.RETRY_AFTER_MIN_S + length() / REQUESTS_PER_RETRY_S;
-    return Math.min(Constants.RETRY_AFTER_MAX_S, seconds);
+    int seconds = RETRY_AFTER_MIN_S + length() / REQUESTS_PER_RETRY_S;
+    return Math.min(RETRY_AFTER_MAX_S, seconds);
   }
 }
--- a/src/main/java/mallowstall/core/kv/SessionLease.java
+++ b/src/main/java/mallowstall/core/kv/SessionLease.java
@@ -27,6 +27,12 @@
 final class SessionLease {
   private static final Logger LOG = LoggerFactory.getLogger("mallowstall.state");
 
+  /** ms. Between renewals of the session: four fit into a lease. */
+  private static final long SESSION_RENEWAL_INTERVAL_MS = 1_200;
+
+  /** ms. A job leader stops starting tasks this long before its lease can end. */
+  private static final long SESSION_MARGIN_MS = 500;
+
   private final EventClock clock;
   private final CoreSettings settings;
   private final StateRequests requests;
@@ -86,7 +92,7 @@
       obtainLease();
     } else if (!sessionRegistered) {
       registerSession();
-    } else if (clock.now() - lastRenewalMs >= Constants.SESSION_RENEWAL_INTERVAL_MS) {
+    } else if (clock.now() - lastRenewalMs >= SESSION_RENEWAL_INTERVAL_MS) {
       renewLease();
     }
   }
@@ -168,7 +174,7 @@
             leaseValidUntilMs,
             sentMs
                 + (long) (Constants.SESSION_LEASE_MS * (1 - 2 * Constants.CLOCK_DRIFT_FRACTION))
-                - Constants.SESSION_MARGIN_MS);
+                - SESSION_MARGIN_MS);
   }
 
   /** Compared with what was read, so that a write executed late replaces no later one. */
--- a/src/main/java/mallowstall/core/machines/DirectCommands.java
+++ b/src/main/java/mallowstall/core/machines/DirectCommands.java
@@ -4,7 +4,6 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
-import mallowstall.Constants;
 import mallowstall.core.cluster.CancellationExchange;
 import mallowstall.core.cluster.Connectivity;
 import mallowstall.core.kernel.CommandResult;
@@ -31,6 +30,9 @@
 public final class DirectCommands {
   private static final Logger LOG = LoggerFactory.getLogger("mallowstall.machines");
 
+  /** ms. Least time between two requests to one worker's own address: joins a burst of starts. */
+  private static final long COMMAND_REQUEST_INTERVAL_MIN_MS = 30;
+
   private final EventClock clock;
   private final Effects effects;
   private final Connectivity connectivity;
@@ -79,8 +81,7 @@
       if (!machines.isCurrent(machine) || !machine.tasks().hasPendingCommands()) {
         continue;
       }
-      if (clock.now() - machine.commands().lastSentMs()
-          < Constants.COMMAND_REQUEST_INTERVAL_MIN_MS) {
+      if (clock.now() - machine.commands().lastSentMs() < COMMAND_REQUEST_INTERVAL_MIN_MS) {
         machinesWithPendingCommands.add(machine);
       } else {
         sendPending(machine);
@@ -94,7 +95,7 @@
     }
     List<WorkerCommand> commands = stopsFor(machine);
     List<Reservation> starts =
-        startsFor(machine, Constants.COMMANDS_PER_RESPONSE_MAX - commands.size());
+        startsFor(machine, HeartbeatResponder.COMMANDS_PER_RESPONSE_MAX - commands.size());
     for (Reservation reservation : starts) {
       StartRequest start = reservation.request();
       commands.add(
--- a/src/main/java/mallowstall/core/machines/FreeResources.java
+++ b/src/main/java/mallowstall/core/machines/FreeResources.java
@@ -1,11 +1,15 @@
 package mallowstall.core.machines;
 
-import mallowstall.Constants;
 import mallowstall.core.model.JobSpec;
 import mallowstall.core.model.MachineType;
 
 /** Processors, GPUs and memory of one machine that are not in use. Mutable. */
 final class FreeResources {
+  /**
+   * Processors, GPUs or GB. Amounts that differ by less are equal: sums of decimals are inexact.
+   */
+  private static final double AMOUNT_EPSILON = 1e-6;
+
   private double cpus;
   private double gpus;
   private double memoryGb;
@@ -33,9 +37,9 @@
 
   /** Whether one task of the job fits, up to rounding errors. */
   boolean fits(JobSpec spec) {
-    return spec.cpus() <= cpus + Constants.AMOUNT_EPSILON
-        && spec.gpus() <= gpus + Constants.AMOUNT_EPSILON
-        && spec.memoryGb() <= memoryGb + Constants.AMOUNT_EPSILON;
+    return spec.cpus() <= cpus + AMOUNT_EPSILON
+        && spec.gpus() <= gpus + AMOUNT_EPSILON
+        && spec.memoryGb() <= memoryGb + AMOUNT_EPSILON;
   }
 
   /** Processors not in use. */
--- a/src/main/java/mallowstall/core/machines/HeartbeatResponder.java
+++ b/src/main/java/mallowstall/core/machines/HeartbeatResponder.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalDouble;
-import mallowstall.Constants;
 import mallowstall.core.cluster.CancellationExchange;
 import mallowstall.core.kernel.EventClock;
 import mallowstall.core.kv.JobBitmaps;
@@ -22,6 +21,18 @@
 
 /** Decides which tasks a worker starts, stops and removes from its list. */
 public final class HeartbeatResponder {
+  /** Count. Most commands in one heartbeat response: keeps a line far below 64 KiB. */
+  static final int COMMANDS_PER_RESPONSE_MAX = 200;
+
+  /** s. Grace period of a stopped task beyond the time that it needs to save a checkpoint. */
+  private static final double CHECKPOINT_SAVE_MARGIN_S = 1;
+
+  /**
+   * s. A task is stopped to save a checkpoint if its machine is taken less than this after it could
+   * have saved.
+   */
+  private static final double INTERRUPTION_SAVE_MARGIN_S = 4;
+
   private final EventClock clock;
   private final StateStore store;
   private final JobBitmaps jobBitmaps;
@@ -96,7 +107,7 @@
           : OptionalDouble.of(stop.gracePeriodS());
     }
     return job != null && mustCheckpointNow(machine, task, job.spec())
-        ? OptionalDouble.of(job.spec().checkpointSaveS() + Constants.CHECKPOINT_SAVE_MARGIN_S)
+        ? OptionalDouble.of(job.spec().checkpointSaveS() + CHECKPOINT_SAVE_MARGIN_S)
         : OptionalDouble.empty();
   }
 
@@ -111,7 +122,7 @@
         && task.state() == TaskState.RUNNING
         && spec.checkpointIntervalS() > 0
         && machine.terminationDeadlineMs() - clock.now()
-            < (spec.checkpointSaveS() + Constants.INTERRUPTION_SAVE_MARGIN_S) * 1000;
+            < (spec.checkpointSaveS() + INTERRUPTION_SAVE_MARGIN_S) * 1000;
   }
 
   /** Adds reserved starts up to the limit of one answer; rejects those that came too late. */
@@ -120,7 +131,7 @@
         .tasks()
         .removeReservationsIf(reservation -> isRejected(machine, reservation), clock.now());
     for (Reservation reservation : machine.tasks().reservations()) {
-      if (commands.size() >= Constants.COMMANDS_PER_RESPONSE_MAX) {
+      if (commands.size() >= COMMANDS_PER_RESPONSE_MAX) {
         return;
       }
       if (machine.commands().isUnacknowledged(reservation.key())) {
--- a/src/main/java/mallowstall/core/machines/LeaderRedirects.java
+++ b/src/main/java/mallowstall/core/machines/LeaderRedirects.java
@@ -19,6 +19,15 @@
  * Mutable.
  */
 public final class LeaderRedirects {
+  /** ms. By how much a working controller's regular status update may be late. */
+  private static final long STATUS_UPDATE_LATE_MS = 500;
+
+  /** ms. A redirected worker that comes again within this is registered here. */
+  private static final long REDIRECT_REPEAT_MS = 20_000;
+
+  /** Count. New machines sent to another controller that are remembered: more than a fleet has. */
+  private static final int REDIRECTS_MAX = 10_000;
+
   private final CoreSettings settings;
   private final StateStore store;
   private final ClusterView view;
@@ -51,7 +60,7 @@
 
   /** Forgets redirects that may be repeated. */
   void expire(long now) {
-    liveRedirectMs.values().removeIf(atMs -> now - atMs > Constants.REDIRECT_REPEAT_MS);
+    liveRedirectMs.values().removeIf(atMs -> now - atMs > REDIRECT_REPEAT_MS);
   }
 
   /**
@@ -74,7 +83,7 @@
         && machine.status().tokenAcknowledged()
         && !machine.status().unresponsive()
         && now - leader.lastUpdateMs()
-            < Constants.STATUS_UPDATE_INTERVAL_MS + Constants.STATUS_UPDATE_LATE_MS
+            < StatusPublisher.STATUS_UPDATE_INTERVAL_MS + STATUS_UPDATE_LATE_MS
         && now - leader.replicaFreshAtMs()
             < Constants.STATE_CUT_OFF_MS + Constants.WATCH_TIMEOUT_MS;
   }
@@ -86,7 +95,7 @@
       return Optional.empty();
     }
     preferredRedirectMs.put(id, now);
-    if (preferredRedirectMs.size() > Constants.REDIRECTS_MAX) {
+    if (preferredRedirectMs.size() > REDIRECTS_MAX) {
       preferredRedirectMs.clear();
     }
     return Optional.of(preferred);
@@ -94,6 +103,6 @@
 
   private static boolean redirectedRecently(Map<String, Long> redirectMs, String id, long now) {
     Long lastMs = redirectMs.get(id);
-    return lastMs != null && now - lastMs <= Constants.REDIRECT_REPEAT_MS;
+    return lastMs != null && now - lastMs <= REDIRECT_REPEAT_MS;
   }
 }
--- a/src/main/java/mallowstall/core/machines/LeaseExpiryMonitor.java
+++ b/src/main/java/mallowstall/core/machines/LeaseExpiryMonitor.java
@@ -10,6 +10,9 @@
 public final class LeaseExpiryMonitor {
   private static final Logger LOG = LoggerFactory.getLogger("mallowstall.machines");
 
+  /** ms. Added to a worker's lease and the clock drift before its tasks count as lost. */
+  private static final long LEASE_EXPIRY_MARGIN_MS = 700;
+
   private final CoreSettings settings;
   private final StateStore store;
   private final ManagedMachines machines;
@@ -46,7 +49,7 @@
   private boolean isLeaseExpired(ManagedMachine machine, long now) {
     long leaseMs =
         (long) (settings.workerLeaseMs() * (1 + 2 * Constants.CLOCK_DRIFT_FRACTION))
-            + Constants.LEASE_EXPIRY_MARGIN_MS;
+            + LEASE_EXPIRY_MARGIN_MS;
     if (machine.leaseExpired() || now - machine.lastResponseMs() <= leaseMs) {
       return false;
     }
--- a/src/main/java/mallowstall/core/machines/MachineEntryWriter.java
+++ b/src/main/java/mallowstall/core/machines/MachineEntryWriter.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
-import mallowstall.Constants;
 import mallowstall.core.kernel.Condition;
 import mallowstall.core.kernel.Effects;
 import mallowstall.core.kernel.PutOperation;
@@ -23,6 +22,9 @@
  * that one applied late, after the process has ended, fails. Mutable.
  */
 public final class MachineEntryWriter {
+  /** ms. Between scans for machine groups of which no member counts any more. */
+  private static final long MACHINE_GROUP_SWEEP_INTERVAL_MS = 2_000;
+
   private final CoreSettings settings;
   private final Effects effects;
   private final StateStore store;
@@ -132,7 +134,7 @@
     if (now < nextSweepMs || !store.isSessionValid()) {
       return;
     }
-    nextSweepMs = now + Constants.MACHINE_GROUP_SWEEP_INTERVAL_MS;
+    nextSweepMs = now + MACHINE_GROUP_SWEEP_INTERVAL_MS;
     for (String key : store.obsoleteGroups()) {
       MachineGroupEntry group = (MachineGroupEntry) store.entry(key).value();
       boolean deletable =
--- a/src/main/java/mallowstall/core/machines/MachineFailover.java
+++ b/src/main/java/mallowstall/core/machines/MachineFailover.java
@@ -27,6 +27,15 @@
  * that can't be reached, as in a zone that is cut off, are left alone. Mutable.
  */
 public final class MachineFailover {
+  /** ms. Between two scans for machines of ended controllers. */
+  private static final long MACHINE_FAILOVER_SCAN_INTERVAL_MS = 500;
+
+  /** ms. Before the same machine is asked again: longer than the request's timeout. */
+  private static final long MACHINE_FAILOVER_RETRY_MS = 5_000;
+
+  /** Count. Most machines asked in one scan: bounds sockets and changes of the state service. */
+  private static final int MACHINE_FAILOVER_BATCH = 8;
+
   private final CoreSettings settings;
   private final Effects effects;
   private final StateStore store;
@@ -66,9 +75,9 @@
     if (now < nextScanMs || !store.isSessionValid()) {
       return;
     }
-    nextScanMs = now + Constants.MACHINE_FAILOVER_SCAN_INTERVAL_MS;
+    nextScanMs = now + MACHINE_FAILOVER_SCAN_INTERVAL_MS;
     Set<String> leaderless = new HashSet<>();
-    int probesLeft = Constants.MACHINE_FAILOVER_BATCH;
+    int probesLeft = MACHINE_FAILOVER_BATCH;
     for (Map.Entry<String, StoredValue> stored :
         store.entriesUnder(StateKeys.MACHINE_PREFIX).entrySet()) {
       MachineEntry entry = (MachineEntry) stored.getValue().value();
@@ -95,8 +104,7 @@
         && machine.status() != null
         && machine.status().address() != null
         && !entryWriter.inFlight(id)
-        && now - lastProbeMs.getOrDefault(id, Long.MIN_VALUE / 2)
-            >= Constants.MACHINE_FAILOVER_RETRY_MS
+        && now - lastProbeMs.getOrDefault(id, Long.MIN_VALUE / 2) >= MACHINE_FAILOVER_RETRY_MS
         && membership.preferredLeader(id, entry.zone()).equals(settings.node());
   }
 
--- a/src/main/java/mallowstall/core/machines/MachineRegistration.java
+++ b/src/main/java/mallowstall/core/machines/MachineRegistration.java
@@ -29,6 +29,15 @@
 public final class MachineRegistration {
   private static final Logger LOG = LoggerFactory.getLogger("mallowstall.machines");
 
+  /** ms. Machines that report here first within this are registered in one change. */
+  private static final long REGISTRATION_BATCH_WINDOW_MS = 40;
+
+  /** ms. Registrations join one change for so long while an earlier one is unanswered. */
+  private static final long REGISTRATION_BATCH_WAIT_MAX_MS = 500;
+
+  /** Bytes. One machine in a change that registers several, with long names. */
+  private static final int MACHINE_GROUP_MEMBER_BYTES = 100;
+
   private final EventClock clock;
   private final CoreSettings settings;
   private final StateStore store;
@@ -107,7 +116,7 @@
       return;
     }
     batchScheduled = true;
-    clock.schedule(Constants.REGISTRATION_BATCH_WINDOW_MS, this::registerBatch);
+    clock.schedule(REGISTRATION_BATCH_WINDOW_MS, this::registerBatch);
   }
 
   /**
@@ -120,8 +129,7 @@
     // While writes wait for the state service's rate limit, machines join the next batch: one write
     // per window would queue for longer than workers wait before they turn elsewhere.
     boolean mustWait =
-        registrationsInFlight > 0
-            && clock.now() - batchSentAtMs < Constants.REGISTRATION_BATCH_WAIT_MAX_MS;
+        registrationsInFlight > 0 && clock.now() - batchSentAtMs < REGISTRATION_BATCH_WAIT_MAX_MS;
     if (mustWait) {
       scheduleBatch();
       return;
@@ -130,8 +138,7 @@
     rejectStaleRegistrations();
     List<PendingRegistration> all = new ArrayList<>(pendingRegistrations);
     pendingRegistrations.clear();
-    int maxPerBatch =
-        Math.max(1, settings.maxValueBytes() / Constants.MACHINE_GROUP_MEMBER_BYTES - 2);
+    int maxPerBatch = Math.max(1, settings.maxValueBytes() / MACHINE_GROUP_MEMBER_BYTES - 2);
     List<PendingRegistration> batch;
     for (int start = 0; start < all.size(); start += batch.size()) {
       batch = largestFittingBatch(all.subList(start, Math.min(all.size(), start + maxPerBatch)));
--- a/src/main/java/mallowstall/core/machines/ManagedMachine.java
+++ b/src/main/java/mallowstall/core/machines/ManagedMachine.java
@@ -1,6 +1,5 @@
 package mallowstall.core.machines;
 
-import mallowstall.Constants;
 import mallowstall.core.model.Heartbeat;
 import mallowstall.core.model.MachineType;
 
@@ -8,6 +7,15 @@
  * One machine that this controller leads: leadership, worker session, lease and health. Mutable.
  */
 final class ManagedMachine {
+  /** Count. Errors in a row, no success between, that put a machine into quarantine. */
+  private static final int QUARANTINE_ERRORS = 2;
+
+  /** Count. Errors in a row after which a machine is replaced. */
+  private static final int REPLACEMENT_ERRORS = 3;
+
+  /** ms. A machine in quarantine gets no task for so long, then it is tried again. */
+  private static final long QUARANTINE_MS = 25_000;
+
   private final String id;
   private final MachineType type;
   private final String zone;
@@ -253,9 +261,9 @@
   /** A task failed here by no fault of its job: after several in a row the machine is suspect. */
   void recordError(long now) {
     consecutiveErrors++;
-    if (consecutiveErrors >= Constants.QUARANTINE_ERRORS) {
-      quarantineUntilMs = now + Constants.QUARANTINE_MS;
-      if (consecutiveErrors >= Constants.REPLACEMENT_ERRORS) {
+    if (consecutiveErrors >= QUARANTINE_ERRORS) {
+      quarantineUntilMs = now + QUARANTINE_MS;
+      if (consecutiveErrors >= REPLACEMENT_ERRORS) {
         faulty = true;
       }
     }
--- a/src/main/java/mallowstall/core/machines/ManagedMachines.java
+++ b/src/main/java/mallowstall/core/machines/ManagedMachines.java
@@ -6,7 +6,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import mallowstall.Constants;
 import mallowstall.core.cluster.ClusterView;
 import mallowstall.core.cluster.MachineView;
 import mallowstall.core.kernel.EventClock;
@@ -22,6 +21,12 @@
 
 /** The machines that this controller leads, in the order in which it became leader. Mutable. */
 public final class ManagedMachines {
+  /** Bytes. One machine's free capacity in a digest, with a long name. */
+  private static final int FREE_CAPACITY_BYTES = 80;
+
+  /** ms. A machine without a heartbeat for so long is unresponsive and gets no new tasks. */
+  static final long UNRESPONSIVE_AFTER_MS = 3_500;
+
   private final EventClock clock;
   private final CoreSettings settings;
   private final ClusterView view;
@@ -97,7 +102,7 @@
   }
 
   private long unresponsiveAfterMs() {
-    return Math.max(Constants.UNRESPONSIVE_AFTER_MS, settings.heartbeatIntervalMs() * 2);
+    return Math.max(UNRESPONSIVE_AFTER_MS, settings.heartbeatIntervalMs() * 2);
   }
 
   /** Whether no heartbeat has come for so long that the machine gets no tasks. */
@@ -136,7 +141,7 @@
       FreeResources free = freeResources(machine);
       capacities.add(new FreeCapacity(machine.id(), free.cpus(), free.gpus(), free.memoryGb()));
     }
-    int limit = Math.max(1, settings.maxValueBytes() / Constants.FREE_CAPACITY_BYTES - 2);
+    int limit = Math.max(1, settings.maxValueBytes() / FREE_CAPACITY_BYTES - 2);
     if (capacities.size() <= limit) {
       return capacities;
     }
--- a/src/main/java/mallowstall/core/machines/RestartRecovery.java
+++ b/src/main/java/mallowstall/core/machines/RestartRecovery.java
@@ -144,7 +144,9 @@
         machines.add(id, type, machineEntry.zone(), machineEntry.spot(), revision);
     // the former process may have answered until just before this one began
     machine.markRecovered(
-        interveningLeader, clock.startedAtMs(), clock.now() - Constants.UNRESPONSIVE_AFTER_MS);
+        interveningLeader,
+        clock.startedAtMs(),
+        clock.now() - ManagedMachines.UNRESPONSIVE_AFTER_MS);
     LOG.info("machine recovered machine={} token={}", id, machine.fencingToken());
     statusPublisher.requestPublish();
   }
--- a/src/main/java/mallowstall/core/machines/StatusPublisher.java
+++ b/src/main/java/mallowstall/core/machines/StatusPublisher.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
-import mallowstall.Constants;
 import mallowstall.core.cluster.ClusterView;
 import mallowstall.core.kernel.Effects;
 import mallowstall.core.kernel.EventClock;
@@ -20,6 +19,12 @@
 public final class StatusPublisher {
   private static final Logger LOG = LoggerFactory.getLogger("mallowstall.machines");
 
+  /** ms. Between two status updates to a peer when nothing changes. */
+  static final long STATUS_UPDATE_INTERVAL_MS = 1_000;
+
+  /** ms. Least time between two status updates: joins what happens in one burst of heartbeats. */
+  private static final long STATUS_UPDATE_INTERVAL_MIN_MS = 120;
+
   private final EventClock clock;
   private final EventLoopLag lag;
   private final CoreSettings settings;
@@ -82,9 +87,8 @@
   /** Publishes when something has changed, and at least once each regular interval. */
   void tick(long now) {
     long elapsedMs = now - lastPublishMs;
-    long minGapMs = lag.stretchedGapMs(Constants.STATUS_UPDATE_INTERVAL_MIN_MS);
-    if ((publishRequested && elapsedMs >= minGapMs)
-        || elapsedMs >= Constants.STATUS_UPDATE_INTERVAL_MS) {
+    long minGapMs = lag.stretchedGapMs(STATUS_UPDATE_INTERVAL_MIN_MS);
+    if ((publishRequested && elapsedMs >= minGapMs) || elapsedMs >= STATUS_UPDATE_INTERVAL_MS) {
       publish();
     }
   }
--- a/src/main/java/mallowstall/core/machines/StatusUpdateSequence.java
+++ b/src/main/java/mallowstall/core/machines/StatusUpdateSequence.java
@@ -5,7 +5,6 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import mallowstall.Constants;
 import mallowstall.core.cluster.CancellationExchange;
 import mallowstall.core.cluster.PeerState;
 import mallowstall.core.kv.StateStore;
@@ -19,6 +18,15 @@
  * since the last update that the receiver has acknowledged, or everything. Mutable.
  */
 public final class StatusUpdateSequence {
+  /** Count. Status updates whose time of sending is kept: more than a minute of them. */
+  private static final int STATUS_UPDATE_TIMES_MAX = 600;
+
+  /**
+   * Count. Released machines that are remembered for incremental updates; beyond it peers get full
+   * ones. More than twice the largest fleet, whose machines may all change leader twice.
+   */
+  private static final int RELEASED_MACHINES_MAX = 10_000;
+
   private final CoreSettings settings;
   private final StateStore store;
   private final CancellationExchange cancellations;
@@ -59,7 +67,7 @@
   List<ManagedMachine> beginUpdate(long now) {
     updateNumber++;
     composedMs.put(updateNumber, now);
-    if (composedMs.size() > Constants.STATUS_UPDATE_TIMES_MAX) {
+    if (composedMs.size() > STATUS_UPDATE_TIMES_MAX) {
       composedMs.removeFirstLong();
     }
     return machineStatuses.publishChanges(updateNumber, now);
@@ -132,7 +140,7 @@
   /** The next update says that the machine is no longer led here. */
   void addReleased(String id) {
     releasedMachines.put(id, updateNumber + 1);
-    if (releasedMachines.size() > Constants.RELEASED_MACHINES_MAX) {
+    if (releasedMachines.size() > RELEASED_MACHINES_MAX) {
       releasesKnownFrom = updateNumber + 1;
       releasedMachines.clear();
     }
--- a/src/main/java/mallowstall/core/machines/StopRequestHandler.java
+++ b/src/main/java/mallowstall/core/machines/StopRequestHandler.java
@@ -1,6 +1,5 @@
 package mallowstall.core.machines;
 
-import mallowstall.Constants;
 import mallowstall.core.kernel.EventClock;
 import mallowstall.core.model.StopBatch;
 import mallowstall.core.model.StopRequest;
@@ -15,6 +14,9 @@
 public final class StopRequestHandler {
   private static final Logger LOG = LoggerFactory.getLogger("mallowstall.machines");
 
+  /** ms. A drain request expires after this if the machine wasn't returned. */
+  private static final long DRAIN_EXPIRY_MS = 20_000;
+
   private final EventClock clock;
   private final ManagedMachines machines;
   private final StatusPublisher statusPublisher;
@@ -57,7 +59,7 @@
     for (String id : stopBatch.machinesToDrain()) {
       ManagedMachine machine = machines.get(id);
       if (machine != null) {
-        machine.drainUntil(clock.now() + Constants.DRAIN_EXPIRY_MS);
+        machine.drainUntil(clock.now() + DRAIN_EXPIRY_MS);
         statusPublisher.requestPublish();
       }
     }
--- a/src/main/java/mallowstall/core/placement/JobRanking.java
+++ b/src/main/java/mallowstall/core/placement/JobRanking.java
@@ -16,6 +16,17 @@
 
 /** The order of jobs: starving ones, then by priority, reachable deadline, slack and age. */
 public final class JobRanking {
+  /**
+   * Fraction of the estimate that a task must still be expected to take: estimates are often high.
+   */
+  private static final double ESTIMATE_REMAINING_FRACTION = 0.8;
+
+  /**
+   * s per s. Slack that a second of a job's own work weighs: of equal slack the smaller job goes
+   * first.
+   */
+  private static final double SLACK_PER_WORK_FACTOR = 3;
+
   /** s. The slack that a job without a deadline has when it is submitted. */
   private static final double NO_DEADLINE_SLACK_S = 600;
 
@@ -108,7 +119,7 @@
     if (spec.deadlineS() == null) {
       return 0;
     }
-    double expectedEndS = ageS(job) + spec.estimatedRunS() * Constants.ESTIMATE_REMAINING_FRACTION;
+    double expectedEndS = ageS(job) + spec.estimatedRunS() * ESTIMATE_REMAINING_FRACTION;
     if (expectedEndS <= spec.deadlineS()) {
       return 0;
     }
@@ -127,7 +138,7 @@
         spec.deadlineS() == null
             ? NO_DEADLINE_SLACK_S - ageS(ledJob.entry())
             : spec.deadlineS() - ageS(ledJob.entry()) - spec.estimatedRunS();
-    return slackS + Constants.SLACK_PER_WORK_FACTOR * workS;
+    return slackS + SLACK_PER_WORK_FACTOR * workS;
   }
 
   /** Smaller for jobs that come first, whoever leads them; 0 stands for starving ones. */
--- a/src/main/java/mallowstall/core/placement/PlacementScheduler.java
+++ b/src/main/java/mallowstall/core/placement/PlacementScheduler.java
@@ -1,7 +1,6 @@
 package mallowstall.core.placement;
 
 import java.util.List;
-import mallowstall.Constants;
 import mallowstall.core.cluster.MachineTypeCatalog;
 import mallowstall.core.cluster.MachineView;
 import mallowstall.core.jobs.JobLeader;
@@ -15,6 +14,9 @@
  * cost follows jobs and machines, not tasks (docs/design.md).
  */
 public final class PlacementScheduler {
+  /** Count. Most starts sent in one scheduling pass: bounds the work of a tick. */
+  private static final int STARTS_PER_PASS_MAX = 120;
+
   private final EventClock clock;
   private final StateStore store;
   private final MachineTypeCatalog types;
@@ -77,7 +79,7 @@
   }
 
   private void placeGroups(List<MachineView> machines, long now) {
-    int remainingStarts = Constants.STARTS_PER_PASS_MAX;
+    int remainingStarts = STARTS_PER_PASS_MAX;
     boolean reserved = false;
     for (List<LedJob> group : pendingJobs.groups()) {
       if (remainingStarts <= 0) {
--- a/src/main/java/mallowstall/core/placement/PreemptingPlacer.java
+++ b/src/main/java/mallowstall/core/placement/PreemptingPlacer.java
@@ -1,13 +1,15 @@
 package mallowstall.core.placement;
 
 import java.util.List;
-import mallowstall.Constants;
 import mallowstall.core.cluster.MachineView;
 import mallowstall.core.jobs.LedJob;
 import mallowstall.core.model.JobSpec;
 
 /** Starts a job's tasks in the place of others where it found no free capacity. */
 public final class PreemptingPlacer {
+  /** Count. Most tasks of one job started in the place of preempted work in one pass. */
+  private static final int PREEMPTIONS_PER_PASS_MAX = 32;
+
   private final Preemption preemption;
   private final StartSender startSender;
 
@@ -24,11 +26,11 @@
       return;
     }
     if (placement.freeQuotaTasks() <= 0) {
-      ledJob.requestQuota(Math.min(placement.pendingTasks(), Constants.PREEMPTIONS_PER_PASS_MAX));
+      ledJob.requestQuota(Math.min(placement.pendingTasks(), PREEMPTIONS_PER_PASS_MAX));
       return;
     }
     ledJob.recordPreemption(now);
-    int remainingStarts = Constants.PREEMPTIONS_PER_PASS_MAX;
+    int remainingStarts = PREEMPTIONS_PER_PASS_MAX;
     for (Preemption.PreemptionCandidate candidate :
         preemption.findCandidates(ledJob, placement.policy(), placement.chosenZone(), now)) {
       remainingStarts -= startOn(candidate, placement, remainingStarts, now);
--- a/src/main/java/mallowstall/core/placement/Preemption.java
+++ b/src/main/java/mallowstall/core/placement/Preemption.java
@@ -26,6 +26,21 @@
 public final class Preemption {
   private static final Logger LOG = LoggerFactory.getLogger("mallowstall.placement");
 
+  /**
+   * ms. A job within its team's guaranteed share may preempt what other teams borrow after this
+   * time.
+   */
+  private static final long GUARANTEE_PREEMPTION_DELAY_MS = 6_000;
+
+  /** ms. Least time between two preemptions for one job. */
+  private static final long PREEMPTION_INTERVAL_MIN_MS = 3_000;
+
+  /**
+   * s. Work that counts as lost when a replica is preempted: more than any task's run time, since a
+   * service is in use at every moment.
+   */
+  private static final double REPLICA_PREEMPTION_COST_S = 100_000;
+
   /** A machine, the tasks to be preempted there, and the seconds of work that this costs. */
   record PreemptionCandidate(MachineView machine, List<TaskStatus> victims, double costS) {
     /** The attempts that a start request names as victims. */
@@ -63,7 +78,7 @@
   boolean mayPreempt(LedJob ledJob, long now) {
     return (isUrgent(ledJob) || isOwedGuaranteedShare(ledJob, now))
         && now - ledJob.leaderSinceMs() >= Constants.PREEMPTION_DELAY_MS
-        && now - ledJob.lastPreemptionMs() >= Constants.PREEMPTION_INTERVAL_MIN_MS;
+        && now - ledJob.lastPreemptionMs() >= PREEMPTION_INTERVAL_MIN_MS;
   }
 
   private static boolean isUrgent(LedJob ledJob) {
@@ -72,7 +87,7 @@
 
   private boolean isOwedGuaranteedShare(LedJob ledJob, long now) {
     return guaranteedShares.includes(ledJob.id())
-        && now - ledJob.leaderSinceMs() > Constants.GUARANTEE_PREEMPTION_DELAY_MS;
+        && now - ledJob.leaderSinceMs() > GUARANTEE_PREEMPTION_DELAY_MS;
   }
 
   /**
@@ -116,7 +131,7 @@
     for (TaskStatus victim : candidate.victims) {
       logPreemption(preemptor, machine, victim, now);
       machine.reserve(store.job(victim.job()).spec(), -1);
-      machine.recordPreemption(TaskAttempt.of(victim), now + Constants.PREEMPTION_INTERVAL_MIN_MS);
+      machine.recordPreemption(TaskAttempt.of(victim), now + PREEMPTION_INTERVAL_MIN_MS);
     }
   }
 
@@ -193,7 +208,7 @@
     }
     JobSpec spec = store.job(task.job()).spec();
     if (spec.isService()) {
-      return Constants.REPLICA_PREEMPTION_COST_S;
+      return REPLICA_PREEMPTION_COST_S;
     }
     double halfEstimateS = spec.estimatedRunS() / 2;
     return spec.checkpointIntervalS() > 0
--- a/src/main/java/mallowstall/core/placement/QueuedWork.java
+++ b/src/main/java/mallowstall/core/placement/QueuedWork.java
@@ -6,7 +6,6 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import mallowstall.Constants;
 import mallowstall.core.autoscaling.MachineDemand;
 import mallowstall.core.cluster.ClusterView;
 import mallowstall.core.cluster.MachineTypeCatalog;
@@ -26,6 +25,14 @@
  * policies, and by rank, so that free capacity is left to those that come first. Mutable.
  */
 public final class QueuedWork {
+  /**
+   * ms. Free capacity is left to starving jobs for so long, and again after three times as long.
+   */
+  private static final long STARVATION_YIELD_MS = 8_000;
+
+  /** ms. A job leaves free capacity for so long to other controllers' jobs that rank before it. */
+  private static final long OUTRANKED_YIELD_MS = 2_500;
+
   /** Waiting work of one job, as far as it matters to others. */
   private record QueuedJob(
       String jobId, int rank, String minimalType, String leader, double cpus) {}
@@ -118,7 +125,7 @@
       ledJob.clearOutranked();
       return false;
     }
-    return ledJob.recordOutranked(now) < Constants.OUTRANKED_YIELD_MS;
+    return ledJob.recordOutranked(now) < OUTRANKED_YIELD_MS;
   }
 
   /** What other controllers' starving jobs wait for; they have their turns. */
@@ -135,7 +142,7 @@
   /** A quarter of the time, since a starving job may have reasons of its own to wait. */
   private boolean hasTurn(QueuedJob starvingJob, long now) {
     long sinceMs = starvingSinceMs.getOrDefault(starvingJob.jobId, now);
-    return (now - sinceMs) % (4 * Constants.STARVATION_YIELD_MS) < Constants.STARVATION_YIELD_MS;
+    return (now - sinceMs) % (4 * STARVATION_YIELD_MS) < STARVATION_YIELD_MS;
   }
 
   /** What other controllers' jobs of a smaller rank wait for. */
--- a/src/main/java/mallowstall/core/quota/QuotaLedger.java
+++ b/src/main/java/mallowstall/core/quota/QuotaLedger.java
@@ -28,6 +28,15 @@
  * thread-safe.
  */
 public final class QuotaLedger {
+  /** Count. Most jobs whose quota reservations one transaction changes. */
+  private static final int QUOTA_RESERVATIONS_PER_TRANSACTION = 10;
+
+  /** ms. Least time between two quota transactions of one team. */
+  private static final long QUOTA_TRANSACTION_INTERVAL_MIN_MS = 60;
+
+  /** ms. A quota reservation that no task uses is released after this time. */
+  private static final long QUOTA_RESERVATION_IDLE_MS = 1_500;
+
   private final EventClock clock;
   private final CoreSettings settings;
   private final StateStore store;
@@ -117,8 +126,7 @@
   /** Changes the reservations of a team's jobs; those that shrink make room for the others. */
   private void changeReservations(String team, TeamWrites writes, List<LedJob> jobs, long now) {
     jobs.sort(order);
-    int maxJobs =
-        Math.min(settings.maxTransactionOps() - 1, Constants.QUOTA_RESERVATIONS_PER_TRANSACTION);
+    int maxJobs = Math.min(settings.maxTransactionOps() - 1, QUOTA_RESERVATIONS_PER_TRANSACTION);
     QuotaTransaction change = new QuotaTransaction(teamQuotas.usage(team), maxJobs);
     for (LedJob ledJob : jobs) {
       int tasks = reservationDelta(ledJob, now);
@@ -168,7 +176,7 @@
       ledJob.writes().beginQuotaWrite();
     }
     writes.inFlight = true;
-    writes.nextWriteMs = now + Constants.QUOTA_TRANSACTION_INTERVAL_MIN_MS;
+    writes.nextWriteMs = now + QUOTA_TRANSACTION_INTERVAL_MIN_MS;
     boolean accepted =
         store.transact(
             RequestPriority.JOB,
@@ -241,9 +249,7 @@
       return Math.min(requested, Math.max(0, pending - unused));
     }
     boolean idle =
-        !headroom
-            && unused > 0
-            && ledJob.quotaIdleLongerThan(Constants.QUOTA_RESERVATION_IDLE_MS, now);
+        !headroom && unused > 0 && ledJob.quotaIdleLongerThan(QUOTA_RESERVATION_IDLE_MS, now);
     return idle ? -unused : 0;
   }
 }
--- a/src/main/java/mallowstall/peers/PeerCodec.java
+++ b/src/main/java/mallowstall/peers/PeerCodec.java
@@ -6,7 +6,6 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.util.List;
-import mallowstall.Constants;
 import mallowstall.core.model.AcceptanceQuery;
 import mallowstall.core.model.AcceptanceQueryEnd;
 import mallowstall.core.model.AcceptanceReply;
@@ -31,6 +30,9 @@
  * start-up time and garbage.
  */
 public final class PeerCodec {
+  /** Bytes. Longest text in a message between controllers: names are far shorter. */
+  private static final int PEER_TEXT_MAX_BYTES = 64 << 10;
+
   // the union's branches, in the order of the schema
   private static final int STATUS_UPDATE = 0;
   private static final int START_BATCH = 1;
@@ -47,7 +49,7 @@
   static {
     // without this limit a few bytes can make the decoder allocate two gigabytes
     System.setProperty(
-        "org.apache.avro.limits.string.maxLength", String.valueOf(Constants.PEER_TEXT_MAX_BYTES));
+        "org.apache.avro.limits.string.maxLength", String.valueOf(PEER_TEXT_MAX_BYTES));
   }
 
   private PeerCodec() {}
--- a/src/main/java/mallowstall/peers/PeerConnections.java
+++ b/src/main/java/mallowstall/peers/PeerConnections.java
@@ -20,7 +20,6 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import mallowstall.Constants;
 import mallowstall.core.api.PeerEvents;
 import mallowstall.core.model.PeerMessage;
 import mallowstall.core.model.StatusUpdate;
@@ -37,13 +36,23 @@
 public final class PeerConnections {
   private static final Logger LOG = LoggerFactory.getLogger("mallowstall.peers");
 
+  /** Bytes. Largest message between controllers. */
+  static final int PEER_FRAME_MAX_BYTES = 4 << 20;
+
+  /** ms. Between attempts to connect to a peer. */
+  private static final long PEER_RECONNECT_INTERVAL_MS = 700;
+
+  /**
+   * Bytes. Unsent data to a peer above which status updates are skipped: the next one covers them.
+   */
+  private static final int PEER_BACKLOG_MAX_BYTES = 512 << 10;
+
   /** Bytes of the length before each message. */
   private static final int LENGTH_BYTES = 4;
 
   private static final int CONNECT_TIMEOUT_MS = 1_500;
   private static final WriteBufferWaterMark BACKLOG =
-      new WriteBufferWaterMark(
-          Constants.PEER_BACKLOG_MAX_BYTES / 2, Constants.PEER_BACKLOG_MAX_BYTES);
+      new WriteBufferWaterMark(PEER_BACKLOG_MAX_BYTES / 2, PEER_BACKLOG_MAX_BYTES);
 
   private final EventLoop loop;
   private final PeerEvents core;
@@ -80,7 +89,7 @@
         .pipeline()
         .addLast(
             new LengthFieldBasedFrameDecoder(
-                Constants.PEER_FRAME_MAX_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES),
+                PEER_FRAME_MAX_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES),
             new InboundHandler());
   }
 
@@ -191,7 +200,7 @@
     private void reconnect() {
       channel = null;
       if (!closed) {
-        loop.schedule(this::connect, Constants.PEER_RECONNECT_INTERVAL_MS, TimeUnit.MILLISECONDS);
+        loop.schedule(this::connect, PEER_RECONNECT_INTERVAL_MS, TimeUnit.MILLISECONDS);
       }
     }
   }
--- a/src/main/java/mallowstall/state/StateServiceClient.java
+++ b/src/main/java/mallowstall/state/StateServiceClient.java
@@ -30,6 +30,9 @@
 public final class StateServiceClient {
   private static final Logger LOG = LoggerFactory.getLogger("mallowstall.state");
 
+  /** Count. Items asked for in one listing (the maximum of the protocol is 1,000). */
+  private static final int LIST_PAGE_SIZE = 500;
+
   private final HttpClient calls;
   private final HttpClient watches;
   private final Consumer<Runnable> events;
@@ -137,7 +140,7 @@
   public void list(String afterKey, Consumer<ListResult> callback) {
     call(
         HttpMethod.GET,
-        StateProtocol.listPath(afterKey, Constants.LIST_PAGE_SIZE),
+        StateProtocol.listPath(afterKey, LIST_PAGE_SIZE),
         null,
         reply -> {
           StateCodec.Page page = content(reply, StateCodec::readPage);
--- a/src/main/java/mallowstall/users/Submission.java
+++ b/src/main/java/mallowstall/users/Submission.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.regex.Pattern;
-import mallowstall.Constants;
 import mallowstall.core.model.JobKind;
 import mallowstall.core.model.JobSpec;
 import mallowstall.core.model.Priority;
@@ -17,6 +16,9 @@
  * are sent to users. Mutable.
  */
 final class Submission {
+  /** Count. Most tasks of one job (protocol). */
+  private static final int TASKS_MAX = 100_000;
+
   private static final Pattern JOB_ID = Pattern.compile("wk-[0-9]{1,18}");
   private static final int MAX_TEXT = 200;
   private static final double MAX_AMOUNT = 1e9;
@@ -182,9 +184,8 @@
     if (tasks == null) {
       throw new MalformedSubmissionException(UserProtocol.TASKS + " is missing");
     }
-    if (tasks < 1 || tasks > Constants.TASKS_MAX) {
-      throw new MalformedSubmissionException(
-          UserProtocol.TASKS + " must be 1 to " + Constants.TASKS_MAX);
+    if (tasks < 1 || tasks > TASKS_MAX) {
+      throw new MalformedSubmissionException(UserProtocol.TASKS + " must be 1 to " + TASKS_MAX);
     }
     amount(UserProtocol.CPUS, cpus);
     amount(UserProtocol.GPUS, gpus);
--- a/src/test/java/mallowstall/core/jobs/JobWritesTest.java
+++ b/src/test/java/mallowstall/core/jobs/JobWritesTest.java
@@ -32,7 +32,7 @@
   void completionWritesKeepAGapUntilTheLast() {
     writes.beginCompletionWrite(NOW_MS);
     writes.endCompletionWrite(NOW_MS, ResultCode.OK);
-    long gapMs = Constants.JOB_WRITE_INTERVAL_MIN_MS;
+    long gapMs = JobWrites.JOB_WRITE_INTERVAL_MIN_MS;
     assertFalse(writes.mayWriteCompletions(false, NOW_MS + gapMs - 1));
     assertTrue(writes.mayWriteCompletions(true, NOW_MS + gapMs - 1));
     assertTrue(writes.mayWriteCompletions(false, NOW_MS + gapMs));
--- a/src/test/java/mallowstall/core/jobs/ReplicaRestartsTest.java
+++ b/src/test/java/mallowstall/core/jobs/ReplicaRestartsTest.java
@@ -56,7 +56,7 @@
     restarts.recordExit(1, 0, 0);
     assertFalse(restarts.recordExit(1, 0, 0));
     releasedReplicas(Constants.BACKOFF_INITIAL_MS);
-    assertTrue(restarts.recordExit(1, Constants.REPLICA_STABLE_MS, 20_000));
+    assertTrue(restarts.recordExit(1, ReplicaRestarts.REPLICA_STABLE_MS, 20_000));
     assertTrue(restarts.recordExit(1, 0, 20_500));
   }
 }
--- a/src/test/java/mallowstall/core/kernel/EventLoopLagTest.java
+++ b/src/test/java/mallowstall/core/kernel/EventLoopLagTest.java
@@ -39,7 +39,7 @@
   @Test
   void noLagStretchesBeyondTheBound() {
     tick(200, 100_000);
-    assertEquals(GAP_MS + Constants.LAG_GAP_MAX_MS, lag.stretchedGapMs(GAP_MS));
+    assertEquals(GAP_MS + EventLoopLag.LAG_GAP_MAX_MS, lag.stretchedGapMs(GAP_MS));
   }
 
   /** One long stop, as of a machine that stood still, says little of the load. */
@@ -48,7 +48,8 @@
     tick(20, 0);
     tick(1, 60_000);
     long most =
-        Math.round(Constants.LAG_SAMPLE_MAX_MS * Constants.LAG_WEIGHT * Constants.LAG_GAP_FACTOR);
+        Math.round(
+            EventLoopLag.LAG_SAMPLE_MAX_MS * EventLoopLag.LAG_WEIGHT * EventLoopLag.LAG_GAP_FACTOR);
     assertEquals(GAP_MS + most, lag.stretchedGapMs(GAP_MS));
   }
 }
--- a/src/test/java/mallowstall/peers/StatusUpdateSizeTest.java
+++ b/src/test/java/mallowstall/peers/StatusUpdateSizeTest.java
@@ -63,6 +63,6 @@
             "tocon-0", 90, 9_000, 0, 90, 9_000, 900_000, 90, 12, 9_000, 40, List.of(), machines,
             List.of(), List.of());
     int bytes = PeerCodec.encode(update).length;
-    assertTrue(bytes < Constants.PEER_FRAME_MAX_BYTES, bytes + " bytes");
+    assertTrue(bytes < PeerConnections.PEER_FRAME_MAX_BYTES, bytes + " bytes");
   }
 }
