Simulation: what a controller decides leaves when its event is over

Why: answers reached the checker, and messages the way to peers, in the moment of the decision, even in an event in which the controller then stood still. So no history could show an answer that leaves too late.

What: SimulatedEventLoop processes one event at a time, in the order of arrival. Answers to users, messages, commands, answers to heartbeats and requests to the state service leave when the event's processor time and pause are over; never if the process ends before. A request to the state service that is late by less than STATE_TIMEOUT_MS is carried out as usual, and a command by less than COMMAND_REQUEST_TIMEOUT_MS. Timers are events too, and the work of a timer schedules the next wake-up, as in CoreEvents. All answers to users pass through SimulatedController.answerAfterEvent; one that comes 2 s after a question, or 5 s after another request, is lost. The checker is unchanged.

--- a/src/test/java/mallowstall/core/PeerLink.java
+++ b/src/test/java/mallowstall/core/PeerLink.java
@@ -66,6 +66,10 @@
       node.statusUpdatesSent++;
       node.machineStatusesSent += statusUpdate.machines().size();
     }
+    node.afterEvent(() -> transmit(peer, message));
+  }
+
+  private void transmit(String peer, PeerMessage message) {
     if (!connectionIds.containsKey(peer)) {
       return;
     }
@@ -88,7 +92,7 @@
     // in order; across a partition it is delivered late
     long when =
         Math.max(
-            simulation.nowMs + node.sendDelayMs + simulation.randomDelayMs() / 2,
+            simulation.nowMs + simulation.randomDelayMs() / 2,
             lastArrivalMs.getOrDefault(peer, 0L));
     if (Boolean.TRUE.equals(node.partitionedPeers.get(peer))) {
       when =
--- a/src/test/java/mallowstall/core/SimulatedController.java
+++ b/src/test/java/mallowstall/core/SimulatedController.java
@@ -18,6 +18,7 @@
 import mallowstall.core.kernel.Transaction;
 import mallowstall.core.kernel.TransactionResult;
 import mallowstall.core.kernel.WatchResult;
+import mallowstall.core.model.ApiResponse;
 import mallowstall.core.model.CoreSettingsBuilder;
 import mallowstall.core.model.MachineType;
 import mallowstall.core.model.PeerMessage;
@@ -26,12 +27,20 @@
 import mallowstall.core.model.StoredEntry;
 import mallowstall.core.model.WorkerCommand;
 
-/** A controller, and the world as it sees it. */
+/**
+ * A controller, and the world as it sees it. It processes one event at a time, in the order of
+ * their arrival. All that the core decides in an event leaves when the processing of that event is
+ * over, or never if the process ends before.
+ */
 final class SimulatedController implements Effects {
+  /** Later than every timer. */
+  private static final long NEVER = Long.MAX_VALUE;
+
   private final Simulation simulation;
 
   private final StateServiceLink stateServiceLink;
 
+  private final SimulatedEventLoop eventLoop;
   private final WorkerLink workerLink;
   private final PeerLink peerLink;
 
@@ -89,24 +98,17 @@
 
   int maxMachineWritesInFlight;
 
-  /** It pauses from its next event on for so many ms, while its clocks run on. */
+  /** It pauses in its next event for so many ms, while its clocks run on. */
   long pauseMs;
 
-  private long pausedUntilMs;
-
-  /** What the event under way decides leaves only so much later. */
-  long sendDelayMs;
-
   /** ms of its processor that each event takes; events wait for those before them. */
   long eventCostMs;
 
-  private long busyUntilMs;
+  /** Steady ms. When its wake-up for the next timer is due; {@link #NEVER}: none is scheduled. */
+  private long wakeUpAtMs = NEVER;
 
   private boolean tickQueued;
 
-  /** The longest that an event has waited. */
-  long maxEventWaitMs;
-
   final double clockDrift;
 
   final long clockSkewMs;
@@ -115,6 +117,7 @@
 
   SimulatedController(Simulation sim, String name, int programVersion) {
     this.simulation = sim;
+    this.eventLoop = new SimulatedEventLoop(sim, this);
     this.stateServiceLink = new StateServiceLink(sim, this);
     this.workerLink = new WorkerLink(sim, this);
     this.peerLink = new PeerLink(sim, this);
@@ -130,9 +133,7 @@
     processNumber++;
     running = true;
     runningVersion = installedVersion;
-    pausedUntilMs = 0;
-    busyUntilMs = 0;
-    tickQueued = false;
+    forgetEvents();
     ticksRun = 0;
     ticksAtLastCheck = 0;
     returnedAtLastCheck = Set.of();
@@ -182,10 +183,17 @@
   void crash(long downMs) {
     running = false;
     processNumber++;
+    forgetEvents();
     peerLink.closeAll();
     simulation.schedule(downMs, this::boot);
   }
 
+  private void forgetEvents() {
+    eventLoop.restart();
+    wakeUpAtMs = NEVER;
+    tickQueued = false;
+  }
+
   boolean supportsServices() {
     return runningVersion >= ProgramVersion.WITH_SERVICES;
   }
@@ -195,7 +203,7 @@
       return;
     }
     simulation.ticks++;
-    if (simulation.nowMs >= pausedUntilMs && !tickQueued) {
+    if (!eventLoop.isPaused() && !tickQueued) {
       tickQueued = true;
       enqueueEvent(
           () -> {
@@ -207,79 +215,76 @@
     simulation.schedule(Constants.TICK_MS, () -> tick(startedProcess));
   }
 
+  /** The event is processed after all that arrived before it. */
   void enqueueEvent(Runnable action) {
     if (!running) {
       return;
     }
-    long start = Math.max(simulation.nowMs, busyUntilMs);
-    if (eventCostMs > 0) {
-      busyUntilMs = start + eventCostMs;
-      maxEventWaitMs = Math.max(maxEventWaitMs, start - simulation.nowMs);
-    }
-    if (start == simulation.nowMs) {
-      runEvent(action);
+    eventLoop.enqueue(action, eventCostMs);
+  }
+
+  /** Sets the clock, then does the work of the event and what that has made due. */
+  void runEvent(Runnable action) {
+    eventLoop.pauseInEvent(pauseMs);
+    pauseMs = 0;
+    core.setTime(steadyMs(), 1_700_000_000_000L + simulation.nowMs + clockSkewMs);
+    action.run();
+    core.runDueWork();
+  }
+
+  /** Runs the action when the event under way is over, at once if there is none. */
+  void afterEvent(Runnable action) {
+    eventLoop.afterEvent(action);
+  }
+
+  /** The longest that an event has waited while events cost processor time. */
+  long maxEventWaitMs() {
+    return eventLoop.maxWaitMs();
+  }
+
+  /** Whom the core answers instead of this user, whom the answer reaches when the event is over. */
+  Consumer<ApiResponse> answerAfterEvent(Consumer<ApiResponse> user) {
+    return answer -> eventLoop.afterEvent(() -> user.accept(answer));
+  }
+
+  /** A wake-up that is due later than the next timer is replaced. */
+  void scheduleWakeUp() {
+    long nextMs = core.nextTimerMs();
+    if (nextMs >= wakeUpAtMs) {
       return;
     }
-    int startedProcess = processNumber;
-    simulation.schedule(
-        start - simulation.nowMs,
+    wakeUpAtMs = nextMs;
+    scheduleInProcess(
+        Math.max(1, nextMs - steadyMs()),
         () -> {
-          if (running && startedProcess == processNumber) {
-            runEvent(action);
+          if (wakeUpAtMs == nextMs) {
+            wakeUpAtMs = NEVER;
+            enqueueEvent(() -> {});
           }
         });
   }
 
-  private void runEvent(Runnable action) {
-    int startedProcess = processNumber;
-    if (simulation.nowMs < pausedUntilMs) {
-      // lies unread until it wakes
-      simulation.schedule(
-          pausedUntilMs - simulation.nowMs,
-          () -> {
-            if (startedProcess == processNumber) {
-              enqueueEvent(action);
-            }
-          });
-      return;
-    }
-    if (pauseMs > 0) {
-      // between the reading of the clock and the sending of what was decided
-      sendDelayMs = pauseMs;
-      pausedUntilMs = simulation.nowMs + pauseMs;
-      pauseMs = 0;
-    }
-    core.setTime(
-        (long) (simulation.nowMs * (1 + clockDrift)),
-        1_700_000_000_000L + simulation.nowMs + clockSkewMs);
-    action.run();
-    core.runDueWork();
-    sendDelayMs = 0;
-    if (core.nextTimerMs() != Long.MAX_VALUE) {
-      simulation.schedule(
-          Math.max(1, core.nextTimerMs() - (long) (simulation.nowMs * (1 + clockDrift))),
-          () -> {
-            if (startedProcess == processNumber && simulation.nowMs >= pausedUntilMs) {
-              core.setTime(
-                  (long) (simulation.nowMs * (1 + clockDrift)),
-                  1_700_000_000_000L + simulation.nowMs + clockSkewMs);
-              core.runDueWork();
-            }
-          });
-    }
+  /** The time by its own clock. */
+  private long steadyMs() {
+    return (long) (simulation.nowMs * (1 + clockDrift));
   }
 
-  void scheduleReply(long delay, Runnable action) {
+  /** Runs the action after the delay unless the present process has ended by then. */
+  private void scheduleInProcess(long delayMs, Runnable action) {
     int startedProcess = processNumber;
     simulation.schedule(
-        delay,
+        delayMs,
         () -> {
           if (startedProcess == processNumber) {
-            enqueueEvent(action);
+            action.run();
           }
         });
   }
 
+  void scheduleReply(long delay, Runnable action) {
+    scheduleInProcess(delay, () -> enqueueEvent(action));
+  }
+
   @Override
   public int encodedSizeBytes(StoredEntry value) {
     return Simulation.encodedSize(value);
--- a/src/test/java/mallowstall/core/SimulatedUsers.java
+++ b/src/test/java/mallowstall/core/SimulatedUsers.java
@@ -4,6 +4,7 @@
 import static mallowstall.core.model.JobSpecBuilder.service;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
@@ -13,29 +14,57 @@
 
 /** The users: they submit jobs, ask about them until these are over, and cancel some. */
 final class SimulatedUsers {
+  /** How long a user waits for the answer to a question, as the protocol has it. */
+  private static final long QUESTION_TIMEOUT_MS = 2_000;
+
+  /** How long a user waits for the answer to a submission or a cancellation. */
+  private static final long REQUEST_TIMEOUT_MS = 5_000;
+
   private final Simulation simulation;
 
   final List<String> jobs = new ArrayList<>();
 
+  /** Jobs that somebody asks about until they are over. */
+  private final Set<String> polledJobs = new HashSet<>();
+
   private int nextUnplaceableNumber;
 
   SimulatedUsers(Simulation simulation) {
     this.simulation = simulation;
   }
 
+  /**
+   * Whom the core answers on behalf of a user who asks now. An answer that comes when the user has
+   * given up is lost.
+   */
+  private Consumer<ApiResponse> answerTo(
+      SimulatedController node, String id, long timeoutMs, Consumer<ApiResponse> user) {
+    long asked = simulation.nowMs;
+    Consumer<ApiResponse> waiting =
+        answer -> {
+          if (simulation.nowMs - asked < timeoutMs) {
+            user.accept(answer);
+          } else {
+            simulation.countFault("answer after the user gave up");
+          }
+        };
+    return simulation.recorder.toUser(node, id, node.answerAfterEvent(waiting));
+  }
+
   /** Asks this controller, whose adapter refuses the kinds of jobs that its version lacks. */
   void submitAt(SimulatedController node, JobSpec spec, Consumer<ApiResponse> reply) {
     if (spec.isService() && !node.supportsServices()) {
-      node.enqueueEvent(
-          () ->
-              node.core.rejectSubmission(
-                  spec.id(),
-                  "oficio must be batch",
-                  simulation.recorder.toUser(node, spec.id(), reply)));
-    } else {
-      node.enqueueEvent(
-          () -> node.core.submit(spec, simulation.recorder.toUser(node, spec.id(), reply)));
+      submitMalformedAt(node, spec.id(), "oficio must be batch", reply);
+      return;
     }
+    Consumer<ApiResponse> user = answerTo(node, spec.id(), REQUEST_TIMEOUT_MS, reply);
+    node.enqueueEvent(() -> node.core.submit(spec, user));
+  }
+
+  private void submitMalformedAt(
+      SimulatedController node, String id, String reason, Consumer<ApiResponse> reply) {
+    Consumer<ApiResponse> user = answerTo(node, id, REQUEST_TIMEOUT_MS, reply);
+    node.enqueueEvent(() -> node.core.rejectSubmission(id, reason, user));
   }
 
   void submit(JobSpec spec) {
@@ -50,48 +79,48 @@
     }
     SimulatedController node = randomController();
     long asked = simulation.nowMs;
+    boolean[] retried = {false};
     boolean[] answered = {false};
+    Runnable retry =
+        () -> {
+          if (!answered[0] && !retried[0]) {
+            retried[0] = true;
+            submitWithRetry(spec, until);
+          }
+        };
     if (node.running) {
       submitAt(
           node,
           spec,
           answer -> {
-            answered[0] = true;
-            if (simulation.random.nextDouble() < simulation.messageLossRate) {
-              answered[0] = false;
-            } // the user doesn't get it
-            else {
+            boolean lost = simulation.random.nextDouble() < simulation.messageLossRate;
+            if (!lost) {
               recordAnswer(asked, spec.id(), answer);
             }
-            if (answered[0] && answer.state() != null) {
-              poll(spec.id());
-            } else {
-              simulation.schedule(1_000, () -> submitWithRetry(spec, until));
+            answered[0] = !lost && answer.state() != null;
+            if (!answered[0]) {
+              simulation.schedule(1_000, retry);
             }
           });
     }
-    simulation.schedule(
-        5_000,
-        () -> {
-          if (!answered[0]
-              && simulation.nowMs - asked >= 5_000
-              && simulation.checker.lastState(spec.id()) == null) {
-            submitWithRetry(spec, until);
-          }
-        });
+    simulation.schedule(REQUEST_TIMEOUT_MS, retry);
   }
 
   private SimulatedController randomController() {
     return simulation.controllers.get(Simulation.NODES.get(simulation.random.nextInt(3)));
   }
 
-  private void query(SimulatedController node, String id, Consumer<ApiResponse> user) {
-    node.enqueueEvent(() -> node.core.query(id, simulation.recorder.toUser(node, id, user)));
+  private void query(SimulatedController node, String id, Consumer<ApiResponse> reply) {
+    Consumer<ApiResponse> user = answerTo(node, id, QUESTION_TIMEOUT_MS, reply);
+    node.enqueueEvent(() -> node.core.query(id, user));
   }
 
-  /** A request made at {@code asked} is answered. */
+  /** A request made at {@code asked} is answered. Whoever hears that the job is accepted polls. */
   private void recordAnswer(long asked, String id, ApiResponse answer) {
     simulation.checker.onAnswer(simulation.nowMs, asked, id, answer.status(), answer.state());
+    if (answer.state() != null && polledJobs.add(id)) {
+      poll(id);
+    }
   }
 
   private void poll(String id) {
@@ -113,20 +142,23 @@
       simulation.schedule(1_000, () -> cancel(id));
       return;
     }
+    cancelAt(node, id, () -> simulation.schedule(1_000, () -> cancel(id)));
+  }
+
+  private void cancelAt(SimulatedController node, String id, Runnable onUndecided) {
     long asked = simulation.nowMs;
-    node.enqueueEvent(
-        () ->
-            node.core.cancel(
-                id,
-                simulation.recorder.toUser(
-                    node,
-                    id,
-                    answer -> {
-                      recordAnswer(asked, id, answer);
-                      if (answer.state() == null && answer.status() != 404) {
-                        simulation.schedule(1_000, () -> cancel(id));
-                      }
-                    })));
+    Consumer<ApiResponse> user =
+        answerTo(
+            node,
+            id,
+            REQUEST_TIMEOUT_MS,
+            answer -> {
+              recordAnswer(asked, id, answer);
+              if (answer.state() == null && answer.status() != 404) {
+                onUndecided.run();
+              }
+            });
+    node.enqueueEvent(() -> node.core.cancel(id, user));
   }
 
   void maybeCancelAtEnd(String job) {
@@ -246,17 +278,13 @@
             .cpus(team ? 1 : 9)
             .team(team ? "nobody" : "free")
             .build();
-    node.enqueueEvent(
-        () ->
-            node.core.submit(
-                spec,
-                simulation.recorder.toUser(
-                    node,
-                    id,
-                    answer -> {
-                      simulation.checker.onUnplaceableAnswer(simulation.nowMs, id, answer.status());
-                      simulation.schedule(500, () -> queryJob(id));
-                    })));
+    submitAt(
+        node,
+        spec,
+        answer -> {
+          simulation.checker.onUnplaceableAnswer(simulation.nowMs, id, answer.status());
+          simulation.schedule(500, () -> queryJob(id));
+        });
   }
 
   /** A service of more replicas than its team may run at once is asked for. */
--- a/src/test/java/mallowstall/core/SimulatedWorker.java
+++ b/src/test/java/mallowstall/core/SimulatedWorker.java
@@ -283,16 +283,22 @@
                           controller,
                           heartbeat,
                           answer ->
-                              simulation.schedule(
-                                  simulation.randomDelayMs() + controller.sendDelayMs,
-                                  () ->
-                                      runWhenResumed(
-                                          () ->
-                                              receiveResponse(
-                                                  controller, heartbeat, answer, sent, mine))))));
+                              controller.afterEvent(
+                                  () -> sendResponse(controller, heartbeat, answer, sent, mine)))));
         });
   }
 
+  private void sendResponse(
+      SimulatedController controller,
+      Heartbeat heartbeat,
+      HeartbeatResponse answer,
+      long sent,
+      long mine) {
+    simulation.schedule(
+        simulation.randomDelayMs(),
+        () -> runWhenResumed(() -> receiveResponse(controller, heartbeat, answer, sent, mine)));
+  }
+
   private void receiveResponse(
       SimulatedController controller,
       Heartbeat heartbeat,
--- a/src/test/java/mallowstall/core/SlowControllersTest.java
+++ b/src/test/java/mallowstall/core/SlowControllersTest.java
@@ -49,7 +49,7 @@
 
   private static void assertInvariants(Simulation sim, List<SimulatedController> slow) {
     for (SimulatedController node : slow) {
-      assertTrue(node.maxEventWaitMs > 1_000, node.name + " waited " + node.maxEventWaitMs);
+      assertTrue(node.maxEventWaitMs() > 1_000, node.name + " waited " + node.maxEventWaitMs());
     }
     sim.runUntil(sim.nowMs + 120_000);
     assertEquals(List.of(), sim.checker.violations);
--- a/src/test/java/mallowstall/core/StateServiceLink.java
+++ b/src/test/java/mallowstall/core/StateServiceLink.java
@@ -36,12 +36,18 @@
     this.node = node;
   }
 
-  @SuppressWarnings("ReturnValueIgnored") // requests are executed whose answers are lost
+  /** A request that the event under way decides on leaves when that is over. */
   private <T> void callStateService(Supplier<T> exec, T refused, T unknown, Consumer<T> then) {
-    if (node.sendDelayMs > 0) {
-      // executed when it wakes, with the answer long given up on
-      simulation.schedule(node.sendDelayMs, exec::get);
-      node.scheduleReply(node.sendDelayMs, () -> then.accept(unknown));
+    long decidedMs = simulation.nowMs;
+    node.afterEvent(() -> transmit(decidedMs, exec, refused, unknown, then));
+  }
+
+  @SuppressWarnings("ReturnValueIgnored") // requests are executed whose answers are lost
+  private <T> void transmit(
+      long decidedMs, Supplier<T> exec, T refused, T unknown, Consumer<T> then) {
+    if (isGivenUp(decidedMs)) {
+      exec.get();
+      node.scheduleReply(0, () -> then.accept(unknown));
       return;
     }
     if (simulation.stateService.outage || node.stateServiceUnreachable) {
@@ -76,6 +82,11 @@
     }
   }
 
+  /** Whether the controller has stood still for so long that it no longer waits for the answer. */
+  private boolean isGivenUp(long decidedMs) {
+    return simulation.nowMs - decidedMs >= Constants.STATE_TIMEOUT_MS;
+  }
+
   /** Executed at some moment of the delay; what takes too long is given up on. */
   private <T> void callSlowly(Supplier<T> exec, T unknown, Consumer<T> then) {
     simulation.countFault("slowState");
@@ -103,13 +114,12 @@
   void transact(Transaction txn, Consumer<TransactionResult> reply) {
     boolean machineWrite = txn.puts().stream().anyMatch(put -> put.value() instanceof MachineEntry);
     Consumer<TransactionResult> counted = machineWrite ? countMachineWrite(reply) : reply;
-    if (machineWrite && node.machineWriteDelayMs > 0) {
-      submitTransaction(
-          txn,
-          result -> node.scheduleReply(node.machineWriteDelayMs, () -> counted.accept(result)));
-    } else {
-      submitTransaction(txn, counted);
-    }
+    Consumer<TransactionResult> delayed =
+        machineWrite && node.machineWriteDelayMs > 0
+            ? result -> node.scheduleReply(node.machineWriteDelayMs, () -> counted.accept(result))
+            : counted;
+    long decidedMs = simulation.nowMs;
+    node.afterEvent(() -> submitTransaction(decidedMs, txn, delayed));
   }
 
   private Consumer<TransactionResult> countMachineWrite(Consumer<TransactionResult> reply) {
@@ -121,7 +131,8 @@
     };
   }
 
-  private void submitTransaction(Transaction txn, Consumer<TransactionResult> then) {
+  private void submitTransaction(
+      long decidedMs, Transaction txn, Consumer<TransactionResult> then) {
     if (node.onNextFailover != null && isFailover(txn)) {
       Runnable action = node.onNextFailover;
       node.onNextFailover = null;
@@ -129,7 +140,7 @@
       simulation.schedule(0, action);
     }
     boolean served =
-        !simulation.stateService.outage && !node.stateServiceUnreachable && node.sendDelayMs == 0;
+        !simulation.stateService.outage && !node.stateServiceUnreachable && !isGivenUp(decidedMs);
     if (served
         && simulation.delayedTransactionRate > 0
         && simulation.random.nextDouble() < simulation.delayedTransactionRate) {
@@ -147,7 +158,8 @@
           () -> then.accept(new TransactionResult(ResultCode.OUTCOME_UNKNOWN, 0)));
       return;
     }
-    callStateService(
+    transmit(
+        decidedMs,
         () -> simulation.stateService.transact(txn),
         new TransactionResult(ResultCode.REJECTED, 0),
         new TransactionResult(ResultCode.OUTCOME_UNKNOWN, 0),
@@ -220,6 +232,10 @@
   }
 
   void watch(long after, long holdMs, Consumer<WatchResult> then) {
+    node.afterEvent(() -> openWatch(after, holdMs, then));
+  }
+
+  private void openWatch(long after, long holdMs, Consumer<WatchResult> then) {
     int startedProcess = node.processNumber;
     long until = simulation.nowMs + holdMs;
     simulation.schedule(
--- a/src/test/java/mallowstall/core/WorkerLink.java
+++ b/src/test/java/mallowstall/core/WorkerLink.java
@@ -23,15 +23,37 @@
       long session,
       List<WorkerCommand> commands,
       Consumer<CommandResult> then) {
-    SimulatedWorker worker = simulation.workers.get(addr);
-    if (node.sendDelayMs > 0 && worker != null) {
-      simulation.schedule(
-          node.sendDelayMs,
-          () -> worker.runWhenResumed(() -> worker.executeCommands(token, session, commands)));
-      node.scheduleReply(
-          node.sendDelayMs, () -> then.accept(new CommandResult(ResultCode.OUTCOME_UNKNOWN, null)));
-      return;
-    }
+    long decidedMs = simulation.nowMs;
+    node.afterEvent(
+        () -> {
+          SimulatedWorker worker = simulation.workers.get(addr);
+          boolean late = simulation.nowMs - decidedMs >= Constants.COMMAND_REQUEST_TIMEOUT_MS;
+          if (late && worker != null) {
+            executeGivenUp(worker, token, session, commands, then);
+          } else {
+            transmit(worker, token, session, commands, then);
+          }
+        });
+  }
+
+  /** Executed though the controller, which has stood still since, gives up on them at once. */
+  private void executeGivenUp(
+      SimulatedWorker worker,
+      long token,
+      long session,
+      List<WorkerCommand> commands,
+      Consumer<CommandResult> then) {
+    worker.runWhenResumed(() -> worker.executeCommands(token, session, commands));
+    node.scheduleReply(0, () -> then.accept(new CommandResult(ResultCode.OUTCOME_UNKNOWN, null)));
+  }
+
+  /** To the worker, or to none: then no connection is accepted. */
+  private void transmit(
+      SimulatedWorker worker,
+      long token,
+      long session,
+      List<WorkerCommand> commands,
+      Consumer<CommandResult> then) {
     if (worker == null || worker.isPartitionedFrom(node) || worker.inboundBlocked) {
       if (worker != null && worker.isPartitionedFrom(node) && simulation.random.nextBoolean()) {
         // delayed by the partition, executed late
