Simulation: answers leave late amid bursts of requests about one job

Why: answers that leave more than 50 ms after their decision were rare in the random histories, and users had mostly given up by then, so the late 404, 400, 422 and open state were not found.

What: LateAnswerFaults adds to the plain and the upgrade histories pauses of 20 ms to 2 s in the middle of an event, or of the event that answers a user next; spells in which each event of one or all controllers costs 3 to 62 ms; and bursts of questions, valid, malformed and impossible submissions and cancellations about one job, before, at and after its first submission, beside lagging watches, slow reads and restarts within a second.

--- a/src/test/java/mallowstall/core/RandomizedSimulationTest.java
+++ b/src/test/java/mallowstall/core/RandomizedSimulationTest.java
@@ -118,6 +118,7 @@
       return; // only some of the seeds were asked for
     }
     Set<String> missing = new TreeSet<>(FAULTS);
+    missing.addAll(LateAnswerFaults.NAMES);
     missing.removeAll(FAULT_COUNTS.keySet());
     assertEquals(Set.of(), missing, "injected in none of the histories");
   }
@@ -165,6 +166,7 @@
           10_000 + sim.random.nextInt(110_000),
           () -> RandomFaults.injectCombinedFault(sim, 140_000));
     }
+    new LateAnswerFaults(sim).schedule(10, 10_000, 110_000);
     sim.schedule(140_000, sim::stopRandomFaults);
     // the last fault has begun by 120 s and lasts up to a minute
     sim.checker.faultsEndedMs = 185_000;
--- a/src/test/java/mallowstall/core/RandomizedUpgradeTest.java
+++ b/src/test/java/mallowstall/core/RandomizedUpgradeTest.java
@@ -74,6 +74,7 @@
       return; // only some of the seeds were asked for
     }
     Set<String> missing = new TreeSet<>(FAULT_COMBINATIONS);
+    missing.addAll(LateAnswerFaults.NAMES);
     missing.removeAll(FAULT_COUNTS.keySet());
     assertEquals(Set.of(), missing, "took place in none of the histories");
   }
@@ -120,6 +121,7 @@
           randomFaultTimeMs(sim),
           () -> RandomFaults.injectCombinedFault(sim, FIRST_FAULT_MS + FAULT_PERIOD_MS));
     }
+    new LateAnswerFaults(sim).schedule(12, (int) FIRST_FAULT_MS, FAULT_PERIOD_MS);
     for (int i = 0; i < 4; i++) {
       sim.schedule(randomFaultTimeMs(sim), () -> crashRandomDuringFailover(sim));
     }
--- a/src/test/java/mallowstall/core/SimulatedController.java
+++ b/src/test/java/mallowstall/core/SimulatedController.java
@@ -36,6 +36,9 @@
   /** Later than every timer. */
   private static final long NEVER = Long.MAX_VALUE;
 
+  /** An answer that leaves so late after its decision is counted as a fault. */
+  private static final long LATE_ANSWER_MS = 50;
+
   private final Simulation simulation;
 
   private final StateServiceLink stateServiceLink;
@@ -101,6 +104,9 @@
   /** It pauses in its next event for so many ms, while its clocks run on. */
   long pauseMs;
 
+  /** It pauses for so many ms in the event in which it next answers a user's request. */
+  long pauseAtNextAnswerMs;
+
   /** ms of its processor that each event takes; events wait for those before them. */
   long eventCostMs;
 
@@ -190,6 +196,7 @@
 
   private void forgetEvents() {
     eventLoop.restart();
+    pauseAtNextAnswerMs = 0;
     wakeUpAtMs = NEVER;
     tickQueued = false;
   }
@@ -244,7 +251,18 @@
 
   /** Whom the core answers instead of this user, whom the answer reaches when the event is over. */
   Consumer<ApiResponse> answerAfterEvent(Consumer<ApiResponse> user) {
-    return answer -> eventLoop.afterEvent(() -> user.accept(answer));
+    return answer -> {
+      eventLoop.pauseInEvent(pauseAtNextAnswerMs);
+      pauseAtNextAnswerMs = 0;
+      long decidedMs = simulation.nowMs;
+      eventLoop.afterEvent(
+          () -> {
+            if (simulation.nowMs - decidedMs > LATE_ANSWER_MS) {
+              simulation.countFault("answer left late");
+            }
+            user.accept(answer);
+          });
+    };
   }
 
   /** A wake-up that is due later than the next timer is replaced. */
--- a/src/test/java/mallowstall/core/SimulatedUsers.java
+++ b/src/test/java/mallowstall/core/SimulatedUsers.java
@@ -11,6 +11,7 @@
 import java.util.function.Consumer;
 import mallowstall.core.model.ApiResponse;
 import mallowstall.core.model.JobSpec;
+import mallowstall.core.model.JobSpecBuilder;
 
 /** The users: they submit jobs, ask about them until these are over, and cancel some. */
 final class SimulatedUsers {
@@ -312,4 +313,31 @@
       query(node, id, answer -> recordAnswer(simulation.nowMs, id, answer));
     }
   }
+
+  /** What users may ask about one job at any time. */
+  enum RequestKind {
+    QUESTION,
+    SUBMISSION,
+    MALFORMED_SUBMISSION,
+    IMPOSSIBLE_SUBMISSION,
+    CANCELLATION
+  }
+
+  /** One request about a job to this controller, without any retry. */
+  void request(SimulatedController node, RequestKind kind, JobSpec spec) {
+    String id = spec.id();
+    long asked = simulation.nowMs;
+    Consumer<ApiResponse> user = answer -> recordAnswer(asked, id, answer);
+    switch (kind) {
+      case QUESTION -> query(node, id, user);
+      case SUBMISSION -> submitAt(node, spec, user);
+      case MALFORMED_SUBMISSION -> submitMalformedAt(node, id, "piezas must be a number", user);
+      case IMPOSSIBLE_SUBMISSION ->
+          submitAt(node, JobSpecBuilder.copyOf(spec).team("nobody").build(), user);
+      case CANCELLATION -> {
+        simulation.checker.onCancelRequested(id);
+        cancelAt(node, id, () -> {});
+      }
+    }
+  }
 }
