An answer that may be contradicted carries until when it may leave

Cause: an answer was compared with its deadline when it was decided, by a clock that stands still during the event, and nobody looked again when it left. The other side counts on 50 ms for the way out.

Mend: open states, 201, 404, 400 and 422 carry the steady time until which they may leave, 1 s after their request (ApiResponse.validUntilMs, AnswerValidity); the connection looks at the clock in the moment of the write and sends 503 with Retry-After after that. What the socket doesn't take at once would leave later, so the connection is closed.

--- a/src/main/java/mallowstall/Constants.java
+++ b/src/main/java/mallowstall/Constants.java
@@ -147,13 +147,6 @@
   /** Bytes. Largest request body (protocol). */
   public static final int BODY_MAX_BYTES = 64 << 10;
 
-  /**
-   * ms. A read older than this isn't used for a user's response: the user may have cancelled
-   * elsewhere since. Longer than the state service takes now and then, and than status updates
-   * take.
-   */
-  public static final long READ_MAX_AGE_MS = 1_000;
-
   /** Count. Ended jobs kept in memory to answer queries without a read. */
   public static final int TERMINAL_JOBS_CACHE_MAX = 4_000;
 
--- a/src/main/java/mallowstall/CoreEvents.java
+++ b/src/main/java/mallowstall/CoreEvents.java
@@ -4,6 +4,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import mallowstall.core.ControllerCore;
+import mallowstall.net.SteadyClock;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -36,7 +37,7 @@
    * event is logged: the next timer must be scheduled all the same.
    */
   void run(Runnable event) {
-    core.setTime(steadyMs(), System.currentTimeMillis());
+    core.setTime(SteadyClock.nowMs(), System.currentTimeMillis());
     try {
       event.run();
       core.runDueWork();
@@ -61,15 +62,12 @@
     }
     cancelTimer();
     wakeUpAt = next;
-    wakeUp = loop.schedule(this::wakeUp, Math.max(1, next - steadyMs()), TimeUnit.MILLISECONDS);
+    wakeUp =
+        loop.schedule(this::wakeUp, Math.max(1, next - SteadyClock.nowMs()), TimeUnit.MILLISECONDS);
   }
 
   private void wakeUp() {
     wakeUpAt = NEVER;
     run(() -> {});
   }
-
-  private static long steadyMs() {
-    return System.nanoTime() / 1_000_000;
-  }
 }
--- a/src/main/java/mallowstall/RequestRouter.java
+++ b/src/main/java/mallowstall/RequestRouter.java
@@ -2,9 +2,11 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.function.LongFunction;
 import mallowstall.core.ControllerCore;
 import mallowstall.net.HttpServer.Request;
 import mallowstall.net.HttpServer.Responder;
+import mallowstall.net.HttpServer.Response;
 import mallowstall.net.HttpStatus;
 import mallowstall.users.UserApiHandler;
 import mallowstall.workers.WorkerHttpAdapter;
@@ -96,13 +98,33 @@
     if (!requireMethod(POST, request, responder)) {
       return;
     }
-    long receivedNanos = System.nanoTime();
-    users.submit(
-        request,
-        (status, json, retryAfterS) -> {
-          metrics.timeNanos(ControllerMetrics.SUBMIT, System.nanoTime() - receivedNanos);
-          responder.answer(status, json, retryAfterS);
-        });
+    users.submit(request, new TimedResponder(responder));
+  }
+
+  /** Records how long a submission took, from its receipt to its response. */
+  private final class TimedResponder implements Responder {
+    private final Responder responder;
+    private final long receivedNanos = System.nanoTime();
+
+    TimedResponder(Responder responder) {
+      this.responder = responder;
+    }
+
+    @Override
+    public void answer(int status, byte[] json, int retryAfterS) {
+      recordDuration();
+      responder.answer(status, json, retryAfterS);
+    }
+
+    @Override
+    public void answerAtDeparture(LongFunction<Response> responseAt) {
+      recordDuration();
+      responder.answerAtDeparture(responseAt);
+    }
+
+    private void recordDuration() {
+      metrics.timeNanos(ControllerMetrics.SUBMIT, System.nanoTime() - receivedNanos);
+    }
   }
 
   /** Query or cancellation of one job; {@code rest} is the path behind {@code /submissions/}. */
--- a/src/main/java/mallowstall/core/api/AbsenceLeases.java
+++ b/src/main/java/mallowstall/core/api/AbsenceLeases.java
@@ -23,7 +23,7 @@
  */
 public final class AbsenceLeases {
   /** ms. Longer than any peer answers by a lease, which it counts from before it asked. */
-  static final long LEASE_MS = OutcomeAnnouncer.SETTLED_AFTER_MS;
+  static final long LEASE_MS = AnswerValidity.VALID_MS + AnswerValidity.MARGIN_MS;
 
   /** Count. Beyond it this controller vouches for no further job. */
   static final int LEASES_MAX = 10_000;
--- a/src/main/java/mallowstall/core/api/FreshJobReader.java
+++ b/src/main/java/mallowstall/core/api/FreshJobReader.java
@@ -5,7 +5,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
-import mallowstall.Constants;
 import mallowstall.core.kernel.EventClock;
 import mallowstall.core.kernel.GetResult;
 import mallowstall.core.kernel.ResultCode;
@@ -16,7 +15,7 @@
 
 /**
  * Reads entries of jobs for users' requests: no read begins before the request, and none that took
- * longer than {@link Constants#READ_MAX_AGE_MS} counts. Thread: the event loop's.
+ * longer than {@link AnswerValidity#VALID_MS} counts. Thread: the event loop's.
  */
 final class FreshJobReader {
   private final EventClock clock;
@@ -60,29 +59,33 @@
 
   private void handleResult(
       String id, GetResult result, long requestedAtMs, List<Consumer<JobRead>> callbacks) {
-    long deadlineMs = requestedAtMs + Constants.READ_MAX_AGE_MS;
+    long validUntilMs = requestedAtMs + AnswerValidity.VALID_MS;
     // A process that stood still since would report a finished job as running again.
-    if (clock.now() > deadlineMs || result.code() != ResultCode.OK) {
+    if (clock.now() > validUntilMs || result.code() != ResultCode.OK) {
       complete(callbacks, JobRead.UNAVAILABLE);
       return;
     }
     if (result.item().value() != null) {
       JobEntry job = (JobEntry) result.item().value();
-      complete(callbacks, JobRead.found(job, result.item().modRevision()));
+      complete(callbacks, JobRead.found(job, result.item().modRevision(), validUntilMs));
       return;
     }
     acceptances.lookUp(
-        id, deadlineMs, absence -> complete(callbacks, withoutEntry(id, absence, deadlineMs)));
+        id, validUntilMs, absence -> complete(callbacks, withoutEntry(id, absence, validUntilMs)));
   }
 
   /** What the replica shows was accepted after the read was made, since jobs are never deleted. */
-  private JobRead withoutEntry(String id, AcceptanceLookup.Absence absence, long deadlineMs) {
+  private JobRead withoutEntry(String id, AcceptanceLookup.Absence absence, long validUntilMs) {
     JobEntry known = store.job(id);
-    if (known != null && clock.now() <= deadlineMs) {
-      return JobRead.found(known, store.modRevision(StateKeys.job(id)));
+    if (known != null && clock.now() <= validUntilMs) {
+      return JobRead.found(known, store.modRevision(StateKeys.job(id)), validUntilMs);
     }
-    boolean neverAccepted = known == null && absence == AcceptanceLookup.Absence.CONFIRMED;
-    return neverAccepted ? JobRead.NOT_FOUND : JobRead.UNCONFIRMED;
+    return confirmedAbsence(id, absence, validUntilMs);
+  }
+
+  private JobRead confirmedAbsence(String id, AcceptanceLookup.Absence absence, long validUntilMs) {
+    boolean neverAccepted = store.job(id) == null && absence == AcceptanceLookup.Absence.CONFIRMED;
+    return neverAccepted ? JobRead.notFound(validUntilMs) : JobRead.UNCONFIRMED;
   }
 
   private static void complete(List<Consumer<JobRead>> callbacks, JobRead read) {
--- a/src/main/java/mallowstall/core/api/JobApi.java
+++ b/src/main/java/mallowstall/core/api/JobApi.java
@@ -123,7 +123,8 @@
 
   /** Responds with the state of the job, or 404. */
   public void query(String id, Consumer<ApiResponse> reply) {
-    withCurrentEntry(id, reply, read -> responder.respondWithState(read.job(), reply));
+    withCurrentEntry(
+        id, reply, read -> responder.respondWithState(read.job(), read.validUntilMs(), reply));
   }
 
   /** Cancels a job; the response comes once the cancellation is written, or 404. */
@@ -138,7 +139,7 @@
   private void recordCancellation(JobRead read, Consumer<ApiResponse> reply, int retries) {
     JobEntry job = read.job();
     if (job.isTerminal()) {
-      responder.respondWithState(job, reply);
+      responder.respondWithState(job, read.validUntilMs(), reply);
       return;
     }
     JobEntry cancelled = job.withOutcome(JobOutcome.CANCELLED);
@@ -156,7 +157,7 @@
   private void cancellationRecorded(
       JobEntry cancelled, ResultCode code, Consumer<ApiResponse> reply, int retries) {
     if (code == ResultCode.OK) {
-      responder.respondWithState(cancelled, reply);
+      responder.respondWithState(cancelled, ApiResponse.ALWAYS_VALID, reply);
     } else if (code == ResultCode.CONFLICT && retries > 0) {
       cancel(cancelled.spec().id(), reply, retries - 1);
     } else {
@@ -168,7 +169,7 @@
   private void withCurrentEntry(String id, Consumer<ApiResponse> reply, Consumer<JobRead> onFound) {
     JobEntry terminalJob = terminalJobs.get(id);
     if (terminalJob != null) {
-      responder.respondWithState(terminalJob, reply);
+      responder.respondWithState(terminalJob, ApiResponse.ALWAYS_VALID, reply);
       return;
     }
     reader.read(
--- a/src/main/java/mallowstall/core/api/JobRead.java
+++ b/src/main/java/mallowstall/core/api/JobRead.java
@@ -5,11 +5,12 @@
 /**
  * The result of reading a job's entry from the state service.
  *
- * @param status whether there is an entry; the other components count with {@code FOUND} only
+ * @param status whether there is an entry; the next two components count with {@code FOUND} only
  * @param job the entry as read; null unless found
  * @param modRevision the revision of the state service at which the entry was last written
+ * @param validUntilMs steady ms until which a response that rests on the read may leave
  */
-record JobRead(Status status, JobEntry job, long modRevision) {
+record JobRead(Status status, JobEntry job, long modRevision, long validUntilMs) {
   /** Whether the read has shown the entry. */
   enum Status {
     FOUND,
@@ -21,11 +22,14 @@
     UNAVAILABLE
   }
 
-  static final JobRead NOT_FOUND = new JobRead(Status.NOT_FOUND, null, 0);
-  static final JobRead UNCONFIRMED = new JobRead(Status.UNCONFIRMED, null, 0);
-  static final JobRead UNAVAILABLE = new JobRead(Status.UNAVAILABLE, null, 0);
+  static final JobRead UNCONFIRMED = new JobRead(Status.UNCONFIRMED, null, 0, 0);
+  static final JobRead UNAVAILABLE = new JobRead(Status.UNAVAILABLE, null, 0, 0);
 
-  static JobRead found(JobEntry job, long modRevision) {
-    return new JobRead(Status.FOUND, job, modRevision);
+  static JobRead found(JobEntry job, long modRevision, long validUntilMs) {
+    return new JobRead(Status.FOUND, job, modRevision, validUntilMs);
+  }
+
+  static JobRead notFound(long validUntilMs) {
+    return new JobRead(Status.NOT_FOUND, null, 0, validUntilMs);
   }
 }
--- a/src/main/java/mallowstall/core/api/JobResponder.java
+++ b/src/main/java/mallowstall/core/api/JobResponder.java
@@ -10,7 +10,8 @@
 
 /**
  * Responds with what may be told of a job now: its state, by what was read and by what is known
- * since, or a refusal. Thread: the event loop's.
+ * since, or a refusal. What another controller may contradict soon carries until when it may leave.
+ * Thread: the event loop's.
  */
 final class JobResponder {
   private static final String NO_STATE_SERVICE = "no contact with the state service";
@@ -39,25 +40,26 @@
   }
 
   /**
-   * Responds with the state by this entry and by what is known since. An open state is told now or
-   * not at all; an end is told once no other controller can tell an open state any more.
+   * Responds with the state by this entry and by what is known since. An open state is told until
+   * then or not at all; an end is told once no other controller can tell an open state any more.
    */
-  void respondWithState(JobEntry stored, Consumer<ApiResponse> reply) {
+  void respondWithState(JobEntry stored, long validUntilMs, Consumer<ApiResponse> reply) {
     JobEntry job = withKnownOutcome(stored);
     if (job.isTerminal()) {
       outcomes.whenSettled(job.spec().id(), job.outcome(), () -> reply.accept(ended(job)));
     } else {
-      respondUnlessAbsenceLeased(open(job), reply);
+      respondUnlessAbsenceLeased(open(job).validUntil(validUntilMs), reply);
     }
   }
 
   /** Responds that a submission was recorded, or how the job has ended since. */
-  void respondAccepted(JobEntry recorded, Consumer<ApiResponse> reply) {
+  void respondAccepted(JobEntry recorded, long validUntilMs, Consumer<ApiResponse> reply) {
     JobEntry job = withKnownOutcome(recorded);
     if (job.isTerminal()) {
-      respondWithState(job, reply);
+      respondWithState(job, validUntilMs, reply);
     } else {
-      respondUnlessAbsenceLeased(ApiResponse.accepted(job.spec().id()), reply);
+      String id = job.spec().id();
+      respondUnlessAbsenceLeased(ApiResponse.accepted(id).validUntil(validUntilMs), reply);
     }
   }
 
@@ -72,7 +74,10 @@
       String id, JobRead read, ApiResponse refusal, Consumer<ApiResponse> reply) {
     reply.accept(
         switch (read.status()) {
-          case NOT_FOUND -> isAnnounced(id) ? unavailable(READ_TOO_EARLY) : refusal;
+          case NOT_FOUND ->
+              isAnnounced(id)
+                  ? unavailable(READ_TOO_EARLY)
+                  : refusal.validUntil(read.validUntilMs());
           case UNCONFIRMED -> unavailable(ACCEPTANCE_UNKNOWN);
           default -> withoutStateService();
         });
--- a/src/main/java/mallowstall/core/api/JobSubmission.java
+++ b/src/main/java/mallowstall/core/api/JobSubmission.java
@@ -4,7 +4,6 @@
 import java.util.Optional;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
-import mallowstall.Constants;
 import mallowstall.core.cluster.ClusterVersion;
 import mallowstall.core.cluster.MachineTypeCatalog;
 import mallowstall.core.kernel.Condition;
@@ -99,7 +98,7 @@
   private void record(JobEntry job, Consumer<ApiResponse> reply) {
     String id = job.spec().id();
     String key = StateKeys.job(id);
-    long submittedAtMs = clock.now();
+    long validUntilMs = clock.now() + AnswerValidity.VALID_MS;
     Transaction creation =
         new Transaction(
             List.of(new Condition(key, 0)), List.of(new PutOperation(key, job, 0)), List.of());
@@ -108,7 +107,7 @@
         store.transact(
             RequestPriority.USER,
             creation,
-            result -> recorded(id, result.code(), submittedAtMs, reply));
+            result -> recorded(id, result.code(), validUntilMs, reply));
     if (!queued) {
       absenceLeases.submissionEnded(id);
       reply.accept(responder.unavailable(JobApi.QUEUE_FULL));
@@ -116,18 +115,18 @@
   }
 
   private void recorded(
-      String id, ResultCode code, long submittedAtMs, Consumer<ApiResponse> reply) {
+      String id, ResultCode code, long validUntilMs, Consumer<ApiResponse> reply) {
     absenceLeases.submissionEnded(id);
     if (code == ResultCode.CONFLICT) {
       query.accept(id, reply);
     } else if (code != ResultCode.OK) {
       reply.accept(responder.unavailable("the job could not be recorded"));
-    } else if (clock.now() - submittedAtMs > Constants.READ_MAX_AGE_MS) {
+    } else if (clock.now() > validUntilMs) {
       // The job may be over by now, and so may the result of a read: the user has to ask again.
       reply.accept(responder.unavailable("recorded late, ask again"));
     } else {
       // its own write made the entry known here, and perhaps its end is known as well by now
-      responder.respondAccepted(store.job(id), reply);
+      responder.respondAccepted(store.job(id), validUntilMs, reply);
     }
   }
 
@@ -136,7 +135,7 @@
    * controller of another version): then the response is the job's state.
    */
   void reject(String id, ApiResponse rejection, Consumer<ApiResponse> reply) {
-    boolean inContact = clock.now() - store.lastContactMs() <= Constants.READ_MAX_AGE_MS;
+    boolean inContact = clock.now() - store.lastContactMs() <= AnswerValidity.VALID_MS;
     if (store.job(id) != null) {
       query.accept(id, reply);
     } else if (store.synced() && inContact) {
@@ -149,7 +148,7 @@
   private void respondUnlessFound(
       String id, JobRead read, ApiResponse rejection, Consumer<ApiResponse> reply) {
     if (read.status() == JobRead.Status.FOUND) {
-      responder.respondWithState(read.job(), reply);
+      responder.respondWithState(read.job(), read.validUntilMs(), reply);
     } else {
       responder.respondWithoutEntry(id, read, rejection, reply);
     }
--- a/src/main/java/mallowstall/core/api/OutcomeAnnouncer.java
+++ b/src/main/java/mallowstall/core/api/OutcomeAnnouncer.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import mallowstall.Constants;
 import mallowstall.core.cluster.ClusterVersion;
 import mallowstall.core.kernel.Effects;
 import mallowstall.core.kernel.EventClock;
@@ -26,11 +25,11 @@
  * users". Mutable; thread: the event loop's.
  */
 public final class OutcomeAnnouncer {
-  /** ms. Margin for the drift of two clocks, and for an answer on its way out of its event. */
-  private static final long MARGIN_MS = 50;
-
-  /** ms. Outcomes known for longer need no acknowledgement. */
-  static final long SETTLED_AFTER_MS = Constants.READ_MAX_AGE_MS + MARGIN_MS;
+  /**
+   * ms. Outcomes known for longer need no acknowledgement: no response that rests on a read without
+   * the outcome may leave any more.
+   */
+  private static final long SETTLED_AFTER_MS = AnswerValidity.VALID_MS + AnswerValidity.MARGIN_MS;
 
   private final EventClock clock;
   private final CoreSettings settings;
--- a/src/main/java/mallowstall/core/model/ApiResponse.java
+++ b/src/main/java/mallowstall/core/model/ApiResponse.java
@@ -10,6 +10,8 @@
  * @param runningTaskCount tasks of the job that run now
  * @param message what is wrong, in an error; null in a state
  * @param retryAfterS seconds after which the request should be repeated; 0: it needn't be
+ * @param validUntilMs steady ms until which the response may leave this controller; what another
+ *     controller does later may contradict it; {@link #ALWAYS_VALID}: nothing does
  */
 public record ApiResponse(
     int status,
@@ -18,7 +20,14 @@
     int completedTaskCount,
     int runningTaskCount,
     String message,
-    int retryAfterS) {
+    int retryAfterS,
+    long validUntilMs) {
+  /** A response that stays true for good. */
+  public static final long ALWAYS_VALID = Long.MAX_VALUE;
+
+  /** s. Least time before a user repeats a request (protocol, Users). */
+  private static final int EXPIRED_RETRY_AFTER_S = 1;
+
   private static final int OK = 200;
   private static final int CREATED = 201;
   private static final int BAD_REQUEST = 400;
@@ -69,15 +78,33 @@
 
   /** 503: the user should come again after so many seconds. */
   public static ApiResponse unavailable(String message, int retryAfterS) {
-    return new ApiResponse(SERVICE_UNAVAILABLE, null, null, 0, 0, message, retryAfterS);
+    return new ApiResponse(
+        SERVICE_UNAVAILABLE, null, null, 0, 0, message, retryAfterS, ALWAYS_VALID);
+  }
+
+  /** 503: takes the place of a response that could not leave in time. */
+  public static ApiResponse expired() {
+    return unavailable("the answer was delayed for too long, ask again", EXPIRED_RETRY_AFTER_S);
+  }
+
+  /** This response, which may leave until then and no later. */
+  public ApiResponse validUntil(long steadyMs) {
+    return new ApiResponse(
+        status, id, state, completedTaskCount, runningTaskCount, message, retryAfterS, steadyMs);
+  }
+
+  /** Whether it may leave at this moment, in steady ms; if not, {@link #expired} leaves instead. */
+  public boolean mayLeaveAt(long steadyMs) {
+    return steadyMs <= validUntilMs;
   }
 
   private static ApiResponse state(
       int status, String id, String state, int completedTaskCount, int runningTaskCount) {
-    return new ApiResponse(status, id, state, completedTaskCount, runningTaskCount, null, 0);
+    return new ApiResponse(
+        status, id, state, completedTaskCount, runningTaskCount, null, 0, ALWAYS_VALID);
   }
 
   private static ApiResponse error(int status, String message) {
-    return new ApiResponse(status, null, null, 0, 0, message, 0);
+    return new ApiResponse(status, null, null, 0, 0, message, 0, ALWAYS_VALID);
   }
 }
--- a/src/main/java/mallowstall/net/HttpServer.java
+++ b/src/main/java/mallowstall/net/HttpServer.java
@@ -28,6 +28,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongFunction;
 import mallowstall.Constants;
 
 /**
@@ -39,10 +40,22 @@
   /** One request; {@code body} is complete. */
   public record Request(String method, String path, byte[] body) {}
 
+  /** A response; {@code retryAfterS} 0: without a Retry-After header. */
+  public record Response(int status, byte[] json, int retryAfterS) {}
+
   /** Takes the response to one request, once; later calls are ignored. */
   public interface Responder {
     /** Sends the response; {@code retryAfterS} 0: without a Retry-After header. */
     void answer(int status, byte[] json, int retryAfterS);
+
+    /**
+     * Sends the response that may leave in the moment of the write, in steady ms by {@link
+     * SteadyClock}. A responder that writes to no connection has no such moment, and is in time.
+     */
+    default void answerAtDeparture(LongFunction<Response> responseAt) {
+      Response response = responseAt.apply(Long.MIN_VALUE);
+      answer(response.status(), response.json(), response.retryAfterS());
+    }
   }
 
   /** What a server does with its requests. */
@@ -205,7 +218,7 @@
     }
   }
 
-  /** One connection: its requests are answered one after the other. */
+  /** One connection: its requests are handled and answered one after the other. */
   private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
     /** The last request has arrived whole and no further one has begun. */
     private boolean complete;
@@ -225,13 +238,7 @@
       request.content().readBytes(body);
       handler.handle(
           new Request(request.method().name(), request.uri(), body),
-          (status, json, retry) -> {
-            if (!busy) {
-              return;
-            }
-            busy = false;
-            write(ctx, status, json, retry, keep);
-          });
+          new ConnectionResponder(ctx, keep));
     }
 
     @Override
@@ -242,14 +249,48 @@
         ctx.close();
       }
     }
+
+    /** Responds to one request of the connection, once. */
+    private final class ConnectionResponder implements Responder {
+      private final ChannelHandlerContext ctx;
+      private final boolean keep;
+
+      ConnectionResponder(ChannelHandlerContext ctx, boolean keep) {
+        this.ctx = ctx;
+        this.keep = keep;
+      }
+
+      @Override
+      public void answer(int status, byte[] json, int retryAfterS) {
+        if (busy) {
+          busy = false;
+          write(ctx, status, json, retryAfterS, keep);
+        }
+      }
+
+      /** What the socket doesn't take at once would leave too late: the connection is closed. */
+      @Override
+      public void answerAtDeparture(LongFunction<Response> responseAt) {
+        if (!busy) {
+          return;
+        }
+        busy = false;
+        Response response = responseAt.apply(SteadyClock.nowMs());
+        ChannelFuture written =
+            write(ctx, response.status(), response.json(), response.retryAfterS(), keep);
+        if (!written.isDone()) {
+          ctx.close();
+        }
+      }
+    }
   }
 
-  private static void write(
+  private static ChannelFuture write(
       ChannelHandlerContext ctx, int status, byte[] json, int retryAfterS, boolean keep) {
-    write(ctx, status, json, retryAfterS, keep, !keep);
+    return write(ctx, status, json, retryAfterS, keep, !keep);
   }
 
-  private static void write(
+  private static ChannelFuture write(
       ChannelHandlerContext ctx,
       int status,
       byte[] json,
@@ -275,5 +316,6 @@
     if (close) {
       written.addListener(ChannelFutureListener.CLOSE);
     }
+    return written;
   }
 }
--- a/src/main/java/mallowstall/users/UserApiHandler.java
+++ b/src/main/java/mallowstall/users/UserApiHandler.java
@@ -8,10 +8,14 @@
 import mallowstall.json.JsonWriter;
 import mallowstall.net.HttpServer.Request;
 import mallowstall.net.HttpServer.Responder;
+import mallowstall.net.HttpServer.Response;
 import mallowstall.net.HttpStatus;
 
 /** Submissions, queries and cancellations of users (protocol, Users). Runs on the event loop. */
 public final class UserApiHandler {
+  /** Instead of a response that can't leave in time. */
+  private static final Response EXPIRED = encode(ApiResponse.expired(), true);
+
   private final UserRequests core;
 
   /** Turns users' requests into events of the core. */
@@ -71,14 +75,22 @@
   }
 
   private static void respond(ApiResponse response, Responder responder, boolean brief) {
-    if (response.state() == null) {
-      responder.answer(response.status(), error(response.message()), response.retryAfterS());
+    Response encoded = encode(response, brief);
+    if (response.validUntilMs() == ApiResponse.ALWAYS_VALID) {
+      responder.answer(encoded.status(), encoded.json(), encoded.retryAfterS());
     } else {
-      responder.answer(
-          response.status(), JsonWriter.object(out -> writeState(out, response, brief)), 0);
+      responder.answerAtDeparture(steadyMs -> response.mayLeaveAt(steadyMs) ? encoded : EXPIRED);
     }
   }
 
+  private static Response encode(ApiResponse response, boolean brief) {
+    byte[] json =
+        response.state() == null
+            ? error(response.message())
+            : JsonWriter.object(out -> writeState(out, response, brief));
+    return new Response(response.status(), json, response.retryAfterS());
+  }
+
   /** Writes the state of a job; {@code brief}: without the numbers of its tasks. */
   private static void writeState(JsonGenerator out, ApiResponse response, boolean brief)
       throws IOException {
--- a/src/test/java/mallowstall/core/LateAnswersTest.java
+++ b/src/test/java/mallowstall/core/LateAnswersTest.java
@@ -37,8 +37,9 @@
     process.reach(StallPoint.BEFORE_WRITE);
     process.leave(
         () -> {
+          ApiResponse checked = process.checkedAtWrite(decided);
           process.reach(StallPoint.AFTER_VALIDITY_CHECK);
-          process.leave(() -> user.accept(decided));
+          process.leave(() -> user.accept(checked));
         });
   }
 
@@ -204,24 +205,33 @@
     openStatesWithStall(request, StallPoint.AFTER_READ_ANSWERED).assertNoneBroken();
   }
 
-  /** A peer in reach that stands still acknowledges no end, which is told without it. */
-  @ParameterizedTest
-  @EnumSource
-  void openStateThatLeavesSecondsLate(UserRequest request) {
+  private static HistoryTally openStatesWithLongStall(UserRequest request, StallPoint point) {
     HistoryTally tally = new HistoryTally();
     long seed = 15_000;
-    for (StallPoint point : List.of(StallPoint.BEFORE_WRITE, StallPoint.AFTER_VALIDITY_CHECK)) {
-      for (long stallMs : LONG_STALLS_MS) {
-        for (int i = 0; i < 4; i++) {
-          ForcedHistory history = history(seed++);
-          history.submitNow();
-          history.controller(ASKED).watchStalled = true;
-          history.process(ASKED).planStall(point, stallMs);
-          tally.add(history, history.askThenCancel(request, CANCELLED_AFTER_MS));
-        }
+    for (long stallMs : LONG_STALLS_MS) {
+      for (int i = 0; i < 4; i++) {
+        ForcedHistory history = history(seed++);
+        history.submitNow();
+        history.controller(ASKED).watchStalled = true;
+        history.process(ASKED).planStall(point, stallMs);
+        tally.add(history, history.askThenCancel(request, CANCELLED_AFTER_MS));
       }
     }
-    tally.assertNoneBroken();
+    return tally;
+  }
+
+  /** A peer in reach that stands still acknowledges no end, which is told without it. */
+  @ParameterizedTest
+  @EnumSource
+  void openStateThatLeavesSecondsLate(UserRequest request) {
+    openStatesWithLongStall(request, StallPoint.BEFORE_WRITE).assertNoneBroken();
+  }
+
+  /** As before; the process stands still after the last look at the clock that it can take. */
+  @ParameterizedTest
+  @EnumSource
+  void openStateThatLeavesSecondsLateAfterItsLastCheck(UserRequest request) {
+    openStatesWithLongStall(request, StallPoint.AFTER_VALIDITY_CHECK).assertNoneBroken();
   }
 
   /** A submission is recorded, and told only after another controller has told the job's end. */
--- a/src/test/java/mallowstall/core/SimulatedController.java
+++ b/src/test/java/mallowstall/core/SimulatedController.java
@@ -260,11 +260,16 @@
             if (simulation.nowMs - decidedMs > LATE_ANSWER_MS) {
               simulation.countFault("answer left late");
             }
-            user.accept(answer);
+            user.accept(checkedAtWrite(answer));
           });
     };
   }
 
+  /** The last look at its own clock before the write, as by the connections of a controller. */
+  ApiResponse checkedAtWrite(ApiResponse decided) {
+    return decided.mayLeaveAt(steadyMs()) ? decided : ApiResponse.expired();
+  }
+
   /** A wake-up that is due later than the next timer is replaced. */
   void scheduleWakeUp() {
     long nextMs = core.nextTimerMs();
--- a/src/test/java/mallowstall/core/StallableProcess.java
+++ b/src/test/java/mallowstall/core/StallableProcess.java
@@ -17,6 +17,7 @@
 import mallowstall.core.kernel.WatchResult;
 import mallowstall.core.kv.StateKeys;
 import mallowstall.core.model.AcceptanceReply;
+import mallowstall.core.model.ApiResponse;
 import mallowstall.core.model.JobEntry;
 import mallowstall.core.model.MachineType;
 import mallowstall.core.model.PeerMessage;
@@ -47,6 +48,11 @@
     this.processNumber = node.processNumber;
   }
 
+  /** The last look at its own clock before the write, as by the connections of a controller. */
+  ApiResponse checkedAtWrite(ApiResponse decided) {
+    return node.checkedAtWrite(decided);
+  }
+
   /** Stands still for so many ms when it next gets there. */
   void planStall(StallPoint point, long stallMs) {
     plannedStalls.put(point, stallMs);
--- /dev/null
+++ b/src/test/java/mallowstall/net/ExpiringResponseTest.java
@@ -0,0 +1,77 @@
+package mallowstall.net;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import mallowstall.net.HttpServer.Response;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a response that leaves after what it says has stopped being true. */
+class ExpiringResponseTest {
+  private static final int WAIT_MS = 10_000;
+  private static final long VALID_MS = 300;
+  private static final Response IN_TIME = new Response(404, json("no such job"), 0);
+  private static final Response LATE = new Response(503, json("late"), 1);
+
+  private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+  private HttpServer server;
+  private int port;
+
+  @BeforeEach
+  void start() {
+    server = new HttpServer(ExpiringResponseTest::handle, 50);
+    port = server.listen(group, new InetSocketAddress("127.0.0.1", 0)).join().getPort();
+  }
+
+  @AfterEach
+  void stop() {
+    server.close();
+    group.shutdownGracefully(0, 200, TimeUnit.MILLISECONDS);
+  }
+
+  /** The event that decides the response takes as many ms as the path says. */
+  private static void handle(HttpServer.Request request, HttpServer.Responder responder) {
+    long validUntilMs = SteadyClock.nowMs() + VALID_MS;
+    long busyUntilMs = SteadyClock.nowMs() + Long.parseLong(request.path().substring(1));
+    while (SteadyClock.nowMs() < busyUntilMs) {
+      Thread.onSpinWait();
+    }
+    responder.answerAtDeparture(steadyMs -> steadyMs <= validUntilMs ? IN_TIME : LATE);
+    responder.answer(200, json("a second response"), 0);
+  }
+
+  private static byte[] json(String message) {
+    return ("{\"error\":\"" + message + "\"}").getBytes(StandardCharsets.UTF_8);
+  }
+
+  private String responseTo(String path) throws IOException {
+    try (Socket socket = new Socket("127.0.0.1", port)) {
+      socket.setSoTimeout(WAIT_MS);
+      String request = "GET " + path + " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+      socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+      return new String(socket.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+    }
+  }
+
+  @Test
+  void aResponseLeavesBeforeItsDeadline() throws IOException {
+    String response = responseTo("/0");
+    assertTrue(response.startsWith("HTTP/1.1 404"), response);
+    assertTrue(response.endsWith("{\"error\":\"no such job\"}"), response);
+  }
+
+  @Test
+  void aResponseWhoseEventTookTooLongIsReplaced() throws IOException {
+    String response = responseTo("/" + 2 * VALID_MS);
+    assertTrue(response.startsWith("HTTP/1.1 503"), response);
+    assertTrue(response.contains("retry-after: 1"), response);
+    assertTrue(response.endsWith("{\"error\":\"late\"}"), response);
+  }
+}
