A lease on a job's absence outlasts every listener, or its refusals have left

What callers saw: 404, 400 or 422 after another controller told 201 (forgotten).

Mend: a lease lasts 5.05 s, longer than any user listens, or until the asker says that the refusals have left, in an event after theirs. A new process tells its peers that it has begun (FormerLeases); a peer gives up what rests on the former leases and replies, and until all have, or 5.05 s after the start, no job is called accepted. Queries of replaced processes are ignored, a reordered one shortens no lease. A lease holds back ends too. Workers don't wait: the port opens for them 1 s after the start.

Program version 4; no message has changed. In the simulation messages about questions draw their delays apart, so that a question changes nothing else of a history.

--- a/src/main/java/mallowstall/Controller.java
+++ b/src/main/java/mallowstall/Controller.java
@@ -55,6 +55,9 @@
   /** ms. A stopping event loop ends after this in any case. */
   private static final long STOP_TIMEOUT_MS = 500;
 
+  /** ms. Workers needn't wait any longer for what only users' requests still need. */
+  private static final long INITIALIZED_LISTEN_DELAY_MAX_MS = 1_000;
+
   private final NioEventLoopGroup group = new NioEventLoopGroup(1);
   private final EventLoop loop = group.next();
   private final Settings settings;
@@ -122,7 +125,7 @@
 
   /**
    * Connects to peers and begins to tick. The port for users and workers opens once requests can be
-   * taken, or at the latest after {@link Constants#LISTEN_DELAY_MAX_MS}: turning away hundreds of
+   * taken, or at the latest after {@link Constants.LISTEN_DELAY_MAX_MS}: turning away hundreds of
    * workers one by one takes all the processor time that getting ready needs, and a closed port
    * sends them on as well. Call it once.
    *
@@ -149,7 +152,9 @@
       return;
     }
     long waitedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNanos);
-    if (core.isReady() || waitedMs >= Constants.LISTEN_DELAY_MAX_MS) {
+    long maxDelayMs =
+        core.isInitialized() ? INITIALIZED_LISTEN_DELAY_MAX_MS : Constants.LISTEN_DELAY_MAX_MS;
+    if (core.isReady() || waitedMs >= maxDelayMs) {
       listen();
     }
   }
--- a/src/main/java/mallowstall/core/ControllerCore.java
+++ b/src/main/java/mallowstall/core/ControllerCore.java
@@ -5,6 +5,7 @@
 import mallowstall.Constants;
 import mallowstall.core.api.AbsenceLeases;
 import mallowstall.core.api.AcceptanceLookup;
+import mallowstall.core.api.FormerLeases;
 import mallowstall.core.api.HeartbeatReceiver;
 import mallowstall.core.api.JobApi;
 import mallowstall.core.api.OutcomeAnnouncer;
@@ -67,6 +68,7 @@
   private final OutcomeAnnouncer outcomes;
   private final AcceptanceLookup acceptances;
   private final AbsenceLeases absenceLeases;
+  private final FormerLeases formerLeases;
   private final JobApi jobApi;
 
   /**
@@ -114,7 +116,16 @@
             cluster.store,
             cluster.clusterVersion,
             cluster.connectivity);
-    absenceLeases = new AbsenceLeases(cluster.clock, settings, effects, cluster.store);
+    formerLeases =
+        new FormerLeases(cluster.clock, settings, effects, cluster.store, cluster.clusterVersion);
+    absenceLeases =
+        new AbsenceLeases(
+            cluster.clock,
+            settings,
+            effects,
+            cluster.store,
+            formerLeases,
+            acceptances::giveUpUnanswered);
     jobApi = newJobApi();
     cluster.store.subscribe(newDispatcher());
   }
@@ -155,6 +166,7 @@
         outcomes,
         acceptances,
         absenceLeases,
+        formerLeases,
         jobLeader::running);
   }
 
@@ -212,6 +224,7 @@
     }
     machines.maintenance.tick();
     jobLeader.tick();
+    formerLeases.tick();
     placement.quotaLedger.tick();
     autoscaling.autoscaler.tick();
     digestPublisher.tick();
@@ -249,6 +262,11 @@
     runDueWork();
   }
 
+  /** Whether workers can be served; users' requests perhaps not yet. */
+  public boolean isInitialized() {
+    return jobApi.isInitialized();
+  }
+
   /** Whether users' requests can be served. */
   public boolean isReady() {
     return jobApi.isReady();
@@ -257,6 +275,7 @@
   @Override
   public void peerConnected(String node, long connection) {
     cluster.messenger.peerConnected(node, connection);
+    acceptances.giveUpUnanswered();
   }
 
   @Override
@@ -275,6 +294,7 @@
       absenceLeases.receive(query);
     } else if (message instanceof AcceptanceReply reply) {
       acceptances.receive(reply);
+      formerLeases.receive(reply);
     } else if (message instanceof AcceptanceQueryEnd queryEnd) {
       absenceLeases.receive(queryEnd);
     }
--- a/src/main/java/mallowstall/core/api/AbsenceLeases.java
+++ b/src/main/java/mallowstall/core/api/AbsenceLeases.java
@@ -1,6 +1,7 @@
 package mallowstall.core.api;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -22,8 +23,11 @@
  * event loop's.
  */
 public final class AbsenceLeases {
-  /** ms. Longer than any peer answers by a lease, which it counts from before it asked. */
-  static final long LEASE_MS = AnswerValidity.VALID_MS + AnswerValidity.MARGIN_MS;
+  /**
+   * ms. Longer than any user waits for an answer, counted from when the asking controller's message
+   * arrives: so a refusal that rests on the lease reaches nobody after it, however late it leaves.
+   */
+  static final long LEASE_MS = AnswerValidity.USER_TIMEOUT_MS + AnswerValidity.MARGIN_MS;
 
   /** Count. Beyond it this controller vouches for no further job. */
   static final int LEASES_MAX = 10_000;
@@ -32,6 +36,11 @@
   private final CoreSettings settings;
   private final Effects effects;
   private final StateStore store;
+  private final FormerLeases formerLeases;
+  private final Runnable onNewPeerProcess;
+
+  /** The newest known process of each peer, by its incarnation. */
+  private final Map<String, Long> peerIncarnations = new HashMap<>();
 
   /** Leases by job and by the controller that has them, in the order in which they end. */
   private final Map<LeaseKey, Lease> leases = new LinkedHashMap<>();
@@ -39,10 +48,13 @@
   /** Jobs that are being recorded, and are called accepted as soon as they are. */
   private final Set<String> submissionsInFlight = new HashSet<>();
 
-  /** Each controller has one lease on a job at most, the one that was granted last. */
+  /** Each controller has one lease on a job at most, which every grant extends. */
   private record LeaseKey(String job, String node) {}
 
-  /** A lease that was granted for a query of a process; {@code endMs} is steady time. */
+  /**
+   * A lease that was granted to a process, for its queries up to {@code serial}; {@code endMs} is
+   * steady time.
+   */
   private record Lease(long incarnation, long serial, long endMs) {
     /** Whether the controller has no use for the lease once that query has ended. */
     boolean endsWith(AcceptanceQueryEnd queryEnd) {
@@ -50,12 +62,24 @@
     }
   }
 
-  /** Grants no lease before the first query; answers leave through {@code effects}. */
-  public AbsenceLeases(EventClock clock, CoreSettings settings, Effects effects, StateStore store) {
+  /**
+   * Grants no lease before the first query; answers leave through {@code effects}.
+   *
+   * @param onNewPeerProcess gives up what rests on leases of a peer's process that was replaced
+   */
+  public AbsenceLeases(
+      EventClock clock,
+      CoreSettings settings,
+      Effects effects,
+      StateStore store,
+      FormerLeases formerLeases,
+      Runnable onNewPeerProcess) {
     this.clock = clock;
     this.settings = settings;
     this.effects = effects;
     this.store = store;
+    this.formerLeases = formerLeases;
+    this.onNewPeerProcess = onNewPeerProcess;
   }
 
   /** The job is being recorded; until that has ended no lease is granted on it. */
@@ -70,7 +94,7 @@
 
   /** Whether users may be told now that the job was accepted. */
   boolean mayCallAccepted(String job) {
-    if (!hasOutlivedFormerLeases()) {
+    if (!formerLeases.areOver()) {
       return false;
     }
     for (String peer : settings.peers()) {
@@ -82,14 +106,19 @@
     return true;
   }
 
-  /** Whether no lease that a former process of this controller granted can last any more. */
-  boolean hasOutlivedFormerLeases() {
-    boolean started = clock.startedAtMs() > 0;
-    return settings.peers().isEmpty() || (started && clock.now() - clock.startedAtMs() >= LEASE_MS);
-  }
-
-  /** A peer is about to tell users that these jobs were never accepted. */
+  /**
+   * A peer is about to tell users that these jobs were never accepted. A query of a former process
+   * of the peer comes late, and needs no reply.
+   */
   public void receive(AcceptanceQuery query) {
+    long newest = peerIncarnations.getOrDefault(query.node(), 0L);
+    if (!settings.peers().contains(query.node()) || query.incarnation() < newest) {
+      return;
+    }
+    if (query.incarnation() > newest) {
+      peerIncarnations.put(query.node(), query.incarnation());
+      onNewPeerProcess.run();
+    }
     forgetEnded();
     List<String> possiblyAccepted = new ArrayList<>();
     for (String job : query.jobs()) {
@@ -111,8 +140,13 @@
       return false; // a lease that was granted on the job before stays
     }
     LeaseKey key = new LeaseKey(job, query.node());
-    leases.remove(key);
-    leases.put(key, new Lease(query.incarnation(), query.serial(), clock.now() + LEASE_MS));
+    Lease previous = leases.remove(key);
+    boolean isReordered =
+        previous != null
+            && previous.incarnation == query.incarnation()
+            && previous.serial > query.serial();
+    long serial = isReordered ? previous.serial : query.serial();
+    leases.put(key, new Lease(query.incarnation(), serial, clock.now() + LEASE_MS));
     return true;
   }
 
--- a/src/main/java/mallowstall/core/api/AcceptanceLookup.java
+++ b/src/main/java/mallowstall/core/api/AcceptanceLookup.java
@@ -38,9 +38,6 @@
   /** Count. Lookups that wait for a query or for its replies. */
   static final int LOOKUPS_MAX = 2_000;
 
-  /** ms. What an answer takes on its way out, so that it is there before a peer may go on. */
-  private static final long ANSWER_SENT_MS = 50;
-
   private final EventClock clock;
   private final CoreSettings settings;
   private final Effects effects;
@@ -54,7 +51,11 @@
   /** Queries that some peer hasn't answered yet, by their serial, the oldest first. */
   private final Map<Long, Query> unanswered = new LinkedHashMap<>();
 
-  private long lastSerial;
+  private long lastSerial = FormerLeases.SERIAL;
+
+  /** Peers were told, or will be, that queries up to this one have ended. */
+  private long lastEndedSerial = lastSerial;
+
   private long lastQueryMs = Long.MIN_VALUE / 2;
   private boolean queryScheduled;
   private int pendingLookups;
@@ -62,12 +63,12 @@
   /** One question about a job; it is called back exactly once. */
   private final class Lookup {
     private final String job;
-    private final long deadlineMs;
+    private final long validUntilMs;
     private Consumer<Absence> callback;
 
-    Lookup(String job, long deadlineMs, Consumer<Absence> callback) {
+    Lookup(String job, long validUntilMs, Consumer<Absence> callback) {
       this.job = job;
-      this.deadlineMs = deadlineMs;
+      this.validUntilMs = validUntilMs;
       this.callback = callback;
       pendingLookups++;
     }
@@ -79,8 +80,9 @@
       Consumer<Absence> completed = callback;
       callback = null;
       pendingLookups--;
-      boolean inTime = clock.now() <= deadlineMs;
-      completed.accept(inTime ? absence : Absence.UNCONFIRMED);
+      // a peer may have come back as an older version, whose leases end sooner
+      boolean counts = clock.now() <= validUntilMs && clusterVersion.allowsAcceptanceQueries();
+      completed.accept(counts ? absence : Absence.UNCONFIRMED);
     }
   }
 
@@ -97,11 +99,12 @@
       silentPeers = new HashSet<>(peers);
     }
 
+    /** Answers all lookups; without the word of all peers none of them is confirmed. */
     void complete() {
       lookups.forEach(
           (job, asked) -> {
-            Absence absence =
-                possiblyAccepted.contains(job) ? Absence.UNCONFIRMED : Absence.CONFIRMED;
+            boolean confirmed = silentPeers.isEmpty() && !possiblyAccepted.contains(job);
+            Absence absence = confirmed ? Absence.CONFIRMED : Absence.UNCONFIRMED;
             asked.forEach(lookup -> lookup.complete(absence));
           });
     }
@@ -126,10 +129,10 @@
   /**
    * Calls back, once and perhaps at once, whether the job was never accepted.
    *
-   * @param deadlineMs steady ms after which the absence isn't confirmed any more; it must lie
-   *     within the lease that peers grant, counted from now
+   * @param validUntilMs steady ms after which the absence isn't confirmed any more: at most {@link
+   *     AnswerValidity#VALID_MS} from now
    */
-  void lookUp(String job, long deadlineMs, Consumer<Absence> callback) {
+  void lookUp(String job, long validUntilMs, Consumer<Absence> callback) {
     if (settings.peers().isEmpty()) {
       callback.accept(Absence.CONFIRMED);
       return;
@@ -140,9 +143,9 @@
       callback.accept(Absence.UNCONFIRMED);
       return;
     }
-    Lookup lookup = new Lookup(job, deadlineMs, callback);
+    Lookup lookup = new Lookup(job, validUntilMs, callback);
     clock.schedule(
-        Math.max(0, deadlineMs - clock.now() + 1), () -> lookup.complete(Absence.UNCONFIRMED));
+        Math.max(0, validUntilMs - clock.now() + 1), () -> lookup.complete(Absence.UNCONFIRMED));
     unsent.add(lookup);
     scheduleQuery();
   }
@@ -158,13 +161,17 @@
 
   private void sendQuery() {
     queryScheduled = false;
+    unsent.removeIf(lookup -> lookup.callback == null);
+    if (unsent.isEmpty()) {
+      return;
+    }
     lastQueryMs = clock.now();
     long serial = ++lastSerial;
     Query query = new Query(unsent, settings.peers());
     unsent.clear();
     unanswered.put(serial, query);
-    // by then the deadlines of all its lookups have passed
-    clock.schedule(AbsenceLeases.LEASE_MS, () -> unanswered.remove(serial));
+    // by then all its lookups have been given up
+    clock.schedule(AnswerValidity.VALID_MS + 1, () -> close(serial));
     List<String> jobs = List.copyOf(query.lookups.keySet());
     for (String peer : settings.peers()) {
       effects.send(peer, new AcceptanceQuery(settings.node(), store.incarnation(), serial, jobs));
@@ -181,17 +188,41 @@
     }
     query.possiblyAccepted.addAll(reply.possiblyAccepted());
     if (query.silentPeers.isEmpty()) {
-      unanswered.remove(reply.serial());
-      query.complete();
-      if (isOlderThanUnanswered(reply.serial())) {
-        clock.schedule(ANSWER_SENT_MS, () -> sendEnd(reply.serial()));
-      }
+      close(reply.serial());
+    }
+  }
+
+  /**
+   * A new process of a peer may have begun. The leases that its predecessor granted count no more,
+   * so whatever was to be confirmed by them isn't.
+   */
+  public void giveUpUnanswered() {
+    List.copyOf(unanswered.keySet()).forEach(this::close);
+  }
+
+  /** Answers all that still waits for the query's replies, of which no more are awaited. */
+  private void close(long serial) {
+    Query query = unanswered.remove(serial);
+    if (query == null) {
+      return;
     }
+    query.complete();
+    endLeases();
   }
 
-  /** Whether no earlier query needs its leases any more, which the end of this one ends, too. */
-  private boolean isOlderThanUnanswered(long serial) {
-    return unanswered.isEmpty() || serial < unanswered.keySet().iterator().next();
+  /**
+   * Ends the leases of queries that have ended, once their answers have left. Peers end the leases
+   * of all queries up to the one that they are told, so earlier ones must have ended, too.
+   */
+  private void endLeases() {
+    long ended = unanswered.isEmpty() ? lastSerial : unanswered.keySet().iterator().next() - 1;
+    if (ended <= lastEndedSerial) {
+      return;
+    }
+    lastEndedSerial = ended;
+    // The clock stands still until this event's answers have left, however long that takes; the
+    // next event's doesn't show any time before.
+    clock.schedule(1, () -> clock.schedule(AnswerValidity.MARGIN_MS, () -> sendEnd(ended)));
   }
 
   private void sendEnd(long serial) {
--- a/src/main/java/mallowstall/core/api/JobApi.java
+++ b/src/main/java/mallowstall/core/api/JobApi.java
@@ -36,7 +36,7 @@
   private final JobBitmaps jobBitmaps;
   private final MachineTypeCatalog types;
   private final Connectivity connectivity;
-  private final AbsenceLeases absenceLeases;
+  private final FormerLeases formerLeases;
   private final FreshJobReader reader;
   private final JobResponder responder;
   private final JobSubmission submissions;
@@ -67,12 +67,13 @@
       OutcomeAnnouncer outcomes,
       AcceptanceLookup acceptances,
       AbsenceLeases absenceLeases,
+      FormerLeases formerLeases,
       ToIntFunction<String> runningTasks) {
     this.store = store;
     this.jobBitmaps = jobBitmaps;
     this.types = types;
     this.connectivity = connectivity;
-    this.absenceLeases = absenceLeases;
+    this.formerLeases = formerLeases;
     reader = new FreshJobReader(clock, store, acceptances);
     responder = new JobResponder(store, cancellations, outcomes, absenceLeases, runningTasks);
     submissions =
@@ -96,15 +97,19 @@
     }
   }
 
-  /** Whether users' requests can be served: the state replica and the machine types are here. */
-  public boolean isReady() {
+  /** Whether the state replica and the machine types are here, and workers can be served. */
+  public boolean isInitialized() {
     return store.synced()
         && store.incarnation() != 0
         && !types.isEmpty()
-        && absenceLeases.hasOutlivedFormerLeases()
         && !connectivity.isIsolatedFromStateService();
   }
 
+  /** Whether users' requests can be served. */
+  public boolean isReady() {
+    return isInitialized() && formerLeases.areOver();
+  }
+
   /**
    * Accepts a submission once its entry is written, or responds why not. A repeated submission gets
    * the state of the job.
--- a/src/main/java/mallowstall/core/api/JobResponder.java
+++ b/src/main/java/mallowstall/core/api/JobResponder.java
@@ -46,7 +46,8 @@
   void respondWithState(JobEntry stored, long validUntilMs, Consumer<ApiResponse> reply) {
     JobEntry job = withKnownOutcome(stored);
     if (job.isTerminal()) {
-      outcomes.whenSettled(job.spec().id(), job.outcome(), () -> reply.accept(ended(job)));
+      outcomes.whenSettled(
+          job.spec().id(), job.outcome(), () -> respondUnlessAbsenceLeased(ended(job), reply));
     } else {
       respondUnlessAbsenceLeased(open(job).validUntil(validUntilMs), reply);
     }
--- a/src/main/java/mallowstall/core/cluster/ClusterVersion.java
+++ b/src/main/java/mallowstall/core/cluster/ClusterVersion.java
@@ -37,9 +37,9 @@
     return lowestVersion() >= ProgramVersion.WITH_OUTCOME_ANNOUNCEMENTS;
   }
 
-  /** Whether every controller knows the messages by which peers are asked about acceptances. */
+  /** Whether a refusal may rest on the leases that peers grant when asked about acceptances. */
   public boolean allowsAcceptanceQueries() {
-    return lowestVersion() >= ProgramVersion.WITH_ACCEPTANCE_QUERIES;
+    return lowestVersion() >= ProgramVersion.WITH_LASTING_LEASES;
   }
 
   private int lowestVersion() {
--- a/src/main/java/mallowstall/core/model/ProgramVersion.java
+++ b/src/main/java/mallowstall/core/model/ProgramVersion.java
@@ -14,8 +14,14 @@
   /** The first version that asks its peers before it tells users that a job was never accepted. */
   public static final int WITH_ACCEPTANCE_QUERIES = 3;
 
+  /**
+   * The first version whose leases on the absence of a job last as long as a refusal may be on its
+   * way, and that gives up what rests on a lease when the process that granted it was replaced.
+   */
+  public static final int WITH_LASTING_LEASES = 4;
+
   /** The version of this program. */
-  public static final int CURRENT = WITH_ACCEPTANCE_QUERIES;
+  public static final int CURRENT = WITH_LASTING_LEASES;
 
   private ProgramVersion() {}
 }
--- /dev/null
+++ b/src/test/java/mallowstall/core/AnswersOnTheirWayTest.java
@@ -0,0 +1,131 @@
+package mallowstall.core;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.function.Consumer;
+import mallowstall.core.model.ApiResponse;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/**
+ * Guards against a refusal that reaches its user after the job's end was told (forgotten), and
+ * against answers that are late on their way after they have left (forgotten, went_back).
+ */
+class AnswersOnTheirWayTest {
+  private static final String ASKED = ForcedHistory.ASKED;
+  private static final String OTHER = ForcedHistory.OTHER;
+
+  private static ForcedHistory history(long seed, long runMs) {
+    return new ForcedHistory(seed, runMs, LateAnswersTest::write);
+  }
+
+  /** The lease holds back "pending", but not "cancelled" or "done" of the same job. */
+  @ParameterizedTest
+  @EnumSource(names = {"QUERY", "CANCELLATION", "MALFORMED_SUBMISSION", "IMPOSSIBLE_SUBMISSION"})
+  void cancelledIsToldDuringALease(UserRequest request) {
+    HistoryTally tally = new HistoryTally();
+    for (int i = 0; i < 10; i++) {
+      ForcedHistory history = history(30_000 + i, 300_000);
+      history.delayLeases(0);
+      history.process(ASKED).planStall(StallPoint.AFTER_VALIDITY_CHECK, 1_840);
+      ForcedHistory.Exchange asked = history.ask(ASKED, request);
+      history.run(130);
+      ForcedHistory.Exchange submission = history.ask(OTHER, UserRequest.SUBMISSION);
+      history.run(60 + 10 * i);
+      ForcedHistory.Attempts cancellation =
+          history.askUntilTold(OTHER, UserRequest.CANCELLATION, 1_000);
+      history.finish(cancellation);
+      assertEquals(1, submission.answers);
+      tally.add(history, history.endRecordedMs > 0 && history.endRecordedMs < asked.leftMs);
+    }
+    tally.assertNoneBroken();
+  }
+
+  /** As before, by the job's last task. */
+  @ParameterizedTest
+  @EnumSource(names = {"CANCELLATION", "MALFORMED_SUBMISSION", "IMPOSSIBLE_SUBMISSION"})
+  void doneIsToldDuringALease(UserRequest request) {
+    HistoryTally tally = new HistoryTally();
+    for (int i = 0; i < 20; i++) {
+      ForcedHistory history = history(31_000 + i, 300);
+      history.delayLeases(0);
+      history.process(ASKED).planStall(StallPoint.AFTER_VALIDITY_CHECK, 4_800);
+      ForcedHistory.Exchange asked = history.ask(ASKED, request);
+      history.run(130);
+      history.ask(OTHER, UserRequest.SUBMISSION);
+      history.askUntilTold(OTHER, UserRequest.QUERY, 100);
+      history.run(8_000);
+      tally.add(history, history.endRecordedMs > 0 && history.endRecordedMs < asked.leftMs);
+    }
+    tally.assertNoneBroken();
+  }
+
+  /** The refusal has left its process in time, and TCP delivers it late. */
+  @ParameterizedTest
+  @EnumSource(names = {"QUERY", "CANCELLATION", "MALFORMED_SUBMISSION", "IMPOSSIBLE_SUBMISSION"})
+  void refusalThatArrivesLate(UserRequest request) {
+    HistoryTally tally = new HistoryTally();
+    for (int i = 0; i < 20; i++) {
+      ForcedHistory[] holder = new ForcedHistory[1];
+      long delayMs = 300 + 50L * i;
+      ForcedHistory history =
+          new ForcedHistory(
+              32_000 + i,
+              300_000,
+              (process, decided, user) ->
+                  LateAnswersTest.write(process, decided, delayRefusals(holder, user, delayMs)));
+      holder[0] = history;
+      history.delayLeases(0);
+      tally.add(history, history.askThenSubmit(request, 130));
+    }
+    tally.assertNoneBroken();
+  }
+
+  private static Consumer<ApiResponse> delayRefusals(
+      ForcedHistory[] holder, Consumer<ApiResponse> user, long delayMs) {
+    return response -> {
+      boolean refusal = response.status() >= 400 && response.status() < 500;
+      if (refusal) {
+        holder[0].trace("a refusal has left its process, late on its way");
+        holder[0].simulation.schedule(delayMs, () -> user.accept(response));
+      } else {
+        user.accept(response);
+      }
+    };
+  }
+
+  /** Open state that is late on its way only, after its process has acknowledged the end. */
+  @Test
+  void openStateThatArrivesLate() {
+    HistoryTally tally = new HistoryTally();
+    for (int i = 0; i < 20; i++) {
+      ForcedHistory[] holder = new ForcedHistory[1];
+      long delayMs = 300 + 50L * i;
+      ForcedHistory history =
+          new ForcedHistory(
+              33_000 + i,
+              300_000,
+              (process, decided, user) ->
+                  LateAnswersTest.write(
+                      process,
+                      decided,
+                      response -> {
+                        if (holder[0].nowMs() > 14_000
+                            && List.of("pending", "running")
+                                .contains(String.valueOf(response.state()))) {
+                          holder[0].trace("an open state has left its process");
+                          holder[0].simulation.schedule(delayMs, () -> user.accept(response));
+                        } else {
+                          user.accept(response);
+                        }
+                      }));
+      holder[0] = history;
+      history.askUntilTold(OTHER, UserRequest.SUBMISSION, 1_000);
+      history.run(6_000);
+      tally.add(history, history.askThenCancel(UserRequest.QUERY, 60));
+    }
+    tally.assertNoneBroken();
+  }
+}
--- a/src/test/java/mallowstall/core/PeerLink.java
+++ b/src/test/java/mallowstall/core/PeerLink.java
@@ -3,6 +3,8 @@
 import java.util.HashMap;
 import java.util.Map;
 import mallowstall.core.model.AcceptanceQuery;
+import mallowstall.core.model.AcceptanceQueryEnd;
+import mallowstall.core.model.AcceptanceReply;
 import mallowstall.core.model.PeerMessage;
 import mallowstall.core.model.StatusUpdate;
 import mallowstall.core.model.StopBatch;
@@ -92,8 +94,7 @@
     // in order; across a partition it is delivered late
     long when =
         Math.max(
-            simulation.nowMs + simulation.randomDelayMs() / 2,
-            lastArrivalMs.getOrDefault(peer, 0L));
+            simulation.nowMs + randomDelayMs(message) / 2, lastArrivalMs.getOrDefault(peer, 0L));
     if (Boolean.TRUE.equals(node.partitionedPeers.get(peer))) {
       when =
           Math.max(
@@ -115,6 +116,14 @@
         });
   }
 
+  private long randomDelayMs(PeerMessage message) {
+    boolean isAboutQuestion =
+        message instanceof AcceptanceQuery
+            || message instanceof AcceptanceReply
+            || message instanceof AcceptanceQueryEnd;
+    return isAboutQuestion ? simulation.randomQuestionDelayMs() : simulation.randomDelayMs();
+  }
+
   /** The node's process has ended: its connections have, too. */
   void closeAll() {
     connectionIds.clear();
--- a/src/test/java/mallowstall/core/Simulation.java
+++ b/src/test/java/mallowstall/core/Simulation.java
@@ -51,6 +51,9 @@
 
   final SplittableRandom random;
 
+  /** For what users' questions alone cause, so that a question changes nothing else by chance. */
+  private final SplittableRandom questionRandom;
+
   final Map<String, Team> teams =
       Map.of("free", new Team("free", 0, 0, 0, 0), "tight", new Team("tight", 8, 24, 0, 0));
 
@@ -151,6 +154,7 @@
     this.controllerLimits = controllerLimits;
     this.recorder = recorder;
     random = new SplittableRandom(seed);
+    questionRandom = new SplittableRandom(~seed);
     for (String name : NODES) {
       controllers.put(name, new SimulatedController(this, name, programVersion));
     }
@@ -197,6 +201,15 @@
   }
 
   long randomDelayMs() {
+    return randomDelayMs(random);
+  }
+
+  /** The same for a message that is about a user's question alone. */
+  long randomQuestionDelayMs() {
+    return randomDelayMs(questionRandom);
+  }
+
+  private static long randomDelayMs(SplittableRandom random) {
     return random.nextInt(100) < 3 ? 100 + random.nextInt(300) : 1 + random.nextInt(8);
   }
 
