Bad input is refused only after the word of all peers, also without contact

Cause: without contact with the state service for 1 s, or with an incomplete replica, bad input was refused at once. Sessions are renewed only every 1.2 s, so a healthy controller in a quiet cluster counts as without contact, too, and so does one that wakes from a pause.

Mend: without contact the peers are asked without a read, since whoever has told an acceptance has the entry in its replica; the own replica must be complete. 503 if it isn't or a peer is silent. A controller that is configured alone answers as before.

Test changed: DelayedRequestsTest wanted the 400 in an outage in the very event of the request. No word of a peer can be had by then, and such a refusal is the fault. It now wants exactly one answer, 400, within 500 ms: one exchange that may wait 100 ms for the one before and is slow both ways.

--- a/src/main/java/mallowstall/core/api/FreshJobReader.java
+++ b/src/main/java/mallowstall/core/api/FreshJobReader.java
@@ -83,6 +83,17 @@
     return confirmedAbsence(id, absence, validUntilMs);
   }
 
+  /**
+   * Finds out without the state service whether the job was never accepted, and finds no entry.
+   * Whoever has called it accepted has its entry in the replica; so has a successor whose replica
+   * is complete, as this one's must be.
+   */
+  void confirmAbsence(String id, Consumer<JobRead> callback) {
+    long validUntilMs = clock.now() + AnswerValidity.VALID_MS;
+    acceptances.lookUp(
+        id, validUntilMs, absence -> callback.accept(confirmedAbsence(id, absence, validUntilMs)));
+  }
+
   private JobRead confirmedAbsence(String id, AcceptanceLookup.Absence absence, long validUntilMs) {
     boolean neverAccepted = store.job(id) == null && absence == AcceptanceLookup.Absence.CONFIRMED;
     return neverAccepted ? JobRead.notFound(validUntilMs) : JobRead.UNCONFIRMED;
--- a/src/main/java/mallowstall/core/api/JobSubmission.java
+++ b/src/main/java/mallowstall/core/api/JobSubmission.java
@@ -135,13 +135,16 @@
    * controller of another version): then the response is the job's state.
    */
   void reject(String id, ApiResponse rejection, Consumer<ApiResponse> reply) {
-    boolean inContact = clock.now() - store.lastContactMs() <= AnswerValidity.VALID_MS;
     if (store.job(id) != null) {
       query.accept(id, reply);
-    } else if (store.synced() && inContact) {
-      reader.read(id, read -> respondUnlessFound(id, read, rejection, reply));
+    } else if (!store.synced()) {
+      // peers can't vouch for what a former process of this controller may have accepted
+      boolean isAlone = settings.peers().isEmpty();
+      reply.accept(isAlone ? rejection : responder.withoutStateService());
+    } else if (clock.now() - store.lastContactMs() > AnswerValidity.VALID_MS) {
+      reader.confirmAbsence(id, read -> responder.respondWithoutEntry(id, read, rejection, reply));
     } else {
-      reply.accept(rejection);
+      reader.read(id, read -> respondUnlessFound(id, read, rejection, reply));
     }
   }
 
--- a/src/test/java/mallowstall/core/DelayedRequestsTest.java
+++ b/src/test/java/mallowstall/core/DelayedRequestsTest.java
@@ -25,6 +25,9 @@
 class DelayedRequestsTest {
   private static final String CANCELLED_JOB = "wk-000001";
 
+  /** ms. A query to the peers may wait for the one before, and both ways may be slow. */
+  private static final long PEERS_ASKED_WITHIN_MS = 500;
+
   /**
    * A controller's former incarnation asked for its session, without an answer; it is carried out
    * after the new process has its own, and ends with the former one's lease. The new one must not
@@ -137,7 +140,7 @@
         assertEquals(id.equals(CANCELLED_JOB) ? 200 : 400, responses.get(1).status());
       }
     }
-    // at once also while the state service can't be asked
+    // also while the state service can't be asked, once all peers have been
     sim.stateService.outage = true;
     sim.runUntil(sim.nowMs + 5_000);
     List<ApiResponse> responses = new ArrayList<>();
@@ -145,6 +148,8 @@
     controller.enqueueEvent(
         () ->
             controller.core.rejectSubmission("wk-000778", "oficio must be batch", responses::add));
+    sim.runUntil(sim.nowMs + PEERS_ASKED_WITHIN_MS);
+    assertEquals(1, responses.size(), "answered once, and at once");
     assertEquals(400, responses.get(0).status());
     controller.enqueueEvent(
         () ->
