Requests of one HTTP connection are handled one after the other

What callers could have seen: the answer to a second request on a connection before that to the first, so a 404 of one job is taken for that of another; or no answer to the second.

Cause: each request was handed on as it came, and one flag stood for all of a connection.

Mend: requests wait for the one before them, eight at most, then the connection is closed; the next one is an event of its own. What is too large or no HTTP while another request is unanswered closes the connection.

The protocol rules out pipelining; this holds for a user who gives up and asks again on the same connection.

--- a/src/main/java/mallowstall/net/HttpServer.java
+++ b/src/main/java/mallowstall/net/HttpServer.java
@@ -23,6 +23,8 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -67,6 +69,9 @@
   /** Limits for slow requests and idle connections, and the interval at which they are checked. */
   record Timeouts(long slowRequestMs, long idleMs, long sweepMs) {}
 
+  /** Count. Requests of a connection that wait for the answer to an earlier one. */
+  private static final int WAITING_REQUESTS_MAX = 8;
+
   private static final byte[] BODY_TOO_LARGE =
       "{\"error\":\"the body is larger than 64 KiB\"}".getBytes(StandardCharsets.UTF_8);
   private static final byte[] INVALID_REQUEST =
@@ -128,7 +133,7 @@
         .addLast(
             new IdleTracker(connection),
             new HttpServerCodec(4096, 8192, 8192),
-            new BodyAggregator(),
+            new BodyAggregator(connection),
             connection);
   }
 
@@ -152,12 +157,18 @@
 
   /** Collects a request's body; one over the limit is answered with 400, as the protocol says. */
   private static final class BodyAggregator extends HttpObjectAggregator {
-    BodyAggregator() {
+    private final Connection connection;
+
+    BodyAggregator(Connection connection) {
       super(Constants.BODY_MAX_BYTES);
+      this.connection = connection;
     }
 
     @Override
     protected void handleOversizedMessage(ChannelHandlerContext ctx, HttpMessage message) {
+      if (connection.closeIfBusy(ctx)) {
+        return;
+      }
       write(ctx, HttpStatus.BAD_REQUEST, BODY_TOO_LARGE, 0, false, false);
       // closing with unread bytes resets the connection, and the sender may never see the answer
       ctx.executor()
@@ -218,8 +229,14 @@
     }
   }
 
+  /** A request as it was received; null {@code request}: it isn't valid HTTP. */
+  private record Received(Request request, boolean keep) {}
+
   /** One connection: its requests are handled and answered one after the other. */
   private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
+    /** Requests that came before the one ahead of them was answered, in their order. */
+    private final Deque<Received> waiting = new ArrayDeque<>();
+
     /** The last request has arrived whole and no further one has begun. */
     private boolean complete;
 
@@ -228,32 +245,70 @@
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
       complete = true;
-      busy = true;
-      boolean keep = HttpUtil.isKeepAlive(request);
+      Received received = received(request);
+      if (!busy) {
+        handle(ctx, received);
+      } else if (waiting.size() < WAITING_REQUESTS_MAX) {
+        waiting.add(received);
+      } else {
+        ctx.close();
+      }
+    }
+
+    private static Received received(FullHttpRequest request) {
       if (!request.decoderResult().isSuccess()) {
-        write(ctx, HttpStatus.BAD_REQUEST, INVALID_REQUEST, 0, false);
-        return;
+        return new Received(null, false);
       }
       byte[] body = new byte[request.content().readableBytes()];
       request.content().readBytes(body);
-      handler.handle(
-          new Request(request.method().name(), request.uri(), body),
-          new ConnectionResponder(ctx, keep));
+      return new Received(
+          new Request(request.method().name(), request.uri(), body), HttpUtil.isKeepAlive(request));
     }
 
-    @Override
-    public void exceptionCaught(ChannelHandlerContext ctx, Throwable failure) {
-      if (failure instanceof TooLongFrameException) {
+    private void handle(ChannelHandlerContext ctx, Received received) {
+      if (!ctx.channel().isActive()) {
+        return;
+      }
+      busy = true;
+      if (received.request == null) {
         write(ctx, HttpStatus.BAD_REQUEST, INVALID_REQUEST, 0, false);
       } else {
+        handler.handle(received.request, new ConnectionResponder(ctx, received.keep));
+      }
+    }
+
+    /** The next request is an event of its own, after the one that responds to this request. */
+    private void handleNext(ChannelHandlerContext ctx) {
+      Received next = waiting.poll();
+      if (next == null) {
+        busy = false;
+      } else {
+        ctx.executor().execute(() -> handle(ctx, next));
+      }
+    }
+
+    /** A response now would be taken for that to an earlier request. */
+    private boolean closeIfBusy(ChannelHandlerContext ctx) {
+      if (busy) {
         ctx.close();
       }
+      return busy;
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable failure) {
+      if (!(failure instanceof TooLongFrameException)) {
+        ctx.close();
+      } else if (!closeIfBusy(ctx)) {
+        write(ctx, HttpStatus.BAD_REQUEST, INVALID_REQUEST, 0, false);
+      }
     }
 
     /** Responds to one request of the connection, once. */
     private final class ConnectionResponder implements Responder {
       private final ChannelHandlerContext ctx;
       private final boolean keep;
+      private boolean answered;
 
       ConnectionResponder(ChannelHandlerContext ctx, boolean keep) {
         this.ctx = ctx;
@@ -262,25 +317,27 @@
 
       @Override
       public void answer(int status, byte[] json, int retryAfterS) {
-        if (busy) {
-          busy = false;
+        if (!answered) {
+          answered = true;
           write(ctx, status, json, retryAfterS, keep);
+          handleNext(ctx);
         }
       }
 
       /** What the socket doesn't take at once would leave too late: the connection is closed. */
       @Override
       public void answerAtDeparture(LongFunction<Response> responseAt) {
-        if (!busy) {
+        if (answered) {
           return;
         }
-        busy = false;
+        answered = true;
         Response response = responseAt.apply(SteadyClock.nowMs());
         ChannelFuture written =
             write(ctx, response.status(), response.json(), response.retryAfterS(), keep);
         if (!written.isDone()) {
           ctx.close();
         }
+        handleNext(ctx);
       }
     }
   }
