A repetition with a field of the wrong type is looked up by its job's id

What callers saw: 400 to a body with a field of the wrong type, though its id is that of an accepted job; other wrong fields were looked up.

Cause: parsing ended at the wrong field, and the id was lost with it.

Mend: the id is read on its own then. Evidence: MalformedRepetitionTest.

--- a/src/main/java/mallowstall/users/Submission.java
+++ b/src/main/java/mallowstall/users/Submission.java
@@ -95,6 +95,31 @@
     }
   }
 
+  /** The job of a submission that can't be read otherwise; null: it names none. */
+  private static String readJobId(byte[] body) {
+    try {
+      String id = JsonReader.read(body, Submission::readId);
+      return id != null && isJobId(id) ? id : null;
+    } catch (IOException unreadable) {
+      return null;
+    }
+  }
+
+  private static String readId(JsonReader in) throws IOException {
+    if (!in.enterObjectIfPresent()) {
+      return null;
+    }
+    String id = null;
+    while (in.nextField()) {
+      if (in.field().equals(UserProtocol.JOB)) {
+        id = in.string();
+      } else {
+        in.skip();
+      }
+    }
+    return id;
+  }
+
   /** Whether this is the id of a job. */
   static boolean isJobId(String id) {
     return JOB_ID.matcher(id).matches();
@@ -111,7 +136,8 @@
       submission = JsonReader.read(body, Submission::read);
     } catch (WrongTypeException wrong) {
       String field = wrong.path().isEmpty() ? "the body" : wrong.outermostField();
-      throw new MalformedSubmissionException(field + " has the wrong type or is out of range");
+      throw new MalformedSubmissionException(field + " has the wrong type or is out of range")
+          .about(readJobId(body));
     } catch (JsonProcessingException failure) {
       throw new MalformedSubmissionException("the body is not JSON");
     } catch (IOException error) {
--- /dev/null
+++ b/src/test/java/mallowstall/users/MalformedRepetitionTest.java
@@ -0,0 +1,55 @@
+package mallowstall.users;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import mallowstall.OneController;
+import mallowstall.core.model.MachineType;
+import mallowstall.net.HttpServer.Request;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards against a 400 to the repetition of an accepted job (forgotten), however it is wrong. */
+class MalformedRepetitionTest {
+  private static final MachineType TYPE =
+      new MachineType("g8", 128, 8, 1_024, 400, 1.5, 12, 4, 90, List.of("a", "b"));
+
+  private final OneController controller = new OneController(List.of(), List.of(TYPE));
+  private final UserApiHandler users = new UserApiHandler(controller.core());
+
+  @BeforeEach
+  void start() {
+    controller.pass(3_000);
+  }
+
+  private int statusOf(String body) {
+    List<Integer> statuses = new ArrayList<>();
+    users.submit(
+        new Request("POST", "/submissions", body.getBytes(StandardCharsets.UTF_8)),
+        (status, json, retryAfterS) -> statuses.add(status));
+    controller.pass(100);
+    assertEquals(1, statuses.size(), "answered once");
+    return statuses.get(0);
+  }
+
+  /** A field of the wrong type, before or after the job's id, doesn't hide which job it is. */
+  @Test
+  void wrongTypesAreReadAsARepetition() {
+    assertEquals(201, statusOf(Examples.JOB));
+    String wrongTasks = Examples.JOB.replaceFirst("\"piezas\":[0-9]+", "\"piezas\":\"x\"");
+    assertEquals(200, statusOf(wrongTasks));
+    assertEquals(200, statusOf(wrongTasks.replaceFirst("\\{", "{\"lote\":[1,{\"a\":2}],")));
+    String unknown = wrongTasks.replaceFirst("wk-[0-9]+", "wk-000999");
+    assertEquals(400, statusOf(unknown));
+  }
+
+  /** Without a readable id nothing can be looked up. */
+  @Test
+  void bodiesWithoutAnIdAreRefused() {
+    assertEquals(201, statusOf(Examples.JOB));
+    assertEquals(400, statusOf(Examples.JOB.replaceFirst("\"wk-[0-9]+\"", "[1]")));
+    assertEquals(400, statusOf(Examples.JOB.substring(0, Examples.JOB.lastIndexOf('}'))));
+  }
+}
