--- a/src/main/java/mallowstall/Controller.java
+++ b/src/main/java/mallowstall/Controller.java
@@ -125,7 +125,7 @@
 
   /**
    * Connects to peers and begins to tick. The port for users and workers opens once requests can be
-   * taken, or at the latest after {@link Constants.LISTEN_DELAY_MAX_MS}: turning away hundreds of
+   * taken, or at the latest after {@link Constants#LISTEN_DELAY_MAX_MS}: turning away hundreds of
    * workers one by one takes all the processor time that getting ready needs, and a closed port
    * sends them on as well. Call it once.
    *
--- a/src/main/java/mallowstall/core/ControllerCore.java
+++ b/src/main/java/mallowstall/core/ControllerCore.java
@@ -108,24 +108,10 @@
     outcomes =
         new OutcomeAnnouncer(
             cluster.clock, settings, effects, cluster.store, cluster.clusterVersion);
-    acceptances =
-        new AcceptanceLookup(
-            cluster.clock,
-            settings,
-            effects,
-            cluster.store,
-            cluster.clusterVersion,
-            cluster.connectivity);
+    acceptances = newAcceptanceLookup();
     formerLeases =
         new FormerLeases(cluster.clock, settings, effects, cluster.store, cluster.clusterVersion);
-    absenceLeases =
-        new AbsenceLeases(
-            cluster.clock,
-            settings,
-            effects,
-            cluster.store,
-            formerLeases,
-            acceptances::giveUpUnanswered);
+    absenceLeases = newAbsenceLeases();
     jobApi = newJobApi();
     cluster.store.subscribe(newDispatcher());
   }
@@ -153,6 +139,26 @@
         cluster.placementTrigger);
   }
 
+  private AcceptanceLookup newAcceptanceLookup() {
+    return new AcceptanceLookup(
+        cluster.clock,
+        cluster.settings,
+        cluster.effects,
+        cluster.store,
+        cluster.clusterVersion,
+        cluster.connectivity);
+  }
+
+  private AbsenceLeases newAbsenceLeases() {
+    return new AbsenceLeases(
+        cluster.clock,
+        cluster.settings,
+        cluster.effects,
+        cluster.store,
+        formerLeases,
+        acceptances::giveUpUnanswered);
+  }
+
   private JobApi newJobApi() {
     return new JobApi(
         cluster.clock,
