--- a/src/main/java/mallowstall/net/HttpServer.java
+++ b/src/main/java/mallowstall/net/HttpServer.java
@@ -1,10 +1,8 @@
 package mallowstall.net;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
@@ -12,15 +10,11 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.TooLongFrameException;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
@@ -176,7 +170,7 @@
       if (connection.closeIfBusy(ctx)) {
         return;
       }
-      write(ctx, HttpStatus.BAD_REQUEST, BODY_TOO_LARGE, 0, false, false);
+      HttpResponses.write(ctx, HttpStatus.BAD_REQUEST, BODY_TOO_LARGE, 0, false, false);
       // Closing a connection with unread bytes resets it, and the client may then never receive
       // the response. The rest of the body is therefore read and dropped before the close.
       ctx.executor()
@@ -283,7 +277,7 @@
       }
       busy = true;
       if (received.request == null) {
-        write(ctx, HttpStatus.BAD_REQUEST, INVALID_REQUEST, 0, false);
+        HttpResponses.write(ctx, HttpStatus.BAD_REQUEST, INVALID_REQUEST, 0, false);
       } else {
         handler.handle(received.request, new ConnectionResponder(ctx, received.keepAlive));
       }
@@ -315,7 +309,7 @@
       if (!(failure instanceof TooLongFrameException)) {
         ctx.close();
       } else if (!closeIfBusy(ctx)) {
-        write(ctx, HttpStatus.BAD_REQUEST, INVALID_REQUEST, 0, false);
+        HttpResponses.write(ctx, HttpStatus.BAD_REQUEST, INVALID_REQUEST, 0, false);
       }
     }
 
@@ -334,7 +328,7 @@
       public void answer(int status, byte[] json, int retryAfterS) {
         if (!answered) {
           answered = true;
-          write(ctx, status, json, retryAfterS, keepAlive);
+          HttpResponses.write(ctx, status, json, retryAfterS, keepAlive);
           handleNext(ctx);
         }
       }
@@ -351,7 +345,8 @@
         answered = true;
         Response response = responseAt.apply(SteadyClock.nowMs());
         ChannelFuture written =
-            write(ctx, response.status(), response.json(), response.retryAfterS(), keepAlive);
+            HttpResponses.write(
+                ctx, response.status(), response.json(), response.retryAfterS(), keepAlive);
         if (!written.isDone()) {
           ctx.close();
         }
@@ -359,38 +354,4 @@
       }
     }
   }
-
-  private static ChannelFuture write(
-      ChannelHandlerContext ctx, int status, byte[] json, int retryAfterS, boolean keepAlive) {
-    return write(ctx, status, json, retryAfterS, keepAlive, !keepAlive);
-  }
-
-  private static ChannelFuture write(
-      ChannelHandlerContext ctx,
-      int status,
-      byte[] json,
-      int retryAfterS,
-      boolean keepAlive,
-      boolean close) {
-    DefaultFullHttpResponse response =
-        new DefaultFullHttpResponse(
-            HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(json));
-    response
-        .headers()
-        .set(
-            HttpHeaderNames.CONTENT_TYPE,
-            json.length > 0 && json[0] == '{' ? "application/json" : "text/plain");
-    response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, json.length);
-    if (retryAfterS > 0) {
-      response.headers().setInt(HttpHeaderNames.RETRY_AFTER, retryAfterS);
-    }
-    if (!keepAlive) {
-      response.headers().set(HttpHeaderNames.CONNECTION, "close");
-    }
-    ChannelFuture written = ctx.writeAndFlush(response);
-    if (close) {
-      written.addListener(ChannelFutureListener.CLOSE);
-    }
-    return written;
-  }
 }
