Build the modules that handle users' requests in ApiModules

The modules of placement, autoscaling and machines have such a class already; those of core.api now have one, too.

--- /dev/null
+++ b/src/main/java/mallowstall/core/ApiModules.java
@@ -0,0 +1,86 @@
+package mallowstall.core;
+
+import java.util.function.ToIntFunction;
+import mallowstall.core.api.AbsenceLeases;
+import mallowstall.core.api.AcceptanceLookup;
+import mallowstall.core.api.FormerProcessLeases;
+import mallowstall.core.api.JobApi;
+import mallowstall.core.api.OutcomeAnnouncer;
+import mallowstall.core.model.AcceptanceReply;
+
+/** The modules that handle the requests of users. Used on the event loop only. */
+final class ApiModules {
+  final OutcomeAnnouncer outcomes;
+  final AcceptanceLookup acceptances;
+  final AbsenceLeases absenceLeases;
+  final JobApi jobApi;
+
+  private final FormerProcessLeases formerProcessLeases;
+
+  /**
+   * Builds the modules.
+   *
+   * @param runningTasks returns the number of running tasks of the job with the given id
+   */
+  ApiModules(ClusterModules cluster, ToIntFunction<String> runningTasks) {
+    outcomes =
+        new OutcomeAnnouncer(
+            cluster.clock,
+            cluster.settings,
+            cluster.effects,
+            cluster.store,
+            cluster.clusterVersion);
+    acceptances =
+        new AcceptanceLookup(
+            cluster.clock,
+            cluster.settings,
+            cluster.effects,
+            cluster.store,
+            cluster.clusterVersion,
+            cluster.connectivity);
+    formerProcessLeases =
+        new FormerProcessLeases(
+            cluster.clock,
+            cluster.settings,
+            cluster.effects,
+            cluster.store,
+            cluster.clusterVersion);
+    absenceLeases =
+        new AbsenceLeases(
+            cluster.clock,
+            cluster.settings,
+            cluster.effects,
+            cluster.store,
+            formerProcessLeases,
+            acceptances::closeUnanswered);
+    jobApi = newJobApi(cluster, runningTasks);
+  }
+
+  private JobApi newJobApi(ClusterModules cluster, ToIntFunction<String> runningTasks) {
+    return new JobApi(
+        cluster.clock,
+        cluster.settings,
+        cluster.store,
+        cluster.jobBitmaps,
+        cluster.machineTypes,
+        cluster.connectivity,
+        cluster.cancellations,
+        cluster.clusterVersion,
+        outcomes,
+        acceptances,
+        absenceLeases,
+        formerProcessLeases,
+        runningTasks);
+  }
+
+  /** Runs the regular work of the modules. */
+  void tick() {
+    formerProcessLeases.tick();
+  }
+
+  /** Handles a peer's reply to a query about jobs or to the query of a new process. */
+  void receive(AcceptanceReply reply) {
+    acceptances.receive(reply);
+    formerProcessLeases.receive(reply);
+  }
+}
--- a/src/main/java/mallowstall/core/ControllerCore.java
+++ b/src/main/java/mallowstall/core/ControllerCore.java
@@ -3,12 +3,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 import mallowstall.Constants;
-import mallowstall.core.api.AbsenceLeases;
-import mallowstall.core.api.AcceptanceLookup;
-import mallowstall.core.api.FormerProcessLeases;
 import mallowstall.core.api.HeartbeatReceiver;
-import mallowstall.core.api.JobApi;
-import mallowstall.core.api.OutcomeAnnouncer;
 import mallowstall.core.api.PeerEvents;
 import mallowstall.core.api.UserRequests;
 import mallowstall.core.cluster.ClusterView;
@@ -67,11 +62,7 @@
   private final AutoscalingModules autoscaling;
   private final PlacementModules placement;
   private final DigestPublisher digestPublisher;
-  private final OutcomeAnnouncer outcomes;
-  private final AcceptanceLookup acceptances;
-  private final AbsenceLeases absenceLeases;
-  private final FormerProcessLeases formerProcessLeases;
-  private final JobApi jobApi;
+  private final ApiModules api;
 
   /**
    * Builds all modules. No module acts before the first event.
@@ -107,15 +98,7 @@
             cluster.store,
             machines.machines::freeCapacities,
             jobLeader::pendingCpus);
-    outcomes =
-        new OutcomeAnnouncer(
-            cluster.clock, settings, effects, cluster.store, cluster.clusterVersion);
-    acceptances = newAcceptanceLookup();
-    formerProcessLeases =
-        new FormerProcessLeases(
-            cluster.clock, settings, effects, cluster.store, cluster.clusterVersion);
-    absenceLeases = newAbsenceLeases();
-    jobApi = newJobApi();
+    api = new ApiModules(cluster, jobLeader::running);
     cluster.store.subscribe(newDispatcher());
   }
 
@@ -142,43 +125,6 @@
         cluster.placementTrigger);
   }
 
-  private AcceptanceLookup newAcceptanceLookup() {
-    return new AcceptanceLookup(
-        cluster.clock,
-        cluster.settings,
-        cluster.effects,
-        cluster.store,
-        cluster.clusterVersion,
-        cluster.connectivity);
-  }
-
-  private AbsenceLeases newAbsenceLeases() {
-    return new AbsenceLeases(
-        cluster.clock,
-        cluster.settings,
-        cluster.effects,
-        cluster.store,
-        formerProcessLeases,
-        acceptances::closeUnanswered);
-  }
-
-  private JobApi newJobApi() {
-    return new JobApi(
-        cluster.clock,
-        cluster.settings,
-        cluster.store,
-        cluster.jobBitmaps,
-        cluster.machineTypes,
-        cluster.connectivity,
-        cluster.cancellations,
-        cluster.clusterVersion,
-        outcomes,
-        acceptances,
-        absenceLeases,
-        formerProcessLeases,
-        jobLeader::running);
-  }
-
   /**
    * Returns the dispatcher of state changes. The order of the consumers is part of the behaviour,
    * because each consumer sees the effects of those before it.
@@ -189,8 +135,8 @@
             cluster.imageSizes::jobChanged,
             cluster.jobsNeedingLeader::jobChanged,
             cluster.cancellations::jobChanged,
-            outcomes::jobChanged,
-            jobApi::jobChanged,
+            api.outcomes::jobChanged,
+            api.jobApi::jobChanged,
             machines.leadershipChanges::jobChanged,
             (before, entry) -> jobLeader.applyJobEntry(entry)),
         jobLeader::reloadCompletionBits,
@@ -245,7 +191,7 @@
     }
     machines.maintenance.tick();
     jobLeader.tick();
-    formerProcessLeases.tick();
+    api.tick();
     placement.quotaLedger.tick();
     autoscaling.autoscaler.tick();
     digestPublisher.tick();
@@ -261,25 +207,25 @@
 
   @Override
   public void submit(JobSpec spec, Consumer<ApiResponse> reply) {
-    jobApi.submit(spec, reply);
+    api.jobApi.submit(spec, reply);
     runDueWork();
   }
 
   @Override
   public void rejectSubmission(String id, String reason, Consumer<ApiResponse> reply) {
-    jobApi.rejectSubmission(id, ApiResponse.invalid(reason), reply);
+    api.jobApi.rejectSubmission(id, ApiResponse.invalid(reason), reply);
     runDueWork();
   }
 
   @Override
   public void query(String id, Consumer<ApiResponse> reply) {
-    jobApi.query(id, reply);
+    api.jobApi.query(id, reply);
     runDueWork();
   }
 
   @Override
   public void cancel(String id, Consumer<ApiResponse> reply) {
-    jobApi.cancel(id, reply);
+    api.jobApi.cancel(id, reply);
     runDueWork();
   }
 
@@ -287,18 +233,18 @@
    * Returns whether this controller can serve workers, even if it can't serve users' requests yet.
    */
   public boolean isInitialized() {
-    return jobApi.isInitialized();
+    return api.jobApi.isInitialized();
   }
 
   /** Returns whether this controller can serve users' requests. */
   public boolean isReady() {
-    return jobApi.isReady();
+    return api.jobApi.isReady();
   }
 
   @Override
   public void peerConnected(String node, long connection) {
     cluster.messenger.peerConnected(node, connection);
-    acceptances.closeUnanswered();
+    api.acceptances.closeUnanswered();
   }
 
   @Override
@@ -310,16 +256,15 @@
     } else if (message instanceof StopBatch stopBatch) {
       receiveStops(stopBatch);
     } else if (message instanceof OutcomeAnnouncement announcement) {
-      outcomes.receive(announcement);
+      api.outcomes.receive(announcement);
     } else if (message instanceof OutcomeAcknowledgement acknowledgement) {
-      outcomes.receive(acknowledgement);
+      api.outcomes.receive(acknowledgement);
     } else if (message instanceof AcceptanceQuery query) {
-      absenceLeases.receive(query);
+      api.absenceLeases.receive(query);
     } else if (message instanceof AcceptanceReply reply) {
-      acceptances.receive(reply);
-      formerProcessLeases.receive(reply);
+      api.receive(reply);
     } else if (message instanceof AcceptanceQueryEnd queryEnd) {
-      absenceLeases.receive(queryEnd);
+      api.absenceLeases.receive(queryEnd);
     }
     runDueWork();
   }
@@ -337,7 +282,7 @@
   }
 
   private void jobCancelled(String job) {
-    outcomes.recordOutcome(job, JobOutcome.CANCELLED);
+    api.outcomes.recordOutcome(job, JobOutcome.CANCELLED);
     machines.stopRequests.stopCancelled(job);
   }
 
