Keep the leases of a refusal until it has arrived, not until it has left

Cause: the asker ended its leases on the job's absence 50 ms after the refusal had left the process, and took that for its arrival. Evidence, first history: leases granted at 8 ms, 404 leaves at 11, the leases are ended at 62, another controller tells 201 at 135, the 404 arrives at 361.

Change: a refusal carries Connection: close and is in transit until the client's side of the connection shows that it has arrived or that nobody waits for it: the end of its stream or a further request. A reset shows nothing. Its own controller respects a refusal in transit, too. Leases belong to a process, so a successor's query ends none of its predecessor's.

Why it works: only the client knows of the arrival. HTTP obliges it to close after such a response, and whoever closes for another reason reads no more. Until then, or until users have stopped waiting, nobody reports the job as accepted.

Simulated users now close the connection when they have an answer or have given up, as the program's users do: one line in AcceptedJobAnswersTest, StateLimitsTest and ForcedHistory, no bound and no check changed. Without that line their submissions get 503 for 5 s, as from a client that never closes. The messages' fixture is new, the old bytes are still decoded.

Cost: a user needs a new connection after a refusal.

--- a/src/main/java/mallowstall/Controller.java
+++ b/src/main/java/mallowstall/Controller.java
@@ -111,7 +111,8 @@
         new WorkerHttpAdapter(
             core, loop, runEvent, (int) (sockets * WORKER_CLIENT_SOCKET_FRACTION));
     effects.connect(peers, workers);
-    RequestRouter router = new RequestRouter(core, new UserApiHandler(core), workers, metrics);
+    UserApiHandler users = new UserApiHandler(core, runEvent);
+    RequestRouter router = new RequestRouter(core, users, workers, metrics);
     this.server =
         new HttpServer(
             (request, responder) -> events.run(() -> router.route(request, responder)),
--- a/src/main/java/mallowstall/core/ApiModules.java
+++ b/src/main/java/mallowstall/core/ApiModules.java
@@ -6,6 +6,7 @@
 import mallowstall.core.api.FormerProcessLeases;
 import mallowstall.core.api.JobApi;
 import mallowstall.core.api.OutcomeAnnouncer;
+import mallowstall.core.api.RefusalsInTransit;
 import mallowstall.core.model.AcceptanceReply;
 
 /** The modules that handle the requests of users. Used on the event loop only. */
@@ -16,6 +17,7 @@
   final JobApi jobApi;
 
   private final FormerProcessLeases formerProcessLeases;
+  private final RefusalsInTransit refusalsInTransit;
 
   /**
    * Builds the modules.
@@ -30,6 +32,7 @@
             cluster.effects,
             cluster.store,
             cluster.clusterVersion);
+    refusalsInTransit = new RefusalsInTransit(cluster.clock, cluster.metrics);
     acceptances =
         new AcceptanceLookup(
             cluster.clock,
@@ -37,7 +40,8 @@
             cluster.effects,
             cluster.store,
             cluster.clusterVersion,
-            cluster.connectivity);
+            cluster.connectivity,
+            refusalsInTransit);
     formerProcessLeases =
         new FormerProcessLeases(
             cluster.clock,
@@ -52,6 +56,7 @@
             cluster.effects,
             cluster.store,
             formerProcessLeases,
+            refusalsInTransit,
             acceptances::closeUnanswered);
     jobApi = newJobApi(cluster, runningTasks);
   }
@@ -70,12 +75,22 @@
         acceptances,
         absenceLeases,
         formerProcessLeases,
+        refusalsInTransit,
         runningTasks);
   }
 
   /** Runs the regular work of the modules. */
   void tick() {
     formerProcessLeases.tick();
+    if (refusalsInTransit.removeExpired()) {
+      acceptances.endUnneededLeases();
+    }
+  }
+
+  /** Handles the adapter's report that a refusal has arrived or that nobody waits for it. */
+  void refusalArrived(long refusalId) {
+    refusalsInTransit.arrived(refusalId);
+    acceptances.endUnneededLeases();
   }
 
   /** Handles a peer's reply to a query about jobs or to the query of a new process. */
--- a/src/main/java/mallowstall/core/ControllerCore.java
+++ b/src/main/java/mallowstall/core/ControllerCore.java
@@ -229,6 +229,11 @@
     runDueWork();
   }
 
+  @Override
+  public void refusalArrived(long refusalId) {
+    api.refusalArrived(refusalId);
+  }
+
   /**
    * Returns whether this controller can serve workers, even if it can't serve users' requests yet.
    */
--- a/src/main/java/mallowstall/core/api/AbsenceLeases.java
+++ b/src/main/java/mallowstall/core/api/AbsenceLeases.java
@@ -3,8 +3,6 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -33,36 +31,21 @@
   /** Maximum number of leases. Beyond it this controller grants no lease on any further job. */
   static final int LEASES_MAX = 10_000;
 
-  private final EventClock clock;
   private final CoreSettings settings;
   private final Effects effects;
   private final StateStore store;
   private final FormerProcessLeases formerProcessLeases;
+  private final RefusalsInTransit refusalsInTransit;
   private final Runnable onNewPeerProcess;
 
   /** The incarnation of the newest known process of each peer. */
   private final Map<String, Long> peerIncarnations = new HashMap<>();
 
-  /** Leases by job and by the controller that holds them, in the order in which they end. */
-  private final Map<LeaseKey, Lease> leases = new LinkedHashMap<>();
+  private final GrantedLeases leases;
 
   /** Jobs that are being recorded. Each is reported as accepted as soon as it is recorded. */
   private final Set<String> submissionsInFlight = new HashSet<>();
 
-  /** Each controller holds at most one lease on a job, which every grant extends. */
-  private record LeaseKey(String job, String node) {}
-
-  /**
-   * A lease that was granted to a peer's process for its queries up to {@code serial}. It ends at
-   * {@code endMs}, a steady time in milliseconds.
-   */
-  private record Lease(long incarnation, long serial, long endMs) {
-    /** Returns whether all queries that the lease was granted for have ended. */
-    boolean isEndedBy(AcceptanceQueryEnd queryEnd) {
-      return incarnation == queryEnd.incarnation() && serial <= queryEnd.serial();
-    }
-  }
-
   /**
    * Creates an instance without leases that sends its replies through {@code effects}.
    *
@@ -75,13 +58,15 @@
       Effects effects,
       StateStore store,
       FormerProcessLeases formerProcessLeases,
+      RefusalsInTransit refusalsInTransit,
       Runnable onNewPeerProcess) {
-    this.clock = clock;
     this.settings = settings;
     this.effects = effects;
     this.store = store;
     this.formerProcessLeases = formerProcessLeases;
+    this.refusalsInTransit = refusalsInTransit;
     this.onNewPeerProcess = onNewPeerProcess;
+    leases = new GrantedLeases(clock);
   }
 
   /** Marks the job as being recorded. Until {@link #submissionEnded}, no lease is granted on it. */
@@ -94,18 +79,14 @@
     submissionsInFlight.remove(job);
   }
 
-  /** Returns whether users may be informed now that the job was accepted. */
+  /**
+   * Returns whether users may be informed now that the job was accepted: no controller's refusal
+   * may still reach a user.
+   */
   boolean mayReportAccepted(String job) {
-    if (!formerProcessLeases.haveEnded()) {
-      return false;
-    }
-    for (String peer : settings.peers()) {
-      Lease lease = leases.get(new LeaseKey(job, peer));
-      if (lease != null && lease.endMs() > clock.now()) {
-        return false;
-      }
-    }
-    return true;
+    return formerProcessLeases.haveEnded()
+        && !refusalsInTransit.contains(job)
+        && !leases.contains(job);
   }
 
   /**
@@ -121,7 +102,6 @@
       peerIncarnations.put(query.node(), query.incarnation());
       onNewPeerProcess.run();
     }
-    removeExpired();
     List<String> possiblyAccepted = new ArrayList<>();
     for (String job : query.jobs()) {
       if (!grant(job, query)) {
@@ -144,34 +124,12 @@
     if (possiblyAccepted || leases.size() >= LEASES_MAX) {
       return false; // an earlier lease on the job stays in force
     }
-    LeaseKey key = new LeaseKey(job, query.node());
-    Lease previous = leases.remove(key);
-    boolean isReordered =
-        previous != null
-            && previous.incarnation == query.incarnation()
-            && previous.serial > query.serial();
-    long serial = isReordered ? previous.serial : query.serial();
-    leases.put(key, new Lease(query.incarnation(), serial, clock.now() + LEASE_MS));
+    leases.grant(job, query);
     return true;
   }
 
-  private void removeExpired() {
-    Iterator<Lease> oldest = leases.values().iterator();
-    while (oldest.hasNext() && oldest.next().endMs() <= clock.now()) {
-      oldest.remove();
-    }
-  }
-
-  /**
-   * Removes the leases that a peer no longer needs, since the queries that they were granted for
-   * have ended.
-   */
+  /** Ends the leases that a peer no longer needs. */
   public void receive(AcceptanceQueryEnd queryEnd) {
-    leases
-        .entrySet()
-        .removeIf(
-            entry ->
-                entry.getKey().node().equals(queryEnd.node())
-                    && entry.getValue().isEndedBy(queryEnd));
+    leases.end(queryEnd);
   }
 }
--- a/src/main/java/mallowstall/core/api/AcceptanceLookup.java
+++ b/src/main/java/mallowstall/core/api/AcceptanceLookup.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Consumer;
 import mallowstall.core.cluster.ClusterVersion;
 import mallowstall.core.cluster.Connectivity;
@@ -38,6 +39,9 @@
    */
   private static final long QUERY_INTERVAL_MIN_MS = 100;
 
+  /** Time in milliseconds for which ends of queries are collected into a message to each peer. */
+  private static final long END_DELAY_MS = 20;
+
   /** Maximum number of lookups that wait for a query or for its replies. */
   static final int LOOKUPS_MAX = 2_000;
 
@@ -47,6 +51,7 @@
   private final StateStore store;
   private final ClusterVersion clusterVersion;
   private final Connectivity connectivity;
+  private final RefusalsInTransit refusalsInTransit;
 
   /** Lookups that are not part of a query yet. */
   private final List<Lookup> unsent = new ArrayList<>();
@@ -54,13 +59,17 @@
   /** Queries to which some peer has not replied yet, by their serial, the oldest first. */
   private final Map<Long, Query> unanswered = new LinkedHashMap<>();
 
+  /** Jobs whose leases are still needed, by the serial of each query with all its replies. */
+  private final TreeMap<Long, Set<String>> leasedJobs = new TreeMap<>();
+
   private long lastSerial = FormerProcessLeases.QUERY_SERIAL;
 
-  /** Peers are or will be notified that the queries up to this one have ended. */
-  private long lastEndedSerial = lastSerial;
+  /** Peers were notified that the queries up to this one have ended. */
+  private long lastSentEnd = lastSerial;
 
   private long lastQueryMs = Long.MIN_VALUE / 2;
   private boolean queryScheduled;
+  private boolean endScheduled;
   private int pendingLookups;
 
   /** A lookup of one job. Its callback is called exactly once. */
@@ -123,13 +132,15 @@
       Effects effects,
       StateStore store,
       ClusterVersion clusterVersion,
-      Connectivity connectivity) {
+      Connectivity connectivity,
+      RefusalsInTransit refusalsInTransit) {
     this.clock = clock;
     this.settings = settings;
     this.effects = effects;
     this.store = store;
     this.clusterVersion = clusterVersion;
     this.connectivity = connectivity;
+    this.refusalsInTransit = refusalsInTransit;
   }
 
   /**
@@ -217,29 +228,76 @@
       return;
     }
     query.complete();
-    endLeases();
+    leasedJobs.put(serial, new HashSet<>(query.lookups.keySet()));
+    endUnneededLeases();
   }
 
   /**
-   * Ends the leases of ended queries after the responses of this event have been sent. A peer ends
-   * the leases of all queries up to the serial that it receives, so all earlier queries must have
-   * ended, too.
+   * Ends the leases of completed queries on which no refusal in transit relies. Must be called when
+   * a refusal has arrived or has expired.
    */
-  private void endLeases() {
-    long ended = unanswered.isEmpty() ? lastSerial : unanswered.keySet().iterator().next() - 1;
-    if (ended <= lastEndedSerial) {
-      return;
+  public void endUnneededLeases() {
+    if (!endScheduled) {
+      endScheduled = true;
+      clock.schedule(END_DELAY_MS, this::sendEnd);
     }
-    lastEndedSerial = ended;
-    // The clock does not advance until the responses of this event have been sent, however long
-    // that takes. The outer timer runs in a later event, whose time is not before the sending; the
-    // margin is counted from there.
-    clock.schedule(1, () -> clock.schedule(AnswerValidity.MARGIN_MS, () -> sendEnd(ended)));
   }
 
-  private void sendEnd(long serial) {
+  private void sendEnd() {
+    endScheduled = false;
+    Map<String, Long> serialByJob = removeUnneededJobs();
+    long ended = lastEndedSerial();
+    serialByJob.values().removeIf(serial -> serial <= ended);
+    if (ended == lastSentEnd && serialByJob.isEmpty()) {
+      return;
+    }
+    lastSentEnd = ended;
+    List<String> jobs = List.copyOf(serialByJob.keySet());
     for (String peer : settings.peers()) {
-      effects.send(peer, new AcceptanceQueryEnd(settings.node(), store.incarnation(), serial));
+      effects.send(
+          peer,
+          new AcceptanceQueryEnd(settings.node(), store.incarnation(), ended, jobs, lastSerial));
+    }
+  }
+
+  /**
+   * Removes the jobs whose leases are no longer needed. Returns them with the serial of the newest
+   * query about each.
+   */
+  private Map<String, Long> removeUnneededJobs() {
+    Map<String, Long> serialByJob = new HashMap<>();
+    leasedJobs.forEach(
+        (serial, jobs) ->
+            jobs.removeIf(
+                job -> {
+                  boolean unneeded = !refusalsInTransit.contains(job) && !isQueried(job);
+                  if (unneeded) {
+                    serialByJob.put(job, serial);
+                  }
+                  return unneeded;
+                }));
+    leasedJobs.values().removeIf(Set::isEmpty);
+    return serialByJob;
+  }
+
+  private boolean isQueried(String job) {
+    for (Query query : unanswered.values()) {
+      if (query.lookups.containsKey(job)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Returns the largest serial such that all queries up to it need no lease. */
+  private long lastEndedSerial() {
+    long firstNeeded = lastSerial + 1;
+    if (!unanswered.isEmpty()) {
+      firstNeeded = unanswered.keySet().iterator().next();
+    }
+    if (!leasedJobs.isEmpty()) {
+      firstNeeded = Math.min(firstNeeded, leasedJobs.firstKey());
     }
+    return firstNeeded - 1;
   }
 }
--- a/src/main/java/mallowstall/core/api/JobApi.java
+++ b/src/main/java/mallowstall/core/api/JobApi.java
@@ -69,6 +69,7 @@
       AcceptanceLookup acceptances,
       AbsenceLeases absenceLeases,
       FormerProcessLeases formerProcessLeases,
+      RefusalsInTransit refusalsInTransit,
       ToIntFunction<String> runningTasks) {
     this.store = store;
     this.jobBitmaps = jobBitmaps;
@@ -76,7 +77,9 @@
     this.connectivity = connectivity;
     this.formerProcessLeases = formerProcessLeases;
     reader = new FreshJobReader(clock, store, acceptances);
-    responder = new JobResponder(store, cancellations, outcomes, absenceLeases, runningTasks);
+    responder =
+        new JobResponder(
+            store, cancellations, outcomes, absenceLeases, refusalsInTransit, runningTasks);
     submissions =
         new JobSubmission(
             clock,
--- a/src/main/java/mallowstall/core/api/JobResponder.java
+++ b/src/main/java/mallowstall/core/api/JobResponder.java
@@ -23,6 +23,7 @@
   private final CancellationExchange cancellations;
   private final OutcomeAnnouncer outcomes;
   private final AbsenceLeases absenceLeases;
+  private final RefusalsInTransit refusalsInTransit;
   private final ToIntFunction<String> runningTasks;
 
   /**
@@ -34,11 +35,13 @@
       CancellationExchange cancellations,
       OutcomeAnnouncer outcomes,
       AbsenceLeases absenceLeases,
+      RefusalsInTransit refusalsInTransit,
       ToIntFunction<String> runningTasks) {
     this.store = store;
     this.cancellations = cancellations;
     this.outcomes = outcomes;
     this.absenceLeases = absenceLeases;
+    this.refusalsInTransit = refusalsInTransit;
     this.runningTasks = runningTasks;
   }
 
@@ -83,15 +86,28 @@
       String id, JobRead read, ApiResponse errorResponse, Consumer<ApiResponse> reply) {
     reply.accept(
         switch (read.status()) {
-          case NOT_FOUND ->
-              isAnnounced(id)
-                  ? unavailable(ENDED_AFTER_READ)
-                  : errorResponse.validUntil(read.validUntilMs());
+          case NOT_FOUND -> withoutJob(id, errorResponse.validUntil(read.validUntilMs()));
           case UNCONFIRMED -> unavailable(ACCEPTANCE_UNKNOWN);
           default -> withoutStateService();
         });
   }
 
+  /**
+   * Returns the error response to a request about a job that was never accepted. A refusal counts
+   * as in transit from now on.
+   */
+  private ApiResponse withoutJob(String id, ApiResponse errorResponse) {
+    if (isAnnounced(id)) {
+      return unavailable(ENDED_AFTER_READ);
+    }
+    if (!errorResponse.isRefusal()) {
+      return errorResponse;
+    }
+    return refusalsInTransit.isFull()
+        ? unavailable(JobApi.QUEUE_FULL)
+        : errorResponse.withRefusalId(refusalsInTransit.add(id));
+  }
+
   /** Returns a 503 response for a request that cannot be answered without the state service. */
   ApiResponse withoutStateService() {
     return unavailable(NO_STATE_SERVICE);
--- a/src/main/java/mallowstall/core/model/ApiResponse.java
+++ b/src/main/java/mallowstall/core/model/ApiResponse.java
@@ -14,6 +14,8 @@
  * @param validUntilMs steady time in milliseconds until which the response may leave this
  *     controller, because another controller may contradict it later; {@link #ALWAYS_VALID} if none
  *     ever does
+ * @param refusalId identifies a refusal whose arrival must be reported to the core, see {@code
+ *     UserRequests}; 0 for every other response
  */
 public record ApiResponse(
     int status,
@@ -23,7 +25,8 @@
     int runningTaskCount,
     String message,
     int retryAfterS,
-    long validUntilMs) {
+    long validUntilMs,
+    long refusalId) {
   /** The value of {@code validUntilMs} of a response that never becomes wrong. */
   public static final long ALWAYS_VALID = Long.MAX_VALUE;
 
@@ -35,6 +38,7 @@
   private static final int BAD_REQUEST = 400;
   private static final int NOT_FOUND = 404;
   private static final int UNPROCESSABLE = 422;
+  private static final int INTERNAL_ERROR = 500;
   private static final int SERVICE_UNAVAILABLE = 503;
 
   private static final String PENDING = "pending";
@@ -83,7 +87,7 @@
   /** Returns 503: the user should repeat the request after the given number of seconds. */
   public static ApiResponse unavailable(String message, int retryAfterS) {
     return new ApiResponse(
-        SERVICE_UNAVAILABLE, null, null, 0, 0, message, retryAfterS, ALWAYS_VALID);
+        SERVICE_UNAVAILABLE, null, null, 0, 0, message, retryAfterS, ALWAYS_VALID, 0);
   }
 
   /** Returns 503, which is sent in place of a response that could not leave in time. */
@@ -97,7 +101,39 @@
    */
   public ApiResponse validUntil(long steadyMs) {
     return new ApiResponse(
-        status, id, state, completedTaskCount, runningTaskCount, message, retryAfterS, steadyMs);
+        status,
+        id,
+        state,
+        completedTaskCount,
+        runningTaskCount,
+        message,
+        retryAfterS,
+        steadyMs,
+        refusalId);
+  }
+
+  /** Returns this refusal with the id by which its arrival is reported to the core. */
+  public ApiResponse withRefusalId(long newRefusalId) {
+    return new ApiResponse(
+        status,
+        id,
+        state,
+        completedTaskCount,
+        runningTaskCount,
+        message,
+        retryAfterS,
+        validUntilMs,
+        newRefusalId);
+  }
+
+  /** Returns whether the response denies for good what the user requests: 400, 404 or 422. */
+  public boolean isRefusal() {
+    return status >= BAD_REQUEST && status < INTERNAL_ERROR;
+  }
+
+  /** Returns whether the arrival of the response must be reported to the core. */
+  public boolean needsArrivalReport() {
+    return refusalId != 0;
   }
 
   /**
@@ -111,10 +147,10 @@
   private static ApiResponse state(
       int status, String id, String state, int completedTaskCount, int runningTaskCount) {
     return new ApiResponse(
-        status, id, state, completedTaskCount, runningTaskCount, null, 0, ALWAYS_VALID);
+        status, id, state, completedTaskCount, runningTaskCount, null, 0, ALWAYS_VALID, 0);
   }
 
   private static ApiResponse error(int status, String message) {
-    return new ApiResponse(status, null, null, 0, 0, message, 0, ALWAYS_VALID);
+    return new ApiResponse(status, null, null, 0, 0, message, 0, ALWAYS_VALID, 0);
   }
 }
--- a/src/main/java/mallowstall/net/HttpServer.java
+++ b/src/main/java/mallowstall/net/HttpServer.java
@@ -36,8 +36,19 @@
   /** A request with its complete body. */
   public record Request(String method, String path, byte[] body) {}
 
-  /** A response. It has no Retry-After header if {@code retryAfterS} is 0. */
-  public record Response(int status, byte[] json, int retryAfterS) {}
+  /**
+   * A response. It has no Retry-After header if {@code retryAfterS} is 0.
+   *
+   * @param onArrival null, or called once, as a separate event, when the client has shown that it
+   *     has received the response or doesn't wait for it. It is not called if the connection breaks
+   *     or the client shows neither. Such a response is the last one of its connection.
+   */
+  public record Response(int status, byte[] json, int retryAfterS, Runnable onArrival) {
+    /** Creates a response whose arrival is not reported. */
+    public Response(int status, byte[] json, int retryAfterS) {
+      this(status, json, retryAfterS, null);
+    }
+  }
 
   /** Sends the response to one request. Calls after the first one are ignored. */
   public interface Responder {
@@ -344,6 +355,10 @@
         }
         answered = true;
         Response response = responseAt.apply(SteadyClock.nowMs());
+        if (response.onArrival != null) {
+          writeLast(response);
+          return;
+        }
         ChannelFuture written =
             HttpResponses.write(
                 ctx, response.status(), response.json(), response.retryAfterS(), keepAlive);
@@ -352,6 +367,21 @@
         }
         handleNext(ctx);
       }
+
+      /** Sends the last response of the connection, which the client then closes. */
+      private void writeLast(Response response) {
+        if (!ctx.channel().isActive()) {
+          ctx.executor().execute(response.onArrival);
+          return;
+        }
+        ctx.pipeline().addFirst(new ArrivalHandler(response.onArrival));
+        ChannelFuture written =
+            HttpResponses.write(
+                ctx, response.status(), response.json(), response.retryAfterS(), false, false);
+        if (!written.isSuccess()) {
+          ctx.close();
+        }
+      }
     }
   }
 }
--- a/src/main/java/mallowstall/peers/PeerCodec.java
+++ b/src/main/java/mallowstall/peers/PeerCodec.java
@@ -91,7 +91,7 @@
         writeList(encoder, reply.possiblyAccepted(), BinaryEncoder::writeString);
       } else if (message instanceof AcceptanceQueryEnd queryEnd) {
         encoder.writeIndex(ACCEPTANCE_QUERY_END);
-        writeQueryHeader(encoder, queryEnd.node(), queryEnd.incarnation(), queryEnd.serial());
+        writeQueryEnd(encoder, queryEnd);
       }
       encoder.flush();
     } catch (IOException impossible) {
@@ -132,8 +132,7 @@
               decoder.readLong(),
               decoder.readLong(),
               readList(decoder, BinaryDecoder::readString));
-      case ACCEPTANCE_QUERY_END ->
-          new AcceptanceQueryEnd(decoder.readString(), decoder.readLong(), decoder.readLong());
+      case ACCEPTANCE_QUERY_END -> readQueryEnd(decoder);
       default ->
           throw new IOException(
               "message kind is " + kind + ": expected 0 to " + ACCEPTANCE_QUERY_END);
@@ -148,6 +147,28 @@
     encoder.writeLong(serial);
   }
 
+  private static void writeQueryEnd(BinaryEncoder encoder, AcceptanceQueryEnd queryEnd)
+      throws IOException {
+    writeQueryHeader(encoder, queryEnd.node(), queryEnd.incarnation(), queryEnd.serial());
+    writeList(encoder, queryEnd.jobs(), BinaryEncoder::writeString);
+    encoder.writeLong(queryEnd.jobsSerial());
+  }
+
+  /** Reads the end of a query. An older version's message ends before the jobs. */
+  private static AcceptanceQueryEnd readQueryEnd(BinaryDecoder decoder) throws IOException {
+    String node = decoder.readString();
+    long incarnation = decoder.readLong();
+    long serial = decoder.readLong();
+    return decoder.isEnd()
+        ? new AcceptanceQueryEnd(node, incarnation, serial)
+        : new AcceptanceQueryEnd(
+            node,
+            incarnation,
+            serial,
+            readList(decoder, BinaryDecoder::readString),
+            decoder.readLong());
+  }
+
   private static JobOutcome readOutcome(BinaryDecoder decoder) throws IOException {
     int index = decoder.readEnum();
     if (index < 0 || index >= OUTCOMES.size()) {
--- a/src/main/java/mallowstall/users/UserApiHandler.java
+++ b/src/main/java/mallowstall/users/UserApiHandler.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.IOException;
+import java.util.function.Consumer;
 import mallowstall.core.api.UserRequests;
 import mallowstall.core.model.ApiResponse;
 import mallowstall.core.model.JobSpec;
@@ -17,13 +18,19 @@
  */
 public final class UserApiHandler {
   /** The response that is sent if the actual one is no longer valid when it is written. */
-  private static final Response EXPIRED = encode(ApiResponse.expired(), true);
+  private static final Response EXPIRED = expired();
 
   private final UserRequests core;
+  private final Consumer<Runnable> runEvent;
 
-  /** Creates a handler that passes users' requests to the core. */
-  public UserApiHandler(UserRequests core) {
+  /**
+   * Creates a handler that passes users' requests to the core.
+   *
+   * @param runEvent runs an event of the core
+   */
+  public UserApiHandler(UserRequests core, Consumer<Runnable> runEvent) {
     this.core = core;
+    this.runEvent = runEvent;
   }
 
   /**
@@ -80,21 +87,44 @@
     return JsonWriter.object(out -> out.writeStringField(UserProtocol.ERROR, message));
   }
 
-  private static void respond(ApiResponse response, Responder responder, boolean brief) {
+  private void respond(ApiResponse response, Responder responder, boolean brief) {
     Response encoded = encode(response, brief);
     if (response.validUntilMs() == ApiResponse.ALWAYS_VALID) {
       responder.answer(encoded.status(), encoded.json(), encoded.retryAfterS());
     } else {
-      responder.answerAtWriteTime(steadyMs -> response.mayLeaveAt(steadyMs) ? encoded : EXPIRED);
+      responder.answerAtWriteTime(steadyMs -> checkedAt(steadyMs, response, encoded));
+    }
+  }
+
+  /** Returns the encoded response, or the one that replaces it if it is no longer valid. */
+  private Response checkedAt(long steadyMs, ApiResponse response, Response encoded) {
+    if (response.mayLeaveAt(steadyMs)) {
+      return encoded;
     }
+    if (response.needsArrivalReport()) {
+      core.refusalArrived(response.refusalId()); // it never leaves
+    }
+    return EXPIRED;
+  }
+
+  private static Response expired() {
+    ApiResponse expired = ApiResponse.expired();
+    return new Response(expired.status(), body(expired, true), expired.retryAfterS());
+  }
+
+  private Response encode(ApiResponse response, boolean brief) {
+    Runnable onArrival =
+        response.needsArrivalReport()
+            ? () -> runEvent.accept(() -> core.refusalArrived(response.refusalId()))
+            : null;
+    return new Response(
+        response.status(), body(response, brief), response.retryAfterS(), onArrival);
   }
 
-  private static Response encode(ApiResponse response, boolean brief) {
-    byte[] json =
-        response.state() == null
-            ? error(response.message())
-            : JsonWriter.object(out -> writeState(out, response, brief));
-    return new Response(response.status(), json, response.retryAfterS());
+  private static byte[] body(ApiResponse response, boolean brief) {
+    return response.state() == null
+        ? error(response.message())
+        : JsonWriter.object(out -> writeState(out, response, brief));
   }
 
   /** Writes the state of a job, without the counts of its tasks if {@code brief} is set. */
--- a/src/test/java/mallowstall/core/AcceptedJobAnswersTest.java
+++ b/src/test/java/mallowstall/core/AcceptedJobAnswersTest.java
@@ -94,6 +94,7 @@
                   answers.add(new TimedAnswer(response, sim.nowMs));
                   sim.checker.onAnswer(
                       sim.nowMs, askedMs, JOB, response.status(), response.state());
+                  node.closeConnection(response).run();
                 }));
     return answers;
   }
--- a/src/test/java/mallowstall/core/ForcedHistory.java
+++ b/src/test/java/mallowstall/core/ForcedHistory.java
@@ -193,8 +193,14 @@
     exchange.answers++;
     exchange.decidedMs = nowMs();
     trace(exchange.node + " decides to answer " + exchange.request + ": " + describe(decided));
+    Runnable closeConnection = controller(exchange.node).closeConnection(decided);
     answerWriter.write(
-        process(exchange.node), decided, response -> onArrival(exchange, response, onReceived));
+        process(exchange.node),
+        decided,
+        response -> {
+          onArrival(exchange, response, onReceived);
+          closeConnection.run();
+        });
   }
 
   private void onArrival(Exchange exchange, ApiResponse response, Consumer<Exchange> onReceived) {
--- a/src/test/java/mallowstall/core/SimulatedController.java
+++ b/src/test/java/mallowstall/core/SimulatedController.java
@@ -40,6 +40,9 @@
   /** An answer that is sent later than this after it was decided on is counted as a fault. */
   private static final long LATE_ANSWER_MS = 50;
 
+  /** Time in milliseconds until a controller notices that a user has closed a connection. */
+  private static final long CLOSE_DELAY_MS = 1;
+
   private final Simulation simulation;
 
   private final StateServiceLink stateServiceLink;
@@ -259,16 +262,32 @@
       eventLoop.pauseInEvent(pauseAtNextAnswerMs);
       pauseAtNextAnswerMs = 0;
       long decidedMs = simulation.nowMs;
+      Runnable closeConnection = closeConnection(answer);
       eventLoop.afterEvent(
           () -> {
             if (simulation.nowMs - decidedMs > LATE_ANSWER_MS) {
               simulation.countFault("answer left late");
             }
             user.accept(checkedAtWrite(answer));
+            closeConnection.run();
           });
     };
   }
 
+  /**
+   * Returns the action by which a user closes the connection of a request, after receiving the
+   * answer or without waiting for it any longer. The process that decided on the answer, which is
+   * the present one, then learns that the answer isn't on its way any more.
+   */
+  Runnable closeConnection(ApiResponse decided) {
+    int decidingProcess = processNumber;
+    return () -> {
+      if (decided.needsArrivalReport() && processNumber == decidingProcess) {
+        scheduleReply(CLOSE_DELAY_MS, () -> core.refusalArrived(decided.refusalId()));
+      }
+    };
+  }
+
   /**
    * Returns the answer, or an expired response if the answer may no longer be sent. The connections
    * of a real controller also check this against their clock right before they write.
--- a/src/test/java/mallowstall/core/StateLimitsTest.java
+++ b/src/test/java/mallowstall/core/StateLimitsTest.java
@@ -329,6 +329,8 @@
     List<ApiResponse> answers = new ArrayList<>();
     SimulatedController node = sim.controllers.get("n0");
     node.enqueueEvent(() -> node.core.submit(large, answers::add));
+    sim.runUntil(10_900);
+    node.closeConnection(answers.get(0)).run();
     sim.runUntil(11_000);
     assertEquals(400, answers.get(0).status());
     assertEquals("the description is too large", answers.get(0).message());
--- a/src/test/java/mallowstall/peers/GoldenMessagesTest.java
+++ b/src/test/java/mallowstall/peers/GoldenMessagesTest.java
@@ -132,7 +132,10 @@
     all.put("acceptance-query", new AcceptanceQuery("n3", 12, 25, List.of("wk-1", "wk-2")));
     all.put("acceptance-reply", new AcceptanceReply("n2", 12, 25, List.of("wk-2")));
     all.put("acceptance-reply-empty", new AcceptanceReply("n2", 12, 26, List.of()));
-    all.put("acceptance-query-end", new AcceptanceQueryEnd("n3", 12, 25));
+    all.put(
+        "acceptance-query-end-jobs",
+        new AcceptanceQueryEnd("n3", 12, 25, List.of("wk-1", "wk-2"), 28));
+    all.put("acceptance-query-end-empty", new AcceptanceQueryEnd("n3", 12, 25));
     return all;
   }
 
@@ -153,6 +156,13 @@
     }
   }
 
+  /** The end of a query as program version 4 sends it, without jobs. */
+  @Test
+  void endOfQueryOfOlderVersionIsDecoded() throws IOException {
+    byte[] sent = HexFormat.of().parseHex(Fixtures.text("messages/acceptance-query-end.hex"));
+    assertEquals(new AcceptanceQueryEnd("n3", 12, 25), PeerCodec.decode(sent));
+  }
+
   @Test
   void taskStatesAndExitReasonsKeepTheirEncoding() throws IOException {
     StringBuilder written = new StringBuilder();
--- a/src/test/java/mallowstall/peers/PeerCodecTest.java
+++ b/src/test/java/mallowstall/peers/PeerCodecTest.java
@@ -105,7 +105,8 @@
     OutcomeAcknowledgement acknowledgement = new OutcomeAcknowledgement("n2", "wk-000002");
     AcceptanceQuery query = new AcceptanceQuery("n1", 3, 8, List.of("wk-000004", "wk-000005"));
     AcceptanceReply reply = new AcceptanceReply("n2", 3, 8, List.of("wk-000005"));
-    AcceptanceQueryEnd queryEnd = new AcceptanceQueryEnd("n1", 3, 8);
+    AcceptanceQueryEnd queryEnd =
+        new AcceptanceQueryEnd("n1", 3, 8, List.of("wk-000006", "wk-000007"), 11);
     for (PeerMessage message :
         List.of(
             STATUS_UPDATE,
@@ -173,8 +174,9 @@
             + " \"possiblyAccepted\": [\"wk-000004\"]}",
         bodyBySchema(all, new AcceptanceReply("n2", 3, 8, List.of("wk-000004"))));
     assertEquals(
-        "{\"node\": \"n1\", \"incarnation\": 3, \"serial\": 8}",
-        bodyBySchema(all, new AcceptanceQueryEnd("n1", 3, 8)));
+        "{\"node\": \"n1\", \"incarnation\": 3, \"serial\": 8, \"jobs\": [\"wk-000004\"],"
+            + " \"jobsSerial\": 11}",
+        bodyBySchema(all, new AcceptanceQueryEnd("n1", 3, 8, List.of("wk-000004"), 11)));
   }
 
   private static String bodyBySchema(Schema all, PeerMessage message) throws IOException {
--- a/src/test/java/mallowstall/users/GoldenAnswersTest.java
+++ b/src/test/java/mallowstall/users/GoldenAnswersTest.java
@@ -36,7 +36,7 @@
   }
 
   private UserApiHandler users() {
-    return new UserApiHandler(controller.core());
+    return new UserApiHandler(controller.core(), Runnable::run);
   }
 
   private void submit(String label, String job) {
--- a/src/test/java/mallowstall/users/MalformedRepetitionTest.java
+++ b/src/test/java/mallowstall/users/MalformedRepetitionTest.java
@@ -21,7 +21,7 @@
 
   private final SingleControllerHarness controller =
       new SingleControllerHarness(List.of(), List.of(TYPE));
-  private final UserApiHandler users = new UserApiHandler(controller.core());
+  private final UserApiHandler users = new UserApiHandler(controller.core(), Runnable::run);
 
   @BeforeEach
   void start() {
--- a/src/test/java/mallowstall/workers/GoldenReportAnswersTest.java
+++ b/src/test/java/mallowstall/workers/GoldenReportAnswersTest.java
@@ -49,7 +49,7 @@
     String machineFields = "\"sierra\":\"m-000001\",\"addr\":\"10.0.0.1:90\",\"folio\":";
     String job =
         Examples.JOB.replace("\"piezas\":16", "\"piezas\":1").replace("\"gpus\":1.0", "\"gpus\":0");
-    UserApiHandler users = new UserApiHandler(controller.core());
+    UserApiHandler users = new UserApiHandler(controller.core(), Runnable::run);
     sendHeartbeat(controller, "not ready", machineFields + 1);
     controller.advanceTime(2_000);
 
