A new process waits for refusals in transit that its predecessor knew of

Cause: a peer answered the successor's start-up query as soon as its own refusals had left, though they may still arrive, and it did so without regard to the leases that it had itself granted to the ended process.

Change: a peer answers the start-up query, which is repeated until then, once no refusal is in transit that it knew of when it heard of the new process: its own, and those of the leases that it has granted.

Why it works: a query goes to all peers alike, so the leases that any remaining process has granted cover what the ended processes granted and refused. 5.05 s after its start a new process still goes on without an answer, as no user listens by then.

Not mended: all controllers end.

--- a/src/main/java/mallowstall/core/api/AbsenceLeases.java
+++ b/src/main/java/mallowstall/core/api/AbsenceLeases.java
@@ -31,6 +31,7 @@
   /** Maximum number of leases. Beyond it this controller grants no lease on any further job. */
   static final int LEASES_MAX = 10_000;
 
+  private final EventClock clock;
   private final CoreSettings settings;
   private final Effects effects;
   private final StateStore store;
@@ -41,11 +42,21 @@
   /** The incarnation of the newest known process of each peer. */
   private final Map<String, Long> peerIncarnations = new HashMap<>();
 
+  /** Refusals from before the start of the newest known process of each peer. */
+  private final Map<String, FormerRefusals> formerRefusals = new HashMap<>();
+
   private final GrantedLeases leases;
 
   /** Jobs that are being recorded. Each is reported as accepted as soon as it is recorded. */
   private final Set<String> submissionsInFlight = new HashSet<>();
 
+  /**
+   * Refusals that may have been in transit when a peer's process was replaced: those of this
+   * controller with ids up to {@code lastId}, which relied on the replaced process, and those that
+   * relied on {@code leases}. None of them is in transit at {@code endMs} (steady time) or later.
+   */
+  private record FormerRefusals(long lastId, Set<GrantedLeases.LeaseKey> leases, long endMs) {}
+
   /**
    * Creates an instance without leases that sends its replies through {@code effects}.
    *
@@ -60,6 +71,7 @@
       FormerProcessLeases formerProcessLeases,
       RefusalsInTransit refusalsInTransit,
       Runnable onNewPeerProcess) {
+    this.clock = clock;
     this.settings = settings;
     this.effects = effects;
     this.store = store;
@@ -99,8 +111,11 @@
       return;
     }
     if (query.incarnation() > newest) {
-      peerIncarnations.put(query.node(), query.incarnation());
-      onNewPeerProcess.run();
+      peerProcessReplaced(query.node(), query.incarnation());
+    }
+    if (query.serial() == FormerProcessLeases.QUERY_SERIAL
+        && mayFormerRefusalsArrive(query.node())) {
+      return; // the new process repeats the query
     }
     List<String> possiblyAccepted = new ArrayList<>();
     for (String job : query.jobs()) {
@@ -114,6 +129,30 @@
             settings.node(), query.incarnation(), query.serial(), possiblyAccepted));
   }
 
+  private void peerProcessReplaced(String node, long incarnation) {
+    peerIncarnations.put(node, incarnation);
+    formerRefusals.put(
+        node,
+        new FormerRefusals(refusalsInTransit.lastId(), leases.keys(), clock.now() + LEASE_MS));
+    onNewPeerProcess.run();
+  }
+
+  /**
+   * Returns whether refusals from before the replacement of the peer's process may be in transit.
+   * Every query goes to all peers. The leases that are known here therefore include those that the
+   * replaced process granted, and those that it held, even if their other parties have ended, too.
+   */
+  private boolean mayFormerRefusalsArrive(String node) {
+    FormerRefusals former = formerRefusals.get(node);
+    boolean mayArrive =
+        clock.now() < former.endMs
+            && (refusalsInTransit.containsUpTo(former.lastId) || leases.containsAny(former.leases));
+    if (!mayArrive) {
+      formerRefusals.put(node, new FormerRefusals(RefusalsInTransit.NONE, Set.of(), 0));
+    }
+    return mayArrive;
+  }
+
   /**
    * Grants a lease on the job and returns true. Returns false if this process or a former one may
    * have reported the job as accepted, or if there are too many leases.
--- a/src/main/java/mallowstall/core/api/FormerProcessLeases.java
+++ b/src/main/java/mallowstall/core/api/FormerProcessLeases.java
@@ -14,8 +14,9 @@
 /**
  * Ends the leases that former processes of this controller granted to peers. This process has no
  * record of those leases. It sends every peer a query without jobs, which shows that it has
- * replaced the former processes. A peer that replies has abandoned what relied on such a lease, and
- * its earlier responses to users have been sent. Mutable; confined to the event loop.
+ * replaced the former processes. A peer replies once it has abandoned what relied on such a lease,
+ * and no earlier refusal that the peer knows of can reach a user any more. Mutable; confined to the
+ * event loop.
  */
 public final class FormerProcessLeases {
   /** Serial of the query without jobs, smaller than the serials of all other queries. */
--- a/src/main/java/mallowstall/core/api/GrantedLeases.java
+++ b/src/main/java/mallowstall/core/api/GrantedLeases.java
@@ -1,9 +1,11 @@
 package mallowstall.core.api;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
 import mallowstall.core.kernel.EventClock;
 import mallowstall.core.model.AcceptanceQuery;
 import mallowstall.core.model.AcceptanceQueryEnd;
@@ -25,7 +27,7 @@
    * A process holds at most one lease on a job, which every grant extends. The leases of a process
    * outlast the process, and don't depend on those of its successor.
    */
-  private record LeaseKey(String job, String node, long incarnation) {}
+  record LeaseKey(String job, String node, long incarnation) {}
 
   /**
    * A lease that was granted for queries up to {@code serial}. It expires at {@code endMs}, a
@@ -50,6 +52,23 @@
     return countByJob.containsKey(job);
   }
 
+  /** Returns a copy of the keys of all leases. */
+  Set<LeaseKey> keys() {
+    removeExpired();
+    return new HashSet<>(leases.keySet());
+  }
+
+  /** Returns whether any of these leases has neither ended nor expired. */
+  boolean containsAny(Set<LeaseKey> keys) {
+    removeExpired();
+    for (LeaseKey key : keys) {
+      if (leases.containsKey(key)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Grants the sender of the query a lease on the job, or extends the lease that it holds. */
   void grant(String job, AcceptanceQuery query) {
     LeaseKey key = new LeaseKey(job, query.node(), query.incarnation());
--- a/src/main/java/mallowstall/core/api/RefusalsInTransit.java
+++ b/src/main/java/mallowstall/core/api/RefusalsInTransit.java
@@ -92,4 +92,14 @@
   boolean contains(String job) {
     return countByJob.containsKey(job);
   }
+
+  /** Returns the id of the refusal that was added last, or {@link #NONE}. */
+  long lastId() {
+    return lastId;
+  }
+
+  /** Returns whether a refusal with this id or a smaller one is in transit. */
+  boolean containsUpTo(long id) {
+    return !refusals.isEmpty() && refusals.keySet().iterator().next() <= id;
+  }
 }
--- a/src/test/java/mallowstall/core/RefusalsInTransitTest.java
+++ b/src/test/java/mallowstall/core/RefusalsInTransitTest.java
@@ -15,13 +15,14 @@
 /**
  * Guards against a 404, 400 or 422 that the network holds after it has left its controller, and
  * that reaches its user after the job was reported as accepted (violation "forgotten"). The
- * accepting controller is the one that sent the refusal, or the refusing one restarts meanwhile.
- * Also guards against a user who never closes a connection and thereby delays the submissions of
- * others. See {@link AnswersOnTheirWayTest} for refusals and acceptances by different controllers.
+ * accepting controller is the one that sent the refusal, or controllers restart meanwhile. Also
+ * guards against a user who never closes a connection and thereby delays the submissions of others.
+ * See {@link AnswersOnTheirWayTest} for refusals and acceptances by different controllers.
  */
 class RefusalsInTransitTest {
   private static final String ASKED = ForcedHistory.ASKED;
   private static final String OTHER = ForcedHistory.OTHER;
+  private static final String THIRD = ForcedHistory.THIRD;
   private static final long RUN_MS = 300_000;
 
   /** Time in milliseconds between two attempts of a user in a hurry. */
@@ -72,6 +73,33 @@
     return asked;
   }
 
+  /**
+   * Restarts controllers while a refusal is held, and submits the job to one of them.
+   *
+   * @return whether the refusal was delivered to a user who still waited
+   */
+  private static boolean submitToRestarted(
+      ForcedHistory history, UserRequest request, List<String> restarted, long downMs) {
+    ForcedHistory.Exchange asked = askAndRunUntilDecided(history, request);
+    restarted.forEach(node -> history.controller(node).crash(downMs));
+    ForcedHistory.Attempts submission =
+        history.requestUntilStateReported(restarted.get(0), UserRequest.SUBMISSION, QUICK_RETRY_MS);
+    history.finish(submission);
+    return asked.received != null && asked.received.isRefusal();
+  }
+
+  private static HistoryTally restarts(UserRequest request, long seed, List<String> restarted) {
+    HistoryTally tally = new HistoryTally();
+    long next = seed;
+    for (long downMs : new long[] {1, 100, 300}) {
+      for (long holdMs = 600; holdMs <= 1_800; holdMs += 100) {
+        ForcedHistory history = history(next++, holdMs);
+        tally.add(history, submitToRestarted(history, request, restarted, downMs));
+      }
+    }
+    return tally;
+  }
+
   /** The controller that sent the refusal accepts the job itself. */
   @ParameterizedTest
   @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "SUBMISSION")
@@ -87,6 +115,36 @@
     tally.assertNoViolations();
   }
 
+  /** The accepting controller has granted a lease for the refusal and has restarted since. */
+  @ParameterizedTest
+  @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "SUBMISSION")
+  void refusalDoesNotFollowAcceptanceByRestartedLeaseGranter(UserRequest request) {
+    restarts(request, 35_000, List.of(OTHER)).assertNoViolations();
+  }
+
+  /** The controller that sent the refusal restarts and accepts the job. */
+  @ParameterizedTest
+  @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "SUBMISSION")
+  void refusalDoesNotFollowAcceptanceBySuccessorProcess(UserRequest request) {
+    restarts(request, 36_000, List.of(ASKED)).assertNoViolations();
+  }
+
+  /**
+   * Only one controller keeps its process, and it is neither the refusing nor the accepting one.
+   */
+  @ParameterizedTest
+  @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "SUBMISSION")
+  void refusalDoesNotFollowAcceptanceAfterTwoRestarts(UserRequest request) {
+    restarts(request, 37_000, List.of(OTHER, ASKED)).assertNoViolations();
+  }
+
+  /** No process is left that knows of the refusal; see KNOWN-RED.txt. */
+  @ParameterizedTest
+  @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "SUBMISSION")
+  void refusalDoesNotFollowAcceptanceAfterRestartOfAll(UserRequest request) {
+    restarts(request, 38_000, List.of(OTHER, ASKED, THIRD)).assertNoViolations();
+  }
+
   /** Another process asks about the same job and ends its query while the refusal is held. */
   @ParameterizedTest
   @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "SUBMISSION")
