Copy a response in one place

ApiResponse.validUntil and withRefusalId both listed all components; one private method does so now.

--- a/src/main/java/mallowstall/core/model/ApiResponse.java
+++ b/src/main/java/mallowstall/core/model/ApiResponse.java
@@ -100,20 +100,15 @@
    * leave this controller.
    */
   public ApiResponse validUntil(long steadyMs) {
-    return new ApiResponse(
-        status,
-        id,
-        state,
-        completedTaskCount,
-        runningTaskCount,
-        message,
-        retryAfterS,
-        steadyMs,
-        refusalId);
+    return copy(steadyMs, refusalId);
   }
 
   /** Returns this refusal with the id by which its arrival is reported to the core. */
   public ApiResponse withRefusalId(long newRefusalId) {
+    return copy(validUntilMs, newRefusalId);
+  }
+
+  private ApiResponse copy(long newValidUntilMs, long newRefusalId) {
     return new ApiResponse(
         status,
         id,
@@ -122,7 +117,7 @@
         runningTaskCount,
         message,
         retryAfterS,
-        validUntilMs,
+        newValidUntilMs,
         newRefusalId);
   }
 
