--- a/src/test/java/mallowstall/core/RefusalsInTransitTest.java
+++ b/src/test/java/mallowstall/core/RefusalsInTransitTest.java
@@ -14,10 +14,10 @@
 
 /**
  * Guards against a 404, 400 or 422 that the network holds after it has left its controller, and
- * that reaches its user after the job was reported as accepted (violation "forgotten"). The
- * accepting controller is the one that sent the refusal, or controllers restart meanwhile. Also
- * guards against a user who never closes a connection and thereby delays the submissions of others.
- * See {@link AnswersOnTheirWayTest} for refusals and acceptances by different controllers.
+ * that reaches its user after the job was reported as accepted (violation "forgotten"). The network
+ * holds it until the user is about to give up, the accepting controller is the one that sent it, or
+ * controllers restart meanwhile. Also guards against a user who never closes a connection and
+ * thereby delays the submissions of others. See also {@link AnswersOnTheirWayTest}.
  */
 class RefusalsInTransitTest {
   private static final String ASKED = ForcedHistory.ASKED;
@@ -74,32 +74,50 @@
   }
 
   /**
-   * Restarts controllers while a refusal is held, and submits the job to one of them.
+   * Submits the job to the controller until it is accepted, while the answer to the asking user is
+   * held.
    *
-   * @return whether the refusal was delivered to a user who still waited
+   * @return whether the asking user received a refusal
    */
-  private static boolean submitToRestarted(
-      ForcedHistory history, UserRequest request, List<String> restarted, long downMs) {
-    ForcedHistory.Exchange asked = askAndRunUntilDecided(history, request);
-    restarted.forEach(node -> history.controller(node).crash(downMs));
-    ForcedHistory.Attempts submission =
-        history.requestUntilStateReported(restarted.get(0), UserRequest.SUBMISSION, QUICK_RETRY_MS);
-    history.finish(submission);
+  private static boolean submitUntilAccepted(
+      ForcedHistory history, ForcedHistory.Exchange asked, String node) {
+    history.finish(history.requestUntilStateReported(node, UserRequest.SUBMISSION, QUICK_RETRY_MS));
     return asked.received != null && asked.received.isRefusal();
   }
 
+  /**
+   * Restarts controllers while a refusal is held, and submits the job to the first of them.
+   *
+   * @param seed seed of the first history
+   */
   private static HistoryTally restarts(UserRequest request, long seed, List<String> restarted) {
     HistoryTally tally = new HistoryTally();
     long next = seed;
     for (long downMs : new long[] {1, 100, 300}) {
       for (long holdMs = 600; holdMs <= 1_800; holdMs += 100) {
         ForcedHistory history = history(next++, holdMs);
-        tally.add(history, submitToRestarted(history, request, restarted, downMs));
+        ForcedHistory.Exchange asked = askAndRunUntilDecided(history, request);
+        restarted.forEach(node -> history.controller(node).crash(downMs));
+        tally.add(history, submitUntilAccepted(history, asked, restarted.get(0)));
       }
     }
     return tally;
   }
 
+  /** The network holds the refusal for up to as long as the user waits for the answer. */
+  @ParameterizedTest
+  @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "SUBMISSION")
+  void refusalThatArrivesAtTheLastMomentDoesNotFollowAcceptance(UserRequest request) {
+    HistoryTally tally = new HistoryTally();
+    for (int i = 0; i < 20; i++) {
+      long holdMs = request.timeoutMs() * (i + 1) / 20 - 100;
+      ForcedHistory history = history(33_500 + i, holdMs);
+      ForcedHistory.Exchange asked = askAndRunUntilDecided(history, request);
+      tally.add(history, submitUntilAccepted(history, asked, OTHER));
+    }
+    tally.assertNoViolations();
+  }
+
   /** The controller that sent the refusal accepts the job itself. */
   @ParameterizedTest
   @EnumSource(mode = EnumSource.Mode.EXCLUDE, names = "SUBMISSION")
@@ -108,9 +126,7 @@
     for (int i = 0; i < 20; i++) {
       ForcedHistory history = history(34_000 + i, 300 + 50L * i);
       ForcedHistory.Exchange asked = askAndRunUntilDecided(history, request);
-      history.finish(
-          history.requestUntilStateReported(ASKED, UserRequest.SUBMISSION, QUICK_RETRY_MS));
-      tally.add(history, asked.received != null && asked.received.isRefusal());
+      tally.add(history, submitUntilAccepted(history, asked, ASKED));
     }
     tally.assertNoViolations();
   }
@@ -161,9 +177,7 @@
               successor.core.query(
                   ForcedHistory.JOB, answer -> successor.closeConnection(answer).run()));
       history.run(100);
-      history.finish(
-          history.requestUntilStateReported(OTHER, UserRequest.SUBMISSION, QUICK_RETRY_MS));
-      tally.add(history, asked.received != null && asked.received.isRefusal());
+      tally.add(history, submitUntilAccepted(history, asked, OTHER));
     }
     tally.assertNoViolations();
   }
