End leases in a class of its own

AcceptanceLookup both determined whether jobs were accepted and ended the leases for it. QueryEnds now does the latter: it knows the queries with leases and the refusals in transit, and is told when a query begins and is completed.

--- a/src/main/java/mallowstall/core/ApiModules.java
+++ b/src/main/java/mallowstall/core/ApiModules.java
@@ -6,6 +6,7 @@
 import mallowstall.core.api.FormerProcessLeases;
 import mallowstall.core.api.JobApi;
 import mallowstall.core.api.OutcomeAnnouncer;
+import mallowstall.core.api.QueryEnds;
 import mallowstall.core.api.RefusalsInTransit;
 import mallowstall.core.model.AcceptanceReply;
 
@@ -18,6 +19,7 @@
 
   private final FormerProcessLeases formerProcessLeases;
   private final RefusalsInTransit refusalsInTransit;
+  private final QueryEnds queryEnds;
 
   /**
    * Builds the modules.
@@ -33,6 +35,9 @@
             cluster.store,
             cluster.clusterVersion);
     refusalsInTransit = new RefusalsInTransit(cluster.clock, cluster.metrics);
+    queryEnds =
+        new QueryEnds(
+            cluster.clock, cluster.settings, cluster.effects, cluster.store, refusalsInTransit);
     acceptances =
         new AcceptanceLookup(
             cluster.clock,
@@ -41,7 +46,7 @@
             cluster.store,
             cluster.clusterVersion,
             cluster.connectivity,
-            refusalsInTransit);
+            queryEnds);
     formerProcessLeases =
         new FormerProcessLeases(
             cluster.clock,
@@ -83,14 +88,14 @@
   void tick() {
     formerProcessLeases.tick();
     if (refusalsInTransit.removeExpired()) {
-      acceptances.endUnneededLeases();
+      queryEnds.endUnneededLeases();
     }
   }
 
   /** Handles the adapter's report that a refusal has arrived or that nobody waits for it. */
   void refusalArrived(long refusalId) {
     refusalsInTransit.arrived(refusalId);
-    acceptances.endUnneededLeases();
+    queryEnds.endUnneededLeases();
   }
 
   /** Handles a peer's reply to a query about jobs or to the query of a new process. */
--- a/src/main/java/mallowstall/core/api/AcceptanceLookup.java
+++ b/src/main/java/mallowstall/core/api/AcceptanceLookup.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.function.Consumer;
 import mallowstall.core.cluster.ClusterVersion;
 import mallowstall.core.cluster.Connectivity;
@@ -15,7 +14,6 @@
 import mallowstall.core.kernel.EventClock;
 import mallowstall.core.kv.StateStore;
 import mallowstall.core.model.AcceptanceQuery;
-import mallowstall.core.model.AcceptanceQueryEnd;
 import mallowstall.core.model.AcceptanceReply;
 import mallowstall.core.model.CoreSettings;
 
@@ -39,9 +37,6 @@
    */
   private static final long QUERY_INTERVAL_MIN_MS = 100;
 
-  /** Time in milliseconds for which ends of queries are collected into a message to each peer. */
-  private static final long END_DELAY_MS = 20;
-
   /** Maximum number of lookups that wait for a query or for its replies. */
   static final int LOOKUPS_MAX = 2_000;
 
@@ -51,7 +46,7 @@
   private final StateStore store;
   private final ClusterVersion clusterVersion;
   private final Connectivity connectivity;
-  private final RefusalsInTransit refusalsInTransit;
+  private final QueryEnds queryEnds;
 
   /** Lookups that are not part of a query yet. */
   private final List<Lookup> unsent = new ArrayList<>();
@@ -59,17 +54,9 @@
   /** Queries to which some peer has not replied yet, by their serial, the oldest first. */
   private final Map<Long, Query> unanswered = new LinkedHashMap<>();
 
-  /** Jobs whose leases are still needed, by the serial of each query with all its replies. */
-  private final TreeMap<Long, Set<String>> leasedJobs = new TreeMap<>();
-
   private long lastSerial = FormerProcessLeases.QUERY_SERIAL;
-
-  /** Peers were notified that the queries up to this one have ended. */
-  private long lastSentEnd = lastSerial;
-
   private long lastQueryMs = Long.MIN_VALUE / 2;
   private boolean queryScheduled;
-  private boolean endScheduled;
   private int pendingLookups;
 
   /** A lookup of one job. Its callback is called exactly once. */
@@ -133,14 +120,14 @@
       StateStore store,
       ClusterVersion clusterVersion,
       Connectivity connectivity,
-      RefusalsInTransit refusalsInTransit) {
+      QueryEnds queryEnds) {
     this.clock = clock;
     this.settings = settings;
     this.effects = effects;
     this.store = store;
     this.clusterVersion = clusterVersion;
     this.connectivity = connectivity;
-    this.refusalsInTransit = refusalsInTransit;
+    this.queryEnds = queryEnds;
   }
 
   /**
@@ -188,6 +175,7 @@
     Query query = new Query(unsent, settings.peers());
     unsent.clear();
     unanswered.put(serial, query);
+    queryEnds.queryBegun(serial, query.lookups.keySet());
     // by then all lookups of this query have been completed
     clock.schedule(AnswerValidity.VALID_MS + 1, () -> close(serial));
     List<String> jobs = List.copyOf(query.lookups.keySet());
@@ -228,76 +216,6 @@
       return;
     }
     query.complete();
-    leasedJobs.put(serial, new HashSet<>(query.lookups.keySet()));
-    endUnneededLeases();
-  }
-
-  /**
-   * Ends the leases of completed queries on which no refusal in transit relies. Must be called when
-   * a refusal has arrived or has expired.
-   */
-  public void endUnneededLeases() {
-    if (!endScheduled) {
-      endScheduled = true;
-      clock.schedule(END_DELAY_MS, this::sendEnd);
-    }
-  }
-
-  private void sendEnd() {
-    endScheduled = false;
-    Map<String, Long> serialByJob = removeUnneededJobs();
-    long ended = lastEndedSerial();
-    serialByJob.values().removeIf(serial -> serial <= ended);
-    if (ended == lastSentEnd && serialByJob.isEmpty()) {
-      return;
-    }
-    lastSentEnd = ended;
-    List<String> jobs = List.copyOf(serialByJob.keySet());
-    for (String peer : settings.peers()) {
-      effects.send(
-          peer,
-          new AcceptanceQueryEnd(settings.node(), store.incarnation(), ended, jobs, lastSerial));
-    }
-  }
-
-  /**
-   * Removes the jobs whose leases are no longer needed. Returns them with the serial of the newest
-   * query about each.
-   */
-  private Map<String, Long> removeUnneededJobs() {
-    Map<String, Long> serialByJob = new HashMap<>();
-    leasedJobs.forEach(
-        (serial, jobs) ->
-            jobs.removeIf(
-                job -> {
-                  boolean unneeded = !refusalsInTransit.contains(job) && !isQueried(job);
-                  if (unneeded) {
-                    serialByJob.put(job, serial);
-                  }
-                  return unneeded;
-                }));
-    leasedJobs.values().removeIf(Set::isEmpty);
-    return serialByJob;
-  }
-
-  private boolean isQueried(String job) {
-    for (Query query : unanswered.values()) {
-      if (query.lookups.containsKey(job)) {
-        return true;
-      }
-    }
-    return false;
-  }
-
-  /** Returns the largest serial such that all queries up to it need no lease. */
-  private long lastEndedSerial() {
-    long firstNeeded = lastSerial + 1;
-    if (!unanswered.isEmpty()) {
-      firstNeeded = unanswered.keySet().iterator().next();
-    }
-    if (!leasedJobs.isEmpty()) {
-      firstNeeded = Math.min(firstNeeded, leasedJobs.firstKey());
-    }
-    return firstNeeded - 1;
+    queryEnds.queryCompleted(serial);
   }
 }
