--- a/src/main/java/mallowstall/core/api/GrantedLeases.java
+++ b/src/main/java/mallowstall/core/api/GrantedLeases.java
@@ -1,6 +1,5 @@
 package mallowstall.core.api;
 
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -21,7 +20,7 @@
   private final Map<LeaseKey, Lease> leases = new LinkedHashMap<>();
 
   /** Number of leases by job. */
-  private final Map<String, Integer> countByJob = new HashMap<>();
+  private final JobCounts leaseCounts = new JobCounts();
 
   /**
    * A process holds at most one lease on a job, which every grant extends. The leases of a process
@@ -49,7 +48,7 @@
   /** Returns whether any process holds a lease on the job. */
   boolean contains(String job) {
     removeExpired();
-    return countByJob.containsKey(job);
+    return leaseCounts.contains(job);
   }
 
   /** Returns a copy of the keys of all leases. */
@@ -75,7 +74,7 @@
     Lease previous = leases.remove(key);
     long serial = query.serial();
     if (previous == null) {
-      countByJob.merge(job, 1, Integer::sum);
+      leaseCounts.increment(job);
     } else {
       serial = Math.max(serial, previous.serial); // queries may arrive in another order
     }
@@ -92,7 +91,7 @@
           key.node.equals(queryEnd.node()) && key.incarnation == queryEnd.incarnation();
       if (isHolder && entry.getValue().serial <= queryEnd.serial()) {
         entries.remove();
-        decrementCount(key.job);
+        leaseCounts.decrement(key.job);
       }
     }
     for (String job : queryEnd.jobs()) {
@@ -100,7 +99,7 @@
       Lease lease = leases.get(key);
       if (lease != null && lease.serial <= queryEnd.jobsSerial()) {
         leases.remove(key);
-        decrementCount(job);
+        leaseCounts.decrement(job);
       }
     }
   }
@@ -113,11 +112,7 @@
         return;
       }
       oldest.remove();
-      decrementCount(entry.getKey().job);
+      leaseCounts.decrement(entry.getKey().job);
     }
   }
-
-  private void decrementCount(String job) {
-    countByJob.computeIfPresent(job, (key, count) -> count == 1 ? null : count - 1);
-  }
 }
--- a/src/main/java/mallowstall/core/api/RefusalsInTransit.java
+++ b/src/main/java/mallowstall/core/api/RefusalsInTransit.java
@@ -1,6 +1,5 @@
 package mallowstall.core.api;
 
-import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -30,7 +29,7 @@
   private final Map<Long, Refusal> refusals = new LinkedHashMap<>();
 
   /** Number of refusals in transit by job. */
-  private final Map<String, Integer> countByJob = new HashMap<>();
+  private final JobCounts refusalCounts = new JobCounts();
 
   private long lastId = NONE;
 
@@ -52,7 +51,7 @@
   long add(String job) {
     long id = ++lastId;
     refusals.put(id, new Refusal(job, clock.now() + AbsenceLeases.LEASE_MS));
-    countByJob.merge(job, 1, Integer::sum);
+    refusalCounts.increment(job);
     return id;
   }
 
@@ -60,7 +59,7 @@
   public void arrived(long id) {
     Refusal refusal = refusals.remove(id);
     if (refusal != null) {
-      decrementCount(refusal.job);
+      refusalCounts.decrement(refusal.job);
     }
   }
 
@@ -77,20 +76,16 @@
         break;
       }
       oldest.remove();
-      decrementCount(refusal.job);
+      refusalCounts.decrement(refusal.job);
       metrics.increment(EXPIRED_METRIC);
       removed = true;
     }
     return removed;
   }
 
-  private void decrementCount(String job) {
-    countByJob.computeIfPresent(job, (key, count) -> count == 1 ? null : count - 1);
-  }
-
   /** Returns whether a refusal about the job may still reach its user. */
   boolean contains(String job) {
-    return countByJob.containsKey(job);
+    return refusalCounts.contains(job);
   }
 
   /** Returns the id of the refusal that was added last, or {@link #NONE}. */
