--- /dev/null
+++ b/review/lab/Web.java
@@ -0,0 +1,83 @@
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+
+/** HTTP on loopback: a small server for the stand-ins. */
+final class Web {
+  static final ExecutorService THREADS =
+      Executors.newCachedThreadPool(
+          task -> {
+            Thread thread = new Thread(task);
+            thread.setDaemon(true);
+            return thread;
+          });
+
+  /** An answer; status 0 closes the connection without an answer. */
+  record Answer(int status, String body) {}
+
+  /** Handles one request. */
+  interface Handler {
+    Answer handle(String method, String path, Map<String, String> query, String body)
+        throws Exception;
+  }
+
+  private Web() {}
+
+  static int freePort() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+      return socket.getLocalPort();
+    }
+  }
+
+  static HttpServer serve(int port, Handler handler) throws IOException {
+    HttpServer server = HttpServer.create(new InetSocketAddress("127.0.0.1", port), 256);
+    server.setExecutor(THREADS);
+    server.createContext("/", exchange -> answer(exchange, handler));
+    server.start();
+    return server;
+  }
+
+  private static void answer(HttpExchange exchange, Handler handler) {
+    try {
+      String body =
+          new String(exchange.getRequestBody().readAllBytes(), StandardCharsets.UTF_8);
+      Map<String, String> query = new HashMap<>();
+      String raw = exchange.getRequestURI().getQuery();
+      if (raw != null) {
+        for (String part : raw.split("&")) {
+          int is = part.indexOf('=');
+          query.put(is < 0 ? part : part.substring(0, is), is < 0 ? "" : part.substring(is + 1));
+        }
+      }
+      Answer answer;
+      try {
+        answer =
+            handler.handle(
+                exchange.getRequestMethod(), exchange.getRequestURI().getPath(), query, body);
+      } catch (IllegalArgumentException | ClassCastException | NullPointerException failure) {
+        answer = new Answer(400, "{\"error\":\"malformed\"}");
+      }
+      if (answer.status == 0) {
+        exchange.close();
+        return;
+      }
+      byte[] bytes = answer.body.getBytes(StandardCharsets.UTF_8);
+      exchange.getResponseHeaders().set("Content-Type", "application/json");
+      exchange.sendResponseHeaders(answer.status, bytes.length == 0 ? -1 : bytes.length);
+      if (bytes.length > 0) {
+        exchange.getResponseBody().write(bytes);
+      }
+      exchange.close();
+    } catch (Exception gone) {
+      exchange.close();
+    }
+  }
+}
