--- a/review/lab/Web.java
+++ b/review/lab/Web.java
@@ -6,7 +6,10 @@
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 
@@ -29,12 +32,28 @@
         throws Exception;
   }
 
+  private static final Random RANDOM = new Random();
+  private static final Set<Integer> GIVEN = new HashSet<>();
+
   private Web() {}
 
-  static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-      return socket.getLocalPort();
+  /**
+   * Returns a port that is free now. It lies outside the range from which the system takes the
+   * ports of outgoing connections, so that it stays free while a process is down.
+   */
+  static synchronized int freePort() throws IOException {
+    for (int tries = 0; tries < 1_000; tries++) {
+      int port = 12_000 + RANDOM.nextInt(18_000);
+      if (!GIVEN.add(port)) {
+        continue;
+      }
+      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+        return socket.getLocalPort();
+      } catch (IOException taken) {
+        // the next one
+      }
     }
+    throw new IOException("no free port");
   }
 
   static HttpServer serve(int port, Handler handler) throws IOException {
