--- a/src/main/java/mallowstall/core/autoscaling/TypePlanner.java
+++ b/src/main/java/mallowstall/core/autoscaling/TypePlanner.java
@@ -2,9 +2,13 @@
 
 import java.util.List;
 import mallowstall.core.cluster.MachineView;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Compares the number of machines of a type with the demand for it, and scales out or in. */
 public final class TypePlanner {
+  private static final Logger LOG = LoggerFactory.getLogger("mallowstall.autoscaling");
+
   /**
    * Number of machines requested per machine needed. It exceeds 1, because some machines boot late
    * or never.
@@ -53,6 +57,13 @@
       return;
     }
     int targetCount = computeTargetCount(typeDemand);
+    LOG.debug(
+        "machines planned type={} demand={} averageDemand={} target={} current={}",
+        type,
+        typeDemand.machines(),
+        typeDemand.averageMachines(),
+        targetCount,
+        current);
     if (targetCount > current) {
       if (scaleOut.canRequest(now)) {
         scaleOut.scaleOut(type, targetCount - current, targetCount, typeDemand.spotAllowed(), now);
