Count registering machines for jobs of one zone too

What operators saw: for a job that needs one zone, on-demand machines or two zones, a second machine is requested while the first one registers. It stays idle and is returned.

Cause: a machine stops being pending with its first entry, and is in service only once its leader has published its status. The count of a type knows it as expected between the two; the counts by zone and of on-demand machines were made apart, from pending machines and those in service alone.

Why it works: one census counts by type, zone and kind, and all counts come from it, so that a machine counts for its zone exactly as long as for its type.

The simulated cloud's shared state moved to CloudState (types offered, refusals, requests); KeptReplicaResultTest uses its count of rented machines, same checks.

--- a/src/main/java/mallowstall/core/autoscaling/MachineCensus.java
+++ b/src/main/java/mallowstall/core/autoscaling/MachineCensus.java
@@ -6,13 +6,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import mallowstall.core.cluster.MachineView;
 
 /** The machines as one scaling plan counts and classifies them. Mutable; used by that plan only. */
 final class MachineCensus {
-  private final Map<String, Integer> countByType = new HashMap<>();
+  private final Map<MachineKind, Integer> countByKind = new HashMap<>();
+
   private final Set<String> registered = new HashSet<>();
   private final List<MachineView> available = new ArrayList<>();
+
   private final List<String> toReturn = new ArrayList<>();
   private final List<String> lateEntries = new ArrayList<>();
   private final List<String> unmanaged = new ArrayList<>();
@@ -21,7 +24,32 @@
 
   /** Returns the number of machines of the type that are in service or expected to be. */
   int count(String type) {
-    return countByType.getOrDefault(type, 0);
+    return countKinds(kind -> kind.type().equals(type));
+  }
+
+  /** Returns how many of the machines counted by {@link #count} are in the zone. */
+  int countInZone(String type, String zone) {
+    return countKinds(kind -> kind.type().equals(type) && kind.zone().equals(zone));
+  }
+
+  /** Returns how many of the machines counted by {@link #count} are on-demand machines. */
+  int countOnDemand(String type) {
+    return countKinds(kind -> kind.type().equals(type) && !kind.spot());
+  }
+
+  /** Returns how many of the on-demand machines counted by {@link #count} are in the zone. */
+  int countOnDemandInZone(String type, String zone) {
+    return countByKind.getOrDefault(new MachineKind(type, zone, false), 0);
+  }
+
+  private int countKinds(Predicate<MachineKind> counted) {
+    int count = 0;
+    for (Map.Entry<MachineKind, Integer> entry : countByKind.entrySet()) {
+      if (counted.test(entry.getKey())) {
+        count += entry.getValue();
+      }
+    }
+    return count;
   }
 
   /**
@@ -57,15 +85,17 @@
     registered.add(machine);
   }
 
-  /** Counts a machine of the type that is in service or expected to be. */
-  void addExpected(String type) {
-    countByType.merge(type, 1, Integer::sum);
+  /** Counts a machine of this kind that is expected to be in service. */
+  void addExpected(MachineKind kind) {
+    countByKind.merge(kind, 1, Integer::sum);
   }
 
   /** Records and counts a machine in service. */
   void addAvailable(MachineView machine) {
-    addExpected(machine.status().type());
+    MachineKind kind = MachineKind.of(machine.status());
+    countByKind.merge(kind, 1, Integer::sum);
     available.add(machine);
+    if (!machine.status().draining()) {}
   }
 
   /** Records that the machine is to be returned to the cloud. */
--- a/src/main/java/mallowstall/core/autoscaling/RegisteredMachines.java
+++ b/src/main/java/mallowstall/core/autoscaling/RegisteredMachines.java
@@ -100,7 +100,7 @@
       return;
     }
     if (leaderLive && isPeerUnresponsive(entry.node(), now)) {
-      census.addExpected(entry.type());
+      census.addExpected(MachineKind.of(entry));
       return;
     }
     long statusUnknownMs = now - statusUnknownSinceMs.computeIfAbsent(id, k -> now);
@@ -109,7 +109,7 @@
     } else if (!leaderLive && statusUnknownMs > failoverGraceMs()) {
       census.addUnmanaged(id);
     } else {
-      census.addExpected(entry.type());
+      census.addExpected(MachineKind.of(entry));
     }
   }
 
--- a/src/main/java/mallowstall/core/autoscaling/ScaleOut.java
+++ b/src/main/java/mallowstall/core/autoscaling/ScaleOut.java
@@ -22,33 +22,6 @@
   /** Fraction of the target that must be missing before on-demand machines replace spot ones. */
   private static final double ON_DEMAND_FALLBACK_FRACTION = 0.15;
 
-  /** Counts of all machines and of on-demand machines of one type by zone. Mutable. */
-  private static final class ZoneCounts {
-    private final Map<String, Integer> countByZone = new HashMap<>();
-    private final Map<String, Integer> onDemandByZone = new HashMap<>();
-    private int onDemand;
-
-    void add(String zone, boolean spot) {
-      countByZone.merge(zone, 1, Integer::sum);
-      if (!spot) {
-        onDemandByZone.merge(zone, 1, Integer::sum);
-        onDemand++;
-      }
-    }
-
-    int inZone(String zone) {
-      return countByZone.getOrDefault(zone, 0);
-    }
-
-    int onDemandInZone(String zone) {
-      return onDemandByZone.getOrDefault(zone, 0);
-    }
-
-    int onDemand() {
-      return onDemand;
-    }
-  }
-
   private final ClusterView view;
   private final MachineTypeCatalog types;
   private final JobsNeedingLeader jobsNeedingLeader;
@@ -87,31 +60,20 @@
    *
    * @return whether a request was sent
    */
-  boolean scaleOutConstrained(
-      String type, TypeDemand typeDemand, List<MachineView> available, long now) {
-    ZoneCounts counts = new ZoneCounts();
-    for (MachineView machine : available) {
-      if (machine.status().type().equals(type)) {
-        counts.add(machine.status().zone(), machine.status().spot());
-      }
-    }
-    for (PendingMachine pending : pendingMachines.all()) {
-      if (pending.type().equals(type)) {
-        counts.add(pending.zone(), pending.spot());
-      }
-    }
-    return scaleOutPinned(type, typeDemand, counts, now)
-        || scaleOutOnDemand(type, typeDemand, counts, now);
+  boolean scaleOutConstrained(String type, TypeDemand typeDemand, MachineCensus census, long now) {
+    return scaleOutPinned(type, typeDemand, census, now)
+        || scaleOutOnDemand(type, typeDemand, census, now);
   }
 
   /**
    * Requests machines for jobs that only one zone can serve. Machines in other zones don't count
    * for these jobs.
    */
-  private boolean scaleOutPinned(String type, TypeDemand typeDemand, ZoneCounts counts, long now) {
+  private boolean scaleOutPinned(
+      String type, TypeDemand typeDemand, MachineCensus census, long now) {
     for (Map.Entry<String, Double> pinned : typeDemand.pinnedByZone().entrySet()) {
       String zone = pinned.getKey();
-      int missing = (int) Math.ceil(pinned.getValue()) - counts.inZone(zone);
+      int missing = (int) Math.ceil(pinned.getValue()) - census.countInZone(type, zone);
       if (missing > 0 && requests.requestSpotOrOnDemand(type, zone, missing, now)) {
         return true;
       }
@@ -119,7 +81,7 @@
     // neither a spot machine in the zone nor an on-demand one in another zone serves these jobs
     for (Map.Entry<String, Double> pinned : typeDemand.onDemandPinnedByZone().entrySet()) {
       String zone = pinned.getKey();
-      int missing = (int) Math.ceil(pinned.getValue()) - counts.onDemandInZone(zone);
+      int missing = (int) Math.ceil(pinned.getValue()) - census.countOnDemandInZone(type, zone);
       if (missing > 0 && requests.requestInZone(type, zone, false, missing, now)) {
         return true;
       }
@@ -129,8 +91,8 @@
 
   /** Requests machines for jobs that spot machines can't serve. */
   private boolean scaleOutOnDemand(
-      String type, TypeDemand typeDemand, ZoneCounts counts, long now) {
-    int missing = (int) Math.ceil(typeDemand.onDemandMachines()) - counts.onDemand();
+      String type, TypeDemand typeDemand, MachineCensus census, long now) {
+    int missing = (int) Math.ceil(typeDemand.onDemandMachines()) - census.countOnDemand(type);
     if (missing <= 0) {
       return false;
     }
--- a/src/main/java/mallowstall/core/autoscaling/ScalingPlanner.java
+++ b/src/main/java/mallowstall/core/autoscaling/ScalingPlanner.java
@@ -48,7 +48,7 @@
     }
     unregisteredMachines.count(census, now);
     for (String type : types.names()) {
-      typePlanner.plan(type, census.count(type), census.available(), now);
+      typePlanner.plan(type, census, now);
     }
     List<String> toReturn = scaleIn.withoutReturned(census.toReturn());
     if (!toReturn.isEmpty()) {
--- a/src/main/java/mallowstall/core/autoscaling/TypePlanner.java
+++ b/src/main/java/mallowstall/core/autoscaling/TypePlanner.java
@@ -1,7 +1,5 @@
 package mallowstall.core.autoscaling;
 
-import java.util.List;
-import mallowstall.core.cluster.MachineView;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -47,13 +45,12 @@
   /**
    * Requests missing machines of the type, or scales in those that aren't needed.
    *
-   * @param current number of machines of the type that are in service or expected to be
-   * @param available machines of all types in service
+   * @param census the machines of all types
    */
-  void plan(String type, int current, List<MachineView> available, long now) {
+  void plan(String type, MachineCensus census, long now) {
+    int current = census.count(type);
     TypeDemand typeDemand = demand.demandFor(type);
-    if (scaleOut.canRequest(now)
-        && scaleOut.scaleOutConstrained(type, typeDemand, available, now)) {
+    if (scaleOut.canRequest(now) && scaleOut.scaleOutConstrained(type, typeDemand, census, now)) {
       return;
     }
     int targetCount = computeTargetCount(typeDemand);
@@ -70,13 +67,14 @@
       }
       return;
     }
-    if (scaleOut.canRequest(now) && scaleOut.scaleOutForUnplaceable(type, available, now)) {
+    if (scaleOut.canRequest(now)
+        && scaleOut.scaleOutForUnplaceable(type, census.available(), now)) {
       return;
     }
     int retainedTotal = computeRetainedTotal(typeDemand);
     int retainedOnDemand = Math.min(retainedTotal, computeRetainedOnDemand(typeDemand));
     if (current > retainedOnDemand) {
-      idleScaleIn.scaleIn(type, current, retainedTotal, retainedOnDemand, available, now);
+      idleScaleIn.scaleIn(type, current, retainedTotal, retainedOnDemand, census.available(), now);
     }
   }
 
--- a/src/main/java/mallowstall/core/autoscaling/UnregisteredMachines.java
+++ b/src/main/java/mallowstall/core/autoscaling/UnregisteredMachines.java
@@ -86,7 +86,7 @@
         pendingMachines.remove(id);
         census.addToReturn(id);
       } else {
-        census.addExpected(pending.type());
+        census.addExpected(new MachineKind(pending.type(), pending.zone(), pending.spot()));
       }
     }
   }
--- /dev/null
+++ b/src/test/java/mallowstall/core/ConstrainedScaleOutTest.java
@@ -0,0 +1,53 @@
+package mallowstall.core;
+
+import static mallowstall.core.SafetyTestSupport.assertFinished;
+import static mallowstall.core.model.JobSpecBuilder.batchJob;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.function.UnaryOperator;
+import java.util.stream.Stream;
+import mallowstall.core.model.JobSpecBuilder;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * Guards against machines rented twice for a job that needs one zone or an on-demand machine: a
+ * machine that had registered, but whose status wasn't known yet, counted as missing.
+ */
+class ConstrainedScaleOutTest {
+  private static final String JOB = "wk-000001";
+
+  private static Arguments job(String name, int machines, UnaryOperator<JobSpecBuilder> change) {
+    return Arguments.of(name, machines, change);
+  }
+
+  private static Stream<Arguments> constrainedJobs() {
+    return Stream.of(
+        job("given zone", 1, job -> job.zone("b")),
+        job("on-demand", 1, job -> job.spot(false)),
+        job("on-demand in a zone", 1, job -> job.spot(false).zone("b")),
+        job("spread", 2, job -> job.tasks(2).spread(true)));
+  }
+
+  /** A machine that registers must not be requested again for the job it was rented for. */
+  @ParameterizedTest(name = "{0}")
+  @MethodSource("constrainedJobs")
+  void registeringMachineIsNotRequestedAgain(
+      String name, int machines, UnaryOperator<JobSpecBuilder> change) {
+    for (long seed = 401; seed <= 410; seed++) {
+      Simulation sim = new Simulation(seed);
+      sim.runUntil(8_000);
+      List.copyOf(sim.workers.keySet()).forEach(sim::killMachine);
+      sim.runUntil(sim.nowMs + 45_000);
+      sim.users.submit(change.apply(batchJob(JOB).cpus(4).estimatedRunS(60)).build());
+      sim.runUntil(sim.nowMs + 40_000);
+      assertFinished(sim, JOB);
+      assertEquals(
+          machines,
+          sim.cloudState.rentedMachines(),
+          "seed " + seed + ": " + sim.cloudState.requests);
+    }
+  }
+}
--- a/src/test/java/mallowstall/core/KeptReplicaResultTest.java
+++ b/src/test/java/mallowstall/core/KeptReplicaResultTest.java
@@ -74,10 +74,6 @@
     return sim.faultCounts.getOrDefault("result kept", 0);
   }
 
-  private static int scaledOutMachines(Simulation sim) {
-    return sim.scaleOutResults.values().stream().mapToInt(List::size).sum();
-  }
-
   private static void assertServed(Simulation sim) {
     assertEquals(2, sim.checker.runningReplicas(SERVICE));
     assertEquals(List.of(), sim.checker.violations);
@@ -94,7 +90,7 @@
       assertTrue(sim.exitReplica(SERVICE, 0, ExitReason.DONE));
       sim.runUntil(sim.nowMs + SERVED_WITHIN_MS);
       assertServed(sim);
-      assertEquals(1, scaledOutMachines(sim), "seed " + seed);
+      assertEquals(1, sim.cloudState.rentedMachines(), "seed " + seed);
     }
   }
 
@@ -156,7 +152,7 @@
       sim.exitReplica(SERVICE, 0, ExitReason.DONE);
       sim.runUntil(sim.nowMs + 500);
     }
-    int machines = scaledOutMachines(sim);
+    int machines = sim.cloudState.rentedMachines();
     assertTrue(machines >= 3, "scale-out continues, machines: " + machines);
     assertTrue(machines <= 9, "machines in 10 minutes: " + machines);
     sim.runUntil(sim.nowMs + 10 * SERVED_WITHIN_MS);
--- a/src/test/java/mallowstall/core/SafetyTestSupport.java
+++ b/src/test/java/mallowstall/core/SafetyTestSupport.java
@@ -7,9 +7,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import mallowstall.core.kv.StateKeys;
 import mallowstall.core.model.ApiResponse;
+import mallowstall.core.model.AutoscalerLeaderEntry;
 import mallowstall.core.model.JobEntry;
 import mallowstall.core.model.MachineEntry;
+import mallowstall.core.model.StoredEntry;
 import mallowstall.core.model.TaskState;
 
 /** Helper methods of the tests that play single cases in a simulation. */
@@ -20,6 +23,12 @@
     return sim.controllers.get(sim.jobEntry(id).leader());
   }
 
+  /** Crashes the controller that leads the autoscaler for {@code downMs} milliseconds. */
+  static void crashAutoscalerLeader(Simulation sim, long downMs) {
+    StoredEntry entry = sim.stateService.entries.get(StateKeys.AUTOSCALER_LEADER_KEY).value();
+    sim.controllers.get(((AutoscalerLeaderEntry) entry).node()).crash(downMs);
+  }
+
   /**
    * Runs until the controller has recovered the machine from the controller's former incarnation,
    * and returns the machine's entry.
--- a/src/test/java/mallowstall/core/SimulatedCloud.java
+++ b/src/test/java/mallowstall/core/SimulatedCloud.java
@@ -21,14 +21,20 @@
   }
 
   void fetchMachineTypes(Consumer<List<MachineType>> then) {
-    node.scheduleReply(20, () -> then.accept(List.of(simulation.machineType)));
+    node.scheduleReply(20, () -> then.accept(simulation.cloudState.offeredTypes));
   }
 
   void scaleOut(ScaleOutRequest request, Consumer<ScaleOutResult> then) {
     node.scheduleReply(
         30,
         () -> {
-          List<String> machines = simulation.scaleOutResults.get(request.name());
+          simulation.cloudState.requests.add(request);
+          int refusal = simulation.cloudState.refusal.applyAsInt(request);
+          if (refusal != 0) {
+            then.accept(new ScaleOutResult(refusal, List.of()));
+            return;
+          }
+          List<String> machines = simulation.cloudState.machinesByRequest.get(request.name());
           if (machines == null) {
             machines = new ArrayList<>();
             while (machines.size() < request.count()
@@ -41,7 +47,7 @@
                       2_000 + simulation.random.nextInt(6_000)));
             }
             if (!machines.isEmpty()) {
-              simulation.scaleOutResults.put(request.name(), machines);
+              simulation.cloudState.machinesByRequest.put(request.name(), machines);
             }
           }
           then.accept(new ScaleOutResult(machines.isEmpty() ? 503 : 200, machines));
@@ -65,7 +71,7 @@
       out.add(
           new ListedMachine(
               worker.id,
-              "t8",
+              worker.type,
               worker.zone,
               worker.spot,
               "running",
--- a/src/test/java/mallowstall/core/SimulatedWorker.java
+++ b/src/test/java/mallowstall/core/SimulatedWorker.java
@@ -18,6 +18,9 @@
 
   final String id;
 
+  /** The name of the machine type. */
+  final String type;
+
   final String zone;
 
   final boolean spot;
@@ -74,10 +77,11 @@
 
   final Map<String, SimulatedTask> tasks = new LinkedHashMap<>();
 
-  SimulatedWorker(Simulation sim, String id, String zone, boolean spot) {
+  SimulatedWorker(Simulation sim, String id, String type, String zone, boolean spot) {
     this.simulation = sim;
     this.taskRunner = new TaskRunner(sim, this);
     this.id = id;
+    this.type = type;
     this.zone = zone;
     this.spot = spot;
     this.createdAtMs = sim.nowMs;
@@ -196,7 +200,7 @@
     Double noticeS =
         terminatedAtMs == 0 ? null : (Double) ((terminatedAtMs - simulation.nowMs) / 1000.0);
     return new Heartbeat(
-        id, id, "t8", zone, spot, epoch, ++heartbeatSequence, token, noticeS, taskReports);
+        id, id, type, zone, spot, epoch, ++heartbeatSequence, token, noticeS, taskReports);
   }
 
   void sendHeartbeat() {
--- a/src/test/java/mallowstall/core/Simulation.java
+++ b/src/test/java/mallowstall/core/Simulation.java
@@ -15,7 +15,6 @@
 import mallowstall.core.model.JobEntry;
 import mallowstall.core.model.MachineEntry;
 import mallowstall.core.model.MachineGroupEntry;
-import mallowstall.core.model.MachineType;
 import mallowstall.core.model.ProgramVersion;
 import mallowstall.core.model.StoredEntry;
 import mallowstall.core.model.TaskState;
@@ -67,7 +66,7 @@
 
   final Map<String, SimulatedWorker> workers = new LinkedHashMap<>();
 
-  final Map<String, List<String>> scaleOutResults = new HashMap<>();
+  final CloudState cloudState = new CloudState();
 
   private int nextMachineNumber;
 
@@ -126,9 +125,6 @@
 
   long ticks;
 
-  final MachineType machineType =
-      new MachineType("t8", 8, 0, 32, 20, 1, 1.0, 0.3, 8, List.of("a", "b"));
-
   /** Limits of the state service: bytes per value, changes per transaction, changes per second. */
   record StateLimits(int valueBytes, int txnOps, double changesPerSecond) {}
 
@@ -241,7 +237,7 @@
 
   String addMachine(String typeName, String zone, boolean spot, long bootMs) {
     String id = String.format("m-%06d", nextMachineNumber++);
-    SimulatedWorker worker = new SimulatedWorker(this, id, zone, spot);
+    SimulatedWorker worker = new SimulatedWorker(this, id, typeName, zone, spot);
     workers.put(id, worker);
     schedule(
         bootMs,
@@ -249,7 +245,8 @@
           worker.start();
           if (!worker.dead) {
             checker.onMachineUp(
-                new InvariantChecker.Machine(id, typeName, zone, spot, machineType.cpus()));
+                new InvariantChecker.Machine(
+                    id, typeName, zone, spot, cloudState.cpusOf(typeName)));
           }
         });
     return id;
--- a/src/test/java/mallowstall/core/TaskRunner.java
+++ b/src/test/java/mallowstall/core/TaskRunner.java
@@ -102,7 +102,7 @@
     simulation.checker.onStarted(
         simulation.nowMs,
         new InvariantChecker.RunningTask(
-            worker.id, task.job, task.task, "t8", worker.zone, worker.spot));
+            worker.id, task.job, task.task, worker.type, worker.zone, worker.spot));
     if (simulation.checker.isService(task.job) && !worker.faulty) {
       if (simulation.replicaExitRate > 0
           && simulation.random.nextDouble() < simulation.replicaExitRate) {
