Request a machine for each open job that none in service can serve

The same for small or short jobs handed in while no machine is up, and beside machines that others fill for long.

Cause: the demand of a type is a sum of parts of machines. Rounding drops less than 0.0454 machines, short tasks count in part, tasks with late deadlines by half, and machines full of other work count as the ones needed. The look at single jobs, which is there for jobs that no machine can serve, was taken only while a service was open, only once the number of the type was met, only for the smallest type, and for batch jobs only without a placed task.

Change: UnplaceableJobs looks at every open job in every plan, before the types are planned. A batch job is due at once if no machine that it allows is in service or expected, else after 20 s; plus a boot time (20 s at least) if by the estimates machines in service free capacity sooner; 120 s at most, also after the last start of a job with other tasks placed. Replicas: 5 s as before. UnplaceableScaleOut requests one machine unless one that serves the job is starting: spot before on-demand, smaller types before larger ones, kinds just refused left out. A new leader first waits for a list with its predecessor's machines. A machine that alone has capacity for a waiting job isn't drained.

Why it works: every step that lessens demand acts on sums by type; a job that no machine can serve no longer depends on them. Estimates delay a request but never prevent it.

--- a/src/main/java/mallowstall/core/AutoscalingModules.java
+++ b/src/main/java/mallowstall/core/AutoscalingModules.java
@@ -14,6 +14,7 @@
 import mallowstall.core.autoscaling.ScalingPlanner;
 import mallowstall.core.autoscaling.TypePlanner;
 import mallowstall.core.autoscaling.UnplaceableJobs;
+import mallowstall.core.autoscaling.UnplaceableScaleOut;
 import mallowstall.core.autoscaling.UnregisteredMachines;
 import mallowstall.core.kernel.TokenBucket;
 
@@ -72,37 +73,41 @@
     UnregisteredMachines unregisteredMachines =
         new UnregisteredMachines(
             cluster.settings, cluster.machineTypes, cloudInventory, scaleIn, pendingMachines);
+    ScaleOutRequests requests =
+        new ScaleOutRequests(
+            cluster.clock,
+            cluster.effects,
+            cluster.store,
+            calls,
+            pendingMachines,
+            this::scaleOutAnswered);
     TypePlanner typePlanner =
         new TypePlanner(
             machineDemand,
-            newScaleOut(calls, pendingMachines),
+            new ScaleOut(cluster.view, cluster.machineTypes, pendingMachines, requests),
             new IdleScaleIn(scaleIn, cluster.messenger));
     return new ScalingPlanner(
         cluster.store,
         cluster.machineTypes,
         registeredMachines,
         unregisteredMachines,
+        newUnplaceableScaleOut(cloudInventory, requests),
         typePlanner,
         scaleIn);
   }
 
-  private ScaleOut newScaleOut(TokenBucket calls, PendingMachines pendingMachines) {
-    ScaleOutRequests requests =
-        new ScaleOutRequests(
-            cluster.clock,
-            cluster.effects,
+  private UnplaceableScaleOut newUnplaceableScaleOut(
+      CloudInventory cloudInventory, ScaleOutRequests requests) {
+    UnplaceableJobs unplaceableJobs =
+        new UnplaceableJobs(
+            cluster.settings,
             cluster.store,
-            calls,
-            pendingMachines,
-            this::scaleOutAnswered);
-    return new ScaleOut(
-        cluster.view,
-        cluster.machineTypes,
-        cluster.jobsNeedingLeader,
-        machineDemand,
-        new UnplaceableJobs(cluster.settings, cluster.store, cluster.view),
-        pendingMachines,
-        requests);
+            cluster.view,
+            cluster.machineTypes,
+            cluster.jobsNeedingLeader,
+            machineDemand);
+    return new UnplaceableScaleOut(
+        cluster.settings, machineDemand, unplaceableJobs, cloudInventory, requests);
   }
 
   private ScaleIn newScaleIn(
--- a/src/main/java/mallowstall/core/autoscaling/Autoscaler.java
+++ b/src/main/java/mallowstall/core/autoscaling/Autoscaler.java
@@ -27,6 +27,9 @@
   private long nextPlanMs;
   private long nextDemandMs;
 
+  /** The incarnation as which this controller last became the leader, or 0 if it never did. */
+  private long leaderIncarnation;
+
   /** Creates an autoscaler that is idle until the state replica and machine types are loaded. */
   public Autoscaler(
       EventClock clock,
@@ -72,6 +75,10 @@
     if (!leadership.isLeader()) {
       return;
     }
+    if (leaderIncarnation != store.incarnation()) {
+      leaderIncarnation = store.incarnation();
+      planner.startLeadership(now);
+    }
     cloudInventory.tick(now);
     if (now >= nextPlanMs) {
       nextPlanMs = now + Constants.AUTOSCALER_INTERVAL_MS;
--- a/src/main/java/mallowstall/core/autoscaling/MachineCensus.java
+++ b/src/main/java/mallowstall/core/autoscaling/MachineCensus.java
@@ -1,6 +1,7 @@
 package mallowstall.core.autoscaling;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -8,14 +9,25 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import mallowstall.core.cluster.MachineView;
+import mallowstall.core.model.JobSpec;
+import mallowstall.core.model.MachineType;
 
 /** The machines as one scaling plan counts and classifies them. Mutable; used by that plan only. */
 final class MachineCensus {
   private final Map<MachineKind, Integer> countByKind = new HashMap<>();
 
+  /** The kinds of machines that take starts now or are expected to. */
+  private final Set<MachineKind> kinds = new HashSet<>();
+
+  /** The kinds of machines that boot or have just registered, and will soon take starts. */
+  private final Set<MachineKind> startingKinds = new HashSet<>();
+
   private final Set<String> registered = new HashSet<>();
   private final List<MachineView> available = new ArrayList<>();
 
+  /** Machines that alone can serve a waiting job. */
+  private final Set<String> needed = new HashSet<>();
+
   private final List<String> toReturn = new ArrayList<>();
   private final List<String> lateEntries = new ArrayList<>();
   private final List<String> unmanaged = new ArrayList<>();
@@ -88,6 +100,13 @@
   /** Counts a machine of this kind that is expected to be in service. */
   void addExpected(MachineKind kind) {
     countByKind.merge(kind, 1, Integer::sum);
+    kinds.add(kind);
+  }
+
+  /** Counts a machine of this kind that boots or has just registered. */
+  void addStarting(MachineKind kind) {
+    addExpected(kind);
+    startingKinds.add(kind);
   }
 
   /** Records and counts a machine in service. */
@@ -95,7 +114,50 @@
     MachineKind kind = MachineKind.of(machine.status());
     countByKind.merge(kind, 1, Integer::sum);
     available.add(machine);
-    if (!machine.status().draining()) {}
+    if (!machine.status().draining()) {
+      kinds.add(kind);
+    }
+  }
+
+  /**
+   * Returns whether the job allows a machine that is or will be in service, in one of these zones
+   * and of one of these types, whether it has room or not.
+   */
+  boolean mayServe(JobSpec job, Collection<MachineType> types, Collection<String> zones) {
+    return anyAllowed(kinds, job, types, zones);
+  }
+
+  /**
+   * Returns whether the job allows a machine that will soon be in service, in one of these zones
+   * and of one of these types.
+   */
+  boolean willSoonServe(JobSpec job, Collection<MachineType> types, Collection<String> zones) {
+    return anyAllowed(startingKinds, job, types, zones);
+  }
+
+  private static boolean anyAllowed(
+      Collection<MachineKind> kinds,
+      JobSpec job,
+      Collection<MachineType> types,
+      Collection<String> zones) {
+    for (MachineKind kind : kinds) {
+      if (zones.contains(kind.zone())
+          && kind.isAllowedFor(job)
+          && types.stream().anyMatch(type -> type.name().equals(kind.type()))) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Records that the machine alone can serve a waiting job, so that it is not to be drained. */
+  void addNeeded(String machine) {
+    needed.add(machine);
+  }
+
+  /** Returns whether the machine alone can serve a waiting job. */
+  boolean isNeeded(String machine) {
+    return needed.contains(machine);
   }
 
   /** Records that the machine is to be returned to the cloud. */
--- a/src/main/java/mallowstall/core/autoscaling/MachineDemand.java
+++ b/src/main/java/mallowstall/core/autoscaling/MachineDemand.java
@@ -46,7 +46,7 @@
   private static final double RESERVE_MAX_FRACTION = 0.35;
 
   /** Factor on a user's estimate of the run time, because the estimate is often too low. */
-  private static final double ESTIMATE_FACTOR = 1.2;
+  static final double ESTIMATE_FACTOR = 1.2;
 
   /** Maximum number of tasks that are planned to run one after the other in the capacity of one. */
   private static final double SEQUENTIAL_TASKS_MAX = 2;
@@ -58,13 +58,19 @@
    * Time in seconds of image fetch and run below which a task counts only in part, however short
    * the boot time is.
    */
-  private static final double SHORT_RUN_MIN_S = 20;
+  static final double SHORT_RUN_MIN_S = 20;
+
+  /** Least rate of image fetches in gigabytes per second, so that no time is infinite. */
+  private static final double FETCH_GB_PER_S_MIN = 1e-3;
 
   /**
-   * Maximum number of jobs in the cache of smallest fitting types. It exceeds the number of jobs
-   * that are ever open at once.
+   * Maximum number of jobs in the cache of fitting types. It exceeds the number of jobs that are
+   * ever open at once.
    */
-  private static final int SMALLEST_TYPE_CACHE_MAX = 2_000;
+  private static final int FITTING_TYPES_CACHE_MAX = 2_000;
+
+  private static final Comparator<MachineType> SMALLEST_FIRST =
+      Comparator.comparingDouble(MachineType::cpus).thenComparingDouble(MachineType::price);
 
   private final EventClock clock;
   private final CoreSettings settings;
@@ -73,8 +79,8 @@
   private final JobsNeedingLeader jobsNeedingLeader;
   private final Map<String, TypeDemand> demandByType = new HashMap<>();
 
-  /** The smallest machine type on which a task fits, by job id. */
-  private final Map<String, String> smallestTypeByJob = new HashMap<>();
+  /** The machine types on which a task fits, smallest first, by job id. */
+  private final Map<String, List<MachineType>> fittingTypesByJob = new HashMap<>();
 
   /** Types that are the smallest fitting type of some open job. */
   private final Set<String> smallestTypesInUse = new HashSet<>();
@@ -114,38 +120,30 @@
 
   /** Returns the smallest type on which a task of the job fits, or null if it fits on none. */
   public String smallestType(JobSpec spec) {
-    String cached = smallestTypeByJob.get(spec.id());
+    List<MachineType> fitting = fittingTypes(spec);
+    return fitting.isEmpty() ? null : fitting.get(0).name();
+  }
+
+  /** Returns the types on which a task of the job fits, the smallest first. */
+  List<MachineType> fittingTypes(JobSpec spec) {
+    List<MachineType> cached = fittingTypesByJob.get(spec.id());
     if (cached != null) {
       return cached;
     }
-    if (smallestTypeByJob.size() > SMALLEST_TYPE_CACHE_MAX) {
-      smallestTypeByJob.clear();
+    if (fittingTypesByJob.size() > FITTING_TYPES_CACHE_MAX) {
+      fittingTypesByJob.clear();
     }
-    String found = findSmallestType(spec);
-    if (found != null) {
-      smallestTypeByJob.put(spec.id(), found);
+    List<MachineType> found =
+        types.all().stream().filter(spec::fits).sorted(SMALLEST_FIRST).toList();
+    if (!found.isEmpty()) {
+      fittingTypesByJob.put(spec.id(), found);
     }
     return found;
   }
 
-  /** Clears the cache of smallest fitting types after a change to the machine type catalog. */
+  /** Clears the cache of fitting types after a change to the machine type catalog. */
   public void onTypesChanged() {
-    smallestTypeByJob.clear();
-  }
-
-  private String findSmallestType(JobSpec spec) {
-    MachineType best = null;
-    for (MachineType type : types.all()) {
-      if (!spec.fits(type)) {
-        continue;
-      }
-      if (best == null
-          || type.cpus() < best.cpus()
-          || (type.cpus() == best.cpus() && type.price() < best.price())) {
-        best = type;
-      }
-    }
-    return best == null ? null : best.name();
+    fittingTypesByJob.clear();
   }
 
   /**
@@ -247,11 +245,16 @@
     if (spec.isService()) {
       return 1;
     }
-    double lifetimeS = spec.estimatedRunS() + spec.imageGb() / Math.max(1e-3, type.fetchGbPerS());
+    double lifetimeS = spec.estimatedRunS() + fetchS(spec, type);
     return Math.min(
         1, lifetimeS / Math.max(SHORT_RUN_MIN_S, SHORT_RUN_BOOT_FRACTION * type.bootS()));
   }
 
+  /** Returns the time in seconds in which a machine of the type fetches the job's image. */
+  static double fetchS(JobSpec spec, MachineType type) {
+    return spec.imageGb() / Math.max(FETCH_GB_PER_S_MIN, type.fetchGbPerS());
+  }
+
   /**
    * Returns how many of the job's tasks may run one after the other in the capacity of one and
    * still meet the deadline, on a machine that must first boot and fetch the image. The number is
@@ -264,7 +267,7 @@
       return 1;
     }
     double remainingS = spec.deadlineS() - (clock.wallClockMs() - job.submittedMs()) / 1000.0;
-    double readyS = type.bootS() + spec.imageGb() / Math.max(1e-3, type.fetchGbPerS());
+    double readyS = type.bootS() + fetchS(spec, type);
     double taskS = Math.max(1, spec.estimatedRunS() * ESTIMATE_FACTOR);
     return Math.max(1, Math.min(SEQUENTIAL_TASKS_MAX, Math.floor((remainingS - readyS) / taskS)));
   }
--- a/src/main/java/mallowstall/core/autoscaling/MachineKind.java
+++ b/src/main/java/mallowstall/core/autoscaling/MachineKind.java
@@ -1,5 +1,6 @@
 package mallowstall.core.autoscaling;
 
+import mallowstall.core.model.JobSpec;
 import mallowstall.core.model.MachineEntry;
 import mallowstall.core.model.MachineStatus;
 
@@ -17,4 +18,9 @@
   static MachineKind of(MachineStatus status) {
     return new MachineKind(status.type(), status.zone(), status.spot());
   }
+
+  /** Returns whether the job allows machines of this kind. */
+  boolean isAllowedFor(JobSpec job) {
+    return job.allowsMachine(type, zone, spot);
+  }
 }
--- a/src/main/java/mallowstall/core/autoscaling/RegisteredMachines.java
+++ b/src/main/java/mallowstall/core/autoscaling/RegisteredMachines.java
@@ -108,6 +108,8 @@
       census.addToReturn(id);
     } else if (!leaderLive && statusUnknownMs > failoverGraceMs()) {
       census.addUnmanaged(id);
+    } else if (statusUnknownMs <= failoverGraceMs()) {
+      census.addStarting(MachineKind.of(entry));
     } else {
       census.addExpected(MachineKind.of(entry));
     }
--- a/src/main/java/mallowstall/core/autoscaling/ScaleOut.java
+++ b/src/main/java/mallowstall/core/autoscaling/ScaleOut.java
@@ -7,26 +7,16 @@
 import java.util.Map;
 import mallowstall.core.autoscaling.PendingMachines.PendingMachine;
 import mallowstall.core.cluster.ClusterView;
-import mallowstall.core.cluster.JobsNeedingLeader;
 import mallowstall.core.cluster.MachineTypeCatalog;
 import mallowstall.core.cluster.MachineView;
-import mallowstall.core.model.JobEntry;
-import mallowstall.core.model.JobSpec;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 
 /** Decides in which zone, and whether as spot or on-demand, missing machines are requested. */
 public final class ScaleOut {
-  private static final Logger LOG = LoggerFactory.getLogger("mallowstall.autoscaling");
-
   /** Fraction of the target that must be missing before on-demand machines replace spot ones. */
   private static final double ON_DEMAND_FALLBACK_FRACTION = 0.15;
 
   private final ClusterView view;
   private final MachineTypeCatalog types;
-  private final JobsNeedingLeader jobsNeedingLeader;
-  private final MachineDemand demand;
-  private final UnplaceableJobs unplaceableJobs;
   private final PendingMachines pendingMachines;
   private final ScaleOutRequests requests;
 
@@ -36,16 +26,10 @@
   public ScaleOut(
       ClusterView view,
       MachineTypeCatalog types,
-      JobsNeedingLeader jobsNeedingLeader,
-      MachineDemand demand,
-      UnplaceableJobs unplaceableJobs,
       PendingMachines pendingMachines,
       ScaleOutRequests requests) {
     this.view = view;
     this.types = types;
-    this.jobsNeedingLeader = jobsNeedingLeader;
-    this.demand = demand;
-    this.unplaceableJobs = unplaceableJobs;
     this.pendingMachines = pendingMachines;
     this.requests = requests;
   }
@@ -104,50 +88,6 @@
     return false;
   }
 
-  /**
-   * Requests one machine for a job that fits on no machine although their number meets the demand.
-   * Without the request the job would wait forever.
-   *
-   * @return whether a request was sent
-   */
-  boolean scaleOutForUnplaceable(String type, List<MachineView> available, long now) {
-    if (jobsNeedingLeader.all().stream()
-        .noneMatch(job -> job.spec().isService() && !job.isTerminal())) {
-      return false;
-    }
-    unplaceableJobs.retainOpen(jobsNeedingLeader.all());
-    for (JobEntry job : jobsNeedingLeader.all()) {
-      JobSpec spec = job.spec();
-      if (job.isTerminal() || !type.equals(demand.smallestType(spec))) {
-        continue;
-      }
-      List<String> zones =
-          unplaceableJobs.zonesNeedingMachines(job, types.find(type), available, now);
-      for (String zone : zones) {
-        if (requestOne(type, zone, spec.spot(), now)) {
-          LOG.info("job fits on no machine job={} zone={}", spec.id(), zone);
-          unplaceableJobs.recordScaleOut(job, available, zones, now);
-          return true;
-        }
-      }
-    }
-    return false;
-  }
-
-  /** Requests one machine unless a suitable one is pending. Returns whether a request was sent. */
-  private boolean requestOne(String type, String zone, boolean spotAllowed, long now) {
-    for (PendingMachine pending : pendingMachines.all()) {
-      if (pending.type().equals(type)
-          && pending.zone().equals(zone)
-          && (spotAllowed || !pending.spot())) {
-        return false;
-      }
-    }
-    return spotAllowed
-        ? requests.requestSpotOrOnDemand(type, zone, 1, now)
-        : requests.requestInZone(type, zone, false, 1, now);
-  }
-
   /**
    * Requests some of the missing machines. It tries spot before on-demand, and the zone that has
    * the fewest machines of the type first.
--- a/src/main/java/mallowstall/core/autoscaling/ScalingPlanner.java
+++ b/src/main/java/mallowstall/core/autoscaling/ScalingPlanner.java
@@ -10,7 +10,10 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
-/** Plans which machines are requested and returned, by machine type and not by task. */
+/**
+ * Plans which machines are requested and returned, by machine type, and for jobs that no machine in
+ * service can serve.
+ */
 public final class ScalingPlanner {
   private static final Logger LOG = LoggerFactory.getLogger("mallowstall.autoscaling");
 
@@ -18,6 +21,7 @@
   private final MachineTypeCatalog types;
   private final RegisteredMachines registeredMachines;
   private final UnregisteredMachines unregisteredMachines;
+  private final UnplaceableScaleOut unplaceableScaleOut;
   private final TypePlanner typePlanner;
   private final ScaleIn scaleIn;
 
@@ -27,16 +31,23 @@
       MachineTypeCatalog types,
       RegisteredMachines registeredMachines,
       UnregisteredMachines unregisteredMachines,
+      UnplaceableScaleOut unplaceableScaleOut,
       TypePlanner typePlanner,
       ScaleIn scaleIn) {
     this.store = store;
     this.types = types;
     this.registeredMachines = registeredMachines;
     this.unregisteredMachines = unregisteredMachines;
+    this.unplaceableScaleOut = unplaceableScaleOut;
     this.typePlanner = typePlanner;
     this.scaleIn = scaleIn;
   }
 
+  /** Called when this controller becomes the autoscaler leader, before its first plan. */
+  void startLeadership(long now) {
+    unplaceableScaleOut.startLeadership(now);
+  }
+
   /** Counts the machines, plans each type, and returns lost, failed and faulty machines. */
   void plan(long now) {
     MachineCensus census = new MachineCensus();
@@ -47,6 +58,7 @@
       logUtilization(census.available());
     }
     unregisteredMachines.count(census, now);
+    unplaceableScaleOut.plan(census, now);
     for (String type : types.names()) {
       typePlanner.plan(type, census, now);
     }
--- a/src/main/java/mallowstall/core/autoscaling/TypePlanner.java
+++ b/src/main/java/mallowstall/core/autoscaling/TypePlanner.java
@@ -67,14 +67,10 @@
       }
       return;
     }
-    if (scaleOut.canRequest(now)
-        && scaleOut.scaleOutForUnplaceable(type, census.available(), now)) {
-      return;
-    }
     int retainedTotal = computeRetainedTotal(typeDemand);
     int retainedOnDemand = Math.min(retainedTotal, computeRetainedOnDemand(typeDemand));
     if (current > retainedOnDemand) {
-      idleScaleIn.scaleIn(type, current, retainedTotal, retainedOnDemand, census.available(), now);
+      idleScaleIn.scaleIn(type, current, retainedTotal, retainedOnDemand, census, now);
     }
   }
 
--- a/src/main/java/mallowstall/core/autoscaling/UnplaceableJobs.java
+++ b/src/main/java/mallowstall/core/autoscaling/UnplaceableJobs.java
@@ -1,13 +1,18 @@
 package mallowstall.core.autoscaling;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeSet;
 import mallowstall.Constants;
+import mallowstall.core.autoscaling.CapacityIndex.Amounts;
 import mallowstall.core.cluster.ClusterView;
+import mallowstall.core.cluster.JobsNeedingLeader;
+import mallowstall.core.cluster.MachineTypeCatalog;
 import mallowstall.core.cluster.MachineView;
 import mallowstall.core.kv.StateKeys;
 import mallowstall.core.kv.StateStore;
@@ -22,10 +27,11 @@
 import mallowstall.core.model.TeamUsageEntry;
 
 /**
- * Finds open jobs with a task that no machine can serve, although the number of machines meets the
- * demand. The capacity that replicas leave free may be too small on each machine, or lie in a zone
- * that the job doesn't allow. The machines with free capacity may also keep the results of the
- * pending replicas, which then end at once there. Mutable.
+ * Finds open jobs with a task that no machine in service can serve. The demand by type doesn't show
+ * them: it is a sum of parts of machines, less the work that machines in service are expected to do
+ * one task after the other. The machines that it counts may be full for long, lie in a zone that
+ * the job doesn't allow, or keep the results of the pending replicas, which then end at once there.
+ * Mutable.
  */
 public final class UnplaceableJobs {
   /**
@@ -36,9 +42,17 @@
 
   /**
    * Time in milliseconds after which a machine is requested for a batch job none of whose tasks
-   * fits into the capacity that services and other tasks leave free on a machine.
+   * fits on a machine. The time in which a new machine boots is added if machines in service are
+   * expected to have capacity sooner.
    */
-  private static final long BATCH_UNPLACEABLE_MS = 20_000;
+  static final long BATCH_UNPLACEABLE_MS = 20_000;
+
+  /**
+   * Maximum time in milliseconds after which a machine is requested for a batch job, whatever is
+   * expected of the machines in service. A job that has tasks on machines waits as long after the
+   * last start of one of them, because its other tasks are planned to follow these.
+   */
+  static final long BATCH_UNPLACEABLE_MAX_MS = 120_000;
 
   /** The reason for which a task of a job can't be placed. */
   private enum PlacementObstacle {
@@ -47,77 +61,130 @@
     RESULTS_KEPT
   }
 
+  /**
+   * A job for which a machine may be requested now.
+   *
+   * @param zones the zones in any one of which a machine would serve the job
+   * @param waitedMs time in milliseconds since which the job has fitted on no machine
+   */
+  record UnplaceableJob(JobSpec spec, Set<String> zones, boolean resultsKept, long waitedMs) {}
+
+  /** Since when a job has fitted on no machine, and the tasks that it had started by then. */
+  private record Waiting(long sinceMs, int startedTasks) {}
+
   private final CoreSettings settings;
   private final StateStore store;
   private final ClusterView view;
-  private final Map<String, Long> unplaceableSinceMs = new HashMap<>();
+  private final MachineTypeCatalog types;
+  private final JobsNeedingLeader jobsNeedingLeader;
+  private final MachineDemand demand;
+  private final Map<String, Waiting> waitingByJob = new HashMap<>();
   private final KeptResultScaleOutBackoff keptResultScaleOutBackoff =
       new KeptResultScaleOutBackoff();
 
   /** Creates a tracker without unplaceable jobs. */
-  public UnplaceableJobs(CoreSettings settings, StateStore store, ClusterView view) {
+  public UnplaceableJobs(
+      CoreSettings settings,
+      StateStore store,
+      ClusterView view,
+      MachineTypeCatalog types,
+      JobsNeedingLeader jobsNeedingLeader,
+      MachineDemand demand) {
     this.settings = settings;
     this.store = store;
     this.view = view;
+    this.types = types;
+    this.jobsNeedingLeader = jobsNeedingLeader;
+    this.demand = demand;
   }
 
-  /** Removes jobs that have ended. */
-  void retainOpen(Iterable<JobEntry> open) {
-    Set<String> ids = new HashSet<>();
-    for (JobEntry job : open) {
-      if (!job.isTerminal()) {
-        ids.add(job.spec().id());
-      }
-    }
-    unplaceableSinceMs.keySet().retainAll(ids);
-    keptResultScaleOutBackoff.retain(ids);
+  /** Forgets since when jobs have waited. Called when this controller becomes the leader. */
+  void reset() {
+    waitingByJob.clear();
   }
 
   /**
-   * Returns the zones in any one of which one machine may be requested for the job. The list is
-   * empty if the job doesn't wait for capacity, fits on a machine, or is allowed in no zone of the
-   * type, and while no request for it is due.
+   * Returns the jobs for which a machine may be requested now. Records in the census the machines
+   * that alone can serve a waiting job. Called once in each plan.
    */
-  List<String> zonesNeedingMachines(
-      JobEntry jobEntry, MachineType type, List<MachineView> available, long now) {
-    JobSpec job = jobEntry.spec();
-    List<String> zones =
-        isWaitingForCapacity(jobEntry) ? allowedZones(job, type, available) : List.of();
-    PlacementObstacle obstacle =
-        zones.isEmpty() ? PlacementObstacle.NONE : findObstacle(job, zones, available);
-    if (obstacle == PlacementObstacle.NONE) {
-      unplaceableSinceMs.remove(job.id());
-      return List.of();
+  List<UnplaceableJob> findDue(MachineCensus census, long now) {
+    CapacityIndex free = freeCapacity(census.available());
+    ExpectedReleases expected = new ExpectedReleases(store, types, census.available());
+    List<UnplaceableJob> due = new ArrayList<>();
+    Set<String> open = new HashSet<>();
+    for (JobEntry job : jobsNeedingLeader.all()) {
+      if (job.isTerminal()) {
+        continue;
+      }
+      open.add(job.spec().id());
+      UnplaceableJob unplaceable = examine(job, census, free, expected, now);
+      if (unplaceable != null) {
+        due.add(unplaceable);
+      }
     }
-    long sinceMs = unplaceableSinceMs.computeIfAbsent(job.id(), k -> now);
-    long timeoutMs = job.isService() ? REPLICA_UNPLACEABLE_MS : BATCH_UNPLACEABLE_MS;
-    boolean due =
-        now - sinceMs > timeoutMs
-            && (obstacle != PlacementObstacle.RESULTS_KEPT
-                || keptResultScaleOutBackoff.isDue(job.id(), now));
-    return due ? zones : List.of();
+    waitingByJob.keySet().retainAll(open);
+    keptResultScaleOutBackoff.retain(open);
+    return due;
   }
 
   /**
-   * Called when a machine was requested in one of the {@link #zonesNeedingMachines}. Extends the
-   * delay before the next request if machines keep the result of a pending replica.
+   * Called when a machine was requested for the job. Extends the delay before the next request if
+   * machines keep the result of a pending replica.
    */
-  void recordScaleOut(
-      JobEntry jobEntry, List<MachineView> available, List<String> zones, long now) {
-    JobSpec job = jobEntry.spec();
-    if (findObstacle(job, zones, available) == PlacementObstacle.RESULTS_KEPT) {
-      keptResultScaleOutBackoff.record(job.id(), now);
+  void recordScaleOut(UnplaceableJob job, long now) {
+    if (job.resultsKept()) {
+      keptResultScaleOutBackoff.record(job.spec().id(), now);
     }
   }
 
-  /**
-   * Returns whether a replica or a whole batch job is unplaced for a reason other than the quota.
-   */
-  private boolean isWaitingForCapacity(JobEntry jobEntry) {
+  private static CapacityIndex freeCapacity(List<MachineView> available) {
+    CapacityIndex free = new CapacityIndex();
+    for (MachineView machine : available) {
+      if (machine.isSchedulable() && machine.status().freeCpus() > MachineView.FREE_CPUS_MIN) {
+        free.add(
+            machine,
+            new Amounts(
+                machine.status().freeCpus(),
+                machine.status().freeGpus(),
+                machine.status().freeMemoryGb()));
+      }
+    }
+    return free;
+  }
+
+  /** Returns the job if a machine may be requested for it now, else null. */
+  private UnplaceableJob examine(
+      JobEntry jobEntry,
+      MachineCensus census,
+      CapacityIndex free,
+      ExpectedReleases expected,
+      long now) {
     JobSpec job = jobEntry.spec();
     int placed = view.placedTasks(job.id());
-    boolean missing = job.isService() ? placed < job.tasks() : placed == 0;
-    return missing && (jobEntry.quotaReservedTasks() > placed || !isTeamAtQuota(job));
+    Set<String> zones =
+        isWaitingForCapacity(jobEntry, placed) ? allowedZones(job, placed) : Set.of();
+    PlacementObstacle obstacle =
+        zones.isEmpty() ? PlacementObstacle.NONE : findObstacle(job, zones, free, census);
+    if (obstacle == PlacementObstacle.NONE) {
+      waitingByJob.remove(job.id());
+      return null;
+    }
+    long waitedMs = recordWaiting(job, jobEntry.completedTaskCount() + placed, now);
+    boolean due =
+        job.isService()
+            ? isReplicaDue(job, obstacle, waitedMs, now)
+            : !census.mayServe(job, demand.fittingTypes(job), zones)
+                || waitedMs > batchTimeoutMs(job, placed, zones, expected, waitedMs);
+    boolean resultsKept = obstacle == PlacementObstacle.RESULTS_KEPT;
+    return due ? new UnplaceableJob(job, zones, resultsKept, waitedMs) : null;
+  }
+
+  /** Returns whether a task of the job is unplaced for a reason other than the quota. */
+  private boolean isWaitingForCapacity(JobEntry jobEntry, int placed) {
+    JobSpec job = jobEntry.spec();
+    int completed = job.isService() ? 0 : jobEntry.completedTaskCount();
+    return placed + completed < job.tasks()
+        && (jobEntry.quotaReservedTasks() > placed || !isTeamAtQuota(job));
   }
 
   private boolean isTeamAtQuota(JobSpec job) {
@@ -133,53 +200,92 @@
             && usage.reservedGpus() + job.gpus() > team.gpuQuota() + Constants.ROUNDING_EPSILON);
   }
 
-  private static List<String> allowedZones(
-      JobSpec job, MachineType type, List<MachineView> available) {
-    if (job.zone() == null && !job.singleZone() && !job.spread()) {
-      return type.zones();
+  /**
+   * Returns since how many milliseconds the job has fitted on no machine. The time begins anew when
+   * a task of a job that has tasks on machines was started meanwhile.
+   */
+  private long recordWaiting(JobSpec job, int startedTasks, long now) {
+    Waiting last = waitingByJob.get(job.id());
+    boolean progressed = last != null && !job.isService() && startedTasks > last.startedTasks();
+    long sinceMs = last == null || progressed ? now : last.sinceMs();
+    waitingByJob.put(job.id(), new Waiting(sinceMs, startedTasks));
+    return now - sinceMs;
+  }
+
+  private boolean isReplicaDue(JobSpec job, PlacementObstacle obstacle, long waitedMs, long now) {
+    return waitedMs > REPLICA_UNPLACEABLE_MS
+        && (obstacle != PlacementObstacle.RESULTS_KEPT
+            || keptResultScaleOutBackoff.isDue(job.id(), now));
+  }
+
+  /** Returns the time in milliseconds after which a machine is requested for the batch job. */
+  private long batchTimeoutMs(
+      JobSpec job, int placed, Collection<String> zones, ExpectedReleases expected, long waitedMs) {
+    if (placed > 0) {
+      return BATCH_UNPLACEABLE_MAX_MS;
     }
-    return type.zones().stream().filter(zone -> allowsZone(job, zone, available)).toList();
+    MachineType newMachine = types.find(demand.smallestType(job));
+    if (waitedMs <= BATCH_UNPLACEABLE_MS || !expected.willFit(job, zones, newMachine)) {
+      return BATCH_UNPLACEABLE_MS;
+    }
+    long newMachineMs = (long) (ExpectedReleases.newMachineS(newMachine) * 1_000);
+    return Math.min(BATCH_UNPLACEABLE_MAX_MS, BATCH_UNPLACEABLE_MS + newMachineMs);
   }
 
-  private static boolean allowsZone(JobSpec job, String zone, List<MachineView> available) {
-    if (job.zone() != null && !job.zone().equals(zone)) {
-      return false;
+  /**
+   * Returns the zones of the types on which the job fits, less those in which no further task of
+   * the job may run.
+   */
+  private Set<String> allowedZones(JobSpec job, int placed) {
+    Set<String> zones = new TreeSet<>();
+    for (MachineType type : demand.fittingTypes(job)) {
+      zones.addAll(type.zones());
     }
-    int tasksInZone = 0;
-    int tasksElsewhere = 0;
-    for (MachineView machine : available) {
-      int tasks = tasksOn(machine, job.id());
-      if (machine.status().zone().equals(zone)) {
-        tasksInZone += tasks;
-      } else {
-        tasksElsewhere += tasks;
-      }
+    if (job.zone() != null) {
+      zones.retainAll(Set.of(job.zone()));
     }
-    if (job.singleZone() && tasksElsewhere > 0) {
-      return false;
+    if (placed > 0 && (job.singleZone() || job.spread())) {
+      Map<String, Integer> tasksByZone = tasksByZone(job);
+      zones.removeIf(zone -> !allowsZone(job, zone, tasksByZone));
     }
-    return tasksInZone < job.maxTasksPerZone();
+    return zones;
   }
 
-  private static int tasksOn(MachineView machine, String job) {
-    int tasks = 0;
-    for (TaskStatus task : machine.status().tasks()) {
-      if (task.job().equals(job) && task.state() != TaskState.EXITED) {
-        tasks++;
+  private Map<String, Integer> tasksByZone(JobSpec job) {
+    Map<String, Integer> tasksByZone = new HashMap<>();
+    for (MachineView machine : view.machines()) {
+      if (machine.status() == null) {
+        continue;
+      }
+      for (TaskStatus task : machine.status().tasks()) {
+        if (task.job().equals(job.id()) && task.state() != TaskState.EXITED) {
+          tasksByZone.merge(machine.status().zone(), 1, Integer::sum);
+        }
       }
     }
-    return tasks;
+    return tasksByZone;
+  }
+
+  private static boolean allowsZone(JobSpec job, String zone, Map<String, Integer> tasksByZone) {
+    int tasksInZone = tasksByZone.getOrDefault(zone, 0);
+    boolean onlyZone = tasksByZone.isEmpty() || (tasksByZone.size() == 1 && tasksInZone > 0);
+    return (!job.singleZone() || onlyZone) && tasksInZone < job.maxTasksPerZone();
   }
 
   private PlacementObstacle findObstacle(
-      JobSpec job, List<String> zones, List<MachineView> available) {
-    List<MachineView> machines = machinesWithCapacity(job, zones, available);
+      JobSpec job, Set<String> zones, CapacityIndex free, MachineCensus census) {
+    int limit = job.isService() ? Integer.MAX_VALUE : 2;
+    List<MachineView> machines = free.machinesHolding(job, zones, limit);
     if (machines.isEmpty()) {
       return PlacementObstacle.NO_CAPACITY;
     }
-    return job.isService() && allKeepResultOfSameReplica(job, machines)
-        ? PlacementObstacle.RESULTS_KEPT
-        : PlacementObstacle.NONE;
+    if (job.isService() && allKeepResultOfSameReplica(job, machines)) {
+      return PlacementObstacle.RESULTS_KEPT;
+    }
+    if (machines.size() == 1) {
+      census.addNeeded(machines.get(0).id());
+    }
+    return PlacementObstacle.NONE;
   }
 
   /** Returns whether all these machines keep the result of one and the same unplaced replica. */
@@ -213,25 +319,4 @@
     }
     return replicas;
   }
-
-  /** Returns the machines that are usable for the job and have capacity for one of its tasks. */
-  private static List<MachineView> machinesWithCapacity(
-      JobSpec job, List<String> zones, List<MachineView> available) {
-    List<MachineView> machines = new ArrayList<>();
-    for (MachineView machine : available) {
-      if (!machine.isSchedulable()
-          || !job.allowsMachine(
-              machine.status().type(), machine.status().zone(), machine.status().spot())) {
-        continue;
-      }
-      boolean fits =
-          machine.status().freeCpus() >= job.cpus() - Constants.ROUNDING_EPSILON
-              && machine.status().freeGpus() >= job.gpus() - Constants.ROUNDING_EPSILON
-              && machine.status().freeMemoryGb() >= job.memoryGb() - Constants.ROUNDING_EPSILON;
-      if (fits && zones.contains(machine.status().zone())) {
-        machines.add(machine);
-      }
-    }
-    return machines;
-  }
 }
--- a/src/main/java/mallowstall/core/autoscaling/UnregisteredMachines.java
+++ b/src/main/java/mallowstall/core/autoscaling/UnregisteredMachines.java
@@ -12,6 +12,12 @@
   /** Multiple of the usual boot time after which a machine is assumed never to boot. */
   private static final double BOOT_TIMEOUT_FACTOR = 4.0;
 
+  /**
+   * Multiple of the usual boot time after which a machine is late (protocol, Cloud): it may still
+   * boot, but a job that fits nowhere else doesn't wait for it any longer.
+   */
+  private static final double LATE_BOOT_FACTOR = 1.5;
+
   /** Minimum boot timeout in seconds, however short the boot time of the type is. */
   private static final double BOOT_TIMEOUT_MIN_S = 60;
 
@@ -86,11 +92,22 @@
         pendingMachines.remove(id);
         census.addToReturn(id);
       } else {
-        census.addExpected(new MachineKind(pending.type(), pending.zone(), pending.spot()));
+        countExpected(census, pending, type, now);
       }
     }
   }
 
+  private static void countExpected(
+      MachineCensus census, PendingMachine pending, MachineType type, long now) {
+    MachineKind kind = new MachineKind(pending.type(), pending.zone(), pending.spot());
+    double ageS = (now - pending.providedAtMs()) / 1000.0;
+    if (type != null && ageS <= LATE_BOOT_FACTOR * type.bootS()) {
+      census.addStarting(kind);
+    } else {
+      census.addExpected(kind);
+    }
+  }
+
   /** Returns the time in seconds after which an unregistered machine is assumed never to boot. */
   private static double bootTimeoutS(MachineType type) {
     return Math.max(BOOT_TIMEOUT_MIN_S, BOOT_TIMEOUT_FACTOR * type.bootS());
--- a/src/main/java/mallowstall/core/cluster/MachineView.java
+++ b/src/main/java/mallowstall/core/cluster/MachineView.java
@@ -14,6 +14,9 @@
  * changed by {@link ClusterView} and by the scheduling pass.
  */
 public final class MachineView {
+  /** Number of free processors that a machine must exceed to receive tasks. */
+  public static final double FREE_CPUS_MIN = 0.01;
+
   private final String id;
 
   /** The machine leader, or null if no controller is known to lead the machine. */
--- a/src/main/java/mallowstall/core/placement/CapacityRefresher.java
+++ b/src/main/java/mallowstall/core/placement/CapacityRefresher.java
@@ -15,9 +15,6 @@
  * the pass uses.
  */
 public final class CapacityRefresher {
-  /** Number of free processors that a machine must exceed to be considered in a pass. */
-  private static final double FREE_CPUS_MIN = 0.01;
-
   private final ClusterView view;
   private final JobLeader jobLeader;
   private final JobRanking ranking;
@@ -53,7 +50,7 @@
     for (MachineView machine : view.machines()) {
       if (machine.isSchedulable()
           && view.hasRecentUpdate(machine)
-          && machine.freeCpus() > FREE_CPUS_MIN) {
+          && machine.freeCpus() > MachineView.FREE_CPUS_MIN) {
         machines.add(machine);
       }
     }
