Remove an unneeded drain guard, test the time until a request

Mutating the sources showed what UnplaceableJobsTest doesn't hold. Without the guard that kept a machine from being drained no test fails, and none can: a job that fails everywhere is retried every 10 s, so that its machine is never idle for the 30 s after which one is drained.

requestWaitsForMachinesThatAreExpectedToFreeCapacity is new: it fails if the estimates are ignored ("requested after 41300", 25 s allowed, when capacity is always expected soon).

--- a/src/main/java/mallowstall/core/autoscaling/IdleScaleIn.java
+++ b/src/main/java/mallowstall/core/autoscaling/IdleScaleIn.java
@@ -41,18 +41,17 @@
    * @param retainedTotal number of machines to be retained
    * @param retainedOnDemand number of machines, spot machines included, at which no further
    *     on-demand machine is drained
-   * @param census the machines in service, and those of them that a waiting job needs
    */
   void scaleIn(
       String type,
       int current,
       int retainedTotal,
       int retainedOnDemand,
-      MachineCensus census,
+      List<MachineView> available,
       long now) {
-    List<String> drained = drainedMachines(type, census.available());
+    List<String> drained = drainedMachines(type, available);
     if (drained.isEmpty()) {
-      drain(idleMachines(type, census, now), current, retainedTotal, retainedOnDemand);
+      drain(idleMachines(type, available, now), current, retainedTotal, retainedOnDemand);
     } else {
       scaleIn.returnMachines(drained, ScaleIn.Reason.IDLE);
     }
@@ -71,10 +70,10 @@
   /**
    * Returns the machines whose idle time exceeds the limit, in the order in which to drain them.
    */
-  private List<MachineView> idleMachines(String type, MachineCensus census, long now) {
+  private List<MachineView> idleMachines(String type, List<MachineView> available, long now) {
     List<MachineView> idle = new ArrayList<>();
-    for (MachineView machine : census.available()) {
-      if (!isEmpty(machine, type) || machine.status().draining() || census.isNeeded(machine.id())) {
+    for (MachineView machine : available) {
+      if (!isEmpty(machine, type) || machine.status().draining()) {
         continue;
       }
       long idleTimeoutMs = machine.status().spot() ? SCALE_IN_IDLE_MS : SCALE_IN_IDLE_ON_DEMAND_MS;
--- a/src/main/java/mallowstall/core/autoscaling/MachineCensus.java
+++ b/src/main/java/mallowstall/core/autoscaling/MachineCensus.java
@@ -25,9 +25,6 @@
   private final Set<String> registered = new HashSet<>();
   private final List<MachineView> available = new ArrayList<>();
 
-  /** Machines that alone can serve a waiting job. */
-  private final Set<String> needed = new HashSet<>();
-
   private final List<String> toReturn = new ArrayList<>();
   private final List<String> lateEntries = new ArrayList<>();
   private final List<String> unmanaged = new ArrayList<>();
@@ -150,16 +147,6 @@
     return false;
   }
 
-  /** Records that the machine alone can serve a waiting job, so that it is not to be drained. */
-  void addNeeded(String machine) {
-    needed.add(machine);
-  }
-
-  /** Returns whether the machine alone can serve a waiting job. */
-  boolean isNeeded(String machine) {
-    return needed.contains(machine);
-  }
-
   /** Records that the machine is to be returned to the cloud. */
   void addToReturn(String machine) {
     toReturn.add(machine);
--- a/src/main/java/mallowstall/core/autoscaling/TypePlanner.java
+++ b/src/main/java/mallowstall/core/autoscaling/TypePlanner.java
@@ -70,7 +70,7 @@
     int retainedTotal = computeRetainedTotal(typeDemand);
     int retainedOnDemand = Math.min(retainedTotal, computeRetainedOnDemand(typeDemand));
     if (current > retainedOnDemand) {
-      idleScaleIn.scaleIn(type, current, retainedTotal, retainedOnDemand, census, now);
+      idleScaleIn.scaleIn(type, current, retainedTotal, retainedOnDemand, census.available(), now);
     }
   }
 
--- a/src/main/java/mallowstall/core/autoscaling/UnplaceableJobs.java
+++ b/src/main/java/mallowstall/core/autoscaling/UnplaceableJobs.java
@@ -103,10 +103,7 @@
     waitingByJob.clear();
   }
 
-  /**
-   * Returns the jobs for which a machine may be requested now. Records in the census the machines
-   * that alone can serve a waiting job. Called once in each plan.
-   */
+  /** Returns the jobs for which a machine may be requested now. Called once in each plan. */
   List<UnplaceableJob> findDue(MachineCensus census, long now) {
     CapacityIndex free = freeCapacity(census.available());
     ExpectedReleases expected = new ExpectedReleases(store, types, census.available());
@@ -164,7 +161,7 @@
     Set<String> zones =
         isWaitingForCapacity(jobEntry, placed) ? allowedZones(job, placed) : Set.of();
     PlacementObstacle obstacle =
-        zones.isEmpty() ? PlacementObstacle.NONE : findObstacle(job, zones, free, census);
+        zones.isEmpty() ? PlacementObstacle.NONE : findObstacle(job, zones, free);
     if (obstacle == PlacementObstacle.NONE) {
       waitingByJob.remove(job.id());
       return null;
@@ -272,20 +269,15 @@
     return (!job.singleZone() || onlyZone) && tasksInZone < job.maxTasksPerZone();
   }
 
-  private PlacementObstacle findObstacle(
-      JobSpec job, Set<String> zones, CapacityIndex free, MachineCensus census) {
-    int limit = job.isService() ? Integer.MAX_VALUE : 2;
+  private PlacementObstacle findObstacle(JobSpec job, Set<String> zones, CapacityIndex free) {
+    int limit = job.isService() ? Integer.MAX_VALUE : 1;
     List<MachineView> machines = free.machinesHolding(job, zones, limit);
     if (machines.isEmpty()) {
       return PlacementObstacle.NO_CAPACITY;
     }
-    if (job.isService() && allKeepResultOfSameReplica(job, machines)) {
-      return PlacementObstacle.RESULTS_KEPT;
-    }
-    if (machines.size() == 1) {
-      census.addNeeded(machines.get(0).id());
-    }
-    return PlacementObstacle.NONE;
+    return job.isService() && allKeepResultOfSameReplica(job, machines)
+        ? PlacementObstacle.RESULTS_KEPT
+        : PlacementObstacle.NONE;
   }
 
   /** Returns whether all these machines keep the result of one and the same unplaced replica. */
--- a/src/test/java/mallowstall/core/UnplaceableJobsTest.java
+++ b/src/test/java/mallowstall/core/UnplaceableJobsTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -165,6 +166,40 @@
     }
   }
 
+  /** The time until the request depends on what the machines in service are expected to free. */
+  @ParameterizedTest
+  @CsvSource({"100, 3600, 25", "15, 34, 0", "0, 3600, 45"})
+  void requestWaitsForMachinesThatAreExpectedToFreeCapacity(
+      double estimatedRunS, int runS, int requestedWithinS) {
+    Simulation sim = new Simulation(325);
+    sim.maxMachines = 4;
+    sim.taskRunMs = runS * 1_000L;
+    sim.runUntil(8_000);
+    sim.users.submit(
+        batchJob("wk-000009")
+            .tasks(32)
+            .cpus(1)
+            .estimatedRunS(estimatedRunS)
+            .deadlineS(900.0)
+            .build());
+    sim.runUntil(sim.nowMs + 5_000);
+    assertEquals(CPUS_OF_ALL_MACHINES, sim.checker.runningReplicas("wk-000009"));
+    sim.users.submit(batchJob(JOB).cpus(0.5).estimatedRunS(0).build());
+    sim.cloudState.requests.clear();
+    sim.maxMachines = 12;
+    long submittedMs = sim.nowMs;
+    while (sim.cloudState.requests.isEmpty() && sim.nowMs < submittedMs + 60_000) {
+      sim.runUntil(sim.nowMs + 100);
+    }
+    if (requestedWithinS == 0) {
+      assertEquals(List.of(), sim.cloudState.requests);
+      assertTrue(hasStarted(sim, JOB));
+    } else {
+      long tookMs = sim.nowMs - submittedMs;
+      assertTrue(tookMs <= requestedWithinS * 1_000L, "requested after " + tookMs);
+    }
+  }
+
   /** The remaining task of a job in one zone must run, though its other task runs for long. */
   @Test
   void remainingTaskOfPartlyPlacedJobRuns() {
