Choose the smallest type among those offered in the job's zone

A job bound to a zone is accepted since a type that it fits on is offered there, but machines of a smaller type are requested in that zone, where the cloud doesn't offer it.

Cause: the smallest fitting type was chosen by size alone.

Evidence: ConstrainedScaleOutTest#jobOfZoneIsServedByTypeThatIsOfferedThere fails before: expected: <[t8]> but was: <[t8, t4, t4, t4, ...]>.

Why it works: a type fits a job of a zone only if it is offered there, as acceptance asks already (SchedulabilityCheck); demand, ranking and requests all use this choice.

--- a/src/main/java/mallowstall/core/autoscaling/MachineDemand.java
+++ b/src/main/java/mallowstall/core/autoscaling/MachineDemand.java
@@ -124,7 +124,15 @@
     return fitting.isEmpty() ? null : fitting.get(0).name();
   }
 
-  /** Returns the types on which a task of the job fits, the smallest first. */
+  /** Returns whether the type is offered in the zone; null stands for any zone. */
+  private static boolean isOfferedIn(String zone, MachineType type) {
+    return zone == null || type.zones().contains(zone);
+  }
+
+  /**
+   * Returns the types on which a task of the job fits and that are offered in the job's zone, the
+   * smallest first.
+   */
   List<MachineType> fittingTypes(JobSpec spec) {
     List<MachineType> cached = fittingTypesByJob.get(spec.id());
     if (cached != null) {
@@ -134,7 +142,10 @@
       fittingTypesByJob.clear();
     }
     List<MachineType> found =
-        types.all().stream().filter(spec::fits).sorted(SMALLEST_FIRST).toList();
+        types.all().stream()
+            .filter(type -> spec.fits(type) && isOfferedIn(spec.zone(), type))
+            .sorted(SMALLEST_FIRST)
+            .toList();
     if (!found.isEmpty()) {
       fittingTypesByJob.put(spec.id(), found);
     }
--- a/src/test/java/mallowstall/core/CloudState.java
+++ b/src/test/java/mallowstall/core/CloudState.java
@@ -26,6 +26,19 @@
   /** The machines rented by each request that was granted, by the name of the request. */
   final Map<String, List<String>> machinesByRequest = new HashMap<>();
 
+  /**
+   * Returns the status with which the cloud refuses the request, or 0 if it grants it. A type that
+   * isn't offered in the zone is malformed.
+   */
+  int refusalOf(ScaleOutRequest request) {
+    for (MachineType type : offeredTypes) {
+      if (type.name().equals(request.type()) && type.zones().contains(request.zone())) {
+        return refusal.applyAsInt(request);
+      }
+    }
+    return 400;
+  }
+
   /** Returns the number of machines that were ever rented. */
   int rentedMachines() {
     return machinesByRequest.values().stream().mapToInt(List::size).sum();
--- a/src/test/java/mallowstall/core/ConstrainedScaleOutTest.java
+++ b/src/test/java/mallowstall/core/ConstrainedScaleOutTest.java
@@ -8,13 +8,17 @@
 import java.util.function.UnaryOperator;
 import java.util.stream.Stream;
 import mallowstall.core.model.JobSpecBuilder;
+import mallowstall.core.model.MachineType;
+import mallowstall.core.model.ScaleOutRequest;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
 
 /**
- * Guards against machines rented twice for a job that needs one zone or an on-demand machine: a
- * machine that had registered, but whose status wasn't known yet, counted as missing.
+ * Guards against requests for machines that serve nobody: machines rented twice for a job that
+ * needs one zone or an on-demand machine, because a machine that had registered counted as missing
+ * until its status was known; types that aren't offered in the zone.
  */
 class ConstrainedScaleOutTest {
   private static final String JOB = "wk-000001";
@@ -50,4 +54,22 @@
           "seed " + seed + ": " + sim.cloudState.requests);
     }
   }
+
+  /** A job of a zone must get a machine of a type that the cloud offers in that zone. */
+  @Test
+  void jobOfZoneIsServedByTypeThatIsOfferedThere() {
+    Simulation sim = new Simulation(421);
+    sim.cloudState.offeredTypes =
+        List.of(
+            new MachineType("t4", 4, 0, 16, 20, 1, 0.5, 0.15, 8, List.of("a")),
+            CloudState.DEFAULT_TYPE);
+    sim.runUntil(8_000);
+    List.copyOf(sim.workers.keySet()).forEach(sim::killMachine);
+    sim.runUntil(sim.nowMs + 45_000);
+    sim.users.submit(batchJob(JOB).cpus(4).zone("b").estimatedRunS(60).build());
+    sim.runUntil(sim.nowMs + 40_000);
+    assertFinished(sim, JOB);
+    assertEquals(
+        List.of("t8"), sim.cloudState.requests.stream().map(ScaleOutRequest::type).toList());
+  }
 }
--- a/src/test/java/mallowstall/core/SimulatedCloud.java
+++ b/src/test/java/mallowstall/core/SimulatedCloud.java
@@ -29,7 +29,7 @@
         30,
         () -> {
           simulation.cloudState.requests.add(request);
-          int refusal = simulation.cloudState.refusal.applyAsInt(request);
+          int refusal = simulation.cloudState.refusalOf(request);
           if (refusal != 0) {
             then.accept(new ScaleOutResult(refusal, List.of()));
             return;
