Back off from requests for machines that fail

A request that gets 400, 429, 500 or no response is sent again at once, two and a half times a second for as long as it fails, and requests for other kinds of machine wait behind it.

Cause: only 503 had a cooldown, and every response brings the next plan forward by 0.3 s.

Evidence: ConstrainedScaleOutTest#failedRequestIsRepeatedWithBackoff fails before with each of the four failures: "requests: 297" in 120 s, 64 allowed (4 kinds, 4 + 12 each).

Why it works: each type, zone and kind has a backoff of 1 s, doubled up to 10 s, that ends with the next 200 or 503; other kinds are requested meanwhile. 503 keeps its cooldown of 15 s.

Ran: ConstrainedScaleOutTest 9, UnplaceableJobsTest 31, HistoryDigestTest 2, 0 failed.

--- a/src/main/java/mallowstall/core/autoscaling/ScaleOutRequests.java
+++ b/src/main/java/mallowstall/core/autoscaling/ScaleOutRequests.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import mallowstall.core.autoscaling.PendingMachines.PendingMachine;
+import mallowstall.core.kernel.Backoff;
 import mallowstall.core.kernel.Effects;
 import mallowstall.core.kernel.EventClock;
 import mallowstall.core.kernel.ScaleOutResult;
@@ -14,8 +15,9 @@
 
 /**
  * Requests machines from the cloud, each time of one type, of one zone, and either spot or
- * on-demand (protocol, Cloud). At most one request is in flight. A combination that the cloud
- * rejected or provided only in part isn't requested again before a cooldown ends. Mutable.
+ * on-demand (protocol, Cloud). At most one request is in flight. A kind that the cloud rejected or
+ * provided only in part isn't requested again before a cooldown ends. A kind whose request failed
+ * otherwise is requested again after a backoff. Mutable.
  */
 public final class ScaleOutRequests {
   private static final Logger LOG = LoggerFactory.getLogger("mallowstall.autoscaling");
@@ -24,8 +26,8 @@
   private static final int SCALE_OUT_MACHINES_MAX = 50;
 
   /**
-   * Time in milliseconds for which a combination of type, zone, and spot or on-demand isn't
-   * requested again after the cloud lacked the capacity for it.
+   * Time in milliseconds for which a kind of machine isn't requested again after the cloud lacked
+   * the capacity for it.
    */
   private static final long SCALE_OUT_REJECTED_COOLDOWN_MS = 15_000;
 
@@ -41,11 +43,11 @@
   /** Called after each response, successful or not. */
   private final Runnable onResponse;
 
-  /**
-   * Steady time in milliseconds until which a combination of type, zone, and spot or on-demand
-   * isn't requested again.
-   */
-  private final Map<String, Long> cooldownUntilMs = new HashMap<>();
+  /** Steady time in milliseconds until which a kind of machine isn't requested again. */
+  private final Map<MachineKind, Long> cooldownUntilMs = new HashMap<>();
+
+  /** Backoff of each kind of machine whose last request failed for another reason than capacity. */
+  private final Map<MachineKind, Backoff> backoffs = new HashMap<>();
 
   private boolean requestInFlight;
   private int requestCounter;
@@ -81,18 +83,21 @@
         || requestInZone(type, zone, false, count, now);
   }
 
-  /** Sends a request unless its combination is in the cooldown. Returns whether it was sent. */
+  /** Sends a request unless its kind is in a cooldown or backoff. Returns whether it was sent. */
   boolean requestInZone(String type, String zone, boolean spot, int count, long now) {
-    String key = type + "/" + zone + "/" + spot;
-    if (cooldownUntilMs.getOrDefault(key, 0L) > now) {
+    MachineKind kind = new MachineKind(type, zone, spot);
+    Backoff backoff = backoffs.get(kind);
+    if (cooldownUntilMs.getOrDefault(kind, 0L) > now
+        || (backoff != null && backoff.isWaiting(now))) {
       return false;
     }
     String name = "r-" + store.incarnation() + "-" + ++requestCounter;
-    send(new ScaleOutRequest(name, type, zone, spot, Math.min(SCALE_OUT_MACHINES_MAX, count)), key);
+    send(
+        new ScaleOutRequest(name, type, zone, spot, Math.min(SCALE_OUT_MACHINES_MAX, count)), kind);
     return true;
   }
 
-  private void send(ScaleOutRequest request, String key) {
+  private void send(ScaleOutRequest request, MachineKind kind) {
     requestInFlight = true;
     apiCallBucket.spend(clock.now(), 1);
     LOG.info(
@@ -106,13 +111,16 @@
         request,
         reply -> {
           requestInFlight = false;
-          handleResult(request, key, reply);
+          handleResult(request, kind, reply);
           onResponse.run();
         });
   }
 
-  private void handleResult(ScaleOutRequest request, String key, ScaleOutResult reply) {
+  private void handleResult(ScaleOutRequest request, MachineKind kind, ScaleOutResult reply) {
     long now = clock.now();
+    if (reply.status() == HTTP_OK || reply.status() == HTTP_UNAVAILABLE) {
+      backoffs.remove(kind);
+    }
     if (reply.status() == HTTP_OK) {
       for (String id : reply.machines()) {
         pendingMachines.add(
@@ -125,12 +133,13 @@
           receivedCount,
           request.count());
       if (receivedCount < request.count()) {
-        cooldownUntilMs.put(key, now + SCALE_OUT_REJECTED_COOLDOWN_MS);
+        cooldownUntilMs.put(kind, now + SCALE_OUT_REJECTED_COOLDOWN_MS);
       }
     } else if (reply.status() == HTTP_UNAVAILABLE) {
-      cooldownUntilMs.put(key, now + SCALE_OUT_REJECTED_COOLDOWN_MS);
+      cooldownUntilMs.put(kind, now + SCALE_OUT_REJECTED_COOLDOWN_MS);
       LOG.info("scale out rejected request={} status={}", request.name(), reply.status());
     } else {
+      backoffs.computeIfAbsent(kind, k -> new Backoff()).recordFailure(now);
       LOG.debug("scale out failed request={} status={}", request.name(), reply.status());
     }
   }
