--- a/review/stand-ins-2/Cloud.java
+++ b/review/stand-ins-2/Cloud.java
@@ -25,6 +25,12 @@
   /** Machines that may still be rented, whatever their zone and kind. */
   volatile int capacity;
 
+  /** The only type that may be rented, or null for any. */
+  volatile String rentable;
+
+  /** Whether what is given back can be rented again. */
+  volatile boolean restocks;
+
   /** Time from the rental of a machine until its worker reports, in milliseconds. */
   volatile int bootMs = 2_000;
 
@@ -84,6 +90,9 @@
       return new Http.Reply(200, Json.write(Json.of("sierras", known)));
     }
     int count = Math.min(capacity, ((Number) body.get("how_many")).intValue());
+    if (rentable != null && !rentable.equals(body.get("calibre"))) {
+      count = 0;
+    }
     if (count <= 0) {
       return new Http.Reply(503, "{\"error\":\"no capacity\"}");
     }
@@ -119,6 +128,9 @@
       Machine machine = machines.get((String) name);
       if (machine != null && machine.goneMs == 0) {
         machine.goneMs = Lab.now();
+        if (restocks) {
+          capacity++;
+        }
         if (machine.worker != null) {
           machine.worker.stop();
         }
--- a/review/stand-ins-2/Lab.java
+++ b/review/stand-ins-2/Lab.java
@@ -93,6 +93,37 @@
     }
   }
 
+  /** Takes the settings of site huallaga-aserradero. */
+  void huallaga() {
+    types =
+        List.of(
+            new Type("tabla8", 8, 32, 50, 1.0, 0.55, 0.18, 40),
+            new Type("viga32", 32, 128, 50, 0.4, 2.22, 0.76, 15));
+    zones = List.of("pucallpa", "lima");
+    nodeZones = List.of("pucallpa", "lima", "pucallpa");
+    teams =
+        List.of(
+            Json.of("name", "patio", "cpus", 0.0, "cpus_max", 0.0, "gpus", 0.0, "gpus_max", 0.0));
+    objectives =
+        List.of(
+            Json.of("kind", "deadline", "class", "conteo-diario", "share", 0.78, "times", 1.0),
+            Json.of("kind", "wait", "class", "reconteo-horno", "within_s", 30.0, "share", 0.93));
+    reportS = 1;
+    leaseS = 10;
+    cancelS = 35;
+    stateRps = 150;
+    stateWriteRps = 60;
+    valueKb = 16;
+    txnOps = 24;
+    stateLatencyMs = 4;
+    cloudRps = 1.5;
+    listLagS = 10;
+    coreShare = 0.136;
+    ramMb = 148;
+    fdLimit = 600;
+    skewMs = 25;
+  }
+
   static final long START_NS = System.nanoTime();
 
   final String root;
@@ -116,6 +147,9 @@
   /** Handles requests to the state service in its place, if not null. */
   StateFilter onState;
 
+  /** Called with each request to the cloud before it is carried out, if not null. */
+  java.util.function.BiConsumer<Node, Http.Request> onCloud;
+
   /** Called with a new worker before it starts, if not null. */
   java.util.function.Consumer<Worker> onWorker;
 
@@ -244,6 +278,9 @@
                   0,
                   request -> {
                     sleep(50);
+                    if (onCloud != null) {
+                      onCloud.accept(node, request);
+                    }
                     return cloud.handle(request);
                   })
               .port;
--- a/review/stand-ins-2/Proxy.java
+++ b/review/stand-ins-2/Proxy.java
@@ -3,17 +3,12 @@
 import java.io.OutputStream;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.CopyOnWriteArrayList;
 
 /** Passes connections on to a port on loopback; a cut holds what is sent, or resets. */
 final class Proxy {
-  static final List<Proxy> all = new CopyOnWriteArrayList<>();
   final int port;
-  int from;
-  int to;
   private volatile boolean held;
   private volatile boolean refused;
   private final Set<Socket> open = ConcurrentHashMap.newKeySet();
@@ -21,7 +16,6 @@
   Proxy(int target) throws IOException {
     ServerSocket server = Http.listen(0);
     port = server.getLocalPort();
-    all.add(this);
     Http.thread(
         "proxy-" + port,
         () -> {
