--- a/review/stand-ins-2/Cloud.java
+++ b/review/stand-ins-2/Cloud.java
@@ -25,6 +25,9 @@
   /** Machines that may still be rented, whatever their zone and kind. */
   volatile int capacity;
 
+  /** The only zone in which machines may be rented, or null for any. */
+  volatile String rentableZone;
+
   /** The only type that may be rented, or null for any. */
   volatile String rentable;
 
@@ -90,6 +93,9 @@
       return new Http.Reply(200, Json.write(Json.of("sierras", known)));
     }
     int count = Math.min(capacity, ((Number) body.get("how_many")).intValue());
+    if (rentableZone != null && !rentableZone.equals(body.get("patio"))) {
+      count = 0;
+    }
     if (rentable != null && !rentable.equals(body.get("calibre"))) {
       count = 0;
     }
--- a/review/stand-ins-2/Lab.java
+++ b/review/stand-ins-2/Lab.java
@@ -31,9 +31,14 @@
     String image;
     double imageGb;
     double runS;
+
+    /** Time by which the run time of the last task exceeds that of the first one. */
+    double runMoreS;
+
     double estimateS;
     Double deadlineS;
     boolean spot = true;
+    String zone;
     List<Object> types;
     final java.util.Set<String> doneTasks = new java.util.HashSet<>();
     long acceptedMs;
@@ -46,7 +51,7 @@
           Json.of(
               "ref", id, "lote", jobClass, "cuadrilla", team, "oficio", "batch", "urgencia",
               priority, "piezas", tasks, "vcpus", cpus, "gpus", 0.0, "mem_gb", memoryGb, "molde",
-              image, "image_gb", imageGb, "calibres", types, "patio", null, "one_zone", false,
+              image, "image_gb", imageGb, "calibres", types, "patio", zone, "one_zone", false,
               "scatter", false, "prestados", spot, "aserrado_s", estimateS, "marca_s", 0.0,
               "apilado_s", 0.0, "despacho_s", deadlineS));
     }
@@ -209,6 +214,23 @@
     }
   }
 
+  /** Counts what is recorded of the tasks of these jobs, and leaves it out of record.txt. */
+  final java.util.Set<String> counted = ConcurrentHashMap.newKeySet();
+
+  final java.util.concurrent.atomic.AtomicInteger starts =
+      new java.util.concurrent.atomic.AtomicInteger();
+
+  /** Records what happened to a task, unless the tasks of its job are only counted. */
+  void recordTask(String task, String text) {
+    if (counted.contains(task.substring(0, task.indexOf('/')))) {
+      if (text.startsWith("on machine")) {
+        starts.incrementAndGet();
+      }
+    } else {
+      record(text);
+    }
+  }
+
   void record(String text) {
     synchronized (out) {
       out.printf("%8.3f %s%n", now() / 1000.0, text);
@@ -422,7 +444,7 @@
   // Rules about tasks.
 
   void onMachine(Worker.Task task, Worker worker) {
-    record("on machine " + task.name + "#" + task.attempt + " on " + worker.id);
+    recordTask(task.name, "on machine " + task.name + "#" + task.attempt + " on " + worker.id);
     synchronized (onMachines) {
       Map<String, Long> places = onMachines.computeIfAbsent(task.name, k -> new HashMap<>());
       for (String other : places.keySet()) {
@@ -449,7 +471,7 @@
   }
 
   void offMachine(Worker.Task task, Worker worker, String reason) {
-    record("off machine " + task.name + "#" + task.attempt + " on " + worker.id + ": " + reason);
+    recordTask(task.name, "off machine " + task.name + "#" + task.attempt + " on " + worker.id + ": " + reason);
     synchronized (onMachines) {
       Map<String, Long> places = onMachines.get(task.name);
       if (places != null) {
--- a/review/stand-ins-2/Worker.java
+++ b/review/stand-ins-2/Worker.java
@@ -33,6 +33,11 @@
   private final Map<String, Long> imageReadyMs = new HashMap<>();
   private final Set<String> results = new HashSet<>();
   private volatile int node;
+
+  /** When the last report was answered with 200, and how often that was. */
+  volatile long answeredMs;
+
+  volatile int answers;
   private volatile boolean stopped;
   private long session = 1;
   private long sequence;
@@ -222,6 +227,8 @@
       changed = true;
     }
     renewedMs = sentMs;
+    answeredMs = Lab.now();
+    answers++;
     List<Object> commands = (List<Object>) reply.get("ordenes");
     if (commands != null) {
       execute(commands, "answer");
@@ -307,7 +314,7 @@
           if (task != null && task.state.equals("ended")) {
             tasks.remove(key);
             changed = true;
-            lab.record("reap " + key + " on " + id);
+            lab.recordTask(name, "reap " + key + " on " + id);
           }
         }
       }
@@ -326,11 +333,11 @@
             && freeMemoryGb() + 1e-9 >= task.job.memoryGb;
     tasks.put(name + "#" + attempt, task);
     changed = true;
-    lab.record("run " + name + "#" + attempt + " on " + id + " by " + from);
+    lab.recordTask(name, "run " + name + "#" + attempt + " on " + id + " by " + from);
     if (task.job == null || busy || !fits) {
       task.state = "ended";
       task.reason = task.job == null ? "no_such" : busy ? "busy" : "full";
-      lab.record("refused " + name + "#" + attempt + " on " + id + ": " + task.reason);
+      lab.recordTask(name, "refused " + name + "#" + attempt + " on " + id + ": " + task.reason);
       return;
     }
     long now = Lab.now();
@@ -343,7 +350,7 @@
   private void advance(Task task, long now) {
     if (task.state.equals("pulling") && imageReadyMs.get(task.job.image) <= now) {
       task.state = "running";
-      task.endMs = now + (results.contains(task.name) ? 0 : (long) (task.job.runS * 1000));
+      task.endMs = now + (results.contains(task.name) ? 0 : runMs(task));
       task.fails = faulty && !results.contains(task.name);
       if (task.fails) {
         task.endMs = now + 300;
@@ -362,6 +369,11 @@
     }
   }
 
+  private static long runMs(Task task) {
+    int number = Integer.parseInt(task.name.substring(task.name.indexOf('/') + 1));
+    return (long) ((task.job.runS + task.job.runMoreS * number / task.job.tasks) * 1000);
+  }
+
   private void exit(Task task, String reason) {
     boolean wasOn = task.state.equals("running");
     task.state = "ended";
@@ -370,7 +382,8 @@
     if (wasOn) {
       lab.offMachine(task, this, reason);
     } else {
-      lab.record(reason + " " + task.name + "#" + task.attempt + " on " + id + " before its image");
+      lab.recordTask(
+          task.name, reason + " " + task.name + "#" + task.attempt + " on " + id + " before its image");
     }
   }
 
