Review case 7: jobs that ask for their share of a limit together never get it

Cause: up to ten entries go into one transaction, whose sum isn't compared with the limit of 64 KiB; all of them are tried again at the same moment.

--- a/review/stand-ins-2/StateService.java
+++ b/review/stand-ins-2/StateService.java
@@ -151,6 +151,10 @@
         return list(arguments);
       }
       if (path.equals("/multi")) {
+        if (request.body().getBytes(java.nio.charset.StandardCharsets.UTF_8).length > 64 * 1024) {
+          lab.record("state service: transaction of " + request.body().length() + " bytes refused");
+          return new Http.Reply(400, "{\"error\":\"too large\"}");
+        }
         return transact(Json.object(request.body()));
       }
       if (path.equals("/changes")) {
