--- a/review/stand-ins-2/Lab.java
+++ b/review/stand-ins-2/Lab.java
@@ -200,6 +200,14 @@
       }
     }
     Runtime.getRuntime().addShutdownHook(new Thread(this::end));
+    // An error of the script itself says nothing about the rule.
+    Thread.setDefaultUncaughtExceptionHandler(
+        (thread, failure) -> {
+          failure.printStackTrace();
+          if (thread.getName().equals("main")) {
+            System.exit(2);
+          }
+        });
   }
 
   static long now() {
