Remove directly started attempts only under a token that repeats don't have

It was stopped and reaped on the first machine and started on another; the repeat of the answered POST /orders that had started it on the first machine started it there once more.

Cause: a worker ignores a repeated start only while it lists the attempt, and executes a request as long as token and session match. The 200 settled the request here, so the attempt was removed under the token of that request.

Change: commands carry a command token, at least the fencing token. A heartbeat response that removes an attempt that was sent to /orders under it raises it to the revision of the state replica, without a write; if that isn't possible now, the attempt stays listed.

Why it works: the worker takes in the response's token before it removes the attempt, so the request is below its token from then on. Up to that revision the replica names this leadership, so any other leader's token, the revision of its entry, is smaller than this one's or larger than that revision (docs/design.md, "Repeated requests").

--- a/src/main/java/mallowstall/core/MachineModules.java
+++ b/src/main/java/mallowstall/core/MachineModules.java
@@ -69,7 +69,7 @@
         new StatusUpdateSequence(
             cluster.settings, cluster.store, cluster.cancellations, machines, machineStatuses);
     statusPublisher = newStatusPublisher(ownStatusUpdates);
-    fencingTokens = new FencingTokens(machines, entryWriter, statusPublisher);
+    fencingTokens = new FencingTokens(cluster.store, machines, entryWriter, statusPublisher);
     heartbeatApplier = newHeartbeatApplier(jobLeader);
     heartbeatHandler = newHeartbeatHandler();
     commands = newDirectCommands();
@@ -112,11 +112,13 @@
     HeartbeatResponder responder =
         new HeartbeatResponder(
             cluster.clock,
+            cluster.metrics,
             cluster.store,
             cluster.jobBitmaps,
             cluster.cancellations,
             machines,
-            statusPublisher);
+            statusPublisher,
+            fencingTokens);
     return new HeartbeatHandler(heartbeatApplier, responder);
   }
 
--- a/src/main/java/mallowstall/core/machines/CommandChannel.java
+++ b/src/main/java/mallowstall/core/machines/CommandChannel.java
@@ -2,6 +2,7 @@
 
 import java.util.HashSet;
 import java.util.Set;
+import mallowstall.core.model.TaskAttempt;
 import mallowstall.core.model.TaskKey;
 
 /**
@@ -10,9 +11,17 @@
  * <p>The worker may execute a start at any time until it answers the request or acknowledges a
  * larger fencing token. Until then the task counts as possibly running, and no remove command is
  * sent for its attempt, since a late copy of the start would start the attempt again.
+ *
+ * <p>The network may also repeat a request that the worker has answered. The worker ignores a start
+ * whose attempt it lists, but runs the attempt again once it was removed, unless it has seen a
+ * larger token than that of the request.
  */
 final class CommandChannel {
   private final Set<TaskKey> unacknowledgedStarts = new HashSet<>();
+
+  /** Attempts whose starts were sent in requests under the token of the latest request. */
+  private final Set<TaskAttempt> startsUnderCurrentToken = new HashSet<>();
+
   private boolean requestInFlight;
   private boolean outcomeUnknown;
   private boolean tokenWriteInFlight;
@@ -43,9 +52,29 @@
     return lastSentMs;
   }
 
-  /** Records that the request being sent contains a start of the task. */
-  void addUnacknowledgedStart(TaskKey key) {
-    unacknowledgedStarts.add(key);
+  /** Records that the request being sent contains a start of the attempt. */
+  void addStart(TaskAttempt attempt) {
+    unacknowledgedStarts.add(attempt.key());
+    startsUnderCurrentToken.add(attempt);
+  }
+
+  /**
+   * Returns whether a repeated request could start the attempt again if it were removed under the
+   * current token, whether or not the request was answered.
+   */
+  boolean isRepeatable(TaskAttempt attempt) {
+    return startsUnderCurrentToken.contains(attempt);
+  }
+
+  /** Records that all later commands carry a larger token than all requests so far. */
+  void startNewToken() {
+    startsUnderCurrentToken.clear();
+  }
+
+  /** Records that the worker rejects all requests so far, because its session has ended. */
+  void endSession() {
+    settle();
+    startsUnderCurrentToken.clear();
   }
 
   /** Returns whether a start of the task may still be executed. */
--- a/src/main/java/mallowstall/core/machines/DirectCommands.java
+++ b/src/main/java/mallowstall/core/machines/DirectCommands.java
@@ -104,7 +104,7 @@
       commands.add(
           new WorkerCommand(CommandKind.START, start.job(), start.task(), start.attempt(), 0));
       reservation.markSent();
-      machine.commands().addUnacknowledgedStart(reservation.key());
+      machine.commands().addStart(reservation.attempt());
     }
     if (!commands.isEmpty()) {
       send(machine, commands);
@@ -170,7 +170,7 @@
     long session = machine.workerSession();
     effects.sendCommands(
         machine.address(),
-        machine.fencingToken(),
+        machine.commandToken(),
         session,
         commands,
         reply -> {
--- a/src/main/java/mallowstall/core/machines/FencingTokens.java
+++ b/src/main/java/mallowstall/core/machines/FencingTokens.java
@@ -1,16 +1,23 @@
 package mallowstall.core.machines;
 
 import mallowstall.core.kernel.ResultCode;
+import mallowstall.core.kv.StateStore;
+import mallowstall.core.model.MachineEntry;
 
-/** Raises fencing tokens to invalidate commands of unknown outcome under smaller tokens. */
+/** Raises the tokens of machines to invalidate commands that were sent under smaller tokens. */
 public final class FencingTokens {
+  private final StateStore store;
   private final ManagedMachines machines;
   private final MachineEntryWriter entryWriter;
   private final StatusPublisher statusPublisher;
 
   /** Creates an instance that stores tokens with the entry writer and publishes them. */
   public FencingTokens(
-      ManagedMachines machines, MachineEntryWriter entryWriter, StatusPublisher statusPublisher) {
+      StateStore store,
+      ManagedMachines machines,
+      MachineEntryWriter entryWriter,
+      StatusPublisher statusPublisher) {
+    this.store = store;
     this.machines = machines;
     this.entryWriter = entryWriter;
     this.statusPublisher = statusPublisher;
@@ -43,4 +50,27 @@
       machine.commands().endTokenWrite();
     }
   }
+
+  /**
+   * Raises the token that the machine's commands carry to the revision of the state replica,
+   * without a write. Up to that revision the replica names this leadership, so any other leader's
+   * entry, whose revision is its token, is either older than this one's or newer than the revision
+   * (docs/design.md, ran_twice).
+   *
+   * @return false if the token was not raised, because the replica isn't complete or has not
+   *     advanced, names another leadership, or a request or token write has no known outcome
+   */
+  boolean raiseCommandToken(ManagedMachine machine) {
+    long revision = store.revision();
+    if (revision <= machine.commandToken() || !machine.commands().ready() || !isRecorded(machine)) {
+      return false;
+    }
+    machine.raiseCommandToken(revision);
+    return true;
+  }
+
+  private boolean isRecorded(ManagedMachine machine) {
+    MachineEntry entry = store.machine(machine.id());
+    return entry != null && entry.fencingToken() == machine.fencingToken();
+  }
 }
--- a/src/main/java/mallowstall/core/machines/HeartbeatResponder.java
+++ b/src/main/java/mallowstall/core/machines/HeartbeatResponder.java
@@ -5,6 +5,7 @@
 import java.util.OptionalDouble;
 import mallowstall.core.cluster.CancellationExchange;
 import mallowstall.core.kernel.EventClock;
+import mallowstall.core.kernel.Metrics;
 import mallowstall.core.kv.JobBitmaps;
 import mallowstall.core.kv.StateStore;
 import mallowstall.core.model.CommandKind;
@@ -34,26 +35,32 @@
   private static final double INTERRUPTION_SAVE_MARGIN_S = 4;
 
   private final EventClock clock;
+  private final Metrics metrics;
   private final StateStore store;
   private final JobBitmaps jobBitmaps;
   private final CancellationExchange cancellations;
   private final ManagedMachines machines;
   private final StatusPublisher statusPublisher;
+  private final FencingTokens fencingTokens;
 
   /** Creates a responder that decides by the state replica and the machines' reservations. */
   public HeartbeatResponder(
       EventClock clock,
+      Metrics metrics,
       StateStore store,
       JobBitmaps jobBitmaps,
       CancellationExchange cancellations,
       ManagedMachines machines,
-      StatusPublisher statusPublisher) {
+      StatusPublisher statusPublisher,
+      FencingTokens fencingTokens) {
     this.clock = clock;
+    this.metrics = metrics;
     this.store = store;
     this.jobBitmaps = jobBitmaps;
     this.cancellations = cancellations;
     this.machines = machines;
     this.statusPublisher = statusPublisher;
+    this.fencingTokens = fencingTokens;
   }
 
   /** Returns removals, stops and starts, in this order. The response renews the worker's lease. */
@@ -62,7 +69,7 @@
     List<WorkerCommand> commands = new ArrayList<>();
     for (TaskReport task : machine.tasks().reports()) {
       if (task.state() == TaskState.EXITED) {
-        if (canRemove(machine, task)) {
+        if (canRemove(machine, task) && cannotStartAgain(machine, TaskAttempt.of(task))) {
           commands.add(command(CommandKind.REMOVE, task, 0));
         }
         machine.tasks().clearPendingStop(TaskAttempt.of(task).key());
@@ -75,7 +82,20 @@
     commands.addAll(stops);
     addStarts(machine, commands);
     machine.recordResponse(clock.now());
-    return HeartbeatResponse.accepted(machine.fencingToken(), commands);
+    return HeartbeatResponse.accepted(machine.commandToken(), commands);
+  }
+
+  /**
+   * Returns whether no repeated request starts the attempt again once this response has removed it.
+   * The worker takes in the response's token before it removes the attempt, so requests under
+   * smaller tokens have no effect afterwards.
+   */
+  private boolean cannotStartAgain(ManagedMachine machine, TaskAttempt attempt) {
+    if (!machine.commands().isRepeatable(attempt) || fencingTokens.raiseCommandToken(machine)) {
+      return true;
+    }
+    metrics.increment("removals_held");
+    return false;
   }
 
   private static WorkerCommand command(CommandKind kind, TaskReport task, double graceSeconds) {
--- a/src/main/java/mallowstall/core/machines/HeartbeatRouter.java
+++ b/src/main/java/mallowstall/core/machines/HeartbeatRouter.java
@@ -56,7 +56,7 @@
       return;
     }
     ManagedMachine machine = machines.get(heartbeat.machine());
-    if (machine != null && heartbeat.fencingToken() <= machine.fencingToken()) {
+    if (machine != null && heartbeat.fencingToken() <= machine.commandToken()) {
       reply.accept(respond(machine, heartbeat));
     } else {
       registration.register(heartbeat, reply);
@@ -83,7 +83,7 @@
       // since a healthy worker would turn to another controller after a rejection.
       machine.recordHandledSequence(heartbeat.sequence());
       machine.recordResponse(clock.now());
-      return HeartbeatResponse.accepted(machine.fencingToken(), List.of());
+      return HeartbeatResponse.accepted(machine.commandToken(), List.of());
     }
     return heartbeatHandler.handle(machine, heartbeat);
   }
--- a/src/main/java/mallowstall/core/machines/MachineTakeover.java
+++ b/src/main/java/mallowstall/core/machines/MachineTakeover.java
@@ -80,7 +80,7 @@
   private void sendFencingToken(ManagedMachine machine) {
     effects.sendCommands(
         machine.address(),
-        machine.fencingToken(),
+        machine.commandToken(),
         machine.workerSession(),
         List.of(),
         reply -> {
--- a/src/main/java/mallowstall/core/machines/ManagedMachine.java
+++ b/src/main/java/mallowstall/core/machines/ManagedMachine.java
@@ -27,6 +27,7 @@
   private final ImageCache images;
 
   private long fencingToken;
+  private long commandToken;
   private boolean tokenAcknowledged;
 
   /** Whether the machine was led by this controller's former process, which has ended. */
@@ -61,6 +62,7 @@
     this.zone = zone;
     this.spot = spot;
     this.fencingToken = fencingToken;
+    this.commandToken = fencingToken;
     this.tasks = new MachineTasks(published::markChanged, now);
     this.images = new ImageCache(type.cacheGb());
   }
@@ -117,10 +119,27 @@
   void raiseFencingToken(long newToken) {
     fencingToken = newToken;
     tokenAcknowledged = false;
+    raiseCommandToken(newToken);
     commands.markTokenRaised();
     published.markChanged();
   }
 
+  /**
+   * Returns the token that all commands carry. It is at least the fencing token, and smaller than
+   * the fencing token of any later leader.
+   */
+  long commandToken() {
+    return commandToken;
+  }
+
+  /** Makes all later commands carry this token, if it is larger than the present one. */
+  void raiseCommandToken(long newToken) {
+    if (newToken > commandToken) {
+      commandToken = newToken;
+      commands.startNewToken();
+    }
+  }
+
   /**
    * Returns whether the worker has acknowledged the fencing token. A worker that has done so
    * ignores responses of former leaders.
@@ -202,7 +221,7 @@
    */
   void beginSession() {
     published.clearExits();
-    commands.settle();
+    commands.endSession();
     handledHeartbeatSequence = 0;
   }
 
@@ -248,7 +267,7 @@
     leaseExpired = true;
     tokenAcknowledged = true;
     tasks.clear(now);
-    commands.settle();
+    commands.endSession();
     published.markChanged();
   }
 
--- a/src/test/java/mallowstall/core/InvariantChecker.java
+++ b/src/test/java/mallowstall/core/InvariantChecker.java
@@ -135,6 +135,11 @@
     }
   }
 
+  /** Records that a worker starts an attempt that it has already run and removed. */
+  void onRemovedAttemptStarted(long now, String machine, String attempt) {
+    violations.add(now + " removed attempt started again: " + attempt + " on " + machine);
+  }
+
   private double usedCpus(String team) {
     double sum = 0;
     for (RunningTask task : runningTasks) {
--- a/src/test/java/mallowstall/core/RandomFaults.java
+++ b/src/test/java/mallowstall/core/RandomFaults.java
@@ -15,6 +15,7 @@
     sim.statusUpdateFaultRate = seed % 2 == 0 ? 0.2 : 0;
     sim.duplicateHeartbeatRate = seed % 3 == 0 ? 0.2 : 0;
     sim.delayedTransactionRate = seed % 5 == 0 ? 0.1 : 0.01;
+    sim.executedCommands.repeatRate = 0.2;
   }
 
   /** Schedules random batch jobs within 70 s, some of which are cancelled. */
--- a/src/test/java/mallowstall/core/SimulatedWorker.java
+++ b/src/test/java/mallowstall/core/SimulatedWorker.java
@@ -366,8 +366,18 @@
     }
   }
 
+  /** Executes a request of direct commands, which may be delivered again later. */
   CommandResult executeCommands(
       long commandToken, long commandEpoch, List<WorkerCommand> commands) {
+    CommandResult result = executeOnce(commandToken, commandEpoch, commands);
+    if (result.code() == ResultCode.OK) {
+      simulation.executedCommands.record(this, commandToken, commandEpoch, commands);
+    }
+    return result;
+  }
+
+  /** Executes a request of direct commands that isn't delivered again. */
+  CommandResult executeOnce(long commandToken, long commandEpoch, List<WorkerCommand> commands) {
     if (dead) {
       return new CommandResult(ResultCode.OUTCOME_UNKNOWN, null);
     }
--- a/src/test/java/mallowstall/core/Simulation.java
+++ b/src/test/java/mallowstall/core/Simulation.java
@@ -91,6 +91,8 @@
 
   int delayedCommands;
 
+  final ExecutedCommands executedCommands;
+
   /** The partitioned zone, or null if there is none; messages in or out are delayed or lost. */
   String partitionedZone;
 
@@ -157,6 +159,7 @@
     this.recorder = recorder;
     random = new SplittableRandom(seed);
     queryRandom = new SplittableRandom(~seed);
+    executedCommands = new ExecutedCommands(this, seed);
     for (String name : NODES) {
       controllers.put(name, new SimulatedController(this, name, programVersion));
     }
@@ -185,6 +188,7 @@
     delayedTransactionRate = 0;
     cancelAtEndRate = 0;
     replicaExitRate = 0;
+    executedCommands.repeatRate = 0;
   }
 
   void countFault(String fault) {
--- a/src/test/java/mallowstall/core/TaskRunner.java
+++ b/src/test/java/mallowstall/core/TaskRunner.java
@@ -18,6 +18,9 @@
   /** Tasks that are done on this worker. A later attempt ends as done without running again. */
   private final Set<String> completedTasks = new HashSet<>();
 
+  /** Attempts that were removed by command. The worker would start them again. */
+  private final Set<String> removedAttempts = new HashSet<>();
+
   TaskRunner(Simulation simulation, SimulatedWorker worker) {
     this.simulation = simulation;
     this.worker = worker;
@@ -31,6 +34,9 @@
         if (task != null) {
           return;
         }
+        if (removedAttempts.contains(key)) {
+          simulation.checker.onRemovedAttemptStarted(simulation.nowMs, worker.id, key);
+        }
         task = new SimulatedTask();
         task.job = command.job();
         task.task = command.task();
@@ -66,6 +72,7 @@
       case REMOVE -> {
         if (task != null && task.state == TaskState.EXITED) {
           worker.tasks.remove(key);
+          removedAttempts.add(key);
         }
       }
     }
