Read responses of the watch of any length, and list again when it can't go on

Cause: the HTTP client kept each response whole and closed the connection at 8 MiB; the watch, whose responses have no size limit, was repeated from the same revision without end. Beside it: an unreadable or cut off response was asked for again without end, and an error while a change was applied ended the watch or the listing for good.

Change: the client hands a watch's body on while it arrives, with a timeout that counts from the last piece. Revision and freshness move with the end of the response. Unreadable, cut off three times, or an error while changes are applied: all keys are listed again.

Why it works: memory doesn't depend on the length any more, so every response is read to its end, and each other way out of a failed watch is a listing, whose pages are bounded.

--- a/src/main/java/mallowstall/core/kernel/Effects.java
+++ b/src/main/java/mallowstall/core/kernel/Effects.java
@@ -44,7 +44,9 @@
   /**
    * Waits up to {@code waitMs} for changes after this revision. The result has no events if none
    * occurred in that time. {@link ResultCode#EXPIRED} means that the state service no longer has
-   * all changes after the revision, so that the caller must list all keys again.
+   * all changes after the revision, so that the caller must list all keys again. The callback may
+   * first be called with any number of {@link ResultCode#PARTIAL} results, each an event of its
+   * own.
    */
   void watch(long afterRevision, long waitMs, Consumer<WatchResult> callback);
 
--- a/src/main/java/mallowstall/core/kernel/ResultCode.java
+++ b/src/main/java/mallowstall/core/kernel/ResultCode.java
@@ -4,6 +4,8 @@
 public enum ResultCode {
   /** The request was executed. */
   OK,
+  /** Part of a response that is still arriving. Further results of the same request follow. */
+  PARTIAL,
   /**
    * The request was not executed because a condition of the transaction doesn't hold, or because
    * the worker's fencing token or session differs.
@@ -19,8 +21,8 @@
   /** The request was not executed and won't be executed later. The caller may retry it. */
   REJECTED,
   /**
-   * The request was not executed because a value or the transaction is too large. An unchanged
-   * retry fails too.
+   * The request was not executed because it is malformed or too large, or its response can't be
+   * read. An unchanged retry fails too.
    */
   INVALID,
   /** No response arrived. The request may have been executed, or may be at any later time. */
--- a/src/main/java/mallowstall/core/kv/ReplicaSync.java
+++ b/src/main/java/mallowstall/core/kv/ReplicaSync.java
@@ -1,6 +1,7 @@
 package mallowstall.core.kv;
 
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 import mallowstall.Constants;
 import mallowstall.core.kernel.EventClock;
@@ -10,19 +11,27 @@
 import mallowstall.core.kernel.WatchResult;
 import mallowstall.core.model.MachineGroupEntry;
 import mallowstall.core.model.MachineGroupMember;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Synchronizes the state replica with the state service. It lists all keys once and then watches
- * for changes. If the state service has compacted the revision of the watch, it lists all keys
- * again.
+ * for changes. It lists all keys again if the watch can't go on: the state service has compacted
+ * its revision, its response is unreadable or was cut off several times in a row, or a change could
+ * not be applied.
  */
 final class ReplicaSync {
+  private static final Logger LOG = LoggerFactory.getLogger("mallowstall.state");
+
   /**
    * Pause between two watches, in milliseconds. It keeps a burst of changes from using up the
    * request budget.
    */
   private static final long WATCH_PAUSE_MS = 60;
 
+  /** The number of long responses in a row that may be cut off before all keys are listed again. */
+  private static final int WATCHES_CUT_OFF_MAX = 3;
+
   private final EventClock clock;
   private final StateRequests requests;
   private final StateReplica replica;
@@ -30,6 +39,14 @@
   private boolean synced;
   private boolean listing;
 
+  /** The number of the latest watch. The results of earlier ones are ignored. */
+  private long watchNumber;
+
+  /** Whether part of the response to the latest watch has arrived. */
+  private boolean partReceived;
+
+  private int watchesCutOff;
+
   /**
    * The listing whose pages have all been read, until the watch has reached the revision of its
    * last page; otherwise null.
@@ -100,6 +117,15 @@
       clock.schedule(Constants.STATE_RETRY_MS, () -> listNextPage(current));
       return;
     }
+    runOrListAgain(() -> applyItems(current, page));
+    if (page.hasMore() && current.lastKey != null) {
+      listNextPage(current);
+    } else {
+      completePages(current);
+    }
+  }
+
+  private void applyItems(Listing current, ListResult page) {
     if (current.lastKey == null) {
       current.revision = page.revision();
     }
@@ -114,19 +140,48 @@
       current.lastKey = item.key();
     }
     current.lastPageRevision = page.revision();
-    if (page.hasMore() && current.lastKey != null) {
-      listNextPage(current);
-      return;
-    }
+  }
+
+  private void completePages(Listing current) {
     listing = false;
     unfinishedListing = current;
     revision = current.revision;
     synced = true;
-    finishListing();
-    replica.notifySynced(revision);
+    runOrListAgain(
+        () -> {
+          finishListing();
+          replica.notifySynced(revision);
+        });
     watchNext();
   }
 
+  /**
+   * Runs an action that changes the replica. If it throws, the replica may lack changes, so all
+   * keys are listed again, and the exception is passed on.
+   */
+  private void runOrListAgain(Runnable action) {
+    boolean done = false;
+    try {
+      action.run();
+      done = true;
+    } finally {
+      if (!done) {
+        listAgain();
+      }
+    }
+  }
+
+  /** Lists all keys again after a pause. The replica isn't complete until then. */
+  private void listAgain() {
+    LOG.info("state replica lists all keys again revision={}", revision);
+    watchNumber++;
+    synced = false;
+    listing = false;
+    unfinishedListing = null;
+    watchesCutOff = 0;
+    clock.schedule(Constants.STATE_RETRY_MS, this::start);
+  }
+
   /**
    * Completes the listing once the replica holds all changes made while the pages were read. Before
    * that, a key that is on no page must not be treated as deleted. The key may have moved from a
@@ -145,30 +200,62 @@
   }
 
   private void watchNext() {
+    long number = ++watchNumber;
     long sentMs = clock.now();
-    requests.watch(revision, result -> applyEvents(result, sentMs));
+    partReceived = false;
+    requests.watch(
+        revision,
+        result -> {
+          if (number == watchNumber) {
+            receive(result, sentMs);
+          }
+        });
   }
 
-  private void applyEvents(WatchResult result, long sentMs) {
-    if (result.code() == ResultCode.EXPIRED) {
-      synced = false;
-      unfinishedListing = null;
-      start();
-      return;
+  private void receive(WatchResult result, long sentMs) {
+    switch (result.code()) {
+      case PARTIAL -> {
+        partReceived = true;
+        runOrListAgain(() -> applyAll(result.events()));
+      }
+      case OK -> applyLastEvents(result, sentMs);
+      case EXPIRED -> {
+        synced = false;
+        unfinishedListing = null;
+        start();
+      }
+      case INVALID -> listAgain();
+      default -> retryWatch();
     }
-    if (result.code() != ResultCode.OK) {
+  }
+
+  private void retryWatch() {
+    watchesCutOff = partReceived ? watchesCutOff + 1 : 0;
+    if (watchesCutOff >= WATCHES_CUT_OFF_MAX) {
+      listAgain();
+    } else {
       clock.schedule(Constants.STATE_RETRY_MS, this::watchNext);
-      return;
-    }
-    for (KeyValue item : result.events()) {
-      replica.apply(item);
     }
-    revision = Math.max(revision, result.revision());
-    finishListing();
-    if (unfinishedListing == null) {
-      freshAtMs = Math.max(freshAtMs, sentMs);
+  }
+
+  private void applyAll(List<KeyValue> changes) {
+    for (KeyValue change : changes) {
+      replica.apply(change);
     }
-    replica.notifyAdvanced();
+  }
+
+  private void applyLastEvents(WatchResult result, long sentMs) {
+    watchesCutOff = 0;
+    runOrListAgain(
+        () -> {
+          applyAll(result.events());
+          revision = Math.max(revision, result.revision());
+          finishListing();
+          if (unfinishedListing == null) {
+            freshAtMs = Math.max(freshAtMs, sentMs);
+          }
+          replica.notifyAdvanced();
+        });
     clock.schedule(WATCH_PAUSE_MS, this::watchNext);
   }
 }
--- a/src/main/java/mallowstall/net/HttpClient.java
+++ b/src/main/java/mallowstall/net/HttpClient.java
@@ -7,14 +7,17 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
-import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.ScheduledFuture;
+import java.io.ByteArrayOutputStream;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.concurrent.TimeUnit;
@@ -48,8 +51,17 @@
     void done(Reply reply);
   }
 
-  /** Maximum size of a response body in bytes. */
-  private static final int MAX_RESPONSE_BYTES = 8 << 20;
+  /** Receives the body of a response with status 200 while it arrives. */
+  public interface BodyReceiver {
+    /** Called with each piece of the body, in order, before the call's callback. */
+    void receive(byte[] piece);
+  }
+
+  /**
+   * Maximum size in bytes of a response body that is kept until it is complete. A body that goes to
+   * a {@link BodyReceiver} has no limit.
+   */
+  private static final int MAX_KEPT_BODY_BYTES = 8 << 20;
 
   /** Maximum number of calls that wait for a connection. Further calls end as not sent. */
   private static final int MAX_QUEUED_CALLS = 400;
@@ -65,23 +77,48 @@
   private int openConnections;
   private boolean retired;
 
-  /** A request with its deadline and the callback for its result. Mutable. */
+  /** A request with its deadline and the receivers of its response. Mutable. */
   private static final class Call {
     final HttpMethod method;
     final String path;
     final byte[] body;
     final Callback callback;
-    final long deadline;
+
+    /** Receives the body, or null if the body is kept until it is complete. */
+    final BodyReceiver receiver;
+
+    /** Time in nanoseconds by which each piece of a received body extends the deadline. */
+    final long silenceNanos;
+
+    long deadline;
     boolean finished;
 
-    Call(HttpMethod method, String path, byte[] body, long deadline, Callback callback) {
+    Call(
+        HttpMethod method,
+        String path,
+        byte[] body,
+        long timeoutMs,
+        BodyReceiver receiver,
+        long silenceMs,
+        Callback callback) {
       this.method = method;
       this.path = path;
       this.body = body;
-      this.deadline = deadline;
+      this.deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
+      this.receiver = receiver;
+      this.silenceNanos = TimeUnit.MILLISECONDS.toNanos(silenceMs);
       this.callback = callback;
     }
 
+    /** Returns the time until the deadline in milliseconds, at least 1. */
+    long remainingMs() {
+      return Math.max(1, TimeUnit.NANOSECONDS.toMillis(deadline - System.nanoTime()));
+    }
+
+    void extendDeadline() {
+      deadline = Math.max(deadline, System.nanoTime() + silenceNanos);
+    }
+
     void finish(Reply reply) {
       if (finished) {
         return;
@@ -104,7 +141,23 @@
    * milliseconds have passed.
    */
   public void call(HttpMethod method, String path, byte[] body, long timeoutMs, Callback callback) {
-    Call call = new Call(method, path, body, System.nanoTime() + timeoutMs * 1_000_000, callback);
+    start(new Call(method, path, body, timeoutMs, null, 0, callback), timeoutMs);
+  }
+
+  /**
+   * Sends a GET request whose response may be of any length. The body of a response with status 200
+   * goes to the receiver while it arrives; all other bodies are dropped. The callback is called
+   * exactly once: when the response is complete, with an empty body; or without a response, when
+   * {@code timeoutMs} milliseconds have passed before the body begins, or {@code silenceMs} without
+   * a further piece.
+   */
+  public void getStreaming(
+      String path, long timeoutMs, long silenceMs, BodyReceiver receiver, Callback callback) {
+    start(
+        new Call(HttpMethod.GET, path, null, timeoutMs, receiver, silenceMs, callback), timeoutMs);
+  }
+
+  private void start(Call call, long timeoutMs) {
     Connection connection = idle.poll();
     if (connection != null) {
       connection.send(call);
@@ -139,18 +192,11 @@
 
   private void connect(Call call) {
     openConnections++;
-    long remainingMs = Math.max(1, (call.deadline - System.nanoTime()) / 1_000_000);
     Connection connection = new Connection();
     TcpBootstraps.client(
             loop,
-            (int) Math.min(remainingMs, MAX_CONNECT_MS),
-            channel ->
-                channel
-                    .pipeline()
-                    .addLast(
-                        new HttpClientCodec(),
-                        new HttpObjectAggregator(MAX_RESPONSE_BYTES),
-                        connection))
+            (int) Math.min(call.remainingMs(), MAX_CONNECT_MS),
+            channel -> channel.pipeline().addLast(new HttpClientCodec(), connection))
         .connect(address)
         .addListener(
             future -> {
@@ -178,11 +224,14 @@
   }
 
   /** A connection, which carries one call at a time. */
-  private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+  private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
     private Channel channel;
     private Call current;
     private ScheduledFuture<?> timer;
     private boolean closed;
+    private int status;
+    private boolean keepAlive;
+    private ByteArrayOutputStream keptBody;
 
     void send(Call call) {
       current = call;
@@ -194,11 +243,23 @@
         request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
       }
       request.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
-      long remainingMs = Math.max(1, (call.deadline - System.nanoTime()) / 1_000_000);
-      timer = loop.schedule(() -> channel.close(), remainingMs, TimeUnit.MILLISECONDS);
+      startTimer(call);
       channel.writeAndFlush(request);
     }
 
+    private void startTimer(Call call) {
+      timer = loop.schedule(() -> closeIfDue(call), call.remainingMs(), TimeUnit.MILLISECONDS);
+    }
+
+    /** Closes the connection unless a piece of the body has extended the call's deadline. */
+    private void closeIfDue(Call call) {
+      if (System.nanoTime() < call.deadline) {
+        startTimer(call);
+      } else {
+        channel.close();
+      }
+    }
+
     /**
      * Sets the channel. {@code channelActive} would be too late: the connect listener, which sends
      * the first call, may run before it.
@@ -209,24 +270,59 @@
     }
 
     @Override
-    protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
-      Call call = current;
-      if (call == null) {
+    protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
+      if (current == null || message.decoderResult().isFailure()) {
         ctx.close();
         return;
       }
+      if (message instanceof HttpResponse response) {
+        status = response.status().code();
+        keepAlive = HttpUtil.isKeepAlive(response);
+        keptBody = new ByteArrayOutputStream();
+      }
+      if (message instanceof HttpContent content) {
+        receiveBody(ctx, content.content());
+      }
+      if (message instanceof LastHttpContent && current != null) {
+        finishResponse(ctx);
+      }
+    }
+
+    private void receiveBody(ChannelHandlerContext ctx, ByteBuf content) {
+      if (!content.isReadable()) {
+        return;
+      }
+      byte[] piece = new byte[content.readableBytes()];
+      content.readBytes(piece);
+      if (current.receiver == null) {
+        keepBody(ctx, piece);
+      } else if (status == HttpStatus.OK) {
+        current.extendDeadline();
+        current.receiver.receive(piece);
+      }
+    }
+
+    private void keepBody(ChannelHandlerContext ctx, byte[] piece) {
+      if (keptBody.size() + piece.length > MAX_KEPT_BODY_BYTES) {
+        ctx.close();
+      } else {
+        keptBody.writeBytes(piece);
+      }
+    }
+
+    private void finishResponse(ChannelHandlerContext ctx) {
+      Call call = current;
       current = null;
       timer.cancel(false);
-      byte[] responseBody = new byte[response.content().readableBytes()];
-      response.content().readBytes(responseBody);
-      boolean keepAlive = HttpUtil.isKeepAlive(response);
+      Reply reply = new Reply(status, keptBody.toByteArray());
+      keptBody = null;
       if (keepAlive && !retired) {
         idle.push(this);
       } else {
         ctx.close();
       }
       sendQueuedCalls();
-      call.finish(new Reply(response.status().code(), responseBody));
+      call.finish(reply);
     }
 
     @Override
--- a/src/main/java/mallowstall/state/StateServiceClient.java
+++ b/src/main/java/mallowstall/state/StateServiceClient.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.HttpMethod;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
 import mallowstall.Constants;
@@ -33,6 +34,15 @@
   /** Number of entries requested per page of a listing. The protocol allows at most 1,000. */
   private static final int LIST_PAGE_SIZE = 500;
 
+  /**
+   * Maximum size in bytes of a watch's response that is read at once. A longer response is handed
+   * on in parts.
+   */
+  private static final int SHORT_WATCH_BYTES = 256 << 10;
+
+  /** Maximum size in bytes of a listing's page that is read at once (protocol: 512 KiB). */
+  private static final int SHORT_LIST_BYTES = 1 << 20;
+
   private final HttpClient requestClient;
   private final HttpClient watchClient;
   private final Consumer<Runnable> events;
@@ -146,44 +156,65 @@
 
   /** See {@link Effects#list}. */
   public void list(String afterKey, Consumer<ListResult> callback) {
-    call(
-        HttpMethod.GET,
+    List<KeyValue> items = new ArrayList<>();
+    PageStream stream = new PageStream(SHORT_LIST_BYTES, items::addAll);
+    requestClient.getStreaming(
         StateProtocol.listPath(afterKey, LIST_PAGE_SIZE),
-        null,
-        reply -> {
-          StateCodec.Page page = content(reply, StateCodec::readPage);
-          if (page == null) {
-            callback.accept(new ListResult(ResultCode.REJECTED, List.of(), false, 0));
-            return;
-          }
-          callback.accept(
-              new ListResult(ResultCode.OK, page.items(), page.hasMore(), page.revision()));
-        });
+        Constants.STATE_TIMEOUT_MS,
+        Constants.STATE_TIMEOUT_MS,
+        stream::receive,
+        reply -> events.accept(() -> callback.accept(listResult(reply, stream, items))));
+  }
+
+  private static ListResult listResult(
+      HttpClient.Reply reply, PageStream stream, List<KeyValue> items) {
+    StateCodec.Page page = reply.status() == HttpStatus.OK ? finish(stream) : null;
+    if (page == null) {
+      return new ListResult(ResultCode.REJECTED, List.of(), false, 0);
+    }
+    items.addAll(page.items());
+    return new ListResult(ResultCode.OK, items, page.hasMore(), page.revision());
   }
 
   /** See {@link Effects#watch}. */
   public void watch(long afterRevision, long waitMs, Consumer<WatchResult> callback) {
-    watchClient.call(
-        HttpMethod.GET,
+    PageStream stream =
+        new PageStream(
+            SHORT_WATCH_BYTES,
+            part ->
+                events.accept(() -> callback.accept(new WatchResult(ResultCode.PARTIAL, part, 0))));
+    watchClient.getStreaming(
         StateProtocol.changesPath(afterRevision, waitMs),
-        null,
         waitMs + Constants.STATE_TIMEOUT_MS,
-        reply ->
-            events.accept(
-                () -> {
-                  StateCodec.Page page = content(reply, StateCodec::readPage);
-                  if (page != null) {
-                    callback.accept(new WatchResult(ResultCode.OK, page.items(), page.revision()));
-                  } else {
-                    callback.accept(
-                        new WatchResult(
-                            reply.status() == HttpStatus.GONE
-                                ? ResultCode.EXPIRED
-                                : ResultCode.REJECTED,
-                            List.of(),
-                            0));
-                  }
-                }));
+        Constants.STATE_TIMEOUT_MS,
+        stream::receive,
+        reply -> events.accept(() -> callback.accept(watchResult(reply, stream))));
+  }
+
+  private static WatchResult watchResult(HttpClient.Reply reply, PageStream stream) {
+    StateCodec.Page page = reply.status() == HttpStatus.OK ? finish(stream) : null;
+    if (page != null) {
+      return new WatchResult(ResultCode.OK, page.items(), page.revision());
+    }
+    ResultCode code =
+        switch (reply.status()) {
+          case HttpStatus.GONE -> ResultCode.EXPIRED;
+          // an unreadable response, which would come again
+          case HttpStatus.OK, HttpStatus.BAD_REQUEST -> ResultCode.INVALID;
+          case HttpClient.Reply.NO_RESPONSE -> ResultCode.OUTCOME_UNKNOWN;
+          default -> ResultCode.REJECTED;
+        };
+    return new WatchResult(code, List.of(), 0);
+  }
+
+  /** Returns the rest of a complete response, or null if the response is unreadable. */
+  private static StateCodec.Page finish(PageStream stream) {
+    try {
+      return stream.finish();
+    } catch (IOException failure) {
+      unreadable(failure);
+      return null;
+    }
   }
 
   /** See {@link Effects#grantLease}. */
--- a/src/test/java/mallowstall/core/kv/ReplicaSyncTest.java
+++ b/src/test/java/mallowstall/core/kv/ReplicaSyncTest.java
@@ -3,12 +3,14 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.lang.reflect.Proxy;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
+import mallowstall.Constants;
 import mallowstall.core.kernel.Effects;
 import mallowstall.core.kernel.EventClock;
 import mallowstall.core.kernel.KeyValue;
@@ -39,6 +41,7 @@
   private final List<Long> syncedRevisions = new ArrayList<>();
   private StateReplica replica;
   private ReplicaSync sync;
+  private boolean failNextChange;
 
   @BeforeEach
   void createReplica() {
@@ -55,7 +58,12 @@
           }
 
           @Override
-          public void entryChanged(String key, StoredEntry before, StoredEntry after) {}
+          public void entryChanged(String key, StoredEntry before, StoredEntry after) {
+            if (failNextChange) {
+              failNextChange = false;
+              throw new IllegalStateException("a listener fails");
+            }
+          }
 
           @Override
           public void replicaAdvanced() {}
@@ -183,4 +191,92 @@
     assertEquals(List.of(MACHINE), returnedMachines);
     assertEquals("n0", replica.machine(MACHINE).node());
   }
+
+  /** Guards against a replica that counts as complete while a long response is still arriving. */
+  @Test
+  void replicaIsCompleteOnlyAfterTheLastPartOfALongResponse() {
+    sync.start();
+    answerList(List.of(), false, 60);
+    receivePart(List.of(group(NEW_GROUP, "n0", 70)));
+    assertEquals("n0", replica.machine(MACHINE).node());
+    assertEquals(60, sync.revision());
+    answerWatch(ResultCode.OK, List.of(group(NEW_GROUP, "n2", 71)), 75);
+    assertEquals("n2", replica.machine(MACHINE).node());
+    assertEquals(75, sync.revision());
+  }
+
+  /** Guards against a watch whose long response is cut off again and again, without an end. */
+  @Test
+  void keysAreListedAgainAfterThreeResponsesCutOff() {
+    sync.start();
+    answerList(List.of(), false, 60);
+    for (int i = 1; i <= 3; i++) {
+      assertTrue(sync.synced());
+      receivePart(List.of(group(NEW_GROUP, "n0", 70)));
+      answerWatch(ResultCode.OUTCOME_UNKNOWN, List.of(), 0);
+      passRetryPause();
+    }
+    assertFalse(sync.synced());
+    answerList(List.of(group(NEW_GROUP, "n2", 80)), false, 90);
+    answerWatch(ResultCode.OK, List.of(), 90);
+    assertEquals("n2", replica.machine(MACHINE).node());
+    assertEquals(90, sync.revision());
+  }
+
+  /** Guards against listings of all keys after plain failures, as in an outage. */
+  @Test
+  void watchIsRepeatedAfterFailuresWithoutAResponse() {
+    sync.start();
+    answerList(List.of(), false, 60);
+    for (int i = 1; i <= 20; i++) {
+      answerWatch(i % 2 == 0 ? ResultCode.REJECTED : ResultCode.OUTCOME_UNKNOWN, List.of(), 0);
+      passRetryPause();
+      assertTrue(sync.synced());
+    }
+  }
+
+  /** Guards against a watch that is repeated without end although its response is unreadable. */
+  @Test
+  void keysAreListedAgainAfterAnUnreadableResponse() {
+    sync.start();
+    answerList(List.of(), false, 60);
+    answerWatch(ResultCode.INVALID, List.of(), 0);
+    passRetryPause();
+    assertEquals(0, sync.revision());
+    answerList(List.of(group(NEW_GROUP, "n2", 80)), false, 90);
+    answerWatch(ResultCode.OK, List.of(), 90);
+    assertEquals(90, sync.revision());
+  }
+
+  /** Guards against a replica that is never updated again after an error in an event. */
+  @Test
+  void keysAreListedAgainAfterAnErrorWhileChangesAreApplied() {
+    sync.start();
+    failNextChange = true;
+    assertThrows(
+        IllegalStateException.class,
+        () -> answerList(List.of(group(FORMER_GROUP, "n1", 50)), false, 60));
+    passRetryPause();
+    answerList(List.of(group(FORMER_GROUP, "n1", 50)), false, 60);
+    failNextChange = true;
+    List<KeyValue> changes =
+        List.of(new KeyValue(FORMER_GROUP, null, 70), group(NEW_GROUP, "n2", 71));
+    assertThrows(IllegalStateException.class, () -> answerWatch(ResultCode.OK, changes, 75));
+    assertEquals(0, sync.revision(), "the replica may lack changes");
+    passRetryPause();
+    answerList(List.of(group(NEW_GROUP, "n2", 71)), false, 80);
+    answerWatch(ResultCode.OK, List.of(), 80);
+    assertEquals(80, sync.revision());
+    assertEquals("n2", replica.machine(MACHINE).node());
+    assertNull(replica.entry(FORMER_GROUP));
+  }
+
+  private void receivePart(List<KeyValue> events) {
+    pendingWatches.get(0).accept(new WatchResult(ResultCode.PARTIAL, events, 0));
+  }
+
+  private void passRetryPause() {
+    clock.advance(clock.now() + Constants.STATE_RETRY_MS, 0);
+    clock.runDue();
+  }
 }
