Give up a session whose state replica doesn't catch up

Found when other ways than a long response were tried: watches without a response, cut off or unreadable ones, listings without a response.

Cause: the session was renewed for as long as the state service answered, however old the replica. Peers leave jobs and machines to a session, and wait for its replica.

Change: after ten renewals in a row without a newer replica the session is given up; the next one is obtained once the replica is fresh. Until then the controller isn't ready and sends its workers to a peer, as one that the state service refuses.

Why it works: every wait for a replica is a wait for the replica of a session. In an outage no renewal succeeds, so none is counted.

--- a/src/main/java/mallowstall/core/cluster/Connectivity.java
+++ b/src/main/java/mallowstall/core/cluster/Connectivity.java
@@ -46,10 +46,13 @@
     return true;
   }
 
-  /** Returns whether the state service serves a peer but not this controller. */
+  /**
+   * Returns whether the state service serves a peer but not this controller, or this controller
+   * doesn't see what the state service holds.
+   */
   public boolean isIsolatedFromStateService() {
-    return clock.now() - store.lastContactMs() >= Constants.STATE_ISOLATION_TIMEOUT_MS
-        && peerWithStateAccess() != null;
+    boolean unserved = clock.now() - store.lastContactMs() >= Constants.STATE_ISOLATION_TIMEOUT_MS;
+    return (unserved || store.isSessionGivenUp()) && peerWithStateAccess() != null;
   }
 
   /** Returns whether this controller has recently received a status update from every peer. */
--- a/src/main/java/mallowstall/core/kv/SessionLease.java
+++ b/src/main/java/mallowstall/core/kv/SessionLease.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.LongSupplier;
 import mallowstall.Constants;
 import mallowstall.core.kernel.Condition;
 import mallowstall.core.kernel.EventClock;
@@ -24,6 +25,10 @@
  * session entry attached to the lease. The entry shows the peers that this process is running. This
  * class obtains the three in this order, with one request at a time, and renews the lease (source:
  * protocol, Leases).
+ *
+ * <p>Peers leave the jobs and machines of a controller with a session to it, and wait for its state
+ * replica. So a controller gives up its session if the state service serves it and its replica
+ * still doesn't catch up, and obtains the next one only when the replica is fresh again.
  */
 final class SessionLease {
   private static final Logger LOG = LoggerFactory.getLogger("mallowstall.state");
@@ -37,12 +42,19 @@
    */
   private static final long SESSION_MARGIN_MS = 500;
 
+  /**
+   * Maximum number of renewals in a row, each at least {@link #SESSION_RENEWAL_INTERVAL_MS} after
+   * the one before, without a newer state replica. It leaves time for a listing after an outage.
+   */
+  private static final int RENEWALS_WHILE_STALE_MAX = 10;
+
   private final EventClock clock;
   private final CoreSettings settings;
   private final StateRequests requests;
   private final String sessionKey;
   private final Runnable tick;
   private final Runnable onRegistered;
+  private final LongSupplier replicaFreshAtMs;
 
   private long incarnation;
   private long leaseId;
@@ -52,24 +64,36 @@
   private boolean requestPending;
   private long nextAttemptMs;
 
+  /** How fresh the state replica was at the latest renewal, and the renewals since it was so. */
+  private long freshAtRenewalMs;
+
+  private int renewalsWhileStale;
+
+  /** Whether the session was given up and the state replica hasn't caught up since. */
+  private boolean givenUp;
+
   /**
    * Creates a session that sends no request before the first {@link #tick}.
    *
    * @param tick run when the next step is possible without delay
    * @param onRegistered run each time the session entry has been written
+   * @param replicaFreshAtMs returns the steady time up to which the state replica holds every
+   *     change
    */
   SessionLease(
       EventClock clock,
       CoreSettings settings,
       StateRequests requests,
       Runnable tick,
-      Runnable onRegistered) {
+      Runnable onRegistered,
+      LongSupplier replicaFreshAtMs) {
     this.clock = clock;
     this.settings = settings;
     this.requests = requests;
     this.sessionKey = StateKeys.session(settings.node());
     this.tick = tick;
     this.onRegistered = onRegistered;
+    this.replicaFreshAtMs = replicaFreshAtMs;
   }
 
   /**
@@ -98,10 +122,13 @@
     if (requestPending || clock.now() < nextAttemptMs) {
       return;
     }
+    givenUp &= replicaFreshAtMs.getAsLong() == freshAtRenewalMs;
     if (incarnation == 0) {
       obtainIncarnation();
-    } else if (leaseId == 0) {
+    } else if (leaseId == 0 && !givenUp) {
       obtainLease();
+    } else if (leaseId == 0) {
+      return; // the session would be given up again
     } else if (!sessionRegistered) {
       registerSession();
     } else if (clock.now() - lastRenewalMs >= SESSION_RENEWAL_INTERVAL_MS) {
@@ -254,6 +281,7 @@
     requestPending = false;
     if (result.code() == ResultCode.OK) {
       extendLease(sentMs);
+      giveUpIfStale();
     } else if (result.code() == ResultCode.EXPIRED) {
       LOG.info("session lease expired incarnation={}", incarnation);
       leaseId = 0;
@@ -262,4 +290,27 @@
       retryLater();
     }
   }
+
+  /** Counts a renewal, and gives the session up if the state replica stays behind. */
+  private void giveUpIfStale() {
+    long freshAtMs = replicaFreshAtMs.getAsLong();
+    renewalsWhileStale = freshAtMs == freshAtRenewalMs ? renewalsWhileStale + 1 : 0;
+    freshAtRenewalMs = freshAtMs;
+    if (renewalsWhileStale < RENEWALS_WHILE_STALE_MAX) {
+      return;
+    }
+    LOG.info("session given up, state replica is behind incarnation={}", incarnation);
+    renewalsWhileStale = 0;
+    givenUp = true;
+    leaseId = 0;
+    sessionRegistered = false;
+  }
+
+  /**
+   * Returns whether the session was given up, although the state service serves this controller,
+   * because its state replica doesn't catch up.
+   */
+  boolean isGivenUp() {
+    return givenUp;
+  }
 }
--- a/src/main/java/mallowstall/core/kv/StateStore.java
+++ b/src/main/java/mallowstall/core/kv/StateStore.java
@@ -34,7 +34,7 @@
     replica = new StateReplica(StateKeys.session(settings.node()), this::ownSessionChanged);
     requests = new StateRequests(clock, effects, queue, replica);
     sync = new ReplicaSync(clock, requests, replica);
-    session = new SessionLease(clock, settings, requests, this::tick, sync::start);
+    session = new SessionLease(clock, settings, requests, this::tick, sync::start, sync::freshAtMs);
   }
 
   private void ownSessionChanged(SessionEntry entry) {
@@ -175,6 +175,14 @@
     return sessionRemainingMs() > 0;
   }
 
+  /**
+   * Returns whether this controller has given up its session because its replica doesn't catch up,
+   * although the state service serves it.
+   */
+  public boolean isSessionGivenUp() {
+    return session.isGivenUp();
+  }
+
   /**
    * Returns the number of seconds after which a rejected user should retry. It grows with the
    * number of waiting requests.
--- a/src/test/java/mallowstall/core/SimulatedController.java
+++ b/src/test/java/mallowstall/core/SimulatedController.java
@@ -86,6 +86,9 @@
   /** Whether the watches of this controller receive no events. */
   boolean watchStalled;
 
+  /** How this controller's attempts to catch up with the state service fail. */
+  CatchUpFault catchUpFault = CatchUpFault.NONE;
+
   /** Extra delay of the responses to writes of machine entries, in milliseconds. */
   long machineWriteDelayMs;
 
--- a/src/test/java/mallowstall/core/StateServiceLink.java
+++ b/src/test/java/mallowstall/core/StateServiceLink.java
@@ -207,6 +207,13 @@
   }
 
   void list(String after, Consumer<ListResult> then) {
+    if (node.catchUpFault == CatchUpFault.UNLISTED) {
+      simulation.countFault("listing without response");
+      node.scheduleReply(
+          Constants.STATE_TIMEOUT_MS,
+          () -> then.accept(new ListResult(ResultCode.REJECTED, List.of(), false, 0)));
+      return;
+    }
     callStateService(
         () -> {
           simulation.stateService.expireLeases();
@@ -255,7 +262,8 @@
       node.scheduleReply(1, () -> then.accept(new WatchResult(ResultCode.EXPIRED, List.of(), 0)));
       return;
     }
-    if (!simulation.stateService.outage && !node.stateServiceUnreachable && !node.watchStalled) {
+    boolean stalled = node.watchStalled || node.catchUpFault == CatchUpFault.STALLED;
+    if (!simulation.stateService.outage && !node.stateServiceUnreachable && !stalled) {
       simulation.stateService.expireLeases();
       List<KeyValue> out = new ArrayList<>();
       for (int i = simulation.stateService.changes.size() - 1;
@@ -268,6 +276,10 @@
         out.add(
             0, new KeyValue(change.key(), decodeForVersion(change.value()), change.modRevision()));
       }
+      if (!out.isEmpty() && node.catchUpFault != CatchUpFault.NONE) {
+        failWatch(out, then);
+        return;
+      }
       if (!out.isEmpty() || simulation.nowMs >= until) {
         long revision = simulation.stateService.revision;
         long delayMs =
@@ -292,6 +304,22 @@
     simulation.schedule(20, () -> pollWatch(after, until, startedProcess, then));
   }
 
+  /** Fails a watch that has changes to report. */
+  private void failWatch(List<KeyValue> changes, Consumer<WatchResult> then) {
+    simulation.countFault("watch " + node.catchUpFault);
+    if (node.catchUpFault == CatchUpFault.CUT_OFF) {
+      List<KeyValue> part = changes.subList(0, (changes.size() + 1) / 2);
+      node.scheduleReply(1, () -> then.accept(new WatchResult(ResultCode.PARTIAL, part, 0)));
+    }
+    ResultCode code =
+        switch (node.catchUpFault) {
+          case CUT_OFF -> ResultCode.OUTCOME_UNKNOWN;
+          case COMPACTED -> ResultCode.EXPIRED;
+          default -> ResultCode.INVALID;
+        };
+    node.scheduleReply(2, () -> then.accept(new WatchResult(code, List.of(), 0)));
+  }
+
   void grantLease(long ttlMs, Consumer<LeaseResult> then) {
     callStateService(
         () -> {
