Keep quota changes within a transaction, and send no refused one again unchanged

Cause: up to ten jobs share a quota transaction. Each entry was compared with the limit of a value, the sum with nothing, though a transaction takes 64 KiB. All jobs of a refused transaction had the same delay, so the same transaction was sent again each time.

Change: QuotaTransaction takes no job beyond 64 KiB, by an upper bound of its size (TransactionSize). A refusal of several jobs is repeated alone for each, at once; a job that must be written alone and was left out comes first next time; a refusal alone delays its own job, and no room is kept for that job. StateRequests sends no transaction again that was refused as invalid and hasn't changed. Bits beside a job's entry are split by size as well, and a description that leaves no room beside it is refused when it is submitted (JobEntrySizes, split off JobBitmaps; out of reach with values of 8 and 16 KiB).

Why it works: no writer builds a transaction above a limit that it knows; where the service's limits are lower, a refusal is narrowed down to the job that causes it, and that job stands in nobody's way.

--- a/src/main/java/mallowstall/core/jobs/JobWrites.java
+++ b/src/main/java/mallowstall/core/jobs/JobWrites.java
@@ -28,6 +28,10 @@
   private final RetryDelay completionRetry = new RetryDelay();
   private boolean quotaInFlight;
   private final RetryDelay quotaRetry = new RetryDelay();
+
+  /** Whether a change of the quota reservation was refused and none has been made since. */
+  private boolean quotaRefused;
+
   private boolean outcomeUnknown;
 
   /**
@@ -110,11 +114,25 @@
     quotaInFlight = false;
   }
 
-  /** Records the result of the change of the quota reservation. */
-  public void endQuotaWrite(long now, ResultCode code) {
+  /**
+   * Returns whether the state service refused the latest change of the quota reservation, so that
+   * the next one must not be made together with those of other jobs.
+   */
+  public boolean quotaRefused() {
+    return quotaRefused;
+  }
+
+  /**
+   * Records the result of the change of the quota reservation.
+   *
+   * @param alone whether the transaction changed no other job; otherwise a refusal doesn't show
+   *     that this job is at fault, and the change is made alone without delay
+   */
+  public void endQuotaWrite(long now, ResultCode code, boolean alone) {
     quotaInFlight = false;
+    quotaRefused = code == ResultCode.INVALID || (quotaRefused && code != ResultCode.OK);
     // A rejection delays the next quota transaction of the team rather than of this job.
-    if (code != ResultCode.REJECTED) {
+    if (code != ResultCode.REJECTED && (code != ResultCode.INVALID || alone)) {
       quotaRetry.recordResult(now, code);
     }
     if (code == ResultCode.OUTCOME_UNKNOWN) {
--- a/src/main/java/mallowstall/core/jobs/LedJob.java
+++ b/src/main/java/mallowstall/core/jobs/LedJob.java
@@ -267,8 +267,8 @@
   }
 
   /** Records the result of the change of the quota reservation. */
-  public void endQuotaWrite(long now, ResultCode code) {
-    writes.endQuotaWrite(now, code);
+  public void endQuotaWrite(long now, ResultCode code, boolean alone) {
+    writes.endQuotaWrite(now, code, alone);
     if (code == ResultCode.OK) {
       requestedQuota = 0;
     }
--- a/src/main/java/mallowstall/core/kv/JobBitmaps.java
+++ b/src/main/java/mallowstall/core/kv/JobBitmaps.java
@@ -1,7 +1,6 @@
 package mallowstall.core.kv;
 
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.BitSet;
 import java.util.Collection;
 import java.util.List;
@@ -50,10 +49,7 @@
 
   private static final int PIECES_PER_CHUNK = Constants.BITS_PER_CHUNK / Constants.BITS_PER_PIECE;
 
-  private final int maxValueBytes;
-  private final int maxTransactionOps;
-  private final String longestNode;
-  private final ToIntFunction<StoredEntry> encodedSize;
+  private final JobEntrySizes sizes;
   private final BooleanSupplier compactLayoutReadable;
   private final Function<String, StoredValue> entryLookup;
 
@@ -69,24 +65,11 @@
       ToIntFunction<StoredEntry> encodedSize,
       BooleanSupplier compactLayoutReadable,
       Function<String, StoredValue> entryLookup) {
-    this.maxValueBytes = settings.maxValueBytes();
-    this.maxTransactionOps = settings.maxTransactionOps();
-    this.longestNode = longestNodeName(settings);
-    this.encodedSize = encodedSize;
+    this.sizes = new JobEntrySizes(settings, encodedSize);
     this.compactLayoutReadable = compactLayoutReadable;
     this.entryLookup = entryLookup;
   }
 
-  private static String longestNodeName(CoreSettings settings) {
-    String longest = settings.node();
-    for (String peer : settings.peers()) {
-      if (peer.length() > longest.length()) {
-        longest = peer;
-      }
-    }
-    return longest;
-  }
-
   /** Returns the key of the job's entry. */
   public static String jobKey(String job) {
     return StateKeys.job(job);
@@ -178,17 +161,22 @@
   }
 
   /**
-   * Returns whether the job's entry stays within the value limit at its largest possible size. A
-   * job that isn't inline is measured without bits, as in the compact layout.
+   * Returns whether the job's entry stays within the value limit, and fits into a transaction with
+   * what accompanies it, at its largest possible size. A job that isn't inline is measured without
+   * bits, as in the compact layout.
    */
   public boolean fitsAtLargest(JobEntry job) {
-    int bits = isInline(job.spec()) ? job.spec().tasks() : 0;
-    return encodedSize.applyAsInt(largestEntry(job, bits)) <= maxValueBytes;
+    return sizes.fitsAtLargest(job, isInline(job.spec()) ? job.spec().tasks() : 0);
   }
 
-  /** Returns whether the entry in its present form is within the value limit. */
+  /** Returns whether the entry in its present form is within the limits of a value. */
   public boolean fitsAsStored(JobEntry job) {
-    return encodedSize.applyAsInt(job) <= maxValueBytes;
+    return sizes.fits(job);
+  }
+
+  /** Returns the size in bytes of the job's entry in its present form. */
+  public int entryBytes(JobEntry job) {
+    return sizes.bytes(job);
   }
 
   /** Returns whether this job is written in the compact layout. */
@@ -198,26 +186,7 @@
     }
     // Chunks need no check: a chunk is smaller than the entry of a job that has chunks.
     int bits = Math.min(job.spec().tasks(), Constants.BITS_PER_CHUNK);
-    return encodedSize.applyAsInt(largestEntry(job, bits)) > maxValueBytes;
-  }
-
-  /**
-   * Returns the entry with {@code bits} bits set and with the longest possible numbers and names.
-   */
-  private JobEntry largestEntry(JobEntry job, int bits) {
-    byte[] done = new byte[(bits + 7) / 8];
-    Arrays.fill(done, (byte) 0xFF);
-    int tasks = job.spec().tasks();
-    return new JobEntry(
-        job.spec(),
-        job.submittedMs(),
-        longestNode,
-        Long.MAX_VALUE,
-        Long.MAX_VALUE,
-        done,
-        tasks,
-        tasks,
-        JobOutcome.CANCELLED);
+    return !sizes.fitsAtLargest(job, bits);
   }
 
   /**
@@ -316,7 +285,8 @@
     List<PutOperation> puts = new ArrayList<>();
     Set<Integer> written = new TreeSet<>();
     addPieces(written, 0);
-    int maxPuts = maxTransactionOps - 1;
+    int maxPuts =
+        sizes.maxBitPuts(stored, Math.min(stored.spec().tasks(), Constants.BITS_PER_CHUNK));
     for (int chunk : chunks) {
       if (puts.size() == maxPuts) {
         break;
@@ -346,7 +316,7 @@
       BitSet done,
       Collection<Integer> unrecordedPieces,
       boolean comparePieces) {
-    int maxPuts = maxTransactionOps - 1;
+    int maxPuts = sizes.maxBitPuts(stored, stored.completionBits().length * 8);
     Set<Integer> pieces = new TreeSet<>();
     // Moves the last pieces first, so that the bits that remain in the entry are shorter.
     BitSet kept = BitSet.valueOf(stored.completionBits());
--- a/src/main/java/mallowstall/core/kv/StateRequests.java
+++ b/src/main/java/mallowstall/core/kv/StateRequests.java
@@ -19,6 +19,9 @@
  * budget, and each response updates the time of the last contact. Values that were read or
  * committed are applied to the replica.
  *
+ * <p>A transaction that the state service has refused as invalid is not sent again unchanged; its
+ * result is then the same refusal.
+ *
  * <p>Transactions and reads wait for the budget. Listings, watches and lease requests are sent at
  * once, because the replica must not become stale and the session must not expire.
  */
@@ -27,6 +30,7 @@
   private final Effects effects;
   private final RequestQueue queue;
   private final StateReplica replica;
+  private final RefusedTransactions refusedTransactions = new RefusedTransactions();
   private long lastContactMs = Long.MIN_VALUE / 2;
 
   /** Creates an instance whose requests are charged to this queue and update this replica. */
@@ -53,11 +57,17 @@
   }
 
   private void sendTransaction(Transaction transaction, Consumer<TransactionResult> callback) {
+    ResultCode refusal = refusedTransactions.refusal(transaction);
+    if (refusal != null) {
+      callback.accept(new TransactionResult(refusal, 0));
+      return;
+    }
     long sentMs = clock.now();
     effects.transact(
         transaction,
         result -> {
           recordContact(result.code(), sentMs);
+          refusedTransactions.record(transaction, result.code());
           if (result.code() == ResultCode.OK) {
             applyCommitted(transaction, result.revision());
           }
--- a/src/main/java/mallowstall/core/model/JobEntry.java
+++ b/src/main/java/mallowstall/core/model/JobEntry.java
@@ -1,5 +1,7 @@
 package mallowstall.core.model;
 
+import java.util.Arrays;
+
 /**
  * The stored entry of a job (docs/design.md, Keys in the state service).
  *
@@ -25,6 +27,25 @@
     int quotaReservedTasks,
     JobOutcome outcome)
     implements StoredEntry {
+  @Override
+  public boolean equals(Object other) {
+    return other instanceof JobEntry that
+        && spec.equals(that.spec)
+        && submittedMs == that.submittedMs
+        && leader.equals(that.leader)
+        && incarnation == that.incarnation
+        && epoch == that.epoch
+        && Arrays.equals(completionBits, that.completionBits)
+        && completedTaskCount == that.completedTaskCount
+        && quotaReservedTasks == that.quotaReservedTasks
+        && outcome == that.outcome;
+  }
+
+  @Override
+  public int hashCode() {
+    return 31 * spec.id().hashCode() + Long.hashCode(epoch) + 7 * quotaReservedTasks;
+  }
+
   /** Returns this entry with the given outcome. */
   public JobEntry withOutcome(JobOutcome newOutcome) {
     return new JobEntry(
--- a/src/main/java/mallowstall/core/placement/JobPlacementFactory.java
+++ b/src/main/java/mallowstall/core/placement/JobPlacementFactory.java
@@ -68,7 +68,8 @@
       return new JobQuota(true, 0, 0);
     }
     int unused = ledJob.entry().quotaReservedTasks() - ledJob.activeAttempts().size();
-    int remaining = quotaLedger.remainingTasks(ledJob.spec());
+    // Capacity reserved for a job whose reservation can't grow would be kept from other jobs.
+    int remaining = ledJob.writes().quotaRefused() ? 0 : quotaLedger.remainingTasks(ledJob.spec());
     // While a change of the reservation is pending or has an unknown outcome, the reserved number
     // of tasks isn't known, so the job must start no task.
     boolean reservationUnknown = ledJob.quotaWriteInFlight() || ledJob.writeOutcomeUnknown();
--- a/src/main/java/mallowstall/core/quota/QuotaLedger.java
+++ b/src/main/java/mallowstall/core/quota/QuotaLedger.java
@@ -52,6 +52,10 @@
   private static final class TeamWrites {
     private boolean inFlight;
     private long nextWriteMs;
+
+    /** Whether the latest transaction left out a job that must be written alone. */
+    private boolean aloneJobLeftOut;
+
     private final RetryDelay retry = new RetryDelay();
   }
 
@@ -130,32 +134,64 @@
   }
 
   /**
-   * Changes the reservations of a team's jobs. Reservations that shrink come first, so that they
-   * make room for those that grow.
+   * Changes the reservations of a team's jobs. A job that must be written alone and was left out of
+   * one transaction comes before all others in the next, so that it isn't left out time after time.
    */
   private void changeReservations(String team, TeamWrites writes, List<LedJob> jobs, long now) {
     jobs.sort(order);
+    QuotaTransaction change = newTransaction(team);
+    if (writes.aloneJobLeftOut) {
+      writes.aloneJobLeftOut = false;
+      addChanges(change, jobs.stream().filter(this::mustWriteAlone).toList(), now);
+    }
+    if (change.jobs().isEmpty()) {
+      writes.aloneJobLeftOut = addChanges(change, jobs, now);
+    }
+    if (!change.jobs().isEmpty()) {
+      send(team, writes, change, now);
+    }
+  }
+
+  private QuotaTransaction newTransaction(String team) {
     int maxJobs = Math.min(settings.maxTransactionOps() - 1, QUOTA_RESERVATIONS_PER_TRANSACTION);
-    QuotaTransaction change = new QuotaTransaction(teamQuotas.usage(team), maxJobs);
+    return new QuotaTransaction(
+        StateKeys.team(team), teamQuotas.usage(team), maxJobs, jobBitmaps::entryBytes);
+  }
+
+  /**
+   * Adds changes until the transaction is full. Reservations that shrink come first, so that they
+   * make room for those that grow. Returns whether a job that must be written alone was left out.
+   */
+  private boolean addChanges(QuotaTransaction change, List<LedJob> jobs, long now) {
+    boolean aloneJobLeftOut = false;
     for (LedJob ledJob : jobs) {
       int tasks = reservationDelta(ledJob, now);
       if (tasks < 0) {
-        change.add(ledJob, tasks, mustWriteAlone(ledJob));
+        aloneJobLeftOut |= addChange(change, ledJob, tasks);
       }
     }
     for (LedJob ledJob : jobs) {
       int tasks = reservationDelta(ledJob, now);
       if (tasks >= 0) {
-        change.add(ledJob, withinQuota(change, ledJob, tasks), mustWriteAlone(ledJob));
+        aloneJobLeftOut |= addChange(change, ledJob, withinQuota(change, ledJob, tasks));
       }
     }
-    if (!change.jobs().isEmpty()) {
-      send(team, writes, change, now);
+    return aloneJobLeftOut;
+  }
+
+  /** Adds one change; returns whether it was left out because it must be written alone. */
+  private boolean addChange(QuotaTransaction change, LedJob ledJob, int tasks) {
+    if (tasks == 0 || change.isFull()) {
+      return false;
     }
+    boolean alone = mustWriteAlone(ledJob);
+    boolean leftOut = alone && !change.jobs().isEmpty();
+    change.add(ledJob, tasks, alone);
+    return leftOut;
   }
 
   private boolean mustWriteAlone(LedJob ledJob) {
-    return !jobBitmaps.fitsAsStored(ledJob.entry());
+    return ledJob.writes().quotaRefused() || !jobBitmaps.fitsAsStored(ledJob.entry());
   }
 
   /** Returns how many of the requested tasks the team's quota allows to reserve. */
@@ -189,7 +225,7 @@
     boolean accepted =
         store.transact(
             RequestPriority.JOB,
-            change.build(key, store.modRevision(key)),
+            change.build(store.modRevision(key)),
             reply -> handleResult(key, writes, change, reply));
     if (!accepted) {
       writes.inFlight = false;
@@ -202,23 +238,28 @@
   private void handleResult(
       String teamKey, TeamWrites writes, QuotaTransaction change, TransactionResult reply) {
     writes.inFlight = false;
-    // a job's entry causes INVALID, so the retry delay of the job grows and not that of the team
-    if (reply.code() != ResultCode.INVALID) {
-      writes.retry.recordResult(clock.now(), reply.code());
-    }
+    boolean alone = change.jobs().size() == 1;
     for (LedJob ledJob : change.jobs()) {
-      ledJob.endQuotaWrite(clock.now(), reply.code());
+      ledJob.endQuotaWrite(clock.now(), reply.code(), alone);
       if (reply.code() == ResultCode.CONFLICT && reply.revision() > store.revision()) {
         jobLeader.refreshEntry(ledJob);
       }
     }
-    if (reply.code() == ResultCode.CONFLICT) {
+    // the entry of a job causes INVALID, so only the next write of that job is delayed
+    if (reply.code() != ResultCode.INVALID) {
+      delayNextWrite(teamKey, writes, reply.code());
+    }
+    placementTrigger.request();
+  }
+
+  private void delayNextWrite(String teamKey, TeamWrites writes, ResultCode code) {
+    writes.retry.recordResult(clock.now(), code);
+    if (code == ResultCode.CONFLICT) {
       refreshUsage(teamKey, writes);
-    } else if (reply.code() != ResultCode.OK) {
+    } else if (code != ResultCode.OK) {
       writes.nextWriteMs =
           Math.max(clock.now() + Constants.STATE_RETRY_MS, writes.retry.retryAtMs());
     }
-    placementTrigger.request();
   }
 
   /** Reads the team's usage after a conflict; the usage is not written before the response. */
--- a/src/test/java/mallowstall/core/SimulatedStateService.java
+++ b/src/test/java/mallowstall/core/SimulatedStateService.java
@@ -2,8 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import mallowstall.core.kernel.Condition;
@@ -16,6 +18,9 @@
 
 /** An in-memory implementation of the state service on simulated time. */
 final class SimulatedStateService {
+  /** Maximum size of a transaction in bytes (protocol, POST /multi). */
+  private static final int TRANSACTION_BYTES_MAX = 64 << 10;
+
   private final Simulation simulation;
 
   SimulatedStateService(Simulation sim) {
@@ -44,6 +49,11 @@
 
   private long changeTokensUpdatedMs;
 
+  private final Set<Transaction> refusedTransactions = new HashSet<>();
+
+  /** Number of transactions that were refused as invalid before and have been sent again. */
+  int refusedAgainCount;
+
   /** Receives each transaction right after it is applied. */
   Consumer<Transaction> onApplied = transaction -> {};
 
@@ -57,8 +67,37 @@
     changeTokensUpdatedMs = simulation.nowMs;
   }
 
+  /** Returns the size in bytes of the transaction as JSON (protocol, POST /multi). */
+  private static int sizeBytes(Transaction transaction) {
+    int bytes = "{'when':[],'then':[]}".length();
+    for (Condition condition : transaction.conditions()) {
+      bytes +=
+          ("{'key':'" + condition.key() + "','sello':" + condition.modRevision() + "},").length();
+    }
+    for (PutOperation put : transaction.puts()) {
+      String lease = put.leaseId() == 0 ? "" : ",'permiso':" + put.leaseId();
+      bytes += ("{'set':'" + put.key() + "','data':" + lease + "},").length();
+      bytes += Simulation.encodedSize(put.value());
+    }
+    for (String key : transaction.deletes()) {
+      bytes += ("{'drop':'" + key + "'},").length();
+    }
+    return bytes;
+  }
+
+  private ResultCode refuse(Transaction transaction, ResultCode code) {
+    if (!refusedTransactions.add(transaction)) {
+      refusedAgainCount++;
+    }
+    return code;
+  }
+
   /** Returns the error code of a transaction that exceeds the limits, or OK if it keeps to them. */
   private ResultCode checkLimits(Transaction transaction) {
+    if (sizeBytes(transaction) > TRANSACTION_BYTES_MAX) {
+      simulation.countFault("limits, sum too large");
+      return refuse(transaction, ResultCode.INVALID);
+    }
     if (limits == null) {
       return ResultCode.OK;
     }
@@ -70,7 +109,7 @@
     }
     if (tooLarge) {
       simulation.countFault("limits, too large");
-      return ResultCode.INVALID;
+      return refuse(transaction, ResultCode.INVALID);
     }
     double rate = limits.changesPerSecond();
     changeTokens =
--- a/src/test/java/mallowstall/core/jobs/JobWritesTest.java
+++ b/src/test/java/mallowstall/core/jobs/JobWritesTest.java
@@ -61,11 +61,26 @@
   @Test
   void invalidButNotRejectedQuotaWriteDelaysJob() {
     writes.beginQuotaWrite();
-    writes.endQuotaWrite(NOW_MS, ResultCode.REJECTED);
+    writes.endQuotaWrite(NOW_MS, ResultCode.REJECTED, true);
     assertTrue(writes.mayWriteQuota(NOW_MS));
     writes.beginQuotaWrite();
-    writes.endQuotaWrite(NOW_MS, ResultCode.INVALID);
+    writes.endQuotaWrite(NOW_MS, ResultCode.INVALID, true);
     assertFalse(writes.mayWriteQuota(NOW_MS));
     assertTrue(writes.mayWriteQuota(NOW_MS + Constants.STATE_RETRY_MS));
   }
+
+  /** Guards against jobs that wait, and then ask together again, after a refusal in common. */
+  @Test
+  void quotaWriteRefusedTogetherWithOthersIsRepeatedAloneAtOnce() {
+    writes.beginQuotaWrite();
+    writes.endQuotaWrite(NOW_MS, ResultCode.INVALID, false);
+    assertTrue(writes.quotaRefused());
+    assertTrue(writes.mayWriteQuota(NOW_MS));
+    writes.beginQuotaWrite();
+    writes.endQuotaWrite(NOW_MS, ResultCode.CONFLICT, true);
+    assertTrue(writes.quotaRefused(), "a conflict doesn't show that the entry is accepted");
+    writes.beginQuotaWrite();
+    writes.endQuotaWrite(NOW_MS, ResultCode.OK, true);
+    assertFalse(writes.quotaRefused());
+  }
 }
--- a/src/test/java/mallowstall/core/kv/JobBitmapsTest.java
+++ b/src/test/java/mallowstall/core/kv/JobBitmapsTest.java
@@ -14,6 +14,7 @@
 import mallowstall.Constants;
 import mallowstall.core.kernel.Condition;
 import mallowstall.core.kernel.PutOperation;
+import mallowstall.core.kernel.Transaction;
 import mallowstall.core.model.CompletionBitsEntry;
 import mallowstall.core.model.CoreSettings;
 import mallowstall.core.model.CoreSettingsBuilder;
@@ -24,6 +25,8 @@
 import mallowstall.core.model.StoredEntry;
 import mallowstall.state.StoredEntries;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests what is stored for jobs and completion bits in both layouts and while a job migrates. */
 class JobBitmapsTest {
@@ -299,4 +302,30 @@
     assertEquals(16_000, entry().completedTaskCount());
     assertEquals(JobOutcome.CANCELLED, entry().outcome());
   }
+
+  /** Guards against a write of completions that the state service refuses for its whole size. */
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void writeOfLargeEntryWithManyPiecesFitsIntoATransaction(boolean compact) {
+    compactLayoutReadable = compact;
+    for (int nameBytes : new int[] {10, 6_000, 12_000, 20_000, 26_000}) {
+      JobBitmaps bitmaps = bitmaps(64 << 10, 32);
+      JobEntry job =
+          JobEntry.newlyAccepted(
+              spec(MANY_TASKS, "c".repeat(nameBytes)), 1_700_000_000_000L, "n0", 3);
+      assertTrue(bitmaps.fitsAtLargest(job));
+      BitSet done = new BitSet();
+      done.set(0, MANY_TASKS);
+      JobBitmaps.Write write = bitmaps.writeRecordingCompletions(job, 5, done, pieceIndexes(done));
+      int bytes =
+          TransactionSize.of(
+              new Transaction(write.conditions(), write.puts(), List.of()),
+              JobBitmapsTest::encodedSize);
+      assertTrue(bytes <= TransactionSize.MAX_BYTES, "bytes: " + bytes);
+      assertTrue(write.puts().size() > 1, "bits are recorded");
+    }
+    JobEntry tooLarge =
+        JobEntry.newlyAccepted(spec(1, "c".repeat(30_000)), 1_700_000_000_000L, "n0", 3);
+    assertFalse(bitmaps(64 << 10, 32).fitsAtLargest(tooLarge), "leaves no room beside it");
+  }
 }
