Split calls off the HTTP client, and ask a job's writes directly

HttpClient held the state of a call beside that of its connections; HttpCall is a type of its own now, with the deadline and the streamed body in one place. LedJob passed three questions on to JobWrites, two of which callers now ask there.

--- a/src/main/java/mallowstall/core/jobs/CompletionRecorder.java
+++ b/src/main/java/mallowstall/core/jobs/CompletionRecorder.java
@@ -40,7 +40,7 @@
     boolean layoutOutdated = jobBitmaps.needsLayoutMigration(ledJob.entry());
     if (!ledJob.completed().isDirty()
         && !allCompleted
-        && !ledJob.writeOutcomeUnknown()
+        && !ledJob.writes().outcomeUnknown()
         && !layoutOutdated) {
       return;
     }
@@ -50,7 +50,7 @@
     }
     if (ledJob.finished() && ledJob.entry().outcome() == JobOutcome.CANCELLED) {
       ledJob.completed().discardDirty();
-      if (!ledJob.writeOutcomeUnknown() && !layoutOutdated) {
+      if (!ledJob.writes().outcomeUnknown() && !layoutOutdated) {
         return;
       }
     }
--- a/src/main/java/mallowstall/core/jobs/LedJob.java
+++ b/src/main/java/mallowstall/core/jobs/LedJob.java
@@ -256,16 +256,6 @@
     return writes;
   }
 
-  /** Returns whether a write has an unknown outcome; see {@link JobWrites#outcomeUnknown}. */
-  public boolean writeOutcomeUnknown() {
-    return writes.outcomeUnknown();
-  }
-
-  /** Returns whether a change of the quota reservation is unanswered. */
-  public boolean quotaWriteInFlight() {
-    return writes.quotaInFlight();
-  }
-
   /** Records the result of the change of the quota reservation. */
   public void endQuotaWrite(long now, ResultCode code, boolean alone) {
     writes.endQuotaWrite(now, code, alone);
--- a/src/main/java/mallowstall/core/placement/JobPlacementFactory.java
+++ b/src/main/java/mallowstall/core/placement/JobPlacementFactory.java
@@ -72,7 +72,8 @@
     int remaining = ledJob.writes().quotaRefused() ? 0 : quotaLedger.remainingTasks(ledJob.spec());
     // While a change of the reservation is pending or has an unknown outcome, the reserved number
     // of tasks isn't known, so the job must start no task.
-    boolean reservationUnknown = ledJob.quotaWriteInFlight() || ledJob.writeOutcomeUnknown();
+    boolean reservationUnknown =
+        ledJob.writes().quotaInFlight() || ledJob.writes().outcomeUnknown();
     return reservationUnknown
         ? new JobQuota(true, 0, Math.max(0, unused) + remaining)
         : new JobQuota(true, unused, remaining);
--- a/src/main/java/mallowstall/core/placement/ReplicaRelocation.java
+++ b/src/main/java/mallowstall/core/placement/ReplicaRelocation.java
@@ -62,7 +62,7 @@
       for (int replica : ledJob.relocations().replicas()) {
         startRelocated(ledJob, replica);
       }
-      if (!ledJob.writeOutcomeUnknown()) {
+      if (!ledJob.writes().outcomeUnknown()) {
         relocateFromDeparting(ledJob, machines, now);
       }
     }
@@ -108,8 +108,8 @@
   /** Starts a replica on its target once the replica's previous attempt is proven to have ended. */
   private void startRelocated(LedJob ledJob, int replica) {
     if (ledJob.activeAttempts().containsKey(replica)
-        || ledJob.quotaWriteInFlight()
-        || ledJob.writeOutcomeUnknown()) {
+        || ledJob.writes().quotaInFlight()
+        || ledJob.writes().outcomeUnknown()) {
       return;
     }
     MachineView machine = view.machine(ledJob.relocations().target(replica));
--- a/src/main/java/mallowstall/net/HttpClient.java
+++ b/src/main/java/mallowstall/net/HttpClient.java
@@ -73,61 +73,10 @@
   private final int maxConnections;
   private final String host;
   private final ArrayDeque<Connection> idle = new ArrayDeque<>();
-  private final ArrayDeque<Call> queue = new ArrayDeque<>();
+  private final ArrayDeque<HttpCall> queue = new ArrayDeque<>();
   private int openConnections;
   private boolean retired;
 
-  /** A request with its deadline and the receivers of its response. Mutable. */
-  private static final class Call {
-    final HttpMethod method;
-    final String path;
-    final byte[] body;
-    final Callback callback;
-
-    /** Receives the body, or null if the body is kept until it is complete. */
-    final BodyReceiver receiver;
-
-    /** Time in nanoseconds by which each piece of a received body extends the deadline. */
-    final long silenceNanos;
-
-    long deadline;
-    boolean finished;
-
-    Call(
-        HttpMethod method,
-        String path,
-        byte[] body,
-        long timeoutMs,
-        BodyReceiver receiver,
-        long silenceMs,
-        Callback callback) {
-      this.method = method;
-      this.path = path;
-      this.body = body;
-      this.deadline = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs);
-      this.receiver = receiver;
-      this.silenceNanos = TimeUnit.MILLISECONDS.toNanos(silenceMs);
-      this.callback = callback;
-    }
-
-    /** Returns the time until the deadline in milliseconds, at least 1. */
-    long remainingMs() {
-      return Math.max(1, TimeUnit.NANOSECONDS.toMillis(deadline - System.nanoTime()));
-    }
-
-    void extendDeadline() {
-      deadline = Math.max(deadline, System.nanoTime() + silenceNanos);
-    }
-
-    void finish(Reply reply) {
-      if (finished) {
-        return;
-      }
-      finished = true;
-      callback.done(reply);
-    }
-  }
-
   /** Creates a client that has at most {@code maxConnections} connections open at a time. */
   public HttpClient(EventLoop loop, InetSocketAddress address, int maxConnections) {
     this.loop = loop;
@@ -141,7 +90,7 @@
    * milliseconds have passed.
    */
   public void call(HttpMethod method, String path, byte[] body, long timeoutMs, Callback callback) {
-    start(new Call(method, path, body, timeoutMs, null, 0, callback), timeoutMs);
+    start(HttpCall.keepingBody(method, path, body, timeoutMs, callback));
   }
 
   /**
@@ -153,11 +102,10 @@
    */
   public void getStreaming(
       String path, long timeoutMs, long silenceMs, BodyReceiver receiver, Callback callback) {
-    start(
-        new Call(HttpMethod.GET, path, null, timeoutMs, receiver, silenceMs, callback), timeoutMs);
+    start(HttpCall.streaming(path, timeoutMs, silenceMs, receiver, callback));
   }
 
-  private void start(Call call, long timeoutMs) {
+  private void start(HttpCall call) {
     Connection connection = idle.poll();
     if (connection != null) {
       connection.send(call);
@@ -174,7 +122,7 @@
               call.finish(Reply.UNSENT);
             }
           },
-          timeoutMs,
+          call.remainingMs(),
           TimeUnit.MILLISECONDS);
     }
   }
@@ -190,7 +138,7 @@
     }
   }
 
-  private void connect(Call call) {
+  private void connect(HttpCall call) {
     openConnections++;
     Connection connection = new Connection();
     TcpBootstraps.client(
@@ -226,20 +174,21 @@
   /** A connection, which carries one call at a time. */
   private final class Connection extends SimpleChannelInboundHandler<HttpObject> {
     private Channel channel;
-    private Call current;
+    private HttpCall current;
     private ScheduledFuture<?> timer;
     private boolean closed;
     private int status;
     private boolean keepAlive;
     private ByteArrayOutputStream keptBody;
 
-    void send(Call call) {
+    void send(HttpCall call) {
       current = call;
-      ByteBuf body = call.body == null ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(call.body);
+      ByteBuf body =
+          call.body() == null ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(call.body());
       DefaultFullHttpRequest request =
-          new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, call.method, call.path, body);
+          new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, call.method(), call.path(), body);
       request.headers().set(HttpHeaderNames.HOST, host);
-      if (call.body != null) {
+      if (call.body() != null) {
         request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
       }
       request.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
@@ -247,16 +196,16 @@
       channel.writeAndFlush(request);
     }
 
-    private void startTimer(Call call) {
+    private void startTimer(HttpCall call) {
       timer = loop.schedule(() -> closeIfDue(call), call.remainingMs(), TimeUnit.MILLISECONDS);
     }
 
     /** Closes the connection unless a piece of the body has extended the call's deadline. */
-    private void closeIfDue(Call call) {
-      if (System.nanoTime() < call.deadline) {
-        startTimer(call);
-      } else {
+    private void closeIfDue(HttpCall call) {
+      if (call.isOverdue()) {
         channel.close();
+      } else {
+        startTimer(call);
       }
     }
 
@@ -294,11 +243,10 @@
       }
       byte[] piece = new byte[content.readableBytes()];
       content.readBytes(piece);
-      if (current.receiver == null) {
+      if (current.keepsBody()) {
         keepBody(ctx, piece);
       } else if (status == HttpStatus.OK) {
-        current.extendDeadline();
-        current.receiver.receive(piece);
+        current.receive(piece);
       }
     }
 
@@ -311,7 +259,7 @@
     }
 
     private void finishResponse(ChannelHandlerContext ctx) {
-      Call call = current;
+      HttpCall call = current;
       current = null;
       timer.cancel(false);
       Reply reply = new Reply(status, keptBody.toByteArray());
@@ -337,7 +285,7 @@
         timer.cancel(false);
       }
       if (current != null) {
-        Call call = current;
+        HttpCall call = current;
         current = null;
         call.finish(Reply.WITHOUT_RESPONSE);
       }
