List on after the last key of a page, readable or not

What operators would see: beside 500 or more keys in a row that this version can't read, as a later version may leave them, a controller's listing ends early or asks for the same page again without a pause.

Cause: the next page began after the last readable entry. A first page without one was taken for the last, any other was asked for again.

Why it works: a page's last key grows with every page, whoever wrote its entry.

GoldenStateServiceTest expects the unreadable last key of its page.

--- a/src/main/java/mallowstall/core/kv/ReplicaSync.java
+++ b/src/main/java/mallowstall/core/kv/ReplicaSync.java
@@ -118,7 +118,7 @@
       return;
     }
     runOrListAgain(() -> applyItems(current, page));
-    if (page.hasMore() && current.lastKey != null) {
+    if (page.hasMore() && page.lastKey() != null) {
       listNextPage(current);
     } else {
       completePages(current);
@@ -129,6 +129,9 @@
     if (current.lastKey == null) {
       current.revision = page.revision();
     }
+    if (page.lastKey() != null) {
+      current.lastKey = page.lastKey();
+    }
     for (KeyValue item : page.items()) {
       replica.apply(item);
       current.keys.add(item.key());
@@ -137,7 +140,6 @@
           current.keys.add(StateKeys.machine(member.id()));
         }
       }
-      current.lastKey = item.key();
     }
     current.lastPageRevision = page.revision();
   }
--- a/src/main/java/mallowstall/state/PageStream.java
+++ b/src/main/java/mallowstall/state/PageStream.java
@@ -97,6 +97,7 @@
     private int partBytes;
     private long revision;
     private boolean hasMore;
+    private String lastKey;
 
     /** The name of the page's field that is being read. */
     private String field;
@@ -124,7 +125,7 @@
       if (token != null || depth != 0) {
         throw new IOException("the response ends early or has more than one value");
       }
-      return new StateCodec.Page(items, hasMore, revision);
+      return new StateCodec.Page(items, hasMore, revision, lastKey);
     }
 
     private void readToken(JsonToken token) throws IOException {
@@ -173,9 +174,12 @@
     }
 
     private void addItem(byte[] document) throws IOException {
-      KeyValue read = JsonReader.read(document, StateCodec::readItem);
-      if (read != null) {
-        items.add(read);
+      StateCodec.Item read = JsonReader.read(document, StateCodec::readItem);
+      if (read.change() != null) {
+        items.add(read.change());
+      }
+      if (read.key() != null) {
+        lastKey = read.key();
       }
       partBytes += document.length;
       if (partBytes >= PART_BYTES) {
--- a/src/main/java/mallowstall/state/StateCodec.java
+++ b/src/main/java/mallowstall/state/StateCodec.java
@@ -2,8 +2,8 @@
 
 import com.fasterxml.jackson.core.JsonGenerator;
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.List;
-import java.util.Objects;
 import mallowstall.core.kernel.Condition;
 import mallowstall.core.kernel.KeyValue;
 import mallowstall.core.kernel.PutOperation;
@@ -24,10 +24,16 @@
   private StateCodec() {}
 
   /**
-   * A page of entries, or the changes after a revision. {@code hasMore} is true if another page
-   * follows.
+   * A page of entries, or the changes after a revision.
+   *
+   * @param items the readable items
+   * @param hasMore whether another page follows
+   * @param lastKey the key of the last item, readable or not; null if there is none
    */
-  record Page(List<KeyValue> items, boolean hasMore, long revision) {}
+  record Page(List<KeyValue> items, boolean hasMore, long revision, String lastKey) {}
+
+  /** An item of a page with its key; {@code change} is null if the item is unreadable. */
+  record Item(String key, KeyValue change) {}
 
   /** Returns the revision in a response, or 0 if the response has none. */
   static Long readRevision(JsonReader in) throws IOException {
@@ -80,7 +86,7 @@
 
   /** Reads a page of entries or of changes, without the items that are unreadable. */
   static Page readPage(JsonReader in) throws IOException {
-    List<KeyValue> items = null;
+    List<Item> items = List.of();
     boolean hasMore = false;
     long revision = 0;
     in.enterObject();
@@ -92,25 +98,38 @@
         default -> in.skip();
       }
     }
+    return page(items, hasMore, revision);
+  }
+
+  private static Page page(List<Item> items, boolean hasMore, long revision) {
+    List<KeyValue> readable = new ArrayList<>();
+    String lastKey = null;
     if (items == null) {
-      return new Page(List.of(), hasMore, revision);
+      return new Page(readable, hasMore, revision, null);
+    }
+    for (Item item : items) {
+      if (item.change() != null) {
+        readable.add(item.change());
+      }
+      if (item.key() != null) {
+        lastKey = item.key();
+      }
     }
-    items.removeIf(Objects::isNull);
-    return new Page(items, hasMore, revision);
+    return new Page(readable, hasMore, revision, lastKey);
   }
 
   /**
-   * Reads a key with its value, or a change of a key. Returns null if the item has no key, or if it
-   * is no deletion and its value is absent, unreadable or of an unknown kind of key.
+   * Reads a key with its value, or a change of a key. The item is unreadable if it has no key, or
+   * if it is no deletion and its value is absent, unreadable or of an unknown kind of key.
    */
-  static KeyValue readItem(JsonReader in) throws IOException {
+  static Item readItem(JsonReader in) throws IOException {
     String key = null;
     boolean deleted = false;
     StoredEntry value = null;
     JsonReader.Deferred deferredValue = null;
     long version = 0;
     if (!in.enterObjectIfPresent()) {
-      return null;
+      return new Item(null, null);
     }
     while (in.nextField()) {
       switch (in.field()) {
@@ -134,7 +153,8 @@
       String entryKey = key;
       value = deferredValue.read(document -> readEntry(entryKey, document));
     }
-    return key != null && (deleted || value != null) ? new KeyValue(key, value, version) : null;
+    boolean readable = key != null && (deleted || value != null);
+    return new Item(key, readable ? new KeyValue(key, value, version) : null);
   }
 
   /** Reads the value of the key. Returns null if the value is absent or unreadable. */
--- a/src/main/java/mallowstall/state/StateServiceClient.java
+++ b/src/main/java/mallowstall/state/StateServiceClient.java
@@ -144,7 +144,8 @@
             callback.accept(new GetResult(resultCode(reply.status()), null));
             return;
           }
-          KeyValue item = read(reply.body(), StateCodec::readItem);
+          StateCodec.Item read = read(reply.body(), StateCodec::readItem);
+          KeyValue item = read == null ? null : read.change();
           if (item == null || item.value() == null) {
             callback.accept(new GetResult(ResultCode.REJECTED, null));
           } else {
@@ -173,7 +174,7 @@
       return new ListResult(ResultCode.REJECTED, List.of(), false, 0);
     }
     items.addAll(page.items());
-    return new ListResult(ResultCode.OK, items, page.hasMore(), page.revision());
+    return new ListResult(ResultCode.OK, items, page.hasMore(), page.revision(), page.lastKey());
   }
 
   /** See {@link Effects#watch}. */
--- a/src/test/java/mallowstall/core/kv/ReplicaSyncTest.java
+++ b/src/test/java/mallowstall/core/kv/ReplicaSyncTest.java
@@ -36,6 +36,7 @@
 
   private final EventClock clock = new EventClock();
   private final List<Consumer<ListResult>> pendingLists = new ArrayList<>();
+  private final List<String> requestedPages = new ArrayList<>();
   private final List<Consumer<WatchResult>> pendingWatches = new ArrayList<>();
   private final List<String> returnedMachines = new ArrayList<>();
   private final List<Long> syncedRevisions = new ArrayList<>();
@@ -88,7 +89,12 @@
             new Class<?>[] {Effects.class},
             (proxy, method, arguments) -> {
               switch (method.getName()) {
-                case "list" -> pendingLists.add((Consumer<ListResult>) arguments[1]);
+                case "list" -> {
+                  if (arguments[0] != null) {
+                    requestedPages.add((String) arguments[0]);
+                  }
+                  pendingLists.add((Consumer<ListResult>) arguments[1]);
+                }
                 case "watch" -> pendingWatches.add((Consumer<WatchResult>) arguments[2]);
                 default -> throw new UnsupportedOperationException(method.getName());
               }
@@ -271,6 +277,19 @@
     assertNull(replica.entry(FORMER_GROUP));
   }
 
+  /** Guards against a listing that ends at, or repeats, a page without a readable entry. */
+  @Test
+  void listingGoesOnAfterAPageWithoutAReadableEntry() {
+    sync.start();
+    pendingLists.remove(0).accept(new ListResult(ResultCode.OK, List.of(), true, 60, "c/a/1"));
+    assertEquals(List.of("c/a/1"), requestedPages);
+    pendingLists.remove(0).accept(new ListResult(ResultCode.OK, List.of(), true, 60, "c/a/2"));
+    assertEquals(List.of("c/a/1", "c/a/2"), requestedPages);
+    answerList(List.of(group(NEW_GROUP, "n2", 50)), false, 60);
+    assertEquals("n2", replica.machine(MACHINE).node());
+    assertEquals(60, sync.revision());
+  }
+
   private void receivePart(List<KeyValue> events) {
     pendingWatches.get(0).accept(new WatchResult(ResultCode.PARTIAL, events, 0));
   }
--- a/src/test/java/mallowstall/state/GoldenStateServiceTest.java
+++ b/src/test/java/mallowstall/state/GoldenStateServiceTest.java
@@ -86,7 +86,8 @@
       assertEquals(new GetResult(ResultCode.REJECTED, null), failed);
       assertEquals(new GetResult(ResultCode.REJECTED, null), unreadable);
       KeyValue team = new KeyValue("c/t/vision", new TeamUsageEntry(1.5, 2), 5);
-      assertEquals(new ListResult(ResultCode.OK, List.of(session, team), true, 600), first);
+      assertEquals(
+          new ListResult(ResultCode.OK, List.of(session, team), true, 600, "c/other"), first);
       assertEquals(new ListResult(ResultCode.OK, List.of(), false, 9), last);
       assertEquals(new ListResult(ResultCode.REJECTED, List.of(), false, 0), rejected);
       Fixtures.assertMatchesFixture("state-reads.txt", server.requests());
--- a/src/test/java/mallowstall/state/PageStreamTest.java
+++ b/src/test/java/mallowstall/state/PageStreamTest.java
@@ -49,6 +49,7 @@
       assertEquals(expected.items(), items, text);
       assertEquals(expected.revision(), rest.revision());
       assertEquals(expected.hasMore(), rest.hasMore());
+      assertEquals(expected.lastKey(), rest.lastKey());
     }
   }
 
