Compare machines' leaders, too, after each way to catch up

StaleReplicaTest compared the keys of the state service without those of machines, since a replica holds an entry for each machine of a group. The leader of each machine is now compared with a peer's, after forty machines have come up, some under one key, and another controller has ended.

--- a/src/test/java/mallowstall/core/StaleReplicaTest.java
+++ b/src/test/java/mallowstall/core/StaleReplicaTest.java
@@ -103,7 +103,10 @@
         sim.runUntil(sim.nowMs + 2_000 + 1_000L * i);
       }
       sim.killMachine(sim.workers.keySet().iterator().next());
+      sim.addMachines(40); // some register together, under one key
+      sim.controllers.get("n2").crash(300); // its machines get other entries
       sim.runUntil(sim.nowMs + 20_000);
+      assertTrue(hasGroup(sim), "machines that share an entry");
       stale.catchUpFault = CatchUpFault.NONE;
       sim.runUntil(sim.nowMs + 30_000);
       assertReplicaHoldsState(sim, stale);
@@ -166,6 +169,17 @@
       sim.runUntil(sim.nowMs + 20);
     }
     assertEquals(stored(sim), replicated(controller));
+    for (String id : sim.workers.keySet()) {
+      assertEquals(
+          sim.controllers.get("n1").core.store().machine(id),
+          controller.core.store().machine(id),
+          "leader of a machine, by its own entry or one that it shares with others");
+    }
+  }
+
+  private static boolean hasGroup(Simulation sim) {
+    return sim.stateService.changes.stream()
+        .anyMatch(change -> change.key().startsWith(StateKeys.MACHINE_GROUP_PREFIX));
   }
 
   /**
