--- a/src/main/java/mallowstall/core/MachineModules.java
+++ b/src/main/java/mallowstall/core/MachineModules.java
@@ -204,7 +204,12 @@
             takeover);
     LeaseExpiryMonitor leaseExpiry =
         new LeaseExpiryMonitor(
-            cluster.settings, cluster.store, machines, fencingTokens, statusPublisher);
+            cluster.settings,
+            cluster.metrics,
+            cluster.store,
+            machines,
+            fencingTokens,
+            statusPublisher);
     return new MachineMaintenance(
         cluster.clock,
         machines,
--- a/src/main/java/mallowstall/core/api/LeaderRunStates.java
+++ b/src/main/java/mallowstall/core/api/LeaderRunStates.java
@@ -13,6 +13,8 @@
 import mallowstall.core.model.RunStateQuestion;
 import mallowstall.core.model.TaskLocations;
 import mallowstall.core.model.UnknownCause;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Determines whether tasks of a job that this controller leads are running. Only the leader of a
@@ -20,6 +22,8 @@
  * Confined to the event loop.
  */
 public final class LeaderRunStates {
+  private static final Logger LOG = LoggerFactory.getLogger("mallowstall.api");
+
   private final EventClock clock;
   private final CoreSettings settings;
   private final StateStore store;
@@ -71,11 +75,26 @@
         locations,
         observation -> {
           waiting.remove(job);
+          logUnknown(job, leaderEpoch, locations, observation);
           recent.record(job, leaderEpoch, observation);
           callbacks.forEach(each -> each.accept(observation));
         });
   }
 
+  private void logUnknown(
+      String job, long leaderEpoch, TaskLocations locations, RunObservation observation) {
+    if (!observation.isKnown()) {
+      LOG.debug(
+          "job state not evaluated job={} epoch={} cause={} gap={} since_end_ms={} machines={}",
+          job,
+          leaderEpoch,
+          observation.unknownCause(),
+          locations.gap(),
+          clock.now() - locations.lastAttemptEndMs(),
+          locations.machines());
+    }
+  }
+
   private void evaluate(
       String job, long leaderEpoch, TaskLocations locations, Consumer<RunObservation> callback) {
     Map<String, List<String>> machinesByLeader = new HashMap<>();
--- a/src/main/java/mallowstall/core/machines/FencingTokens.java
+++ b/src/main/java/mallowstall/core/machines/FencingTokens.java
@@ -3,9 +3,13 @@
 import mallowstall.core.kernel.ResultCode;
 import mallowstall.core.kv.StateStore;
 import mallowstall.core.model.MachineEntry;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Raises the tokens of machines to invalidate commands that were sent under smaller tokens. */
 public final class FencingTokens {
+  private static final Logger LOG = LoggerFactory.getLogger("mallowstall.machines");
+
   private final StateStore store;
   private final ManagedMachines machines;
   private final MachineEntryWriter entryWriter;
@@ -43,6 +47,11 @@
               if (reply.code() != ResultCode.OK || !machines.isCurrent(machine)) {
                 return;
               }
+              LOG.debug(
+                  "token raised machine={} from={} to={}",
+                  machine.id(),
+                  machine.fencingToken(),
+                  reply.revision());
               machine.raiseFencingToken(reply.revision());
               statusPublisher.requestPublish();
             });
--- a/src/main/java/mallowstall/core/machines/LeaseExpiryMonitor.java
+++ b/src/main/java/mallowstall/core/machines/LeaseExpiryMonitor.java
@@ -1,6 +1,7 @@
 package mallowstall.core.machines;
 
 import mallowstall.Constants;
+import mallowstall.core.kernel.Metrics;
 import mallowstall.core.kv.StateStore;
 import mallowstall.core.model.CoreSettings;
 import org.slf4j.Logger;
@@ -16,20 +17,30 @@
    */
   private static final long LEASE_EXPIRY_MARGIN_MS = 700;
 
+  /** Interval in milliseconds at which machines whose leases are held open are logged again. */
+  private static final long HELD_OPEN_LOG_INTERVAL_MS = 5_000;
+
+  private static final String HELD_OPEN_GAUGE = "leases_held_open";
+
   private final CoreSettings settings;
+  private final Metrics metrics;
   private final StateStore store;
   private final ManagedMachines machines;
   private final FencingTokens fencingTokens;
   private final StatusPublisher statusPublisher;
 
+  private long nextHeldOpenLogMs;
+
   /** Creates a monitor that expires no lease before its first tick. */
   public LeaseExpiryMonitor(
       CoreSettings settings,
+      Metrics metrics,
       StateStore store,
       ManagedMachines machines,
       FencingTokens fencingTokens,
       StatusPublisher statusPublisher) {
     this.settings = settings;
+    this.metrics = metrics;
     this.store = store;
     this.machines = machines;
     this.fencingTokens = fencingTokens;
@@ -38,25 +49,53 @@
 
   /** Expires leases that have run out and raises fencing tokens that could not be raised before. */
   void tick(long now) {
+    int heldOpen = 0;
     for (ManagedMachine machine : machines.all()) {
       if (machine.commands().needsTokenRaise()) {
         fencingTokens.raise(machine);
       }
       if (isLeaseExpired(machine, now)) {
         expire(machine, now);
+      } else if (isOverdue(machine, now)) {
+        heldOpen++;
+        logHeldOpen(machine, now);
       }
     }
+    metrics.setGauge(HELD_OPEN_GAUGE, heldOpen);
+    if (now >= nextHeldOpenLogMs) {
+      nextHeldOpenLogMs = now + HELD_OPEN_LOG_INTERVAL_MS;
+    }
+  }
+
+  private long leaseMs() {
+    return (long) (settings.workerLeaseMs() * (1 + 2 * Constants.CLOCK_DRIFT_FRACTION))
+        + LEASE_EXPIRY_MARGIN_MS;
+  }
+
+  /** Returns whether this controller's last response to the worker is longer ago than the lease. */
+  private boolean isOverdue(ManagedMachine machine, long now) {
+    return !machine.leaseExpired() && now - machine.lastResponseMs() > leaseMs();
+  }
+
+  private void logHeldOpen(ManagedMachine machine, long now) {
+    if (now < nextHeldOpenLogMs) {
+      return;
+    }
+    LOG.info(
+        "machine lease held open machine={} token={} token_acknowledged={} former_leader={}"
+            + " unanswered_ms={} silent_ms={} tasks={}",
+        machine.id(),
+        machine.fencingToken(),
+        machine.tokenAcknowledged(),
+        machine.formerLeaderMayAnswer(),
+        now - machine.lastResponseMs(),
+        now - machine.lastHeartbeatMs(),
+        machine.tasks().reportCount());
   }
 
   /** Returns whether the last possible renewal by any controller is longer ago than the lease. */
   private boolean isLeaseExpired(ManagedMachine machine, long now) {
-    long leaseMs =
-        (long) (settings.workerLeaseMs() * (1 + 2 * Constants.CLOCK_DRIFT_FRACTION))
-            + LEASE_EXPIRY_MARGIN_MS;
-    if (machine.leaseExpired() || now - machine.lastResponseMs() <= leaseMs) {
-      return false;
-    }
-    if (machine.formerLeaderMayAnswer()) {
+    if (!isOverdue(machine, now) || machine.formerLeaderMayAnswer()) {
       return false;
     }
     // Another controller may have led the machine between the former process and this one. Group
@@ -66,7 +105,7 @@
       return false;
     }
     // The state replica has passed the end of the lease and still names this controller as leader.
-    return store.freshAtMs() > machine.lastResponseMs() + leaseMs;
+    return store.freshAtMs() > machine.lastResponseMs() + leaseMs();
   }
 
   private void expire(ManagedMachine machine, long now) {
--- a/src/main/java/mallowstall/core/machines/RunStateObservation.java
+++ b/src/main/java/mallowstall/core/machines/RunStateObservation.java
@@ -29,6 +29,9 @@
   /** Maximum number of machines that are inspected because they may decide the answer alone. */
   private static final int DECISIVE_INSPECTIONS_MAX = 4;
 
+  /** Maximum number of machines that one log line describes. */
+  private static final int LOGGED_GAPS_MAX = 5;
+
   private final EventClock clock;
   private final ManagedMachines machines;
   private final MachineRunStates runStates;
@@ -203,16 +206,25 @@
     List<ManagedMachine> stale = staleMachines(question.maxAgeMs());
     UnknownCause cause = unknownCause(stale);
     LOG.debug(
-        "job not observed job={} cause={} machines={} led={} stale={} first_stale={}",
+        "job not observed job={} cause={} machines={} led={} stale={} since_end_ms={} missing={}",
         question.job(),
         cause,
         question.machines().size(),
         candidates.size(),
         stale.size(),
-        stale.isEmpty() ? null : stale.get(0).id());
+        clock.now() - latestIdleSinceMs(),
+        reportGaps(stale));
     answer(RunObservation.unknown(cause));
   }
 
+  /** Describes why the reports of some of the machines don't count, for the log. */
+  private List<ReportGap> reportGaps(List<ManagedMachine> stale) {
+    return stale.stream()
+        .limit(LOGGED_GAPS_MAX)
+        .map(machine -> ReportGap.of(machine, observed(machine), clock.now()))
+        .toList();
+  }
+
   private UnknownCause unknownCause(List<ManagedMachine> stale) {
     if (!isComplete) {
       return UnknownCause.NOT_LEADER;
--- a/src/test/java/mallowstall/core/LargeArrayAnswersTest.java
+++ b/src/test/java/mallowstall/core/LargeArrayAnswersTest.java
@@ -2,12 +2,9 @@
 
 import static mallowstall.core.model.JobSpecBuilder.batchJob;
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import mallowstall.core.model.JobSpec;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -15,11 +12,6 @@
 
 /** Guards against open jobs on many machines of which no question is answered for 75 s. */
 class LargeArrayAnswersTest {
-  /** Time in milliseconds without an answer after which a job counts as forgotten. */
-  private static final long FORGOTTEN_MS = 75_000;
-
-  private static final long POLL_INTERVAL_MS = 5_000;
-
   private static final long POLLED_MS = 110_000;
 
   /** Longer than all polls, so that no task runs meanwhile. */
@@ -27,60 +19,6 @@
 
   private static final long SCALED_OUT_MS = 15_000;
 
-  /** Polls the jobs, each in turn at one of the controllers, and notes when they were told. */
-  private static final class Poller {
-    private final Simulation sim;
-    private final Map<String, Long> lastToldMs = new HashMap<>();
-    private long longestSilenceMs;
-    private int polls;
-    private int told;
-
-    Poller(Simulation sim, List<JobSpec> jobs) {
-      this.sim = sim;
-      jobs.forEach(job -> lastToldMs.put(job.id(), sim.nowMs));
-    }
-
-    void run() {
-      for (long until = sim.nowMs + POLLED_MS; sim.nowMs < until; ) {
-        int asked = 0;
-        for (String job : lastToldMs.keySet()) {
-          poll(job, Simulation.NODES.get((asked + polls) % Simulation.NODES.size()));
-          asked++;
-          sim.runUntil(sim.nowMs + POLL_INTERVAL_MS / lastToldMs.size());
-        }
-      }
-      lastToldMs.values().forEach(this::noteSilence);
-    }
-
-    private void poll(String job, String node) {
-      SimulatedController controller = sim.controllers.get(node);
-      if (!controller.running) {
-        return;
-      }
-      polls++;
-      sim.users.query(
-          controller,
-          job,
-          answer -> {
-            sim.checker.onAnswer(sim.nowMs, job, answer.status(), answer.state());
-            if (answer.state() != null) {
-              told++;
-              noteSilence(lastToldMs.put(job, sim.nowMs));
-            }
-          });
-    }
-
-    private void noteSilence(long sinceMs) {
-      longestSilenceMs = Math.max(longestSilenceMs, sim.nowMs - sinceMs);
-    }
-
-    void assertNothingForgotten() {
-      String seen = told + " of " + polls + " polls told, longest silence " + longestSilenceMs;
-      assertTrue(longestSilenceMs < FORGOTTEN_MS, seen);
-      assertEquals(List.of(), sim.checker.violations, seen);
-    }
-  }
-
   private static Simulation fleet(int machines) {
     Simulation sim = new Simulation(machines, WorkerTimes.LONG);
     sim.imageFetchMs = IMAGE_FETCH_MS;
@@ -118,16 +56,16 @@
     if (controllerRestarts) {
       sim.controllers.get("n1").crash(300);
     }
-    Poller poller = new Poller(sim, jobs);
-    poller.run();
+    JobPoller poller = new JobPoller(sim, jobs);
+    poller.run(POLLED_MS);
     poller.assertNothingForgotten();
   }
 
   @Test
   void jobsThatFetchTheirImagesOnAllMachinesAreTold() {
     Simulation sim = fleet(300);
-    Poller poller = new Poller(sim, submitJobs(sim, 15, 20));
-    poller.run();
+    JobPoller poller = new JobPoller(sim, submitJobs(sim, 15, 20));
+    poller.run(POLLED_MS);
     poller.assertNothingForgotten();
   }
 }
