Expire the lease of a silent machine although its token was raised

Callers saw: each poll of an open job answered 503 for as long as a machine with one of its tasks was silent and its leader's present token not shown by the worker: 40 s and more, until the machine was returned, and again for the next such machine.

Cause: a leader that raises its token, as the outcome of a start is unknown, waits for the worker to show the new token before it expires the lease. That wait guards against a former leader that still answers the worker. After a raise there is none but itself, and after a registration the former one has mostly released the machine; but only the silent worker could say so. A recovered machine was treated right: the check stood in one path alone.

Fix: the other controllers can say so as well. One whose replica has passed the write of the token, as its status updates show, has released the machine. Once all of them have, the lease counts from that moment or from the last own answer, whichever is later. If one of them is silent or behind, the lease stays open as before.

--- a/src/main/java/mallowstall/core/MachineModules.java
+++ b/src/main/java/mallowstall/core/MachineModules.java
@@ -207,6 +207,7 @@
             cluster.settings,
             cluster.metrics,
             cluster.store,
+            cluster.view,
             machines,
             fencingTokens,
             statusPublisher);
--- a/src/main/java/mallowstall/core/api/LeaderRunStates.java
+++ b/src/main/java/mallowstall/core/api/LeaderRunStates.java
@@ -90,7 +90,7 @@
           leaderEpoch,
           observation.unknownCause(),
           locations.gap(),
-          clock.now() - locations.lastAttemptEndMs(),
+          clock.now() - Math.max(0, locations.lastAttemptEndMs()),
           locations.machines());
     }
   }
--- a/src/main/java/mallowstall/core/machines/LeaseExpiryMonitor.java
+++ b/src/main/java/mallowstall/core/machines/LeaseExpiryMonitor.java
@@ -1,6 +1,7 @@
 package mallowstall.core.machines;
 
 import mallowstall.Constants;
+import mallowstall.core.cluster.ClusterView;
 import mallowstall.core.kernel.Metrics;
 import mallowstall.core.kv.StateStore;
 import mallowstall.core.model.CoreSettings;
@@ -20,11 +21,15 @@
   /** Interval in milliseconds at which machines whose leases are held open are logged again. */
   private static final long HELD_OPEN_LOG_INTERVAL_MS = 5_000;
 
+  /** Time in milliseconds after the end of a lease within which its expiry is usually certain. */
+  private static final long HELD_OPEN_LOG_MIN_MS = 1_000;
+
   private static final String HELD_OPEN_GAUGE = "leases_held_open";
 
   private final CoreSettings settings;
   private final Metrics metrics;
   private final StateStore store;
+  private final ClusterView view;
   private final ManagedMachines machines;
   private final FencingTokens fencingTokens;
   private final StatusPublisher statusPublisher;
@@ -36,12 +41,14 @@
       CoreSettings settings,
       Metrics metrics,
       StateStore store,
+      ClusterView view,
       ManagedMachines machines,
       FencingTokens fencingTokens,
       StatusPublisher statusPublisher) {
     this.settings = settings;
     this.metrics = metrics;
     this.store = store;
+    this.view = view;
     this.machines = machines;
     this.fencingTokens = fencingTokens;
     this.statusPublisher = statusPublisher;
@@ -54,6 +61,9 @@
       if (machine.commands().needsTokenRaise()) {
         fencingTokens.raise(machine);
       }
+      if (machine.formerLeaderMayAnswer() && haveOthersReleased(machine)) {
+        machine.recordReleasedByOthers(now);
+      }
       if (isLeaseExpired(machine, now)) {
         expire(machine, now);
       } else if (isOverdue(machine, now)) {
@@ -67,18 +77,32 @@
     }
   }
 
+  /**
+   * Returns whether the replica of every other controller has passed the write of the machine's
+   * fencing token. A controller that applies that write leads the machine no more.
+   */
+  private boolean haveOthersReleased(ManagedMachine machine) {
+    for (String peer : settings.peers()) {
+      if (view.peer(peer).replicaRevision() < machine.fencingToken()) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   private long leaseMs() {
     return (long) (settings.workerLeaseMs() * (1 + 2 * Constants.CLOCK_DRIFT_FRACTION))
         + LEASE_EXPIRY_MARGIN_MS;
   }
 
-  /** Returns whether this controller's last response to the worker is longer ago than the lease. */
+  /** Returns whether the last known response to the worker is longer ago than the lease. */
   private boolean isOverdue(ManagedMachine machine, long now) {
-    return !machine.leaseExpired() && now - machine.lastResponseMs() > leaseMs();
+    return !machine.leaseExpired() && now - machine.lastRenewalMs() > leaseMs();
   }
 
   private void logHeldOpen(ManagedMachine machine, long now) {
-    if (now < nextHeldOpenLogMs) {
+    boolean isRecentlyOverdue = now - machine.lastRenewalMs() < leaseMs() + HELD_OPEN_LOG_MIN_MS;
+    if (now < nextHeldOpenLogMs || isRecentlyOverdue) {
       return;
     }
     LOG.info(
@@ -105,7 +129,7 @@
       return false;
     }
     // The state replica has passed the end of the lease and still names this controller as leader.
-    return store.freshAtMs() > machine.lastResponseMs() + leaseMs();
+    return store.freshAtMs() > machine.lastRenewalMs() + leaseMs();
   }
 
   private void expire(ManagedMachine machine, long now) {
--- a/src/main/java/mallowstall/core/machines/ManagedMachine.java
+++ b/src/main/java/mallowstall/core/machines/ManagedMachine.java
@@ -37,6 +37,9 @@
   /** Whether another controller may have answered the worker after the former process ended. */
   private boolean interveningLeader;
 
+  /** Whether every other controller has released the machine since the fencing token was stored. */
+  private boolean releasedByOthers;
+
   private String address;
   private long workerSession;
   private long latestHeartbeatSequence;
@@ -45,6 +48,7 @@
   private long lastArrivalMs;
   private long reportedSinceMs = Long.MIN_VALUE / 2;
   private long lastResponseMs;
+  private long releasedByOthersMs = Long.MIN_VALUE / 2;
   private boolean leaseExpired;
   private long terminationDeadlineMs = Long.MAX_VALUE;
   private long drainUntilMs;
@@ -122,6 +126,7 @@
   void raiseFencingToken(long newToken) {
     fencingToken = newToken;
     tokenAcknowledged = false;
+    releasedByOthers = false;
     raiseCommandToken(newToken);
     commands.markTokenRaised();
     published.markChanged();
@@ -181,7 +186,13 @@
 
   /** Returns whether a former leader may still renew the worker's lease. */
   boolean formerLeaderMayAnswer() {
-    return !tokenAcknowledged && (!recovered || interveningLeader);
+    return !tokenAcknowledged && !releasedByOthers && (!recovered || interveningLeader);
+  }
+
+  /** Records that every other controller has released the machine, and answers it no more. */
+  void recordReleasedByOthers(long now) {
+    releasedByOthers = true;
+    releasedByOthersMs = now;
   }
 
   /** Returns the worker's own address, or null before the first heartbeat. */
@@ -317,6 +328,14 @@
     return lastResponseMs;
   }
 
+  /**
+   * Returns the latest time at which any controller may have answered the worker, unless {@link
+   * #formerLeaderMayAnswer}, in milliseconds of the steady clock.
+   */
+  long lastRenewalMs() {
+    return Math.max(lastResponseMs, releasedByOthersMs);
+  }
+
   /** Records that the worker's lease has expired, so that no task is left on the machine. */
   void expireLease(long now) {
     leaseExpired = true;
--- a/src/main/java/mallowstall/core/machines/RunStateObservation.java
+++ b/src/main/java/mallowstall/core/machines/RunStateObservation.java
@@ -212,7 +212,7 @@
         question.machines().size(),
         candidates.size(),
         stale.size(),
-        clock.now() - latestIdleSinceMs(),
+        clock.now() - Math.max(0, latestIdleSinceMs()),
         reportGaps(stale));
     answer(RunObservation.unknown(cause));
   }
