Split a machine's health off ManagedMachine

Its counts of errors, quarantine and replacement move to MachineHealth, word for word; the callers say health(). A lease counts as held open in the log from 3 s beyond its end, since the replica is up to 2 s old.

--- a/src/main/java/mallowstall/core/machines/HeartbeatApplier.java
+++ b/src/main/java/mallowstall/core/machines/HeartbeatApplier.java
@@ -186,16 +186,16 @@
 
   private void recordExit(ManagedMachine machine, TaskReport task) {
     if (task.exitReason() == ExitReason.DONE) {
-      machine.recordSuccess();
+      machine.health().recordSuccess();
     } else if (task.exitReason() == ExitReason.ERROR && !jobAtFault.test(task.job())) {
-      machine.recordError(clock.now());
+      machine.health().recordError(clock.now());
       LOG.info(
           "task failed job={} task={} attempt={} machine={} consecutiveErrors={}",
           task.job(),
           task.task(),
           task.attempt(),
           machine.id(),
-          machine.consecutiveErrors());
+          machine.health().consecutiveErrors());
     }
   }
 }
--- a/src/main/java/mallowstall/core/machines/LeaseExpiryMonitor.java
+++ b/src/main/java/mallowstall/core/machines/LeaseExpiryMonitor.java
@@ -22,7 +22,7 @@
   private static final long HELD_OPEN_LOG_INTERVAL_MS = 5_000;
 
   /** Time in milliseconds after the end of a lease within which its expiry is usually certain. */
-  private static final long HELD_OPEN_LOG_MIN_MS = 1_000;
+  private static final long HELD_OPEN_LOG_MIN_MS = 3_000;
 
   private static final String HELD_OPEN_GAUGE = "leases_held_open";
 
--- a/src/main/java/mallowstall/core/machines/MachineStatuses.java
+++ b/src/main/java/mallowstall/core/machines/MachineStatuses.java
@@ -93,7 +93,7 @@
         machine.tokenAcknowledged(),
         machines.usable(machine),
         machine.draining(now),
-        machine.faulty(),
+        machine.health().faulty(),
         machines.unresponsive(machine),
         machine.leaseExpired(),
         machine.type().name(),
--- a/src/main/java/mallowstall/core/machines/ManagedMachines.java
+++ b/src/main/java/mallowstall/core/machines/ManagedMachines.java
@@ -108,9 +108,9 @@
   boolean usable(ManagedMachine machine) {
     long now = clock.now();
     return !machine.leaseExpired()
-        && !machine.faulty()
+        && !machine.health().faulty()
         && !machine.terminationAnnounced()
-        && !machine.quarantined(now)
+        && !machine.health().quarantined(now)
         && !unresponsive(machine)
         && now - machine.lastResponseMs() <= unresponsiveAfterMs();
   }
