--- a/src/test/java/mallowstall/core/MachineLeadershipTest.java
+++ b/src/test/java/mallowstall/core/MachineLeadershipTest.java
@@ -149,6 +149,35 @@
     assertAllFinished(sim, 6);
   }
 
+  /**
+   * A former leader that is isolated and still answers the worker keeps its lease from expiring.
+   */
+  @Test
+  void leaseIsNotExpiredWhileIsolatedFormerLeaderAnswers() {
+    Simulation sim = new Simulation(64);
+    sim.taskRunMs = 60_000;
+    sim.runUntil(8_000);
+    sim.users.submit(batchJob("wk-000001").tasks(16).build());
+    sim.runUntil(14_000);
+    SimulatedWorker worker = sim.workers.values().iterator().next();
+    SimulatedController former = sim.controllers.get(sim.machineEntry(worker.id).node());
+    SimulatedController next = sim.controllers.get(former.name.equals("n1") ? "n2" : "n1");
+    sim.isolate(former);
+    // from now on, the former leader's status updates are too old for the copy to be redirected
+    sim.runUntil(18_600);
+    HeartbeatCopies.deliver(sim, next, worker.snapshot(), 0);
+    sim.runUntil(19_500);
+    assertEquals(next.name, next.core.store().machine(worker.id).node());
+    sim.runUntil(18_600 + Simulation.LEASE_MS + 4_000);
+    assertEquals(1, worker.epoch, "the former leader has answered the worker");
+    assertFalse(next.core.view().machine(worker.id).status().leaseExpired());
+    former.stateServiceUnreachable = false;
+    sim.healPartitions();
+    sim.runUntil(330_000);
+    assertFinished(sim, "wk-000001");
+    assertEquals(List.of(), sim.checker.violations);
+  }
+
   /**
    * A restarted controller recovers the machines of its former incarnation and counts their leases
    * from its own start. If another controller has led a machine in between, which the restarted
