--- a/src/test/java/mallowstall/core/CloudState.java
+++ b/src/test/java/mallowstall/core/CloudState.java
@@ -46,11 +46,20 @@
 
   /** Returns the number of processors of a machine of this type. */
   double cpusOf(String typeName) {
+    return typeOf(typeName).cpus();
+  }
+
+  /** Returns the rate at which machines of this type fetch images, in gigabytes per second. */
+  double fetchRateOf(String typeName) {
+    return typeOf(typeName).fetchGbPerS();
+  }
+
+  private MachineType typeOf(String typeName) {
     for (MachineType type : offeredTypes) {
       if (type.name().equals(typeName)) {
-        return type.cpus();
+        return type;
       }
     }
-    return DEFAULT_TYPE.cpus();
+    return DEFAULT_TYPE;
   }
 }
--- a/src/test/java/mallowstall/core/InvariantChecker.java
+++ b/src/test/java/mallowstall/core/InvariantChecker.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.Supplier;
 import mallowstall.core.model.JobSpec;
 import mallowstall.core.model.Team;
 
@@ -50,6 +51,7 @@
   private final Map<String, String> lastReportedState = new HashMap<>();
   private final Set<String> cancelRequested = new HashSet<>();
   private final Map<String, Long> lastAnswerMs = new HashMap<>();
+  private final PollHistory polls = new PollHistory();
   private final Map<String, Machine> machinesUp = new TreeMap<>();
   private final Map<String, Long> pendingSinceMs = new HashMap<>();
   private final Map<Replica, Long> replicaMissingSinceMs = new HashMap<>();
@@ -60,6 +62,9 @@
   /** The reference for pending and running; if it is null, these states are not checked. */
   private RunStateHistory runStates;
 
+  /** Tasks that take room while a long fetch of their image is under way. */
+  Supplier<List<RunningTask>> fetchingTasks = List::of;
+
   int startCount;
 
   /**
@@ -187,7 +192,17 @@
     runningTasks.removeIf(task -> task.machineId.equals(machine));
   }
 
+  /** Records whether a user's poll of an accepted job was answered with a state. */
+  void onPoll(long now, String job, boolean answered) {
+    polls.record(now, job, answered);
+  }
+
   void check(long now) {
+    for (String job : polls.takeForgotten(now)) {
+      if (!hasEnded(job)) {
+        violations.add(now + " forgotten: every poll for " + job + " fails, most others don't");
+      }
+    }
     for (Map.Entry<String, Long> entry : lastAnswerMs.entrySet()) {
       if (!hasEnded(entry.getKey()) && now - 75_000 > Math.max(faultsEndedMs, entry.getValue())) {
         violations.add(now + " forgotten: no query about " + entry.getKey() + " is answered");
@@ -255,7 +270,9 @@
     if (!shouldRun(spec.id()) || remainingTasks(spec.id()) == 0) {
       return false;
     }
-    return runningTasks.of(spec.id()).isEmpty() && hasCapacityFor(spec, Set.of());
+    boolean isFetching =
+        fetchingTasks.get().stream().anyMatch(task -> task.jobId.equals(spec.id()));
+    return runningTasks.of(spec.id()).isEmpty() && !isFetching && hasCapacityFor(spec, Set.of());
   }
 
   /** Returns whether the job is accepted, not over, and without a requested cancellation. */
@@ -287,6 +304,9 @@
           free -= jobs.get(task.jobId).cpus();
         }
       }
+      for (RunningTask task : fetchingTasks.get()) {
+        free -= task.machineId.equals(machine.id) ? jobs.get(task.jobId).cpus() : 0;
+      }
       if (free >= spec.cpus() - 1e-6) {
         return true;
       }
--- a/src/test/java/mallowstall/core/RandomizedSimulationTest.java
+++ b/src/test/java/mallowstall/core/RandomizedSimulationTest.java
@@ -215,6 +215,26 @@
     assertTrue(rules.violations.get(0).contains("forgotten"), rules.violations.toString());
   }
 
+  /**
+   * The checker reports a job as forgotten during faults if every poll for it fails for 90 s while
+   * most others are answered, and not if most others fail as well.
+   */
+  @ParameterizedTest
+  @ValueSource(booleans = {false, true})
+  void checkerDetectsJobForgottenAmongOthers(boolean othersAreAnswered) {
+    Simulation sim = new Simulation(6);
+    InvariantChecker rules = new InvariantChecker(sim.teams, 1_000);
+    for (long t = 1_000; t <= 91_000; t += 5_000) {
+      rules.onPoll(t, "wk-000001", false);
+      rules.onPoll(t, "wk-000002", othersAreAnswered);
+    }
+    rules.check(91_000);
+    assertEquals(List.of(), rules.violations);
+    rules.check(91_001);
+    boolean isReported = rules.violations.stream().anyMatch(text -> text.contains("wk-000001"));
+    assertEquals(othersAreAnswered, isReported, rules.violations.toString());
+  }
+
   /** The checker reports each forbidden command and answer under the name of its rule. */
   @Test
   void checkerDetectsViolations() {
--- a/src/test/java/mallowstall/core/SimulatedUsers.java
+++ b/src/test/java/mallowstall/core/SimulatedUsers.java
@@ -21,8 +21,13 @@
   /** How long a user waits for the answer to a submission or a cancellation. */
   private static final long REQUEST_TIMEOUT_MS = 5_000;
 
+  private static final int POLL_INTERVAL_SPREAD_MS = 3_000;
+
   private final Simulation simulation;
 
+  /** The shortest time in milliseconds between two polls of a job. */
+  long pollIntervalMinMs = 2_000;
+
   final List<String> jobs = new ArrayList<>();
 
   /** Jobs that a user queries periodically until they have ended. */
@@ -138,9 +143,19 @@
     SimulatedController node = randomController();
     long requestedMs = simulation.nowMs;
     if (node.running) {
-      query(node, id, answer -> recordAnswer(requestedMs, id, answer));
+      boolean[] answered = {false};
+      query(
+          node,
+          id,
+          answer -> {
+            answered[0] = answer.state() != null;
+            recordAnswer(requestedMs, id, answer);
+          });
+      simulation.schedule(
+          QUERY_TIMEOUT_MS, () -> simulation.checker.onPoll(requestedMs, id, answered[0]));
     }
-    simulation.schedule(2_000 + simulation.random.nextInt(3_000), () -> poll(id));
+    simulation.schedule(
+        pollIntervalMinMs + simulation.random.nextInt(POLL_INTERVAL_SPREAD_MS), () -> poll(id));
   }
 
   void cancel(String id) {
--- a/src/test/java/mallowstall/core/Simulation.java
+++ b/src/test/java/mallowstall/core/Simulation.java
@@ -120,6 +120,9 @@
   /** Time in milliseconds that the fetch of an image takes, or 0 for 0.5 to 2.5 s. */
   long imageFetchMs;
 
+  /** Whether fetches take as long as the size of the image and the type's rate make expect. */
+  boolean fetchesBySize;
+
   /** Run time of tasks in milliseconds, or 0 for a random run time of 1 to 7 s. */
   long taskRunMs;
 
--- a/src/test/java/mallowstall/core/TaskRunner.java
+++ b/src/test/java/mallowstall/core/TaskRunner.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import mallowstall.core.model.ExitReason;
+import mallowstall.core.model.JobSpec;
 import mallowstall.core.model.TaskState;
 import mallowstall.core.model.WorkerCommand;
 
@@ -15,6 +16,11 @@
 
   private final Map<String, Long> imageFetchedAtMs = new HashMap<>();
 
+  private final Set<String> cachedImages = new HashSet<>();
+
+  /** When the last fetch of an image ends, unless it is given up, by image. */
+  private final Map<String, Long> fetchEndsMs = new HashMap<>();
+
   /** Tasks that are done on this worker. A later attempt ends as done without running again. */
   private final Set<String> completedTasks = new HashSet<>();
 
@@ -70,10 +76,7 @@
         task.state = TaskState.FETCHING;
         SimulatedTask newTask = task;
         int step = ++task.step;
-        scheduleStep(
-            newTask,
-            imageFetchedAtMs.containsKey(command.job()) ? 1 : imageFetchMs(),
-            () -> startRunning(newTask, key, step));
+        scheduleStep(newTask, imageFetchMs(command.job()), () -> startRunning(newTask, key, step));
       }
       case STOP -> {
         if (task == null || task.state == TaskState.EXITED) {
@@ -89,12 +92,40 @@
     }
   }
 
-  private long imageFetchMs() {
+  /** Returns the time in milliseconds until the machine has the image of the job. */
+  private long imageFetchMs(String job) {
+    if (simulation.fetchesBySize) {
+      return imageFetchMs(simulation.checker.spec(job));
+    }
+    if (imageFetchedAtMs.containsKey(job)) {
+      return 1;
+    }
     return simulation.imageFetchMs > 0
         ? simulation.imageFetchMs
         : 500 + simulation.random.nextInt(2_000);
   }
 
+  /** Returns the same if images are fetched by their size, once for all tasks that need them. */
+  private long imageFetchMs(JobSpec spec) {
+    if (cachedImages.contains(spec.image())) {
+      return 1;
+    }
+    if (!isFetching(spec.image())) {
+      double rate = simulation.cloudState.fetchRateOf(worker.type);
+      double variation = 2.0 / 3 + simulation.random.nextDouble() * 2 / 3;
+      long fetchMs = (long) (spec.imageGb() * 1_000 / (rate * variation));
+      fetchEndsMs.put(spec.image(), simulation.nowMs + fetchMs);
+    }
+    return Math.max(1, fetchEndsMs.get(spec.image()) - simulation.nowMs);
+  }
+
+  /** Returns whether a task that was started before waits for the image. */
+  private boolean isFetching(String image) {
+    return worker.tasks.values().stream()
+        .filter(task -> task.state == TaskState.FETCHING && task.dueMs > 0)
+        .anyMatch(task -> simulation.checker.spec(task.job).image().equals(image));
+  }
+
   private void scheduleStep(SimulatedTask task, long ms, Runnable then) {
     task.dueMs = simulation.nowMs + ms;
     simulation.schedule(ms, () -> runWhenDue(task, then));
@@ -116,6 +147,7 @@
       return;
     }
     imageFetchedAtMs.put(task.job, simulation.nowMs);
+    cachedImages.add(simulation.checker.spec(task.job).image());
     if (completedTasks.contains(task.job + "/" + task.task)) {
       simulation.countFault("result kept");
       exit(task, ExitReason.DONE);
--- a/src/test/java/mallowstall/core/model/JobSpecBuilder.java
+++ b/src/test/java/mallowstall/core/model/JobSpecBuilder.java
@@ -113,6 +113,12 @@
     return this;
   }
 
+  /** Sets the size of the image in gigabytes. */
+  public JobSpecBuilder imageGb(double value) {
+    imageGb = value;
+    return this;
+  }
+
   /** Sets the allowed machine types; null allows all. */
   public JobSpecBuilder machineTypes(List<String> value) {
     machineTypes = value;
