Tell that no task runs while the image is being fetched, heard or not

Cause: a job is told pending only if each of its machines was heard within 2.5 s. With one silent machine at any time that moment doesn't come, however much all reports show: knowledge that stays true for minutes was dated like knowledge that may change at once.

Fix: a report of a fetch says more than the moment. No task can run before the size of the image, at the highest rate that the type allows, can have passed since the begin of the fetch, which the last report without it bounds (ImageFetches). Such a machine needs no request and may be silent.

--- a/src/main/java/mallowstall/core/MachineModules.java
+++ b/src/main/java/mallowstall/core/MachineModules.java
@@ -87,7 +87,13 @@
     startReceiver = newStartReceiver();
     runStates =
         new MachineRunStates(
-            cluster.clock, cluster.eventLoopLag, cluster.effects, cluster.metrics, machines);
+            cluster.clock,
+            cluster.eventLoopLag,
+            cluster.effects,
+            cluster.metrics,
+            cluster.store,
+            cluster.imageSizes,
+            machines);
   }
 
   private StatusPublisher newStatusPublisher(Consumer<StatusUpdate> ownStatusUpdates) {
--- a/src/main/java/mallowstall/core/machines/DirectCommands.java
+++ b/src/main/java/mallowstall/core/machines/DirectCommands.java
@@ -202,6 +202,7 @@
         && machine.isNewer(heartbeat)) {
       heartbeatApplier.apply(machine, heartbeat, false);
       machine.recordReport(machine.commands().lastSentMs());
+      machine.imageFetches().recordComposed(machine.commands().lastSentMs());
     }
     machinesWithPendingCommands.add(machine);
   }
--- a/src/main/java/mallowstall/core/machines/HeartbeatApplier.java
+++ b/src/main/java/mallowstall/core/machines/HeartbeatApplier.java
@@ -1,7 +1,10 @@
 package mallowstall.core.machines;
 
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import java.util.function.Predicate;
 import mallowstall.core.cluster.ImageSizes;
 import mallowstall.core.kernel.EventClock;
@@ -67,9 +70,10 @@
     if (heartbeat.session() > machine.workerSession()) {
       beginSession(machine, now);
     }
+    boolean showsPresent = false;
     if (sentByWorker) {
       machine.recordHandledSequence(heartbeat.sequence());
-      machine.recordArrival(heartbeat, now, maxHeartbeatGapMs());
+      showsPresent = machine.recordArrival(heartbeat, now, maxHeartbeatGapMs());
     }
     if (machine.commands().settledByAcknowledgement()
         && heartbeat.fencingToken() >= machine.fencingToken()) {
@@ -77,6 +81,11 @@
     }
     machine.recordHeartbeat(heartbeat, now);
     statusChanged |= applyTasks(machine, heartbeat, now);
+    recordImageFetches(machine, heartbeat, sentByWorker);
+    if (showsPresent) {
+      // The worker composed this heartbeat after the response to the one before.
+      machine.imageFetches().recordComposed(now - maxHeartbeatGapMs());
+    }
     statusChanged |= removeObsoleteReservations(machine, sentByWorker, now);
     if (statusChanged) {
       machine.published().markChanged();
@@ -144,6 +153,26 @@
     return true;
   }
 
+  private void recordImageFetches(
+      ManagedMachine machine, Heartbeat heartbeat, boolean sentByWorker) {
+    Map<String, Set<TaskAttempt>> waiting = new HashMap<>();
+    boolean isComplete = true;
+    for (TaskReport task : heartbeat.tasks()) {
+      if (task.state() != TaskState.FETCHING) {
+        continue;
+      }
+      JobEntry job = store.job(task.job());
+      if (job == null) {
+        isComplete = false;
+      } else {
+        waiting
+            .computeIfAbsent(job.spec().image(), image -> new HashSet<>())
+            .add(TaskAttempt.of(task));
+      }
+    }
+    machine.imageFetches().record(waiting, isComplete, sentByWorker);
+  }
+
   private static boolean hasSameTasks(ManagedMachine machine, Heartbeat heartbeat) {
     if (machine.tasks().reportCount() != heartbeat.tasks().size()) {
       return false;
--- a/src/main/java/mallowstall/core/machines/MachineRunStates.java
+++ b/src/main/java/mallowstall/core/machines/MachineRunStates.java
@@ -3,11 +3,14 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
+import mallowstall.core.cluster.ImageSizes;
 import mallowstall.core.kernel.Effects;
 import mallowstall.core.kernel.EventClock;
 import mallowstall.core.kernel.EventLoopLag;
 import mallowstall.core.kernel.Metrics;
+import mallowstall.core.kv.StateStore;
 import mallowstall.core.model.Heartbeat;
+import mallowstall.core.model.JobEntry;
 import mallowstall.core.model.RunObservation;
 import mallowstall.core.model.RunStateQuestion;
 import mallowstall.core.model.TaskReport;
@@ -26,6 +29,8 @@
 
   private final EventClock clock;
   private final EventLoopLag lag;
+  private final StateStore store;
+  private final ImageSizes imageSizes;
   private final ManagedMachines machines;
   private final InspectionQueue inspections;
 
@@ -35,9 +40,13 @@
       EventLoopLag lag,
       Effects effects,
       Metrics metrics,
+      StateStore store,
+      ImageSizes imageSizes,
       ManagedMachines machines) {
     this.clock = clock;
     this.lag = lag;
+    this.store = store;
+    this.imageSizes = imageSizes;
     this.machines = machines;
     this.inspections = new InspectionQueue(clock, effects, metrics);
   }
@@ -103,8 +112,30 @@
     return found;
   }
 
-  /** Returns what the machine's newest report shows of the job. */
+  /**
+   * Returns what the machine's newest report shows of the job. That no task runs is certain beyond
+   * that report while the machine can't have the job's image.
+   */
   RunObservation observed(ManagedMachine machine, String job) {
+    RunObservation reported = reported(machine, job);
+    if (!reported.isIdle()) {
+      return reported;
+    }
+    long absentUntilMs = Math.min(clock.now(), imageAbsentUntilMs(machine, job));
+    return RunObservation.idle(reported.sinceMs(), Math.max(reported.atMs(), absentUntilMs));
+  }
+
+  private long imageAbsentUntilMs(ManagedMachine machine, String job) {
+    JobEntry entry = store.job(job);
+    if (entry == null) {
+      return Long.MIN_VALUE;
+    }
+    String image = entry.spec().image();
+    double gigabytes = Math.min(entry.spec().imageGb(), imageSizes.gigabytes(image));
+    return machine.imageFetches().absentUntilMs(image, gigabytes, machine.type().fetchGbPerS());
+  }
+
+  private RunObservation reported(ManagedMachine machine, String job) {
     MachineTasks tasks = machine.tasks();
     if (machine.leaseExpired()) {
       return RunObservation.idle(tasks.runningEndedMs(job), clock.now());
--- a/src/main/java/mallowstall/core/machines/ManagedMachine.java
+++ b/src/main/java/mallowstall/core/machines/ManagedMachine.java
@@ -16,6 +16,7 @@
   private final PublishedStatus published = new PublishedStatus();
   private final MachineTasks tasks;
   private final ImageCache images;
+  private final ImageFetches imageFetches = new ImageFetches();
   private final MachineHealth health = new MachineHealth();
   private MachineInspection inspection = MachineInspection.NONE;
 
@@ -105,6 +106,11 @@
     return health;
   }
 
+  /** Returns the images that the machine fetches. */
+  ImageFetches imageFetches() {
+    return imageFetches;
+  }
+
   /**
    * Returns the fencing token, which is the revision at which this leadership was written to the
    * machine's entry.
@@ -257,18 +263,21 @@
    * contains the fencing token, unlike late copies of heartbeats to former leaders.
    *
    * @param maxGapMs maximum time in milliseconds between two heartbeats that arrive without delay
+   * @return whether the heartbeat shows the present state
    */
-  void recordArrival(Heartbeat heartbeat, long now, long maxGapMs) {
+  boolean recordArrival(Heartbeat heartbeat, long now, long maxGapMs) {
     Heartbeat inspected = inspection.report();
     boolean inspectedLast = inspected != null && isNewer(inspected);
     long lastSequence = inspectedLast ? inspected.sequence() : latestHeartbeatSequence;
     boolean isNext =
         heartbeat.session() == workerSession && heartbeat.sequence() == lastSequence + 1;
     boolean isExpected = now - lastArrivalMs <= maxGapMs;
-    if (isNext && isExpected && heartbeat.fencingToken() >= fencingToken) {
+    boolean showsPresent = isNext && isExpected && heartbeat.fencingToken() >= fencingToken;
+    if (showsPresent) {
       recordReport(now);
     }
     lastArrivalMs = now;
+    return showsPresent;
   }
 
   /**
