Soak: long fetches, machines silent in turn, and the rule of 90 s

The soak missed what users met: images came within 12 s and troubles lasted 40 s, so no job stayed pending beside fetches for 75 s; and silence was not counted in outages. One seed in six (5, 11, 17, ...) now has images that take about a minute to fetch and are shared by jobs, and one machine after the other hangs or hears nothing; the protocol's 90 s are checked at any time (PollHistory). All other seeds draw what they drew.

--- a/src/test/java/mallowstall/core/PollHistory.java
+++ b/src/test/java/mallowstall/core/PollHistory.java
@@ -10,8 +10,9 @@
  * The outcomes of the users' polls. A job is forgotten if every poll for it fails for {@link
  * #FORGOTTEN_MS} while most others are answered (protocol, Rules).
  */
-final class PollHistory {
-  static final long FORGOTTEN_MS = 90_000;
+public final class PollHistory {
+  /** Time in milliseconds for which every poll of a forgotten job fails. */
+  public static final long FORGOTTEN_MS = 90_000;
 
   private record Poll(long atMs, String job, boolean answered) {}
 
@@ -21,7 +22,8 @@
   /** The time of the first poll since which every poll for the job has failed, by job. */
   private final Map<String, Long> failingSinceMs = new HashMap<>();
 
-  void record(long now, String job, boolean answered) {
+  /** Records whether a poll of an accepted job was answered with a state. */
+  public void record(long now, String job, boolean answered) {
     polls.add(new Poll(now, job, answered));
     if (answered) {
       failingSinceMs.remove(job);
@@ -31,7 +33,7 @@
   }
 
   /** Returns the jobs that are forgotten now; each counts again after the same time. */
-  List<String> takeForgotten(long now) {
+  public List<String> takeForgotten(long now) {
     while (!polls.isEmpty() && now - polls.peek().atMs() > FORGOTTEN_MS) {
       polls.poll();
     }
--- a/src/test/java/mallowstall/soak/LabWorker.java
+++ b/src/test/java/mallowstall/soak/LabWorker.java
@@ -176,7 +176,7 @@
       exit(task, "done");
       return;
     }
-    images.add(task.job);
+    images.add(plan.image(task.job));
     if (keptResults.contains(task.task)) {
       exit(task, "done");
       return;
@@ -334,7 +334,8 @@
 
   private void begin(String name, long attempt) {
     Task task = new Task(name, attempt, 0);
-    task.dueMs = network.nowMs() + (images.contains(task.job) ? 0 : plan.fetchMs(machine));
+    task.dueMs =
+        network.nowMs() + (images.contains(plan.image(task.job)) ? 0 : plan.fetchMs(machine));
     boolean isBusy = false;
     double usedCpus = 0;
     for (Task other : tasks.values()) {
--- a/src/test/java/mallowstall/soak/SoakChecker.java
+++ b/src/test/java/mallowstall/soak/SoakChecker.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.LongSupplier;
+import mallowstall.core.PollHistory;
 
 /** Checks the rules of the protocol from outside: by what machines run and what users are told. */
 final class SoakChecker {
@@ -24,6 +25,7 @@
   private final SoakPlan plan;
   private final Map<String, JobRecord> jobs = new HashMap<>();
   private final Map<String, Set<String>> machinesByTask = new HashMap<>();
+  private final PollHistory polls = new PollHistory();
   private double limitedCpus;
 
   final List<String> violations = new ArrayList<>();
@@ -181,9 +183,21 @@
     }
   }
 
+  /** Records whether a poll of the job was answered with a state. */
+  void polled(String job, boolean isAnswered) {
+    if (jobs.containsKey(job) && jobs.get(job).acceptedMs >= 0) {
+      polls.record(clock.getAsLong(), job, isAnswered);
+    }
+  }
+
   /** Checks what has to hold at any time. */
   void checkNow() {
     long now = clock.getAsLong();
+    for (String job : polls.takeForgotten(now)) {
+      if (isOpen(jobs.get(job))) {
+        violation("forgotten", job + ": every poll fails, most others don't");
+      }
+    }
     jobs.forEach(
         (job, record) -> {
           boolean isOverdue = isCancelled(record) && now - record.endedMs > SoakPlan.CANCEL_MS;
--- a/src/test/java/mallowstall/soak/SoakPlan.java
+++ b/src/test/java/mallowstall/soak/SoakPlan.java
@@ -11,6 +11,7 @@
  * @param reportMs interval of workers' reports in milliseconds
  * @param leaseMs workers' lease in milliseconds
  * @param fetchMsMax longest time of an image fetch in milliseconds
+ * @param imageGb size of an image in gigabytes
  * @param runMsMax longest run time of a task in milliseconds
  * @param tasksMax largest number of tasks of a job
  * @param lateReportShare share of reports of which a late copy arrives
@@ -21,6 +22,7 @@
     long reportMs,
     long leaseMs,
     int fetchMsMax,
+    double imageGb,
     int runMsMax,
     int tasksMax,
     double lateReportShare) {
@@ -35,6 +37,17 @@
   /** One run in so many has a few hundred workers. */
   private static final int LARGE_RUN_EVERY = 8;
 
+  /** One run in so many has images that take a minute to fetch, and machines silent in turn. */
+  private static final int LONG_FETCH_RUN_EVERY = 6;
+
+  private static final double LONG_FETCH_GB = 60;
+
+  private static final int LONG_FETCH_IMAGES = 3;
+
+  private static final int SUBMISSION_GAP_MS = 700;
+
+  private static final int LONG_FETCH_SUBMISSION_GAP_MS = 5_000;
+
   static SoakPlan of(long seed) {
     SplittableRandom random = new SplittableRandom(seed);
     boolean isLarge = seed % LARGE_RUN_EVERY == 0;
@@ -44,6 +57,7 @@
         1_000 + random.nextInt(4_000),
         10_000 + random.nextInt(4_000),
         random.nextInt(3) == 0 ? 12_000 : 1_500,
+        hasLongFetches(seed) ? LONG_FETCH_GB : 1,
         2_000 + random.nextInt(6_000),
         isLarge ? 300 : 10,
         random.nextInt(2) * 0.05);
@@ -84,7 +98,30 @@
     return 500L + Math.floorMod(task.hashCode() * 31L + seed, runMsMax);
   }
 
+  /** Returns the image of the job; images that take long to fetch are shared by jobs. */
+  String image(String job) {
+    return "img-" + (hasLongFetches() ? number(job) % LONG_FETCH_IMAGES : job);
+  }
+
+  /** Returns the mean time in milliseconds between two submissions. */
+  int submissionGapMs() {
+    return hasLongFetches() ? LONG_FETCH_SUBMISSION_GAP_MS : SUBMISSION_GAP_MS;
+  }
+
+  /** Returns whether images take a minute to fetch and machines fall silent in turn. */
+  boolean hasLongFetches() {
+    return hasLongFetches(seed);
+  }
+
+  private static boolean hasLongFetches(long seed) {
+    return seed % LONG_FETCH_RUN_EVERY == LONG_FETCH_RUN_EVERY - 1;
+  }
+
   long fetchMs(String machine) {
+    if (hasLongFetches()) {
+      double variation = 0.8 + Math.floorMod(machine.hashCode() * 17L + seed, 50) / 100.0;
+      return (long) (imageGb * 1_000 * variation);
+    }
     return 100L + Math.floorMod(machine.hashCode() * 17L + seed, fetchMsMax);
   }
 }
--- a/src/test/java/mallowstall/soak/SoakRun.java
+++ b/src/test/java/mallowstall/soak/SoakRun.java
@@ -24,7 +24,6 @@
   private static final long TROUBLE_MS_MAX = 25_000;
 
   private static final long CHECK_INTERVAL_MS = 200;
-  private static final int SUBMISSION_GAP_MS = 700;
 
   private static final int FIRST_PORT = 12_000;
   private static final int PORTS = 18_000;
@@ -114,8 +113,11 @@
     controllers.forEach(ControllerProcess::start);
     SoakUsers users = new SoakUsers(network, plan, checker, addresses);
     troubles = new SoakTroubles(network, plan.seed(), state, cloud, users, controllers, proxies);
-    network.schedule(2_000, () -> users.submitUntil(troublesMs, SUBMISSION_GAP_MS));
+    network.schedule(2_000, () -> users.submitUntil(troublesMs, plan.submissionGapMs()));
     network.schedule(6_000, () -> troubles.injectUntil(troublesMs));
+    if (plan.hasLongFetches()) {
+      network.schedule(6_000, () -> troubles.silenceInTurnUntil(troublesMs));
+    }
   }
 
   /**
--- a/src/test/java/mallowstall/soak/SoakTroubles.java
+++ b/src/test/java/mallowstall/soak/SoakTroubles.java
@@ -10,6 +10,10 @@
 final class SoakTroubles {
   private static final int GAP_MS_MAX = 5_000;
 
+  private static final long SILENCE_MS_MIN = 4_000;
+
+  private static final long SILENCE_GAP_MS = 1_500;
+
   /** The kinds of troubles. */
   enum Trouble {
     KILL,
@@ -34,6 +38,10 @@
 
   private final LabNetwork network;
   private final SplittableRandom random;
+
+  /** Draws machines that fall silent in turn, so that the other troubles of a seed stay. */
+  private final SplittableRandom silenceRandom;
+
   private final LabStateService state;
   private final LabCloud cloud;
   private final SoakUsers users;
@@ -55,6 +63,7 @@
       Map<String, List<PeerProxy>> proxies) {
     this.network = network;
     this.random = new SplittableRandom(seed + 29);
+    this.silenceRandom = new SplittableRandom(seed + 31);
     this.state = state;
     this.cloud = cloud;
     this.users = users;
@@ -72,6 +81,24 @@
     network.schedule(random.nextInt(GAP_MS_MAX), () -> injectUntil(untilMs));
   }
 
+  /** Lets one machine after the other hang or hear nothing, each for less than a lease. */
+  void silenceInTurnUntil(long untilMs) {
+    if (network.nowMs() >= untilMs) {
+      return;
+    }
+    List<LabWorker> workers = List.copyOf(cloud.workers.values());
+    if (!workers.isEmpty()) {
+      LabWorker worker = workers.get(silenceRandom.nextInt(workers.size()));
+      long silentUntilMs = network.nowMs() + SILENCE_MS_MIN + silenceRandom.nextInt(5_000);
+      if (silenceRandom.nextBoolean()) {
+        worker.hangsUntilMs = silentUntilMs;
+      } else {
+        worker.deafUntilMs = silentUntilMs;
+      }
+    }
+    network.schedule(SILENCE_GAP_MS, () -> silenceInTurnUntil(untilMs));
+  }
+
   private void inject(Trouble trouble, ControllerProcess controller) {
     switch (trouble) {
       case KILL -> kill(controller, 1_000 + random.nextInt(12_000));
--- a/src/test/java/mallowstall/soak/SoakUsers.java
+++ b/src/test/java/mallowstall/soak/SoakUsers.java
@@ -79,8 +79,8 @@
             .put("vcpus", plan.cpus(job))
             .put("gpus", 0)
             .put("mem_gb", 1)
-            .put("molde", "img-" + job)
-            .put("image_gb", 1)
+            .put("molde", plan.image(job))
+            .put("image_gb", plan.imageGb())
             .put("one_zone", false)
             .put("scatter", false)
             .put("prestados", true)
@@ -127,7 +127,7 @@
         "/submissions/" + job,
         null,
         QUERY_TIMEOUT_MS,
-        response -> record(job, sentMs, response));
+        response -> checker.polled(job, record(job, sentMs, response)));
   }
 
   private void askAll(String job) {
