--- a/src/test/java/mallowstall/core/PollHistory.java
+++ b/src/test/java/mallowstall/core/PollHistory.java
@@ -14,6 +14,7 @@
   /** Time in milliseconds for which every poll of a forgotten job fails. */
   public static final long FORGOTTEN_MS = 90_000;
 
+  /** One poll of a job and whether it was answered with a state. */
   private record Poll(long atMs, String job, boolean answered) {}
 
   /** The polls of the last {@link #FORGOTTEN_MS}, the oldest first. */
